--- /dev/null
+++ b/fennelwind/__init__.py
@@ -0,0 +1,1 @@
+"""fennelwind: the decisions of a workload manager in front of analytic engines."""
--- /dev/null
+++ b/fennelwind/adapter.py
@@ -0,0 +1,309 @@
+"""The wire and the hosting of instances; every decision is in rules.py."""
+
+import sys
+from collections.abc import Callable, Iterator
+from typing import TextIO
+
+from fennelwind import interface as api
+from fennelwind.rules import Gateway
+
+EFFECTS = {"repeatable": "safe", "by_key": "keyed", "once": "unsafe"}
+STATES = {"in_service": "ready", "terminating": "draining", "terminated": "gone"}
+FORMS = {"Partial": "delta", "Complete": "full", "Persisted": "cached", "Error": "failed"}
+STATUSES = {"OK": "ok", "INTERNAL": "error", "RESOURCE_EXHAUSTED": "full", "DEADLINE_EXCEEDED": "timeout",
+            "UNAVAILABLE": "connect_failed", "ABORTED": "reset", "CANCELLED": "cancelled", "TOO_LATE": "moot"}
+FINITE = 1e300
+
+
+class WireError(Exception):
+    """A line that the wire does not allow."""
+
+
+def _number(text: str) -> float:
+    value = float(text)
+    if not -FINITE < value < FINITE:
+        raise ValueError(text)
+    return value
+
+
+def _flag(text: str) -> bool:
+    return {"1": True, "true": True, "0": False, "false": False}[text]
+
+
+def _numbers(text: str) -> tuple[float, ...]:
+    return tuple(_number(part) for part in text.split(",") if part)
+
+
+def _whole(text: str) -> tuple[int, ...]:
+    return tuple(int(part) for part in text.split(",") if part)
+
+
+def _texts(text: str) -> tuple[str, ...]:
+    return tuple(part for part in text.split(",") if part)
+
+
+_MISSING = object()
+
+
+class Fields:
+    """The name=value pairs of one line, read one by one."""
+
+    def __init__(self, message: str, parts: list[str]) -> None:
+        self.message = message
+        self.pairs: dict[str, str] = {}
+        for part in parts:
+            name, sep, value = part.partition("=")
+            if not sep:
+                raise WireError(f"{message}: field {part[:40]!r} has no value")
+            self.pairs[name] = value
+
+    def get(self, name: str, read: Callable = str, default: object = _MISSING):
+        """Return the field, read as told; absent ones take the default if there is one."""
+        text = self.pairs.get(name)
+        if text is None:
+            if default is _MISSING:
+                raise WireError(f"{self.message}: field {name} is missing")
+            return default
+        try:
+            return read(text)
+        except (ValueError, KeyError):
+            raise WireError(f"{self.message}: field {name} cannot be read") from None
+
+
+def read_settings(conf: Fields) -> api.Settings:
+    """Build the settings from the pairs of a NEW_INSTANCE line."""
+    get = conf.get
+    threads = get("FamilyInfo.WidthByClass", _whole, ())
+    classes = []
+    for i in range(get("Grades.count", int)):
+        at = f"Grades.{i}."
+        classes.append(api.QueryClass(
+            name=get(at + "Name", str, str(i)), aim_ms=get(at + "AimMs", _number),
+            give_up_ms=get(at + "GiveUpMs", _number), worth=get(at + "Points", _number),
+            aim_stretch=get(at + "AimStretch", _number, 0.0), late_worth=get(at + "LateWorth", _number, 0.0),
+            effect=get(at + "Effect", EFFECTS.__getitem__), group=get(at + "Group", str, "all"),
+            memory_ms=get(at + "MemorySpanMs", _number, 0.0), serial=get(at + "SerialByKey", _flag, False),
+            zones=get(at + "RunsIn", _whole, None), kinds=get(at + "RunsOn", _whole, None),
+            threads=threads[i] if i < len(threads) else 1))
+    tenants = tuple(
+        api.Tenant(name=get(f"Projects.{i}.Name", str, str(i)), quota_per_s=get(f"Projects.{i}.QuotaPerS", _number))
+        for i in range(get("Projects.count", int, 0)))
+    return api.Settings(
+        classes=tuple(classes), tenants=tenants, kind_cores=get("FamilyInfo.KindCores", _whole, ()),
+        gateways=get("Balancers", int, 1), me=get("Me", int, 0), zone=get("Zone", int, 0),
+        over_share_worth=get("OverShareWorth", _number, 1.0),
+        kind_memory_mb=get("FamilyInfo.SizeMb", _numbers, ()),
+        max_grant_share=get("FamilyInfo.MaxGrantShare", _number, 1.0),
+        grants=get("FamilyInfo.TakesGrants", _flag, False),
+        priorities=get("FamilyInfo.RanksHeeded", _flag, False),
+        tells_cost=get("FamilyInfo.SaysCost", _flag, False), report_fields=get("Report.Columns", _texts, ()),
+        can_cancel=get("Ceilings.Cancel", _flag, False), can_probe=get("Ceilings.Probing", _flag, False),
+        can_tell=get("Ceilings.Peers", _flag, False), parallel=get("Ceilings.ParallelTries", _flag, False),
+        retry_after=get("Ceilings.RetryAfter", _flag, False),
+        max_retry_after_ms=get("Ceilings.MaxRetryAfterMs", _number, 0.0),
+        max_attempts=get("Ceilings.MaxAttempts", int, 1),
+        must_ask=get("RegistryMode", str, "pushed") == "on_request",
+        answer_slack_ms=get("Rules.AnswerSlackMs", _number, 0.0),
+        drain_grace_ms=get("Rules.DrainGraceMs", _number, 0.0),
+        cold_share=get("Rules.ColdShare", _number, 1.0), cold_ms=get("Rules.RampTimeMs", _number, 0.0),
+        fall_multiple=get("Rules.FallMultiple", _number, 0.0), fall_ms=get("Rules.OverloadForMs", _number, 0.0),
+        settle_ms=get("Rules.SettleAfterDoubtMs", _number, 0.0),
+        budget_free=get("Rules.ExtraFloor", _number, 0.0), budget_share=get("Rules.FurtherRatio", _number, 0.0),
+        budget_ms=get("Rules.LookBackMs", _number, 0.0), tick_ms=get("ResolutionMs", _number, 1.0))
+
+
+def _key_space(text: str) -> str | None:
+    return text or None
+
+
+class Host:
+    """Hosts the instances of one process, each apart from the others."""
+
+    def __init__(self, source: TextIO, sink: TextIO) -> None:
+        self.source, self.sink = source, sink
+        self.gateways: dict[int, Gateway] = {}
+        self.columns: dict[int, tuple[str, ...]] = {}
+        self.costs: dict[int, bool] = {}
+        self.pages: dict[int, tuple[api.EngineEntry, ...]] = {}
+
+    def run(self) -> None:
+        """Answer batches until the input ends."""
+        while line := self.source.readline():
+            message, *parts = line.rstrip("\r\n").split("\t")
+            if message != "BATCH":
+                raise WireError(f"{message[:40] or 'empty line'}: a BATCH was expected")
+            now = Fields(message, parts).get("NowMs", _number)
+            out: list[str] = []
+            for who, start, events in self._batch():
+                out += self._answer(now, who, start, events)
+            out.append("ACK")
+            self.sink.write("\n".join(out) + "\n")
+            self.sink.flush()
+
+    def _lines(self) -> Iterator[tuple[str, list[str]]]:
+        while line := self.source.readline():
+            message, *parts = line.rstrip("\r\n").split("\t")
+            if message == "YOUR_TURN":
+                return
+            yield message, parts
+        raise WireError("BATCH: the input ended before YOUR_TURN")
+
+    def _batch(self) -> list[tuple[int, tuple[api.Settings, int] | None, list[api.Event]]]:
+        """Read one batch into stretches: an instance, its start if it starts here, its events."""
+        stretches: list = []
+        who: int | None = None
+        current: list | None = None
+        lines = self._lines()
+        for message, parts in lines:
+            fields = Fields(message, parts)
+            if message == "ABOUT":
+                who = fields.get("Who", int)
+                current = None
+                continue
+            if message == "LIST":
+                count = fields.get("MembersList", int)
+                self.pages[fields.get("Page", int)] = tuple(self._entry(lines) for _ in range(count))
+                continue
+            if who is None:
+                raise WireError(f"{message[:40]}: no ABOUT names its instance")
+            if message == "DOWN":
+                self._stop(who)
+                stretches[:] = [s for s in stretches if s[0] != who]
+                current = None
+                continue
+            if message == "NEW_INSTANCE":
+                try:
+                    start = (read_settings(fields), fields.get("Entropy", int))
+                except ValueError as exc:
+                    raise WireError(f"NEW_INSTANCE: {exc}") from None
+                self.gateways.pop(who, None)
+                self.columns[who], self.costs[who] = start[0].report_fields, start[0].tells_cost
+                current = [who, start, []]
+                stretches.append(current)
+                continue
+            if who not in self.columns:
+                raise WireError(f"{message[:40]}: field Who names no running instance")
+            if current is None:
+                current = next((s for s in stretches if s[0] == who), None)
+                if current is None:
+                    current = [who, None, []]
+                    stretches.append(current)
+            current[2].append(self._event(who, message, fields))
+        return stretches
+
+    def _stop(self, who: int) -> None:
+        for table in (self.gateways, self.columns, self.costs):
+            table.pop(who, None)
+
+    def _entry(self, lines: Iterator[tuple[str, list[str]]]) -> api.EngineEntry:
+        message, parts = next(lines, ("YOUR_TURN", []))
+        if message != "EXECUTOR":
+            raise WireError(f"LIST: field MembersList promises more entries, got {message[:40]}")
+        get = Fields(message, parts).get
+        return api.EngineEntry(
+            engine=get("Executor"), state=get("State", STATES.__getitem__), zone=get("Dc", int, 0),
+            kind=get("Sku", int, 0), cell=get("Cell", int, 0), weight=get("Nominal", _number, 1.0),
+            launched_ms=get("LaunchedMs", _number, 0.0))
+
+    def _event(self, who: int, message: str, fields: Fields) -> api.Event:
+        get = fields.get
+        match message:
+            case "REQUEST":
+                options = get("Options", int, 0)
+                return api.Arrival(
+                    query=get("Txn", int), cls=get("Service", int), deadline_ms=get("DeadlineMs", _number),
+                    tenant=get("Owner", int, 0), key=get("Table", _key_space, None),
+                    work_ms=get("ExpectedMs", _number, None) if options & 1 else None,
+                    memory_mb=get("FootprintMb", _number, 0.0), tables=get("DataGroup", int, None),
+                    repeat=bool(options & 2))
+            case "ANSWER":
+                note = get("Note", int, 0) if self.costs[who] else 0
+                return api.Outcome(
+                    query=get("Txn", int), attempt=get("Try", int), engine=get("Executor"),
+                    status=get("Disposition", STATUSES.__getitem__), took_ms=get("TookMs", _number),
+                    finished=get("Complete", _flag, False), work_ms=float(note >> 12) if note else None,
+                    memory_mb=(note & 4095) * 4.0 if note else None, load=self._load(who, fields))
+            case "TIMEOUT_FIRED":
+                return api.TimerFired(token=get("Mark", int))
+            case "PEERS_KNOWN":
+                form = get("Form", FORMS.__getitem__)
+                if form == "failed":
+                    return api.EngineList(form=form)
+                page = get("Page", int)
+                if page not in self.pages:
+                    raise WireError("PEERS_KNOWN: field Page names no list")
+                return api.EngineList(form=form, engines=self.pages[page])
+            case "UPDATE_OF":
+                return api.Note(query=get("Txn", int), attempt=get("Try", int), sort=get("Sort", int),
+                                value=get("Value", _number))
+            case "CLIENT_GONE":
+                return api.Gone(query=get("Txn", int))
+            case "BEGUN":
+                return api.Begun(query=get("Txn", int), attempt=get("Try", int))
+            case "HEALTH":
+                return api.Probed(engine=get("Executor"), took_ms=get("TookMs", _number),
+                                  status=get("Disposition", STATUSES.__getitem__), load=self._load(who, fields))
+            case "MAIL":
+                text = get("Content")
+                return api.PeerMessage(sender=get("From", int),
+                                       data=b"" if text == "-" else get("Content", bytes.fromhex))
+        raise WireError(f"{message[:40]}: unknown message")
+
+    def _load(self, who: int, fields: Fields) -> dict[str, float]:
+        values = fields.get("Load", _numbers, ())
+        return dict(zip(self.columns[who], values, strict=False))
+
+    def _answer(self, now: float, who: int, start: tuple[api.Settings, int] | None,
+                events: list[api.Event]) -> list[str]:
+        """Let one instance decide, and put its actions into lines."""
+        try:
+            if start is not None:
+                self.gateways[who] = Gateway(*start)
+            actions = self.gateways[who].step(now, events)
+            lines = [_line(action) for action in actions]
+        except Exception as exc:  # the wire has a message for a module that fails
+            words = " ".join(f"{type(exc).__name__}: {exc}".split())
+            lines = [f"GIVE_IN\tWords={words[:200]}"]
+        return [f"SPEAKING\tWho={who}", *lines] if lines else []
+
+
+def _line(action: api.Action) -> str:
+    match action:
+        case api.Send(query, engine, timeout):
+            within = f"\tWithinMs={timeout:.3f}" if timeout else ""
+            return f"ISSUE\tTxn={query}\tExecutor={engine}{within}"
+        case api.Refuse(query, wait):
+            return f"SHED\tTxn={query}\tWaitMs={wait:.3f}"
+        case api.Fail(query):
+            return f"SURRENDER\tTxn={query}"
+        case api.Cancel(query, attempt):
+            return f"RECALL\tTxn={query}\tTry={attempt}"
+        case api.Terms(query, memory, priority):
+            return f"ASSIGN_TERMS\tTxn={query}\tMemMb={memory:.3f}\tImportance={priority}"
+        case api.Timer(delay, token):
+            return f"AFTER\tDelayMs={delay:.3f}\tMark={token}"
+        case api.Tell(data, peer):
+            return f"NOTIFY\tNeighbourId={'*' if peer is None else peer}\tContent={data.hex() or '-'}"
+        case api.Probe(engine):
+            return f"SAMPLE\tExecutor={engine}"
+        case api.Subscribe():
+            return "SUBSCRIBE\tOn=1"
+        case api.Log(text):
+            return f"RECORD\tWords={' '.join(text.split())}"
+    raise TypeError(f"no line for {type(action).__name__}")
+
+
+def main() -> int:
+    """Serve the wire on standard input and output."""
+    sys.stdin.reconfigure(encoding="utf-8", newline="\n")
+    sys.stdout.reconfigure(encoding="utf-8", newline="\n")
+    try:
+        Host(sys.stdin, sys.stdout).run()
+    except (WireError, UnicodeDecodeError) as exc:
+        print(f"fennelwind.adapter: {' '.join(str(exc).split())}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/fennelwind/rules.py
@@ -0,0 +1,517 @@
+"""Every decision of a gateway. Its types, events and actions are in fennelwind/interface.py.
+
+A query is held, then sent to an engine as an attempt. `span` is the told work of a query divided by its
+threads; `stretch` is an attempt's time over its span. Times are in ms.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from random import Random
+from statistics import median
+
+from fennelwind import interface as api
+
+TICK_MS = 25.0  # ms between two looks at the clock; short against every aim
+PERIOD_MS = 1000.0  # ms between two changes of a bound; the design raises each second
+START_PER_CORE = 1.5  # threads a core over all gateways; the design's start of the bound
+FLOOR_PER_CORE = 0.5  # threads a core over all gateways; the design's floor
+RAISE = 1.25  # factor a period; the design's raise by a quarter
+MEAN_PART = 0.05  # part of a new sample in a class's execution mean: some 20 answers
+LOCAL_PART = 0.15  # part of a new sample in one engine's figures: some 7 answers, as they are few
+CAP_AIMS = 3.0  # aims; a longer sample counts as this, so one bad plan can't drag a mean
+CAP_LAG = 8.0  # times best; the same cap for an engine's lag
+BEST_FALL, BEST_RISE = 0.02, 0.002  # steps of the tracker of the best stretch; it settles near the 9th in 100
+PRESSURE_LAG = 2.0  # times best; an answer this much slower than best says that the engine is overfilled
+FULL_MS = 1000.0  # ms that a 'full' counts as pressure
+SUSPECT_LAG = 2.5  # times the fleet's median lag; above it an engine is suspect, whatever the cause
+CANARY_MS = 1000.0  # ms between two trials of a suspect engine, doubled up to four times while they fail
+RESCUE_LAG = 5.0  # times what an attempt should take; beyond it another engine is tried
+TIE_PER_CORE = 0.25  # threads a core; engines closer than this are tied and warmth, zone and load settle it
+WARM_GROUPS = 4  # groups of tables that an engine is taken to keep warm
+COLD_PART = 0.7  # part of the cold budget used; the rest is for chance and for estimates that lie
+BUSY_CAPACITY = 0.85  # part of the cores that counts as capacity
+
+
+@dataclass(slots=True, eq=False)
+class Query:
+    """A query that this gateway has taken."""
+
+    told: api.Arrival
+    cls: api.QueryClass
+    arrived: float
+    span: float
+    aim_at: float
+    target: float = 0.0
+    worth: float = 0.0
+    lane: int = 0
+    attempts: list["Attempt"] = field(default_factory=list)
+    out: int = 0  # attempts without an outcome
+    held: bool = False
+    done: bool = False
+    begun: bool = False  # its stream has started
+    doubt: bool = False  # an attempt may have run
+    anchor: "Attempt | None" = None  # keyed: the first attempt that may have run
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt, from its send to its outcome."""
+
+    query: Query
+    number: int
+    engine: "Engine"
+    sent: float
+    cancelled: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Engine:
+    """What this gateway knows of one engine."""
+
+    entry: api.EngineEntry
+    cores: int
+    bound: float
+    loads: list[float]  # class means of time over aim
+    out: dict[tuple[int, int], Attempt] = field(default_factory=dict)
+    threads: int = 0
+    lag: float = 1.0  # mean of the stretch over the class's best
+    lag_now: float = 1.0  # the same with the ages of what is out
+    fails: int = 0
+    trial_at: float = 0.0
+    full_until: float = 0.0
+    reached: bool = False
+    suspect: bool = False
+    warm: deque[int] = field(default_factory=lambda: deque(maxlen=WARM_GROUPS))
+    sends: deque[tuple[float, float]] = field(default_factory=deque)  # time and usual work
+    report: dict[str, float] = field(default_factory=dict)
+
+
+class Gateway:
+    """The decisions of one gateway; instances share nothing."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.set = settings
+        self.random = Random(seed)
+        self.now = 0.0
+        self.actions: list[api.Action] = []
+        self.engines: dict[str, Engine] = {}
+        self.removed: dict[str, Engine] = {}
+        self.queries: dict[int, Query] = {}
+        self.lanes: list[list[tuple[float, int, Query]]] = [[] for _ in range(2 * len(settings.classes))]
+        self.again: list[Query] = []  # held queries that had an attempt
+        self.expiry: list[tuple[float, int]] = []
+        self.lines: dict[str, deque[Query]] = {}  # queries of one key, in the order taken
+        self.rest: dict[str, float] = {}  # keys that rest until then
+        self.mean: list[float | None] = [None] * len(settings.classes)
+        self.work: list[float] = [0.0] * len(settings.classes)  # mean told work
+        self.best: list[float] = [1.0] * len(settings.classes)
+        self.taken: deque[float] = deque()
+        self.further: deque[float] = deque()
+        self.quota = [0.0] * len(settings.tenants)
+        self.serial = 0
+        self.token = 0
+        self.tick_at = self.period_at = self.subscribe_at = float("-inf")
+        self.subscribed = False
+
+    def step(self, now_ms: float, events: Iterable[api.Event]) -> list[api.Action]:
+        """Take the time and all events of a tick; return the actions, in order."""
+        if self.tick_at == float("-inf"):
+            self.period_at = now_ms + PERIOD_MS
+        self.now, self.actions = max(self.now, now_ms), []
+        for event in events:
+            match event:
+                case api.Arrival():
+                    self._arrival(event)
+                case api.Outcome():
+                    self._outcome(event)
+                case api.EngineList():
+                    self._list(event)
+                case api.Gone(query) if query in self.queries:
+                    self._close(self.queries[query])
+                case api.Begun(query) if query in self.queries:
+                    self.queries[query].begun = True
+                case api.TimerFired(token) if token == self.token:
+                    self.tick_at = self.now  # a rounded clock must not lose the only timer
+                case _:
+                    pass
+        if self.now >= self.tick_at:
+            self._tick()
+        self._dispatch()
+        return self.actions
+
+    # --- what comes in ---------------------------------------------------------------------------
+
+    def _list(self, event: api.EngineList) -> None:
+        if event.form == "failed":
+            self.subscribed = False
+            return
+        seen = {entry.engine: entry for entry in event.engines}
+        if event.form != "delta":
+            for name in [n for n in self.engines if n not in seen]:
+                self.engines.pop(name)
+        for name, entry in seen.items():
+            known = self.engines.get(name)
+            if entry.state == "gone":
+                self.engines.pop(name, None)
+            elif known is None or known.entry.launched_ms != entry.launched_ms:
+                self.engines[name] = self._engine(entry, known)
+            else:
+                known.entry = entry
+
+    def _engine(self, entry: api.EngineEntry, known: Engine | None) -> Engine:
+        s = self.set
+        cores = s.kind_cores[entry.kind] if 0 <= entry.kind < len(s.kind_cores) else 1
+        fresh = Engine(entry, cores, START_PER_CORE * cores / s.gateways, [0.0] * len(s.classes))
+        if known is not None:  # a restart under its old name: the past says nothing, but work sent counts
+            fresh.out, fresh.threads, fresh.sends = known.out, known.threads, known.sends
+            for attempt in fresh.out.values():
+                attempt.engine = fresh
+        return fresh
+
+    def _arrival(self, told: api.Arrival) -> None:
+        s = self.set
+        if told.query in self.queries:
+            return
+        c = min(max(told.cls, 0), len(s.classes) - 1)
+        cls = s.classes[c]
+        self.taken.append(self.now)
+        work = told.work_ms or self.work[c] or cls.aim_ms * cls.threads / 2
+        span = max(work / cls.threads, 1.0)
+        self.work[c] += (work - self.work[c]) * (MEAN_PART if self.work[c] else 1.0)
+        if self.mean[c] is None:
+            self.mean[c] = span if told.work_ms else cls.aim_ms / 2
+        aim = cls.aim_ms + cls.aim_stretch * span
+        query = Query(told, cls, self.now, span, min(self.now + aim, told.deadline_ms))
+        query.target = query.aim_at - self.mean[c]
+        over = self._over_share(told.tenant)
+        query.worth = cls.worth * (s.over_share_worth if over else 1.0)
+        query.lane = 2 * c + over
+        self.queries[told.query] = query
+        if cls.serial and told.key is not None:
+            line = self.lines.setdefault(told.key, deque())
+            line.append(query)
+        self._hold(query)
+
+    def _over_share(self, tenant: int) -> bool:
+        return False
+
+    def _outcome(self, event: api.Outcome) -> None:
+        engine = self.engines.get(event.engine)
+        query = self.queries.get(event.query)
+        if engine is not None:
+            engine.report = event.load or engine.report
+        if query is None or not 0 <= event.attempt < len(query.attempts):
+            return
+        attempt = query.attempts[event.attempt]
+        if attempt.engine.out.pop((event.query, event.attempt), None) is None:
+            return
+        attempt.engine.threads -= query.cls.threads
+        query.out -= 1
+        if event.status not in ("full", "connect_failed", "moot"):
+            query.doubt = True
+        if event.status in ("timeout", "reset", "cancelled") and self._in_line(query):
+            self.rest[query.told.key] = self.now + self.set.settle_ms
+        self._learn(attempt, event)
+        if query.done:
+            self._forget(query)
+        elif event.finished:
+            self._close(query)
+        elif not query.begun and not query.out:
+            self._retry(query)
+
+    def _learn(self, attempt: Attempt, event: api.Outcome) -> None:
+        query, engine = attempt.query, attempt.engine
+        c = query.lane // 2
+        if event.status in ("connect_failed", "reset"):
+            engine.fails += 1
+            engine.trial_at = self.now + CANARY_MS * min(2 ** engine.fails, 4)
+            return
+        if event.status == "full":
+            engine.full_until = self.now + FULL_MS
+            return
+        stretch = event.took_ms / query.span
+        lag = min(stretch / self.best[c], CAP_LAG)
+        if event.status == "ok":
+            engine.fails = 0
+            step = BEST_FALL if stretch < self.best[c] else -BEST_RISE
+            self.best[c] *= 1.0 - step
+            self.mean[c] += (min(event.took_ms, CAP_AIMS * query.cls.aim_ms) - self.mean[c]) * MEAN_PART
+            if query.told.tables is not None:
+                if query.told.tables in engine.warm:
+                    engine.warm.remove(query.told.tables)
+                engine.warm.append(query.told.tables)
+        elif lag <= engine.lag:
+            return  # an attempt cut short tells only that it would have taken longer
+        engine.lag += (lag - engine.lag) * (0.5 if engine.suspect else LOCAL_PART)
+        load = min(event.took_ms / (query.aim_at - query.arrived), CAP_AIMS)
+        engine.loads[c] += (load - engine.loads[c]) * LOCAL_PART
+
+    # --- holding, ending, retrying -----------------------------------------------------------------
+
+    def _hold(self, query: Query) -> None:
+        query.held = True
+        if query.attempts:
+            self.again.append(query)
+        elif not self._in_line(query) or self.lines[query.told.key][0] is query:
+            self._queue(query)
+        heappush(self.expiry, (self._last_call(query), query.told.query))
+
+    def _queue(self, query: Query) -> None:
+        self.serial += 1
+        heappush(self.lanes[query.lane], (query.target, self.serial, query))
+
+    def _last_call(self, query: Query) -> float:
+        """Return the latest time at which sending the query still earns something."""
+        fastest = query.span * self.best[query.lane // 2]
+        end = query.told.deadline_ms if query.cls.late_worth else min(query.aim_at, query.told.deadline_ms)
+        return min(end - fastest, query.told.deadline_ms - 2 * TICK_MS)
+
+    def _in_line(self, query: Query) -> bool:
+        return query.cls.serial and query.told.key is not None
+
+    def _retry(self, query: Query) -> None:
+        """Hold the query for a further attempt, or give its final answer at once."""
+        if self._may_go_on(query) and self._last_call(query) > self.now:
+            self._hold(query)
+        else:
+            self._end(query)
+
+    def _may_go_on(self, query: Query) -> bool:
+        """Tell whether the effect rule and the limits leave room for a further attempt."""
+        if len(query.attempts) >= self.set.max_attempts or query.begun:
+            return False
+        if query.cls.effect == "unsafe":
+            return not query.doubt and not query.out
+        anchor = query.anchor
+        return not anchor or self.now + self.set.tick_ms < anchor.sent + query.cls.memory_ms
+
+    def _end(self, query: Query) -> None:
+        """Give the final answer of a query that is not served: refused where that is true, else failed."""
+        ran = query.doubt or query.out
+        harmless = not ran or query.cls.effect == "safe" or query.cls.effect == "keyed" and query.cls.group == "all"
+        if harmless:
+            wait = self.set.max_retry_after_ms if self.set.retry_after else 0.0
+            self.actions.append(api.Refuse(query.told.query, wait))
+        else:
+            self.actions.append(api.Fail(query.told.query))
+        self._close(query)
+
+    def _close(self, query: Query) -> None:
+        """Mark a query as finished; call off what is still out for it."""
+        query.done, query.held = True, False
+        if query.out and self.set.can_cancel and not query.begun:
+            for attempt in query.attempts:
+                if (query.told.query, attempt.number) in attempt.engine.out and not attempt.cancelled:
+                    attempt.cancelled = True
+                    self.actions.append(api.Cancel(query.told.query, attempt.number))
+        self._forget(query)
+
+    def _forget(self, query: Query) -> None:
+        if query.out:
+            return
+        self.queries.pop(query.told.query, None)
+        if self._in_line(query):
+            line = self.lines[query.told.key]
+            first = line[0] is query
+            line.remove(query)
+            if not line:
+                del self.lines[query.told.key]
+            elif first and line[0].held:
+                self._queue(line[0])
+
+    # --- the clock -----------------------------------------------------------------------------------
+
+    def _tick(self) -> None:
+        self.tick_at = self.now + TICK_MS
+        self.token += 1
+        self.actions.append(api.Timer(TICK_MS, self.token))
+        if self.set.must_ask and not self.subscribed and self.now >= self.subscribe_at:
+            self.subscribed, self.subscribe_at = True, self.now + PERIOD_MS
+            self.actions.append(api.Subscribe())
+        while self.expiry and self.expiry[0][0] <= self.now:
+            query = self.queries.get(heappop(self.expiry)[1])
+            if query is not None and query.held and not query.done:
+                self._end(query)
+        self._judge()
+        if self.now >= self.period_at:
+            self.period_at = self.now + PERIOD_MS
+            self._bounds()
+        for key in [k for k, until in self.rest.items() if until <= self.now and k not in self.lines]:
+            del self.rest[key]
+
+    def _judge(self) -> None:
+        """Judge every engine by its answers and by the ages of what it has not answered."""
+        for engine in self.engines.values():
+            total, weight = engine.lag / LOCAL_PART, 1 / LOCAL_PART
+            for attempt in engine.out.values():
+                query = attempt.query
+                age = (self.now - attempt.sent) / (query.span * self.best[query.lane // 2])
+                if age > engine.lag:
+                    total, weight = total + min(age, CAP_LAG), weight + 1
+            engine.lag_now = total / weight
+        if not self.engines:
+            return
+        usual = median(e.lag_now for e in self.engines.values())
+        for engine in self.engines.values():
+            engine.suspect = engine.fails > 0 or engine.lag_now > SUSPECT_LAG * usual
+            for attempt in list(engine.out.values()):
+                self._rescue(attempt, usual)
+
+    def _rescue(self, attempt: Attempt, usual: float) -> None:
+        """Call off an attempt that takes far longer than its estimate and the fleet explain."""
+        query = attempt.query
+        due = RESCUE_LAG * max(usual, 1.0) * query.span * self.best[query.lane // 2]
+        if attempt.cancelled or query.done or not self.set.can_cancel or self.now - attempt.sent < due:
+            return
+        if query.out == 1 and query.cls.effect != "unsafe" and self._may_go_on(query) and self._budget_left():
+            attempt.cancelled = True
+            self.actions.append(api.Cancel(query.told.query, attempt.number))
+
+    def _bounds(self) -> None:
+        """Move the bounds: one cut a period by the worst class, or a raise where there was need."""
+        for engine in self.engines.values():
+            worst = max(engine.loads)
+            floor = FLOOR_PER_CORE * engine.cores / self.set.gateways
+            if worst > 1.0:
+                engine.bound = max(floor, engine.bound / worst)
+            elif engine.reached:
+                engine.bound *= RAISE
+            engine.reached = False
+
+    # --- sending -------------------------------------------------------------------------------------
+
+    def _dispatch(self) -> None:
+        """Send what may leave: late queries first, the highest worth leading, else by target."""
+        waiting, self.again = self.again, []
+        for query in sorted(waiting, key=lambda q: q.target):
+            if query.held and not query.done:
+                self._try_send(query)
+                if query.held and not query.done:
+                    self.again.append(query)
+        blocked = [False] * len(self.lanes)
+        while True:
+            best, lead = None, None
+            for lane, heap in enumerate(self.lanes):
+                while heap and not heap[0][2].held:
+                    heappop(heap)
+                if heap and not blocked[lane]:
+                    query = heap[0][2]
+                    late = query.target < self.now
+                    rank = (not late, -query.worth if late else 0.0, query.target)
+                    if best is None or rank < best:
+                        best, lead = rank, query
+            if lead is None:
+                return
+            if self._try_send(lead):
+                heappop(self.lanes[lead.lane])
+            else:
+                blocked[lead.lane] = True
+
+    def _try_send(self, query: Query) -> bool:
+        """Send the query if every rule that binds the sender allows it; tell whether it left."""
+        if query.attempts and not (self._may_go_on(query) and self._budget_left()):
+            if not self._may_go_on(query):
+                self._end(query)
+            return False
+        if query.out and not self.set.parallel:
+            return False
+        if self._in_line(query):
+            key = query.told.key
+            rested = query.attempts or self.rest.get(key, 0.0) <= self.now
+            if self.lines[key][0] is not query or not rested:
+                return False
+        engine = self._choose(query)
+        if engine is None:
+            return False
+        if query.attempts:
+            self.further.append(self.now)
+        attempt = Attempt(query, len(query.attempts), engine, self.now)
+        query.attempts.append(attempt)
+        query.held = False
+        query.out += 1
+        engine.out[query.told.query, attempt.number] = attempt
+        engine.threads += query.cls.threads
+        engine.trial_at = max(engine.trial_at, self.now + CANARY_MS) if engine.suspect else engine.trial_at
+        engine.sends.append((self.now, self._usual_work(query.lane // 2)))
+        if query.cls.effect == "keyed" and query.anchor is None:
+            query.anchor = attempt
+        self.actions.append(api.Send(query.told.query, engine.entry.engine))
+        return True
+
+    def _budget_left(self) -> bool:
+        """Tell whether the ration of further attempts allows one more now."""
+        s = self.set
+        if not s.budget_ms:
+            return True
+        for times in (self.taken, self.further):
+            while times and times[0] < self.now - s.budget_ms:
+                times.popleft()
+        return len(self.further) + 1 <= s.budget_free + s.budget_share * len(self.taken)
+
+    def _choose(self, query: Query) -> Engine | None:
+        """Return the engine with the fewest own queries for its size and pace, among those with room."""
+        allowed = [e for e in self.engines.values() if self._permitted(query, e)]
+        healthy = [e for e in allowed if not e.suspect]
+        tried = {a.engine.entry.engine for a in query.attempts}
+        if query.cls.threads == min(c.threads for c in self.set.classes):
+            for engine in allowed:  # one cheap query shows whether a suspect engine has recovered
+                if engine.suspect and not engine.out and engine.trial_at <= self.now and not tried:
+                    return engine
+        pool = [e for e in healthy if e.entry.engine not in tried] or healthy or allowed
+        ranked = []
+        usual = median(e.lag_now for e in pool) if pool else 1.0
+        for engine in pool:
+            pressed = engine.lag_now > PRESSURE_LAG or engine.full_until > self.now
+            if engine.threads + query.cls.threads > engine.bound:
+                if pressed and engine.threads:
+                    engine.reached = True  # only a bound that binds may rise, else it is huge when it is needed
+                    continue
+            pace = min(1.0, max(0.1, usual / engine.lag_now)) * self._warmth(engine)
+            ranked.append(((engine.threads + query.cls.threads) / (engine.cores * pace), engine))
+        if not ranked:
+            return None
+        least = min(load for load, _ in ranked) + TIE_PER_CORE
+        tables, zone = query.told.tables, self.set.zone
+        return min(
+            (e for load, e in ranked if load <= least),
+            key=lambda e: (tables not in e.warm, e.threads / e.cores, e.entry.zone != zone,
+                           e.report.get("cpu", 0.0), e.entry.engine))
+
+    def _permitted(self, query: Query, engine: Engine) -> bool:
+        """Drain, placement, keyed group and cold budget: the rules on where an attempt may go."""
+        cls, entry = query.cls, engine.entry
+        if entry.state != "ready":
+            return False
+        if cls.zones is not None and entry.zone not in cls.zones:
+            return False
+        if cls.kinds is not None and entry.kind not in cls.kinds:
+            return False
+        if query.anchor is not None and cls.group != "all":
+            first = query.anchor.engine.entry
+            if entry.zone != first.zone or cls.group == "cell" and entry.cell != first.cell:
+                return False
+        return self._cold_room(query, engine)
+
+    def _warmth(self, engine: Engine) -> float:
+        """Return the share of its capacity that an engine is sure to have so long after its start."""
+        s, launched = self.set, engine.entry.launched_ms
+        if not launched or not s.cold_ms or self.now - launched >= s.cold_ms:
+            return 1.0
+        return s.cold_share + (1.0 - s.cold_share) * max(0.0, self.now - launched) / s.cold_ms
+
+    def _cold_room(self, query: Query, engine: Engine) -> bool:
+        """Keep this gateway's part of a cold engine's budget, in every window of the stated length."""
+        s = self.set
+        while engine.sends and engine.sends[0][0] < self.now - s.fall_ms:
+            engine.sends.popleft()
+        warmth = self._warmth(engine)
+        if warmth >= 1.0 or not s.fall_multiple:
+            return True
+        budget = s.fall_multiple * warmth * engine.cores * BUSY_CAPACITY * s.fall_ms * COLD_PART / s.gateways
+        return sum(w for _, w in engine.sends) + self._usual_work(query.lane // 2) <= budget
+
+    def _usual_work(self, c: int) -> float:
+        """Return the usual work of a class, on the safe side where estimates lie low."""
+        return self.work[c] * max(1.0, self.best[c])
