--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -16,14 +16,16 @@
 TICK_MS = 25.0  # ms between two looks at the clock; short against every aim
 PERIOD_MS = 1000.0  # ms between two changes of a bound; the design raises each second
 START_PER_CORE = 1.5  # threads a core over all gateways; the design's start of the bound
-FLOOR_PER_CORE = 0.5  # threads a core over all gateways; the design's floor
+FLOOR_PER_CORE = 1.0  # threads a core over all gateways; the design's floor
 RAISE = 1.25  # factor a period; the design's raise by a quarter
 MEAN_PART = 0.05  # part of a new sample in a class's execution mean: some 20 answers
 LOCAL_PART = 0.15  # part of a new sample in one engine's figures: some 7 answers, as they are few
+FADE, FEW = 0.6, 0.5  # part of the samples kept a period, so some 2 s count; fewer than this tell nothing
+FORGET = 0.1  # part of an engine's lag forgotten a period
 CAP_AIMS = 3.0  # aims; a longer sample counts as this, so one bad plan can't drag a mean
 CAP_LAG = 8.0  # times best; the same cap for an engine's lag
 BEST_FALL, BEST_RISE = 0.02, 0.002  # steps of the tracker of the best stretch; it settles near the 9th in 100
-PRESSURE_LAG = 2.0  # times best; an answer this much slower than best says that the engine is overfilled
+PRESSURE_LAG = 0.0  # times best; trial: binds always
 FULL_MS = 1000.0  # ms that a 'full' counts as pressure
 SUSPECT_LAG = 2.5  # times the fleet's median lag; above it an engine is suspect, whatever the cause
 CANARY_MS = 1000.0  # ms between two trials of a suspect engine, doubled up to four times while they fail
@@ -73,7 +75,7 @@
     entry: api.EngineEntry
     cores: int
     bound: float
-    loads: list[float]  # class means of time over aim
+    loads: list[tuple[float, float]]  # by class: sum of time over aim, and count, both fading
     out: dict[tuple[int, int], Attempt] = field(default_factory=dict)
     threads: int = 0
     lag: float = 1.0  # mean of the stretch over the class's best
@@ -163,7 +165,7 @@
     def _engine(self, entry: api.EngineEntry, known: Engine | None) -> Engine:
         s = self.set
         cores = s.kind_cores[entry.kind] if 0 <= entry.kind < len(s.kind_cores) else 1
-        fresh = Engine(entry, cores, START_PER_CORE * cores / s.gateways, [0.0] * len(s.classes))
+        fresh = Engine(entry, cores, START_PER_CORE * cores / s.gateways, [(0.0, 0.0)] * len(s.classes))
         if known is not None:  # a restart under its old name: the past says nothing, but work sent counts
             fresh.out, fresh.threads, fresh.sends = known.out, known.threads, known.sends
             for attempt in fresh.out.values():
@@ -246,11 +248,13 @@
             return  # an attempt cut short tells only that it would have taken longer
         engine.lag += (lag - engine.lag) * (0.5 if engine.suspect else LOCAL_PART)
         load = min(event.took_ms / (query.aim_at - query.arrived), CAP_AIMS)
-        engine.loads[c] += (load - engine.loads[c]) * LOCAL_PART
+        engine.loads[c] = (engine.loads[c][0] + load, engine.loads[c][1] + 1.0)
 
     # --- holding, ending, retrying -----------------------------------------------------------------
 
     def _hold(self, query: Query) -> None:
+        if self._last_call(query) <= self.now:
+            return self._end(query)  # a client may ask with no time left; the answer is due at once
         query.held = True
         if query.attempts:
             self.again.append(query)
@@ -273,7 +277,7 @@
 
     def _retry(self, query: Query) -> None:
         """Hold the query for a further attempt, or give its final answer at once."""
-        if self._may_go_on(query) and self._last_call(query) > self.now:
+        if self._may_go_on(query):
             self._hold(query)
         else:
             self._end(query)
@@ -372,7 +376,9 @@
     def _bounds(self) -> None:
         """Move the bounds: one cut a period by the worst class, or a raise where there was need."""
         for engine in self.engines.values():
-            worst = max(engine.loads)
+            worst = max(total / count if count > FEW else 0.0 for total, count in engine.loads)
+            engine.loads = [(total * FADE, count * FADE) for total, count in engine.loads]
+            engine.lag += (1.0 - engine.lag) * FORGET  # a figure with no fresh answers must not bind for ever
             floor = FLOOR_PER_CORE * engine.cores / self.set.gateways
             if worst > 1.0:
                 engine.bound = max(floor, engine.bound / worst)
