--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -25,11 +25,11 @@
 CAP_AIMS = 3.0  # aims; a longer sample counts as this, so one bad plan can't drag a mean
 CAP_LAG = 8.0  # times best; the same cap for an engine's lag
 BEST_FALL, BEST_RISE = 0.02, 0.002  # steps of the tracker of the best stretch; it settles near the 9th in 100
-PRESSURE_LAG = 0.0  # times best; trial: binds always
+PRESSURE_LAG = 2.5  # times best; an answer this much slower than best says that the engine is overfilled
 FULL_MS = 1000.0  # ms that a 'full' counts as pressure
 SUSPECT_LAG = 2.5  # times the fleet's median lag; above it an engine is suspect, whatever the cause
 CANARY_MS = 1000.0  # ms between two trials of a suspect engine, doubled up to four times while they fail
-RESCUE_LAG = 5.0  # times what an attempt should take; beyond it another engine is tried
+RESCUE_LAG = 5e9  # times what an attempt should take; beyond it another engine is tried
 TIE_PER_CORE = 0.25  # threads a core; engines closer than this are tied and warmth, zone and load settle it
 WARM_GROUPS = 4  # groups of tables that an engine is taken to keep warm
 COLD_PART = 0.7  # part of the cold budget used; the rest is for chance and for estimates that lie
@@ -187,7 +187,7 @@
         aim = cls.aim_ms + cls.aim_stretch * span
         query = Query(told, cls, self.now, span, min(self.now + aim, told.deadline_ms))
         query.target = query.aim_at - self.mean[c]
-        over = self._over_share(told.tenant)
+        over = self._over_share(told.tenant) or told.repeat
         query.worth = cls.worth * (s.over_share_worth if over else 1.0)
         query.lane = 2 * c + over
         self.queries[told.query] = query
@@ -269,8 +269,7 @@
     def _last_call(self, query: Query) -> float:
         """Return the latest time at which sending the query still earns something."""
         fastest = query.span * self.best[query.lane // 2]
-        end = query.told.deadline_ms if query.cls.late_worth else min(query.aim_at, query.told.deadline_ms)
-        return min(end - fastest, query.told.deadline_ms - 2 * TICK_MS)
+        return min(query.aim_at - fastest, query.told.deadline_ms - 2 * TICK_MS)
 
     def _in_line(self, query: Query) -> bool:
         return query.cls.serial and query.told.key is not None
@@ -467,11 +466,13 @@
                     return engine
         pool = [e for e in healthy if e.entry.engine not in tried] or healthy or allowed
         ranked = []
+        # A bound rounded up to one query on every engine at once would let the gateways overfill them together.
+        spare = sum(e.bound for e in allowed) - sum(e.threads for e in self.engines.values()) >= query.cls.threads
         usual = median(e.lag_now for e in pool) if pool else 1.0
         for engine in pool:
             pressed = engine.lag_now > PRESSURE_LAG or engine.full_until > self.now
-            if engine.threads + query.cls.threads > engine.bound:
-                if pressed and engine.threads:
+            if engine.threads + query.cls.threads > engine.bound or not spare:
+                if pressed and (engine.threads or not spare):
                     engine.reached = True  # only a bound that binds may rise, else it is huge when it is needed
                     continue
             pace = min(1.0, max(0.1, usual / engine.lag_now)) * self._warmth(engine)
