--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -17,6 +17,7 @@
 PERIOD_MS = 1000.0  # ms between two changes of a bound; the design raises each second
 START_PER_CORE = 1.5  # threads a core over all gateways; the design's start of the bound
 FLOOR_PER_CORE = 1.0  # threads a core over all gateways; the design's floor
+CEILING_PER_CORE = 3.0  # threads a core over all gateways; aims are met until an engine is far overfilled
 RAISE = 1.25  # factor a period; the design's raise by a quarter
 MEAN_PART = 0.05  # part of a new sample in a class's execution mean: some 20 answers
 LOCAL_PART = 0.15  # part of a new sample in one engine's figures: some 7 answers, as they are few
@@ -25,7 +26,7 @@
 CAP_AIMS = 3.0  # aims; a longer sample counts as this, so one bad plan can't drag a mean
 CAP_LAG = 8.0  # times best; the same cap for an engine's lag
 BEST_FALL, BEST_RISE = 0.02, 0.002  # steps of the tracker of the best stretch; it settles near the 9th in 100
-PRESSURE_LAG = 2.5  # times best; an answer this much slower than best says that the engine is overfilled
+PRESSURE_LAG = 0.0  # times best; trial: binds always
 FULL_MS = 1000.0  # ms that a 'full' counts as pressure
 SUSPECT_LAG = 2.5  # times the fleet's median lag; above it an engine is suspect, whatever the cause
 CANARY_MS = 1000.0  # ms between two trials of a suspect engine, doubled up to four times while they fail
@@ -382,7 +383,7 @@
             if worst > 1.0:
                 engine.bound = max(floor, engine.bound / worst)
             elif engine.reached:
-                engine.bound *= RAISE
+                engine.bound = min(engine.bound * RAISE, CEILING_PER_CORE * engine.cores / self.set.gateways)
             engine.reached = False
 
     # --- sending -------------------------------------------------------------------------------------
