--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -17,7 +17,7 @@
 PERIOD_MS = 1000.0  # ms between two changes of a bound; the design raises each second
 START_PER_CORE = 1.5  # threads a core over all gateways; the design's start of the bound
 FLOOR_PER_CORE = 1.0  # threads a core over all gateways; the design's floor
-CEILING_PER_CORE = 3.0  # threads a core over all gateways; aims are met until an engine is far overfilled
+CEILING_PER_CORE = 2.5  # threads a core over all gateways; aims are met until an engine is far overfilled
 RAISE = 1.25  # factor a period; the design's raise by a quarter
 MEAN_PART = 0.05  # part of a new sample in a class's execution mean: some 20 answers
 LOCAL_PART = 0.15  # part of a new sample in one engine's figures: some 7 answers, as they are few
@@ -26,7 +26,7 @@
 CAP_AIMS = 3.0  # aims; a longer sample counts as this, so one bad plan can't drag a mean
 CAP_LAG = 8.0  # times best; the same cap for an engine's lag
 BEST_FALL, BEST_RISE = 0.02, 0.002  # steps of the tracker of the best stretch; it settles near the 9th in 100
-PRESSURE_LAG = 0.0  # times best; trial: binds always
+PRESSURE_LAG = 1.5  # times best; an answer this much slower than best says that the engine is overfilled
 FULL_MS = 1000.0  # ms that a 'full' counts as pressure
 SUSPECT_LAG = 2.5  # times the fleet's median lag; above it an engine is suspect, whatever the cause
 CANARY_MS = 1000.0  # ms between two trials of a suspect engine, doubled up to four times while they fail
@@ -467,15 +467,14 @@
                     return engine
         pool = [e for e in healthy if e.entry.engine not in tried] or healthy or allowed
         ranked = []
-        # A bound rounded up to one query on every engine at once would let the gateways overfill them together.
-        spare = sum(e.bound for e in allowed) - sum(e.threads for e in self.engines.values()) >= query.cls.threads
+        # A limit rounded up to one query on every engine at once would let the gateways overfill them together.
+        spare = sum(self._limit(e) for e in allowed) - sum(e.threads for e in self.engines.values())
         usual = median(e.lag_now for e in pool) if pool else 1.0
         for engine in pool:
-            pressed = engine.lag_now > PRESSURE_LAG or engine.full_until > self.now
-            if engine.threads + query.cls.threads > engine.bound or not spare:
-                if pressed and (engine.threads or not spare):
-                    engine.reached = True  # only a bound that binds may rise, else it is huge when it is needed
-                    continue
+            room = engine.threads + query.cls.threads <= self._limit(engine) or not engine.threads
+            if not room or spare < query.cls.threads:
+                engine.reached = True
+                continue
             pace = min(1.0, max(0.1, usual / engine.lag_now)) * self._warmth(engine)
             ranked.append(((engine.threads + query.cls.threads) / (engine.cores * pace), engine))
         if not ranked:
@@ -487,6 +486,12 @@
             key=lambda e: (tables not in e.warm, e.threads / e.cores, e.entry.zone != zone,
                            e.report.get("cpu", 0.0), e.entry.engine))
 
+    def _limit(self, engine: Engine) -> float:
+        """Return the threads allowed: the bound under pressure, else the ceiling, as pressure shows late."""
+        if engine.lag_now > PRESSURE_LAG or engine.full_until > self.now:
+            return engine.bound
+        return CEILING_PER_CORE * engine.cores / self.set.gateways
+
     def _permitted(self, query: Query, engine: Engine) -> bool:
         """Drain, placement, keyed group and cold budget: the rules on where an attempt may go."""
         cls, entry = query.cls, engine.entry
