Call off attempts three times beyond what the engine's own answers explain, rationed

Cause: answers that never come, on many engines at once. May hurt when estimates lie low by more than three.

--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -30,7 +30,8 @@
 FULL_MS = 1000.0  # ms that a 'full' counts as pressure
 SUSPECT_LAG = 2.5  # times the fleet's median lag; above it an engine is suspect, whatever the cause
 CANARY_MS = 1000.0  # ms between two trials of a suspect engine, doubled up to four times while they fail
-RESCUE_LAG = 5e9  # times what an attempt should take; beyond it another engine is tried
+RESCUE_LAG = 3.0  # times what an attempt should take; beyond it another engine is tried
+RESCUE_SHARE, RESCUE_MOST = 0.1, 10.0  # rescues for each query taken, and saved up; else they feed a jam
 TIE_PER_CORE = 0.25  # threads a core; engines closer than this are tied and warmth, zone and load settle it
 WARM_GROUPS = 4  # groups of tables that an engine is taken to keep warm
 COLD_PART = 0.7  # part of the cold budget used; the rest is for chance and for estimates that lie
@@ -114,6 +115,7 @@
         self.further: deque[float] = deque()
         self.quota = [0.0] * len(settings.tenants)
         self.serial = 0
+        self.credit = RESCUE_MOST
         self.token = 0
         self.tick_at = self.period_at = self.subscribe_at = float("-inf")
         self.subscribed = False
@@ -180,6 +182,7 @@
         c = min(max(told.cls, 0), len(s.classes) - 1)
         cls = s.classes[c]
         self.taken.append(self.now)
+        self.credit = min(self.credit + RESCUE_SHARE, RESCUE_MOST)
         work = told.work_ms or self.work[c] or cls.aim_ms * cls.threads / 2
         span = max(work / cls.threads, 1.0)
         self.work[c] += (work - self.work[c]) * (MEAN_PART if self.work[c] else 1.0)
@@ -365,11 +368,15 @@
 
     def _rescue(self, attempt: Attempt, usual: float) -> None:
         """Call off an attempt that takes far longer than its estimate and the fleet explain."""
-        query = attempt.query
-        due = RESCUE_LAG * max(usual, 1.0) * query.span * self.best[query.lane // 2]
-        if attempt.cancelled or query.done or not self.set.can_cancel or self.now - attempt.sent < due:
+        query, c = attempt.query, attempt.query.lane // 2
+        usual_span = max(query.span, self.work[c] / query.cls.threads)
+        due = RESCUE_LAG * max(usual, attempt.engine.lag, 1.0) * usual_span * self.best[c]
+        if attempt.cancelled or query.done or query.begun or self.now - attempt.sent < due or query.out > 1:
             return
-        if query.out == 1 and query.cls.effect != "unsafe" and self._may_go_on(query) and self._budget_left():
+        if query.cls.effect == "unsafe" or not self._may_go_on(query) or not self._budget_left():
+            return
+        if self.set.can_cancel and self.credit >= 1.0:
+            self.credit -= 1.0
             attempt.cancelled = True
             self.actions.append(api.Cancel(query.told.query, attempt.number))
 
