--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -6,12 +6,12 @@
 
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from random import Random
 from statistics import median
 
 from fennelwind import interface as api
+from fennelwind.state import Attempt, Engine, Query
 
 TICK_MS = 25.0  # ms between two looks at the clock; short against every aim
 PERIOD_MS = 1000.0  # ms between two changes of a bound; the design raises each second
@@ -38,60 +38,6 @@
 BUSY_CAPACITY = 0.85  # part of the cores that counts as capacity
 
 
-@dataclass(slots=True, eq=False)
-class Query:
-    """A query that this gateway has taken."""
-
-    told: api.Arrival
-    cls: api.QueryClass
-    arrived: float
-    span: float
-    aim_at: float
-    target: float = 0.0
-    worth: float = 0.0
-    lane: int = 0
-    attempts: list["Attempt"] = field(default_factory=list)
-    out: int = 0  # attempts without an outcome
-    held: bool = False
-    done: bool = False
-    begun: bool = False  # its stream has started
-    doubt: bool = False  # an attempt may have run
-    anchor: "Attempt | None" = None  # keyed: the first attempt that may have run
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One attempt, from its send to its outcome."""
-
-    query: Query
-    number: int
-    engine: "Engine"
-    sent: float
-    cancelled: bool = False
-
-
-@dataclass(slots=True, eq=False)
-class Engine:
-    """What this gateway knows of one engine."""
-
-    entry: api.EngineEntry
-    cores: int
-    bound: float
-    loads: list[tuple[float, float]]  # by class: sum of time over aim, and count, both fading
-    out: dict[tuple[int, int], Attempt] = field(default_factory=dict)
-    threads: int = 0
-    lag: float = 1.0  # mean of the stretch over the class's best
-    lag_now: float = 1.0  # the same with the ages of what is out
-    fails: int = 0
-    trial_at: float = 0.0
-    full_until: float = 0.0
-    reached: bool = False
-    suspect: bool = False
-    warm: deque[int] = field(default_factory=lambda: deque(maxlen=WARM_GROUPS))
-    sends: deque[tuple[float, float]] = field(default_factory=deque)  # time and usual work
-    report: dict[str, float] = field(default_factory=dict)
-
-
 class Gateway:
     """The decisions of one gateway; instances share nothing."""
 
@@ -101,7 +47,6 @@
         self.now = 0.0
         self.actions: list[api.Action] = []
         self.engines: dict[str, Engine] = {}
-        self.removed: dict[str, Engine] = {}
         self.queries: dict[int, Query] = {}
         self.lanes: list[list[tuple[float, int, Query]]] = [[] for _ in range(2 * len(settings.classes))]
         self.again: list[Query] = []  # held queries that had an attempt
@@ -113,7 +58,6 @@
         self.best: list[float] = [1.0] * len(settings.classes)
         self.taken: deque[float] = deque()
         self.further: deque[float] = deque()
-        self.quota = [0.0] * len(settings.tenants)
         self.serial = 0
         self.credit = RESCUE_MOST
         self.token = 0
@@ -168,7 +112,8 @@
     def _engine(self, entry: api.EngineEntry, known: Engine | None) -> Engine:
         s = self.set
         cores = s.kind_cores[entry.kind] if 0 <= entry.kind < len(s.kind_cores) else 1
-        fresh = Engine(entry, cores, START_PER_CORE * cores / s.gateways, [(0.0, 0.0)] * len(s.classes))
+        fresh = Engine(entry, cores, START_PER_CORE * cores / s.gateways, self.random.random(),
+                       deque(maxlen=WARM_GROUPS), [(0.0, 0.0)] * len(s.classes))
         if known is not None:  # a restart under its old name: the past says nothing, but work sent counts
             fresh.out, fresh.threads, fresh.sends = known.out, known.threads, known.sends
             for attempt in fresh.out.values():
@@ -189,20 +134,14 @@
         if self.mean[c] is None:
             self.mean[c] = span if told.work_ms else cls.aim_ms / 2
         aim = cls.aim_ms + cls.aim_stretch * span
-        query = Query(told, cls, self.now, span, min(self.now + aim, told.deadline_ms))
-        query.target = query.aim_at - self.mean[c]
-        over = self._over_share(told.tenant) or told.repeat
-        query.worth = cls.worth * (s.over_share_worth if over else 1.0)
-        query.lane = 2 * c + over
+        aim_at = min(self.now + aim, told.deadline_ms)
+        worth = cls.worth * (s.over_share_worth if told.repeat else 1.0)
+        query = Query(told, cls, c, self.now, span, aim_at, aim_at - self.mean[c], worth, 2 * c + told.repeat)
         self.queries[told.query] = query
-        if cls.serial and told.key is not None:
-            line = self.lines.setdefault(told.key, deque())
-            line.append(query)
+        if query.line is not None:
+            self.lines.setdefault(query.line, deque()).append(query)
         self._hold(query)
 
-    def _over_share(self, tenant: int) -> bool:
-        return False
-
     def _outcome(self, event: api.Outcome) -> None:
         engine = self.engines.get(event.engine)
         query = self.queries.get(event.query)
@@ -217,8 +156,8 @@
         query.out -= 1
         if event.status not in ("full", "connect_failed", "moot"):
             query.doubt = True
-        if event.status in ("timeout", "reset", "cancelled") and self._in_line(query):
-            self.rest[query.told.key] = self.now + self.set.settle_ms
+        if event.status in ("timeout", "reset", "cancelled") and query.line is not None:
+            self.rest[query.line] = self.now + self.set.settle_ms
         self._learn(attempt, event)
         if query.done:
             self._forget(query)
@@ -229,7 +168,7 @@
 
     def _learn(self, attempt: Attempt, event: api.Outcome) -> None:
         query, engine = attempt.query, attempt.engine
-        c = query.lane // 2
+        c = query.c
         if event.status in ("connect_failed", "reset"):
             engine.fails += 1
             engine.trial_at = self.now + CANARY_MS * min(2 ** engine.fails, 4)
@@ -262,7 +201,7 @@
         query.held = True
         if query.attempts:
             self.again.append(query)
-        elif not self._in_line(query) or self.lines[query.told.key][0] is query:
+        elif query.line is None or self.lines[query.line][0] is query:
             self._queue(query)
         heappush(self.expiry, (self._last_call(query), query.told.query))
 
@@ -272,12 +211,9 @@
 
     def _last_call(self, query: Query) -> float:
         """Return the latest time at which sending the query still earns something."""
-        fastest = query.span * self.best[query.lane // 2]
+        fastest = query.span * self.best[query.c]
         return min(query.aim_at - fastest, query.told.deadline_ms - 2 * TICK_MS)
 
-    def _in_line(self, query: Query) -> bool:
-        return query.cls.serial and query.told.key is not None
-
     def _retry(self, query: Query) -> None:
         """Hold the query for a further attempt, or give its final answer at once."""
         if self._may_go_on(query):
@@ -319,12 +255,12 @@
         if query.out:
             return
         self.queries.pop(query.told.query, None)
-        if self._in_line(query):
-            line = self.lines[query.told.key]
+        if query.line is not None:
+            line = self.lines[query.line]
             first = line[0] is query
             line.remove(query)
             if not line:
-                del self.lines[query.told.key]
+                del self.lines[query.line]
             elif first and line[0].held:
                 self._queue(line[0])
 
@@ -354,7 +290,7 @@
             total, weight = engine.lag / LOCAL_PART, 1 / LOCAL_PART
             for attempt in engine.out.values():
                 query = attempt.query
-                age = (self.now - attempt.sent) / (query.span * self.best[query.lane // 2])
+                age = (self.now - attempt.sent) / (query.span * self.best[query.c])
                 if age > engine.lag:
                     total, weight = total + min(age, CAP_LAG), weight + 1
             engine.lag_now = total / weight
@@ -368,7 +304,7 @@
 
     def _rescue(self, attempt: Attempt, usual: float) -> None:
         """Call off an attempt that takes far longer than its estimate and the fleet explain."""
-        query, c = attempt.query, attempt.query.lane // 2
+        query, c = attempt.query, attempt.query.c
         usual_span = max(query.span, self.work[c] / query.cls.threads)
         due = RESCUE_LAG * max(usual, attempt.engine.lag, 1.0) * usual_span * self.best[c]
         if attempt.cancelled or query.done or query.begun or self.now - attempt.sent < due or query.out > 1:
@@ -430,10 +366,8 @@
             return False
         if query.out and not self.set.parallel:
             return False
-        if self._in_line(query):
-            key = query.told.key
-            rested = query.attempts or self.rest.get(key, 0.0) <= self.now
-            if self.lines[key][0] is not query or not rested:
+        if query.line is not None and not query.attempts:
+            if self.lines[query.line][0] is not query or self.rest.get(query.line, 0.0) > self.now:
                 return False
         engine = self._choose(query)
         if engine is None:
@@ -447,7 +381,7 @@
         engine.out[query.told.query, attempt.number] = attempt
         engine.threads += query.cls.threads
         engine.trial_at = max(engine.trial_at, self.now + CANARY_MS) if engine.suspect else engine.trial_at
-        engine.sends.append((self.now, self._usual_work(query.lane // 2)))
+        engine.sends.append((self.now, self._usual_work(query.c)))
         if query.cls.effect == "keyed" and query.anchor is None:
             query.anchor = attempt
         self.actions.append(api.Send(query.told.query, engine.entry.engine))
@@ -491,7 +425,7 @@
         return min(
             (e for load, e in ranked if load <= least),
             key=lambda e: (tables not in e.warm, e.threads / e.cores, e.entry.zone != zone,
-                           e.report.get("cpu", 0.0), e.entry.engine))
+                           e.report.get("cpu", 0.0), e.order))
 
     def _limit(self, engine: Engine) -> float:
         """Return the threads allowed: the bound under pressure, else the ceiling, as pressure shows late."""
@@ -530,7 +464,7 @@
         if warmth >= 1.0 or not s.fall_multiple:
             return True
         budget = s.fall_multiple * warmth * engine.cores * BUSY_CAPACITY * s.fall_ms * COLD_PART / s.gateways
-        return sum(w for _, w in engine.sends) + self._usual_work(query.lane // 2) <= budget
+        return sum(w for _, w in engine.sends) + self._usual_work(query.c) <= budget
 
     def _usual_work(self, c: int) -> float:
         """Return the usual work of a class, on the safe side where estimates lie low."""
