--- a/fennelwind/adapter.py
+++ b/fennelwind/adapter.py
@@ -86,7 +86,8 @@
             zones=get(at + "RunsIn", _whole, None), kinds=get(at + "RunsOn", _whole, None),
             threads=threads[i] if i < len(threads) else 1))
     tenants = tuple(
-        api.Tenant(name=get(f"Projects.{i}.Name", str, str(i)), quota_per_s=get(f"Projects.{i}.QuotaPerS", _number))
+        api.Tenant(name=get(f"Projects.{i}.Name", str, str(i)),
+                   quota_per_s=get(f"Projects.{i}.QuotaPerS", _number))
         for i in range(get("Projects.count", int, 0)))
     return api.Settings(
         classes=tuple(classes), tenants=tenants, kind_cores=get("FamilyInfo.KindCores", _whole, ()),
@@ -96,8 +97,10 @@
         max_grant_share=get("FamilyInfo.MaxGrantShare", _number, 1.0),
         grants=get("FamilyInfo.TakesGrants", _flag, False),
         priorities=get("FamilyInfo.RanksHeeded", _flag, False),
-        tells_cost=get("FamilyInfo.SaysCost", _flag, False), report_fields=get("Report.Columns", _texts, ()),
-        can_cancel=get("Ceilings.Cancel", _flag, False), can_probe=get("Ceilings.Probing", _flag, False),
+        tells_cost=get("FamilyInfo.SaysCost", _flag, False),
+        report_fields=get("Report.Columns", _texts, ()),
+        can_cancel=get("Ceilings.Cancel", _flag, False),
+        can_probe=get("Ceilings.Probing", _flag, False),
         can_tell=get("Ceilings.Peers", _flag, False), parallel=get("Ceilings.ParallelTries", _flag, False),
         retry_after=get("Ceilings.RetryAfter", _flag, False),
         max_retry_after_ms=get("Ceilings.MaxRetryAfterMs", _number, 0.0),
@@ -106,9 +109,11 @@
         answer_slack_ms=get("Rules.AnswerSlackMs", _number, 0.0),
         drain_grace_ms=get("Rules.DrainGraceMs", _number, 0.0),
         cold_share=get("Rules.ColdShare", _number, 1.0), cold_ms=get("Rules.RampTimeMs", _number, 0.0),
-        fall_multiple=get("Rules.FallMultiple", _number, 0.0), fall_ms=get("Rules.OverloadForMs", _number, 0.0),
+        fall_multiple=get("Rules.FallMultiple", _number, 0.0),
+        fall_ms=get("Rules.OverloadForMs", _number, 0.0),
         settle_ms=get("Rules.SettleAfterDoubtMs", _number, 0.0),
-        budget_free=get("Rules.ExtraFloor", _number, 0.0), budget_share=get("Rules.FurtherRatio", _number, 0.0),
+        budget_free=get("Rules.ExtraFloor", _number, 0.0),
+        budget_share=get("Rules.FurtherRatio", _number, 0.0),
         budget_ms=get("Rules.LookBackMs", _number, 0.0), tick_ms=get("ResolutionMs", _number, 1.0))
 
 
@@ -241,8 +246,9 @@
             case "BEGUN":
                 return api.Begun(query=get("Txn", int), attempt=get("Try", int))
             case "HEALTH":
-                return api.Probed(engine=get("Executor"), took_ms=get("TookMs", _number),
-                                  status=get("Disposition", STATUSES.__getitem__), load=self._load(who, fields))
+                return api.Probed(
+                    engine=get("Executor"), took_ms=get("TookMs", _number),
+                    status=get("Disposition", STATUSES.__getitem__), load=self._load(who, fields))
             case "MAIL":
                 text = get("Content")
                 return api.PeerMessage(sender=get("From", int),
--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -6,6 +6,7 @@
 
 from collections import deque
 from collections.abc import Iterable
+from dataclasses import replace
 from heapq import heappop, heappush
 from random import Random
 from statistics import median
@@ -49,7 +50,7 @@
         self.engines: dict[str, Engine] = {}
         self.queries: dict[int, Query] = {}
         self.lanes: list[list[tuple[float, int, Query]]] = [[] for _ in range(2 * len(settings.classes))]
-        self.again: list[Query] = []  # held queries that had an attempt
+        self.again: list[Query] = []  # held queries that something of their own may bar
         self.expiry: list[tuple[float, int]] = []
         self.lines: dict[str, deque[Query]] = {}  # queries of one key, in the order taken
         self.rest: dict[str, float] = {}  # keys that rest until then
@@ -58,16 +59,12 @@
         self.best: list[float] = [1.0] * len(settings.classes)
         self.taken: deque[float] = deque()
         self.further: deque[float] = deque()
-        self.serial = 0
         self.credit = RESCUE_MOST
         self.token = 0
         self.tick_at = self.period_at = self.subscribe_at = float("-inf")
-        self.subscribed = False
 
     def step(self, now_ms: float, events: Iterable[api.Event]) -> list[api.Action]:
         """Take the time and all events of a tick; return the actions, in order."""
-        if self.tick_at == float("-inf"):
-            self.period_at = now_ms + PERIOD_MS
         self.now, self.actions = max(self.now, now_ms), []
         for event in events:
             match event:
@@ -83,31 +80,26 @@
                     self.queries[query].begun = True
                 case api.TimerFired(token) if token == self.token:
                     self.tick_at = self.now  # a rounded clock must not lose the only timer
-                case _:
-                    pass
         if self.now >= self.tick_at:
             self._tick()
         self._dispatch()
         return self.actions
 
-    # --- what comes in ---------------------------------------------------------------------------
-
     def _list(self, event: api.EngineList) -> None:
         if event.form == "failed":
-            self.subscribed = False
+            self.subscribe_at = self.now + PERIOD_MS
             return
         seen = {entry.engine: entry for entry in event.engines}
         if event.form != "delta":
-            for name in [n for n in self.engines if n not in seen]:
-                self.engines.pop(name)
+            for name, engine in self.engines.items():
+                if name not in seen:
+                    engine.entry = replace(engine.entry, state="gone")
         for name, entry in seen.items():
             known = self.engines.get(name)
-            if entry.state == "gone":
-                self.engines.pop(name, None)
-            elif known is None or known.entry.launched_ms != entry.launched_ms:
-                self.engines[name] = self._engine(entry, known)
-            else:
+            if known is not None and (entry.state == "gone" or known.entry.launched_ms == entry.launched_ms):
                 known.entry = entry
+            elif entry.state != "gone":
+                self.engines[name] = self._engine(entry, known)
 
     def _engine(self, entry: api.EngineEntry, known: Engine | None) -> Engine:
         s = self.set
@@ -126,7 +118,8 @@
             return
         c = min(max(told.cls, 0), len(s.classes) - 1)
         cls = s.classes[c]
-        self.taken.append(self.now)
+        if s.budget_ms:
+            self.taken.append(self.now)
         self.credit = min(self.credit + RESCUE_SHARE, RESCUE_MOST)
         work = told.work_ms or self.work[c] or cls.aim_ms * cls.threads / 2
         span = max(work / cls.threads, 1.0)
@@ -143,19 +136,19 @@
         self._hold(query)
 
     def _outcome(self, event: api.Outcome) -> None:
-        engine = self.engines.get(event.engine)
         query = self.queries.get(event.query)
-        if engine is not None:
-            engine.report = event.load or engine.report
         if query is None or not 0 <= event.attempt < len(query.attempts):
             return
         attempt = query.attempts[event.attempt]
         if attempt.engine.out.pop((event.query, event.attempt), None) is None:
             return
         attempt.engine.threads -= query.cls.threads
+        attempt.engine.report = event.load or attempt.engine.report
         query.out -= 1
         if event.status not in ("full", "connect_failed", "moot"):
             query.doubt = True
+        elif not query.doubt and not query.out:
+            query.anchor = None  # proven never to have run: free to go anywhere
         if event.status in ("timeout", "reset", "cancelled") and query.line is not None:
             self.rest[query.line] = self.now + self.set.settle_ms
         self._learn(attempt, event)
@@ -164,11 +157,10 @@
         elif event.finished:
             self._close(query)
         elif not query.begun and not query.out:
-            self._retry(query)
+            (self._hold if self._may_go_on(query) else self._end)(query)
 
     def _learn(self, attempt: Attempt, event: api.Outcome) -> None:
-        query, engine = attempt.query, attempt.engine
-        c = query.c
+        query, engine, c = attempt.query, attempt.engine, attempt.query.c
         if event.status in ("connect_failed", "reset"):
             engine.fails += 1
             engine.trial_at = self.now + CANARY_MS * min(2 ** engine.fails, 4)
@@ -193,34 +185,25 @@
         load = min(event.took_ms / (query.aim_at - query.arrived), CAP_AIMS)
         engine.loads[c] = (engine.loads[c][0] + load, engine.loads[c][1] + 1.0)
 
-    # --- holding, ending, retrying -----------------------------------------------------------------
-
     def _hold(self, query: Query) -> None:
         if self._last_call(query) <= self.now:
             return self._end(query)  # a client may ask with no time left; the answer is due at once
         query.held = True
-        if query.attempts:
-            self.again.append(query)
-        elif query.line is None or self.lines[query.line][0] is query:
+        if query.line is None or query.attempts or self.lines[query.line][0] is query:
             self._queue(query)
         heappush(self.expiry, (self._last_call(query), query.told.query))
 
     def _queue(self, query: Query) -> None:
-        self.serial += 1
-        heappush(self.lanes[query.lane], (query.target, self.serial, query))
+        if query.attempts or self.rest.get(query.line, 0.0) > self.now:
+            self.again.append(query)  # may be barred alone, so it must not keep a lane waiting
+        else:
+            heappush(self.lanes[query.lane], (query.target, query.told.query, query))
 
     def _last_call(self, query: Query) -> float:
         """Return the latest time at which sending the query still earns something."""
         fastest = query.span * self.best[query.c]
         return min(query.aim_at - fastest, query.told.deadline_ms - 2 * TICK_MS)
 
-    def _retry(self, query: Query) -> None:
-        """Hold the query for a further attempt, or give its final answer at once."""
-        if self._may_go_on(query):
-            self._hold(query)
-        else:
-            self._end(query)
-
     def _may_go_on(self, query: Query) -> bool:
         """Tell whether the effect rule and the limits leave room for a further attempt."""
         if len(query.attempts) >= self.set.max_attempts or query.begun:
@@ -232,10 +215,9 @@
 
     def _end(self, query: Query) -> None:
         """Give the final answer of a query that is not served: refused where that is true, else failed."""
-        ran = query.doubt or query.out
-        harmless = not ran or query.cls.effect == "safe" or query.cls.effect == "keyed" and query.cls.group == "all"
-        if harmless:
-            wait = self.set.max_retry_after_ms if self.set.retry_after else 0.0
+        cls, wait = query.cls, self.set.max_retry_after_ms if self.set.retry_after else 0.0
+        harmless = cls.effect == "safe" or cls.effect == "keyed" and cls.group == "all"
+        if harmless or not query.doubt and not query.out:
             self.actions.append(api.Refuse(query.told.query, wait))
         else:
             self.actions.append(api.Fail(query.told.query))
@@ -244,11 +226,10 @@
     def _close(self, query: Query) -> None:
         """Mark a query as finished; call off what is still out for it."""
         query.done, query.held = True, False
-        if query.out and self.set.can_cancel and not query.begun:
-            for attempt in query.attempts:
-                if (query.told.query, attempt.number) in attempt.engine.out and not attempt.cancelled:
-                    attempt.cancelled = True
-                    self.actions.append(api.Cancel(query.told.query, attempt.number))
+        for attempt in query.attempts if query.out and self.set.can_cancel and not query.begun else ():
+            if (query.told.query, attempt.number) in attempt.engine.out and not attempt.cancelled:
+                attempt.cancelled = True
+                self.actions.append(api.Cancel(query.told.query, attempt.number))
         self._forget(query)
 
     def _forget(self, query: Query) -> None:
@@ -264,14 +245,12 @@
             elif first and line[0].held:
                 self._queue(line[0])
 
-    # --- the clock -----------------------------------------------------------------------------------
-
     def _tick(self) -> None:
         self.tick_at = self.now + TICK_MS
         self.token += 1
         self.actions.append(api.Timer(TICK_MS, self.token))
-        if self.set.must_ask and not self.subscribed and self.now >= self.subscribe_at:
-            self.subscribed, self.subscribe_at = True, self.now + PERIOD_MS
+        if self.set.must_ask and self.now >= self.subscribe_at:
+            self.subscribe_at = float("inf")  # until it fails
             self.actions.append(api.Subscribe())
         while self.expiry and self.expiry[0][0] <= self.now:
             query = self.queries.get(heappop(self.expiry)[1])
@@ -294,10 +273,10 @@
                 if age > engine.lag:
                     total, weight = total + min(age, CAP_LAG), weight + 1
             engine.lag_now = total / weight
-        if not self.engines:
-            return
-        usual = median(e.lag_now for e in self.engines.values())
-        for engine in self.engines.values():
+        usual = median([e.lag_now for e in self.engines.values() if e.entry.state == "ready"] or [1.0])
+        for name, engine in list(self.engines.items()):
+            if engine.entry.state == "gone" and not engine.out:
+                del self.engines[name]
             engine.suspect = engine.fails > 0 or engine.lag_now > SUSPECT_LAG * usual
             for attempt in list(engine.out.values()):
                 self._rescue(attempt, usual)
@@ -307,14 +286,16 @@
         query, c = attempt.query, attempt.query.c
         usual_span = max(query.span, self.work[c] / query.cls.threads)
         due = RESCUE_LAG * max(usual, attempt.engine.lag, 1.0) * usual_span * self.best[c]
-        if attempt.cancelled or query.done or query.begun or self.now - attempt.sent < due or query.out > 1:
-            return
-        if query.cls.effect == "unsafe" or not self._may_go_on(query) or not self._budget_left():
+        early = self.now - attempt.sent < due and attempt.engine.entry.state != "gone"
+        if early or attempt.cancelled or query.done or query.out > 1 or query.cls.effect == "unsafe":
             return
-        if self.set.can_cancel and self.credit >= 1.0:
+        if self.credit >= 1.0 and self._may_go_on(query) and self._budget_left():
             self.credit -= 1.0
-            attempt.cancelled = True
-            self.actions.append(api.Cancel(query.told.query, attempt.number))
+            if self.set.can_cancel:
+                attempt.cancelled = True
+                self.actions.append(api.Cancel(query.told.query, attempt.number))
+            elif self.set.parallel and not query.held:
+                self._hold(query)  # a second copy, as the first can't be called off
 
     def _bounds(self) -> None:
         """Move the bounds: one cut a period by the worst class, or a raise where there was need."""
@@ -329,59 +310,49 @@
                 engine.bound = min(engine.bound * RAISE, CEILING_PER_CORE * engine.cores / self.set.gateways)
             engine.reached = False
 
-    # --- sending -------------------------------------------------------------------------------------
-
     def _dispatch(self) -> None:
         """Send what may leave: late queries first, the highest worth leading, else by target."""
-        waiting, self.again = self.again, []
-        for query in sorted(waiting, key=lambda q: q.target):
-            if query.held and not query.done:
+        for query in sorted(self.again, key=self._rank):
+            if query.held:
                 self._try_send(query)
-                if query.held and not query.done:
-                    self.again.append(query)
+        self.again = [query for query in self.again if query.held]
         blocked = [False] * len(self.lanes)
         while True:
-            best, lead = None, None
+            heads = []
             for lane, heap in enumerate(self.lanes):
                 while heap and not heap[0][2].held:
                     heappop(heap)
                 if heap and not blocked[lane]:
-                    query = heap[0][2]
-                    late = query.target < self.now
-                    rank = (not late, -query.worth if late else 0.0, query.target)
-                    if best is None or rank < best:
-                        best, lead = rank, query
-            if lead is None:
+                    heads.append(heap[0][2])
+            if not heads:
                 return
-            if self._try_send(lead):
-                heappop(self.lanes[lead.lane])
-            else:
-                blocked[lead.lane] = True
+            lead = min(heads, key=self._rank)
+            blocked[lead.lane] = not self._try_send(lead)
+
+    def _rank(self, query: Query) -> tuple[bool, float, float]:
+        late = query.target < self.now
+        return not late, -query.worth if late else 0.0, query.target
 
     def _try_send(self, query: Query) -> bool:
         """Send the query if every rule that binds the sender allows it; tell whether it left."""
-        if query.attempts and not (self._may_go_on(query) and self._budget_left()):
-            if not self._may_go_on(query):
-                self._end(query)
-            return False
-        if query.out and not self.set.parallel:
+        if query.attempts and not self._may_go_on(query):
+            self._end(query)
             return False
-        if query.line is not None and not query.attempts:
-            if self.lines[query.line][0] is not query or self.rest.get(query.line, 0.0) > self.now:
-                return False
-        engine = self._choose(query)
+        barred = (
+            query.attempts and not self._budget_left() or query.out and not self.set.parallel
+            or query.line is not None and not query.attempts and self.rest.get(query.line, 0.0) > self.now)
+        engine = None if barred else self._choose(query)
         if engine is None:
             return False
-        if query.attempts:
+        if query.attempts and self.set.budget_ms:
             self.further.append(self.now)
         attempt = Attempt(query, len(query.attempts), engine, self.now)
         query.attempts.append(attempt)
-        query.held = False
-        query.out += 1
+        query.held, query.out = False, query.out + 1
         engine.out[query.told.query, attempt.number] = attempt
         engine.threads += query.cls.threads
         engine.trial_at = max(engine.trial_at, self.now + CANARY_MS) if engine.suspect else engine.trial_at
-        engine.sends.append((self.now, self._usual_work(query.c)))
+        engine.sends.append((self.now, self._weight(query)))
         if query.cls.effect == "keyed" and query.anchor is None:
             query.anchor = attempt
         self.actions.append(api.Send(query.told.query, engine.entry.engine))
@@ -392,9 +363,10 @@
         s = self.set
         if not s.budget_ms:
             return True
-        for times in (self.taken, self.further):
-            while times and times[0] < self.now - s.budget_ms:
-                times.popleft()
+        while self.taken and self.taken[0] <= self.now - s.budget_ms:
+            self.taken.popleft()
+        while self.further and self.further[0] < self.now - s.budget_ms:
+            self.further.popleft()
         return len(self.further) + 1 <= s.budget_free + s.budget_share * len(self.taken)
 
     def _choose(self, query: Query) -> Engine | None:
@@ -408,8 +380,8 @@
                     return engine
         pool = [e for e in healthy if e.entry.engine not in tried] or healthy or allowed
         ranked = []
-        # A limit rounded up to one query on every engine at once would let the gateways overfill them together.
-        spare = sum(self._limit(e) for e in allowed) - sum(e.threads for e in self.engines.values())
+        # Limits rounded up to one query on each engine would let the gateways overfill them all together.
+        spare = sum(self._limit(e) - e.threads for e in allowed)
         usual = median(e.lag_now for e in pool) if pool else 1.0
         for engine in pool:
             room = engine.threads + query.cls.threads <= self._limit(engine) or not engine.threads
@@ -421,11 +393,10 @@
         if not ranked:
             return None
         least = min(load for load, _ in ranked) + TIE_PER_CORE
-        tables, zone = query.told.tables, self.set.zone
         return min(
             (e for load, e in ranked if load <= least),
-            key=lambda e: (tables not in e.warm, e.threads / e.cores, e.entry.zone != zone,
-                           e.report.get("cpu", 0.0), e.order))
+            key=lambda e: (query.told.tables not in e.warm, e.threads / e.cores,
+                           e.entry.zone != self.set.zone, e.report.get("cpu", 0.0), e.order))
 
     def _limit(self, engine: Engine) -> float:
         """Return the threads allowed: the bound under pressure, else the ceiling, as pressure shows late."""
@@ -436,36 +407,30 @@
     def _permitted(self, query: Query, engine: Engine) -> bool:
         """Drain, placement, keyed group and cold budget: the rules on where an attempt may go."""
         cls, entry = query.cls, engine.entry
-        if entry.state != "ready":
-            return False
-        if cls.zones is not None and entry.zone not in cls.zones:
-            return False
-        if cls.kinds is not None and entry.kind not in cls.kinds:
+        misplaced = (cls.zones is not None and entry.zone not in cls.zones
+                     or cls.kinds is not None and entry.kind not in cls.kinds)
+        if entry.state != "ready" or misplaced:
             return False
         if query.anchor is not None and cls.group != "all":
             first = query.anchor.engine.entry
             if entry.zone != first.zone or cls.group == "cell" and entry.cell != first.cell:
                 return False
-        return self._cold_room(query, engine)
-
-    def _warmth(self, engine: Engine) -> float:
-        """Return the share of its capacity that an engine is sure to have so long after its start."""
-        s, launched = self.set, engine.entry.launched_ms
-        if not launched or not s.cold_ms or self.now - launched >= s.cold_ms:
-            return 1.0
-        return s.cold_share + (1.0 - s.cold_share) * max(0.0, self.now - launched) / s.cold_ms
-
-    def _cold_room(self, query: Query, engine: Engine) -> bool:
-        """Keep this gateway's part of a cold engine's budget, in every window of the stated length."""
-        s = self.set
+        s = self.set  # a cold engine: keep this gateway's part in every window of the stated length
         while engine.sends and engine.sends[0][0] < self.now - s.fall_ms:
             engine.sends.popleft()
         warmth = self._warmth(engine)
         if warmth >= 1.0 or not s.fall_multiple:
             return True
         budget = s.fall_multiple * warmth * engine.cores * BUSY_CAPACITY * s.fall_ms * COLD_PART / s.gateways
-        return sum(w for _, w in engine.sends) + self._usual_work(query.c) <= budget
+        return sum(work for _, work in engine.sends) + self._weight(query) <= budget
+
+    def _weight(self, query: Query) -> float:
+        """Return the usual work of the query's class, on the safe side where estimates lie low."""
+        return self.work[query.c] * max(1.0, self.best[query.c])
 
-    def _usual_work(self, c: int) -> float:
-        """Return the usual work of a class, on the safe side where estimates lie low."""
-        return self.work[c] * max(1.0, self.best[c])
+    def _warmth(self, engine: Engine) -> float:
+        """Return the share of its capacity that an engine is sure to have so long after its start."""
+        s, launched = self.set, engine.entry.launched_ms
+        if not launched or not s.cold_ms or self.now - launched >= s.cold_ms:
+            return 1.0
+        return s.cold_share + (1.0 - s.cold_share) * max(0.0, self.now - launched) / s.cold_ms
