--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -54,7 +54,7 @@
         self.expiry: list[tuple[float, int]] = []
         self.lines: dict[str, deque[Query]] = {}  # queries of one key, in the order taken
         self.rest: dict[str, float] = {}  # keys that rest until then
-        self.mean: list[float | None] = [None] * len(settings.classes)
+        self.mean: list[float] = [0.0] * len(settings.classes)
         self.work: list[float] = [0.0] * len(settings.classes)  # mean told work
         self.best: list[float] = [1.0] * len(settings.classes)
         self.taken: deque[float] = deque()
@@ -124,10 +124,8 @@
         work = told.work_ms or self.work[c] or cls.aim_ms * cls.threads / 2
         span = max(work / cls.threads, 1.0)
         self.work[c] += (work - self.work[c]) * (MEAN_PART if self.work[c] else 1.0)
-        if self.mean[c] is None:
-            self.mean[c] = span if told.work_ms else cls.aim_ms / 2
-        aim = cls.aim_ms + cls.aim_stretch * span
-        aim_at = min(self.now + aim, told.deadline_ms)
+        self.mean[c] = self.mean[c] or (span if told.work_ms else cls.aim_ms / 2)
+        aim_at = min(self.now + cls.aim_ms + cls.aim_stretch * span, told.deadline_ms)
         worth = cls.worth * (s.over_share_worth if told.repeat else 1.0)
         query = Query(told, cls, c, self.now, span, aim_at, aim_at - self.mean[c], worth, 2 * c + told.repeat)
         self.queries[told.query] = query
@@ -268,8 +266,7 @@
         for engine in self.engines.values():
             total, weight = engine.lag / LOCAL_PART, 1 / LOCAL_PART
             for attempt in engine.out.values():
-                query = attempt.query
-                age = (self.now - attempt.sent) / (query.span * self.best[query.c])
+                age = (self.now - attempt.sent) / (attempt.query.span * self.best[attempt.query.c])
                 if age > engine.lag:
                     total, weight = total + min(age, CAP_LAG), weight + 1
             engine.lag_now = total / weight
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,59 @@
+"""A small hand-driven world for the module: lists, arrivals and outcomes, and nothing that decides."""
+
+from fennelwind import interface as api
+from fennelwind.rules import Gateway
+
+LOOKUP = api.QueryClass("small", aim_ms=800.0, give_up_ms=4000.0, worth=1.0, threads=1)
+REPORT = api.QueryClass("large", aim_ms=3000.0, give_up_ms=15000.0, worth=10.0, late_worth=0.3, threads=4)
+
+
+def settings(**changes):
+    base = dict(classes=(LOOKUP, REPORT), kind_cores=(8,), can_cancel=True, parallel=True, max_attempts=4,
+                retry_after=True, max_retry_after_ms=500.0, answer_slack_ms=20.0, drain_grace_ms=1000.0,
+                tick_ms=5.0)
+    return api.Settings(**{**base, **changes})
+
+
+class Drive:
+    """Feeds one gateway and keeps count of what is out."""
+
+    def __init__(self, engines=2, entries=None, **changes):
+        self.settings = settings(**changes)
+        self.gateway = Gateway(self.settings, 7)
+        self.now = 1000.0
+        self.tries = {}
+        entries = entries or tuple(api.EngineEntry(f"e{i}") for i in range(engines))
+        self.step(api.EngineList("cached", entries))
+
+    def step(self, *events, after=0.0):
+        self.now += after
+        actions = self.gateway.step(self.now, list(events))
+        for action in actions:
+            if isinstance(action, api.Send):
+                self.tries.setdefault(action.query, []).append(action.engine)
+        return actions
+
+    def ask(self, query, cls=0, work=100.0, left=None, **more):
+        left = self.settings.classes[cls].give_up_ms if left is None else left
+        return self.step(api.Arrival(query, cls, self.now + left, work_ms=work, **more))
+
+    def answer(self, query, status="ok", took=100.0, after=0.0, attempt=None, finished=None, **more):
+        attempt = len(self.tries[query]) - 1 if attempt is None else attempt
+        finished = status == "ok" if finished is None else finished
+        engine = self.tries[query][attempt]
+        return self.step(api.Outcome(query, attempt, engine, status, took, finished, **more), after=after)
+
+    def run(self, ms):
+        """Let time pass in ticks; return all actions."""
+        actions = []
+        for _ in range(int(ms / 25.0)):
+            actions += self.step(api.TimerFired(self.gateway.token), after=25.0)
+        return actions
+
+
+def sends(actions):
+    return [(a.query, a.engine) for a in actions if isinstance(a, api.Send)]
+
+
+def of(actions, kind):
+    return [a for a in actions if isinstance(a, kind)]
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,348 @@
+"""The seven rules, one by one, and the ordinary path; the module alone."""
+
+import dataclasses
+
+import pytest
+from conftest import LOOKUP, REPORT, Drive, of, sends, settings
+
+from fennelwind import interface as api
+from fennelwind import rules
+
+UNSAFE = dataclasses.replace(LOOKUP, effect="unsafe")
+KEYED = dataclasses.replace(LOOKUP, effect="keyed", group="zone", memory_ms=2000.0)
+SERIAL = dataclasses.replace(LOOKUP, serial=True)
+
+
+def full_house(d, engines=1):
+    """Put queries on every engine until nothing more leaves; return the held one's id."""
+    n = 100
+    while sends(d.ask(n)):
+        n += 1
+    return n
+
+
+def test_target_is_arrival_plus_aim_minus_mean():
+    d = Drive()
+    d.ask(1, work=100.0)
+    query = d.gateway.queries[1]
+    assert query.target == d.now + 800.0 - d.gateway.mean[0]
+    assert d.gateway.mean[0] == 100.0
+
+
+def test_no_estimate_starts_the_mean_at_half_the_aim():
+    d = Drive()
+    d.step(api.Arrival(1, 0, d.now + 4000.0))
+    assert d.gateway.mean[0] == 400.0
+
+
+def test_held_queries_leave_by_rising_target():
+    d = Drive(engines=1)
+    held = full_house(d)
+    d.ask(held + 1, cls=1, work=4000.0)  # its aim lies far later
+    d.step(after=5.0)
+    d.ask(held + 2)
+    assert sends(d.answer(100)) == [(held, "e0")]
+    assert sends(d.answer(101)) == [(held + 2, "e0")]
+
+
+def test_late_queries_lead_by_worth():
+    rich = dataclasses.replace(LOOKUP, worth=5.0, aim_ms=900.0)
+    d = Drive(engines=1, classes=(LOOKUP, rich))
+    held = full_house(d)
+    d.ask(held + 1, cls=1)  # a later target, but worth more
+    d.gateway.queries[held].target = d.gateway.queries[held + 1].target = d.now - 1.0
+    assert sends(d.answer(100)) == [(held + 1, "e0")]
+
+
+def test_bound_is_cut_by_the_largest_f_once_a_period():
+    d = Drive(engines=1)
+    engine = d.gateway.engines["e0"]
+    start = engine.bound
+    engine.loads = [(2.6, 2.0), (1.0, 2.0)]
+    d.gateway._bounds()
+    assert engine.bound == pytest.approx(start / 1.3)
+    for _ in range(10):
+        engine.loads = [(30.0, 10.0), (0.0, 0.0)]
+        d.gateway._bounds()
+    assert engine.bound == rules.FLOOR_PER_CORE * 8
+
+
+def test_bound_rises_only_where_it_was_reached():
+    d = Drive(engines=1)
+    engine = d.gateway.engines["e0"]
+    d.gateway._bounds()
+    assert engine.bound == rules.START_PER_CORE * 8
+    engine.reached = True
+    d.gateway._bounds()
+    assert engine.bound == rules.START_PER_CORE * 8 * rules.RAISE
+    for _ in range(9):
+        engine.reached = True
+        d.gateway._bounds()
+    assert engine.bound == rules.CEILING_PER_CORE * 8  # else it is huge by the time it is needed
+
+
+def test_bound_binds_under_pressure_only():
+    d = Drive(engines=1)
+    engine = d.gateway.engines["e0"]
+    engine.bound = 3.0
+    assert d.gateway._limit(engine) > 3.0
+    engine.full_until = d.now + 1.0
+    assert d.gateway._limit(engine) == 3.0
+    engine.full_until, engine.lag_now = 0.0, rules.PRESSURE_LAG + 0.1
+    assert d.gateway._limit(engine) == 3.0
+
+
+def test_routing_takes_the_engine_with_fewest_own_queries():
+    d = Drive(engines=3)
+    for n in range(9):
+        d.ask(n)
+    assert sorted(len(e.out) for e in d.gateway.engines.values()) == [3, 3, 3]
+
+
+@pytest.mark.parametrize("left", [0.0, -5.0, 10.0])
+def test_no_time_left_is_answered_at_once(left):
+    d = Drive()
+    assert of(d.ask(1, left=left), api.Refuse)
+    assert not d.gateway.queries
+
+
+def test_held_query_gets_its_answer_before_the_deadline():
+    d = Drive(engines=1, entries=(api.EngineEntry("e0", state="draining"),))
+    assert not sends(d.ask(1, cls=1, work=400.0))
+    actions = d.run(15000.0)
+    assert [a.query for a in of(actions, api.Refuse)] == [1]
+    assert not d.gateway.queries and not sends(actions)
+
+
+def test_gone_client_is_never_sent_for():
+    d = Drive(engines=1, entries=(api.EngineEntry("e0", state="draining"),))
+    d.ask(1)
+    assert not of(d.step(api.Gone(1)), api.Refuse)
+    assert not sends(d.step(api.EngineList("delta", (api.EngineEntry("e0"),))))
+
+
+@pytest.mark.parametrize("status,again", [("connect_failed", True), ("full", True), ("error", False),
+                                          ("reset", False), ("timeout", False), ("cancelled", False)])
+def test_unsafe_goes_again_only_when_proven_not_to_have_run(status, again):
+    d = Drive(classes=(UNSAFE,))
+    d.ask(1)
+    actions = d.answer(1, status)
+    assert bool(sends(actions)) == again
+    assert bool(of(actions, api.Fail)) != again and not of(actions, api.Refuse)
+
+
+def test_keyed_stays_in_its_group_and_memory():
+    entries = tuple(api.EngineEntry(f"e{i}", zone=i // 2) for i in range(4))
+    d = Drive(entries=entries, classes=(KEYED,))
+    d.ask(1)
+    first = d.tries[1][0]
+    d.answer(1, "error", took=10.0)
+    assert {e for e in d.tries[1]} == set(("e0", "e1") if first in ("e0", "e1") else ("e2", "e3"))
+    assert of(d.answer(1, "error", took=10.0, after=2500.0), api.Fail)  # forgotten by then, and not harmless
+
+
+def test_keyed_that_never_ran_is_free_again():
+    entries = tuple(api.EngineEntry(f"e{i}", zone=i) for i in range(2))
+    d = Drive(entries=entries, classes=(KEYED,))
+    d.ask(1)
+    d.answer(1, "connect_failed", took=1.0)
+    assert sorted(d.tries[1]) == ["e0", "e1"]
+
+
+def test_never_two_attempts_at_once_where_not_allowed():
+    d = Drive(engines=3, parallel=False, can_cancel=False)
+    d.ask(1)
+    assert not sends(d.run(3900.0))
+
+
+def test_second_copy_where_an_attempt_cannot_be_called_off():
+    d = Drive(engines=3, can_cancel=False)
+    d.ask(1)
+    assert len(sends(d.run(700.0))) == 1
+
+
+@pytest.mark.parametrize("state", ["draining", "gone"])
+def test_drains_are_kept(state):
+    d = Drive(engines=1)
+    d.step(api.EngineList("delta", (api.EngineEntry("e0", state=state),)))
+    assert not sends(d.ask(1)) and not sends(d.run(500.0))
+
+
+def test_engine_missing_from_a_full_list_is_gone():
+    d = Drive(engines=2)
+    d.step(api.EngineList("full", (api.EngineEntry("e0"),)))
+    assert {e for n in range(6) for _, e in sends(d.ask(n))} == {"e0"}
+
+
+COLD = dict(cold_share=0.3, cold_ms=10000.0, fall_multiple=2.0, fall_ms=2000.0, gateways=2)
+
+
+def cold_work(d, engine, count=400):
+    """Offer plenty, answer at once, and return the work sent to the engine."""
+    sent = 0.0
+    for n in range(count):
+        for query, where in sends(d.ask(n)):
+            sent += 100.0 * (where == engine)
+            d.answer(query)
+    return sent
+
+
+def test_cold_engine_gets_no_more_than_this_gateways_part():
+    d = Drive(entries=(api.EngineEntry("e0", launched_ms=990.0),), **COLD)
+    part = 2.0 * (0.3 + 0.7 * 0.01) * 8 * 2000.0 / 2  # by the rule, over the gateways
+    assert 0.0 < cold_work(d, "e0") <= part
+
+
+def test_restart_told_only_by_a_new_launch_time_is_cold():
+    d = Drive(engines=1, **COLD)
+    assert cold_work(d, "e0") == 400 * 100.0
+    d.step(after=5000.0)
+    d.step(api.EngineList("delta", (api.EngineEntry("e0", launched_ms=d.now - 10.0),)))
+    assert 0.0 < cold_work(d, "e0") <= 2.0 * 0.31 * 8 * 2000.0 / 2
+
+
+def test_work_sent_before_the_restart_was_told_counts():
+    d = Drive(engines=1, **COLD)
+    cold_work(d, "e0")
+    d.step(api.EngineList("delta", (api.EngineEntry("e0", launched_ms=d.now - 10.0),)))
+    assert cold_work(d, "e0") == 0.0
+
+
+def test_order_by_key_and_rest_after_doubt():
+    d = Drive(classes=(SERIAL,), settle_ms=300.0, max_attempts=1)
+    assert sends(d.ask(1, key="k"))
+    assert not sends(d.ask(2, key="k"))
+    assert sends(d.ask(3, key="other"))
+    assert of(d.answer(1, "timeout"), api.Refuse)
+    assert not sends(d.run(275.0))
+    assert [q for q, _ in sends(d.run(50.0))] == [2]
+
+
+def test_order_holds_until_the_last_outcome_is_in():
+    d = Drive(classes=(SERIAL,))
+    d.ask(1, key="k")
+    d.ask(2, key="k")
+    assert not sends(d.step(api.Gone(1)))
+    assert [q for q, _ in sends(d.answer(1, "ok", finished=True))] == [2]
+
+
+def test_a_refusal_out_of_turn_lets_the_next_follow():
+    d = Drive(classes=(SERIAL,))
+    d.ask(1, key="k")
+    d.ask(2, key="k")
+    d.ask(3, key="k")
+    d.step(api.Gone(2))
+    assert [q for q, _ in sends(d.answer(1))] == [3]
+
+
+def test_placement_holds_even_when_all_permitted_engines_are_gone():
+    bound = dataclasses.replace(LOOKUP, zones=(1,), kinds=(0,))
+    entries = (api.EngineEntry("e0", zone=0), api.EngineEntry("e1", zone=1),
+               api.EngineEntry("e2", zone=1, kind=1))
+    d = Drive(entries=entries, classes=(bound,), kind_cores=(8, 8))
+    assert {e for n in range(6) for _, e in sends(d.ask(n))} == {"e1"}
+    d.step(api.EngineList("delta", (api.EngineEntry("e1", zone=1, state="gone"),)))
+    assert not sends(d.ask(10)) and not sends(d.run(700.0))
+
+
+def test_attempt_budget_over_a_sliding_window():
+    d = Drive(engines=4, budget_free=2.0, budget_share=0.1, budget_ms=10000.0)
+    for n in range(10):
+        d.ask(n)
+    further = 0
+    for n in range(10):
+        further += len(sends(d.answer(n, "error", took=10.0)))
+    assert further == 3  # 2 and a tenth of ten
+    assert not sends(d.step(after=100.0))
+
+
+def test_budget_returns_when_the_window_has_passed():
+    d = Drive(engines=4, budget_free=1.0, budget_share=0.0, budget_ms=1000.0)
+    d.ask(1)
+    d.ask(2)
+    assert len(sends(d.answer(1, "error", took=1.0)) + sends(d.answer(2, "error", took=1.0))) == 1
+    d.step(after=1100.0)
+    d.ask(3)
+    assert len(sends(d.answer(3, "error", took=1.0))) == 1
+
+
+def test_silent_engine_is_suspect_and_its_queries_go_elsewhere():
+    d = Drive(engines=3)
+    for n in range(6):
+        d.ask(n)
+    silent = "e0"
+    for n in range(6):
+        if d.tries[n][0] != silent:
+            d.answer(n, took=100.0, after=10.0)
+    stuck = [n for n in range(6) if d.tries[n][0] == silent]
+    cancels = of(d.run(600.0), api.Cancel)
+    assert d.gateway.engines[silent].lag_now > 1.5  # two ages count against it at once
+    assert sorted(a.query for a in cancels) == stuck
+    assert all(e != silent for n in stuck for _, e in sends(d.answer(n, "cancelled", took=600.0)))
+
+
+def test_a_list_that_says_gone_frees_what_is_out_there():
+    d = Drive(engines=2)
+    d.ask(1)
+    d.step(api.EngineList("delta", (api.EngineEntry(d.tries[1][0], state="gone"),)))
+    assert [a.query for a in of(d.run(25.0), api.Cancel)] == [1]
+
+
+def test_never_all_engines_excluded():
+    d = Drive(engines=2)
+    for e in d.gateway.engines.values():
+        e.suspect, e.fails, e.trial_at = True, 3, d.now + 9999.0
+    assert sends(d.ask(1))
+
+
+def test_suspect_engine_is_tried_again_and_recovers():
+    d = Drive(engines=2)
+    bad = d.gateway.engines["e0"]
+    bad.fails, bad.trial_at, bad.suspect = 1, d.now + 1000.0, True
+    assert sends(d.ask(1)) == [(1, "e1")]
+    d.run(1000.0)
+    assert sends(d.ask(2)) == [(2, "e0")]
+    d.answer(2)
+    d.run(25.0)
+    assert not bad.suspect
+
+
+def test_rescues_are_rationed():
+    d = Drive(engines=1)
+    d.gateway.credit = 2.0
+    for n in range(6):
+        d.ask(n)
+    assert len(of(d.run(3000.0), api.Cancel)) == 2
+
+
+def test_subscribes_where_it_must_ask_and_again_after_a_failure():
+    d = Drive(must_ask=True)
+    assert not of(d.run(2000.0), api.Subscribe)  # once, at the start
+    d.step(api.EngineList("failed"))
+    assert len(of(d.run(2000.0), api.Subscribe)) == 1
+
+
+def test_odd_events_are_ignored():
+    d = Drive()
+    before = dict(d.gateway.engines)
+    odd = [api.Outcome(9, 0, "e0", "ok", 1.0, True), api.Gone(9), api.Begun(9, 0), api.TimerFired(99),
+           api.Note(9, 0, 1, 0.5), api.PeerMessage(5, b"\xff"), api.Probed("zz", "ok", 1.0)]
+    assert not [a for a in d.step(*odd) if not isinstance(a, api.Timer)]
+    assert d.gateway.engines == before
+    d.ask(1)
+    d.answer(1)
+    assert not sends(d.answer(1)) and not d.gateway.queries  # told twice
+
+
+def test_no_engine_and_no_list_still_answers():
+    d = Drive(entries=(api.EngineEntry("e0", state="gone"),))
+    assert not sends(d.ask(1))
+    assert len(of(d.run(4000.0), api.Refuse)) == 1
+
+
+@pytest.mark.parametrize("change,name", [({"classes": ()}, "classes"), ({"gateways": 0}, "gateways"),
+                                         ({"budget_ms": -1.0}, "budget_ms"), ({"tick_ms": 0.0}, "tick_ms"),
+                                         ({"classes": (dataclasses.replace(REPORT, aim_ms=0.0),)}, "aim_ms")])
+def test_unusable_settings_are_named(change, name):
+    with pytest.raises(ValueError, match=name):
+        settings(**change)
