--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -28,7 +28,6 @@
 CAP_LAG = 8.0  # times best; the same cap for an engine's lag
 BEST_FALL, BEST_RISE = 0.02, 0.002  # steps of the tracker of the best stretch; it settles near the 9th in 100
 PRESSURE_LAG = 1.5  # times best; an answer this much slower than best says that the engine is overfilled
-FULL_MS = 1000.0  # ms that a 'full' counts as pressure
 SUSPECT_LAG = 2.5  # times the fleet's median lag; above it an engine is suspect, whatever the cause
 CANARY_MS = 1000.0  # ms between two trials of a suspect engine, doubled up to four times while they fail
 RESCUE_LAG = 3.0  # times what an attempt should take; beyond it another engine is tried
@@ -159,17 +158,15 @@
 
     def _learn(self, attempt: Attempt, event: api.Outcome) -> None:
         query, engine, c = attempt.query, attempt.engine, attempt.query.c
-        if event.status in ("connect_failed", "reset"):
-            engine.fails += 1
+        if event.status in ("connect_failed", "reset", "full"):
+            engine.fails, engine.failed = engine.fails + 1, self.now
             engine.trial_at = self.now + CANARY_MS * min(2 ** engine.fails, 4)
             return
-        if event.status == "full":
-            engine.full_until = self.now + FULL_MS
-            return
         stretch = event.took_ms / query.span
         lag = min(stretch / self.best[c], CAP_LAG)
         if event.status == "ok":
-            engine.fails, engine.heard = 0, max(engine.heard, attempt.sent)
+            engine.fails = engine.fails if attempt.sent <= engine.failed else 0
+            engine.heard = max(engine.heard, attempt.sent)
             step = BEST_FALL if stretch < self.best[c] else -BEST_RISE
             self.best[c] *= 1.0 - step
             self.mean[c] += (min(event.took_ms, CAP_AIMS * query.cls.aim_ms) - self.mean[c]) * MEAN_PART
@@ -397,7 +394,7 @@
 
     def _limit(self, engine: Engine) -> float:
         """Return the threads allowed: the bound under pressure, else the ceiling, as pressure shows late."""
-        if engine.lag_now > PRESSURE_LAG or engine.full_until > self.now:
+        if engine.lag_now > PRESSURE_LAG or engine.fails:
             return engine.bound
         return CEILING_PER_CORE * engine.cores / self.set.gateways
 
--- a/fennelwind/state.py
+++ b/fennelwind/state.py
@@ -59,9 +59,9 @@
     lag: float = 1.0  # mean of an answer's time over the best for its size
     lag_now: float = 1.0  # the same with the ages of what is out
     heard: float = float("-inf")  # when the latest-sent of the answered attempts was sent
-    fails: int = 0  # failed attempts since the last answer
+    fails: int = 0  # failed attempts since an attempt sent later was answered
+    failed: float = float("-inf")
     trial_at: float = 0.0
-    full_until: float = 0.0
     reached: bool = False  # the bound kept a query back in this period
     suspect: bool = False
     sends: deque[tuple[float, float]] = field(default_factory=deque)  # time and usual work
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -86,9 +86,9 @@
     engine = d.gateway.engines["e0"]
     engine.bound = 3.0
     assert d.gateway._limit(engine) > 3.0
-    engine.full_until = d.now + 1.0
+    engine.fails = 1
     assert d.gateway._limit(engine) == 3.0
-    engine.full_until, engine.lag_now = 0.0, rules.PRESSURE_LAG + 0.1
+    engine.fails, engine.lag_now = 0, rules.PRESSURE_LAG + 0.1
     assert d.gateway._limit(engine) == 3.0
 
 
@@ -309,9 +309,9 @@
 
 def test_rescues_are_rationed():
     d = Drive(engines=1)
-    d.gateway.credit = 2.0
     for n in range(6):
         d.ask(n)
+    d.gateway.credit = 2.0
     assert len(of(d.run(3000.0), api.Cancel)) == 2
 
 
