--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -389,8 +389,8 @@
         least = min(load for load, _ in ranked) + TIE_PER_CORE
         return min(
             (e for load, e in ranked if load <= least),
-            key=lambda e: (query.told.tables not in e.warm, e.threads / e.cores,
-                           e.entry.zone != self.set.zone, e.report.get("cpu", 0.0), e.order))
+            key=lambda e: (e.entry.zone != self.set.zone, query.told.tables not in e.warm,
+                           e.threads / e.cores, e.report.get("cpu", 0.0), e.order))
 
     def _limit(self, engine: Engine) -> float:
         """Return the threads allowed: the bound under pressure, else the ceiling, as pressure shows late."""
