--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -31,6 +31,7 @@
 SUSPECT_LAG = 2.5  # times the fleet's median lag; above it an engine is suspect, whatever the cause
 CANARY_MS = 1000.0  # ms between two trials of a suspect engine, doubled up to four times while they fail
 RESCUE_LAG = 3.0  # times what an attempt should take; beyond it another engine is tried
+RESCUE_SMALLEST = 0.5  # of the class's mean; smaller queries get this time, as estimates of small work err most
 RESCUE_SHARE, RESCUE_MOST = 0.25, 10.0  # rescues for each query taken, and saved up; else they feed a jam
 TIE_PER_CORE = 0.5  # threads a core; engines closer than this are tied and warmth, zone and load settle it
 WARM_GROUPS = 4  # groups of tables that an engine is taken to keep warm
@@ -278,7 +279,7 @@
     def _rescue(self, attempt: Attempt, usual: float) -> None:
         """Call off an attempt that takes far longer than its estimate and the fleet explain."""
         query, c = attempt.query, attempt.query.c
-        usual_span = max(query.span, self.work[c] / query.cls.threads)
+        usual_span = max(query.span, RESCUE_SMALLEST * self.work[c] / query.cls.threads)
         due = RESCUE_LAG * max(usual, attempt.engine.lag, 1.0) * usual_span * self.best[c]
         early = self.now - attempt.sent < due and attempt.engine.entry.state != "gone"
         if early or attempt.cancelled or query.done or query.out > 1 or query.cls.effect == "unsafe":
