--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -30,6 +30,7 @@
 PRESSURE_LAG = 1.5  # times best; an answer this much slower than best says that the engine is overfilled
 SUSPECT_LAG = 2.5  # times the fleet's median lag; above it an engine is suspect, whatever the cause
 CANARY_MS = 1000.0  # ms between two trials of a suspect engine, doubled up to four times while they fail
+LIKELY = 2.0  # times best; a query with less time left than this is unlikely to be served in time
 RESCUE_LAG = 3.0  # times what an attempt should take; beyond it another engine is tried
 RESCUE_SMALLEST = 0.5  # of the class mean; smaller queries get as much, as estimates of them err most
 RESCUE_SHARE, RESCUE_MOST = 0.25, 10.0  # rescues for each query taken, and saved up; else they feed a jam
@@ -197,7 +198,7 @@
 
     def _last_call(self, query: Query) -> float:
         """Return the latest time at which sending the query still earns something."""
-        fastest = query.span * self.best[query.c]
+        fastest = LIKELY * query.span * self.best[query.c]
         return min(query.aim_at - fastest, query.told.deadline_ms - 2 * TICK_MS)
 
     def _may_go_on(self, query: Query) -> bool:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -362,3 +362,11 @@
     assert lost == 20
     assert not any(e.suspect for e in d.gateway.engines.values())
     assert max(e.lag_now for e in d.gateway.engines.values()) < 2.0
+
+
+def test_a_held_query_unlikely_to_be_in_time_is_refused_early():
+    """Under overload, work for answers that come late is taken from those that could be in time."""
+    d = Drive(engines=1)
+    held = full_house(d)  # its aim is 800 away and it needs 100 at best
+    actions = d.run(700.0)
+    assert [a.query for a in of(actions, api.Refuse)] == [held]
