--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -29,7 +29,7 @@
 BEST_FALL, BEST_RISE = 0.02, 0.002  # steps of the tracker of the best stretch; it settles near the 9th in 100
 PRESSURE_LAG = 1.5  # times best; an answer this much slower than best says that the engine is overfilled
 SUSPECT_LAG = 2.5  # times the fleet's median lag; above it an engine is suspect, whatever the cause
-CANARY_MS = 1000.0  # ms between two trials of a suspect engine, doubled up to four times while they fail
+SHUT_MS = 1000.0  # ms that a failing engine is left alone, doubled with each failure up to four times
 LIKELY = 2.0  # times best; a query with less time left than this is unlikely to be served in time
 RESCUE_LAG = 3.0  # times what an attempt should take; beyond it another engine is tried
 RESCUE_SMALLEST = 0.5  # of the class mean; smaller queries get as much, as estimates of them err most
@@ -162,7 +162,7 @@
         query, engine, c = attempt.query, attempt.engine, attempt.query.c
         if event.status in ("connect_failed", "reset", "full"):
             engine.fails, engine.failed = engine.fails + 1, self.now
-            engine.trial_at = self.now + CANARY_MS * min(2 ** engine.fails, 4)
+            engine.shut_until = self.now + SHUT_MS * min(2 ** engine.fails, 4)
             return
         stretch = event.took_ms / query.span
         lag = min(stretch / self.best[c], CAP_LAG)
@@ -273,7 +273,7 @@
         for name, engine in list(self.engines.items()):
             if engine.entry.state == "gone" and not engine.out:
                 del self.engines[name]
-            engine.suspect = engine.fails > 0 or engine.lag_now > SUSPECT_LAG * usual
+            engine.suspect = engine.shut_until > self.now or engine.lag_now > SUSPECT_LAG * usual
             for attempt in list(engine.out.values()):
                 self._rescue(attempt, usual)
 
@@ -347,7 +347,6 @@
         query.held, query.out = False, query.out + 1
         engine.out[query.told.query, attempt.number] = attempt
         engine.threads += query.cls.threads
-        engine.trial_at = max(engine.trial_at, self.now + CANARY_MS) if engine.suspect else engine.trial_at
         engine.sends.append((self.now, self._weight(query)))
         if query.cls.effect == "keyed" and query.anchor is None:
             query.anchor = attempt
@@ -370,10 +369,6 @@
         allowed = [e for e in self.engines.values() if self._permitted(query, e)]
         healthy = [e for e in allowed if not e.suspect]
         tried = {a.engine.entry.engine for a in query.attempts}
-        if query.cls.threads == min(c.threads for c in self.set.classes):
-            for engine in allowed:  # one cheap query shows whether a suspect engine has recovered
-                if engine.suspect and not engine.out and engine.trial_at <= self.now and not tried:
-                    return engine
         pool = [e for e in healthy if e.entry.engine not in tried] or healthy or allowed
         ranked = []
         # Limits rounded up to one query on each engine would let the gateways overfill them all together.
--- a/fennelwind/state.py
+++ b/fennelwind/state.py
@@ -61,7 +61,7 @@
     heard: float = float("-inf")  # when the latest-sent of the answered attempts was sent
     fails: int = 0  # failed attempts since an attempt sent later was answered
     failed: float = float("-inf")
-    trial_at: float = 0.0
+    shut_until: float = 0.0
     reached: bool = False  # the bound kept a query back in this period
     suspect: bool = False
     sends: deque[tuple[float, float]] = field(default_factory=deque)  # time and usual work
