--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -50,7 +50,7 @@
         self.actions: list[api.Action] = []
         self.engines: dict[str, Engine] = {}
         self.queries: dict[int, Query] = {}
-        self.lanes: list[list[tuple[float, int, Query]]] = [[] for _ in range(2 * len(settings.classes))]
+        self.lanes: list[list[tuple[float, int, Query]]] = [[] for _ in settings.classes]
         self.again: list[Query] = []  # held queries that something of their own may bar
         self.expiry: list[tuple[float, int]] = []
         self.lines: dict[str, deque[Query]] = {}  # queries of one key, in the order taken
@@ -127,8 +127,7 @@
         self.work[c] += (work - self.work[c]) * (MEAN_PART if self.work[c] else 1.0)
         self.mean[c] = self.mean[c] or (span if told.work_ms else cls.aim_ms / 2)
         aim_at = min(self.now + cls.aim_ms + cls.aim_stretch * span, told.deadline_ms)
-        worth = cls.worth * (s.over_share_worth if told.repeat else 1.0)
-        query = Query(told, cls, c, self.now, span, aim_at, aim_at - self.mean[c], worth, 2 * c + told.repeat)
+        query = Query(told, cls, c, self.now, span, aim_at, aim_at - self.mean[c])
         self.queries[told.query] = query
         if query.line is not None:
             self.lines.setdefault(query.line, deque()).append(query)
@@ -194,7 +193,7 @@
         if query.attempts or self.rest.get(query.line, 0.0) > self.now:
             self.again.append(query)  # may be barred alone, so it must not keep a lane waiting
         else:
-            heappush(self.lanes[query.lane], (query.target, query.told.query, query))
+            heappush(self.lanes[query.c], (query.target, query.told.query, query))
 
     def _last_call(self, query: Query) -> float:
         """Return the latest time at which sending the query still earns something."""
@@ -323,11 +322,11 @@
             if not heads:
                 return
             lead = min(heads, key=self._rank)
-            blocked[lead.lane] = not self._try_send(lead)
+            blocked[lead.c] = not self._try_send(lead)
 
     def _rank(self, query: Query) -> tuple[bool, float, float]:
         late = query.target < self.now
-        return not late, -query.worth if late else 0.0, query.target
+        return not late, -query.cls.worth if late else 0.0, query.target
 
     def _try_send(self, query: Query) -> bool:
         """Send the query if every rule that binds the sender allows it; tell whether it left."""
--- a/fennelwind/state.py
+++ b/fennelwind/state.py
@@ -17,8 +17,6 @@
     span: float  # told work divided by threads
     aim_at: float
     target: float
-    worth: float
-    lane: int
     attempts: list["Attempt"] = field(default_factory=list)
     out: int = 0  # attempts without an outcome
     held: bool = False
