--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -31,6 +31,7 @@
 SUSPECT_LAG = 2.5  # times the fleet's median lag; above it an engine is suspect, whatever the cause
 SHUT_MS = 1000.0  # ms that a failing engine is left alone, doubled with each failure up to four times
 LIKELY = 2.0  # times best; a query with less time left than this is unlikely to be served in time
+GRANT = 1.6  # times the told memory; estimates scatter, and a spill costs far more than what lies idle
 RESCUE_LAG = 3.0  # times what an attempt should take; beyond it another engine is tried
 RESCUE_SMALLEST = 0.5  # of the class mean; smaller queries get as much, as estimates of them err most
 RESCUE_SHARE, RESCUE_MOST = 0.25, 10.0  # rescues for each query taken, and saved up; else they feed a jam
@@ -349,6 +350,8 @@
         engine.sends.append((self.now, self._weight(query)))
         if query.cls.effect == "keyed" and query.anchor is None:
             query.anchor = attempt
+        if self.set.grants and not attempt.number and query.told.memory_mb:
+            self.actions.append(api.Terms(query.told.query, GRANT * query.told.memory_mb, 1))
         self.actions.append(api.Send(query.told.query, engine.entry.engine))
         return True
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -369,3 +369,10 @@
     held = full_house(d)  # its aim is 800 away and it needs 100 at best
     actions = d.run(700.0)
     assert [a.query for a in of(actions, api.Refuse)] == [held]
+
+
+@pytest.mark.parametrize("grants,memory,granted", [(True, 100.0, [160.0]), (True, 0.0, []), (False, 100.0, [])])
+def test_grants_leave_room_for_estimates_that_lie_low(grants, memory, granted):
+    d = Drive(grants=grants)
+    actions = d.ask(1, memory_mb=memory)
+    assert [a.memory_mb for a in of(actions, api.Terms)] == granted
