--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -371,7 +371,8 @@
     assert [a.query for a in of(actions, api.Refuse)] == [held]
 
 
-@pytest.mark.parametrize("grants,memory,granted", [(True, 100.0, [160.0]), (True, 0.0, []), (False, 100.0, [])])
+@pytest.mark.parametrize("grants,memory,granted", [
+    (True, 100.0, [100.0 * rules.GRANT]), (True, 0.0, []), (False, 100.0, [])])
 def test_grants_leave_room_for_estimates_that_lie_low(grants, memory, granted):
     d = Drive(grants=grants)
     actions = d.ask(1, memory_mb=memory)
