--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -37,8 +37,7 @@
 RESCUE_SHARE, RESCUE_MOST = 0.25, 10.0  # rescues for each query taken, and saved up; else they feed a jam
 TIE_PER_CORE = 0.5  # threads a core; engines closer than this are tied and warmth, zone and load settle it
 WARM_GROUPS = 4  # groups of tables that an engine is taken to keep warm
-COLD_PART = 0.7  # part of the cold budget used; the rest is for chance and for estimates that lie
-BUSY_CAPACITY = 0.85  # part of the cores that counts as capacity
+COLD_PART = 0.6  # part of the cold budget used; the rest is for chance, busy cores and estimates that lie low
 
 
 class Gateway:
@@ -414,7 +413,7 @@
         warmth = self._warmth(engine)
         if warmth >= 1.0 or not s.fall_multiple:
             return True
-        budget = s.fall_multiple * warmth * engine.cores * BUSY_CAPACITY * s.fall_ms * COLD_PART / s.gateways
+        budget = s.fall_multiple * warmth * engine.cores * s.fall_ms * COLD_PART / s.gateways
         return sum(work for _, work in engine.sends) + self._weight(query) <= budget
 
     def _weight(self, query: Query) -> float:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -201,6 +201,19 @@
     assert 0.0 < cold_work(d, "e0") <= 2.0 * 0.31 * 8 * 2000.0 / 2
 
 
+def test_all_gateways_together_keep_a_cold_engines_budget():
+    entries = (api.EngineEntry("e0", launched_ms=990.0),)
+    sent = sum(cold_work(Drive(entries=entries, **COLD), "e0") for _ in range(COLD["gateways"]))
+    assert 0.0 < sent <= 2.0 * 0.31 * 8 * 2000.0
+
+
+def test_a_stale_list_gives_way_to_the_news_that_an_engine_is_cold():
+    d = Drive(entries=(api.EngineEntry("e0"), api.EngineEntry("e1")), **COLD)  # all that a restart has left
+    d.step(api.EngineList("full", (api.EngineEntry("e0", launched_ms=d.now - 10.0),)))
+    assert 0.0 < cold_work(d, "e0") <= 2.0 * 0.31 * 8 * 2000.0 / 2
+    assert cold_work(d, "e1") == 0.0
+
+
 def test_work_sent_before_the_restart_was_told_counts():
     d = Drive(engines=1, **COLD)
     cold_work(d, "e0")
