--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -390,3 +390,11 @@
     d = Drive(grants=grants)
     actions = d.ask(1, memory_mb=memory)
     assert [a.memory_mb for a in of(actions, api.Terms)] == granted
+
+
+def test_keyed_is_not_sent_again_once_its_repeats_are_no_longer_dropped():
+    brief = dataclasses.replace(KEYED, memory_ms=100.0)
+    d = Drive(entries=(api.EngineEntry("e0"), api.EngineEntry("e1")), classes=(brief,))
+    d.ask(1, work=10.0)
+    actions = d.answer(1, "error", took=150.0, after=150.0)  # well before aim and deadline
+    assert not sends(actions) and of(actions, api.Fail)
