Make work follow events and spread many gateways over the engines by a ring (simulated servers)

Cause: each gateway looked at every engine each 25 ms and for each try; with over a hundred gateways the even part of a cold engine's budget is less than any query, so it got nothing until warm; like tie orders heaped gateways on the same engines. Change: timers only while something is held or out, the fleet viewed each 250 ms, lanes not retried until something freed, 6 nearest of a ring and 6 drawn engines looked at for a send, small queries sent to cold engines by a seeded draw, the gateway's own stalls taken from ages. At least one query of a gateway may always run. It should also hold against crash loops (cold parts) and slow lists; it may hurt where a dozen engines are all bad.

--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -5,16 +5,16 @@
 """
 
 from collections import deque
-from collections.abc import Iterable
 from dataclasses import replace
 from heapq import heappop, heappush
 from random import Random
 from statistics import median
 
 from fennelwind import interface as api
-from fennelwind.state import Attempt, Engine, Query
+from fennelwind.state import Attempt, Engine, Lines, Query, Window
 
-TICK_MS = 25.0  # ms between two looks at the clock; short against every aim
+TICK_MS = 25.0  # ms between two looks at the clock while a query is held or out; short against every aim
+BEAT_MS = 250.0  # ms between two views of the whole fleet; a timer that much late was a stall of our own
 PERIOD_MS = 1000.0  # ms between two changes of a bound; the design raises each second
 START_PER_CORE = 1.5  # threads a core over all gateways; the design's start of the bound
 FLOOR_PER_CORE = 1.0  # threads a core over all gateways; the design's floor
@@ -37,7 +37,10 @@
 RESCUE_SHARE, RESCUE_MOST = 0.25, 10.0  # rescues for each query taken, and saved up; else they feed a jam
 TIE_PER_CORE = 0.5  # threads a core; engines closer than this are tied and warmth, zone and load settle it
 WARM_GROUPS = 4  # groups of tables that an engine is taken to keep warm
+GOLDEN = 0.6180339887  # golden ratio: multiples of it spread gateways evenly over a ring of engines
+SAMPLE = 12  # engines looked at for an attempt; a dozen nearly always hold a good one, at any size
 COLD_PART = 0.6  # part of the cold budget used; the rest is for chance, busy cores and estimates that lie low
+COLD_GRAIN = 0.03  # of a cold engine's budget; a query above it is too large to be sent by chance
 
 
 class Gateway:
@@ -45,28 +48,33 @@
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.set = settings
-        self.random = Random(seed)
-        self.now = 0.0
+        self.now, self.random = 0.0, Random(seed)
         self.actions: list[api.Action] = []
         self.engines: dict[str, Engine] = {}
         self.queries: dict[int, Query] = {}
         self.lanes: list[list[tuple[float, int, Query]]] = [[] for _ in settings.classes]
         self.again: list[Query] = []  # held queries that something of their own may bar
         self.expiry: list[tuple[float, int]] = []
-        self.lines: dict[str, deque[Query]] = {}  # queries of one key, in the order taken
+        self.lines = Lines()
         self.rest: dict[str, float] = {}  # keys that rest until then
-        self.mean: list[float] = [0.0] * len(settings.classes)
-        self.work: list[float] = [0.0] * len(settings.classes)  # mean told work
-        self.best: list[float] = [1.0] * len(settings.classes)
-        self.taken: deque[float] = deque()
-        self.further: deque[float] = deque()
-        self.credit = RESCUE_MOST
-        self.token = 0
-        self.tick_at = self.period_at = self.subscribe_at = float("-inf")
-
-    def step(self, now_ms: float, events: Iterable[api.Event]) -> list[api.Action]:
+        self.mean, self.work, self.best = ([start] * len(self.lanes) for start in (0.0, 0.0, 1.0))
+        self.taken, self.further = Window(), Window()
+        self.credit, self.token = RESCUE_MOST, 0
+        self.busy: dict[str, Engine] = {}  # engines that own attempts are out at, so that work follows them
+        self.ready: list[Engine] = []
+        self.usual, self.threads, self.allowance = 1.0, 0, 0.0  # own threads that run, and how many may
+        self.blocked = [False] * len(self.lanes)  # those that found no room since the last news
+        self.tick_at = self.beat_at = self.period_at = self.subscribe_at = float("-inf")
+
+    def step(self, now_ms: float, events: list[api.Event]) -> list[api.Action]:
         """Take the time and all events of a tick; return the actions, in order."""
         self.now, self.actions = max(self.now, now_ms), []
+        late = self.now - self.tick_at
+        if BEAT_MS < late < float("inf"):
+            # This gateway itself had no turn, or its clock jumped: that says nothing of the engines, and the
+            # lump of events after it must not start rescues wholesale. A hang is found so much later.
+            for attempt in (a for engine in self.busy.values() for a in engine.out.values()):
+                attempt.stalled += late
         for event in events:
             match event:
                 case api.Arrival():
@@ -101,6 +109,7 @@
                 known.entry = entry
             elif entry.state != "gone":
                 self.engines[name] = self._engine(entry, known)
+        self._beat()
 
     def _engine(self, entry: api.EngineEntry, known: Engine | None) -> Engine:
         s = self.set
@@ -108,19 +117,17 @@
         fresh = Engine(entry, cores, START_PER_CORE * cores / s.gateways, self.random.random(),
                        deque(maxlen=WARM_GROUPS), [(0.0, 0.0)] * len(s.classes))
         if known is not None:  # a restart under its old name: the past says nothing, but work sent counts
-            fresh.out, fresh.threads, fresh.sends = known.out, known.threads, known.sends
-            for attempt in fresh.out.values():
-                attempt.engine = fresh
+            fresh.take_over(known)
+            self.busy.update({entry.engine: fresh} if fresh.out else {})
         return fresh
 
     def _arrival(self, told: api.Arrival) -> None:
-        s = self.set
         if told.query in self.queries:
             return
-        c = min(max(told.cls, 0), len(s.classes) - 1)
-        cls = s.classes[c]
-        if s.budget_ms:
-            self.taken.append(self.now)
+        c = min(max(told.cls, 0), len(self.lanes) - 1)
+        cls = self.set.classes[c]
+        if self.set.budget_ms:
+            self.taken.add(self.now)
         self.credit = min(self.credit + RESCUE_SHARE, RESCUE_MOST)
         work = told.work_ms or self.work[c] or cls.aim_ms * cls.threads / 2
         span = max(work / cls.threads, 1.0)
@@ -129,20 +136,18 @@
         aim_at = min(self.now + cls.aim_ms + cls.aim_stretch * span, told.deadline_ms)
         query = Query(told, cls, c, self.now, span, aim_at, aim_at - self.mean[c])
         self.queries[told.query] = query
-        if query.line is not None:
-            self.lines.setdefault(query.line, deque()).append(query)
+        self.lines.add(query)
         self._hold(query)
 
     def _outcome(self, event: api.Outcome) -> None:
         query = self.queries.get(event.query)
-        if query is None or not 0 <= event.attempt < len(query.attempts):
-            return
-        attempt = query.attempts[event.attempt]
-        if attempt.engine.out.pop((event.query, event.attempt), None) is None:
+        attempt = query.attempt(event.attempt) if query is not None else None
+        if attempt is None or not attempt.ended():
             return
-        attempt.engine.threads -= query.cls.threads
-        attempt.engine.report = event.load or attempt.engine.report
-        query.out -= 1
+        self.threads -= query.cls.threads
+        if not attempt.engine.out:
+            self.busy.pop(attempt.engine.entry.engine, None)
+        self.blocked = [False] * len(self.lanes)
         if event.status not in ("full", "connect_failed", "moot"):
             query.doubt = True
         elif not query.doubt and not query.out:
@@ -160,7 +165,7 @@
     def _learn(self, attempt: Attempt, event: api.Outcome) -> None:
         query, engine, c = attempt.query, attempt.engine, attempt.query.c
         if event.status in ("connect_failed", "reset", "full"):
-            engine.fails, engine.failed = engine.fails + 1, self.now
+            engine.fails, engine.failed, engine.suspect = engine.fails + 1, self.now, True
             engine.shut_until = self.now + SHUT_MS * min(2 ** engine.fails, 4)
             return
         stretch = event.took_ms / query.span
@@ -168,24 +173,23 @@
         if event.status == "ok":
             engine.fails = engine.fails if attempt.sent <= engine.failed else 0
             engine.heard = max(engine.heard, attempt.sent)
+            engine.read(query.told.tables)
+        if attempt.stalled:
+            return  # its time is as much this gateway's own as the engine's
+        if event.status == "ok":
             step = BEST_FALL if stretch < self.best[c] else -BEST_RISE
             self.best[c] *= 1.0 - step
             self.mean[c] += (min(event.took_ms, CAP_AIMS * query.cls.aim_ms) - self.mean[c]) * MEAN_PART
-            if query.told.tables is not None:
-                if query.told.tables in engine.warm:
-                    engine.warm.remove(query.told.tables)
-                engine.warm.append(query.told.tables)
         elif lag <= engine.lag or attempt.sent <= engine.heard:
             return  # an attempt cut short tells only that it would have taken longer
         engine.lag += (lag - engine.lag) * (0.5 if engine.suspect else LOCAL_PART)
-        load = min(event.took_ms / (query.aim_at - query.arrived), CAP_AIMS)
-        engine.loads[c] = (engine.loads[c][0] + load, engine.loads[c][1] + 1.0)
+        engine.sample(c, min(event.took_ms / (query.aim_at - query.arrived), CAP_AIMS))
 
     def _hold(self, query: Query) -> None:
         if self._last_call(query) <= self.now:
             return self._end(query)  # a client may ask with no time left; the answer is due at once
         query.held = True
-        if query.line is None or query.attempts or self.lines[query.line][0] is query:
+        if query.attempts or self.lines.first(query):
             self._queue(query)
         heappush(self.expiry, (self._last_call(query), query.told.query))
 
@@ -193,7 +197,9 @@
         if query.attempts or self.rest.get(query.line, 0.0) > self.now:
             self.again.append(query)  # may be barred alone, so it must not keep a lane waiting
         else:
-            heappush(self.lanes[query.c], (query.target, query.told.query, query))
+            lane = self.lanes[query.c]
+            heappush(lane, (query.target, query.told.query, query))
+            self.blocked[query.c] &= lane[0][2] is not query
 
     def _last_call(self, query: Query) -> float:
         """Return the latest time at which sending the query still earns something."""
@@ -213,10 +219,8 @@
         """Give the final answer of a query that is not served: refused where that is true, else failed."""
         cls, wait = query.cls, self.set.max_retry_after_ms if self.set.retry_after else 0.0
         harmless = cls.effect == "safe" or cls.effect == "keyed" and cls.group == "all"
-        if harmless or not query.doubt and not query.out:
-            self.actions.append(api.Refuse(query.told.query, wait))
-        else:
-            self.actions.append(api.Fail(query.told.query))
+        refuse = harmless or not query.doubt and not query.out
+        self.actions.append(api.Refuse(query.told.query, wait) if refuse else api.Fail(query.told.query))
         self._close(query)
 
     def _close(self, query: Query) -> None:
@@ -232,56 +236,74 @@
         if query.out:
             return
         self.queries.pop(query.told.query, None)
-        if query.line is not None:
-            line = self.lines[query.line]
-            first = line[0] is query
-            line.remove(query)
-            if not line:
-                del self.lines[query.line]
-            elif first and line[0].held:
-                self._queue(line[0])
+        follower = self.lines.drop(query)
+        if follower is not None and follower.held:
+            self._queue(follower)
 
     def _tick(self) -> None:
-        self.tick_at = self.now + TICK_MS
-        self.token += 1
-        self.actions.append(api.Timer(TICK_MS, self.token))
-        if self.set.must_ask and self.now >= self.subscribe_at:
-            self.subscribe_at = float("inf")  # until it fails
-            self.actions.append(api.Subscribe())
+        if self.now >= self.beat_at:
+            self._beat()
+        if self.now >= self.period_at:
+            self.period_at = self.now + PERIOD_MS
+            self._bounds()
         while self.expiry and self.expiry[0][0] <= self.now:
             query = self.queries.get(heappop(self.expiry)[1])
             if query is not None and query.held and not query.done:
                 self._end(query)
-        self._judge()
-        if self.now >= self.period_at:
-            self.period_at = self.now + PERIOD_MS
-            self._bounds()
-        for key in [k for k, until in self.rest.items() if until <= self.now and k not in self.lines]:
-            del self.rest[key]
-
-    def _judge(self) -> None:
-        """Judge every engine by its answers and by the ages of what it has not answered."""
-        for engine in self.engines.values():
-            total, weight = engine.lag / LOCAL_PART, 1 / LOCAL_PART
-            for attempt in engine.out.values():
-                age = (self.now - attempt.sent) / (attempt.query.span * self.best[attempt.query.c])
-                if age > engine.lag and attempt.sent > engine.heard:
-                    total, weight = total + min(age, CAP_LAG), weight + 1
-            engine.lag_now = total / weight
-        usual = median([e.lag_now for e in self.engines.values() if e.entry.state == "ready"] or [1.0])
+        for engine in list(self.busy.values()):
+            self._judge(engine)
+        if self.set.must_ask and self.now >= self.subscribe_at:
+            self.subscribe_at = float("inf")  # until it fails
+            self.actions.append(api.Subscribe())
+        self.tick_at = float("-inf")  # idle: the next event looks at the clock
+        if self.queries or self.set.must_ask:  # else nothing to look after until the next event
+            self.tick_at = self.now + TICK_MS
+            self.token += 1
+            self.actions.append(api.Timer(TICK_MS, self.token))
+
+    def _beat(self) -> None:
+        """View the whole fleet: who is ready, what is usual, how many threads this gateway may run there."""
+        self.beat_at = self.now + BEAT_MS
+        self.blocked = [False] * len(self.lanes)
         for name, engine in list(self.engines.items()):
             if engine.entry.state == "gone" and not engine.out:
                 del self.engines[name]
-            engine.suspect = engine.shut_until > self.now or engine.lag_now > SUSPECT_LAG * usual
-            for attempt in list(engine.out.values()):
-                self._rescue(attempt, usual)
+            elif not engine.out:
+                self._judge(engine)
+        self.ready = self._ring()
+        self.usual = median([e.lag_now for e in self.ready] or [1.0])
+        self.allowance = sum(self._limit(e) for e in self.ready)
+        for key in [k for k, until in self.rest.items() if until <= self.now and k not in self.lines.keys]:
+            del self.rest[key]
 
-    def _rescue(self, attempt: Attempt, usual: float) -> None:
+    def _ring(self) -> list[Engine]:
+        """Order engines for ties: own zone first, from a point that spreads the gateways evenly."""
+        ready = [e for _, e in sorted(self.engines.items()) if e.entry.state == "ready"]
+        ring = []
+        for own in (True, False):
+            part = [e for e in ready if (e.entry.zone == self.set.zone) == own]
+            start = int(self.set.me * GOLDEN % 1.0 * len(part))
+            ring += part[start:] + part[:start]
+        return ring
+
+    def _judge(self, engine: Engine) -> None:
+        """Judge an engine by its answers and by the ages of what it has not answered."""
+        total, weight = engine.lag / LOCAL_PART, 1 / LOCAL_PART
+        for attempt in engine.out.values():
+            age = attempt.age(self.now) / (attempt.query.span * self.best[attempt.query.c])
+            if age > engine.lag and attempt.sent > engine.heard:
+                total, weight = total + min(age, CAP_LAG), weight + 1
+        engine.lag_now = total / weight
+        engine.suspect = engine.shut_until > self.now or engine.lag_now > SUSPECT_LAG * self.usual
+        for attempt in list(engine.out.values()):
+            self._rescue(attempt)
+
+    def _rescue(self, attempt: Attempt) -> None:
         """Call off an attempt that takes far longer than its estimate and the fleet explain."""
         query, c = attempt.query, attempt.query.c
         usual_span = max(query.span, RESCUE_SMALLEST * self.work[c] / query.cls.threads)
-        due = RESCUE_LAG * max(usual, attempt.engine.lag, 1.0) * usual_span * self.best[c]
-        early = self.now - attempt.sent < due and attempt.engine.entry.state != "gone"
+        due = RESCUE_LAG * max(self.usual, attempt.engine.lag, 1.0) * usual_span * self.best[c]
+        early = attempt.age(self.now) < due and attempt.engine.entry.state != "gone"
         if early or attempt.cancelled or query.done or query.out > 1 or query.cls.effect == "unsafe":
             return
         if self.credit >= 1.0 and self._may_go_on(query) and self._budget_left():
@@ -298,31 +320,28 @@
             worst = max(total / count if count > FEW else 0.0 for total, count in engine.loads)
             engine.loads = [(total * FADE, count * FADE) for total, count in engine.loads]
             engine.lag += (1.0 - engine.lag) * FORGET  # a figure with no fresh answers must not bind for ever
-            floor = FLOOR_PER_CORE * engine.cores / self.set.gateways
             if worst > 1.0:
-                engine.bound = max(floor, engine.bound / worst)
+                engine.bound = max(FLOOR_PER_CORE * engine.cores / self.set.gateways, engine.bound / worst)
             elif engine.reached:
                 engine.bound = min(engine.bound * RAISE, CEILING_PER_CORE * engine.cores / self.set.gateways)
             engine.reached = False
 
     def _dispatch(self) -> None:
         """Send what may leave: late queries first, the highest worth leading, else by target."""
-        for query in sorted(self.again, key=self._rank):
-            if query.held:
-                self._try_send(query)
+        for query in sorted((q for q in self.again if q.held), key=self._rank):
+            self._try_send(query)
         self.again = [query for query in self.again if query.held]
-        blocked = [False] * len(self.lanes)
         while True:
             heads = []
             for lane, heap in enumerate(self.lanes):
                 while heap and not heap[0][2].held:
                     heappop(heap)
-                if heap and not blocked[lane]:
+                if heap and not self.blocked[lane]:
                     heads.append(heap[0][2])
             if not heads:
                 return
             lead = min(heads, key=self._rank)
-            blocked[lead.c] = not self._try_send(lead)
+            self.blocked[lead.c] = not self._try_send(lead)
 
     def _rank(self, query: Query) -> tuple[bool, float, float]:
         late = query.target < self.now
@@ -336,17 +355,16 @@
         barred = (
             query.attempts and not self._budget_left() or query.out and not self.set.parallel
             or query.line is not None and not query.attempts and self.rest.get(query.line, 0.0) > self.now)
+        query.weight = self.work[query.c] * max(1.0, self.best[query.c])  # usual; estimates may lie low
         engine = None if barred else self._choose(query)
         if engine is None:
             return False
         if query.attempts and self.set.budget_ms:
-            self.further.append(self.now)
-        attempt = Attempt(query, len(query.attempts), engine, self.now)
-        query.attempts.append(attempt)
-        query.held, query.out = False, query.out + 1
-        engine.out[query.told.query, attempt.number] = attempt
-        engine.threads += query.cls.threads
-        engine.sends.append((self.now, self._weight(query)))
+            self.further.add(self.now)
+        attempt = query.sent_to(engine, self.now)
+        self.threads += query.cls.threads
+        self.busy[engine.entry.engine] = engine
+        engine.sends.add(self.now, query.weight)
         if query.cls.effect == "keyed" and query.anchor is None:
             query.anchor = attempt
         if self.set.grants and not attempt.number and query.told.memory_mb:
@@ -356,39 +374,33 @@
 
     def _budget_left(self) -> bool:
         """Tell whether the ration of further attempts allows one more now."""
-        s = self.set
-        if not s.budget_ms:
-            return True
-        while self.taken and self.taken[0] <= self.now - s.budget_ms:
-            self.taken.popleft()
-        while self.further and self.further[0] < self.now - s.budget_ms:
-            self.further.popleft()
-        return len(self.further) + 1 <= s.budget_free + s.budget_share * len(self.taken)
+        s, since = self.set, self.now - self.set.budget_ms
+        most = s.budget_free + s.budget_share * self.taken.total(since + s.tick_ms)
+        return not s.budget_ms or self.further.total(since) + 1 <= most
 
     def _choose(self, query: Query) -> Engine | None:
-        """Return the engine with the fewest own queries for its size and pace, among those with room."""
-        allowed = [e for e in self.engines.values() if self._permitted(query, e)]
-        healthy = [e for e in allowed if not e.suspect]
+        """Return the engine with the fewest own queries for its size and pace, among a few with room."""
         tried = {a.engine.entry.engine for a in query.attempts}
+        wide = query.cls.threads
+        # Limits rounded up to a query on each engine would let the gateways overfill them all together; but
+        # one query may always run, else a gateway whose part is less than that never serves.
+        full = self.threads and self.threads + wide > self.allowance
+        near, far = self.ready[:SAMPLE // 2], self.ready[SAMPLE // 2:]
+        near += self.random.sample(far, SAMPLE // 2) if len(self.ready) > SAMPLE else far
+        allowed = [e for e in near if self._permitted(query, e)]
+        allowed = allowed or [e for e in self.ready if self._permitted(query, e)]
+        healthy = [e for e in allowed if not e.suspect]
         pool = [e for e in healthy if e.entry.engine not in tried] or healthy or allowed
-        ranked = []
-        # Limits rounded up to one query on each engine would let the gateways overfill them all together.
-        spare = sum(self._limit(e) - e.threads for e in allowed)
-        usual = median(e.lag_now for e in pool) if pool else 1.0
+        loads = {}
         for engine in pool:
-            room = engine.threads + query.cls.threads <= self._limit(engine) or not engine.threads
-            if not room or spare < query.cls.threads:
+            if full or engine.threads and engine.threads + wide > self._limit(engine):
                 engine.reached = True
-                continue
-            pace = min(1.0, max(0.1, usual / engine.lag_now)) * self._warmth(engine)
-            ranked.append(((engine.threads + query.cls.threads) / (engine.cores * pace), engine))
-        if not ranked:
-            return None
-        least = min(load for load, _ in ranked) + TIE_PER_CORE
-        return min(
-            (e for load, e in ranked if load <= least),
-            key=lambda e: (e.entry.zone != self.set.zone, query.told.tables not in e.warm,
-                           e.threads / e.cores, e.report.get("cpu", 0.0), e.order))
+            else:
+                pace = min(1.0, max(0.1, self.usual / engine.lag_now)) * self._warmth(engine)
+                loads[engine] = (engine.threads + wide) / (engine.cores * pace)
+        least = min(loads.values(), default=0.0) + TIE_PER_CORE
+        return min((e for e, load in loads.items() if load <= least), default=None, key=lambda e: (
+            e.entry.zone != self.set.zone, query.told.tables not in e.warm, e.threads / e.cores))
 
     def _limit(self, engine: Engine) -> float:
         """Return the threads allowed: the bound under pressure, else the ceiling, as pressure shows late."""
@@ -403,26 +415,20 @@
                      or cls.kinds is not None and entry.kind not in cls.kinds)
         if entry.state != "ready" or misplaced:
             return False
-        if query.anchor is not None and cls.group != "all":
-            first = query.anchor.engine.entry
-            if entry.zone != first.zone or cls.group == "cell" and entry.cell != first.cell:
-                return False
-        s = self.set  # a cold engine: keep this gateway's part in every window of the stated length
-        while engine.sends and engine.sends[0][0] < self.now - s.fall_ms:
-            engine.sends.popleft()
-        warmth = self._warmth(engine)
+        first = query.anchor.engine.entry if query.anchor is not None and cls.group != "all" else entry
+        if entry.zone != first.zone or cls.group == "cell" and entry.cell != first.cell:
+            return False
+        s, warmth, weight = self.set, self._warmth(engine), query.weight
         if warmth >= 1.0 or not s.fall_multiple:
-            return True
-        budget = s.fall_multiple * warmth * engine.cores * s.fall_ms * COLD_PART / s.gateways
-        return sum(work for _, work in engine.sends) + self._weight(query) <= budget
-
-    def _weight(self, query: Query) -> float:
-        """Return the usual work of the query's class, on the safe side where estimates lie low."""
-        return self.work[query.c] * max(1.0, self.best[query.c])
+            return True  # else keep this gateway's part in every window of the stated length
+        budget = s.fall_multiple * warmth * engine.cores * s.fall_ms * COLD_PART
+        # Where a part is less than a query, a draw by each gateway lets as many send one as the parts add up
+        # to. Only queries that are small against the whole: chance must not heap them up.
+        over = weight * engine.draw if weight <= budget * COLD_GRAIN else 0.0
+        return engine.sends.total(self.now - s.fall_ms) + weight <= budget / s.gateways + over
 
     def _warmth(self, engine: Engine) -> float:
         """Return the share of its capacity that an engine is sure to have so long after its start."""
-        s, launched = self.set, engine.entry.launched_ms
-        if not launched or not s.cold_ms or self.now - launched >= s.cold_ms:
-            return 1.0
-        return s.cold_share + (1.0 - s.cold_share) * max(0.0, self.now - launched) / s.cold_ms
+        s, up = self.set, max(0.0, self.now - engine.entry.launched_ms)
+        warm = not engine.entry.launched_ms or up >= s.cold_ms
+        return 1.0 if warm else s.cold_share + (1.0 - s.cold_share) * up / s.cold_ms
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,152 @@
+"""Large fleets: work per event, small parts, cold engines, own stalls; the module alone."""
+
+import pytest
+from conftest import Drive, of, sends, settings
+
+from fennelwind import interface as api
+from fennelwind.rules import Gateway
+
+COLD = dict(cold_share=0.3, cold_ms=10000.0, fall_multiple=2.0, fall_ms=2000.0)
+
+
+class Counting(Gateway):
+    """Counts the engines that decisions look at."""
+
+    looks = 0
+
+    def _permitted(self, query, engine):
+        self.looks += 1
+        return super()._permitted(query, engine)
+
+    def _judge(self, engine):
+        self.looks += 1
+        super()._judge(engine)
+
+
+def counted(engines, gateways=1):
+    d = Drive(engines=engines, gateways=gateways)
+    d.gateway = Counting(d.settings, 7)
+    d.step(api.EngineList("full", tuple(api.EngineEntry(f"e{i:02}") for i in range(engines))))
+    d.gateway.looks = 0
+    return d
+
+
+@pytest.mark.parametrize("engines", [8, 40])
+def test_idle_gateway_asks_for_no_timer(engines):
+    d = counted(engines)
+    d.ask(1)
+    d.answer(1)
+    d.run(100.0)
+    before = d.gateway.looks
+    assert not of(d.run(2000.0), api.Send)
+    assert not d.gateway.queries
+    assert not of(d.step(after=1.0), api.Timer)
+    assert before <= 6 * engines
+
+
+def test_looks_for_a_send_do_not_grow_with_the_fleet():
+    looks = {}
+    for engines in (8, 40):
+        d = counted(engines)
+        for n in range(20):
+            assert sends(d.ask(n))
+        looks[engines] = d.gateway.looks
+    assert looks[40] <= 2 * looks[8]
+
+
+@pytest.mark.parametrize("engines", [8, 40])
+def test_blocked_backlog_is_not_tried_again_while_nothing_has_freed(engines):
+    d = counted(engines, gateways=20 * engines)
+    n = 0
+    while sends(d.ask(n, cls=1, work=4000.0)):
+        n += 1
+    for more in range(50):
+        d.ask(1000 + more, cls=1, work=4000.0)
+    before = d.gateway.looks
+    for _ in range(20):
+        d.step(after=1.0)
+    assert d.gateway.looks - before <= 2 * engines
+
+
+def test_part_less_than_one_query_still_serves():
+    """200 gateways, 8 engines of 8 cores: an even part is under one thread, a query has four."""
+    d = Drive(engines=8, gateways=200)
+    assert sends(d.ask(1, cls=1, work=4000.0))
+    assert not sends(d.ask(2, cls=1, work=4000.0))  # all gateways together must not overfill the engines
+    assert [q for q, _ in sends(d.answer(1, took=1000.0))] == [2]
+
+
+def test_gateways_spread_evenly_over_equal_engines():
+    """Each gateway's first choice is its own, so that many small gateways do not all fill one engine."""
+    first = {}
+    for me in range(120):
+        d = Drive(engines=30, gateways=120, me=me)
+        engine = sends(d.ask(1, cls=1, work=4000.0))[0][1]
+        first[engine] = first.get(engine, 0) + 1
+    assert len(first) == 30
+    assert max(first.values()) <= 6  # four on average
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_cold_engine_among_two_hundred_gateways_gets_work_within_its_budget(seed):
+    gateways = 200
+    entry = api.EngineEntry("e0", launched_ms=990.0)
+    fleet = []
+    for me in range(gateways):
+        gateway = Gateway(settings(gateways=gateways, me=me, **COLD), 1000 * seed + me)
+        gateway.step(1000.0, [api.EngineList("full", (entry,))])
+        fleet.append(gateway)
+    sent = 0.0
+    for gateway in fleet:
+        for n in range(10):
+            now = 1000.0 + 10.0 * n
+            for query, _ in sends(gateway.step(now, [api.Arrival(n, 0, now + 4000.0, work_ms=100.0)])):
+                sent += 100.0
+                gateway.step(now, [api.Outcome(query, 0, "e0", "ok", 100.0, True)])
+    budget = 2.0 * (0.3 + 0.7 * 0.01) * 8 * 2000.0
+    assert 0.3 * budget <= sent <= budget
+
+
+def test_large_queries_are_not_sent_to_a_cold_engine_by_chance():
+    """A few of them would spend the whole budget of an engine that has just started."""
+    for seed in range(40):
+        gateway = Gateway(settings(gateways=200, **COLD), seed)
+        gateway.step(1000.0, [api.EngineList("full", (api.EngineEntry("e0", launched_ms=990.0),))])
+        assert not sends(gateway.step(1000.0, [api.Arrival(1, 1, 16000.0, work_ms=4000.0)]))
+
+
+def test_own_stall_says_nothing_of_the_engines():
+    d = Drive(engines=3)
+    for n in range(6):
+        d.ask(n)
+    actions = d.step(api.TimerFired(d.gateway.token), after=2000.0)  # due after a tick, came after 2 s
+    assert not of(actions, api.Cancel)
+    assert not any(e.suspect for e in d.gateway.engines.values())
+    lags = [e.lag for e in d.gateway.engines.values()]
+    for n in range(6):
+        d.answer(n, took=2050.0)  # as the lump tells it
+    assert [e.lag for e in d.gateway.engines.values()] == lags
+    d.ask(10)
+    assert of(d.run(1500.0), api.Cancel)  # what is silent while the gateway has its turns is found again
+
+
+def test_restart_makes_an_engine_healthy_again():
+    d = Drive(engines=2)
+    d.ask(1)
+    bad = d.tries[1][0]
+    d.answer(1, "reset", took=5.0)
+    d.gateway.engines[bad].lag = 7.0
+    assert d.gateway.engines[bad].suspect
+    d.step(api.EngineList("delta", (api.EngineEntry(bad, launched_ms=d.now - 1.0),)))
+    engine = d.gateway.engines[bad]
+    assert (engine.lag, engine.fails, engine.suspect) == (1.0, 0, False)
+
+
+def test_no_second_attempt_while_the_first_is_out():
+    """A query that waits to be sent again must not go while an attempt of it has no outcome."""
+    d = Drive(engines=3, parallel=False)
+    d.ask(1)
+    query = d.gateway.queries[1]
+    query.held = True
+    d.gateway.again.append(query)
+    assert not sends(d.step(after=5.0))
