--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -40,7 +40,7 @@
 GOLDEN = 0.6180339887  # golden ratio: multiples of it spread gateways evenly over a ring of engines
 WAITING = 3.0  # of the allowance where engines let queries wait for memory: overfilling costs less there
 SAMPLE = 12  # engines looked at for an attempt; a dozen nearly always hold a good one, at any size
-COLD_PART, COLD_GRAIN = 0.6, 0.03  # of a cold budget: used, as estimates err; the largest query sent by chance
+COLD_PART, COLD_GRAIN = 0.6, 0.03  # of a cold budget: used, as estimates err; largest query sent by chance
 
 
 class Gateway:
