--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -39,6 +39,8 @@
 WARM_GROUPS = 4  # groups of tables that an engine is taken to keep warm
 GOLDEN = 0.6180339887  # golden ratio: multiples of it spread gateways evenly over a ring of engines
 WAITING = 3.0  # of the allowance where engines let queries wait for memory: overfilling costs less there
+USUAL_PRIORITY = 1  # the wire's; what an engine uses if it is told none
+SHORT, LONG = 1.0, 4.0  # times the mean work of all queries; short ones go first, long ones last
 SAMPLE = 12  # engines looked at for an attempt; a dozen nearly always hold a good one, at any size
 COLD_PART, COLD_GRAIN = 0.6, 0.03  # of a cold budget: used, as estimates err; largest query sent by chance
 
@@ -60,6 +62,7 @@
         self.mean, self.work, self.best = ([start] * len(self.lanes) for start in (0.0, 0.0, 1.0))
         self.taken, self.further = Window(), Window()
         self.credit, self.token = RESCUE_MOST, 0
+        self.size = 0.0  # mean told work of all queries
         self.busy: dict[str, Engine] = {}  # engines that own attempts are out at, so that work follows them
         self.ready: list[Engine] = []
         self.usual, self.threads, self.allowance = 1.0, 0, 0.0  # own threads that run, and how many may
@@ -132,6 +135,7 @@
         work = told.work_ms or self.work[c] or cls.aim_ms * cls.threads / 2
         span = max(work / cls.threads, 1.0)
         self.work[c] += (work - self.work[c]) * (MEAN_PART if self.work[c] else 1.0)
+        self.size += (work - self.size) * (MEAN_PART if self.size else 1.0)
         self.mean[c] = self.mean[c] or (span if told.work_ms else cls.aim_ms / 2)
         aim_at = min(self.now + cls.aim_ms + cls.aim_stretch * span, told.deadline_ms)
         query = Query(told, cls, c, self.now, span, aim_at, aim_at - self.mean[c])
@@ -296,6 +300,8 @@
         engine.lag_now = total / weight
         engine.suspect = engine.shut_until > self.now or engine.lag_now > SUSPECT_LAG * self.usual
         for attempt in list(engine.out.values()):
+            if self.set.priorities:
+                self._terms(attempt.query)
             self._rescue(attempt)
 
     def _rescue(self, attempt: Attempt) -> None:
@@ -367,11 +373,25 @@
         engine.sends.add(self.now, query.weight)
         if query.cls.effect == "keyed" and query.anchor is None:
             query.anchor = attempt
-        if self.set.grants and not attempt.number and query.told.memory_mb:
-            self.actions.append(api.Terms(query.told.query, GRANT * query.told.memory_mb, 1))
+        self._terms(query)
         self.actions.append(api.Send(query.told.query, engine.entry.engine))
         return True
 
+    def _terms(self, query: Query) -> None:
+        """Name the memory and the priority of a query, where they are heeded and differ from before."""
+        memory = GRANT * query.told.memory_mb if self.set.grants else 0.0
+        terms = memory, self._priority(query) if self.set.priorities else USUAL_PRIORITY
+        if terms != query.terms:
+            query.terms = terms
+            self.actions.append(api.Terms(query.told.query, *terms))
+
+    def _priority(self, query: Query) -> int:
+        """Return the query's priority on its engine: short ones first, those past their aim last."""
+        if self.now > query.aim_at:
+            return 0
+        size = query.span * query.cls.threads / self.size
+        return 3 if size < SHORT else 2 if size < LONG else 1
+
     def _budget_left(self) -> bool:
         """Tell whether the ration of further attempts allows one more now."""
         s, since = self.set, self.now - self.set.budget_ms
--- a/fennelwind/state.py
+++ b/fennelwind/state.py
@@ -20,6 +20,7 @@
     weight: float = 0.0  # work that a cold engine is taken to get by it
     attempts: list["Attempt"] = field(default_factory=list)
     out: int = 0  # attempts without an outcome
+    terms: tuple[float, int] = (0.0, 1)  # memory and priority named last
     held: bool = False
     done: bool = False
     begun: bool = False  # its stream has started
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -398,3 +398,17 @@
     d.ask(1, work=10.0)
     actions = d.answer(1, "error", took=150.0, after=150.0)  # well before aim and deadline
     assert not sends(actions) and of(actions, api.Fail)
+
+
+def test_short_queries_go_first_and_what_is_past_its_aim_last():
+    """Where engines share by priority, small ones must not stand behind large ones or hopeless ones."""
+    d = Drive(engines=2, priorities=True, can_cancel=False, parallel=False)
+    d.ask(1, cls=1, work=8000.0)
+    terms = of(d.ask(2, work=20.0), api.Terms)
+    assert [(t.query, t.priority) for t in terms] == [(2, 3)]
+    assert [(t.query, t.priority) for t in of(d.run(1500.0), api.Terms)] == [(2, 0)]
+
+
+def test_priorities_are_not_named_where_they_are_not_heeded():
+    d = Drive(engines=2)
+    assert not of(d.ask(1, work=20.0), api.Terms) and not of(d.run(1500.0), api.Terms)
