--- a/fennelwind/adapter.py
+++ b/fennelwind/adapter.py
@@ -97,6 +97,7 @@
         max_grant_share=get("FamilyInfo.MaxGrantShare", _number, 1.0),
         grants=get("FamilyInfo.TakesGrants", _flag, False),
         memory_waits=get("FamilyInfo.WhenShort", str, "") == "queue",
+        memory_pages=get("FamilyInfo.WhenShort", str, "") == "swap",
         priorities=get("FamilyInfo.RanksHeeded", _flag, False),
         tells_cost=get("FamilyInfo.SaysCost", _flag, False),
         report_fields=get("Report.Columns", _texts, ()),
--- a/fennelwind/interface.py
+++ b/fennelwind/interface.py
@@ -45,6 +45,7 @@
     max_grant_share: float = 1.0
     grants: bool = False  # the memory grant is heeded
     memory_waits: bool = False  # short of memory, an engine lets queries wait in place of spilling
+    memory_pages: bool = False  # short of memory, an engine lets queries in and slows once it is in use
     priorities: bool = False  # the priority is heeded
     tells_cost: bool = False  # answers tell work and memory
     report_fields: tuple[str, ...] = ()
--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -32,6 +32,7 @@
 SHUT_MS = 1000.0  # ms that a failing engine is left alone, doubled with each failure up to four times
 LIKELY = 2.0  # times best; a query with less time left than this is unlikely to be served in time
 GRANT = 1.6  # times the told memory; estimates scatter, and a spill costs far more than what lies idle
+PAGED = 3.0  # the same where only memory in use counts, so that what is granted too much costs nothing
 RESCUE_LAG = 3.0  # times what an attempt should take; beyond it another engine is tried
 RESCUE_SMALLEST = 0.5  # of the class mean; smaller queries get as much, as estimates of them err most
 RESCUE_SHARE, RESCUE_MOST = 0.25, 10.0  # rescues for each query taken, and saved up; else they feed a jam
@@ -379,7 +380,8 @@
 
     def _terms(self, query: Query) -> None:
         """Name the memory and the priority of a query, where they are heeded and differ from before."""
-        memory = GRANT * query.told.memory_mb if self.set.grants else 0.0
+        times = PAGED if self.set.memory_pages else GRANT
+        memory = times * query.told.memory_mb if self.set.grants else 0.0
         terms = memory, self._priority(query) if self.set.priorities else USUAL_PRIORITY
         if terms != query.terms:
             query.terms = terms
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -412,3 +412,11 @@
 def test_priorities_are_not_named_where_they_are_not_heeded():
     d = Drive(engines=2)
     assert not of(d.ask(1, work=20.0), api.Terms) and not of(d.run(1500.0), api.Terms)
+
+
+@pytest.mark.parametrize("pages,times", [(True, rules.PAGED), (False, rules.GRANT)])
+def test_grants_are_larger_where_only_memory_in_use_counts(pages, times):
+    """A spill costs far more work than memory that is granted and not used, where that is lost to nobody."""
+    d = Drive(grants=True, memory_pages=pages)
+    assert [t.memory_mb for t in of(d.ask(1, memory_mb=100.0), api.Terms)] == [100.0 * times]
+    assert rules.PAGED > rules.GRANT
