--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -42,6 +42,8 @@
 WAITING = 3.0  # of the allowance where engines let queries wait for memory: overfilling costs less there
 USUAL_PRIORITY = 1  # the wire's; what an engine uses if it is told none
 SHORT, LONG = 1.0, 4.0  # times the mean work of all queries; short ones go first, long ones last
+FILL = 1.25  # threads a core over the fleet, as reports tell it; with less, a gateway may go beyond its part
+MOST_PARTS = 4.0  # times the even part at most; reports are seconds old, and a jump of demand is quicker
 SAMPLE = 12  # engines looked at for an attempt; a dozen nearly always hold a good one, at any size
 COLD_PART, COLD_GRAIN = 0.6, 0.03  # of a cold budget: used, as estimates err; largest query sent by chance
 
@@ -55,18 +57,21 @@
         self.actions: list[api.Action] = []
         self.engines: dict[str, Engine] = {}
         self.queries: dict[int, Query] = {}
-        self.lanes: list[list[tuple[float, int, Query]]] = [[] for _ in settings.classes]
+        self.lanes: list[list[tuple[float, int, Query]]] = [[] for _ in settings.classes * 2]
         self.again: list[Query] = []  # held queries that something of their own may bar
         self.expiry: list[tuple[float, int]] = []
         self.lines = Lines()
         self.rest: dict[str, float] = {}  # keys that rest until then
-        self.mean, self.work, self.best = ([start] * len(self.lanes) for start in (0.0, 0.0, 1.0))
+        self.mean, self.work, self.best = ([start] * len(settings.classes) for start in (0.0, 0.0, 1.0))
         self.taken, self.further = Window(), Window()
         self.credit, self.token = RESCUE_MOST, 0
         self.size = 0.0  # mean told work of all queries
+        self.wide, self.long = 0.0, 0.0  # mean of attempts: time, and time times threads
+        self.fill = 0.0  # pooled reports: threads a core over the fleet; 0: none told
         self.busy: dict[str, Engine] = {}  # engines that own attempts are out at, so that work follows them
         self.ready: list[Engine] = []
-        self.usual, self.threads, self.allowance = 1.0, 0, 0.0  # own threads that run, and how many may
+        self.usual, self.allowance = 1.0, 0.0  # how many own threads may run
+        self.threads = [0, 0]  # own threads that run, for long queries and for short ones
         self.blocked = [False] * len(self.lanes)  # those that found no room since the last news
         self.tick_at = self.beat_at = self.period_at = self.subscribe_at = float("-inf")
 
@@ -128,7 +133,7 @@
     def _arrival(self, told: api.Arrival) -> None:
         if told.query in self.queries:
             return
-        c = min(max(told.cls, 0), len(self.lanes) - 1)
+        c = min(max(told.cls, 0), len(self.mean) - 1)
         cls = self.set.classes[c]
         if self.set.budget_ms:
             self.taken.add(self.now)
@@ -139,7 +144,8 @@
         self.size += (work - self.size) * (MEAN_PART if self.size else 1.0)
         self.mean[c] = self.mean[c] or (span if told.work_ms else cls.aim_ms / 2)
         aim_at = min(self.now + cls.aim_ms + cls.aim_stretch * span, told.deadline_ms)
-        query = Query(told, cls, c, self.now, span, aim_at, aim_at - self.mean[c])
+        short = self.set.priorities and work < SHORT * self.size
+        query = Query(told, cls, c, self.now, span, aim_at, aim_at - self.mean[c], short)
         self.queries[told.query] = query
         self.lines.add(query)
         self._hold(query)
@@ -149,7 +155,7 @@
         attempt = query.attempt(event.attempt) if query is not None else None
         if attempt is None or not attempt.ended():
             return
-        self.threads -= query.cls.threads
+        self.threads[query.short] -= query.cls.threads
         if not attempt.engine.out:
             self.busy.pop(attempt.engine.entry.engine, None)
         self.blocked = [False] * len(self.lanes)
@@ -169,6 +175,11 @@
 
     def _learn(self, attempt: Attempt, event: api.Outcome) -> None:
         query, engine, c = attempt.query, attempt.engine, attempt.query.c
+        self.wide += (query.cls.threads * event.took_ms - self.wide) * MEAN_PART
+        self.long += (event.took_ms - self.long) * MEAN_PART
+        if "active" in event.load and self.long:
+            fill = event.load["active"] * self.wide / self.long / engine.cores
+            self.fill += (fill - self.fill) * (LOCAL_PART if self.fill else 1.0)
         if event.status in ("connect_failed", "reset", "full"):
             engine.fails, engine.failed, engine.suspect = engine.fails + 1, self.now, True
             engine.shut_until = self.now + SHUT_MS * min(2 ** engine.fails, 4)
@@ -202,9 +213,9 @@
         if query.attempts or self.rest.get(query.line, 0.0) > self.now:
             self.again.append(query)  # may be barred alone, so it must not keep a lane waiting
         else:
-            lane = self.lanes[query.c]
+            lane = self.lanes[query.lane]
             heappush(lane, (query.target, query.told.query, query))
-            self.blocked[query.c] &= lane[0][2] is not query
+            self.blocked[query.lane] &= lane[0][2] is not query
 
     def _last_call(self, query: Query) -> float:
         """Return the latest time at which sending the query still earns something."""
@@ -277,10 +288,15 @@
                 self._judge(engine)
         self.ready = self._ring()
         self.usual = median([e.lag_now for e in self.ready] or [1.0])
-        self.allowance = sum(self._limit(e) for e in self.ready) * (WAITING if self.set.memory_waits else 1.0)
+        self.allowance = sum(self._limit(e) for e in self.ready) * self._part()
         for key in [k for k, until in self.rest.items() if until <= self.now and k not in self.lines.keys]:
             del self.rest[key]
 
+    def _part(self) -> float:
+        """Return how far this gateway may go beyond its even part of the fleet."""
+        told = min((FILL / self.fill) ** 2, MOST_PARTS) if self.fill else 1.0
+        return max(told, WAITING) if self.set.memory_waits else told
+
     def _ring(self) -> list[Engine]:
         """Order engines for ties: own zone first, from a point that spreads the gateways evenly."""
         ready = [e for _, e in sorted(self.engines.items()) if e.entry.state == "ready"]
@@ -348,7 +364,7 @@
             if not heads:
                 return
             lead = min(heads, key=self._rank)
-            self.blocked[lead.c] = not self._try_send(lead)
+            self.blocked[lead.lane] = not self._try_send(lead)
 
     def _rank(self, query: Query) -> tuple[bool, float, float]:
         late = query.target < self.now
@@ -369,7 +385,7 @@
         if query.attempts and self.set.budget_ms:
             self.further.add(self.now)
         attempt = query.sent_to(engine, self.now)
-        self.threads += query.cls.threads
+        self.threads[query.short] += query.cls.threads
         self.busy[engine.entry.engine] = engine
         engine.sends.add(self.now, query.weight)
         if query.cls.effect == "keyed" and query.anchor is None:
@@ -391,8 +407,7 @@
         """Return the query's priority on its engine: short ones first, those past their aim last."""
         if self.now > query.aim_at:
             return 0
-        size = query.span * query.cls.threads / self.size
-        return 3 if size < SHORT else 2 if size < LONG else 1
+        return 3 if query.short else 2 if query.span * query.cls.threads < LONG * self.size else 1
 
     def _budget_left(self) -> bool:
         """Tell whether the ration of further attempts allows one more now."""
@@ -406,7 +421,8 @@
         wide = query.cls.threads
         # Limits rounded up to a query on each engine would let the gateways overfill them all together; but
         # one query may always run, else a gateway whose part is less than that never serves.
-        full = self.threads and self.threads + wide > self.allowance
+        running = self.threads[1] if query.short else sum(self.threads)
+        full = running and running + wide > self.allowance
         near, far = self.ready[:SAMPLE // 2], self.ready[SAMPLE // 2:]
         near += self.random.sample(far, SAMPLE // 2) if len(self.ready) > SAMPLE else far
         allowed = [e for e in near if self._permitted(query, e)]
--- a/fennelwind/state.py
+++ b/fennelwind/state.py
@@ -17,6 +17,7 @@
     span: float  # told work divided by threads
     aim_at: float
     target: float
+    short: bool = False  # far less work than usual, so that it may go before others
     weight: float = 0.0  # work that a cold engine is taken to get by it
     attempts: list["Attempt"] = field(default_factory=list)
     out: int = 0  # attempts without an outcome
@@ -27,6 +28,11 @@
     doubt: bool = False  # an attempt may have run
     anchor: "Attempt | None" = None  # keyed: the first attempt that may have run
 
+    @property
+    def lane(self) -> int:
+        """The place of its lane: two for each class, for long queries and for short ones."""
+        return 2 * self.c + self.short
+
     @property
     def line(self) -> str | None:
         """The key whose order this query keeps, if any."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -158,3 +158,27 @@
     d = Drive(engines=8, gateways=40, memory_waits=waits)  # an even part of 4.8 threads
     assert sends(d.ask(1, cls=1, work=4000.0))
     assert bool(sends(d.ask(2, cls=1, work=4000.0))) == more
+
+
+@pytest.mark.parametrize("active,sent", [(1.0, 3), (30.0, 0)])
+def test_part_grows_while_pooled_reports_tell_of_room_and_shrinks_when_they_do_not(active, sent):
+    """A part of the fleet may be under one query; what others run is told by any engine's answers."""
+    d = Drive(engines=8, gateways=40)  # an even part of 4.8 threads, and queries of 4
+    assert sends(d.ask(0, cls=1, work=4000.0))
+    attempt = d.gateway.queries[0].attempts[0]
+    for _ in range(20):
+        d.gateway._learn(attempt, api.Outcome(0, 0, "", "ok", 1000.0, False, load={"active": active}))
+    d.run(300.0)
+    for n in range(1, 10):
+        d.ask(n, cls=1, work=4000.0)
+    assert sum(n in d.tries for n in range(1, 10)) == sent
+    assert (d.gateway.allowance > 4.8) == (active < 10.0)
+
+
+@pytest.mark.parametrize("priorities", [True, False])
+def test_short_queries_do_not_wait_for_room_among_long_ones(priorities):
+    """Where they go first they take little, so long ones filling the part are no reason to wait."""
+    d = Drive(engines=8, gateways=40, priorities=priorities)
+    for n in range(4):
+        d.ask(n, cls=1, work=4000.0)
+    assert bool(sends(d.ask(10, work=100.0))) == priorities
