--- a/fennelwind/adapter.py
+++ b/fennelwind/adapter.py
@@ -38,6 +38,10 @@
     return tuple(int(part) for part in text.split(",") if part)
 
 
+def _flags(text: str) -> tuple[bool, ...]:
+    return tuple(_flag(part) for part in text.split(",") if part)
+
+
 def _texts(text: str) -> tuple[str, ...]:
     return tuple(part for part in text.split(",") if part)
 
@@ -74,6 +78,7 @@
     """Build the settings from the pairs of a NEW_INSTANCE line."""
     get = conf.get
     threads = get("FamilyInfo.WidthByClass", _whole, ())
+    holds, waits = get("FamilyInfo.ClassLoad", _flags, ()), get("FamilyInfo.ClassWaits", _flags, ())
     classes = []
     for i in range(get("Grades.count", int)):
         at = f"Grades.{i}."
@@ -84,7 +89,8 @@
             effect=get(at + "Effect", EFFECTS.__getitem__), group=get(at + "Group", str, "all"),
             memory_ms=get(at + "MemorySpanMs", _number, 0.0), serial=get(at + "SerialByKey", _flag, False),
             zones=get(at + "RunsIn", _whole, None), kinds=get(at + "RunsOn", _whole, None),
-            threads=threads[i] if i < len(threads) else 1))
+            threads=threads[i] if i < len(threads) else 1,
+            holds=i < len(holds) and holds[i], waits=i < len(waits) and waits[i]))
     tenants = tuple(
         api.Tenant(name=get(f"Projects.{i}.Name", str, str(i)),
                    quota_per_s=get(f"Projects.{i}.QuotaPerS", _number))
@@ -99,6 +105,7 @@
         memory_waits=get("FamilyInfo.WhenShort", str, "") == "queue",
         memory_pages=get("FamilyInfo.WhenShort", str, "") == "swap",
         priorities=get("FamilyInfo.RanksHeeded", _flag, False),
+        note_ms=get("FamilyInfo.NotePeriodMs", _number, 0.0),
         tells_cost=get("FamilyInfo.SaysCost", _flag, False),
         report_fields=get("Report.Columns", _texts, ()),
         can_cancel=get("Ceilings.Cancel", _flag, False),
--- a/fennelwind/interface.py
+++ b/fennelwind/interface.py
@@ -20,6 +20,8 @@
     zones: tuple[int, ...] | None = None  # the only zones allowed
     kinds: tuple[int, ...] | None = None  # the only machine kinds allowed
     threads: int = 1
+    holds: bool = False  # a load: it holds its group of tables on its engine while it runs
+    waits: bool = False  # it stands still while a load holds its group of tables there
 
 
 @dataclass(slots=True, frozen=True)
@@ -47,6 +49,7 @@
     memory_waits: bool = False  # short of memory, an engine lets queries wait in place of spilling
     memory_pages: bool = False  # short of memory, an engine lets queries in and slows once it is in use
     priorities: bool = False  # the priority is heeded
+    note_ms: float = 0.0  # time between notes of progress; 0: none
     tells_cost: bool = False  # answers tell work and memory
     report_fields: tuple[str, ...] = ()
     can_cancel: bool = False
--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -34,6 +34,7 @@
 GRANT = 1.6  # times the told memory; estimates scatter, and a spill costs far more than what lies idle
 PAGED = 3.0  # the same where only memory in use counts, so that what is granted too much costs nothing
 RESCUE_LAG = 3.0  # times what an attempt should take; beyond it another engine is tried
+NOTES = 2.5  # periods of notes; what the last one told of an attempt is old news after that
 RESCUE_SMALLEST = 0.5  # of the class mean; smaller queries get as much, as estimates of them err most
 RESCUE_SHARE, RESCUE_MOST = 0.25, 10.0  # rescues for each query taken, and saved up; else they feed a jam
 TIE_PER_CORE = 0.5  # threads a core; engines closer than this are tied and warmth, zone and load settle it
@@ -96,6 +97,8 @@
                     self._close(self.queries[query])
                 case api.Begun(query) if query in self.queries:
                     self.queries[query].begun = True
+                case api.Note(query, number, 1, share) if query in self.queries and share > 0.0:
+                    self.queries[query].note(number, share, self.now)
                 case api.TimerFired(token) if token == self.token:
                     self.tick_at = self.now  # a rounded clock must not lose the only timer
         if self.now >= self.tick_at:
@@ -326,8 +329,12 @@
         query, c = attempt.query, attempt.query.c
         usual_span = max(query.span, RESCUE_SMALLEST * self.work[c] / query.cls.threads)
         due = RESCUE_LAG * max(self.usual, attempt.engine.lag, 1.0) * usual_span * self.best[c]
-        early = attempt.age(self.now) < due and attempt.engine.entry.state != "gone"
-        if early or attempt.cancelled or query.done or query.out > 1 or query.cls.effect == "unsafe":
+        # What its notes tell to be under way is left alone, though a busy engine or its low priority makes it
+        # late: starting anew costs all its work. When notes stop, as from a hung engine, its age decides.
+        told = self.now - attempt.noted < NOTES * self.set.note_ms
+        early = attempt.age(self.now) < due or told and attempt.left < due
+        if (early and attempt.engine.entry.state != "gone" or attempt.cancelled or query.done or query.out > 1
+                or query.cls.effect == "unsafe"):
             return
         if self.credit >= 1.0 and self._may_go_on(query) and self._budget_left():
             self.credit -= 1.0
--- a/fennelwind/state.py
+++ b/fennelwind/state.py
@@ -42,6 +42,12 @@
         """Return the attempt of that number, if it was made."""
         return self.attempts[number] if 0 <= number < len(self.attempts) else None
 
+    def note(self, number: int, share: float, now: float) -> None:
+        """Record that so much of an attempt, over 0, is done."""
+        attempt = self.attempt(number)
+        if attempt is not None:
+            attempt.left, attempt.noted = attempt.age(now) * max(0.0, 1.0 - share) / share, now
+
     def sent_to(self, engine: "Engine", now: float) -> "Attempt":
         """Record a new attempt at the engine."""
         attempt = Attempt(self, len(self.attempts), engine, now)
@@ -61,6 +67,8 @@
     engine: "Engine"
     sent: float
     cancelled: bool = False
+    left: float = float("inf")  # time that it still needs at its pace, as its last note told
+    noted: float = float("-inf")  # when that was
     stalled: float = 0.0  # time in which the gateway itself had no turn
 
     def age(self, now: float) -> float:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -420,3 +420,32 @@
     d = Drive(grants=True, memory_pages=pages)
     assert [t.memory_mb for t in of(d.ask(1, memory_mb=100.0), api.Terms)] == [100.0 * times]
     assert rules.PAGED > rules.GRANT
+
+
+def test_what_is_under_way_is_not_called_off():
+    """Notes of progress tell a busy engine from a hung one; to start anew would waste all that was done."""
+    d = Drive(engines=2, note_ms=1000.0)
+    d.ask(1, cls=1, work=4000.0)
+    for second in range(1, 5):
+        assert not of(d.run(1000.0), api.Cancel)
+        d.step(api.Note(1, 0, 1, second / 4.5))
+    assert of(d.run(6000.0), api.Cancel)  # the notes end, so the engine may hang: its age decides again
+
+
+def test_what_hardly_moves_is_called_off_in_spite_of_its_notes():
+    d = Drive(engines=2, note_ms=1000.0)
+    d.ask(1, cls=1, work=4000.0)
+    cancels = []
+    for second in range(1, 7):
+        cancels += of(d.run(1000.0), api.Cancel)
+        d.step(api.Note(1, 0, 1, second / 100.0))
+    assert [a.query for a in cancels] == [1]
+
+
+@pytest.mark.parametrize("note", [api.Note(1, 0, 1, 0.0), api.Note(1, 5, 1, 0.5), api.Note(1, 0, 1, 7.0),
+                                  api.Note(1, -1, 1, -3.0), api.Note(1, 0, 9, 0.5)])
+def test_odd_notes_are_harmless(note):
+    d = Drive(engines=2, note_ms=1000.0)
+    d.ask(1, cls=1, work=4000.0)
+    d.step(note)
+    assert of(d.run(9000.0), api.Cancel)
