--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -320,8 +320,8 @@
         engine.lag_now = total / weight
         engine.suspect = engine.shut_until > self.now or engine.lag_now > SUSPECT_LAG * self.usual
         for attempt in list(engine.out.values()):
-            if self.set.priorities:
-                self._terms(attempt.query)
+            if self.set.priorities and not attempt.query.done:
+                self._terms(attempt.query)  # what has passed its aim meanwhile goes last
             self._rescue(attempt)
 
     def _rescue(self, attempt: Attempt) -> None:
