--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -43,7 +43,7 @@
 WAITING = 3.0  # of the allowance where engines let queries wait for memory: overfilling costs less there
 USUAL_PRIORITY = 1  # the wire's; what an engine uses if it is told none
 SHORT, LONG = 1.0, 4.0  # times the mean work of all queries; short ones go first, long ones last
-FILL = 1.25  # threads a core over the fleet, as reports tell it; with less, a gateway may go beyond its part
+FILL = 1.1  # threads a core over the fleet, as reports tell it; with less, a gateway may go beyond its part
 MOST_PARTS = 4.0  # times the even part at most; reports are seconds old, and a jump of demand is quicker
 SAMPLE = 12  # engines looked at for an attempt; a dozen nearly always hold a good one, at any size
 COLD_PART, COLD_GRAIN = 0.6, 0.03  # of a cold budget: used, as estimates err; largest query sent by chance
@@ -71,7 +71,8 @@
         self.fill = 0.0  # pooled reports: threads a core over the fleet; 0: none told
         self.busy: dict[str, Engine] = {}  # engines that own attempts are out at, so that work follows them
         self.ready: list[Engine] = []
-        self.usual, self.allowance = 1.0, 0.0  # how many own threads may run
+        self.usual = 1.0  # median lag of the fleet
+        self.even, self.allowance = 0.0, 0.0  # own threads that may run: an even part of the fleet, and now
         self.threads = [0, 0]  # own threads that run, for long queries and for short ones
         self.blocked = [False] * len(self.lanes)  # those that found no room since the last news
         self.tick_at = self.beat_at = self.period_at = self.subscribe_at = float("-inf")
@@ -291,7 +292,8 @@
                 self._judge(engine)
         self.ready = self._ring()
         self.usual = median([e.lag_now for e in self.ready] or [1.0])
-        self.allowance = sum(self._limit(e) for e in self.ready) * self._part()
+        self.even = sum(self._limit(e) for e in self.ready)
+        self.allowance = self.even * self._part()
         for key in [k for k, until in self.rest.items() if until <= self.now and k not in self.lines.keys]:
             del self.rest[key]
 
@@ -429,7 +431,9 @@
         # Limits rounded up to a query on each engine would let the gateways overfill them all together; but
         # one query may always run, else a gateway whose part is less than that never serves.
         running = self.threads[1] if query.short else sum(self.threads)
-        full = running and running + wide > self.allowance
+        # In a jam long queries give way: short ones held here would be late for room that they hardly use.
+        most = max(self.allowance, self.even) if query.short else self.allowance
+        full = running and running + wide > most
         near, far = self.ready[:SAMPLE // 2], self.ready[SAMPLE // 2:]
         near += self.random.sample(far, SAMPLE // 2) if len(self.ready) > SAMPLE else far
         allowed = [e for e in near if self._permitted(query, e)]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -182,3 +182,16 @@
     for n in range(4):
         d.ask(n, cls=1, work=4000.0)
     assert bool(sends(d.ask(10, work=100.0))) == priorities
+
+
+def test_in_a_jam_long_queries_give_way_and_short_ones_keep_the_even_part():
+    """Held here they would be late, though they hardly take from an engine that serves them first."""
+    d = Drive(engines=8, gateways=40, priorities=True)  # an even part of 4.8 threads
+    assert sends(d.ask(0, cls=1, work=4000.0))
+    attempt = d.gateway.queries[0].attempts[0]
+    for _ in range(20):
+        d.gateway._learn(attempt, api.Outcome(0, 0, "", "ok", 1000.0, False, load={"active": 30.0}))
+    d.run(300.0)
+    assert d.gateway.allowance < 1.0
+    assert not sends(d.ask(1, cls=1, work=4000.0))
+    assert len([n for n in range(2, 9) if sends(d.ask(n, work=100.0))]) == 4
