--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -298,8 +298,10 @@
             del self.rest[key]
 
     def _part(self) -> float:
-        """Return how far this gateway may go beyond its even part of the fleet."""
-        told = min((FILL / self.fill) ** 2, MOST_PARTS) if self.fill else 1.0
+        """Return the times the even part of the fleet that this gateway may run now."""
+        # With many gateways an even part is hardly one query, and demand scatters: a fleet that its reports
+        # tell to be half empty is open to all; when it fills, as by a burst or lost engines, all give way.
+        told = min(FILL / self.fill, MOST_PARTS ** 0.5) ** 2 if self.fill > 0.0 else 1.0
         return max(told, WAITING) if self.set.memory_waits else told
 
     def _ring(self) -> list[Engine]:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,6 +4,7 @@
 from conftest import Drive, of, sends, settings
 
 from fennelwind import interface as api
+from fennelwind import rules
 from fennelwind.rules import Gateway
 
 COLD = dict(cold_share=0.3, cold_ms=10000.0, fall_multiple=2.0, fall_ms=2000.0)
@@ -195,3 +196,15 @@
     assert d.gateway.allowance < 1.0
     assert not sends(d.ask(1, cls=1, work=4000.0))
     assert len([n for n in range(2, 9) if sends(d.ask(n, work=100.0))]) == 4
+
+
+@pytest.mark.parametrize("active", [0.0, -1.0, 1e12])
+def test_odd_reports_of_queries_in_flight_leave_the_part_in_its_limits(active):
+    """A fleet may report next to nothing for hours, and a report is noisy: no figure may overflow."""
+    d = Drive(engines=8, gateways=40)
+    d.ask(0, cls=1, work=4000.0)
+    attempt = d.gateway.queries[0].attempts[0]
+    d.gateway._learn(attempt, api.Outcome(0, 0, "", "ok", 1000.0, False, load={"active": 1.0}))
+    for _ in range(5000):
+        d.gateway._learn(attempt, api.Outcome(0, 0, "", "ok", 1000.0, False, load={"active": active}))
+        assert 0.0 <= d.gateway._part() <= rules.MOST_PARTS
