--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -44,6 +44,7 @@
 USUAL_PRIORITY = 1  # the wire's; what an engine uses if it is told none
 SHORT, LONG = 1.0, 4.0  # times the mean work of all queries; short ones go first, long ones last
 FILL = 1.1  # threads a core over the fleet, as reports tell it; with less, a gateway may go beyond its part
+PACE = 2.5  # times best over all attempts; slower than this, and with no reports, the fleet is in a jam
 MOST_PARTS = 4.0  # times the even part at most; reports are seconds old, and a jump of demand is quicker
 SAMPLE = 12  # engines looked at for an attempt; a dozen nearly always hold a good one, at any size
 COLD_PART, COLD_GRAIN = 0.6, 0.03  # of a cold budget: used, as estimates err; largest query sent by chance
@@ -68,6 +69,7 @@
         self.credit, self.token = RESCUE_MOST, 0
         self.size = 0.0  # mean told work of all queries
         self.wide, self.long = 0.0, 0.0  # mean of attempts: time, and time times threads
+        self.took = self.due = 0.0  # mean of attempts: time, and time at its best
         self.fill = 0.0  # pooled reports: threads a core over the fleet; 0: none told
         self.busy: dict[str, Engine] = {}  # engines that own attempts are out at, so that work follows them
         self.ready: list[Engine] = []
@@ -179,6 +181,10 @@
 
     def _learn(self, attempt: Attempt, event: api.Outcome) -> None:
         query, engine, c = attempt.query, attempt.engine, attempt.query.c
+        if event.status in ("ok", "timeout", "cancelled"):
+            due = query.span * self.best[c]
+            self.took += (min(event.took_ms, CAP_LAG * due) - self.took) * MEAN_PART
+            self.due += (due - self.due) * MEAN_PART
         self.wide += (query.cls.threads * event.took_ms - self.wide) * MEAN_PART
         self.long += (event.took_ms - self.long) * MEAN_PART
         if "active" in event.load and self.long:
@@ -302,6 +308,9 @@
         # With many gateways an even part is hardly one query, and demand scatters: a fleet that its reports
         # tell to be half empty is open to all; when it fills, as by a burst or lost engines, all give way.
         told = min(FILL / self.fill, MOST_PARTS ** 0.5) ** 2 if self.fill > 0.0 else 1.0
+        if self.set.memory_waits and not self.fill and self.took:
+            # Nothing reported: how long attempts take tells a jam, as by one tenant's burst or lost engines.
+            return WAITING * min(1.0, PACE * self.due / self.took) ** 2
         return max(told, WAITING) if self.set.memory_waits else told
 
     def _ring(self) -> list[Engine]:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -208,3 +208,16 @@
     for _ in range(5000):
         d.gateway._learn(attempt, api.Outcome(0, 0, "", "ok", 1000.0, False, load={"active": active}))
         assert 0.0 <= d.gateway._part() <= rules.MOST_PARTS
+
+
+def test_slow_attempts_close_the_part_where_nothing_is_reported_and_quick_ones_open_it():
+    """A jam shows in all times at once; it must end, and its memory must not outlast it."""
+    d = Drive(engines=8, gateways=40, memory_waits=True)
+    d.ask(0, cls=1, work=4000.0)
+    attempt = d.gateway.queries[0].attempts[0]
+    for _ in range(40):
+        d.gateway._learn(attempt, api.Outcome(0, 0, "", "timeout", 9000.0, False))
+    assert d.gateway._part() < 1.0
+    for _ in range(60):
+        d.gateway._learn(attempt, api.Outcome(0, 0, "", "ok", 1000.0, False))
+    assert d.gateway._part() == rules.WAITING
