A greenlet loop over select.poll, and the same calls in virtual time

The controller needs one place that waits, so that the same code runs on sockets and, repeatable to the byte, in memory.

--- /dev/null
+++ b/fennelwind/loop/real.py
@@ -0,0 +1,252 @@
+"""The loop on real sockets, by `select.poll`."""
+
+import errno
+import os
+import select
+import signal
+import socket
+import struct
+import time
+from collections.abc import Callable
+
+from fennelwind.loop.scheduler import Loop, Waiter
+from fennelwind.loop.streams import READ_MOST, Address, ConnectFailed, StreamReset
+
+READ, WRITE = select.POLLIN | select.POLLRDHUP, select.POLLOUT
+BACK_OFF_MS = 100.0  # ms without accepting when descriptors are used up; what waits is taken then
+SHORT_OF = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+AGAIN = (BlockingIOError, InterruptedError)
+
+
+class _Watch:
+    """Who waits for a descriptor, and what the poll object was told."""
+
+    __slots__ = ("reader", "writer", "mask")
+
+    def __init__(self) -> None:
+        self.reader: Waiter | None = None
+        self.writer: Waiter | None = None
+        self.mask = 0
+
+
+class RealLoop(Loop):
+    """Real time and real sockets."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._poll = select.poll()
+        self._watches: dict[int, _Watch] = {}
+        self._signals: dict[int, Callable[[], None]] = {}
+        self._wake_in = self._wake_out = -1
+        self.short_of_descriptors = 0  # times that accepting had to rest
+
+    def now(self) -> float:
+        """Return the time in ms on the system's monotonic clock."""
+        return time.monotonic() * 1000.0
+
+    def wall(self) -> float:
+        """Return the time of day in seconds since 1970, for logs alone."""
+        return time.time()
+
+    def listen(self, address: Address, backlog: int = 512) -> "SocketListener":
+        """Listen at an address; port 0 takes a free one."""
+        sock = socket.socket(socket.AF_INET6 if ":" in address.host else socket.AF_INET)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.setblocking(False)
+            sock.bind((address.host, address.port))
+            sock.listen(backlog)
+        except OSError:
+            sock.close()
+            raise
+        return SocketListener(self, sock)
+
+    def connect(self, address: Address) -> "SocketStream":
+        """Connect to an address; `ConnectFailed` proves that nothing was sent."""
+        try:
+            sock = socket.socket(socket.AF_INET6 if ":" in address.host else socket.AF_INET)
+        except OSError as exc:
+            raise ConnectFailed(exc.errno, f"{address}: {exc.strerror}") from None
+        sock.setblocking(False)
+        try:
+            code = sock.connect_ex((address.host, address.port))
+            if code == errno.EINPROGRESS:
+                self.watch(sock.fileno(), WRITE).wait()
+                code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                raise ConnectFailed(code, f"{address}: {os.strerror(code)}")
+        except socket.gaierror as exc:
+            self.forget(sock)
+            raise ConnectFailed(exc.errno, f"{address}: {exc.strerror}") from None
+        except BaseException:
+            self.forget(sock)
+            raise
+        return SocketStream(self, sock, address)
+
+    def on_signal(self, number: int, call: Callable[[], None]) -> None:
+        """Make the call in a turn of the loop when the process gets the signal."""
+        if self._wake_in < 0:
+            self._wake_in, self._wake_out = os.pipe()
+            os.set_blocking(self._wake_in, False)
+            os.set_blocking(self._wake_out, False)
+            signal.set_wakeup_fd(self._wake_out, warn_on_full_buffer=False)
+            self._poll.register(self._wake_in, select.POLLIN)
+        self._signals[number] = call
+        signal.signal(number, lambda *_: None)
+
+    def watch(self, fd: int, mask: int) -> Waiter:
+        """Return a waiter that is woken when the descriptor is ready for what the mask says."""
+        watch = self._watches.get(fd)
+        if watch is None:
+            watch = self._watches[fd] = _Watch()
+        waiter = Waiter(self)
+        if mask == READ:
+            watch.reader = waiter
+        else:
+            watch.writer = waiter
+        if watch.mask & mask != mask:
+            watch.mask |= mask
+            self._poll.register(fd, watch.mask)
+        return waiter
+
+    def forget(self, sock: socket.socket) -> None:
+        """Close a socket and stop watching it; whoever waits for it is woken."""
+        fd = sock.fileno()
+        watch = self._watches.pop(fd, None)
+        if watch is not None:
+            if watch.mask:
+                self._poll.unregister(fd)
+            for waiter in (watch.reader, watch.writer):
+                if waiter is not None:
+                    waiter.wake()
+        sock.close()
+
+    def _pause(self, until: float | None) -> None:
+        timeout = None if until is None else max(0.0, until - self.now())
+        for fd, event in self._poll.poll(timeout):
+            if fd == self._wake_in:
+                self._take_signals()
+                continue
+            watch = self._watches.get(fd)
+            if watch is None:
+                continue
+            failed = event & (select.POLLERR | select.POLLHUP | select.POLLNVAL)
+            keep = watch.mask
+            if event & READ or failed:
+                if watch.reader is None or not watch.reader.wake():
+                    keep &= ~READ  # nobody waits: level-triggered news must not spin the loop
+                watch.reader = None
+            if event & WRITE or failed:
+                if watch.writer is not None:
+                    watch.writer.wake()
+                watch.writer = None
+                keep &= ~WRITE  # a socket is nearly always writable
+            if keep != watch.mask:
+                watch.mask = keep
+                if keep:
+                    self._poll.modify(fd, keep)
+                else:
+                    self._poll.unregister(fd)
+
+    def _take_signals(self) -> None:
+        for number in os.read(self._wake_in, 4096):
+            if number in self._signals:
+                self._signals[number]()
+
+
+class SocketStream:
+    """A connected socket."""
+
+    __slots__ = ("loop", "sock", "peer")
+
+    def __init__(self, loop: RealLoop, sock: socket.socket, peer: Address) -> None:
+        self.loop, self.sock, self.peer = loop, sock, peer
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def read(self, most: int = READ_MOST) -> bytes:
+        """Return some bytes, b"" at the end; wait for them."""
+        while True:
+            try:
+                return self.sock.recv(most)
+            except AGAIN:
+                self.loop.watch(self.sock.fileno(), READ).wait()
+            except OSError as exc:
+                if self.sock.fileno() < 0:
+                    return b""
+                raise StreamReset(exc.errno, f"{self.peer}: {exc.strerror}") from None
+            if self.sock.fileno() < 0:
+                return b""
+
+    def write(self, data: bytes) -> None:
+        """Hand all bytes on; wait while the peer takes none."""
+        try:
+            sent = self.sock.send(data)
+            if sent == len(data):
+                return
+        except AGAIN:
+            sent = 0
+        except OSError as exc:
+            raise StreamReset(exc.errno, f"{self.peer}: {exc.strerror}") from None
+        rest = memoryview(data)[sent:]
+        while rest:
+            if self.sock.fileno() < 0:
+                raise StreamReset(errno.EPIPE, f"{self.peer}: closed here")
+            try:
+                rest = rest[self.sock.send(rest):]
+            except AGAIN:
+                self.loop.watch(self.sock.fileno(), WRITE).wait()
+            except OSError as exc:
+                raise StreamReset(exc.errno, f"{self.peer}: {exc.strerror}") from None
+
+    def broken(self) -> bool:
+        """Tell whether the peer has closed an idle connection or sent what nobody asked for."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except AGAIN:
+            return False
+        except OSError:
+            pass
+        return True
+
+    def close(self) -> None:
+        """Close in order."""
+        if self.sock.fileno() >= 0:
+            self.loop.forget(self.sock)
+
+    def abort(self) -> None:
+        """Close at once, so that the peer sees a reset."""
+        if self.sock.fileno() >= 0:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.loop.forget(self.sock)
+
+
+class SocketListener:
+    """A listening socket."""
+
+    def __init__(self, loop: RealLoop, sock: socket.socket) -> None:
+        self.loop, self.sock = loop, sock
+        self.address = Address(*sock.getsockname()[:2])
+
+    def accept(self) -> SocketStream:
+        """Return the next connection; with no descriptors left, rest and leave it to wait."""
+        while self.sock.fileno() >= 0:
+            try:
+                sock, peer = self.sock.accept()
+            except AGAIN:
+                self.loop.watch(self.sock.fileno(), READ).wait()
+            except ConnectionAbortedError:
+                continue
+            except OSError as exc:
+                if exc.errno not in SHORT_OF:
+                    raise StreamReset(exc.errno, f"{self.address}: {exc.strerror}") from None
+                self.loop.short_of_descriptors += 1
+                self.loop.sleep(BACK_OFF_MS)
+            else:
+                sock.setblocking(False)
+                return SocketStream(self.loop, sock, Address(*peer[:2]))
+        raise StreamReset(errno.EBADF, f"{self.address}: closed here")
+
+    def close(self) -> None:
+        """Take no more connections."""
+        if self.sock.fileno() >= 0:
+            self.loop.forget(self.sock)
--- /dev/null
+++ b/fennelwind/loop/sim.py
@@ -0,0 +1,223 @@
+"""The loop in virtual time, with streams in memory: the same seed gives the same run, to the byte.
+
+Time stands still while anything can run and jumps to the next timer when nothing can. Each way of a
+connection is a pipe with a delay, in order, and a bound on what is under way and unread, so that writers
+feel back-pressure.
+"""
+
+import errno
+from collections import deque
+from random import Random
+
+from fennelwind.loop.scheduler import Deadlock, Loop, Waiter
+from fennelwind.loop.streams import READ_MOST, Address, ConnectFailed, StreamReset
+
+PIPE_BYTES = 262144  # bytes under way and unread, one way; about what a kernel keeps
+
+
+class SimLoop(Loop):
+    """Virtual time and in-memory streams.
+
+    `latency_ms` is the time one way, `jitter` the share of it that is drawn anew for each piece.
+    """
+
+    def __init__(self, seed: int, latency_ms: float = 0.5, jitter: float = 0.5) -> None:
+        super().__init__()
+        self.random = Random(seed)
+        self.latency_ms, self.jitter = latency_ms, jitter
+        self.listeners: dict[Address, SimListener] = {}
+        self.unreachable: set[Address] = set()  # connecting there hangs, as to a machine that is lost
+        self._time = 1000.0
+        self._port = 40000
+
+    def now(self) -> float:
+        """Return the virtual time in ms."""
+        return self._time
+
+    def wall(self) -> float:
+        """Return the virtual time in seconds, for logs alone."""
+        return self._time / 1000.0
+
+    def listen(self, address: Address, backlog: int = 512) -> "SimListener":
+        """Listen at an address; port 0 takes a free one."""
+        if address.port == 0:
+            address = Address(address.host, self._free_port())
+        if address in self.listeners:
+            raise OSError(errno.EADDRINUSE, f"{address}: in use")
+        listener = self.listeners[address] = SimListener(self, address, backlog)
+        return listener
+
+    def connect(self, address: Address) -> "SimStream":
+        """Connect to an address; takes the time there and back."""
+        self.sleep(self.delay() + self.delay())
+        while address in self.unreachable:
+            self.sleep(1000.0)  # the caller's deadline ends it
+        listener = self.listeners.get(address)
+        if listener is None or len(listener.waiting) >= listener.backlog:
+            raise ConnectFailed(errno.ECONNREFUSED, f"{address}: refused")
+        there, back = _Pipe(self), _Pipe(self)
+        listener.offer(SimStream(self, Address("127.0.0.1", self._free_port()), there, back))
+        return SimStream(self, address, back, there)
+
+    def delay(self) -> float:
+        """Draw the time of one piece on its way, in ms."""
+        return self.latency_ms * (1.0 + self.jitter * (self.random.random() - 0.5))
+
+    def _free_port(self) -> int:
+        self._port += 1
+        return self._port
+
+    def _pause(self, until: float | None) -> None:
+        if self.ready:
+            return
+        if until is None:
+            waiting = ", ".join(sorted({task.name for task in self.tasks}))
+            raise Deadlock(f"nothing can happen any more; waiting: {waiting}")
+        self._time = max(self._time, until)
+
+
+class _Pipe:
+    """One way of a connection."""
+
+    def __init__(self, loop: SimLoop) -> None:
+        self.loop = loop
+        self.arrived: deque[bytes] = deque()
+        self.held = 0  # bytes under way and unread
+        self.ended = self.reset = False
+        self.last_at = 0.0
+        self.reader: Waiter | None = None
+        self.writer: Waiter | None = None
+
+    def send(self, data: bytes) -> None:
+        """Put a piece under way."""
+        self.held += len(data)
+        self._later(lambda: self.arrived.append(data))
+
+    def end(self) -> None:
+        """Put the end under way, behind what was sent."""
+        self._later(lambda: setattr(self, "ended", True))
+
+    def cut(self) -> None:
+        """Break the pipe: what is unread is lost."""
+        self.reset = True
+        self.arrived.clear()
+        self.wake()
+
+    def wake(self) -> None:
+        """Wake both ends, to look again."""
+        for waiter in (self.reader, self.writer):
+            if waiter is not None:
+                waiter.wake()
+
+    def _later(self, deliver) -> None:
+        self.last_at = max(self.last_at, self.loop.now() + self.loop.delay())
+
+        def arrive() -> None:
+            if not self.reset:
+                deliver()
+                if self.reader is not None:
+                    self.reader.wake()
+
+        self.loop.at(self.last_at, arrive)
+
+
+class SimStream:
+    """One end of a connection in memory."""
+
+    __slots__ = ("loop", "peer", "inward", "outward", "closed")
+
+    def __init__(self, loop: SimLoop, peer: Address, inward: _Pipe, outward: _Pipe) -> None:
+        self.loop, self.peer, self.inward, self.outward = loop, peer, inward, outward
+        self.closed = False
+
+    def read(self, most: int = READ_MOST) -> bytes:
+        """Return some bytes, b"" at the end; wait for them."""
+        pipe = self.inward
+        while not pipe.arrived:
+            if self.closed or pipe.ended and not pipe.reset:
+                return b""
+            if pipe.reset:
+                raise StreamReset(errno.ECONNRESET, f"{self.peer}: reset")
+            pipe.reader = Waiter(self.loop)
+            pipe.reader.wait()
+        data = pipe.arrived.popleft()
+        if len(data) > most:
+            pipe.arrived.appendleft(data[most:])
+            data = data[:most]
+        pipe.held -= len(data)
+        if pipe.writer is not None:
+            pipe.writer.wake()
+        return data
+
+    def write(self, data: bytes) -> None:
+        """Hand all bytes on; wait while the pipe is full."""
+        pipe, rest = self.outward, memoryview(data)
+        while rest:
+            if self.closed or pipe.reset:
+                raise StreamReset(errno.EPIPE, f"{self.peer}: broken pipe")
+            room = PIPE_BYTES - pipe.held
+            if room <= 0:
+                pipe.writer = Waiter(self.loop)
+                pipe.writer.wait()
+                continue
+            pipe.send(bytes(rest[:room]))
+            rest = rest[room:]
+
+    def broken(self) -> bool:
+        """Tell whether the peer has closed an idle connection or sent what nobody asked for."""
+        pipe = self.inward
+        return self.closed or pipe.reset or pipe.ended or bool(pipe.arrived)
+
+    def close(self) -> None:
+        """Close in order; a peer that still writes is told by a reset, as a kernel does."""
+        if not self.closed:
+            self.closed = True
+            self.outward.end()
+            self.loop.after(self.loop.delay(), self._refuse)
+            self.inward.wake()
+
+    def _refuse(self) -> None:
+        self.inward.reset = True
+        self.inward.wake()
+
+    def abort(self) -> None:
+        """Close at once, so that the peer sees a reset."""
+        if not self.closed:
+            self.closed = True
+            self.inward.cut()
+            self.loop.after(self.loop.delay(), self.outward.cut)
+
+
+class SimListener:
+    """Takes in-memory connections in."""
+
+    def __init__(self, loop: SimLoop, address: Address, backlog: int) -> None:
+        self.loop, self.address, self.backlog = loop, address, backlog
+        self.waiting: deque[SimStream] = deque()
+        self._waiter: Waiter | None = None
+        self.closed = False
+
+    def offer(self, stream: SimStream) -> None:
+        """Put a connection in line."""
+        self.waiting.append(stream)
+        if self._waiter is not None:
+            self._waiter.wake()
+
+    def accept(self) -> SimStream:
+        """Return the next connection; wait for it."""
+        while not self.waiting:
+            if self.closed:
+                raise StreamReset(errno.EBADF, f"{self.address}: closed here")
+            self._waiter = Waiter(self.loop)
+            self._waiter.wait()
+        return self.waiting.popleft()
+
+    def close(self) -> None:
+        """Take no more connections; those in line are broken."""
+        if not self.closed:
+            self.closed = True
+            self.loop.listeners.pop(self.address, None)
+            while self.waiting:
+                self.waiting.popleft().abort()
+            if self._waiter is not None:
+                self._waiter.wake()
--- /dev/null
+++ b/fennelwind/loop/streams.py
@@ -0,0 +1,64 @@
+"""What the loop gives to read from and write to, whatever lies beneath."""
+
+from typing import NamedTuple, Protocol
+
+READ_MOST = 262144  # bytes that one read returns at most
+
+
+class Address(NamedTuple):
+    """Where a peer listens."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Read HOST:PORT; raise ValueError with the reason."""
+    host, sep, port = text.rpartition(":")
+    if not sep or not host or not port.isdecimal() or int(port) > 65535:
+        raise ValueError(f"{text[:80]!r} is no HOST:PORT")
+    return Address(host, int(port))
+
+
+class ConnectFailed(OSError):
+    """No connection was established; nothing was sent."""
+
+
+class StreamReset(OSError):
+    """The connection broke; what was sent may have arrived."""
+
+
+class Stream(Protocol):
+    """A connection. One task may read and one may write at a time."""
+
+    peer: Address
+
+    def read(self, most: int = READ_MOST) -> bytes:
+        """Return some bytes, b"" at the end; wait for them. Raises `StreamReset`."""
+
+    def write(self, data: bytes) -> None:
+        """Hand all bytes on; waiting while the peer takes none. Raises `StreamReset`."""
+
+    def broken(self) -> bool:
+        """Tell, without waiting, whether an idle connection was closed or sent what nobody asked for."""
+
+    def close(self) -> None:
+        """Close in order; whoever reads here gets the end."""
+
+    def abort(self) -> None:
+        """Close at once, so that the peer sees a reset."""
+
+
+class Listener(Protocol):
+    """Takes connections in."""
+
+    address: Address
+
+    def accept(self) -> Stream:
+        """Return the next connection; wait for it. Raises `StreamReset` when closed."""
+
+    def close(self) -> None:
+        """Take no more connections."""
