--- /dev/null
+++ b/fennelwind/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, and the programs it starts."""
--- /dev/null
+++ b/fennelwind/cli/program.py
@@ -0,0 +1,54 @@
+"""A controller put together: front, core, links and discovery on one loop."""
+
+from fennelwind import interface as api
+from fennelwind.config import Controller
+from fennelwind.config import settings_pb2 as pb
+from fennelwind.core.driver import Driver, Observer
+from fennelwind.engines.discovery import DiscoveryLink
+from fennelwind.engines.links import EngineLinks
+from fennelwind.fronts.hs2 import Front
+from fennelwind.fronts.hs2.service import Service
+from fennelwind.loop import Address, Loop
+
+
+class Program:
+    """A running controller. `start` listens; `close` gives all that is open its final answer."""
+
+    def __init__(self, loop: Loop, settings: Controller, observer: Observer, seed: int) -> None:
+        self.loop, self.settings, self.observer = loop, settings, observer
+        rules = settings.file.rules
+        self.links = EngineLinks(loop, settings.file.links, settings.module.report_fields)
+        self.driver = Driver(
+            loop, settings.module, self.links, observer, seed=seed, max_open=settings.file.max_open,
+            margin_ms=rules.answer_margin_ms, subscribe=self._subscribe)
+        self.discovery = None
+        if settings.discovery is not None:
+            self.discovery = DiscoveryLink(
+                loop, settings.discovery, pushed=settings.file.discovery.mode == pb.Discovery.PUSHED,
+                zones=settings.zones, kinds=settings.kinds, post=self.driver.post, seed=seed,
+                said=observer.said)
+        self.service = Service(loop, settings, self.driver)
+        self.front: Front | None = None
+
+    @property
+    def address(self) -> Address:
+        """Where clients connect."""
+        return self.front.listener.address
+
+    def start(self) -> None:
+        """Listen for clients, and learn of the engines. Raises `OSError` if the address can't be had."""
+        self.front = Front(self.loop, self.loop.listen(self.settings.listen), self.service)
+        self.driver.post(api.EngineList("cached", self.settings.engines))
+        self.links.start()
+        if self.discovery is not None:
+            self.discovery.start()
+        self.front.start()
+
+    def close(self) -> None:
+        """Take nothing more, answer what is open, let the answers out."""
+        self.driver.close()
+        self.front.close()
+
+    def _subscribe(self) -> None:
+        if self.discovery is not None:
+            self.discovery.ask()
--- /dev/null
+++ b/fennelwind/config/read.py
@@ -0,0 +1,343 @@
+"""Reads and checks settings. Everything that decides has to be stated; problems are all told at once.
+
+The text is walked once by protobuf's own tokenizer to learn where each field stands and which names are
+unknown; its values are then parsed by protobuf, and checked here against one another.
+"""
+
+import re
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from google.protobuf import text_format
+from google.protobuf.descriptor import Descriptor, FieldDescriptor
+
+from fennelwind import interface as api
+from fennelwind.config import settings_pb2 as pb
+from fennelwind.loop.streams import Address, parse_address
+
+LISTENER = ("max_connections", "max_sessions", "max_operations", "idle_ms", "long_poll_ms",
+            "max_request_bytes")
+LINKS = ("max_links", "connect_ms", "idle_ms", "page_rows", "max_result_bytes")
+RULES = ("answer_margin_ms", "drain_grace_ms", "cold_share", "cold_ms", "fall_multiple", "fall_ms",
+         "settle_ms", "budget_free", "budget_share", "budget_ms", "max_attempts", "cancel", "parallel",
+         "max_retry_after_ms")
+CLASS = ("aim_ms", "give_up_ms", "worth", "threads")
+AT_LEAST_ONE = {"max_connections", "max_sessions", "max_operations", "max_request_bytes", "max_links",
+                "page_rows", "max_result_bytes", "max_attempts", "threads", "cores", "gateways", "max_open"}
+ABOVE_ZERO = {"aim_ms", "give_up_ms", "idle_ms", "long_poll_ms", "connect_ms", "cold_share"}
+Path_ = tuple[Any, ...]
+
+
+class Problem(NamedTuple):
+    """What is wrong, and where: line and column count from 1; 0 where nothing is there to point at."""
+
+    line: int
+    column: int
+    text: str
+
+
+class SettingsError(Exception):
+    """Settings that can't be used, with all that is wrong with them."""
+
+    def __init__(self, name: str, problems: list[Problem]) -> None:
+        self.name, self.problems = name, sorted(problems)
+        super().__init__("\n".join(f"{name}:{p.line}:{p.column}: {p.text}" for p in self.problems))
+
+
+@dataclass(slots=True, frozen=True)
+class Selector:
+    """What a query has to be like to belong to a class."""
+
+    cls: int
+    user: str
+    statement: re.Pattern[str] | None
+    configuration: tuple[tuple[str, str], ...]
+
+    def matches(self, user: str, statement: str, configuration: dict[str, str]) -> bool:
+        """Tell whether everything stated matches."""
+        return ((not self.user or self.user == user)
+                and (self.statement is None or self.statement.match(statement) is not None)
+                and all(configuration.get(key) == value for key, value in self.configuration))
+
+
+@dataclass(slots=True, frozen=True)
+class Controller:
+    """A controller's settings, checked: what the module is told, and what the program around it needs."""
+
+    module: api.Settings
+    file: pb.Settings
+    listen: Address
+    selectors: tuple[Selector, ...]
+    tenants_by_user: dict[str, int]
+    engines: tuple[api.EngineEntry, ...]
+    discovery: Address | None
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+
+    def class_of(self, user: str, statement: str, configuration: dict[str, str]) -> int | None:
+        """Return the position of the class of the first selector that matches, if one does."""
+        return next((s.cls for s in self.selectors if s.matches(user, statement, configuration)), None)
+
+
+def load(path: str | Path) -> Controller:
+    """Read settings from a file. Raises `SettingsError`, and `OSError` if it can't be read."""
+    raw = Path(path).read_bytes()
+    try:
+        text = raw.decode("utf-8")
+    except UnicodeDecodeError as exc:
+        line = raw[:exc.start].count(b"\n") + 1
+        raise SettingsError(str(path), [Problem(line, 1, "bytes that are not UTF-8")]) from None
+    return read(text, str(path))
+
+
+def read(text: str, name: str = "settings") -> Controller:
+    """Read settings from text. Raises `SettingsError`."""
+    places, problems = _places(text)
+    message = pb.Settings()
+    if not problems:
+        try:
+            text_format.Parse(text, message)
+        except text_format.ParseError as exc:
+            problems.append(Problem(exc.GetLine() or 0, exc.GetColumn() or 0, _reason(exc)))
+    if problems:
+        raise SettingsError(name, problems)
+    check = _Check(message, places)
+    controller = check.controller()
+    if check.problems or controller is None:
+        raise SettingsError(name, check.problems)
+    return controller
+
+
+def _reason(exc: text_format.ParseError) -> str:
+    return re.sub(r"^\d+:\d+ : ", "", str(exc))
+
+
+def _places(text: str) -> tuple[dict[Path_, tuple[int, int]], list[Problem]]:
+    """Return where each field stands, by its path, and the names that are unknown."""
+    places: dict[Path_, tuple[int, int]] = {}
+    problems: list[Problem] = []
+    tokens = text_format.Tokenizer(text.split("\n"))
+
+    def here() -> tuple[int, int]:
+        return tokens._line + 1, tokens._column + 1  # noqa: SLF001 - it tells its place in no other way
+
+    def skip_value() -> None:
+        depth = 0
+        while not tokens.AtEnd():
+            token = tokens.token
+            depth += (token in ("{", "<", "[")) - (token in ("}", ">", "]"))
+            if depth < 0:
+                return
+            tokens.NextToken()
+            if depth == 0 and tokens.token not in ("{", "<", "["):
+                return
+
+    def message(descriptor: Descriptor, path: Path_, closing: str) -> None:
+        counts: dict[str, int] = {}
+        while not tokens.AtEnd() and tokens.token != closing:
+            place = here()
+            label = tokens.ConsumeIdentifier()
+            found: FieldDescriptor | None = descriptor.fields_by_name.get(label)
+            colon = tokens.TryConsume(":")
+            if found is None:
+                known = ", ".join(sorted(descriptor.fields_by_name))
+                problems.append(Problem(
+                    *place, f"{label}: no such field of {descriptor.name}; it has {known}"))
+                skip_value()
+            elif found.message_type is not None and tokens.token in ("{", "<"):
+                inner = path + (label, counts.get(label, 0)) if found.is_repeated else path + (label,)
+                counts[label] = counts.get(label, 0) + 1
+                places[inner] = place
+                end = "}" if tokens.token == "{" else ">"
+                tokens.NextToken()
+                message(found.message_type, inner, end)
+                if not tokens.TryConsume(end):
+                    raise tokens.ParseErrorPreviousToken(f"{label}: {end!r} is missing")
+            elif not colon:
+                raise tokens.ParseError(f"{label}: ':' is missing")
+            else:
+                index = counts.get(label, 0)
+                counts[label] = index + 1
+                places[path + ((label, index) if found.is_repeated else (label,))] = place
+                skip_value()
+            _ = tokens.TryConsume(",") or tokens.TryConsume(";")
+
+    try:
+        message(pb.Settings.DESCRIPTOR, (), "")
+    except text_format.ParseError as exc:
+        problems.append(Problem(exc.GetLine() or 0, exc.GetColumn() or 0, _reason(exc)))
+    return places, problems
+
+
+class _Check:
+    """Checks a parsed message and turns it into settings."""
+
+    def __init__(self, message: pb.Settings, places: dict[Path_, tuple[int, int]]) -> None:
+        self.file, self.places = message, places
+        self.problems: list[Problem] = []
+
+    def wrong(self, path: Path_, text: str) -> None:
+        """Note a problem at a field, or at the closest thing around it that stands in the text."""
+        place = path
+        while place and place not in self.places:
+            place = place[:-1]
+        self.problems.append(Problem(*self.places.get(place, (0, 0)), text))
+
+    def stated(self, path: Path_, message: Any, names: tuple[str, ...]) -> None:
+        """Check that numbers are stated and in their range."""
+        for label in names:
+            value = getattr(message, label)
+            if not message.HasField(label):
+                self.wrong(path, f"{label}: has to be stated")
+            elif isinstance(value, bool):
+                continue
+            elif value != value or abs(value) == float("inf"):
+                self.wrong((*path, label), f"{label}: {value} is no number")
+            elif label in AT_LEAST_ONE and value < 1:
+                self.wrong((*path, label), f"{label}: {value:g}, where at least 1 is needed")
+            elif value < 0 or label in ABOVE_ZERO and value == 0:
+                self.wrong((*path, label), f"{label}: {value:g} is too small")
+
+    def names(self, field: str, values: list[str]) -> None:
+        """Check that names are there and differ."""
+        for i, value in enumerate(values):
+            if not value:
+                self.wrong((field, i), f"{field}: a name is missing")
+            elif value in values[:i]:
+                self.wrong((field, i), f"{field}: the name {value!r} stands twice")
+
+    def find(self, path: Path_, what: str, value: str, known: list[str]) -> int:
+        """Return the position of a name; note it if it is unknown."""
+        if value in known:
+            return known.index(value)
+        said = ", ".join(known) or "none are stated"
+        label = path[-1] if isinstance(path[-1], str) else path[-2]
+        self.wrong(path, f"{label}: no {what} {value!r}; known: {said}")
+        return 0
+
+    def address(self, path: Path_, text: str) -> Address:
+        """Read an address; note what is wrong with it."""
+        try:
+            return parse_address(text)
+        except ValueError as exc:
+            self.wrong(path, f"{path[-1]}: {exc}")
+            return Address("", 0)
+
+    def controller(self) -> Controller | None:
+        """Check everything; return the settings, or None if the module itself refuses them."""
+        f = self.file
+        zones, kinds = list(f.zones) or ["default"], [k.name for k in f.kinds]
+        classes, tenants = [c.name for c in f.classes], [t.name for t in f.tenants]
+        self.names("classes", classes)
+        self.names("kinds", kinds)
+        self.names("zones", list(f.zones))
+        self.names("tenants", tenants)
+        for label, there in (("classes", f.classes), ("kinds", f.kinds), ("selectors", f.selectors)):
+            if not there:
+                self.wrong((), f"{label}: at least one has to be stated")
+        if not f.engines and not f.discovery.address:
+            self.wrong((), "engines: neither engines nor a discovery are stated")
+        self.stated((), f, ("gateways", "me", "max_open"))
+        if f.me >= max(f.gateways, 1):
+            self.wrong(("me",), f"me: {f.me}, where gateways: {f.gateways} are counted from 0")
+        self.stated(("listener",), f.listener, LISTENER)
+        self.stated(("links",), f.links, LINKS)
+        self.stated(("rules",), f.rules, RULES)
+        self.stated(("traits",), f.traits, ("memory_grants", "priorities", "note_ms", "tells_cost"))
+        if not f.traits.when_short_of_memory:
+            self.wrong(("traits",), "when_short_of_memory: has to be stated")
+        if not f.links.transport:
+            self.wrong(("links",), "transport: has to be stated")
+        if f.tenants:
+            self.stated((), f, ("over_share_worth",))
+        if f.zone and f.zone not in zones:
+            self.find(("zone",), "zone", f.zone, zones)
+        query_classes = tuple(self._class(i, c, zones, kinds) for i, c in enumerate(f.classes))
+        for i, kind in enumerate(f.kinds):
+            self.stated(("kinds", i), kind, ("cores",))
+        by_user: dict[str, int] = {}
+        for i, tenant in enumerate(f.tenants):
+            self.stated(("tenants", i), tenant, ("quota_per_s",))
+            for j, user in enumerate(tenant.users):
+                if user in by_user:
+                    self.wrong(("tenants", i, "users", j), f"users: {user!r} belongs to two tenants")
+                by_user[user] = i
+        selectors = tuple(self._selector(i, s, classes) for i, s in enumerate(f.selectors))
+        engines = tuple(self._engine(i, e, zones, kinds) for i, e in enumerate(f.engines))
+        listen = self.address(("listener", "address"), f.listener.address)
+        asked = f.discovery.address
+        discovery = self.address(("discovery", "address"), asked) if asked else None
+        if discovery and not f.discovery.mode:
+            self.wrong(("discovery",), "mode: has to be stated")
+        if self.problems:
+            return None
+        try:
+            module = self._module(query_classes, zones)
+        except ValueError as exc:
+            self.wrong((), str(exc))
+            return None
+        return Controller(
+            module, f, listen, selectors, by_user, engines, discovery, tuple(zones), tuple(kinds))
+
+    def _class(self, i: int, c: pb.QueryClass, zones: list[str], kinds: list[str]) -> api.QueryClass | None:
+        path: Path_ = ("classes", i)
+        self.stated(path, c, CLASS)
+        if not c.effect:
+            self.wrong(path, "effect: has to be stated")
+        if c.effect == pb.QueryClass.KEYED:
+            self.stated(path, c, ("memory_ms",))
+            if not c.group:
+                self.wrong(path, "group: has to be stated where effect is KEYED")
+        if not 0 <= c.late_worth <= 1:
+            self.wrong((*path, "late_worth"), f"late_worth: {c.late_worth:g} is no share")
+        if c.aim_stretch < 0:
+            self.wrong((*path, "aim_stretch"), f"aim_stretch: {c.aim_stretch:g} is too small")
+        in_zones = tuple(self.find((*path, "zones", j), "zone", z, zones) for j, z in enumerate(c.zones))
+        on_kinds = tuple(self.find((*path, "kinds", j), "kind", k, kinds) for j, k in enumerate(c.kinds))
+        if self.problems:
+            return None
+        return api.QueryClass(
+            name=c.name, aim_ms=c.aim_ms, give_up_ms=c.give_up_ms, worth=c.worth, aim_stretch=c.aim_stretch,
+            late_worth=c.late_worth, effect=pb.QueryClass.Effect.Name(c.effect).lower(),
+            group=pb.QueryClass.Group.Name(c.group).lower() if c.group else "all", memory_ms=c.memory_ms,
+            serial=c.serial, zones=in_zones or None, kinds=on_kinds or None, threads=c.threads,
+            holds=c.holds_tables, waits=c.waits_for_tables)
+
+    def _selector(self, i: int, s: pb.Selector, classes: list[str]) -> Selector:
+        path: Path_ = ("selectors", i)
+        cls, pattern = self.find((*path, "query_class"), "class", s.query_class, classes), None
+        try:
+            pattern = re.compile(s.statement) if s.statement else None
+        except re.error as exc:
+            self.wrong((*path, "statement"), f"statement: {exc}")
+        return Selector(cls, s.user, pattern, tuple(sorted(s.configuration.items())))
+
+    def _engine(self, i: int, e: pb.Engine, zones: list[str], kinds: list[str]) -> api.EngineEntry:
+        path: Path_ = ("engines", i)
+        self.address((*path, "address"), e.address)
+        if any(e.address == other.address for other in self.file.engines[:i]):
+            self.wrong((*path, "address"), f"address: {e.address} stands twice")
+        zone = self.find((*path, "zone"), "zone", e.zone, zones) if e.zone else 0
+        return api.EngineEntry(e.address, zone=zone, cell=e.cell, weight=e.weight or 1.0,
+                               kind=self.find((*path, "kind"), "kind", e.kind, kinds))
+
+    def _module(self, classes: tuple[api.QueryClass, ...], zones: list[str]) -> api.Settings:
+        f, rules, traits = self.file, self.file.rules, self.file.traits
+        return api.Settings(
+            classes=classes, kind_cores=tuple(k.cores for k in f.kinds), gateways=f.gateways, me=f.me,
+            zone=zones.index(f.zone) if f.zone else 0,
+            tenants=tuple(api.Tenant(t.name, t.quota_per_s) for t in f.tenants),
+            over_share_worth=f.over_share_worth if f.tenants else 1.0,
+            kind_memory_mb=tuple(k.memory_mb for k in f.kinds),
+            max_grant_share=traits.max_grant_share or 1.0, grants=traits.memory_grants,
+            memory_waits=traits.when_short_of_memory == pb.EngineTraits.WAIT,
+            memory_pages=traits.when_short_of_memory == pb.EngineTraits.PAGE, priorities=traits.priorities,
+            note_ms=traits.note_ms, tells_cost=traits.tells_cost, report_fields=tuple(traits.report_fields),
+            can_cancel=rules.cancel, can_probe=rules.probe, parallel=rules.parallel,
+            retry_after=rules.max_retry_after_ms > 0, max_retry_after_ms=rules.max_retry_after_ms,
+            max_attempts=rules.max_attempts, must_ask=f.discovery.mode == pb.Discovery.ASKED,
+            answer_slack_ms=rules.answer_margin_ms, drain_grace_ms=rules.drain_grace_ms,
+            cold_share=rules.cold_share, cold_ms=rules.cold_ms, fall_multiple=rules.fall_multiple,
+            fall_ms=rules.fall_ms, settle_ms=rules.settle_ms, budget_free=rules.budget_free,
+            budget_share=rules.budget_share, budget_ms=rules.budget_ms, tick_ms=1.0)
--- /dev/null
+++ b/fennelwind/core/driver.py
@@ -0,0 +1,209 @@
+"""The driver: turns what happens into the module's events, and carries out the actions it decides on.
+
+All events of one turn of the loop go to the module in one step. The step and its actions run without
+waiting; what has to wait, an attempt or a probe, gets a task. Nothing is decided here but what the module
+has no word for: how many queries may be open at all, and that an answer which is due is given even if the
+module forgot it.
+"""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from fennelwind import interface as api
+from fennelwind.core.ledger import Entry, Ledger
+from fennelwind.core.types import (
+    FAILED,
+    LEFT,
+    REFUSED,
+    SERVED,
+    Answer,
+    AttemptEnd,
+    Engines,
+    Order,
+    Submission,
+)
+from fennelwind.loop import Cancelled, Loop, Task
+from fennelwind.rules import Gateway
+
+LAST_MOMENT = 0.5  # part of the margin before a client gives up: the module has had its say until then
+
+
+class Observer(Protocol):
+    """What is told of; everything may be dropped."""
+
+    def answered(self, entry: Entry) -> None:
+        """A query got its final answer."""
+
+    def attempted(self, entry: Entry, number: int, engine: str, end: AttemptEnd, took_ms: float) -> None:
+        """An attempt ended."""
+
+    def said(self, text: str) -> None:
+        """The module had something to say."""
+
+    def failed(self, where: str, exc: BaseException) -> None:
+        """Something broke that should not have."""
+
+
+class Driver:
+    """One controller's core."""
+
+    def __init__(self, loop: Loop, settings: api.Settings, engines: Engines, observer: Observer, *, seed: int,
+                 max_open: int, margin_ms: float, subscribe: Callable[[], None] = lambda: None) -> None:
+        self.loop, self.settings, self.engines, self.observer = loop, settings, engines, observer
+        self.max_open, self.margin_ms, self.subscribe = max_open, margin_ms, subscribe
+        self.ledger = Ledger(len(settings.classes))
+        self.gateway = Gateway(settings, seed)
+        self.closing = False
+        self.steps = 0
+        self.step_errors = 0
+        self.turned_away = 0  # refused because too many were open
+        self.forgotten = 0  # answers that the module did not give in time
+        self._events: list[api.Event] = []
+        self._asked = False
+        self._tasks: dict[tuple[int, int], Task] = {}
+
+    # What comes in.
+
+    def submit(self, submission: Submission, on_answer: Callable[[Entry], None]) -> Entry:
+        """Take a query; `on_answer` is called once, in whatever turn its final answer is given."""
+        now = self.loop.now()
+        due = submission.deadline_ms - self.margin_ms
+        entry = self.ledger.take(submission, now, due, on_answer)
+        if self.closing or self.ledger.open > self.max_open:
+            self.turned_away += 1
+            why = "the controller is closing" if self.closing else f"{self.max_open} queries are open here"
+            self._settle(entry, Answer(REFUSED, why, self.settings.max_retry_after_ms))
+            return entry
+        last = max(submission.deadline_ms - LAST_MOMENT * self.margin_ms, now)
+        entry.watch = self.loop.at(last, lambda: self._last_moment(entry))
+        self.post(api.Arrival(
+            query=entry.query, cls=submission.cls, deadline_ms=due, tenant=submission.tenant,
+            key=submission.key, work_ms=submission.work_ms, memory_mb=submission.memory_mb,
+            tables=submission.tables, repeat=submission.repeat))
+        return entry
+
+    def leave(self, entry: Entry, reason: str) -> bool:
+        """Note that the client wants no answer any more; tell whether one was still owed."""
+        if entry.answer is not None:
+            return False
+        self._settle(entry, Answer(LEFT, reason))
+        self.post(api.Gone(entry.query))
+        return True
+
+    def close(self) -> None:
+        """Take nothing more; give all that is open its final answer now."""
+        self.closing = True
+        for entry in list(self.ledger.entries.values()):
+            if entry.answer is None:
+                kind = FAILED if entry.attempts else REFUSED  # what was sent may have run
+                wait = 0.0 if entry.attempts else self.settings.max_retry_after_ms
+                self._settle(entry, Answer(kind, "the controller is closing", wait))
+                self.post(api.Gone(entry.query))
+
+    def post(self, event: api.Event) -> None:
+        """Hand an event to the module in the next turn."""
+        self._events.append(event)
+        if not self._asked:
+            self._asked = True
+            self.loop.soon(self._step)
+
+    # What the module decides.
+
+    def _step(self) -> None:
+        self._asked = False
+        events, self._events = self._events, []
+        self.steps += 1
+        try:
+            actions = self.gateway.step(self.loop.now(), events)
+        except Exception as exc:  # its queries still get their answers, at the last moment
+            self.step_errors += 1
+            self.observer.failed("module", exc)
+            return
+        for action in actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action: api.Action) -> None:
+        match action:
+            case api.Send(query, engine, timeout):
+                self._send(query, engine, timeout)
+            case api.Timer(delay, token):
+                self.loop.after(delay, lambda: self.post(api.TimerFired(token)))
+            case api.Terms(query, memory, priority) if query in self.ledger.entries:
+                entry = self.ledger.entries[query]
+                entry.memory_mb, entry.priority = memory, priority
+            case api.Refuse(query, wait) if query in self.ledger.entries:
+                answer = Answer(REFUSED, "no engine can serve it in time", wait)
+                self._settle(self.ledger.entries[query], answer)
+            case api.Fail(query) if query in self.ledger.entries:
+                self._settle(self.ledger.entries[query], Answer(FAILED, "it was not served in time"))
+            case api.Cancel(query, attempt):
+                task = self._tasks.get((query, attempt))
+                if task is not None:
+                    task.cancel()
+            case api.Probe(engine):
+                self.loop.spawn(self._probe, engine, name=f"probe {engine}")
+            case api.Subscribe():
+                self.subscribe()
+            case api.Log(text):
+                self.observer.said(text)
+
+    def _send(self, query: int, engine: str, timeout: float) -> None:
+        entry = self.ledger.entries.get(query)
+        if entry is None:
+            self.observer.failed("driver", KeyError(f"the module sent query {query}, which has ended"))
+            return
+        now = self.loop.now()
+        number = self.ledger.started(entry)
+        if entry.answer is not None or now >= entry.due_ms or number >= self.settings.max_attempts:
+            self._ended(entry, number, engine, now, AttemptEnd("moot", "the query had ended"))
+            return
+        deadline = min(entry.due_ms, now + timeout) if timeout else entry.due_ms
+        order = Order(query, number, entry.submission, deadline, entry.memory_mb, entry.priority,
+                      lambda sort, value: self.post(api.Note(query, number, sort, value)))
+        self._tasks[query, number] = self.loop.spawn(
+            self._attempt, entry, number, engine, order, name=f"query {query} attempt {number}")
+
+    def _attempt(self, entry: Entry, number: int, engine: str, order: Order) -> None:
+        sent = self.loop.now()
+        try:
+            end = self.engines.attempt(engine, order)
+        except Cancelled:
+            end = AttemptEnd("cancelled", "called off")
+        except Exception as exc:  # what broke may have been under way
+            self.observer.failed(f"attempt at {engine}", exc)
+            end = AttemptEnd("error", f"{type(exc).__name__}: {exc}")
+        self._ended(entry, number, engine, sent, end)
+
+    def _ended(self, entry: Entry, number: int, engine: str, sent: float, end: AttemptEnd) -> None:
+        self._tasks.pop((entry.query, number), None)
+        if not self.ledger.ended(entry, number):
+            return
+        now = self.loop.now()
+        if end.status == "ok":
+            self._settle(entry, Answer(SERVED, result=end.result))
+        self.observer.attempted(entry, number, engine, end, now - sent)
+        self.post(api.Outcome(
+            query=entry.query, attempt=number, engine=engine, status=end.status, took_ms=now - sent,
+            finished=entry.answer is not None, work_ms=end.work_ms, memory_mb=end.memory_mb, load=end.load))
+
+    def _probe(self, engine: str) -> None:
+        sent = self.loop.now()
+        end = self.engines.probe(engine)
+        self.post(api.Probed(engine, end.status, self.loop.now() - sent, end.load))
+
+    def _settle(self, entry: Entry, answer: Answer) -> None:
+        if self.ledger.settle(entry, answer, self.loop.now()):
+            self.observer.answered(entry)
+
+    def _last_moment(self, entry: Entry) -> None:
+        if entry.answer is None:
+            self.forgotten += 1
+            self._settle(entry, Answer(FAILED, "it was not served in time"))
+            self.post(api.Gone(entry.query))
+
+
+class Silent:
+    """An observer that keeps nothing."""
+
+    def __getattr__(self, name: str) -> Any:
+        return lambda *_: None
--- /dev/null
+++ b/fennelwind/core/types.py
@@ -0,0 +1,77 @@
+"""What passes between fronts, core and engine links. Times are in ms of the loop's clock."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+SERVED, REFUSED, FAILED, LEFT = "served", "refused", "failed", "left"
+
+
+@dataclass(slots=True, frozen=True)
+class Submission:
+    """A query as a front hands it in."""
+
+    cls: int
+    statement: str
+    deadline_ms: float  # the client gives up then
+    user: str = ""
+    tenant: int = 0
+    key: str | None = None
+    work_ms: float | None = None  # estimate of the work of all its threads
+    memory_mb: float = 0.0  # estimate; 0: none
+    tables: int | None = None
+    repeat: bool = False
+    overlay: dict[str, str] = field(default_factory=dict)  # configuration that goes to the engine
+
+
+@dataclass(slots=True, frozen=True)
+class Result:
+    """An engine's answer: its schema and pages as the service's structures, None without a result set."""
+
+    schema: Any = None
+    pages: tuple[Any, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """A final answer: served, refused (a further try is harmless), failed, or left by the client."""
+
+    kind: str
+    reason: str = ""
+    retry_after_ms: float = 0.0
+    result: Result | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptEnd:
+    """How an attempt ended; `status` is one of the module's outcomes."""
+
+    status: str
+    reason: str = ""
+    result: Result | None = None
+    work_ms: float | None = None
+    memory_mb: float | None = None
+    load: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Order:
+    """An attempt to be made at an engine."""
+
+    query: int
+    number: int
+    submission: Submission
+    deadline_ms: float
+    memory_mb: float  # grant; 0 leaves it to the engine
+    priority: int
+    on_note: Callable[[int, float], None]
+
+
+class Engines(Protocol):
+    """What the driver needs of the links to engines."""
+
+    def attempt(self, engine: str, order: Order) -> AttemptEnd:
+        """Make an attempt and wait for its end; a cancelled task calls off what it can."""
+
+    def probe(self, engine: str) -> AttemptEnd:
+        """Check an engine."""
--- /dev/null
+++ b/fennelwind/engines/links.py
@@ -0,0 +1,400 @@
+"""Links to engines: pooled connections with a session each, and the one way an attempt goes over them.
+
+An attempt is ExecuteStatement (async), GetOperationStatus until it has ended, then the pages of its result.
+Each way it can end is one outcome of the module's; `_Sent` draws the line before which nothing can have
+run:
+
+- before ExecuteStatement is written, whatever breaks is `connect_failed`, and a refused session is `full`
+- an engine's word `fennelwind-not-run` is `full`: turned away unseen
+- after it, a broken connection or bytes that are no reply are `reset`, an error status is `error`
+- `timeout` when the time is up, `cancelled` when called off; the operation left behind is reaped
+
+An operation is reaped over a link of its own: it is cancelled and closed, within a time and a number.
+"""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from fennelwind.config import settings_pb2 as pb
+from fennelwind.core.types import AttemptEnd, Order, Result
+from fennelwind.loop import (
+    Address,
+    ConnectFailed,
+    DeadlineExceeded,
+    Loop,
+    Stream,
+    StreamReset,
+    parse_address,
+)
+from fennelwind.thrift import hints, messages
+from fennelwind.thrift import hiveserver2 as hs2
+from fennelwind.thrift.codec import Malformed, Structure
+from fennelwind.thrift.messages import Message
+from fennelwind.thrift.transport import BUFFERED, FRAMED, SASL, ClientSide
+
+TRANSPORTS = {pb.EngineLinks.SASL: SASL, pb.EngineLinks.BUFFERED: BUFFERED, pb.EngineLinks.FRAMED: FRAMED}
+REAP_MS = 5000.0  # ms that cancelling and closing an operation left behind may take
+REAPERS = 64  # operations reaped at once, over all engines; beyond it the engine's own time-outs have to do
+CLOSE_MS = 2000.0  # ms that closing an answered operation may take, else its link is dropped
+POLL_FIRST_MS, POLL_MOST_MS = 2.0, 50.0  # ms between looks at engines that answer a status at once
+PROBE_MS = 1000.0  # ms that a probe may take
+DONE, SPILLS, WAITS = 1, 2, 3  # sorts of notes
+
+
+class RemoteError(Exception):
+    """The engine answered a call with an error."""
+
+    def __init__(self, text: str, status: Structure | None = None) -> None:
+        super().__init__(text)
+        self.status = status
+        self.hints = hints.read(status.infoMessages if status is not None else None)
+
+
+class Link:
+    """One connection to an engine, with its session. One task uses it at a time."""
+
+    def __init__(self, loop: Loop, address: Address, transport: str, user: str) -> None:
+        self.loop, self.address = loop, address
+        self.side = ClientSide(transport, user)
+        self.stream: Stream | None = None
+        self.session: Structure | None = None
+        self.received = 0  # bytes
+        self.idle_since = 0.0
+        self._replies: list[Message] = []
+
+    def open(self) -> None:
+        """Connect and open a session."""
+        self.stream = self.loop.connect(self.address)
+        if self.side.outgoing:
+            self.stream.write(bytes(self.side.outgoing))
+            self.side.outgoing.clear()
+        while not self.side.ready:
+            self._receive()
+        request = hs2.TOpenSessionReq(client_protocol=hs2.PROTOCOL_COLUMNS)
+        self.session = self.call("OpenSession", request).sessionHandle
+        if self.session is None:
+            raise Malformed("a session without a handle")
+
+    def call(self, method: str, request: Structure) -> Structure:
+        """Make a call; return its reply. Raises `RemoteError` for what is no success."""
+        return self.reply(self.send(method, request))
+
+    def send(self, method: str, request: Structure) -> int:
+        """Send a call; return its sequence id, to be given to `reply`, in the same order."""
+        sequence, raw = self.side.call(method, request)
+        self.stream.write(raw)
+        return sequence
+
+    def reply(self, sequence: int) -> Structure:
+        """Wait for the reply to a call. Raises `RemoteError`, `Malformed` or `StreamReset`."""
+        while not self._replies:
+            self._receive()
+        message = self._replies.pop(0)
+        if message.sequence != sequence:
+            raise Malformed(f"a reply to call {message.sequence}, where {sequence} was asked")
+        if message.type == messages.EXCEPTION:
+            raise RemoteError(f"{message.method}: {message.body.message}")
+        if message.type != messages.REPLY or message.body is None:
+            raise Malformed(f"{message.method}: no reply")
+        status = getattr(message.body, "status", None)
+        if status is None or status.statusCode in (hs2.ERROR, hs2.INVALID_HANDLE):
+            said = status.errorMessage if status is not None else "a reply without a status"
+            raise RemoteError(f"{message.method}: {said}", status)
+        return message.body
+
+    def _receive(self) -> None:
+        data = self.stream.read()
+        if not data:
+            raise StreamReset(f"{self.address}: closed by the engine")
+        self.received += len(data)
+        self._replies += self.side.receive(data)
+
+    def broken(self) -> bool:
+        """Tell whether an idle link can't be used any more."""
+        return bool(self._replies) or self.stream.broken()
+
+    def drop(self) -> None:
+        """Give the connection up at once."""
+        if self.stream is not None:
+            self.stream.abort()
+
+
+class Pool:
+    """The links to one engine; at most so many, idle ones kept for some time."""
+
+    def __init__(self, loop: Loop, address: Address, settings: pb.EngineLinks) -> None:
+        self.loop, self.address, self.settings = loop, address, settings
+        self.idle: list[Link] = []
+        self.count = 0
+
+    def take(self) -> Link:
+        """Return a link with a session, a new one if none is idle. Raises `LinksUsedUp`, or as `open`."""
+        now = self.loop.now()
+        while self.idle:
+            link = self.idle.pop()
+            if now - link.idle_since < self.settings.idle_ms and not link.broken():
+                return link
+            self.drop(link)
+        if self.count >= self.settings.max_links:
+            raise LinksUsedUp(f"all {self.count} links to {self.address} are in use")
+        self.count += 1
+        link = Link(self.loop, self.address, TRANSPORTS[self.settings.transport], self.settings.user)
+        try:
+            with self.loop.deadline(self.settings.connect_ms):
+                link.open()
+        except BaseException:
+            self.drop(link)
+            raise
+        return link
+
+    def put(self, link: Link) -> None:
+        """Keep a link for later."""
+        link.idle_since = self.loop.now()
+        self.idle.append(link)
+
+    def drop(self, link: Link) -> None:
+        """Close a link."""
+        self.count -= 1
+        link.drop()
+
+    def sweep(self) -> None:
+        """Close links that were idle for too long."""
+        old = self.loop.now() - self.settings.idle_ms
+        for link in [link for link in self.idle if link.idle_since <= old or link.broken()]:
+            self.idle.remove(link)
+            self.drop(link)
+
+
+class LinksUsedUp(Exception):
+    """No link to the engine may be opened; nothing was sent."""
+
+
+class EngineLinks:
+    """The links to all engines."""
+
+    def __init__(self, loop: Loop, settings: pb.EngineLinks, report_fields: tuple[str, ...]) -> None:
+        self.loop, self.settings = loop, settings
+        self.report_fields = frozenset(report_fields)
+        self.pools: dict[str, Pool] = {}
+        self.reaping = 0
+        self.reaped = 0  # operations left behind that were cancelled and closed
+        self.unreaped = 0  # those that could not be reached, or were too many
+
+    def start(self) -> None:
+        """Start what looks after idle links."""
+        self.loop.spawn(self._sweep, name="links: sweep")
+
+    def attempt(self, engine: str, order: Order) -> AttemptEnd:
+        """Make an attempt and wait for its end."""
+        return _Attempt(self, self.pool(engine), order).run()
+
+    def probe(self, engine: str) -> AttemptEnd:
+        """Ask an engine for its name, over a link as any other."""
+        pool = self.pool(engine)
+        try:
+            with self.loop.deadline(PROBE_MS):
+                link = pool.take()
+                try:
+                    reply = link.call("GetInfo", hs2.TGetInfoReq(link.session, hs2.CLI_SERVER_NAME))
+                except BaseException:
+                    pool.drop(link)
+                    raise
+        except DeadlineExceeded:
+            return AttemptEnd("timeout", "no answer to a probe")
+        except (OSError, LinksUsedUp) as exc:
+            return AttemptEnd("connect_failed", str(exc))
+        except (Malformed, RemoteError) as exc:
+            return AttemptEnd("error", str(exc))
+        pool.put(link)
+        return AttemptEnd("ok", load=self.load(reply.status))
+
+    def pool(self, engine: str) -> Pool:
+        """Return the links to an engine."""
+        pool = self.pools.get(engine)
+        if pool is None:
+            pool = self.pools[engine] = Pool(self.loop, parse_address(engine), self.settings)
+        return pool
+
+    def load(self, status: Structure) -> dict[str, float]:
+        """Return the load figures among a status's hints that the settings name."""
+        if not status.infoMessages:
+            return {}
+        figures = hints.read(status.infoMessages).get(hints.LOAD, {})
+        return {key: value for key, value in figures.items() if key in self.report_fields}
+
+    def finish(self, pool: Pool, link: Link, handle: Structure) -> None:
+        """Close an answered operation and keep its link."""
+        try:
+            with self.loop.deadline(CLOSE_MS):
+                link.call("CloseOperation", hs2.TCloseOperationReq(handle))
+        except RemoteError:
+            pass  # it is closed already; the link is as good as before
+        except (OSError, Malformed):
+            pool.drop(link)
+            return
+        except BaseException:
+            pool.drop(link)
+            raise
+        pool.put(link)
+
+    def reap(self, pool: Pool, handle: Structure) -> None:
+        """Cancel and close an operation that nobody waits for any more."""
+        if self.reaping >= REAPERS:
+            self.unreaped += 1
+            return
+        self.reaping += 1
+        self.loop.spawn(self._reap, pool, handle, name=f"reap at {pool.address}")
+
+    def _reap(self, pool: Pool, handle: Structure) -> None:
+        link = None
+        try:
+            with self.loop.deadline(REAP_MS):
+                link = pool.take()
+                link.call("CancelOperation", hs2.TCancelOperationReq(handle))
+                link.call("CloseOperation", hs2.TCloseOperationReq(handle))
+            self.reaped += 1
+            pool.put(link)
+            link = None
+        except (OSError, Malformed, RemoteError, LinksUsedUp):
+            self.unreaped += 1
+        finally:
+            self.reaping -= 1
+            if link is not None:
+                pool.drop(link)
+
+    def _sweep(self) -> None:
+        while True:
+            self.loop.sleep(self.settings.idle_ms / 2)
+            for engine, pool in list(self.pools.items()):
+                pool.sweep()
+                if not pool.count:
+                    del self.pools[engine]
+
+
+class _Attempt:
+    """One attempt on its way."""
+
+    def __init__(self, links: EngineLinks, pool: Pool, order: Order) -> None:
+        self.links, self.pool, self.order, self.loop = links, pool, order, links.loop
+        self.link: Link | None = None
+        self.sent = False  # the statement may have reached the engine
+        self.handle: Structure | None = None
+        self.load: dict[str, float] = {}
+        self.cost: dict[str, float] = {}
+
+    def run(self) -> AttemptEnd:
+        try:
+            with self._left_behind(), self.loop.deadline_at(self.order.deadline_ms):
+                self.link = self.pool.take()
+                return self._end("ok", result=self._execute())
+        except DeadlineExceeded as exc:
+            if not self.sent:
+                return self._end("connect_failed", str(exc) or "no connection in time")
+            return self._end("timeout", "no answer in time")
+        except LinksUsedUp as exc:
+            return self._end("full", str(exc))
+        except (OSError, Malformed) as exc:
+            return self._end("reset" if self.sent else "connect_failed", str(exc))
+        except RemoteError as exc:
+            if hints.LOAD in exc.hints:
+                self._told(exc.status)
+            if not self.sent or hints.NOT_RUN in exc.hints:
+                return self._end("full", str(exc))
+            return self._end("error", str(exc))
+
+    def _end(self, status: str, reason: str = "", result: Result | None = None) -> AttemptEnd:
+        cost = self.cost
+        return AttemptEnd(status, reason, result, cost.get("work_ms"), cost.get("memory_mb"), self.load)
+
+    @contextmanager
+    def _left_behind(self) -> Iterator[None]:
+        """Whatever ends the attempt early, leave neither link nor operation behind."""
+        try:
+            yield
+        except RemoteError:  # the link is in step; the operation has ended, but may still be there
+            if self.handle is not None:
+                self.loop.spawn(self.links.finish, self.pool, self.link, self.handle, name="close operation")
+            elif self.link is not None:
+                self.pool.put(self.link)
+            raise
+        except BaseException:
+            if self.link is not None:
+                self.pool.drop(self.link)
+            if self.handle is not None:
+                self.links.reap(self.pool, self.handle)
+            raise
+
+    def _execute(self) -> Result:
+        order, link = self.order, self.link
+        said = order.submission
+        overlay = {**said.overlay, "fennelwind.attempt": f"{order.query}.{order.number}",
+                   "fennelwind.priority": str(order.priority)}
+        if order.memory_mb:
+            overlay["fennelwind.memory_mb"] = f"{order.memory_mb:.6g}"
+        request = hs2.TExecuteStatementReq(
+            sessionHandle=link.session, statement=said.statement, confOverlay=overlay, runAsync=True)
+        self.sent = True
+        reply = link.call("ExecuteStatement", request)
+        self.handle = reply.operationHandle
+        if self.handle is None:
+            raise Malformed("an operation without a handle")
+        self._wait()
+        result = self._fetch() if self.handle.hasResultSet else Result()
+        self.loop.spawn(self.links.finish, self.pool, link, self.handle, name="close operation")
+        return result
+
+    def _wait(self) -> None:
+        """Wait until the operation has finished."""
+        pause = POLL_FIRST_MS
+        request = hs2.TGetOperationStatusReq(operationHandle=self.handle, getProgressUpdate=True)
+        while True:
+            asked = self.loop.now()
+            reply = self.link.call("GetOperationStatus", request)
+            self._told(reply.status)
+            state = reply.operationState
+            if state == hs2.FINISHED:
+                if reply.hasResultSet is not None:
+                    self.handle.hasResultSet = reply.hasResultSet
+                return
+            if state not in (hs2.INITIALIZED, hs2.RUNNING, hs2.PENDING):
+                raise RemoteError(f"operation state {state}: {reply.errorMessage}", reply.status)
+            self._note(reply)
+            if self.loop.now() - asked < POLL_FIRST_MS:  # no long poll on that side
+                self.loop.sleep(pause)
+                pause = min(pause * 2, POLL_MOST_MS)
+
+    def _told(self, status: Structure | None) -> None:
+        if status is not None and status.infoMessages:
+            self.load = self.links.load(status) or self.load
+            self.cost = hints.read(status.infoMessages).get(hints.COST, self.cost)
+
+    def _note(self, reply: Structure) -> None:
+        progress = reply.progressUpdateResponse
+        if progress is not None and progress.progressedPercentage is not None:
+            self.order.on_note(DONE, min(max(progress.progressedPercentage, 0.0), 1.0))
+        note = hints.read(reply.status.infoMessages).get(hints.NOTE)
+        if note and note.get("sort") in (SPILLS, WAITS):
+            self.order.on_note(int(note["sort"]), note.get("value", 0.0))
+
+    def _fetch(self) -> Result:
+        """Fetch the schema and all pages, the first page together with the schema."""
+        link, settings = self.link, self.links.settings
+        before = link.received
+        schema_sent = link.send("GetResultSetMetadata", hs2.TGetResultSetMetadataReq(self.handle))
+        request = hs2.TFetchResultsReq(
+            operationHandle=self.handle, orientation=hs2.FETCH_NEXT, maxRows=settings.page_rows, fetchType=0)
+        page_sent = link.send("FetchResults", request)
+        schema = link.reply(schema_sent).schema
+        pages = []
+        while True:
+            reply = link.reply(page_sent)
+            if reply.results is not None:
+                pages.append(reply.results)
+            if not reply.hasMoreRows:
+                return Result(schema, tuple(pages))
+            if link.received - before > settings.max_result_bytes:
+                raise RemoteError(f"an answer of over {settings.max_result_bytes} bytes")
+            page_sent = link.send("FetchResults", request)
+
+
+__all__ = ["ConnectFailed", "EngineLinks", "Link", "LinksUsedUp", "Pool", "RemoteError"]
--- /dev/null
+++ b/fennelwind/fronts/hs2/rows.py
@@ -0,0 +1,62 @@
+"""Pages of a result, cut as clients ask for them."""
+
+from fennelwind.core.types import Result
+from fennelwind.thrift import hiveserver2 as hs2
+from fennelwind.thrift.codec import Structure
+
+
+def row_count(page: Structure) -> int:
+    """Return the number of rows in a page that comes by columns."""
+    for column in page.columns or ():
+        for field in column.FIELDS:
+            values = getattr(column, field.name)
+            if values is not None:
+                return len(values.values or ())
+    return 0
+
+
+def cut(page: Structure, start: int, stop: int) -> Structure:
+    """Return the rows from start to before stop as a page of its own."""
+    columns = []
+    for column in page.columns or ():
+        copy = hs2.TColumn()
+        for field in column.FIELDS:
+            values = getattr(column, field.name)
+            if values is not None:
+                bits = int.from_bytes(values.nulls or b"", "little") >> start
+                bits &= (1 << (stop - start)) - 1
+                nulls = bits.to_bytes((stop - start + 7) // 8, "little")
+                setattr(copy, field.name, type(values)(values=values.values[start:stop], nulls=nulls))
+        columns.append(copy)
+    return hs2.TRowSet(startRowOffset=(page.startRowOffset or 0) + start, rows=[], columns=columns)
+
+
+class Reader:
+    """Reads a result page by page; `first` starts anew, as FETCH_FIRST asks."""
+
+    def __init__(self, result: Result) -> None:
+        self.pages = result.pages
+        self.empty = hs2.TRowSet(startRowOffset=0, rows=[], columns=[
+            cut_column for page in self.pages[:1] for cut_column in cut(page, 0, 0).columns])
+        self.first()
+
+    def first(self) -> None:
+        """Start with the first row."""
+        self._page = self._row = 0
+
+    def next(self, most: int) -> tuple[Structure, bool]:
+        """Return up to `most` next rows, and whether there are more."""
+        while self._page < len(self.pages):
+            page = self.pages[self._page]
+            count = row_count(page)
+            left = count - self._row
+            if left <= 0:
+                self._page, self._row = self._page + 1, 0
+                continue
+            start, stop = self._row, min(count, self._row + most)
+            self._row = stop
+            if stop == count:
+                self._page, self._row = self._page + 1, 0
+            rows = page if (start, stop) == (0, count) else cut(page, start, stop)
+            return rows, any(row_count(p) for p in self.pages[self._page:]) if self._row == 0 else True
+        return self.empty, False
--- /dev/null
+++ b/fennelwind/fronts/hs2/server.py
@@ -0,0 +1,179 @@
+"""Connections of clients: bytes in, calls to the service, replies in the order of their calls.
+
+One task reads a connection. What can be answered at once is answered there; a call that has to wait gets a
+second task, and what was pipelined behind it waits in a bounded line, after which nothing more is read. So
+the end of a connection is noticed while a call waits, and its queries are left.
+"""
+
+from fennelwind.fronts.hs2.service import Pending, Service
+from fennelwind.loop import Cancelled, Channel, DeadlineExceeded, Listener, Loop, Stream, StreamReset, Task
+from fennelwind.thrift import messages
+from fennelwind.thrift.codec import Malformed, Structure
+from fennelwind.thrift.messages import Message, TApplicationException, write_message
+from fennelwind.thrift.transport import Login, ServerSide
+
+PIPELINED = 16  # calls that may wait behind one, on a connection
+CLOSING_MS = 2000.0  # ms that replies under way get when the controller closes
+
+
+class Front:
+    """Listens for clients and serves them."""
+
+    def __init__(self, loop: Loop, listener: Listener, service: Service) -> None:
+        self.loop, self.listener, self.service = loop, listener, service
+        self.settings = service.settings.file.listener
+        self.connections: set[Connection] = set()
+        self.accepted = self.turned_away = self.malformed = self.cut = self.idled = 0
+        self._task: Task | None = None
+
+    def start(self) -> None:
+        """Take connections."""
+        self._task = self.loop.spawn(self._accept, name="hs2: accept")
+
+    def close(self) -> None:
+        """Take no more connections; those there are get the replies that are under way, then end."""
+        self.listener.close()
+        until = self.loop.now() + CLOSING_MS
+        while self.loop.now() < until and any(c.worker is not None for c in self.connections):
+            self.loop.sleep(5.0)
+        for connection in list(self.connections):
+            connection.stream.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                stream = self.listener.accept()
+            except StreamReset:
+                return
+            if len(self.connections) >= self.settings.max_connections:
+                self.turned_away += 1
+                stream.abort()
+                continue
+            self.accepted += 1
+            connection = Connection(self, stream)
+            self.connections.add(connection)
+            self.loop.spawn(connection.run, name=f"hs2 client {self.accepted}")
+
+
+class Connection:
+    """One client's connection."""
+
+    def __init__(self, front: Front, stream: Stream) -> None:
+        self.front, self.loop, self.stream = front, front.loop, stream
+        self.side = ServerSide(front.settings.max_request_bytes)
+        self.user = ""
+        self.sessions: set[bytes] = set()  # opened here
+        self.line = Channel(front.loop, PIPELINED)
+        self.worker: Task | None = None
+        self.heard = self.partial_since = 0.0
+
+    def run(self) -> None:
+        """Serve the client until it leaves."""
+        front = self.front
+        try:
+            self._read()
+        except Malformed:
+            front.malformed += 1
+            if self.side.outgoing:
+                self._write(bytes(self.side.outgoing))
+        except StreamReset:
+            front.cut += 1
+        except DeadlineExceeded:
+            front.idled += 1
+        finally:
+            front.connections.discard(self)
+            self.line.close()
+            if self.worker is not None:
+                self.worker.cancel()
+            for guid in self.sessions:
+                session = front.service.sessions.get(guid)
+                if session is not None:
+                    front.service.end(session, "its connection ended")
+            self.stream.close()
+
+    def _read(self) -> None:
+        idle = self.front.settings.idle_ms
+        self.heard = self.partial_since = self.loop.now()
+        while True:
+            try:
+                with self.loop.deadline_at((self.partial_since if self.side.waiting else self.heard) + idle):
+                    data = self.stream.read()
+            except DeadlineExceeded:
+                if self.worker is None or self.side.waiting:
+                    raise
+                self.heard = self.loop.now()  # it waits for an answer of ours: that is not idle
+                continue
+            if not data:
+                return
+            self.heard = self.loop.now()
+            if not self.side.waiting:
+                self.partial_since = self.heard
+            self._take(self.side.receive(data))
+
+    def _take(self, events: list[Message | Login]) -> None:
+        for event in events:
+            self.partial_since = self.heard
+            if isinstance(event, Login):
+                self.user = event.user
+                rest = self.side.welcome()
+                self._write(bytes(self.side.outgoing))
+                self.side.outgoing.clear()
+                self._take(rest)
+            elif self.worker is not None:
+                self.line.put(event)
+                if self.worker is None:  # it ended while this waited for room
+                    self._go_on(self._next())
+            else:
+                self._go_on((event, self._begin(event)))
+
+    def _go_on(self, call: tuple[Message, Pending | None]) -> None:
+        if call[1] is not None:
+            self.worker = self.loop.spawn(self._work, *call, name="hs2 call")
+
+    def _next(self) -> tuple[Message | None, Pending | None]:
+        """Answer what is in line, until a call has to wait; return that one."""
+        while len(self.line):
+            message = self.line.get()
+            pending = self._begin(message)
+            if pending is not None:
+                return message, pending
+        return None, None
+
+    def _begin(self, message: Message) -> Pending | None:
+        """Answer a call, or return what waits for its answer."""
+        if message.type not in (messages.CALL, messages.ONEWAY):
+            raise Malformed(f"{message.method}: a message of type {message.type} from a client")
+        if message.body is None:
+            text = f"{message.method[:80]}: unknown method"
+            self._write(self.side.wrap(write_message(
+                message.method, messages.EXCEPTION, message.sequence,
+                TApplicationException(text, messages.UNKNOWN_METHOD), message.strict)))
+            return None
+        done = self.front.service.begin(message.method, message.body, self.user, self.sessions)
+        if callable(done):
+            return done
+        self._reply(message, done)
+        return None
+
+    def _work(self, message: Message, pending: Pending) -> None:
+        """Wait for a call's answer, then go on with what was pipelined behind it."""
+        try:
+            while True:
+                self._reply(message, pending())
+                message, pending = self._next()
+                if pending is None:
+                    self.worker = None
+                    return
+        except (OSError, Malformed):
+            self.stream.close()  # the reading task sees the end and cleans up
+        except Cancelled:
+            pass
+
+    def _reply(self, message: Message, reply: Structure) -> None:
+        if message.type == messages.CALL:
+            self._write(self.side.wrap(write_message(
+                message.method, messages.REPLY, message.sequence, reply, message.strict)))
+
+    def _write(self, data: bytes) -> None:
+        with self.loop.deadline(self.front.settings.idle_ms):
+            self.stream.write(data)
--- /dev/null
+++ b/fennelwind/fronts/hs2/service.py
@@ -0,0 +1,320 @@
+"""The HiveServer2 service as clients see it: sessions, operations and the meaning of their statuses.
+
+| what became of a query | sync ExecuteStatement | operation state | SQLSTATE | error code |
+| --- | --- | --- | --- | --- |
+| served | SUCCESS with a handle | FINISHED | | |
+| refused: a further try is harmless | ERROR, hint `fennelwind-refused` | ERROR, same hint | 53000 | 1203 |
+| failed: whether it ran is unknown | ERROR, hint `fennelwind-failed` | ERROR, same hint | HYT00 | 1204 |
+| cancelled by its client | ERROR | CANCELED | HY008 | 1205 |
+
+A query's class is that of the first selector that matches; its tenant is its user's; its key, estimates
+and time-out come from `fennelwind.key`, `.work_ms`, `.memory_mb`, `.tables`, `.timeout_ms` and `.repeat` in the
+statement's overlay or else the session's configuration; `queryTimeout` (s) comes before all of them. Other
+configuration goes to the engine with the statement. Sessions and their operations end with the connection
+that opened them.
+"""
+
+from collections.abc import Callable
+
+from fennelwind import __version__
+from fennelwind.config import Controller
+from fennelwind.core.driver import Driver
+from fennelwind.core.ledger import Entry
+from fennelwind.core.types import FAILED, LEFT, REFUSED, SERVED, Submission
+from fennelwind.fronts.hs2.rows import Reader
+from fennelwind.loop import DeadlineExceeded, Loop, Once
+from fennelwind.thrift import hints
+from fennelwind.thrift import hiveserver2 as hs2
+from fennelwind.thrift.codec import Structure
+
+OWN = "fennelwind."  # configuration with this prefix is the controller's and does not go to engines
+NAMES = {hs2.CLI_SERVER_NAME: "fennelwind", hs2.CLI_DBMS_NAME: "fennelwind", hs2.CLI_DBMS_VER: __version__}
+TIMEOUT_MOST_MS = 24 * 3600 * 1000.0  # ms; a client that would wait longer is taken to mean this
+REFUSED_CODE, FAILED_CODE, CANCELLED_CODE = 1203, 1204, 1205
+STATES = {SERVED: hs2.FINISHED, REFUSED: hs2.FAILED, FAILED: hs2.FAILED, LEFT: hs2.CANCELED}
+
+Pending = Callable[[], Structure]  # waits, then gives the reply
+
+
+class BadRequestError(Exception):
+    """A request that can't be met, with its SQLSTATE."""
+
+    def __init__(self, text: str, state: str = "HY000") -> None:
+        super().__init__(text)
+        self.state = state
+
+
+class UnknownHandleError(Exception):
+    """A handle that is not known here, or is another session's."""
+
+
+class Operation:
+    """A statement of a session, from ExecuteStatement to CloseOperation."""
+
+    __slots__ = ("handle", "ended", "entry", "reader", "started_ms")
+
+    def __init__(self, loop: Loop, handle: Structure) -> None:
+        self.handle, self.ended = handle, Once(loop)
+        self.entry: Entry | None = None
+        self.reader: Reader | None = None
+        self.started_ms = loop.now()
+
+
+class Session:
+    """A client's session."""
+
+    __slots__ = ("handle", "user", "protocol", "configuration", "operations")
+
+    def __init__(self, handle: Structure, user: str, protocol: int, configuration: dict[str, str]) -> None:
+        self.handle, self.user, self.protocol, self.configuration = handle, user, protocol, configuration
+        self.operations: dict[bytes, Operation] = {}
+
+
+def success() -> Structure:
+    """Return the status of a call that went well."""
+    return hs2.TStatus(statusCode=hs2.SUCCESS)
+
+
+def error(text: str, state: str = "HY000", code: int = 0, told: list[str] | None = None) -> Structure:
+    """Return the status of a call that did not."""
+    return hs2.TStatus(
+        statusCode=hs2.ERROR, infoMessages=told, sqlState=state, errorCode=code, errorMessage=text)
+
+
+def answer_status(entry: Entry) -> Structure:
+    """Return the status that a query's final answer has for its client."""
+    answer = entry.answer
+    if answer.kind == SERVED:
+        return success()
+    if answer.kind == REFUSED:
+        wait = answer.retry_after_ms
+        again = f"; try again after {wait:.0f} ms" if wait else "; try again"
+        told = [hints.write(hints.REFUSED, retry_after_ms=wait)]
+        return error(f"refused: {answer.reason}{again}", "53000", REFUSED_CODE, told)
+    if answer.kind == FAILED:
+        text = f"failed: {answer.reason}; whether it ran is not known"
+        return error(text, "HYT00", FAILED_CODE, [hints.write(hints.FAILED)])
+    return error(f"cancelled: {answer.reason}", "HY008", CANCELLED_CODE)
+
+
+class Service:
+    """The service for the clients of one listener."""
+
+    def __init__(self, loop: Loop, settings: Controller, driver: Driver) -> None:
+        self.loop, self.settings, self.driver = loop, settings, driver
+        self.sessions: dict[bytes, Session] = {}
+        self.operations: dict[bytes, tuple[Session, Operation]] = {}
+
+    def begin(self, method: str, request: Structure, user: str, mine: set[bytes]) -> Structure | Pending:
+        """Take a call; return its reply, or what waits for it. `mine`: what the connection has opened."""
+        call = getattr(self, "_" + method, None)
+        reply = hs2.CODECS[f"T{method}Resp"].make
+        if call is None:
+            return reply(status=error(f"{method} is not served here", "0A000"))
+        try:
+            return call(request, user, mine)
+        except BadRequestError as exc:
+            return reply(status=error(str(exc), exc.state))
+        except UnknownHandleError:
+            return reply(status=hs2.TStatus(
+                statusCode=hs2.INVALID_HANDLE, sqlState="HY000", errorMessage=f"{method}: unknown handle"))
+
+    def end(self, session: Session, reason: str) -> None:
+        """End a session with all its operations."""
+        self.sessions.pop(session.handle.sessionId.guid, None)
+        for operation in list(session.operations.values()):
+            self._close(session, operation, reason)
+
+    # Sessions.
+
+    def _OpenSession(self, request: Structure, user: str, mine: set[bytes]) -> Structure:  # noqa: N802
+        if len(self.sessions) >= self.settings.file.listener.max_sessions:
+            raise BadRequestError(f"{len(self.sessions)} sessions are open, which is the limit", "53300")
+        protocol = min(request.client_protocol or 0, hs2.PROTOCOL_NEWEST)
+        if protocol < hs2.PROTOCOL_COLUMNS:
+            raise BadRequestError("results come by columns here, from protocol version V6 on", "0A000")
+        handle = hs2.TSessionHandle(hs2.THandleIdentifier(self.loop.token(16), self.loop.token(16)))
+        session = Session(handle, request.username or user, protocol, dict(request.configuration or {}))
+        self.sessions[handle.sessionId.guid] = session
+        mine.add(handle.sessionId.guid)
+        return hs2.TOpenSessionResp(
+            status=success(), serverProtocolVersion=protocol, sessionHandle=handle, configuration={})
+
+    def _CloseSession(self, request: Structure, user: str, mine: set[bytes]) -> Structure:  # noqa: N802
+        session = self._session(request.sessionHandle)
+        self.end(session, "its session was closed")
+        mine.discard(session.handle.sessionId.guid)
+        return hs2.make("TCloseSessionResp", status=success())
+
+    def _GetInfo(self, request: Structure, user: str, mine: set[bytes]) -> Structure:  # noqa: N802
+        self._session(request.sessionHandle)
+        name = NAMES.get(request.infoType)
+        if name is None:
+            raise BadRequestError(f"GetInfo {request.infoType} is not told here", "HYC00")
+        return hs2.TGetInfoResp(status=success(), infoValue=hs2.TGetInfoValue(stringValue=name))
+
+    # Operations.
+
+    def _ExecuteStatement(self, request: Structure, user: str,  # noqa: N802
+                          mine: set[bytes]) -> Structure | Pending:
+        session = self._session(request.sessionHandle)
+        if len(session.operations) >= self.settings.file.listener.max_operations:
+            raise BadRequestError(
+                f"{len(session.operations)} operations of this session are open, which is the limit", "53000")
+        submission = self._submission(session, request)
+        handle = hs2.TOperationHandle(
+            operationId=hs2.THandleIdentifier(self.loop.token(16), self.loop.token(16)),
+            operationType=hs2.EXECUTE_STATEMENT, hasResultSet=True)
+        operation = Operation(self.loop, handle)
+        session.operations[handle.operationId.guid] = operation
+        self.operations[handle.operationId.guid] = session, operation
+        operation.entry = self.driver.submit(submission, operation.ended.set)
+        if request.runAsync:
+            return hs2.TExecuteStatementResp(status=success(), operationHandle=handle)
+
+        def wait() -> Structure:
+            operation.ended.wait()
+            status = answer_status(operation.entry)
+            if status.statusCode != hs2.SUCCESS:
+                self._close(session, operation, "")
+                return hs2.TExecuteStatementResp(status=status)
+            return hs2.TExecuteStatementResp(status=status, operationHandle=handle)
+
+        return wait
+
+    def _GetOperationStatus(self, request: Structure, user: str,  # noqa: N802
+                            mine: set[bytes]) -> Structure | Pending:
+        _, operation = self._operation(request.operationHandle)
+
+        def status() -> Structure:
+            entry = operation.entry
+            answer = entry.answer
+            if answer is None:
+                state = hs2.RUNNING if entry.attempts else hs2.PENDING
+                return hs2.TGetOperationStatusResp(status=success(), operationState=state, hasResultSet=True)
+            told = answer_status(entry)
+            ok = answer.kind == SERVED
+            return hs2.TGetOperationStatusResp(
+                status=hs2.TStatus(statusCode=hs2.SUCCESS_WITH_INFO if told.infoMessages else hs2.SUCCESS,
+                                   infoMessages=told.infoMessages),
+                operationState=STATES[answer.kind], sqlState=told.sqlState, errorCode=told.errorCode,
+                errorMessage=told.errorMessage, hasResultSet=ok and answer.result.schema is not None)
+
+        if operation.ended.ready:
+            return status()
+
+        def wait() -> Structure:
+            try:
+                with self.loop.deadline(self.settings.file.listener.long_poll_ms):
+                    operation.ended.wait()
+            except DeadlineExceeded:
+                pass
+            return status()
+
+        return wait
+
+    def _GetResultSetMetadata(self, request: Structure, user: str,  # noqa: N802
+                              mine: set[bytes]) -> Structure:
+        _, operation = self._operation(request.operationHandle)
+        result = self._served(operation).answer.result
+        if result.schema is None:
+            raise BadRequestError("the statement has no result set", "24000")
+        return hs2.TGetResultSetMetadataResp(status=success(), schema=result.schema)
+
+    def _FetchResults(self, request: Structure, user: str, mine: set[bytes]) -> Structure:  # noqa: N802
+        _, operation = self._operation(request.operationHandle)
+        if request.fetchType:
+            raise BadRequestError("logs are not kept here", "0A000")
+        entry = self._served(operation)
+        if operation.reader is None:
+            operation.reader = Reader(entry.answer.result)
+        if request.orientation == hs2.FETCH_FIRST:
+            operation.reader.first()
+        elif request.orientation not in (None, hs2.FETCH_NEXT):
+            raise BadRequestError("only FETCH_NEXT and FETCH_FIRST are served", "HYC00")
+        asked = request.maxRows or 0
+        most = asked if asked > 0 else self.settings.file.links.page_rows
+        rows, more = operation.reader.next(most)
+        return hs2.TFetchResultsResp(status=success(), hasMoreRows=more, results=rows)
+
+    def _CancelOperation(self, request: Structure, user: str, mine: set[bytes]) -> Structure:  # noqa: N802
+        _, operation = self._operation(request.operationHandle)
+        self.driver.leave(operation.entry, "by its client")
+        return hs2.make("TCancelOperationResp", status=success())
+
+    def _CloseOperation(self, request: Structure, user: str, mine: set[bytes]) -> Structure:  # noqa: N802
+        self._close(*self._operation(request.operationHandle), "its operation was closed")
+        return hs2.make("TCloseOperationResp", status=success())
+
+    def _GetLog(self, request: Structure, user: str, mine: set[bytes]) -> Structure:  # noqa: N802
+        _, operation = self._operation(request.operationHandle)
+        entry = operation.entry
+        said = entry.answer.kind if entry.answer is not None else "open"
+        return hs2.make("TGetLogResp", status=success(), log=f"query {entry.query}: {said}, "
+                        f"{entry.attempts} attempts\n")
+
+    # What they share.
+
+    def _session(self, handle: Structure | None) -> Session:
+        told = handle.sessionId if handle is not None else None
+        session = self.sessions.get(told.guid) if told is not None else None
+        if session is None or session.handle.sessionId.secret != told.secret:
+            raise UnknownHandleError
+        return session
+
+    def _operation(self, handle: Structure | None) -> tuple[Session, Operation]:
+        told = handle.operationId if handle is not None else None
+        found = self.operations.get(told.guid) if told is not None else None
+        if found is None or found[1].handle.operationId.secret != told.secret:
+            raise UnknownHandleError
+        return found
+
+    def _close(self, session: Session, operation: Operation, reason: str) -> None:
+        session.operations.pop(operation.handle.operationId.guid, None)
+        self.operations.pop(operation.handle.operationId.guid, None)
+        self.driver.leave(operation.entry, reason)
+
+    def _served(self, operation: Operation) -> Entry:
+        entry = operation.entry
+        if entry.answer is None:
+            raise BadRequestError("the statement has not finished", "HY010")
+        if entry.answer.kind != SERVED:
+            status = answer_status(entry)
+            raise BadRequestError(status.errorMessage, status.sqlState)
+        return entry
+
+    def _submission(self, session: Session, request: Structure) -> Submission:
+        said = {**session.configuration, **(request.confOverlay or {})}
+        statement = request.statement or ""
+        if not statement.strip():
+            raise BadRequestError("an empty statement", "42000")
+        cls = self.settings.class_of(session.user, statement, said)
+        if cls is None:
+            raise BadRequestError("no selector names a class for this statement", "42000")
+        timeout = self.settings.module.classes[cls].give_up_ms
+        timeout = number(said, "timeout_ms", timeout)
+        if request.queryTimeout and request.queryTimeout > 0:
+            timeout = request.queryTimeout * 1000.0
+        work = number(said, "work_ms", 0.0)
+        tables = number(said, "tables", -1.0)
+        return Submission(
+            cls=cls, statement=statement, deadline_ms=self.loop.now() + min(timeout, TIMEOUT_MOST_MS),
+            user=session.user, tenant=self.settings.tenants_by_user.get(session.user, 0),
+            key=said.get(OWN + "key") or None, work_ms=work or None,
+            memory_mb=number(said, "memory_mb", 0.0), tables=int(tables) if tables >= 0 else None,
+            repeat=said.get(OWN + "repeat") == "true",
+            overlay={key: value for key, value in said.items() if not key.startswith(OWN)})
+
+
+def number(said: dict[str, str], name: str, absent: float) -> float:
+    """Read a figure of the configuration. Raises `BadRequestError` for what is none."""
+    text = said.get(OWN + name)
+    if text is None:
+        return absent
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0.0 <= value < 1e15:
+        raise BadRequestError(f"{OWN}{name}: {text[:40]!r} is no figure", "22023")
+    return value
--- a/fennelwind/loop/real.py
+++ b/fennelwind/loop/real.py
@@ -2,6 +2,7 @@
 
 import errno
 import os
+import secrets
 import select
 import signal
 import socket
@@ -48,6 +49,10 @@
         """Return the time of day in seconds since 1970, for logs alone."""
         return time.time()
 
+    def token(self, size: int) -> bytes:
+        """Return so many random bytes that nobody can guess."""
+        return secrets.token_bytes(size)
+
     def listen(self, address: Address, backlog: int = 512) -> "SocketListener":
         """Listen at an address; port 0 takes a free one."""
         sock = socket.socket(socket.AF_INET6 if ":" in address.host else socket.AF_INET)
--- a/fennelwind/loop/scheduler.py
+++ b/fennelwind/loop/scheduler.py
@@ -293,6 +293,10 @@
         """Return the time in ms."""
         raise NotImplementedError
 
+    def token(self, size: int) -> bytes:
+        """Return so many random bytes; on `RealLoop` nobody can guess them."""
+        raise NotImplementedError
+
     def listen(self, address: Address, backlog: int = 512) -> Listener:
         """Listen at an address; port 0 takes a free one."""
         raise NotImplementedError
--- a/fennelwind/loop/sim.py
+++ b/fennelwind/loop/sim.py
@@ -38,6 +38,10 @@
         """Return the virtual time in seconds, for logs alone."""
         return self._time / 1000.0
 
+    def token(self, size: int) -> bytes:
+        """Return so many bytes drawn by the seed."""
+        return self.random.randbytes(size)
+
     def listen(self, address: Address, backlog: int = 512) -> "SimListener":
         """Listen at an address; port 0 takes a free one."""
         if address.port == 0:
--- /dev/null
+++ b/fennelwind/standin/engine.py
@@ -0,0 +1,322 @@
+"""An engine that speaks HiveServer2-style Thrift, with faults that can be switched on while it runs.
+
+A statement's true needs come with it, as configuration: `standin.work_ms`, `.threads`, `.memory_mb`,
+`.tables`, `.rows`. It answers with that many rows of (id BIGINT, name STRING). As a real server does, it
+serves each connection's calls in turn; an operation may be named from any connection.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from fennelwind.loop import Address, DeadlineExceeded, Listener, Loop, Once, Stream, StreamReset
+from fennelwind.standin.model import Job, Machine, Model
+from fennelwind.thrift import hints, messages
+from fennelwind.thrift import hiveserver2 as hs2
+from fennelwind.thrift.codec import Malformed, Structure
+from fennelwind.thrift.messages import write_message
+from fennelwind.thrift.transport import Login, ServerSide
+
+LONG_POLL_MS = 5000.0  # ms; Hive's own default
+FOREVER_MS = 3600_000.0  # ms that a hanging engine hangs; scripts end long before
+ROWS_MOST = 1_000_000  # rows of one answer
+
+
+@dataclass(slots=True)
+class Faults:
+    """What is wrong with an engine now."""
+
+    hang: bool = False  # takes statements and answers nothing about them
+    lose: bool = False  # does the work and loses the answers; probes pass
+    refuse: bool = False  # turns statements away unseen
+    error: bool = False  # answers statements with an error after some work
+    cut: bool = False  # breaks the connection within a page of rows
+    twice: bool = False  # answers each call twice
+    late_ms: float = 0.0  # reports its load as it was so long ago
+    slow: float = 1.0  # times the usual time
+
+
+@dataclass(slots=True, eq=False)
+class _Operation:
+    handle: Structure
+    job: Job
+    rows: int
+    ended: Once
+    state: int = hs2.RUNNING
+    fetched: int = 0
+
+
+@dataclass(slots=True)
+class Counts:
+    """What an engine did."""
+
+    statements: int = 0
+    finished: int = 0
+    cancelled: int = 0
+    refused: int = 0
+    lives: int = 0
+    falls: int = 0
+    most_out: int = 0
+    attempts: list[str] = field(default_factory=list)
+
+
+class Engine:
+    """A stand-in engine at an address; `start` begins a life of it, `crash` ends one."""
+
+    def __init__(self, loop: Loop, address: Address, machine: Machine, *, max_sessions: int = 400,
+                 note_ms: float = 0.0, tells_cost: bool = True,
+                 wrap: Callable[[Stream, str], Stream] = lambda stream, who: stream) -> None:
+        self.loop, self.address, self.machine = loop, address, machine
+        self.max_sessions, self.note_ms, self.tells_cost, self.wrap = max_sessions, note_ms, tells_cost, wrap
+        self.faults, self.counts = Faults(), Counts()
+        self.listener: Listener | None = None
+        self.model: Model | None = None
+        self.on_fall: Callable[[Engine], None] = lambda engine: None
+        self._streams: set[Stream] = set()
+        self._sessions: set[bytes] = set()
+        self._operations: dict[bytes, _Operation] = {}
+        self._running: dict[Job, _Operation] = {}
+        self._timer = None
+        self._loads: list[tuple[float, dict[str, float]]] = []
+
+    @property
+    def name(self) -> str:
+        """The engine's name in lists: where it listens."""
+        return str(self.address)
+
+    def start(self, cold: bool) -> None:
+        """Begin a life."""
+        self.listener = self.loop.listen(self.address)
+        self.address = self.listener.address
+        self.model = Model(self.machine, self.loop.now(), cold)
+        self.model.slow = self.faults.slow
+        self.counts.lives += 1
+        self.loop.spawn(self._accept, self.listener, name=f"engine {self.name}")
+
+    def crash(self) -> None:
+        """End this life at once: all connections break, all work is lost."""
+        if self.listener is None:
+            return
+        self.listener.close()
+        self.listener = None
+        for stream in list(self._streams):
+            stream.abort()
+        self._streams.clear()
+        self._sessions.clear()
+        self._operations.clear()
+        self._running.clear()
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def set_slow(self, slow: float) -> None:
+        """Make everything take so many times as long from now on."""
+        self.faults.slow = slow
+        if self.model is not None:
+            self._done(self.model.advance(self.loop.now()))
+            self.model.slow = slow
+            self._schedule()
+
+    def _accept(self, listener: Listener) -> None:
+        while True:
+            try:
+                stream = self.wrap(listener.accept(), self.name)
+            except StreamReset:
+                return
+            self._streams.add(stream)
+            self.loop.spawn(self._serve, stream, name=f"engine {self.name} connection")
+
+    def _serve(self, stream: Stream) -> None:
+        side, mine = ServerSide(), set()
+        try:
+            while data := stream.read():
+                for event in side.receive(data):
+                    if isinstance(event, Login):
+                        side.welcome()
+                        stream.write(bytes(side.outgoing))
+                        side.outgoing.clear()
+                    else:
+                        self._call(stream, side, event, mine)
+        except (StreamReset, Malformed):
+            pass
+        finally:
+            self._sessions -= mine
+            self._streams.discard(stream)
+            stream.close()
+
+    def _call(self, stream: Stream, side: ServerSide, message: messages.Message, mine: set[bytes]) -> None:
+        handler = getattr(self, "_" + message.method, None)
+        if handler is None or message.body is None:
+            kind, reply = messages.EXCEPTION, messages.TApplicationException(
+                f"{message.method}: unknown method", messages.UNKNOWN_METHOD)
+        else:
+            kind, reply = messages.REPLY, handler(message.body, mine)
+        raw = side.wrap(write_message(message.method, kind, message.sequence, reply, message.strict))
+        if self.faults.cut and message.method == "FetchResults":
+            stream.write(raw[:len(raw) // 2])
+            stream.abort()
+            raise StreamReset("cut on purpose")
+        stream.write(raw)
+        if self.faults.twice and message.method != "OpenSession":
+            stream.write(raw)
+
+    def _hang(self) -> None:
+        self.loop.sleep(FOREVER_MS)
+
+    def _status(self, *more: str) -> Structure:
+        now = self.loop.now()
+        self._loads.append((now, self.model.load()))
+        while len(self._loads) > 1 and self._loads[1][0] <= now - self.faults.late_ms:
+            self._loads.pop(0)
+        told = [hints.write(hints.LOAD, **self._loads[0][1]), *more]
+        return hs2.TStatus(statusCode=hs2.SUCCESS_WITH_INFO, infoMessages=told)
+
+    def _error(self, text: str, state: str, *more: str) -> Structure:
+        return hs2.TStatus(statusCode=hs2.ERROR, errorMessage=text, sqlState=state, infoMessages=list(more))
+
+    # The service.
+
+    def _OpenSession(self, request: Structure, mine: set[bytes]) -> Structure:  # noqa: N802
+        if len(self._sessions) >= self.max_sessions:
+            self.counts.refused += 1
+            return hs2.TOpenSessionResp(status=self._error("too many sessions", "53300"))
+        handle = hs2.THandleIdentifier(self.loop.token(16), self.loop.token(16))
+        self._sessions.add(handle.guid)
+        mine.add(handle.guid)
+        return hs2.TOpenSessionResp(
+            status=self._status(), serverProtocolVersion=min(request.client_protocol, hs2.PROTOCOL_NEWEST),
+            sessionHandle=hs2.TSessionHandle(handle), configuration={})
+
+    def _GetInfo(self, request: Structure, mine: set[bytes]) -> Structure:  # noqa: N802
+        return hs2.TGetInfoResp(status=self._status(), infoValue=hs2.TGetInfoValue(stringValue="standin"))
+
+    def _ExecuteStatement(self, request: Structure, mine: set[bytes]) -> Structure:  # noqa: N802
+        said = request.confOverlay or {}
+        self.counts.attempts.append(said.get("fennelwind.attempt", ""))
+        if self.faults.hang:
+            self._hang()
+        reply = hs2.TExecuteStatementResp
+        if request.sessionHandle is None or request.sessionHandle.sessionId.guid not in self._sessions:
+            return reply(status=hs2.TStatus(statusCode=hs2.INVALID_HANDLE, errorMessage="unknown session"))
+        if self.faults.refuse:
+            self.counts.refused += 1
+            return reply(status=self._error("turned away", "53000", hints.write(hints.NOT_RUN)))
+        try:
+            tables = int(said.get("standin.tables", -1))
+            job = Job(max(float(said.get("standin.work_ms", 1.0)), 0.01), int(said.get("standin.threads", 1)),
+                      float(said.get("standin.memory_mb", 0.0)), tables if tables >= 0 else None)
+            rows = min(int(said.get("standin.rows", 1)), ROWS_MOST)
+        except ValueError as exc:
+            return reply(status=self._error(str(exc), "22023", hints.write(hints.NOT_RUN)))
+        handle = hs2.TOperationHandle(
+            operationId=hs2.THandleIdentifier(self.loop.token(16), self.loop.token(16)),
+            operationType=hs2.EXECUTE_STATEMENT, hasResultSet=True)
+        operation = _Operation(handle, job, rows, Once(self.loop))
+        self.counts.statements += 1
+        self._operations[handle.operationId.guid] = operation
+        self._running[job] = operation
+        self._done(self.model.add(job, self.loop.now()))
+        self.counts.most_out = max(self.counts.most_out, len(self._running))
+        if self.model.fallen:
+            self.counts.falls += 1
+            self.on_fall(self)
+            self.crash()
+            raise StreamReset("fallen over")
+        self._schedule()
+        if not request.runAsync:
+            operation.ended.wait()
+            if self.faults.lose:
+                self._hang()
+        return reply(status=self._status(), operationHandle=handle)
+
+    def _GetOperationStatus(self, request: Structure, mine: set[bytes]) -> Structure:  # noqa: N802
+        reply = hs2.TGetOperationStatusResp
+        operation = self._operation(request)
+        if operation is None:
+            return reply(status=hs2.TStatus(statusCode=hs2.INVALID_HANDLE, errorMessage="unknown operation"))
+        if not operation.ended.ready:
+            try:
+                with self.loop.deadline(self.note_ms or LONG_POLL_MS):
+                    operation.ended.wait()
+            except DeadlineExceeded:
+                pass
+        if self.faults.hang or self.faults.lose:
+            self._hang()
+        job, more = operation.job, []
+        if operation.state == hs2.FINISHED and self.tells_cost:
+            more = [hints.write(hints.COST, work_ms=job.work_ms, memory_mb=job.memory_mb)]
+        progress = None
+        if self.note_ms and operation.state == hs2.RUNNING:
+            self._done(self.model.advance(self.loop.now()))
+            progress = hs2.TProgressUpdateResp(
+                headerNames=[], rows=[], progressedPercentage=job.share_done, status=0, footerSummary="",
+                startTime=0)
+        failed = operation.state == hs2.FAILED
+        return reply(status=self._status(*more), operationState=operation.state, hasResultSet=not failed,
+                     errorMessage="it failed on purpose" if failed else None, progressUpdateResponse=progress)
+
+    def _GetResultSetMetadata(self, request: Structure, mine: set[bytes]) -> Structure:  # noqa: N802
+        columns = [
+            hs2.TColumnDesc(name, hs2.TTypeDesc([hs2.TTypeEntry(
+                primitiveEntry=hs2.TPrimitiveTypeEntry(type=kind))]), position, "")
+            for position, (name, kind) in enumerate(
+                [("id", hs2.BIGINT_TYPE), ("name", hs2.STRING_TYPE)], start=1)]
+        return hs2.TGetResultSetMetadataResp(status=self._status(), schema=hs2.TTableSchema(columns))
+
+    def _FetchResults(self, request: Structure, mine: set[bytes]) -> Structure:  # noqa: N802
+        operation = self._operation(request)
+        if operation is None or operation.state != hs2.FINISHED:
+            return hs2.TFetchResultsResp(status=self._error("not finished", "HY010"))
+        start = operation.fetched
+        stop = min(operation.rows, start + max(1, request.maxRows or 1))
+        operation.fetched = stop
+        numbers = list(range(start, stop))
+        rows = hs2.TRowSet(startRowOffset=start, rows=[], columns=[
+            hs2.TColumn(i64Val=hs2.make("TI64Column", values=numbers, nulls=b"")),
+            hs2.TColumn(stringVal=hs2.make(
+                "TStringColumn", values=[b"row %d" % n for n in numbers], nulls=b""))])
+        return hs2.TFetchResultsResp(status=self._status(), hasMoreRows=stop < operation.rows, results=rows)
+
+    def _CancelOperation(self, request: Structure, mine: set[bytes]) -> Structure:  # noqa: N802
+        operation = self._operation(request)
+        if operation is not None and operation.state == hs2.RUNNING:
+            self.counts.cancelled += 1
+            self._stop(operation, hs2.CANCELED)
+        return hs2.make("TCancelOperationResp", status=self._status())
+
+    def _CloseOperation(self, request: Structure, mine: set[bytes]) -> Structure:  # noqa: N802
+        operation = self._operation(request)
+        if operation is not None:
+            if operation.state == hs2.RUNNING:
+                self._stop(operation, hs2.CLOSED)
+            self._operations.pop(operation.handle.operationId.guid, None)
+        return hs2.make("TCloseOperationResp", status=self._status())
+
+    def _operation(self, request: Structure) -> _Operation | None:
+        handle = request.operationHandle
+        return self._operations.get(handle.operationId.guid) if handle is not None else None
+
+    # Work.
+
+    def _stop(self, operation: _Operation, state: int) -> None:
+        operation.state = state
+        self._running.pop(operation.job, None)
+        self._done(self.model.remove(operation.job, self.loop.now()))
+        operation.ended.set()
+        self._schedule()
+
+    def _done(self, jobs: list[Job]) -> None:
+        for job in jobs:
+            operation = self._running.pop(job, None)
+            if operation is not None:
+                operation.state = hs2.FAILED if self.faults.error else hs2.FINISHED
+                self.counts.finished += 1
+                operation.ended.set()
+
+    def _schedule(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        due = self.model.next_due(self.loop.now())
+        self._timer = self.loop.at(due, self._tick) if due is not None else None
+
+    def _tick(self) -> None:
+        self._done(self.model.advance(self.loop.now()))
+        self._schedule()
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,103 @@
+"""A small fleet on any loop: settings, stand-in engines, a controller, and a client that makes one call at a time."""
+
+from fennelwind import config
+from fennelwind.cli.program import Program
+from fennelwind.engines.links import Link, RemoteError
+from fennelwind.loop import Address
+from fennelwind.standin.engine import Engine
+from fennelwind.standin.model import Machine
+from fennelwind.thrift import hiveserver2 as hs2
+
+SETTINGS = """
+listener { address: "127.0.0.1:0" max_connections: 100 max_sessions: 100 max_operations: 20 idle_ms: 5000
+           long_poll_ms: 500 max_request_bytes: 1000000 }
+classes { name: "lookup" aim_ms: 400 give_up_ms: 2000 worth: 1 effect: SAFE threads: 1 }
+classes { name: "build" aim_ms: 1500 give_up_ms: 6000 worth: 10 effect: SAFE threads: 4 }
+classes { name: "load" aim_ms: 800 give_up_ms: 3000 worth: 3 effect: UNSAFE threads: 1 }
+selectors { query_class: "build" statement: "(?i)build" }
+selectors { query_class: "load" statement: "(?i)load" }
+selectors { query_class: "lookup" statement: "(?i)select" }
+kinds { name: "k" cores: 8 }
+%(engines)s
+links { transport: SASL max_links: 50 connect_ms: 300 idle_ms: 5000 page_rows: 1000 max_result_bytes: 10000000 }
+traits { memory_grants: false priorities: false when_short_of_memory: SPILL note_ms: %(note)s tells_cost: true
+         report_fields: "active" }
+rules { answer_margin_ms: 30 drain_grace_ms: 1000 cold_share: 0.35 cold_ms: 10000 fall_multiple: 3 fall_ms: 2000
+        settle_ms: 0 budget_free: 5 budget_share: 0.2 budget_ms: 10000 max_attempts: 3 cancel: true
+        parallel: false max_retry_after_ms: 500 }
+gateways: 1 me: 0 max_open: %(open)d
+"""
+
+
+class Seen:
+    """An observer that keeps everything."""
+
+    def __init__(self):
+        self.answers, self.attempts, self.texts, self.failures = [], [], [], []
+
+    def answered(self, entry):
+        self.answers.append((entry.query, entry.answer.kind))
+
+    def attempted(self, entry, number, engine, end, took_ms):
+        self.attempts.append((entry.query, number, engine, end.status))
+
+    def said(self, text):
+        self.texts.append(text)
+
+    def failed(self, where, exc):
+        self.failures.append((where, exc))
+
+
+class Fleet:
+    """Two engines (or more) and a controller; build it inside the loop."""
+
+    def __init__(self, loop, engines=2, note=0, max_open=1000, change=lambda text: text):
+        self.loop = loop
+        self.engines = [Engine(loop, Address("127.0.0.1", 0), Machine(8), note_ms=note) for _ in range(engines)]
+        for engine in self.engines:
+            engine.start(cold=False)
+        listed = "\n".join(f'engines {{ address: "{e.name}" kind: "k" }}' for e in self.engines)
+        text = change(SETTINGS % {"engines": listed, "note": note, "open": max_open})
+        self.settings = config.read(text)
+        self.seen = Seen()
+        self.program = Program(loop, self.settings, self.seen, seed=1)
+        self.program.start()
+
+    def client(self, transport="sasl", user="ann"):
+        link = Link(self.loop, self.program.address, transport, user)
+        link.open()
+        return link
+
+    def sent_to(self, engine):
+        return [a for a in self.seen.attempts if a[2] == engine.name]
+
+
+def execute(link, statement, work=10.0, rows=3, asynchronous=False, timeout=0, **more):
+    """Run a statement; return its operation's handle. Raises `RemoteError`."""
+    overlay = {"standin.work_ms": str(work), "standin.rows": str(rows), "fennelwind.work_ms": str(work), **more}
+    request = hs2.TExecuteStatementReq(
+        sessionHandle=link.session, statement=statement, confOverlay=overlay, runAsync=asynchronous,
+        queryTimeout=timeout)
+    return link.call("ExecuteStatement", request).operationHandle
+
+
+def status(link, handle):
+    return link.call("GetOperationStatus", hs2.TGetOperationStatusReq(operationHandle=handle))
+
+
+def fetch(link, handle, most=1000, orientation=hs2.FETCH_NEXT):
+    return link.call("FetchResults", hs2.TFetchResultsReq(
+        operationHandle=handle, orientation=orientation, maxRows=most, fetchType=0))
+
+
+def ids(reply):
+    return reply.results.columns[0].i64Val.values
+
+
+def outcome(call):
+    """Return "served", or the SQLSTATE of the error."""
+    try:
+        call()
+    except RemoteError as exc:
+        return exc.status.sqlState
+    return "served"
