--- a/fennelwind/fronts/hs2/service.py
+++ b/fennelwind/fronts/hs2/service.py
@@ -1,14 +1,13 @@
 """The HiveServer2 service as clients see it: sessions, operations and the meaning of their statuses.
 
-| what became of a query | sync ExecuteStatement | operation state | SQLSTATE | error code |
-| --- | --- | --- | --- | --- |
-| served | SUCCESS with a handle | FINISHED | | |
-| refused: a further try is harmless | ERROR, hint `fennelwind-refused` | ERROR, same hint | 53000 | 1203 |
-| failed: whether it ran is unknown | ERROR, hint `fennelwind-failed` | ERROR, same hint | HYT00 | 1204 |
-| cancelled by its client | ERROR | CANCELED | HY008 | 1205 |
-
-A query's class is that of the first selector that matches; its tenant is its user's; its key, estimates
-and time-out come from `fennelwind.key`, `.work_ms`, `.memory_mb`, `.tables`, `.timeout_ms` and `.repeat` in the
+| what became of a query | sync ExecuteStatement | operation state | SQLSTATE | error code | | --- | --- |
+--- | --- | --- | | served | SUCCESS with a handle | FINISHED | | | | refused: a further try is harmless |
+ERROR, hint `fennelwind-refused` | ERROR, same hint | 53000 | 1203 | | failed: whether it ran is unknown |
+ERROR, hint `fennelwind-failed` | ERROR, same hint | HYT00 | 1204 | | cancelled by its client | ERROR |
+CANCELED | HY008 | 1205 |
+
+A query's class is that of the first selector that matches; its tenant is its user's; its key, estimates and
+time-out come from `fennelwind.key`, `.work_ms`, `.memory_mb`, `.tables`, `.timeout_ms` and `.repeat` in the
 statement's overlay or else the session's configuration; `queryTimeout` (s) comes before all of them. Other
 configuration goes to the engine with the statement. Sessions and their operations end with the connection
 that opened them.
--- a/fennelwind/standin/engine.py
+++ b/fennelwind/standin/engine.py
@@ -17,7 +17,6 @@
 from fennelwind.thrift.transport import Login, ServerSide
 
 LONG_POLL_MS = 5000.0  # ms; Hive's own default
-FOREVER_MS = 3600_000.0  # ms that a hanging engine hangs; scripts end long before
 ROWS_MOST = 1_000_000  # rows of one answer
 
 
@@ -59,6 +58,10 @@
     attempts: list[str] = field(default_factory=list)
 
 
+class _Hang(Exception):
+    """The call gets no reply, ever."""
+
+
 class Engine:
     """A stand-in engine at an address; `start` begins a life of it, `crash` ends one."""
 
@@ -148,7 +151,12 @@
             kind, reply = messages.EXCEPTION, messages.TApplicationException(
                 f"{message.method}: unknown method", messages.UNKNOWN_METHOD)
         else:
-            kind, reply = messages.REPLY, handler(message.body, mine)
+            try:
+                kind, reply = messages.REPLY, handler(message.body, mine)
+            except _Hang:
+                while stream.read():  # goes on taking what comes, until the other side gives up
+                    pass
+                raise StreamReset("the other side gave up") from None
         raw = side.wrap(write_message(message.method, kind, message.sequence, reply, message.strict))
         if self.faults.cut and message.method == "FetchResults":
             stream.write(raw[:len(raw) // 2])
@@ -158,9 +166,6 @@
         if self.faults.twice and message.method != "OpenSession":
             stream.write(raw)
 
-    def _hang(self) -> None:
-        self.loop.sleep(FOREVER_MS)
-
     def _status(self, *more: str) -> Structure:
         now = self.loop.now()
         self._loads.append((now, self.model.load()))
@@ -192,7 +197,7 @@
         said = request.confOverlay or {}
         self.counts.attempts.append(said.get("fennelwind.attempt", ""))
         if self.faults.hang:
-            self._hang()
+            raise _Hang
         reply = hs2.TExecuteStatementResp
         if request.sessionHandle is None or request.sessionHandle.sessionId.guid not in self._sessions:
             return reply(status=hs2.TStatus(statusCode=hs2.INVALID_HANDLE, errorMessage="unknown session"))
@@ -224,7 +229,7 @@
         if not request.runAsync:
             operation.ended.wait()
             if self.faults.lose:
-                self._hang()
+                raise _Hang
         return reply(status=self._status(), operationHandle=handle)
 
     def _GetOperationStatus(self, request: Structure, mine: set[bytes]) -> Structure:  # noqa: N802
@@ -239,7 +244,7 @@
             except DeadlineExceeded:
                 pass
         if self.faults.hang or self.faults.lose:
-            self._hang()
+            raise _Hang
         job, more = operation.job, []
         if operation.state == hs2.FINISHED and self.tells_cost:
             more = [hints.write(hints.COST, work_ms=job.work_ms, memory_mb=job.memory_mb)]
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,4 +1,4 @@
-"""A small fleet on any loop: settings, stand-in engines, a controller, and a client that makes one call at a time."""
+"""A small fleet on any loop: settings, stand-in engines, a controller, and a client."""
 
 from fennelwind import config
 from fennelwind.cli.program import Program
@@ -19,10 +19,12 @@
 selectors { query_class: "lookup" statement: "(?i)select" }
 kinds { name: "k" cores: 8 }
 %(engines)s
-links { transport: SASL max_links: 50 connect_ms: 300 idle_ms: 5000 page_rows: 1000 max_result_bytes: 10000000 }
-traits { memory_grants: false priorities: false when_short_of_memory: SPILL note_ms: %(note)s tells_cost: true
-         report_fields: "active" }
-rules { answer_margin_ms: 30 drain_grace_ms: 1000 cold_share: 0.35 cold_ms: 10000 fall_multiple: 3 fall_ms: 2000
+links { transport: SASL max_links: 50 connect_ms: 300 idle_ms: 5000 page_rows: 1000
+        max_result_bytes: 10000000 }
+traits { memory_grants: false priorities: false when_short_of_memory: SPILL note_ms: %(note)s
+         tells_cost: true report_fields: "active" }
+rules { answer_margin_ms: 30 drain_grace_ms: 1000 cold_share: 0.35 cold_ms: 10000 fall_multiple: 3
+        fall_ms: 2000
         settle_ms: 0 budget_free: 5 budget_share: 0.2 budget_ms: 10000 max_attempts: 3 cancel: true
         parallel: false max_retry_after_ms: 500 }
 gateways: 1 me: 0 max_open: %(open)d
@@ -53,7 +55,8 @@
 
     def __init__(self, loop, engines=2, note=0, max_open=1000, change=lambda text: text):
         self.loop = loop
-        self.engines = [Engine(loop, Address("127.0.0.1", 0), Machine(8), note_ms=note) for _ in range(engines)]
+        here = Address("127.0.0.1", 0)
+        self.engines = [Engine(loop, here, Machine(8), note_ms=note) for _ in range(engines)]
         for engine in self.engines:
             engine.start(cold=False)
         listed = "\n".join(f'engines {{ address: "{e.name}" kind: "k" }}' for e in self.engines)
@@ -74,7 +77,8 @@
 
 def execute(link, statement, work=10.0, rows=3, asynchronous=False, timeout=0, **more):
     """Run a statement; return its operation's handle. Raises `RemoteError`."""
-    overlay = {"standin.work_ms": str(work), "standin.rows": str(rows), "fennelwind.work_ms": str(work), **more}
+    overlay = {"standin.work_ms": str(work), "standin.rows": str(rows)}
+    overlay |= {"fennelwind.work_ms": str(work)} | more
     request = hs2.TExecuteStatementReq(
         sessionHandle=link.session, statement=statement, confOverlay=overlay, runAsync=asynchronous,
         queryTimeout=timeout)
