--- a/fennelwind/observe/logs.py
+++ b/fennelwind/observe/logs.py
@@ -46,7 +46,8 @@
 class LogObserver:
     """Logs what the core tells. `every_answer` gives a line for each final answer, without a limit."""
 
-    def __init__(self, now: Callable[[], float], classes: tuple[str, ...], every_answer: bool = False) -> None:
+    def __init__(self, now: Callable[[], float], classes: tuple[str, ...],
+                 every_answer: bool = False) -> None:
         self.log = structlog.get_logger()
         self.classes, self.every_answer = classes, every_answer
         self.limit = RateLimit(now)
