--- a/fennelwind/audit/trace.py
+++ b/fennelwind/audit/trace.py
@@ -14,6 +14,7 @@
 
 SERVED, REFUSED, FAILED, CANCELLED, REJECTED = "served", "refused", "failed", "cancelled", "rejected"
 OK, ERROR, NOT_RUN, CUT = "ok", "error", "not_run", "cut"
+ARRIVES_MS = 50.0  # ms after which what was written has come, if its connection still stands
 FINAL = {hs2.FINISHED: SERVED, hs2.FAILED: FAILED, hs2.CANCELED: CANCELLED, hs2.CLOSED: CANCELLED}
 
 
@@ -89,9 +90,10 @@
 
 def _read_lists(trace: Trace, wire: Wire) -> None:
     known: dict[str, dict] = {}
+    ended = min((at for at, way, _ in wire.pieces if way == END), default=float("inf"))
     for at, way, data in wire.pieces:
-        if way in (IN, END):
-            continue
+        if way in (IN, END) or at > ended - ARRIVES_MS:
+            continue  # what a connection lost as it broke was told to nobody
         for line in data.splitlines():
             told = json.loads(line)
             entries = {e["engine"]: e for e in told["engines"]}
--- a/fennelwind/engines/discovery.py
+++ b/fennelwind/engines/discovery.py
@@ -15,7 +15,7 @@
 
 LINE_MOST = 4 * 1024 * 1024  # bytes of one line; some 20,000 engines
 CONNECT_MS = 2000.0  # ms to connect, and to get the first list
-AGAIN_FIRST_MS, AGAIN_MOST_MS = 250.0, 4000.0  # ms between tries, doubled each time, half of it drawn
+AGAIN_FIRST_MS, AGAIN_MOST_MS = 250.0, 2000.0  # ms between tries, doubled each time, half of it drawn
 STATES = ("ready", "draining", "gone")
 
 
--- a/fennelwind/fronts/hs2/server.py
+++ b/fennelwind/fronts/hs2/server.py
@@ -6,7 +6,17 @@
 """
 
 from fennelwind.fronts.hs2.service import Pending, Service
-from fennelwind.loop import Cancelled, Channel, DeadlineExceeded, Listener, Loop, Stream, StreamReset, Task
+from fennelwind.loop import (
+    Cancelled,
+    Channel,
+    ChannelClosed,
+    DeadlineExceeded,
+    Listener,
+    Loop,
+    Stream,
+    StreamReset,
+    Task,
+)
 from fennelwind.thrift import messages
 from fennelwind.thrift.codec import Malformed, Structure
 from fennelwind.thrift.messages import Message, TApplicationException, write_message
@@ -22,7 +32,7 @@
     def __init__(self, loop: Loop, listener: Listener, service: Service) -> None:
         self.loop, self.listener, self.service = loop, listener, service
         self.settings = service.settings.file.listener
-        self.connections: set[Connection] = set()
+        self.connections: dict[Connection, None] = {}  # in the order they came
         self.accepted = self.turned_away = self.malformed = self.cut = self.idled = 0
         self._task: Task | None = None
 
@@ -51,7 +61,7 @@
                 continue
             self.accepted += 1
             connection = Connection(self, stream)
-            self.connections.add(connection)
+            self.connections[connection] = None
             self.loop.spawn(connection.run, name=f"hs2 client {self.accepted}")
 
 
@@ -62,7 +72,7 @@
         self.front, self.loop, self.stream = front, front.loop, stream
         self.side = ServerSide(front.settings.max_request_bytes)
         self.user = ""
-        self.sessions: set[bytes] = set()  # opened here
+        self.sessions: dict[bytes, None] = {}  # opened here, in order
         self.line = Channel(front.loop, PIPELINED)
         self.worker: Task | None = None
         self.heard = self.partial_since = 0.0
@@ -76,12 +86,12 @@
             front.malformed += 1
             if self.side.outgoing:
                 self._write(bytes(self.side.outgoing))
-        except StreamReset:
+        except (StreamReset, ChannelClosed):
             front.cut += 1
         except DeadlineExceeded:
             front.idled += 1
         finally:
-            front.connections.discard(self)
+            front.connections.pop(self, None)
             self.line.close()
             if self.worker is not None:
                 self.worker.cancel()
@@ -165,7 +175,8 @@
                     self.worker = None
                     return
         except (OSError, Malformed):
-            self.stream.close()  # the reading task sees the end and cleans up
+            self.line.close()  # the reading task, wherever it waits, sees the end and cleans up
+            self.stream.close()
         except Cancelled:
             pass
 
--- a/fennelwind/fronts/hs2/service.py
+++ b/fennelwind/fronts/hs2/service.py
@@ -104,7 +104,8 @@
         self.sessions: dict[bytes, Session] = {}
         self.operations: dict[bytes, tuple[Session, Operation]] = {}
 
-    def begin(self, method: str, request: Structure, user: str, mine: set[bytes]) -> Structure | Pending:
+    def begin(self, method: str, request: Structure, user: str,
+              mine: dict[bytes, None]) -> Structure | Pending:
         """Take a call; return its reply, or what waits for it. `mine`: what the connection has opened."""
         call = getattr(self, "_" + method, None)
         reply = hs2.CODECS[f"T{method}Resp"].make
@@ -126,7 +127,7 @@
 
     # Sessions.
 
-    def _OpenSession(self, request: Structure, user: str, mine: set[bytes]) -> Structure:  # noqa: N802
+    def _OpenSession(self, request: Structure, user: str, mine: dict[bytes, None]) -> Structure:  # noqa: N802
         if len(self.sessions) >= self.settings.file.listener.max_sessions:
             raise BadRequestError(f"{len(self.sessions)} sessions are open, which is the limit", "53300")
         protocol = min(request.client_protocol or 0, hs2.PROTOCOL_NEWEST)
@@ -135,17 +136,17 @@
         handle = hs2.TSessionHandle(hs2.THandleIdentifier(self.loop.token(16), self.loop.token(16)))
         session = Session(handle, request.username or user, protocol, dict(request.configuration or {}))
         self.sessions[handle.sessionId.guid] = session
-        mine.add(handle.sessionId.guid)
+        mine[handle.sessionId.guid] = None
         return hs2.TOpenSessionResp(
             status=success(), serverProtocolVersion=protocol, sessionHandle=handle, configuration={})
 
-    def _CloseSession(self, request: Structure, user: str, mine: set[bytes]) -> Structure:  # noqa: N802
+    def _CloseSession(self, request: Structure, user: str, mine: dict[bytes, None]) -> Structure:  # noqa: N802
         session = self._session(request.sessionHandle)
         self.end(session, "its session was closed")
-        mine.discard(session.handle.sessionId.guid)
+        mine.pop(session.handle.sessionId.guid, None)
         return hs2.make("TCloseSessionResp", status=success())
 
-    def _GetInfo(self, request: Structure, user: str, mine: set[bytes]) -> Structure:  # noqa: N802
+    def _GetInfo(self, request: Structure, user: str, mine: dict[bytes, None]) -> Structure:  # noqa: N802
         self._session(request.sessionHandle)
         name = NAMES.get(request.infoType)
         if name is None:
@@ -155,7 +156,7 @@
     # Operations.
 
     def _ExecuteStatement(self, request: Structure, user: str,  # noqa: N802
-                          mine: set[bytes]) -> Structure | Pending:
+                          mine: dict[bytes, None]) -> Structure | Pending:
         session = self._session(request.sessionHandle)
         if len(session.operations) >= self.settings.file.listener.max_operations:
             raise BadRequestError(
@@ -182,7 +183,7 @@
         return wait
 
     def _GetOperationStatus(self, request: Structure, user: str,  # noqa: N802
-                            mine: set[bytes]) -> Structure | Pending:
+                            mine: dict[bytes, None]) -> Structure | Pending:
         _, operation = self._operation(request.operationHandle)
 
         def status() -> Structure:
@@ -213,14 +214,14 @@
         return wait
 
     def _GetResultSetMetadata(self, request: Structure, user: str,  # noqa: N802
-                              mine: set[bytes]) -> Structure:
+                              mine: dict[bytes, None]) -> Structure:
         _, operation = self._operation(request.operationHandle)
         result = self._served(operation).answer.result
         if result.schema is None:
             raise BadRequestError("the statement has no result set", "24000")
         return hs2.TGetResultSetMetadataResp(status=success(), schema=result.schema)
 
-    def _FetchResults(self, request: Structure, user: str, mine: set[bytes]) -> Structure:  # noqa: N802
+    def _FetchResults(self, request: Structure, user: str, mine: dict[bytes, None]) -> Structure:  # noqa: N802
         _, operation = self._operation(request.operationHandle)
         if request.fetchType:
             raise BadRequestError("logs are not kept here", "0A000")
@@ -236,16 +237,16 @@
         rows, more = operation.reader.next(most)
         return hs2.TFetchResultsResp(status=success(), hasMoreRows=more, results=rows)
 
-    def _CancelOperation(self, request: Structure, user: str, mine: set[bytes]) -> Structure:  # noqa: N802
+    def _CancelOperation(self, request: Structure, user: str, mine: dict[bytes, None]) -> Structure:  # noqa: N802
         _, operation = self._operation(request.operationHandle)
         self.driver.leave(operation.entry, "by its client")
         return hs2.make("TCancelOperationResp", status=success())
 
-    def _CloseOperation(self, request: Structure, user: str, mine: set[bytes]) -> Structure:  # noqa: N802
+    def _CloseOperation(self, request: Structure, user: str, mine: dict[bytes, None]) -> Structure:  # noqa: N802
         self._close(*self._operation(request.operationHandle), "its operation was closed")
         return hs2.make("TCloseOperationResp", status=success())
 
-    def _GetLog(self, request: Structure, user: str, mine: set[bytes]) -> Structure:  # noqa: N802
+    def _GetLog(self, request: Structure, user: str, mine: dict[bytes, None]) -> Structure:  # noqa: N802
         _, operation = self._operation(request.operationHandle)
         entry = operation.entry
         said = entry.answer.kind if entry.answer is not None else "open"
--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -30,9 +30,11 @@
 PRESSURE_LAG = 1.5  # times best; an answer this much slower than best says that the engine is overfilled
 SUSPECT_LAG = 2.5  # times the fleet's median lag; above it an engine is suspect, whatever the cause
 SHUT_MS = 1000.0  # ms that a failing engine is left alone, doubled with each failure up to four times
+GUESS = 0.25  # of the aim: span of a class that nothing tells of; with half, LIKELY would never let it start
 LIKELY = 2.0  # times best; a query with less time left than this is unlikely to be served in time
 GRANT = 1.6  # times the told memory; estimates scatter, and a spill costs far more than what lies idle
 PAGED = 3.0  # the same where only memory in use counts, so that what is granted too much costs nothing
+ERRORS = 3  # errors in a row; a bad query errs once anywhere, an engine that errs quickly would draw all in
 RESCUE_LAG = 3.0  # times what an attempt should take; beyond it another engine is tried
 NOTES = 2.5  # periods of notes; what the last one told of an attempt is old news after that
 RESCUE_SMALLEST = 0.5  # of the class mean; smaller queries get as much, as estimates of them err most
@@ -144,7 +146,7 @@
         if self.set.budget_ms:
             self.taken.add(self.now)
         self.credit = min(self.credit + RESCUE_SHARE, RESCUE_MOST)
-        work = told.work_ms or self.work[c] or cls.aim_ms * cls.threads / 2
+        work = told.work_ms or self.work[c] or GUESS * cls.aim_ms * cls.threads
         span = max(work / cls.threads, 1.0)
         self.work[c] += (work - self.work[c]) * (MEAN_PART if self.work[c] else 1.0)
         self.size += (work - self.size) * (MEAN_PART if self.size else 1.0)
@@ -190,7 +192,10 @@
         if "active" in event.load and self.long:
             fill = event.load["active"] * self.wide / self.long / engine.cores
             self.fill += (fill - self.fill) * (LOCAL_PART if self.fill else 1.0)
-        if event.status in ("connect_failed", "reset", "full"):
+        if event.status in ("ok", "error"):
+            engine.errors = engine.errors + 1 if event.status == "error" else 0
+        erring = event.status == "error" and engine.errors >= ERRORS
+        if erring or event.status in ("connect_failed", "reset", "full"):
             engine.fails, engine.failed, engine.suspect = engine.fails + 1, self.now, True
             engine.shut_until = self.now + SHUT_MS * min(2 ** engine.fails, 4)
             return
--- a/fennelwind/standin/discovery.py
+++ b/fennelwind/standin/discovery.py
@@ -35,7 +35,9 @@
         self._subscribers: dict[Stream, Channel] = {}
 
     def start(self) -> None:
-        """Listen."""
+        """Listen, if it does not already."""
+        if self._listener is not None:
+            return
         self._listener = self.loop.listen(self.address)
         self.address = self._listener.address
         self.loop.spawn(self._accept, self._listener, name="discovery: accept")
--- a/fennelwind/state.py
+++ b/fennelwind/state.py
@@ -145,6 +145,7 @@
     heard: float = float("-inf")  # when the latest-sent of the answered attempts was sent
     fails: int = 0  # failed attempts since an attempt sent later was answered
     failed: float = float("-inf")
+    errors: int = 0  # answers that were errors since one that was none
     shut_until: float = 0.0
     reached: bool = False  # the bound kept a query back in this period
     suspect: bool = False
--- /dev/null
+++ b/tests/test_controller.py
@@ -0,0 +1,699 @@
+"""The controller through its clients' eyes, with engines that fail; in virtual time unless sockets matter."""
+
+import gc
+import resource
+import socket
+from random import Random
+from struct import pack
+
+import pytest
+from fleet import Fleet, execute, fetch, ids, outcome, status
+
+from fennelwind import interface as api
+from fennelwind.core.driver import Driver, Silent
+from fennelwind.core.types import AttemptEnd, Result, Submission
+from fennelwind.engines.links import RemoteError
+from fennelwind.loop import Address, DeadlineExceeded, RealLoop, SimLoop, StreamReset
+from fennelwind.thrift import hints, messages
+from fennelwind.thrift import hiveserver2 as hs2
+from fennelwind.thrift.messages import CALL, write_message
+from fennelwind.thrift.transport import BUFFERED, ClientSide
+
+
+def play(main, loop=None, seed=1, limit=60_000, **fleet):
+    """Run `main(fleet)` on a loop, within a time; no task of the controller may have broken."""
+    loop = loop or SimLoop(seed)
+    broken = []
+    loop.on_error = lambda task, exc: broken.append((task.name, repr(exc)))
+
+    def run():
+        with loop.deadline(limit):
+            made = Fleet(loop, **fleet)
+            result = main(made)
+            made.program.close()
+            assert made.seen.failures == []
+            return result
+
+    result = loop.run(run)
+    assert broken == []
+    return result
+
+
+def ledger(fleet):
+    return fleet.program.driver.ledger
+
+
+def empty(fleet):
+    """Tell whether nothing is left of any query."""
+    driver = fleet.program.driver
+    held = driver.ledger.entries, driver.gateway.queries, driver._tasks, fleet.program.service.operations
+    return not any(held)
+
+
+# The ordinary path.
+
+
+@pytest.mark.parametrize("transport", ["sasl", "buffered", "framed"])
+@pytest.mark.parametrize("kind", [SimLoop, RealLoop])
+def test_sync_and_async_statements_answer_with_rows(kind, transport):
+    def main(fleet):
+        client = fleet.client(transport)
+        handle = execute(client, "select 1", rows=3)
+        assert ids(fetch(client, handle)) == [0, 1, 2]
+        handle = execute(client, "select 2", rows=5, work=30, asynchronous=True)
+        while (seen := status(client, handle)).operationState in (hs2.PENDING, hs2.RUNNING):
+            pass
+        assert seen.operationState == hs2.FINISHED and seen.hasResultSet
+        schema = client.call("GetResultSetMetadata", hs2.TGetResultSetMetadataReq(handle)).schema
+        assert [c.columnName for c in schema.columns] == ["id", "name"]
+        assert ids(fetch(client, handle)) == [0, 1, 2, 3, 4]
+        client.call("CloseOperation", hs2.TCloseOperationReq(handle))
+        assert outcome(lambda: fetch(client, handle)) == "HY000"
+        assert ledger(fleet).counts[0] == {"taken": 2, "served": 2}
+
+    play(main, RealLoop() if kind is RealLoop else SimLoop(1))
+
+
+def test_pages_are_cut_as_clients_ask_for_them():
+    def main(fleet):
+        client = fleet.client()
+        handle = execute(client, "select 1", rows=2500)
+        got, more = [], True
+        while more:
+            page = fetch(client, handle, most=700)
+            assert page.results.startRowOffset == len(got)
+            assert page.results.columns[1].stringVal.values[0] == b"row %d" % len(got)
+            got += ids(page)
+            more = page.hasMoreRows
+        assert got == list(range(2500))
+        assert ids(fetch(client, handle)) == []
+        assert ids(fetch(client, handle, 5, hs2.FETCH_FIRST)) == [0, 1, 2, 3, 4]
+
+    play(main)
+
+
+def test_refused_failed_and_cancelled_are_told_apart():
+    def main(fleet):
+        client, other = fleet.client(), fleet.client()
+        for engine in fleet.engines:
+            engine.faults.refuse = True
+        with pytest.raises(RemoteError) as refused:
+            execute(client, "select 1")
+        assert refused.value.status.sqlState == "53000"
+        assert refused.value.hints[hints.REFUSED] == {"retry_after_ms": 500.0}
+        for engine in fleet.engines:
+            engine.faults.refuse, engine.faults.error = False, True
+        fleet.loop.sleep(5000)  # the engines that refused are left alone for a while
+        with pytest.raises(RemoteError) as failed:
+            execute(client, "load x")
+        assert failed.value.status.sqlState == "HYT00" and hints.FAILED in failed.value.hints
+        handle = execute(other, "build", work=400, asynchronous=True)
+        other.call("CancelOperation", hs2.TCancelOperationReq(handle))
+        seen = status(other, handle)
+        assert (seen.operationState, seen.sqlState) == (hs2.CANCELED, "HY008")
+        assert ledger(fleet).balanced()
+
+    play(main)
+
+
+# How attempts end.
+
+
+def test_each_way_an_attempt_ends_is_one_outcome():
+    def main(fleet):
+        engine, = fleet.engines
+        client, seen = fleet.client(), []
+
+        def trial(statement="load x", timeout=1):
+            try:
+                execute(client, statement, timeout=timeout)
+            except RemoteError as exc:
+                seen.append((fleet.seen.attempts[-1][3], exc.status.sqlState))
+            fleet.loop.sleep(6000)
+
+        for fault in ("refuse", "error", "cut", "hang", "lose"):
+            setattr(engine.faults, fault, True)
+            trial()
+            setattr(engine.faults, fault, False)
+        engine.crash()
+        trial()
+        return seen
+
+    # A query that may have run fails, one that provably did not is refused; none was sent twice.
+    assert play(main, engines=1) == [
+        ("full", "53000"), ("error", "HYT00"), ("reset", "HYT00"), ("timeout", "HYT00"), ("timeout", "HYT00"),
+        ("connect_failed", "53000")]
+
+
+@pytest.mark.parametrize("fault", ["error", "cut", "hang", "lose"])
+def test_a_statement_that_must_not_run_twice_reaches_one_engine_once(fault):
+    def main(fleet):
+        for engine in fleet.engines:
+            setattr(engine.faults, fault, True)
+        assert outcome(lambda: execute(fleet.client(), "load x", timeout=2)) == "HYT00"
+        assert sum(len(e.counts.attempts) for e in fleet.engines) == 1
+
+    play(main)
+
+
+@pytest.mark.parametrize("fault", ["error", "cut", "refuse", "hang", "lose"])
+def test_a_safe_statement_goes_on_to_another_engine(fault):
+    def main(fleet):
+        setattr(fleet.engines[0].faults, fault, True)
+        client = fleet.client()
+        for _ in range(12):
+            assert ids(fetch(client, execute(client, "select 1", timeout=2))) == [0, 1, 2]
+
+    play(main)
+
+
+def test_an_engine_that_answers_twice_breaks_its_own_link_alone():
+    def main(fleet):
+        fleet.engines[0].faults.twice = True
+        client = fleet.client()
+        for i in range(30):
+            handle = execute(client, "select 1", rows=i + 1)
+            assert ids(fetch(client, handle)) == list(range(i + 1))
+            client.call("CloseOperation", hs2.TCloseOperationReq(handle))
+        assert ledger(fleet).second == 0
+
+    play(main)
+
+
+def test_an_engine_that_takes_connections_and_says_nothing_proves_nothing_ran():
+    def main(fleet):
+        silent = fleet.loop.listen(Address("127.0.0.1", 0))
+        kept = []
+        fleet.loop.spawn(lambda: [kept.append(silent.accept()) for _ in range(3)], name="silent")
+        fleet.program.driver.post(api.EngineList("full", (api.EngineEntry(str(silent.address)),)))
+        fleet.loop.sleep(5)
+        assert outcome(lambda: execute(fleet.client(), "load x")) == "53000"
+        assert [a[3] for a in fleet.seen.attempts] == ["connect_failed"] * 3
+        silent.close()
+
+    play(main)
+
+
+def test_all_engines_gone_is_a_quick_refusal_or_one_in_time():
+    def main(fleet):
+        client = fleet.client()
+        for engine in fleet.engines:
+            engine.crash()
+        for _ in range(8):
+            began = fleet.loop.now()
+            assert outcome(lambda: execute(client, "select 1", timeout=1)) == "53000"
+            assert fleet.loop.now() - began < 1000
+        assert empty(fleet)
+
+    play(main)
+
+
+def test_discovery_that_is_never_reached_leaves_the_engines_of_the_settings():
+    def main(fleet):
+        client = fleet.client()
+        fleet.loop.sleep(10_000)
+        assert outcome(lambda: execute(client, "select 1")) == "served"
+        assert fleet.program.discovery.failures > 2
+        assert fleet.program.discovery.lists == 0
+
+    play(main, change=lambda text: text + 'discovery { address: "127.0.0.1:9" mode: PUSHED }')
+
+
+def test_discovery_that_is_asked_is_asked_again_after_a_failure():
+    def main(fleet):
+        fleet.loop.sleep(3500)
+        assert 3 <= fleet.program.discovery.failures <= 4  # the module asks anew each second
+
+    play(main, change=lambda text: text + 'discovery { address: "127.0.0.1:9" mode: ASKED }')
+
+
+# Clients that leave, cancel, hurry or stall.
+
+
+@pytest.mark.parametrize("asynchronous", [False, True])
+def test_a_client_that_leaves_takes_its_attempt_with_it(asynchronous):
+    def main(fleet):
+        client = fleet.client()
+        if asynchronous:
+            execute(client, "build", work=1000, asynchronous=True)
+        else:
+            fleet.loop.spawn(lambda: outcome_or_end(client), name="leaving")
+        fleet.loop.sleep(50)
+        assert sum(len(e.model.jobs) for e in fleet.engines) == 1
+        client.drop()
+        fleet.loop.sleep(200)
+        assert sum(len(e.model.jobs) for e in fleet.engines) == 0
+        assert sum(e.counts.cancelled for e in fleet.engines) == 1
+        assert ledger(fleet).counts[1] == {"taken": 1, "left": 1}
+        assert empty(fleet) and not fleet.program.service.sessions
+
+    def outcome_or_end(client):
+        with pytest.raises(StreamReset):
+            execute(client, "build", work=1000)
+
+    play(main)
+
+
+def test_cancel_racing_an_answer_has_one_end_at_every_offset():
+    def main(fleet):
+        ends = set()
+        for step in range(100):
+            client = fleet.client()
+            handle = execute(client, "select 1", work=10, asynchronous=True)
+            fleet.loop.sleep(step * 0.25)
+            client.call("CancelOperation", hs2.TCancelOperationReq(handle))
+            first = status(client, handle).operationState
+            fleet.loop.sleep(100)
+            assert status(client, handle).operationState == first
+            ends.add(first)
+            client.call("CloseOperation", hs2.TCloseOperationReq(handle))
+            client.drop()
+        fleet.loop.sleep(100)
+        assert ends == {hs2.CANCELED, hs2.FINISHED}
+        assert ledger(fleet).balanced() and empty(fleet)
+        assert sum(len(e._operations) for e in fleet.engines) == 0  # nothing is left behind at engines
+
+    play(main)
+
+
+def test_closing_a_session_ends_all_its_operations():
+    def main(fleet):
+        client = fleet.client()
+        for _ in range(10):
+            execute(client, "build", work=3000, asynchronous=True)
+        client.call("CloseSession", hs2.make("TCloseSessionReq", sessionHandle=client.session))
+        fleet.loop.sleep(200)
+        assert ledger(fleet).counts[1] == {"taken": 10, "left": 10}
+        assert empty(fleet)
+
+    play(main)
+
+
+def test_handles_of_others_and_guesses_are_unknown():
+    def main(fleet):
+        ann, bob = fleet.client(), fleet.client()
+        handle = execute(ann, "select 1")
+        handle.operationId.secret = b"x" * 16
+        with pytest.raises(RemoteError) as exc:
+            fetch(bob, handle)
+        assert exc.value.status.statusCode == hs2.INVALID_HANDLE
+        bob.session.sessionId.guid = b"y" * 16
+        with pytest.raises(RemoteError) as exc:
+            execute(bob, "select 1")
+        assert exc.value.status.statusCode == hs2.INVALID_HANDLE
+
+    play(main)
+
+
+def test_limits_are_named_when_met():
+    def main(fleet):
+        client = fleet.client()
+        for _ in range(20):
+            execute(client, "select 1", asynchronous=True)
+        with pytest.raises(RemoteError, match="20 operations"):
+            execute(client, "select 1")
+        with pytest.raises(RemoteError, match="fennelwind.work_ms"):
+            execute(fleet.client(), "select 1", **{"fennelwind.work_ms": "many"})
+        with pytest.raises(RemoteError, match="no selector"):
+            execute(fleet.client(), "explain 1")
+        with pytest.raises(RemoteError, match="not served here"):
+            client.call("GetTables", hs2.make("TGetTablesReq", sessionHandle=client.session))
+        clients = [fleet.client() for _ in range(97)]
+        with pytest.raises((RemoteError, StreamReset)):
+            fleet.client()
+        assert len(clients) == 97
+
+    play(main)
+
+
+def test_more_queries_than_may_be_open_are_refused_at_once():
+    def main(fleet):
+        clients = [fleet.client() for _ in range(6)]
+        for client in clients[:5]:
+            execute(client, "build", work=3000, asynchronous=True)
+        began = fleet.loop.now()
+        assert outcome(lambda: execute(clients[5], "select 1")) == "53000"
+        assert fleet.loop.now() - began < 5.0
+        assert fleet.program.driver.turned_away == 1
+
+    play(main, max_open=5)
+
+
+def raw(fleet, data, transport=BUFFERED):
+    stream = fleet.loop.connect(fleet.program.address)
+    stream.write(data)
+    return stream
+
+
+def open_session(side, sequence):
+    return write_message("OpenSession", CALL, sequence, hs2.TOpenSessionReq(client_protocol=5))
+
+
+def test_pipelined_calls_and_a_repeated_sequence_id_are_answered_in_order():
+    def main(fleet):
+        side = ClientSide(BUFFERED)
+        opening = open_session(side, 7)
+        stream = raw(fleet, opening)
+        session = side.receive(stream.read())[0].body.sessionHandle
+        slow, quick = (hs2.TExecuteStatementReq(
+            sessionHandle=session, statement="select 1", confOverlay={"standin.work_ms": str(work)})
+            for work in (80, 1))
+        info = hs2.TGetInfoReq(session, hs2.CLI_DBMS_NAME)
+        stream.write(write_message("ExecuteStatement", CALL, 9, slow)
+                     + write_message("ExecuteStatement", CALL, 9, quick)
+                     + write_message("GetInfo", CALL, 9, info) + write_message("GetInfo", CALL, 10, info))
+        replies = []
+        while len(replies) < 4:
+            replies += side.receive(stream.read())
+        assert [(r.method, r.sequence) for r in replies] == [
+            ("ExecuteStatement", 9), ("ExecuteStatement", 9), ("GetInfo", 9), ("GetInfo", 10)]
+        stream.close()
+
+    play(main)
+
+
+def test_a_client_that_pipelines_without_end_is_read_no_further():
+    def main(fleet):
+        for engine in fleet.engines:
+            engine.faults.lose = True
+        side = ClientSide(BUFFERED)
+        stream = raw(fleet, open_session(side, 1))
+        session = side.receive(stream.read())[0].body.sessionHandle
+        call = write_message("ExecuteStatement", CALL, 2, hs2.TExecuteStatementReq(
+            sessionHandle=session, statement="select 1" + " " * 20_000))
+        with pytest.raises(DeadlineExceeded), fleet.loop.deadline(1000):
+            for _ in range(1000):
+                stream.write(call)
+        held, = fleet.program.front.connections
+        assert len(held.line) <= 16 and held.side.waiting < 2 * 262144
+        stream.abort()
+        fleet.loop.sleep(3000)  # it is noticed when the call in front has its answer, at the latest
+        assert not fleet.program.front.connections
+
+    play(main)
+
+
+def test_an_unknown_method_is_told_and_the_connection_goes_on():
+    def main(fleet):
+        side = ClientSide(BUFFERED)
+        stream = raw(fleet, open_session(side, 1).replace(b"OpenSession", b"OpenSezzion"))
+        reply, = side.receive(stream.read())
+        assert reply.type == messages.EXCEPTION and reply.body.type == messages.UNKNOWN_METHOD
+        stream.write(open_session(side, 2))
+        assert side.receive(stream.read())[0].sequence == 2
+        stream.close()
+
+    play(main)
+
+
+@pytest.mark.parametrize("data", [
+    b"\x80\1\0\1\0\0\0\x0bOpenSession\0\0\0\1\x0c\0\1\x0b\0\2\x7f\xff\xff\xff",
+    b"\x80\1\0\1\0\0\0\x0bOpenSession\0\0\0\1\x0c\0\1\x0b\0\2\xff\xff\xff\xff",
+    b"\x80\1\0\1\0\0\0\x0bOpenSession\0\0\0\1" + b"\x0c\0\1" * 10_000,
+    b"\x7f\xff\xff\xff\x80\1", b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", b"\1\0\0\0\6GSSAPI",
+    b"\x80\1\0\2\0\0\0\x0bOpenSession\0\0\0\1\x0c\0\0\0\0",
+], ids=["2GiB", "negative", "deep", "frame", "http", "gssapi", "reply"])
+def test_bytes_that_are_no_call_end_their_own_connection_alone(data):
+    def main(fleet):
+        client = fleet.client()
+        stream = raw(fleet, data)
+        with fleet.loop.deadline(1000):
+            try:
+                while stream.read():
+                    pass
+            except StreamReset:
+                pass
+        assert fleet.program.front.malformed == 1
+        assert outcome(lambda: execute(client, "select 1")) == "served"
+
+    play(main)
+
+
+def test_a_cut_inside_a_string_leaves_nothing():
+    def main(fleet):
+        call = open_session(None, 1) + write_message("ExecuteStatement", CALL, 2, hs2.TExecuteStatementReq(
+            sessionHandle=hs2.TSessionHandle(hs2.THandleIdentifier(b"g" * 16, b"s" * 16)), statement="s 1"))
+        for cut in range(1, len(call), 7):
+            raw(fleet, call[:cut]).close()
+        fleet.loop.sleep(100)
+        assert not fleet.program.front.connections and not fleet.program.service.sessions
+        assert ledger(fleet).open == 0
+
+    play(main)
+
+
+def short_idle(text):
+    return text.replace("idle_ms: 60000", "idle_ms: 5000").replace("max_attempts: 3", "max_attempts: 1")
+
+
+def test_a_client_that_sends_a_byte_a_second_is_let_go_after_the_idle_time():
+    def main(fleet):
+        stream = raw(fleet, b"")
+        with pytest.raises(StreamReset):
+            for byte in open_session(None, 1):
+                stream.write(bytes([byte]))
+                fleet.loop.sleep(1000)
+        assert fleet.program.front.idled == 1
+
+    play(main, change=short_idle)
+
+
+def test_an_idle_client_is_let_go_but_not_one_that_waits_for_its_answer():
+    def main(fleet):
+        for engine in fleet.engines:
+            engine.faults.lose = True
+        idle, waiting = fleet.client(), fleet.client()
+        assert outcome(lambda: execute(waiting, "build", timeout=12)) == "53000"
+        assert fleet.loop.now() > 11_000  # far longer than the idle time of 5 s
+        with pytest.raises(StreamReset):
+            execute(idle, "select 1")
+
+    play(main, change=short_idle)
+
+
+def test_2000_idle_connections_come_and_go():
+    def main(fleet):
+        before = len(fleet.loop.tasks)
+        clients = [fleet.loop.connect(fleet.program.address) for _ in range(2000)]
+        fleet.loop.sleep(10)
+        assert len(fleet.program.front.connections) == 2000
+        assert outcome(lambda: execute(fleet.client(), "select 1")) == "served"
+        for client in clients:
+            client.close()
+        fleet.loop.sleep(20_000)
+        assert not fleet.program.front.connections
+        assert len(fleet.loop.tasks) <= before
+        assert len(fleet.loop.timers) < 20
+
+    play(main, change=lambda text: short_idle(text.replace("max_connections: 100", "max_connections: 3000")))
+
+
+def test_descriptors_used_up_and_given_back():
+    loop = RealLoop()
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+
+    def main(fleet):
+        client = fleet.client()
+        assert outcome(lambda: execute(client, "select 1")) == "served"
+        used = len([s for s in gc.get_objects() if isinstance(s, socket.socket) and s.fileno() >= 0])
+        resource.setrlimit(resource.RLIMIT_NOFILE, (used + 60, hard))
+        clients = []
+        try:
+            while not loop.short_of_descriptors:
+                try:
+                    clients.append(loop.connect(fleet.program.address))
+                except OSError:
+                    loop.sleep(5)
+            assert outcome(lambda: execute(client, "select 1")) == "served"
+        finally:
+            for other in clients:
+                other.close()
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        late = fleet.client()
+        assert outcome(lambda: execute(late, "select 1")) == "served"
+
+    play(main, loop)
+
+
+# Time.
+
+
+def test_a_stall_past_all_deadlines_answers_everything_at_once():
+    def main(fleet):
+        clients = [fleet.client() for _ in range(8)]
+        handles = [execute(c, "select 1", work=4000, asynchronous=True, timeout=1) for c in clients]
+        fleet.loop.sleep(20)
+        fleet.loop._time += 60_000  # the process had no turn, or a clock jumped
+        states = [status(c, h).operationState for c, h in zip(clients, handles, strict=True)]
+        assert states == [hs2.FAILED] * 8
+        for client in clients:
+            client.drop()
+        fleet.loop.sleep(500)
+        assert ledger(fleet).balanced() and empty(fleet)
+
+    play(main, limit=200_000, change=lambda text: text.replace("idle_ms: 60000", "idle_ms: 600000"))
+
+
+def test_closing_gives_what_is_open_its_answer_and_takes_nothing_new():
+    def main(fleet):
+        clients = [fleet.client() for _ in range(4)]
+        seen = []
+        for client in clients:
+            fleet.loop.spawn(lambda c=client: seen.append(outcome(lambda: execute(c, "build", work=20_000))))
+        fleet.loop.sleep(50)
+        fleet.program.close()
+        fleet.loop.sleep(50)
+        assert seen == ["HYT00"] * 4  # sent, so they may have run
+        assert ledger(fleet).balanced() and ledger(fleet).open == 0
+
+    play(main)
+
+
+def test_a_module_that_breaks_costs_no_query_its_answer():
+    loop = SimLoop(1)
+
+    def main():
+        fleet = Fleet(loop)
+        client = fleet.client()
+        step = fleet.program.driver.gateway.step
+
+        def broken(now, events):
+            if any(isinstance(e, api.Arrival) for e in events):
+                raise RuntimeError("planted")
+            return step(now, events)
+
+        fleet.program.driver.gateway.step = broken
+        began = loop.now()
+        assert outcome(lambda: execute(client, "select 1", timeout=1)) == "HYT00"
+        assert loop.now() - began < 1000
+        assert fleet.program.driver.forgotten == 1
+        assert [where for where, _ in fleet.seen.failures] == ["module"]
+
+    loop.run(main)
+
+
+# The core alone.
+
+
+class Dice:
+    """Engines by a seed: any end, after any time, some exactly when the time is up."""
+
+    def __init__(self, loop, seed):
+        self.loop, self.random = loop, Random(seed)
+        self.out = self.most = 0
+
+    def attempt(self, engine, order):
+        draw = self.random
+        left = order.deadline_ms - self.loop.now()
+        took = draw.choice([left, left - 1e-9, draw.expovariate(1 / 60.0), draw.uniform(0.0, 2 * left)])
+        self.out += 1
+        try:
+            self.loop.sleep(min(took, left))
+        finally:
+            self.out -= 1
+        if took > left:
+            return AttemptEnd("timeout")
+        end = draw.choice(["ok"] * 8 + ["error", "full", "connect_failed", "reset"])
+        return AttemptEnd(end, result=Result() if end == "ok" else None)
+
+    def probe(self, engine):
+        return AttemptEnd("ok")
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_every_query_ends_once_and_in_time_whatever_attempts_do(seed):
+    loop = SimLoop(seed)
+    settings = api.Settings(
+        classes=(api.QueryClass("a", 300.0, 1000.0, 1.0), api.QueryClass("b", 900.0, 3000.0, 9.0, threads=4),
+                 api.QueryClass("c", 300.0, 1500.0, 2.0, effect="keyed", memory_ms=800.0, serial=True),
+                 api.QueryClass("d", 300.0, 1500.0, 2.0, effect="unsafe")),
+        kind_cores=(8,), can_cancel=True, max_attempts=3, parallel=seed % 2 == 0, retry_after=True,
+        max_retry_after_ms=200.0, settle_ms=100.0, budget_free=3.0, budget_share=0.2, budget_ms=5000.0)
+    answers, random = {}, Random(seed)
+
+    def main():
+        driver = Driver(loop, settings, Dice(loop, seed), Silent(), seed=seed, max_open=150, margin_ms=20.0)
+        driver.post(api.EngineList("full", tuple(api.EngineEntry(f"e{i}:1") for i in range(3))))
+        entries = []
+        for _ in range(400):
+            loop.sleep(random.expovariate(1 / 6.0))
+            c = random.randrange(4)
+            give_up = settings.classes[c].give_up_ms * random.choice([1.0, 1.0, 0.1, 0.02])
+            entry = driver.submit(
+                Submission(c, "x", loop.now() + give_up, key=random.choice("klm"), work_ms=50.0),
+                lambda e: answers.setdefault(e, []).append((e.answer.kind, loop.now())))
+            entries.append(entry)
+            if random.random() < 0.1:
+                loop.after(random.uniform(0, 200), lambda e=entry: driver.leave(e, "left"))
+        loop.sleep(10_000)
+        assert all(len(answers[e]) == 1 for e in entries)
+        assert all(answers[e][0][1] <= e.submission.deadline_ms for e in entries)
+        assert {a[0][0] for a in answers.values()} == {"served", "refused", "failed", "left"}
+        assert driver.ledger.balanced() and not driver.ledger.entries and not driver.gateway.queries
+        assert driver.forgotten == driver.step_errors == 0
+
+    loop.run(main)
+
+
+def test_a_registered_client_package_reads_rows():
+    """Impyla, blocking, in a thread of its own, against the controller on sockets."""
+    import threading
+
+    from impala.dbapi import connect
+
+    loop, got = RealLoop(), {}
+
+    def user(port, mechanism):
+        with connect("127.0.0.1", port, auth_mechanism=mechanism, user="ann", password="x") as there:
+            cursor = there.cursor()
+            cursor.execute("select * from t", configuration={"standin.rows": "1234"})
+            got[mechanism] = cursor.fetchall()
+            cursor.execute("select 1", configuration={"standin.rows": "2"})
+            got[mechanism + " again"] = cursor.fetchall(), [c[0] for c in cursor.description]
+
+    def main(fleet):
+        for mechanism in ("PLAIN", "NOSASL"):
+            thread = threading.Thread(target=user, args=(fleet.program.address.port, mechanism), daemon=True)
+            thread.start()
+            while thread.is_alive():
+                loop.sleep(5)
+        assert ledger(fleet).counts[0] == {"taken": 4, "served": 4}
+
+    play(main, loop)
+    for mechanism in ("PLAIN", "NOSASL"):
+        assert got[mechanism] == [(i, f"row {i}") for i in range(1234)]
+        assert got[mechanism + " again"] == ([(0, "row 0"), (1, "row 1")], ["id", "name"])
+
+
+def test_memory_holds_nothing_of_queries_and_connections_that_are_gone():
+    def main(fleet):
+        def round_of_queries():
+            for _ in range(10):
+                client = fleet.client()
+                for i in range(5):
+                    handle = execute(client, "select 1", asynchronous=i % 2 == 0)
+                    if i % 3:
+                        client.call("CloseOperation", hs2.TCloseOperationReq(handle))
+                client.drop()
+            fleet.loop.sleep(12_000)
+            return len(fleet.loop.tasks), len(fleet.loop.timers), len(fleet.program.links.pools)
+
+        first = round_of_queries()
+        for _ in range(5):
+            assert round_of_queries() == first
+        assert empty(fleet) and not fleet.program.service.sessions and not fleet.program.front.connections
+
+    play(main, limit=200_000)
+
+
+def test_frames_of_another_length_than_their_message_are_refused():
+    def main(fleet):
+        call = open_session(None, 1)
+        stream = raw(fleet, pack(">i", len(call) + 3) + call + b"xyz")
+        with fleet.loop.deadline(1000), pytest.raises(StreamReset):
+            while stream.read():
+                pass
+            raise StreamReset
+        assert fleet.program.front.malformed == 1
+
+    play(main)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -449,3 +449,29 @@
     d.ask(1, cls=1, work=4000.0)
     d.step(note)
     assert of(d.run(9000.0), api.Cancel)
+
+
+def test_a_class_without_estimates_and_stretch_is_served_from_its_first_query_on():
+    drive = Drive()
+    assert sends(drive.ask(1, work=None)) != []
+    assert sends(drive.ask(2, cls=1, work=None)) != []
+
+
+def test_an_engine_that_errs_time_after_time_is_left_alone_like_one_that_breaks():
+    drive = Drive()
+    drive.ask(0)
+    bad = drive.tries[0][0]
+    drive.answer(0, "error", took=1.0, attempt=0)
+    for query in range(1, 12):
+        if drive.tries.get(query - 1, [bad])[-1] == bad and query > 1:
+            drive.answer(query - 1, "error", took=1.0)
+        drive.ask(query)
+    assert [drive.tries[q][0] for q in range(8, 12)].count(bad) == 0
+
+
+def test_a_query_that_errs_everywhere_shuts_no_engine():
+    drive = Drive(engines=4)
+    drive.ask(1)
+    for _ in range(4):
+        drive.answer(1, "error", took=1.0)
+    assert not any(e.shut_until for e in drive.gateway.engines.values())
