--- a/fennelwind/audit/record.py
+++ b/fennelwind/audit/record.py
@@ -47,10 +47,10 @@
             self._end()
         return data
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes, within_ms: float | None = None) -> None:
         self.wire.pieces.append((self.now(), OUT, bytes(data)))
         try:
-            self.stream.write(data)
+            self.stream.write(data, within_ms)
         except OSError:
             self._end()
             raise
--- a/fennelwind/cli/demo.py
+++ b/fennelwind/cli/demo.py
@@ -1,6 +1,7 @@
 """Plays a bad day: a controller in its own process, stand-ins here, the verdict from the bytes between."""
 
 import json
+import signal
 import subprocess
 import sys
 import tempfile
@@ -13,8 +14,9 @@
 from fennelwind import config
 from fennelwind.audit import Recorder, audit, read_trace
 from fennelwind.audit.rules import SHOWN, Verdict, served_share
+from fennelwind.cli.output import table
 from fennelwind.config import settings_pb2 as pb
-from fennelwind.loop import RealLoop, parse_address
+from fennelwind.loop import Once, RealLoop, parse_address
 from fennelwind.standin.day import Day, load_script
 
 DEPLOY = Path(__file__).parent.parent.parent / "deploy"
@@ -60,14 +62,6 @@
             "rules": {v.rule: {"checks": v.checks, "breaks": len(v.breaks)} for v in verdicts}}
 
 
-def table(rows: list[list[str]]) -> str:
-    """Return rows as aligned columns, the first one to the left."""
-    widths = [max(len(row[i]) for row in rows) for i in range(len(rows[0]))]
-    return "\n".join("  ".join(
-        cell.ljust(width) if i == 0 else cell.rjust(width)
-        for i, (cell, width) in enumerate(zip(row, widths, strict=True))) for row in rows)
-
-
 def show(told: dict, verdicts: list[Verdict]) -> None:
     """Print the day's figures."""
     columns = list(next(iter(told["classes"].values())))
@@ -151,9 +145,6 @@
 
 def _keep(loop: RealLoop, child: Child) -> None:
     """Leave all up until SIGTERM or SIGINT, or until the controller ends."""
-    import signal
-
-    from fennelwind.loop import Once
     stop = Once(loop)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.on_signal(number, stop.set)
--- a/fennelwind/cli/main.py
+++ b/fennelwind/cli/main.py
@@ -8,10 +8,14 @@
 import click
 
 from fennelwind import __version__, config
+from fennelwind.cli.bench import bench
 from fennelwind.cli.demo import demo
 from fennelwind.cli.program import Program
+from fennelwind.cli.query import query
+from fennelwind.cli.standin import standin
 from fennelwind.loop import Once, RealLoop, parse_address
 from fennelwind.observe import LogObserver, configure
+from fennelwind.observe.sampler import Sampler
 
 
 class AddressType(click.ParamType):
@@ -61,7 +65,9 @@
 @click.option("--log", "form", type=click.Choice(["console", "json"]), default="console", show_default=True)
 @click.option("--answers", is_flag=True, help="Log a line for each final answer.")
 @click.option("--seed", type=int, default=None, help="Seed of the decisions; drawn if not given.")
-def serve(file: Path, form: str, answers: bool, seed: int | None) -> None:
+@click.option("--sample", type=click.Path(dir_okay=False, path_type=Path), default=None,
+              help="Write to this file, at the end, which part of the program the CPU time went to.")
+def serve(file: Path, form: str, answers: bool, seed: int | None, sample: Path | None) -> None:
     """Run a controller until SIGTERM or SIGINT. Prints one line of JSON once it listens."""
     settings = load(file)
     configure(form)
@@ -82,7 +88,12 @@
             loop.on_signal(number, stop.set)
         click.echo(json.dumps({"ready": True, "listen": str(program.address)}))
         observer.log.info("listening", address=str(program.address), seed=seed)
+        sampler = Sampler()
+        if sample is not None:
+            sampler.start()
         stop.wait()
+        if sample is not None:
+            sampler.write(sample)
         program.close()
         ledger, driver = program.driver.ledger, program.driver
         observer.log.info(
@@ -92,7 +103,8 @@
     loop.run(run)
 
 
-main.add_command(demo)
+for command in (bench, demo, query, standin):
+    main.add_command(command)
 
 if __name__ == "__main__":
     main()
--- a/fennelwind/engines/links.py
+++ b/fennelwind/engines/links.py
@@ -13,7 +13,7 @@
 """
 
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 
 from fennelwind.config import settings_pb2 as pb
 from fennelwind.core.types import AttemptEnd, Order, Result
@@ -35,6 +35,7 @@
 TRANSPORTS = {pb.EngineLinks.SASL: SASL, pb.EngineLinks.BUFFERED: BUFFERED, pb.EngineLinks.FRAMED: FRAMED}
 REAP_MS = 5000.0  # ms that cancelling and closing an operation left behind may take
 REAPERS = 64  # operations reaped at once, over all engines; beyond it the engine's own time-outs have to do
+CLOSE_AFTER_MS = 25.0  # ms that an answered operation stays open for the next statement to close it
 CLOSE_MS = 2000.0  # ms that closing an answered operation may take, else its link is dropped
 POLL_FIRST_MS, POLL_MOST_MS = 2.0, 50.0  # ms between looks at engines that answer a status at once
 PROBE_MS = 1000.0  # ms that a probe may take
@@ -61,6 +62,9 @@
         self.received = 0  # bytes
         self.idle_since = 0.0
         self._replies: list[Message] = []
+        self._prepared: list[bytes] = []
+        self.closing: Structure | None = None  # an answered operation that is still to be closed
+        self.closing_sent: int | None = None
 
     def open(self) -> None:
         """Connect and open a session."""
@@ -82,11 +86,24 @@
     def send(self, method: str, request: Structure) -> int:
         """Send a call; return its sequence id, to be given to `reply`, in the same order."""
         sequence, raw = self.side.call(method, request)
+        if self._prepared:
+            raw = b"".join([*self._prepared, raw])
+            self._prepared.clear()
         self.stream.write(raw)
         return sequence
 
+    def prepare(self, method: str, request: Structure) -> int:
+        """Make a call that goes out together with the next one; return its sequence id."""
+        sequence, raw = self.side.call(method, request)
+        self._prepared.append(raw)
+        return sequence
+
     def reply(self, sequence: int) -> Structure:
         """Wait for the reply to a call. Raises `RemoteError`, `Malformed` or `StreamReset`."""
+        closing, self.closing_sent = self.closing_sent, None
+        if closing is not None:
+            with suppress(RemoteError):  # it was closed already
+                self.reply(closing)
         while not self._replies:
             self._receive()
         message = self._replies.pop(0)
@@ -102,6 +119,18 @@
             raise RemoteError(f"{message.method}: {said}", status)
         return message.body
 
+    def prepare_close(self) -> None:
+        """Let the next call close the operation that was answered last, if it is still open."""
+        if self.closing is not None:
+            handle, self.closing = self.closing, None
+            self.closing_sent = self.prepare("CloseOperation", hs2.TCloseOperationReq(handle))
+
+    def close_operation(self) -> None:
+        """Close the operation that was answered last."""
+        handle, self.closing = self.closing, None
+        with suppress(RemoteError):  # it is closed already; the link is as good as before
+            self.call("CloseOperation", hs2.TCloseOperationReq(handle))
+
     def _receive(self) -> None:
         data = self.stream.read()
         if not data:
@@ -176,6 +205,8 @@
         self.loop, self.settings = loop, settings
         self.report_fields = frozenset(report_fields)
         self.pools: dict[str, Pool] = {}
+        self._to_close: list[tuple[Pool, Link]] = []
+        self._closing = False
         self.reaping = 0
         self.reaped = 0  # operations left behind that were cancelled and closed
         self.unreaped = 0  # those that could not be reached, or were too many
@@ -223,12 +254,26 @@
         return {key: value for key, value in figures.items() if key in self.report_fields}
 
     def finish(self, pool: Pool, link: Link, handle: Structure) -> None:
-        """Close an answered operation and keep its link."""
+        """Keep an answered operation's link; the operation is closed with the link's next call, or soon."""
+        link.closing = handle
+        pool.put(link)
+        self._to_close.append((pool, link))
+        if not self._closing:
+            self._closing = True
+            self.loop.after(CLOSE_AFTER_MS, self._close_idle)
+
+    def _close_idle(self) -> None:
+        """Close what was answered a while ago on links that nobody has used since."""
+        links, self._to_close, self._closing = self._to_close, [], False
+        for pool, link in links:
+            if link.closing is not None and link in pool.idle:
+                pool.idle.remove(link)
+                self.loop.spawn(self._close, pool, link, name="close operation")
+
+    def _close(self, pool: Pool, link: Link) -> None:
         try:
             with self.loop.deadline(CLOSE_MS):
-                link.call("CloseOperation", hs2.TCloseOperationReq(handle))
-        except RemoteError:
-            pass  # it is closed already; the link is as good as before
+                link.close_operation()
         except (OSError, Malformed):
             pool.drop(link)
             return
@@ -313,7 +358,7 @@
             yield
         except RemoteError:  # the link is in step; the operation has ended, but may still be there
             if self.handle is not None:
-                self.loop.spawn(self.links.finish, self.pool, self.link, self.handle, name="close operation")
+                self.links.finish(self.pool, self.link, self.handle)
             elif self.link is not None:
                 self.pool.put(self.link)
             raise
@@ -334,13 +379,14 @@
         request = hs2.TExecuteStatementReq(
             sessionHandle=link.session, statement=said.statement, confOverlay=overlay, runAsync=True)
         self.sent = True
+        link.prepare_close()
         reply = link.call("ExecuteStatement", request)
         self.handle = reply.operationHandle
         if self.handle is None:
             raise Malformed("an operation without a handle")
         self._wait()
         result = self._fetch() if self.handle.hasResultSet else Result()
-        self.loop.spawn(self.links.finish, self.pool, link, self.handle, name="close operation")
+        self.links.finish(self.pool, link, self.handle)
         return result
 
     def _wait(self) -> None:
@@ -380,9 +426,9 @@
         """Fetch the schema and all pages, the first page together with the schema."""
         link, settings = self.link, self.links.settings
         before = link.received
-        schema_sent = link.send("GetResultSetMetadata", hs2.TGetResultSetMetadataReq(self.handle))
         request = hs2.TFetchResultsReq(
             operationHandle=self.handle, orientation=hs2.FETCH_NEXT, maxRows=settings.page_rows, fetchType=0)
+        schema_sent = link.prepare("GetResultSetMetadata", hs2.TGetResultSetMetadataReq(self.handle))
         page_sent = link.send("FetchResults", request)
         schema = link.reply(schema_sent).schema
         pages = []
--- a/fennelwind/fronts/hs2/server.py
+++ b/fennelwind/fronts/hs2/server.py
@@ -76,6 +76,7 @@
         self.line = Channel(front.loop, PIPELINED)
         self.worker: Task | None = None
         self.heard = self.partial_since = 0.0
+        self.timer = None
 
     def run(self) -> None:
         """Serve the client until it leaves."""
@@ -93,6 +94,8 @@
         finally:
             front.connections.pop(self, None)
             self.line.close()
+            if self.timer is not None:
+                self.timer.cancel()
             if self.worker is not None:
                 self.worker.cancel()
             for guid in self.sessions:
@@ -102,17 +105,10 @@
             self.stream.close()
 
     def _read(self) -> None:
-        idle = self.front.settings.idle_ms
         self.heard = self.partial_since = self.loop.now()
+        self.timer = self.loop.after(self.front.settings.idle_ms, self._look)
         while True:
-            try:
-                with self.loop.deadline_at((self.partial_since if self.side.waiting else self.heard) + idle):
-                    data = self.stream.read()
-            except DeadlineExceeded:
-                if self.worker is None or self.side.waiting:
-                    raise
-                self.heard = self.loop.now()  # it waits for an answer of ours: that is not idle
-                continue
+            data = self.stream.read()
             if not data:
                 return
             self.heard = self.loop.now()
@@ -120,6 +116,21 @@
                 self.partial_since = self.heard
             self._take(self.side.receive(data))
 
+    def _look(self) -> None:
+        """End the connection if its client was silent, or within one message, for too long; else look again.
+
+        One timer that looks now and then costs far less than a deadline for each read.
+        """
+        now, idle = self.loop.now(), self.front.settings.idle_ms
+        since = self.partial_since if self.side.waiting else self.heard
+        if self.worker is not None and not self.side.waiting:
+            since = now  # it waits for an answer of ours: that is not idle
+        if now - since >= idle:
+            self.front.idled += 1
+            self.stream.close()
+        else:
+            self.timer = self.loop.at(since + idle, self._look)
+
     def _take(self, events: list[Message | Login]) -> None:
         for event in events:
             self.partial_since = self.heard
@@ -186,5 +197,4 @@
                 message.method, messages.REPLY, message.sequence, reply, message.strict)))
 
     def _write(self, data: bytes) -> None:
-        with self.loop.deadline(self.front.settings.idle_ms):
-            self.stream.write(data)
+        self.stream.write(data, self.front.settings.idle_ms)
--- a/fennelwind/loop/real.py
+++ b/fennelwind/loop/real.py
@@ -162,37 +162,48 @@
 class SocketStream:
     """A connected socket."""
 
-    __slots__ = ("loop", "sock", "peer")
+    __slots__ = ("loop", "sock", "peer", "drained")
 
     def __init__(self, loop: RealLoop, sock: socket.socket, peer: Address) -> None:
         self.loop, self.sock, self.peer = loop, sock, peer
+        self.drained = False  # the last read took all there was
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def read(self, most: int = READ_MOST) -> bytes:
         """Return some bytes, b"" at the end; wait for them."""
         while True:
+            if self.drained:  # a look would find nothing: in a dialogue nearly every read comes to here
+                self.loop.watch(self.sock.fileno(), READ).wait()
+                if self.sock.fileno() < 0:
+                    return b""
             try:
-                return self.sock.recv(most)
+                data = self.sock.recv(most)
             except AGAIN:
-                self.loop.watch(self.sock.fileno(), READ).wait()
+                self.drained = True
+                continue
             except OSError as exc:
                 if self.sock.fileno() < 0:
                     return b""
                 raise StreamReset(exc.errno, f"{self.peer}: {exc.strerror}") from None
-            if self.sock.fileno() < 0:
-                return b""
+            self.drained = 0 < len(data) < most
+            return data
 
-    def write(self, data: bytes) -> None:
-        """Hand all bytes on; wait while the peer takes none."""
+    def write(self, data: bytes, within_ms: float | None = None) -> None:
+        """Hand all bytes on; wait while the peer takes none, for so long at most."""
         try:
             sent = self.sock.send(data)
-            if sent == len(data):
-                return
         except AGAIN:
             sent = 0
         except OSError as exc:
             raise StreamReset(exc.errno, f"{self.peer}: {exc.strerror}") from None
-        rest = memoryview(data)[sent:]
+        if sent < len(data):
+            if within_ms is None:
+                self._write_rest(memoryview(data)[sent:])
+            else:
+                with self.loop.deadline(within_ms):
+                    self._write_rest(memoryview(data)[sent:])
+
+    def _write_rest(self, rest: memoryview) -> None:
         while rest:
             if self.sock.fileno() < 0:
                 raise StreamReset(errno.EPIPE, f"{self.peer}: closed here")
--- a/fennelwind/loop/sim.py
+++ b/fennelwind/loop/sim.py
@@ -153,8 +153,12 @@
             pipe.writer.wake()
         return data
 
-    def write(self, data: bytes) -> None:
-        """Hand all bytes on; wait while the pipe is full."""
+    def write(self, data: bytes, within_ms: float | None = None) -> None:
+        """Hand all bytes on; wait while the pipe is full, for so long at most."""
+        if within_ms is not None and len(data) > PIPE_BYTES - self.outward.held:
+            with self.loop.deadline(within_ms):
+                self.write(data)
+            return
         pipe, rest = self.outward, memoryview(data)
         while rest:
             if self.closed or pipe.reset:
--- a/fennelwind/loop/streams.py
+++ b/fennelwind/loop/streams.py
@@ -39,8 +39,11 @@
     def read(self, most: int = READ_MOST) -> bytes:
         """Return some bytes, b"" at the end; wait for them. Raises `StreamReset`."""
 
-    def write(self, data: bytes) -> None:
-        """Hand all bytes on; waiting while the peer takes none. Raises `StreamReset`."""
+    def write(self, data: bytes, within_ms: float | None = None) -> None:
+        """Hand all bytes on, waiting while the peer takes none, for so long at most.
+
+        Raises `StreamReset`, and `DeadlineExceeded` when the time is up.
+        """
 
     def broken(self) -> bool:
         """Tell, without waiting, whether an idle connection was closed or sent what nobody asked for."""
--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -403,7 +403,8 @@
         barred = (
             query.attempts and not self._budget_left() or query.out and not self.set.parallel
             or query.line is not None and not query.attempts and self.rest.get(query.line, 0.0) > self.now)
-        query.weight = self.work[query.c] * max(1.0, self.best[query.c])  # usual; estimates may lie low
+        told = query.span * query.cls.threads  # estimates may lie low: at least the usual
+        query.weight = max(told, self.work[query.c]) * max(1.0, self.best[query.c])
         engine = None if barred else self._choose(query)
         if engine is None:
             return False
@@ -455,7 +456,9 @@
         allowed = [e for e in near if self._permitted(query, e)]
         allowed = allowed or [e for e in self.ready if self._permitted(query, e)]
         healthy = [e for e in allowed if not e.suspect]
-        pool = [e for e in healthy if e.entry.engine not in tried] or healthy or allowed
+        # Where nothing healthy is left, what failed this query a moment ago would only fail it again.
+        rested = [e for e in allowed if e.entry.engine not in tried or e.shut_until <= self.now]
+        pool = [e for e in healthy if e.entry.engine not in tried] or healthy or rested
         loads = {}
         for engine in pool:
             if full or engine.threads and engine.threads + wide > self._limit(engine):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -475,3 +475,24 @@
     for _ in range(4):
         drive.answer(1, "error", took=1.0)
     assert not any(e.shut_until for e in drive.gateway.engines.values())
+
+
+def test_a_query_does_not_burn_its_attempts_on_engines_that_failed_it_a_moment_ago():
+    drive = Drive(engines=2)
+    drive.ask(1)
+    drive.answer(1, "connect_failed", took=1.0)
+    drive.answer(1, "connect_failed", took=1.0)
+    assert len(drive.tries[1]) == 2 and len(set(drive.tries[1])) == 2  # each engine once, then it waits
+    later = drive.run(3000)
+    assert [q for q, _ in sends(later)][:1] == [1] or drive.gateway.queries == {}
+
+
+def test_a_query_told_to_be_large_weighs_on_a_cold_engine_by_what_it_was_told():
+    entries = (api.EngineEntry("e0", launched_ms=990.0),)
+    drive = Drive(entries=entries, cold_share=0.5, cold_ms=10000.0, fall_multiple=1.0, fall_ms=1000.0)
+    budget = 1.0 * 0.5 * 8 * 1000.0 * rules.COLD_PART
+    for query in range(20):
+        drive.ask(query, cls=1, work=50.0)
+        drive.answer(query, took=20.0)
+    drive.ask(99, cls=1, work=1.5 * budget)  # far above the class's mean
+    assert 99 not in drive.tries
