Descriptors used up here are no fault of an engine's

With no descriptor left for a link, an attempt ended as connect_failed and the module shut a good engine; the test that uses descriptors up failed now and then by it. Such an attempt is moot now: never sent.

--- a/fennelwind/engines/links.py
+++ b/fennelwind/engines/links.py
@@ -7,6 +7,7 @@
 - before ExecuteStatement is written, whatever breaks is `connect_failed`, and a refused session is `full`
 - an engine's word `fennelwind-not-run` is `full`: turned away unseen
 - after it, a broken connection or bytes that are no reply are `reset`, an error status is `error`
+- with no descriptors left here, `moot`: never sent, and no fault of the engine's
 - `timeout` when the time is up, `cancelled` when called off; the operation left behind is reaped
 
 An operation is reaped over a link of its own: it is cancelled and closed, within a time and a number.
@@ -22,6 +23,7 @@
     ConnectFailed,
     DeadlineExceeded,
     Loop,
+    ShortOfDescriptors,
     Stream,
     StreamReset,
     parse_address,
@@ -338,6 +340,8 @@
             return self._end("timeout", "no answer in time")
         except LinksUsedUp as exc:
             return self._end("full", str(exc))
+        except ShortOfDescriptors as exc:
+            return self._end("moot", str(exc))
         except (OSError, Malformed) as exc:
             return self._end("reset" if self.sent else "connect_failed", str(exc))
         except RemoteError as exc:
--- a/fennelwind/loop/__init__.py
+++ b/fennelwind/loop/__init__.py
@@ -19,10 +19,18 @@
     Task,
 )
 from fennelwind.loop.sim import SimLoop
-from fennelwind.loop.streams import Address, ConnectFailed, Listener, Stream, StreamReset, parse_address
+from fennelwind.loop.streams import (
+    Address,
+    ConnectFailed,
+    Listener,
+    ShortOfDescriptors,
+    Stream,
+    StreamReset,
+    parse_address,
+)
 
 __all__ = [
     "Address", "Cancelled", "Channel", "ChannelClosed", "ChannelFull", "ConnectFailed", "Deadline",
-    "DeadlineExceeded", "Deadlock", "Listener", "Loop", "Once", "RealLoop", "SimLoop", "Stream",
-    "StreamReset", "Task", "parse_address",
+    "DeadlineExceeded", "Deadlock", "Listener", "Loop", "Once", "RealLoop", "ShortOfDescriptors",
+    "SimLoop", "Stream", "StreamReset", "Task", "parse_address",
 ]
--- a/fennelwind/loop/real.py
+++ b/fennelwind/loop/real.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 from fennelwind.loop.scheduler import Loop, Waiter
-from fennelwind.loop.streams import READ_MOST, Address, ConnectFailed, StreamReset
+from fennelwind.loop.streams import READ_MOST, Address, ConnectFailed, ShortOfDescriptors, StreamReset
 
 READ, WRITE = select.POLLIN | select.POLLRDHUP, select.POLLOUT
 BACK_OFF_MS = 100.0  # ms without accepting when descriptors are used up; what waits is taken then
@@ -71,7 +71,8 @@
         try:
             sock = socket.socket(socket.AF_INET6 if ":" in address.host else socket.AF_INET)
         except OSError as exc:
-            raise ConnectFailed(exc.errno, f"{address}: {exc.strerror}") from None
+            kind = ShortOfDescriptors if exc.errno in SHORT_OF else ConnectFailed
+            raise kind(exc.errno, f"{address}: {exc.strerror}") from None
         sock.setblocking(False)
         try:
             code = sock.connect_ex((address.host, address.port))
--- a/fennelwind/loop/streams.py
+++ b/fennelwind/loop/streams.py
@@ -27,6 +27,10 @@
     """No connection was established; nothing was sent."""
 
 
+class ShortOfDescriptors(ConnectFailed):
+    """No descriptor is left here; it says nothing of the peer."""
+
+
 class StreamReset(OSError):
     """The connection broke; what was sent may have arrived."""
 
