--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -170,3 +170,25 @@
     for name in ("rules.py", "state.py", "interface.py", "core/ledger.py", "core/types.py",
                  "thrift/transport.py"):
         assert not re.findall(pattern, (ROOT / name).read_text("utf-8"), re.M), name
+
+
+def test_probes_tell_a_good_engine_from_a_silent_a_dead_and_a_strange_one():
+    loop = SimLoop(1)
+
+    def main():
+        fleet = Fleet(loop)
+        links = fleet.program.links
+        silent = loop.listen(Address("127.0.0.1", 0))
+        strange = loop.listen(Address("127.0.0.1", 0))
+
+        def answer_nonsense():
+            strange.accept().write(b"HTTP/1.1 400 Bad Request\r\n\r\n")
+
+        loop.spawn(answer_nonsense)
+        fleet.engines[1].crash()
+        ends = [links.probe(name) for name in (
+            fleet.engines[0].name, fleet.engines[1].name, str(silent.address), str(strange.address))]
+        assert ends[0].load == {"active": 0.0}
+        return [end.status for end in ends]
+
+    assert loop.run(main) == ["ok", "connect_failed", "timeout", "error"]
