Memory that grew with every query: windows drop what is old, timers have coarser slots

The module kept every send and every query taken for ever where nothing asked for their sums (no cold engine, no further attempt), and each distinct millisecond of cancelled timers kept an empty slot until its time. Windows now drop what is too old when they are added to, and slots are 4 ms wide. The test of the windows failed before.

--- a/fennelwind/loop/timers.py
+++ b/fennelwind/loop/timers.py
@@ -1,7 +1,7 @@
 """Timers that are mostly cancelled.
 
-Nearly every timer of a controller is a time-out that never comes due. `TimerWheel` keeps one slot a
-millisecond that holds any timer, in a table, and a heap of the slots' numbers; both setting and cancelling
+Nearly every timer of a controller is a time-out that never comes due. `TimerWheel` keeps one slot every
+4 ms that holds any timer, in a table, and a heap of the slots' numbers; both setting and cancelling
 take constant time but for the first timer of a slot, and a cancelled timer is gone at once. `TimerHeap` is
 the plain structure it is measured against (`fennelwind bench timers`): it has to carry each cancelled timer
 until its time.
@@ -10,7 +10,7 @@
 import heapq
 from collections.abc import Callable
 
-SLOT_MS = 1.0  # ms; finer slots hold fewer timers each, coarser ones are sorted more when they come due
+SLOT_MS = 4.0  # ms; an emptied slot stays until its time, so finer ones cost memory, coarser ones sorting
 
 
 class Timer:
@@ -34,7 +34,7 @@
 
 
 class TimerWheel:
-    """Timers by slots of a millisecond; within a slot, and so overall, they come due in exact order."""
+    """Timers by slots of a few milliseconds; within a slot, and so overall, they come due in exact order."""
 
     def __init__(self) -> None:
         self._slots: dict[int, dict[int, Timer]] = {}
--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -144,7 +144,7 @@
         c = min(max(told.cls, 0), len(self.mean) - 1)
         cls = self.set.classes[c]
         if self.set.budget_ms:
-            self.taken.add(self.now)
+            self.taken.add(self.now, 1.0, self.now - self.set.budget_ms)
         self.credit = min(self.credit + RESCUE_SHARE, RESCUE_MOST)
         work = told.work_ms or self.work[c] or GUESS * cls.aim_ms * cls.threads
         span = max(work / cls.threads, 1.0)
@@ -409,11 +409,11 @@
         if engine is None:
             return False
         if query.attempts and self.set.budget_ms:
-            self.further.add(self.now)
+            self.further.add(self.now, 1.0, self.now - self.set.budget_ms)
         attempt = query.sent_to(engine, self.now)
         self.threads[query.short] += query.cls.threads
         self.busy[engine.entry.engine] = engine
-        engine.sends.add(self.now, query.weight)
+        engine.sends.add(self.now, query.weight, self.now - self.set.fall_ms)
         if query.cls.effect == "keyed" and query.anchor is None:
             query.anchor = attempt
         self._terms(query)
--- a/fennelwind/state.py
+++ b/fennelwind/state.py
@@ -117,8 +117,10 @@
     def __init__(self) -> None:
         self.items: deque[tuple[float, float]] = deque()
 
-    def add(self, now: float, amount: float = 1.0) -> None:
-        """Count an amount now."""
+    def add(self, now: float, amount: float = 1.0, since: float = float("-inf")) -> None:
+        """Count an amount now; what is older than `since` is dropped, as nobody may ask for a long time."""
+        while self.items and self.items[0][0] < since:
+            self.items.popleft()
         self.items.append((now, amount))
 
     def total(self, since: float) -> float:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -496,3 +496,13 @@
         drive.answer(query, took=20.0)
     drive.ask(99, cls=1, work=1.5 * budget)  # far above the class's mean
     assert 99 not in drive.tries
+
+
+def test_what_is_counted_over_a_window_is_kept_no_longer():
+    drive = Drive(budget_ms=2000.0, budget_free=2.0, budget_share=0.2, fall_multiple=2.0, fall_ms=1000.0)
+    for query in range(300):  # nothing ever asks for a further attempt, and no engine is cold
+        drive.ask(query, work=10.0)
+        drive.answer(query, took=10.0, after=50.0)
+    gateway = drive.gateway
+    assert len(gateway.taken.items) <= 2000.0 / 50.0 + 1
+    assert all(len(e.sends.items) <= 1000.0 / 50.0 + 1 for e in gateway.engines.values())
