--- /dev/null
+++ b/tests/hunt.py
@@ -0,0 +1,51 @@
+"""Looks for days in virtual time on which a rule breaks: `python tests/hunt.py FIRST LAST` plays a seed each.
+
+Not part of the tests: hundreds of days take minutes. A day that is found goes into a test of its own.
+"""
+
+import random
+import sys
+from multiprocessing import Pool
+from pathlib import Path
+
+sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parent.parent)]
+
+from simday import SCRIPT, SimDay  # noqa: E402 - found by the line above
+
+KINDS = ("HANG", "SLOW", "LOSE", "CUT", "CRASH", "DRAIN", "REPORT_LATE", "REFUSE", "ERROR", "TWICE",
+         "DISCOVERY_SILENT", "BURST")
+PROCESSES = 5
+
+
+def script(seed):
+    """Return the usual day with 2 to 8 faults of any sort, time, length and engines."""
+    draw, restarted = random.Random(seed), set()
+    text = SCRIPT.split("faults")[0]
+    for _ in range(draw.randint(2, 8)):
+        kind, at, length = draw.choice(KINDS), draw.uniform(200, 8000), draw.uniform(300, 4000)
+        engines = [e for e in range(4) if draw.random() < draw.choice([0.25, 0.5, 1])]
+        if kind in ("CRASH", "DRAIN"):  # an engine restarts once a day
+            engines = [e for e in engines if e not in restarted]
+            restarted.update(engines)
+        text += (f"faults {{ kind: {kind} at_ms: {at:.0f} for_ms: {length:.0f} "
+                 + " ".join(f"engines: {e}" for e in engines)
+                 + f" factor: {draw.choice([2, 4, 10]):.1f} late_ms: 2000 }}\n")
+    return text
+
+
+def play(seed):
+    """Play a day; return what was wrong with it, or None."""
+    day = SimDay(seed, script(seed))
+    driver = day.program.driver
+    counts = driver.ledger.second, driver.forgotten, driver.step_errors
+    if day.broken or day.errors or day.left != ({}, {}) or any(counts) or day.day.falls:
+        return seed, day.broken, day.errors[:3], counts, day.day.falls
+    return None
+
+
+if __name__ == "__main__":
+    first, last = int(sys.argv[1]), int(sys.argv[2])
+    with Pool(PROCESSES) as pool:
+        for found in filter(None, pool.imap_unordered(play, range(first, last))):
+            print(found, flush=True)
+    print("played", last - first)
