A live controller on the platform: its protocol as one more front and links

Need: users put the program in service on machines that speak nothing but the platform's protocol.

No structlog in run: it takes 9 of 32 MB.

--- a/fennelwind/core/driver.py
+++ b/fennelwind/core/driver.py
@@ -176,7 +176,11 @@
             self.observer.failed("module", exc)
             return
         for action in actions:
-            self._carry_out(action)
+            try:
+                self._carry_out(action)
+            except Exception as exc:  # the other actions are none the worse for it
+                self.step_errors += 1
+                self.observer.failed(f"carrying out {type(action).__name__}", exc)
 
     def _carry_out(self, action: api.Action) -> None:
         match action:
--- a/fennelwind/core/types.py
+++ b/fennelwind/core/types.py
@@ -13,7 +13,7 @@
     """A query as a front hands it in."""
 
     cls: int
-    statement: str
+    statement: str | bytes  # bytes where the engine's protocol hands it on unread
     deadline_ms: float  # the client gives up then
     user: str = ""
     tenant: int = 0
@@ -27,6 +27,8 @@
     request: str = ""  # its client's name for it, by which repeats are known; "": none
     method: str = "ExecuteStatement"  # or a metadata call, as the service names it
     arguments: Any = None  # a metadata call's request
+    engine_id: str = ""  # the query's name and class as engines are told them, where they are told any
+    engine_class: str = ""
 
 
 @dataclass(slots=True, frozen=True)
--- a/fennelwind/loop/__init__.py
+++ b/fennelwind/loop/__init__.py
@@ -28,7 +28,6 @@
     StreamReset,
     parse_address,
 )
-from fennelwind.loop.tls import TlsStream
 
 __all__ = [
     "TlsStream",
@@ -36,3 +35,12 @@
     "DeadlineExceeded", "Deadlock", "Listener", "Loop", "Once", "RealLoop", "ShortOfDescriptors",
     "SimLoop", "Stream", "StreamReset", "Task", "parse_address",
 ]
+
+
+def __getattr__(name: str) -> object:
+    """Load what brings a large library along only when it is asked for."""
+    if name == "TlsStream":
+        from fennelwind.loop.tls import TlsStream
+
+        return TlsStream
+    raise AttributeError(name)
--- a/fennelwind/loop/real.py
+++ b/fennelwind/loop/real.py
@@ -10,13 +10,15 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import suppress
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from fennelwind.loop.scheduler import Loop, Waiter
 from fennelwind.loop.streams import READ_MOST, Address, ConnectFailed, ShortOfDescriptors, StreamReset
 
+if TYPE_CHECKING:
+    from concurrent.futures import Future, ThreadPoolExecutor
+
 READ, WRITE = select.POLLIN | select.POLLRDHUP, select.POLLOUT
 BACK_OFF_MS = 100.0  # ms without accepting when descriptors are used up; what waits is taken then
 ASIDE_THREADS = 2  # what runs beside the loop must leave it a core
@@ -115,10 +117,12 @@
         """Make a call that takes long in a thread; wait for it. It must touch nothing of the loop's."""
         self._open_wake()
         if self._aside is None:
+            from concurrent.futures import ThreadPoolExecutor  # most programs on the loop never need it
+
             self._aside = ThreadPoolExecutor(ASIDE_THREADS, "fennelwind-aside")
         future, waiter = self._aside.submit(call, *args), Waiter(self)
 
-        def ended(_: Future) -> None:
+        def ended(_: "Future") -> None:
             self._came.append(waiter.wake)
             with suppress(BlockingIOError):  # a full pipe wakes the loop as well
                 os.write(self._wake_out, b"\0")
@@ -233,6 +237,15 @@
                 with self.loop.deadline(within_ms):
                     self._write_rest(memoryview(data)[sent:])
 
+    def push(self, data: bytes) -> int:
+        """Hand on what is taken without waiting; return how many bytes."""
+        try:
+            return self.sock.send(data)
+        except AGAIN:
+            return 0
+        except OSError as exc:
+            raise StreamReset(exc.errno, f"{self.peer}: {exc.strerror}") from None
+
     def _write_rest(self, rest: memoryview) -> None:
         while rest:
             if self.sock.fileno() < 0:
--- a/fennelwind/loop/scheduler.py
+++ b/fennelwind/loop/scheduler.py
@@ -8,6 +8,7 @@
 
 from collections import deque
 from collections.abc import Callable, Iterator
+from types import SimpleNamespace
 from typing import Any
 
 from greenlet import getcurrent, greenlet
@@ -144,6 +145,11 @@
             self.cancelled = True
             self.interrupt()
 
+    def absolve(self) -> None:
+        """Take a cancellation as heard: from here on the task may wait again, to leave things in order."""
+        self.cancelled = False
+        self.interrupted = any(scope.expired for scope in self.scopes)
+
     def join(self) -> Any:
         """Wait for the task's end; return its value or raise its error."""
         if not self.done:
@@ -286,6 +292,7 @@
         self.worst_delay_ms = 0.0
         self.errors = 0  # tasks that ended by an exception
         self.on_error: Callable[[Task, Exception], None] = self._count_error
+        self.callbacks = SimpleNamespace(name="a call of the loop's own")  # in a task's place for `on_error`
 
     # What a subclass fills in.
 
@@ -383,7 +390,11 @@
 
     def _call_ready(self) -> None:
         for _ in range(len(self.ready)):
-            self.ready.popleft()()
+            call = self.ready.popleft()
+            try:
+                call()
+            except Exception as exc:  # one call's failure must not end the program
+                self.on_error(self.callbacks, exc)
 
     def _call_timers(self) -> None:
         now = self.now()
@@ -392,7 +403,10 @@
             self.delay_ms += (late - self.delay_ms) * DELAY_PART
             self.worst_delay_ms = max(self.worst_delay_ms, late)
             if call is not None:  # one due earlier in this turn may have cancelled it
-                call()
+                try:
+                    call()
+                except Exception as exc:
+                    self.on_error(self.callbacks, exc)
 
     def _count_error(self, task: Task, exc: Exception) -> None:
         self.errors += 1
--- a/fennelwind/loop/sim.py
+++ b/fennelwind/loop/sim.py
@@ -179,6 +179,15 @@
             pipe.send(bytes(rest[:room]))
             rest = rest[room:]
 
+    def push(self, data: bytes) -> int:
+        """Hand on what is taken without waiting; return how many bytes."""
+        if self.closed or self.outward.reset:
+            raise StreamReset(errno.EPIPE, f"{self.peer}: broken pipe")
+        room = max(0, PIPE_BYTES - self.outward.held)
+        if room:
+            self.outward.send(data[:room])
+        return min(len(data), room)
+
     def broken(self) -> bool:
         """Tell whether the peer has closed an idle connection or sent what nobody asked for."""
         pipe = self.inward
--- a/fennelwind/loop/streams.py
+++ b/fennelwind/loop/streams.py
@@ -59,6 +59,13 @@
         """Close at once, so that the peer sees a reset."""
 
 
+class PushStream(Stream, Protocol):
+    """A stream without a layer of its own above the connection."""
+
+    def push(self, data: bytes) -> int:
+        """Hand on what is taken without waiting; return how many bytes. Raises `StreamReset`."""
+
+
 class Listener(Protocol):
     """Takes connections in."""
 
--- /dev/null
+++ b/fennelwind/node/front.py
@@ -0,0 +1,281 @@
+"""Clients over MessagePack-RPC: bytes into a `Submission`, a final answer into bytes, nothing else.
+
+A connection costs a task and a few hundred bytes. One sweep four times a second closes those that say
+nothing, leave a message half sent, or are idle for long; none with an open request is closed by it.
+"""
+
+from collections import Counter, deque
+
+from fennelwind.core.driver import Driver
+from fennelwind.core.ledger import Entry
+from fennelwind.core.types import LEFT, REFUSED, SERVED, Submission
+from fennelwind.loop.scheduler import DeadlineExceeded, Loop
+from fennelwind.loop.streams import Listener, PushStream, StreamReset
+from fennelwind.node import msgrpc
+from fennelwind.node.config import NodeConfig
+from fennelwind.node.requests import Unusable, read_request
+
+SWEEP_MS = 250.0  # ms between two looks at all connections
+SILENT_MS = 1800.0  # ms without a first message, or with one half sent; 3 s are what the platform allows
+IDLE_MS = 8000.0  # ms without an open request; usual clients close after 4 s
+OPEN_MOST = 32  # open requests on a connection, as the protocol states
+UNREAD_MOST = 262_144  # bytes of answers that a client leaves unread before no more of it is read
+WRITE_MS = 3000.0  # ms that a client may leave its answers unread; the longest that one is owed anything
+UNUSABLE_MOST = 3  # unusable requests on a connection; then it is closed
+READ_BYTES = 65536  # bytes of one read
+PARTIAL_MOST = 4_000_000  # bytes of messages half sent, over all connections
+ACCEPTED_AT_ONCE = 64  # connections taken in one turn; then what is open gets its turn
+
+
+class Connection:
+    """One client's connection."""
+
+    __slots__ = ("front", "stream", "reader", "since", "heard", "last", "open", "unread", "unread_bytes",
+                 "writing", "unusable", "partial", "partial_since", "closed")
+
+    def __init__(self, front: "Front", stream: PushStream) -> None:
+        self.front, self.stream, self.reader = front, stream, msgrpc.Reader()
+        self.since = front.loop.now()  # when it last came to be without an open request
+        self.heard = False  # a whole message has come
+        self.last = 0  # highest message id
+        self.open: dict[int, Entry] = {}
+        self.unread: deque[tuple[bytes, Entry | None]] = deque()  # answers that the peer has yet to take
+        self.unread_bytes = 0
+        self.writing = False
+        self.unusable = 0
+        self.partial = 0  # bytes of a message half sent
+        self.partial_since = 0.0
+        self.closed = False
+
+    def run(self) -> None:
+        """Read until the end."""
+        front = self.front
+        try:
+            while not self.closed:
+                data = self.stream.read(READ_BYTES)
+                if not data:
+                    break
+                for message in self.reader.feed(data):
+                    self.heard = True
+                    self._message(message)
+                    if self.closed:
+                        return
+                self._count_partial()
+                while self.unread_bytes > UNREAD_MOST and not self.closed:
+                    front.loop.sleep(SWEEP_MS)
+        except msgrpc.Malformed as exc:
+            front.unreadable(str(exc))
+        except StreamReset:
+            pass
+        finally:
+            self.close()
+
+    def _count_partial(self) -> None:
+        under_way = self.reader.under_way()
+        if under_way and not self.partial:
+            self.partial_since = self.front.loop.now()
+        self.front.partial += under_way - self.partial
+        self.partial = under_way
+        if self.front.partial > PARTIAL_MOST and under_way > PARTIAL_MOST // 100:
+            raise msgrpc.Malformed("too much is half sent over all connections")
+
+    def _message(self, message: msgrpc.Message) -> None:
+        if message.number is None:
+            self._notice(message)
+            return
+        if message.number <= self.last:
+            raise msgrpc.Malformed("message ids do not rise")
+        self.last = message.number
+        if message.method == "isWell":
+            self.send(msgrpc.result(message.number, [self.front.well, {}]), None)
+        elif len(self.open) >= OPEN_MOST:
+            self.refuse(message.number, self.front.driver.settings.max_retry_after_ms)
+        else:
+            self._request(message)
+
+    def _notice(self, message: msgrpc.Message) -> None:
+        if message.method != "forget":
+            return
+        for number in message.params:
+            entry = self.open.pop(number, None) if type(number) is int else None
+            if entry is not None:
+                self._let_go(entry)
+                self.front.driver.leave(entry, "its client has withdrawn it")
+
+    def _request(self, message: msgrpc.Message) -> None:
+        front = self.front
+        config, now = front.config, front.loop.now()
+        try:
+            asked = read_request(message.method, message.params, config.classes, config.tenants,
+                                 config.settings)
+            if asked.name in front.names:
+                raise Unusable("the id is that of an open request")
+        except Unusable as exc:
+            front.unusable(str(exc))
+            self.unusable += 1
+            self.send(msgrpc.error(message.number, "Unusable", {"m": str(exc)}), None)
+            if self.unusable >= UNUSABLE_MOST and not self.open:
+                self.close()
+            return
+        submission = Submission(
+            cls=asked.cls, statement=asked.statement, deadline_ms=now + asked.wait_ms, tenant=asked.tenant,
+            work_ms=asked.work_ms, memory_mb=asked.memory_mb, tables=asked.tables, repeat=asked.repeat,
+            engine_id=asked.name, engine_class=message.method)
+        front.names.add(asked.name)
+        number = message.number
+
+        def answered(entry: Entry) -> None:
+            self.open.pop(number, None)
+            self._let_go(entry)
+            self.answer(number, entry)
+
+        entry = front.driver.submit(submission, answered)
+        if entry.answer is None:
+            self.open[number] = entry
+
+    def _let_go(self, entry: Entry) -> None:
+        self.front.names.discard(entry.submission.engine_id)
+        if not self.open:
+            self.since = self.front.loop.now()
+
+    def answer(self, number: int, entry: Entry) -> None:
+        """Give a query's final answer."""
+        answer = entry.answer
+        if self.closed or answer.kind == LEFT:
+            return
+        if answer.kind == SERVED:
+            self.send(msgrpc.result(number, [b"".join(answer.result.pages), {}]), entry)
+        elif answer.kind == REFUSED:
+            self.refuse(number, answer.retry_after_ms, entry)
+        else:
+            self.send(msgrpc.error(number, "Failed", {"m": answer.reason[:200]}), entry)
+
+    def refuse(self, number: int, wait_ms: float, entry: Entry | None = None) -> None:
+        """Answer that a further try is harmless, and when."""
+        fields = {"w": str(int(wait_ms))} if wait_ms >= 1.0 else {}
+        self.send(msgrpc.error(number, "Shed", fields), entry)
+
+    def send(self, raw: bytes, entry: Entry | None) -> None:
+        """Hand an answer on; what the peer does not take at once waits, for some time."""
+        if self.closed:
+            return
+        if not self.unread:
+            try:
+                taken = self.stream.push(raw)
+            except StreamReset:
+                self.close()
+                return
+            if taken == len(raw):
+                if entry is not None:
+                    self.front.driver.delivered(entry)
+                return
+            raw = raw[taken:]
+        self.unread.append((raw, entry))
+        self.unread_bytes += len(raw)
+        if not self.writing:
+            self.writing = True
+            self.front.loop.spawn(self._write, name="client: answers")
+
+    def _write(self) -> None:
+        try:
+            while self.unread and not self.closed:
+                raw, entry = self.unread[0]
+                self.stream.write(raw, WRITE_MS)
+                self.unread.popleft()
+                self.unread_bytes -= len(raw)
+                if entry is not None:
+                    self.front.driver.delivered(entry)
+        except (StreamReset, DeadlineExceeded):
+            self.front.counts["unread"] += 1
+            self.close()
+        finally:
+            self.writing = False
+
+    def stale(self, now: float) -> str:
+        """Return why the connection is to be closed, if it is."""
+        if self.open or self.unread:
+            return ""
+        if self.partial and now - self.partial_since > SILENT_MS:
+            return "half_sent"
+        if not self.heard and now - self.since > SILENT_MS:
+            return "silent"
+        return "idle" if now - self.since > IDLE_MS else ""
+
+    def close(self) -> None:
+        """Close it; what is open on it is nobody's any more."""
+        if self.closed:
+            return
+        self.closed = True
+        self.front.partial -= self.partial
+        self.front.connections.discard(self)
+        for entry in list(self.open.values()):
+            self.front.names.discard(entry.submission.engine_id)
+            self.front.driver.leave(entry, "its client has closed the connection")
+        self.open.clear()
+        self.unread.clear()
+        self.stream.close()
+
+
+class Front:
+    """Takes clients in; `most` connections at a time."""
+
+    def __init__(self, loop: Loop, listener: Listener, driver: Driver, config: NodeConfig, most: int) -> None:
+        self.loop, self.listener, self.driver, self.config, self.most = loop, listener, driver, config, most
+        self.connections: set[Connection] = set()
+        self.names: set[str] = set()  # ids of open requests
+        self.well = True
+        self.partial = 0
+        self.counts: Counter[str] = Counter()
+        self.said = lambda _: None
+
+    def start(self) -> None:
+        """Start to take clients in."""
+        self.loop.spawn(self._accept, name="clients: accept")
+        self.loop.spawn(self._sweep, name="clients: sweep")
+
+    def _accept(self) -> None:
+        taken = 0
+        while True:
+            stream = self.listener.accept()
+            self.counts["accepted"] += 1
+            if len(self.connections) >= self.most and not self._make_room():
+                self.counts["turned_away"] += 1
+                stream.close()
+            else:
+                connection = Connection(self, stream)
+                self.connections.add(connection)
+                self.loop.spawn(connection.run, name="client")
+            taken += 1
+            if taken >= ACCEPTED_AT_ONCE:
+                taken = 0
+                self.loop.sleep(0.0)
+
+    def _make_room(self) -> bool:
+        """Close who needs a place least: one that never said anything, else the one idle longest."""
+        idle = [each for each in self.connections if not each.open and not each.unread]
+        if not idle:
+            return False
+        chosen = min(idle, key=lambda each: (each.heard, each.since))
+        self.counts["closed_for_room"] += 1
+        chosen.close()
+        return True
+
+    def _sweep(self) -> None:
+        while True:
+            self.loop.sleep(SWEEP_MS)
+            now = self.loop.now()
+            for connection in list(self.connections):
+                why = connection.stale(now)
+                if why:
+                    self.counts[f"closed_{why}"] += 1
+                    connection.close()
+
+    def unreadable(self, why: str) -> None:
+        """Count a connection that can't be read any further."""
+        self.counts["unreadable"] += 1
+        self.said(f"a client that can't be read: {why}")
+
+    def unusable(self, why: str) -> None:
+        """Count a request that can't be used."""
+        self.counts["unusable"] += 1
+        self.said(f"a request that can't be used: {why}")
--- /dev/null
+++ b/fennelwind/node/lifecycle.py
@@ -0,0 +1,166 @@
+"""A controller on the platform, put together: start, SIGHUP, SIGTERM."""
+
+import contextlib
+import gc
+import os
+import signal
+import sys
+import traceback
+from collections.abc import Callable
+
+from fennelwind.core.driver import Driver
+from fennelwind.core.ledger import Entry
+from fennelwind.core.types import SERVED, AttemptEnd
+from fennelwind.limits.lines import RateLimit
+from fennelwind.limits.margin import AnswerMargin
+from fennelwind.loop.real import RealLoop
+from fennelwind.loop.scheduler import Loop, Once
+from fennelwind.node.channel import Channel
+from fennelwind.node.config import ConfigError, NodeConfig, read_config
+from fennelwind.node.executors import Executors
+from fennelwind.node.front import Front
+
+MARGIN_LEAST_MS, MARGIN_MOST_MS = 15.0, 200.0  # bounds of the measured time of answers on their way
+CLIENTS_PART, EXECUTORS_PART = 0.55, 0.36  # of the descriptors; the rest is for files, channel and deletes
+STAY_MS = 1000.0  # ms after SIGTERM in which new connections and requests are still served
+LINGER_MS = 150.0  # ms for the last answers to leave
+GC_STEP = 20_000  # new objects between two collections; nearly all garbage here is freed by counts
+TEXT_MOST = 300  # letters of a line
+
+
+class Log:
+    """An observer that writes few lines to standard error, rate-limited by sort.
+
+    structlog alone takes 9 MB, of the 32 that the smallest limit leaves.
+    """
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self.limit = RateLimit(now)
+
+    def write(self, sort: str, text: str) -> None:
+        """Write a line, unless there were many of its sort."""
+        dropped = self.limit.allow(sort)
+        if dropped is not None:
+            more = f" ({dropped} such lines before were dropped)" if dropped else ""
+            with contextlib.suppress(OSError):  # nobody may read it
+                print(f"{sort}: {' '.join(text[:TEXT_MOST].split())}{more}", file=sys.stderr, flush=True)
+
+    def answered(self, entry: Entry) -> None:
+        """Write of a query that was not served."""
+        answer = entry.answer
+        if answer.kind != SERVED:
+            self.write(answer.kind, f"query {entry.query} of class {entry.submission.cls} after "
+                                    f"{entry.answered_ms - entry.taken_ms:.0f} ms: {answer.reason}")
+
+    def attempted(self, entry: Entry, number: int, engine: str, end: AttemptEnd, took_ms: float) -> None:
+        """Write of an attempt that did not end well."""
+        if end.status not in ("ok", "cancelled"):
+            self.write(end.status, f"query {entry.query} attempt {number} at {engine} after {took_ms:.0f} ms:"
+                                   f" {end.reason}")
+
+    def said(self, text: str) -> None:
+        """Write a note."""
+        self.write("note", text)
+
+    def failed(self, where: str, exc: BaseException) -> None:
+        """Write what broke and should not have."""
+        trace = " | ".join(traceback.format_exception(exc)[-3:])
+        self.write("broke", f"{where}: {trace[-TEXT_MOST:]}")
+
+
+class Node:
+    """A running controller."""
+
+    def __init__(self, loop: Loop, config: NodeConfig, log: Log) -> None:
+        self.loop, self.config, self.log = loop, config, log
+        settings = config.settings
+        self.links = Executors(
+            loop, report_fields=settings.report_fields, idle_ms=config.idle_ms, dial_ms=config.dial_ms,
+            most=int(config.sockets * EXECUTORS_PART), parallel=settings.parallel)
+        self.driver = Driver(
+            loop, settings, self.links, log, seed=config.seed, max_open=config.most_open,
+            margin=AnswerMargin(MARGIN_LEAST_MS, MARGIN_MOST_MS))
+        self.channel = Channel(loop, config.channel, self.links, zones=config.zones, kinds=config.kinds,
+                               post=self.driver.post, said=log.said)
+        self.front: Front | None = None
+
+    def start(self) -> None:
+        """Learn of the executors and listen for clients. Raises `OSError` if the address can't be had."""
+        listener = self.loop.listen(self.config.listen, 1024)
+        self.channel.take_known(self.config.cursor, self.config.events)
+        self.front = Front(self.loop, listener, self.driver, self.config,
+                           int(self.config.sockets * CLIENTS_PART))
+        self.front.said = self.log.said
+        self.links.start()
+        self.channel.start()
+        self.front.start()
+
+    def reload(self, text: str) -> None:
+        """Take a new file: its channel and what it knows; a file that can't be read changes nothing."""
+        try:
+            config = read_config(text)
+        except ConfigError as exc:
+            self.log.write("reload", f"the settings are as before: {exc}")
+            return
+        if config.settings != self.config.settings:
+            self.log.write("reload", "the module's settings differ; they hold from the next start on")
+        self.channel.take_known(config.cursor, config.events, "full")
+        if config.channel != self.channel.address:
+            self.channel.move(config.channel)
+        self.log.write("reload", f"command channel at {config.channel}")
+
+    def leave(self) -> None:
+        """Go in order: no longer well, but serving for some time, then until all that is open is answered."""
+        self.front.well = False
+        until = self.loop.now() + STAY_MS
+        longest = max(cls.give_up_ms for cls in self.config.settings.classes)
+        while self.loop.now() < until or self.driver.ledger.open and self.loop.now() < until + longest:
+            self.loop.sleep(25.0)
+        self.driver.closing = True
+        self.loop.sleep(LINGER_MS)
+        ledger = self.driver.ledger
+        self.log.write("closed", f"books agree: {ledger.balanced()}; open {ledger.open}, second answers "
+                                 f"{ledger.second}, forgotten {self.driver.forgotten}, step errors "
+                                 f"{self.driver.step_errors}; clients {dict(self.front.counts)}; executors "
+                                 f"{dict(self.links.counts)}; channel {dict(self.channel.counts)}")
+
+
+def main() -> int:
+    """Run a controller as the environment tells."""
+    path = os.environ.get("RELAY_CONFIG", "")
+    loop = RealLoop()
+    log = Log(loop.now)
+    loop.on_error = lambda task, exc: log.failed(task.name, exc)
+    try:
+        with open(path, encoding="utf-8") as file:
+            config = read_config(file.read())
+    except (OSError, UnicodeDecodeError, ConfigError) as exc:
+        print(f"RELAY_CONFIG {path!r}: {exc}", file=sys.stderr)
+        return 2
+
+    def reload(node: Node) -> None:
+        try:
+            with open(path, encoding="utf-8") as file:
+                node.reload(file.read())
+        except (OSError, UnicodeDecodeError) as exc:
+            log.write("reload", f"the settings are as before: {exc}")
+
+    def run() -> int:
+        node, stop = Node(loop, config, log), Once(loop)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.on_signal(number, stop.set)
+        loop.on_signal(signal.SIGHUP, lambda: reload(node))
+        try:
+            node.start()
+        except OSError as exc:
+            print(f"{config.listen}: {exc.strerror or exc}", file=sys.stderr)
+            return 2
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(GC_STEP, 10, 10)
+        log.write("listening", f"{config.name} on {config.listen}, {len(config.events)} events known")
+        stop.wait()
+        node.leave()
+        return 0
+
+    return loop.run(run)
--- /dev/null
+++ b/fennelwind/node/msgrpc.py
@@ -0,0 +1,83 @@
+"""MessagePack-RPC, incremental and bounded, without I/O.
+
+The `msgpack` package parses: its limits are checked when a length is read, before memory is taken for it,
+and its state survives between pieces, so a message that comes byte by byte is walked over once.
+"""
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgpack
+
+BODY_MOST = 65536  # bytes of one statement; generated statements are a few KB, and hundreds may be under way
+MESSAGE_MOST = 2 * BODY_MOST  # bytes of one message under way
+PARTS_MOST = 64  # members of one array or map; a request has a handful of fields
+TEXT_MOST = 4096  # bytes of one text; ids and numbers are far shorter
+NUMBER_MOST = 2**32 - 1  # message ids are 32 bits wide
+REQUEST, RESPONSE, NOTICE = 0, 1, 2
+
+
+class Malformed(Exception):
+    """What came is no message; the connection can't be read any further."""
+
+
+@dataclass(slots=True, frozen=True)
+class Message:
+    """A request, or a notice if `number` is None."""
+
+    number: int | None
+    method: str
+    params: list[Any]
+
+
+class Reader:
+    """Turns the bytes of one connection into messages."""
+
+    def __init__(self) -> None:
+        self._unpacker = msgpack.Unpacker(
+            raw=False, strict_map_key=True, read_size=1024, max_buffer_size=MESSAGE_MOST,
+            max_bin_len=BODY_MOST, max_str_len=TEXT_MOST, max_array_len=PARTS_MOST, max_map_len=PARTS_MOST,
+            max_ext_len=0)
+        self._fed = 0
+
+    def feed(self, data: bytes) -> list[Message]:
+        """Take some bytes; return the messages that are whole now. Raises `Malformed`."""
+        messages = []
+        for start in range(0, len(data), BODY_MOST):
+            try:
+                self._unpacker.feed(data[start:start + BODY_MOST])
+                self._fed += min(BODY_MOST, len(data) - start)
+                for value in self._unpacker:
+                    messages.append(_message(value))
+            except Malformed as exc:
+                raise Malformed(str(exc)) from None
+            except Exception as exc:  # the package raises many sorts, all of them for what it can't read
+                raise Malformed(f"{type(exc).__name__}: {str(exc)[:100]}") from None
+        return messages
+
+    def under_way(self) -> int:
+        """Return the bytes of a message that is not whole yet."""
+        return self._fed - self._unpacker.tell()
+
+
+def _message(value: object) -> Message:
+    if type(value) is list and len(value) == 4:
+        kind, number, method, params = value
+        if kind == REQUEST and type(kind) is int and type(number) is int and 0 <= number <= NUMBER_MOST \
+                and type(method) is str and type(params) is list:
+            return Message(number, method, params)
+    elif type(value) is list and len(value) == 3:
+        kind, method, params = value
+        if kind == NOTICE and type(kind) is int and type(method) is str and type(params) is list:
+            return Message(None, method, params)
+    raise Malformed("neither a request nor a notice")
+
+
+def result(number: int, value: list[Any]) -> bytes:
+    """Return the bytes of a response without an error."""
+    return msgpack.packb([RESPONSE, number, None, value])
+
+
+def error(number: int, name: str, fields: dict[str, str]) -> bytes:
+    """Return the bytes of a response that is an error."""
+    return msgpack.packb([RESPONSE, number, [name, fields], None])
--- a/fennelwind/observe/logs.py
+++ b/fennelwind/observe/logs.py
@@ -8,8 +8,8 @@
 
 from fennelwind.core.ledger import Entry
 from fennelwind.core.types import SERVED, AttemptEnd
+from fennelwind.limits.lines import RateLimit
 
-BURST, PER_S = 20.0, 5.0  # lines of one sort at once, and a second over time; enough to see what goes on
 TEXT_MOST = 300  # letters of a reason in a log
 
 
@@ -24,25 +24,6 @@
         logger_factory=structlog.PrintLoggerFactory(stream), cache_logger_on_first_use=True)
 
 
-class RateLimit:
-    """A bucket of lines for each sort; what does not fit is counted and told with the next line."""
-
-    def __init__(self, now: Callable[[], float]) -> None:
-        self.now = now
-        self._buckets: dict[str, tuple[float, float, int]] = {}  # lines left, when that was, lines dropped
-
-    def allow(self, sort: str) -> int | None:
-        """Return how many lines were dropped before this one; None if it is dropped too."""
-        now = self.now()
-        left, at, dropped = self._buckets.get(sort, (BURST, now, 0))
-        left = min(BURST, left + (now - at) / 1000.0 * PER_S)
-        if left < 1.0:
-            self._buckets[sort] = left, now, dropped + 1
-            return None
-        self._buckets[sort] = left - 1.0, now, 0
-        return dropped
-
-
 class LogObserver:
     """Logs what the core tells. `every_answer` gives a line for each final answer, without a limit."""
 
