--- a/fennelwind/loop/real.py
+++ b/fennelwind/loop/real.py
@@ -23,6 +23,7 @@
 BACK_OFF_MS = 100.0  # ms without accepting when descriptors are used up; what waits is taken then
 ASIDE_THREADS = 2  # what runs beside the loop must leave it a core
 SHORT_OF = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+HANGUP, TERMINATE, INTERRUPT = signal.SIGHUP, signal.SIGTERM, signal.SIGINT
 AGAIN = (BlockingIOError, InterruptedError)
 
 
--- a/fennelwind/node/lifecycle.py
+++ b/fennelwind/node/lifecycle.py
@@ -3,7 +3,6 @@
 import contextlib
 import gc
 import os
-import signal
 import sys
 import traceback
 from collections.abc import Callable
@@ -13,7 +12,7 @@
 from fennelwind.core.types import SERVED, AttemptEnd
 from fennelwind.limits.lines import RateLimit
 from fennelwind.limits.margin import AnswerMargin
-from fennelwind.loop.real import RealLoop
+from fennelwind.loop.real import HANGUP, INTERRUPT, TERMINATE, RealLoop
 from fennelwind.loop.scheduler import Loop, Once
 from fennelwind.node.channel import Channel
 from fennelwind.node.config import ConfigError, NodeConfig, read_config
@@ -147,9 +146,9 @@
 
     def run() -> int:
         node, stop = Node(loop, config, log), Once(loop)
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in (TERMINATE, INTERRUPT):
             loop.on_signal(number, stop.set)
-        loop.on_signal(signal.SIGHUP, lambda: reload(node))
+        loop.on_signal(HANGUP, lambda: reload(node))
         try:
             node.start()
         except OSError as exc:
