--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -175,8 +175,9 @@
     pattern = r"\b(?:open|print|input)\(|^\s*(?:import|from) (?:os|sys|fennelwind\.loop)\b"
     for name in ("rules.py", "state.py", "interface.py", "core/ledger.py", "core/types.py",
                  "thrift/transport.py", "core/sessions.py", "limits/margin.py", "limits/admission.py",
-                 "recovery/repeats.py", "engines/verdicts.py", "limits/logins.py", "client/retry.py", "limits/lines.py",
-                 "node/msgrpc.py", "node/http1.py", "node/statement.py", "node/requests.py"):
+                 "recovery/repeats.py", "engines/verdicts.py", "limits/logins.py", "client/retry.py",
+                 "limits/lines.py", "node/msgrpc.py", "node/http1.py", "node/statement.py",
+                 "node/requests.py"):
         assert not re.findall(pattern, (ROOT / name).read_text("utf-8"), re.M), name
 
 
