--- a/fennelwind/node/msgrpc.py
+++ b/fennelwind/node/msgrpc.py
@@ -51,6 +51,8 @@
                 for value in self._unpacker:
                     messages.append(_message(value))
                     self._read = self._unpacker.tell()
+                if self.under_way() > MESSAGE_MOST:  # what was looked at is in no buffer any more
+                    raise Malformed("a message without an end")
             except Malformed as exc:
                 raise Malformed(str(exc)) from None
             except Exception as exc:  # the package raises many sorts, all of them for what it can't read
