--- a/fennelwind/node/front.py
+++ b/fennelwind/node/front.py
@@ -57,7 +57,6 @@
                 if not data:
                     break
                 for message in self.reader.feed(data):
-                    self.heard = True
                     self._message(message)
                     if self.closed:
                         return
@@ -87,6 +86,11 @@
         if message.number <= self.last:
             raise msgrpc.Malformed("message ids do not rise")
         self.last = message.number
+        if not self.heard:
+            self.heard = True
+            front = self.front
+            del front.unheard[self]
+            front.idle[self] = None
         if message.method == "isWell":
             self.send(msgrpc.result(message.number, [self.front.well, {}]), None)
         elif len(self.open) >= OPEN_MOST:
@@ -133,11 +137,14 @@
         entry = front.driver.submit(submission, answered)
         if entry.answer is None:
             self.open[number] = entry
+            front.idle.pop(self, None)
 
     def _let_go(self, entry: Entry) -> None:
         self.front.names.discard(entry.submission.engine_id)
-        if not self.open:
+        if not self.open and not self.closed:
             self.since = self.front.loop.now()
+            self.front.idle.pop(self, None)
+            self.front.idle[self] = None
 
     def answer(self, number: int, entry: Entry) -> None:
         """Give a query's final answer."""
@@ -202,19 +209,14 @@
             return "silent"
         return "idle" if now - self.since > IDLE_MS else ""
 
-    def rank(self, now: float) -> int:
-        """Return how much an idle connection needs its place: 0 little, 2 most."""
-        if self.heard and not self.partial:
-            return 1
-        return 0 if now - self.since > MUTE_MS else 2
-
     def close(self) -> None:
         """Close it; what is open on it is nobody's any more."""
         if self.closed:
             return
         self.closed = True
         self.front.partial -= self.partial
-        self.front.connections.discard(self)
+        for table in (self.front.connections, self.front.unheard, self.front.idle):
+            table.pop(self, None)
         for entry in list(self.open.values()):
             self.front.names.discard(entry.submission.engine_id)
             self.front.driver.leave(entry, "its client has closed the connection")
@@ -228,7 +230,10 @@
 
     def __init__(self, loop: Loop, listener: Listener, driver: Driver, config: NodeConfig, most: int) -> None:
         self.loop, self.listener, self.driver, self.config, self.most = loop, listener, driver, config, most
-        self.connections: set[Connection] = set()
+        self.connections: dict[Connection, None] = {}
+        # In the order in which they came to be so, for whoever has to make room at once.
+        self.unheard: dict[Connection, None] = {}
+        self.idle: dict[Connection, None] = {}  # heard, without an open request
         self.names: set[str] = set()  # ids of open requests
         self.well = True
         self.partial = 0
@@ -250,7 +255,7 @@
                 stream.close()
             else:
                 connection = Connection(self, stream)
-                self.connections.add(connection)
+                self.connections[connection] = self.unheard[connection] = None
                 self.loop.spawn(connection.run, name="client")
             taken += 1
             if taken >= ACCEPTED_AT_ONCE:
@@ -264,12 +269,17 @@
         client sends again what crosses the close. A request that crosses the close of a connection that was
         never answered is lost to its client, so those just opened come last.
         """
-        now = self.loop.now()
-        idle = [each for each in self.connections if not each.open and not each.unread]
-        if not idle:
+        oldest = next(iter(self.unheard), None)
+        if oldest is not None and self.loop.now() - oldest.since > MUTE_MS:
+            chosen, why = oldest, "mute"
+        else:
+            free = (each for each in self.idle if not each.unread and not each.partial)
+            chosen, why = next(free, None), "idle"
+            if chosen is None:
+                chosen, why = oldest, "new"
+        if chosen is None:
             return False
-        chosen = min(idle, key=lambda each: (each.rank(now), each.since))
-        self.counts[f"closed_for_room_{('mute', 'idle', 'new')[chosen.rank(now)]}"] += 1
+        self.counts[f"closed_for_room_{why}"] += 1
         chosen.close()
         return True
 
--- a/fennelwind/node/msgrpc.py
+++ b/fennelwind/node/msgrpc.py
@@ -32,31 +32,37 @@
 
 
 class Reader:
-    """Turns the bytes of one connection into messages."""
+    """Turns the bytes of one connection into messages.
+
+    A parser takes 40 KB and 1 us to make, so a connection has one only while a message is under way.
+    """
+
+    __slots__ = ("_unpacker", "_fed", "_read")
 
     def __init__(self) -> None:
-        self._unpacker = msgpack.Unpacker(
-            raw=False, strict_map_key=True, read_size=1024, max_buffer_size=MESSAGE_MOST,
-            max_bin_len=BODY_MOST, max_str_len=TEXT_MOST, max_array_len=PARTS_MOST, max_map_len=PARTS_MOST,
-            max_ext_len=0)
-        self._fed = self._read = 0  # bytes in all, and of the messages that are whole
+        self._unpacker: msgpack.Unpacker | None = None
+        self._fed = self._read = 0  # bytes that the parser got, and those of the messages that are whole
 
     def feed(self, data: bytes) -> list[Message]:
         """Take some bytes; return the messages that are whole now. Raises `Malformed`."""
         messages = []
-        for start in range(0, len(data), BODY_MOST):
-            try:
-                self._unpacker.feed(data[start:start + BODY_MOST])
+        unpacker = self._unpacker
+        if unpacker is None:
+            unpacker, self._fed, self._read = _parser(), 0, 0
+        try:
+            for start in range(0, len(data), BODY_MOST):
+                unpacker.feed(data[start:start + BODY_MOST])
                 self._fed += min(BODY_MOST, len(data) - start)
-                for value in self._unpacker:
+                for value in unpacker:
                     messages.append(_message(value))
-                    self._read = self._unpacker.tell()
+                    self._read = unpacker.tell()
                 if self.under_way() > MESSAGE_MOST:  # what was looked at is in no buffer any more
                     raise Malformed("a message without an end")
-            except Malformed as exc:
-                raise Malformed(str(exc)) from None
-            except Exception as exc:  # the package raises many sorts, all of them for what it can't read
-                raise Malformed(f"{type(exc).__name__}: {str(exc)[:100]}") from None
+        except Malformed:
+            raise
+        except Exception as exc:  # the package raises many sorts, all of them for what it can't read
+            raise Malformed(f"{type(exc).__name__}: {str(exc)[:100]}") from None
+        self._unpacker = unpacker if self.under_way() else None
         return messages
 
     def under_way(self) -> int:
@@ -64,6 +70,12 @@
         return self._fed - self._read
 
 
+def _parser() -> msgpack.Unpacker:
+    return msgpack.Unpacker(
+        raw=False, strict_map_key=True, read_size=1024, max_buffer_size=MESSAGE_MOST, max_bin_len=BODY_MOST,
+        max_str_len=TEXT_MOST, max_array_len=PARTS_MOST, max_map_len=PARTS_MOST, max_ext_len=0)
+
+
 def _message(value: object) -> Message:
     if type(value) is list and len(value) == 4:
         kind, number, method, params = value
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -766,3 +766,34 @@
         assert len(node.front.connections) < 100
 
     run(30, main)
+
+
+def test_an_idle_connection_keeps_no_parser_and_room_is_made_without_a_search():
+    """Found on a day of crowds: 50 KB a connection, and CPU a connection that grew with their number."""
+
+    def main(loop):
+        Executor(loop, 1)
+        node = start(loop, [instance("s-1", 1)], sockets=100)
+        front = node.front
+        clients = [Client(loop) for _ in range(front.most)]
+        for k, client in enumerate(clients[:-2]):
+            assert client.answer(client.ask(name(k)))[0] is None
+        assert all(each.reader._unpacker is None for each in front.connections)
+        assert list(front.idle) == sorted(front.idle, key=lambda each: each.since)
+        assert len(front.idle) == front.most - 2 and len(front.unheard) == 2
+        number = clients[0].ask(name(500), "scene-build", 5000)
+        loop.sleep(5.0)
+        oldest = next(iter(front.idle))
+        assert len(front.idle) == front.most - 3 and clients[1].stream.peer == LISTEN
+        clients[-2].stream.close()
+        clients[-1].stream.close()
+        loop.sleep(10.0)
+        assert not front.unheard
+        extra = [Client(loop) for _ in range(3)]
+        loop.sleep(10.0)
+        assert oldest.closed and front.counts["closed_for_room_idle"] == 1 and len(front.unheard) == 3
+        assert clients[0].answer(number)[0] is None and extra
+        loop.sleep(20000.0)
+        assert not front.connections and not front.idle and not front.unheard
+
+    run(31, main)
