A query past its aim is sent late where that earns something and nothing else is held

Seen: on calm sockets 6% of the class scene-build were refused with more than half of their time left and engines half empty (log lines: refused after 2025 to 2644 ms of 6567). Faulty lines: _hold and _tick end whatever _last_call says can't make its aim, though two fifths of the worth are left for a late answer. Change: such a query is tried once, at the moment it misses its aim, if a late answer earns something and fits; else it ends at once as before.

--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -222,7 +222,7 @@
 
     def _hold(self, query: Query) -> None:
         if self._last_call(query) <= self.now:
-            return self._end(query)  # a client may ask with no time left; the answer is due at once
+            return self._send_late(query)  # a client may ask with no time left; the answer is due at once
         query.held = True
         if query.attempts or self.lines.first(query):
             self._queue(query)
@@ -241,6 +241,14 @@
         fastest = LIKELY * query.span * self.best[query.c]
         return min(query.aim_at - fastest, query.told.deadline_ms - 2 * TICK_MS)
 
+    def _send_late(self, query: Query) -> None:
+        """Send a query past its aim if a late answer earns something and room is free now; else end it."""
+        fastest = LIKELY * query.span * self.best[query.c]
+        in_time = self.now + fastest < query.told.deadline_ms - 2 * TICK_MS
+        spare = not any(q.held and q is not query for lane in self.lanes for _, _, q in lane)
+        if not (query.cls.late_worth and in_time and spare and self._try_send(query)) and not query.done:
+            self._end(query)
+
     def _may_go_on(self, query: Query) -> bool:
         """Tell whether the effect rule and the limits leave room for a further attempt."""
         if len(query.attempts) >= self.set.max_attempts or query.begun:
@@ -284,7 +292,7 @@
         while self.expiry and self.expiry[0][0] <= self.now:
             query = self.queries.get(heappop(self.expiry)[1])
             if query is not None and query.held and not query.done:
-                self._end(query)
+                self._send_late(query)
         for engine in list(self.busy.values()):
             self._judge(engine)
         if self.set.must_ask and self.now >= self.subscribe_at:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -531,3 +531,34 @@
         told.ask(n, work=100.0)
         told.answer(n, took=10.0)
     assert told.gateway.work[0] == 100.0  # an estimate is believed
+
+
+def past_its_aim(**changes):
+    """Return a drive whose only query was called off after its aim, with what was then done about it."""
+    late = dataclasses.replace(LOOKUP, late_worth=0.4, give_up_ms=6000.0)
+    elsewhere = dataclasses.replace(LOOKUP, zones=(9,))
+    d = Drive(engines=2, classes=(dataclasses.replace(late, **changes), elsewhere), can_cancel=True, max_attempts=3)
+    first = sends(d.ask(1, left=6000.0))[0][1]
+    d.step(after=1500.0)
+    return d, first
+
+
+def test_a_query_past_its_aim_goes_again_where_a_late_answer_earns_something():
+    """Found on calm days: one called off as slow was refused, though engines had room and time was left."""
+    d, first = past_its_aim()
+    again = sends(d.step(api.Outcome(1, 0, first, "cancelled", 1500.0, False)))
+    assert len(again) == 1 and again[0][0] == 1 and again[0][1] != first
+
+
+def test_a_query_past_its_aim_is_refused_at_once_where_a_late_answer_earns_nothing():
+    d, first = past_its_aim(late_worth=0.0)
+    actions = d.step(api.Outcome(1, 0, first, "cancelled", 1500.0, False))
+    assert not sends(actions) and of(actions, api.Refuse)
+
+
+def test_a_query_past_its_aim_gives_way_to_whatever_is_held():
+    d, first = past_its_aim()
+    d.ask(2, cls=1)  # held, as no engine is permitted to it
+    assert d.gateway.queries[2].held
+    actions = d.step(api.Outcome(1, 0, first, "cancelled", 1500.0, False))
+    assert not sends(actions) and [action.query for action in of(actions, api.Refuse)] == [1]
