The controller's view beside its sockets, drains while connecting, deletes by executor

Need: believed load and health are to be compared with the traffic. Every 10 s a line tells for each executor what the module believes out and what the links run, listed state, lag, good and bad ends; drift is looked for each second.

Found by reading the paths of a wait: an attempt that waited for a connection could go to an executor that had come to drain meanwhile (Executors._run looked for a gone one only); it is moot now. Deletes went through one queue of 12 workers, 1.8 s for each at an executor that answers nothing, so one hung executor held up the others' deletes; each has its own queue and 3 workers.

--- a/fennelwind/cli/bench.py
+++ b/fennelwind/cli/bench.py
@@ -8,6 +8,7 @@
 from fennelwind.cli.output import table
 from fennelwind.lab import codec as codec_bench
 from fennelwind.lab import path as path_bench
+from fennelwind.lab import platform as platform_bench
 from fennelwind.lab import timers as timers_bench
 from fennelwind.loop import RealLoop, parse_address
 
@@ -29,6 +30,21 @@
     click.echo(table(rows))
 
 
+@bench.command()
+@click.option("--connections", type=click.IntRange(1, 20000), default=2000, show_default=True)
+def platform(connections: int) -> None:
+    """Answers of the platform's executors beside h11; what a client's connection costs by number held."""
+    best = platform_bench.answers()
+    rows = [["parser", "us an answer", "over ours"]]
+    rows += [[name, f"{us:.1f}", f"{us / best['fennelwind']:.1f}"] for name, us in best.items()]
+    click.echo(table(rows))
+    rows = [["connections held", "KB each", "ms of CPU for one more"]]
+    for sockets in (256, 800):
+        cost = platform_bench.crowd(sockets, connections)
+        rows.append([f"{cost['held']:.0f}", f"{cost['kb']:.1f}", f"{cost['cpu_ms']:.2f}"])
+    click.echo(table(rows))
+
+
 @bench.command()
 def timers() -> None:
     """The timer wheel beside a heap, with 100,000 pending timers."""
--- a/fennelwind/node/channel.py
+++ b/fennelwind/node/channel.py
@@ -146,5 +146,5 @@
         if state == "gone":
             self.links.remove(name)
         else:
-            self.links.place(name, parse_address(one["hostPort"]))
+            self.links.place(name, parse_address(one["hostPort"]), state == "draining")
         return entry
--- a/fennelwind/node/executors.py
+++ b/fennelwind/node/executors.py
@@ -37,10 +37,10 @@
 PAGES_MOST = 1000  # pages of a result; each holds a row at least
 ROWS = re.compile(rb"(?:[^\t\n]*\t[^\t\n]*\t[^\t\n]*\n)*")
 COUNT = re.compile(rb"[0-9]{1,4}")
-DELETERS = 12  # queries ended over there at a time; hundreds of withdrawals must leave room for the rest
+DELETERS = 3  # queries ended at one executor at a time; hundreds of withdrawals must leave room for the rest
 DELETE_MS = 600.0  # ms for one try to end a query
-DELETE_TRIES = 3  # tries; an executor forgets what it is not asked for after 2 s anyway
-DELETES_MOST = 2000  # queries waiting to be ended; what is over it is left to the executor's own time
+DELETE_TRIES = 2  # tries; an executor forgets what it is not asked for after 2 s anyway
+DELETES_MOST = 500  # queries waiting to be ended at one executor; what is over it is left to its own time
 TELLERS = 8  # new priorities under way at a time; what is over it is dropped, as it changes no answer
 TELL_MS = 400.0  # ms for telling a priority
 PROBE_MS = 250.0  # ms for a probe
@@ -72,12 +72,18 @@
 class Host:
     """One executor: where it is, and the idle connections to it, the longest idle first."""
 
-    __slots__ = ("name", "address", "idle", "lost")
+    __slots__ = ("name", "address", "idle", "lost", "draining", "deletes", "deleters",
+                 "ended")
 
     def __init__(self, name: str, address: Address) -> None:
         self.name, self.address = name, address
         self.idle: deque[Connection] = deque()
         self.lost = False  # it has gone, or its address is another's now
+        self.draining = False  # nothing new is to be sent to it
+        # Of its own, so that an executor which answers nothing holds up no other's.
+        self.deletes: deque[tuple[str, Waiter | None]] = deque()
+        self.deleters = 0
+        self.ended: Counter[str] = Counter()  # attempts by their end, since somebody looked
 
 
 class Gone(ConnectFailed):
@@ -97,9 +103,8 @@
         self.counts: Counter[str] = Counter()  # of what happened on connections
         self._room: deque[Waiter] = deque()  # who waits for a connection to be allowed
         self._out: dict[int, list[_Attempt]] = {}
-        self._deletes: deque[tuple[Host, str, Waiter | None]] = deque()
         self._deleting: Counter[tuple[str, str]] = Counter()
-        self._deleters = self._tellers = 0
+        self._tellers = 0
 
     def start(self) -> None:
         """Start what looks after idle connections."""
@@ -107,17 +112,19 @@
 
     # The list.
 
-    def place(self, name: str, address: Address) -> None:
+    def place(self, name: str, address: Address, draining: bool = False) -> None:
         """Note where an executor is; whoever had the address before has lost it."""
         host = self.hosts.get(name)
         if host is not None and host.address == address:
+            host.draining = draining
             return
         if host is not None:
             self.remove(name)
         before = self.by_address.get(address)
         if before is not None:
             self._lose(before)
-        self.hosts[name] = self.by_address[address] = Host(name, address)
+        host = self.hosts[name] = self.by_address[address] = Host(name, address)
+        host.draining = draining
 
     def remove(self, name: str) -> None:
         """Forget an executor that has gone."""
@@ -141,14 +148,22 @@
             return AttemptEnd("connect_failed", "the executor is not known any more")
         attempt = _Attempt(self, host, order)
         self._out.setdefault(order.query, []).append(attempt)
+        status = "cancelled"
         try:
-            return attempt.run()
+            end = attempt.run()
+            status = end.status
+            return end
         finally:
+            host.ended[status] += 1
             out = self._out[order.query]
             out.remove(attempt)
             if not out:
                 del self._out[order.query]
 
+    def running(self) -> dict[str, int]:
+        """Return the number of attempts under way by executor, as counted here."""
+        return Counter(attempt.host.name for attempts in self._out.values() for attempt in attempts)
+
     def terms(self, query: int, memory_mb: float, priority: int) -> None:
         """Tell the executors at which attempts of a query are out of its new priority; none may be lost."""
         for attempt in self._out.get(query, ()):
@@ -300,21 +315,21 @@
 
     def end(self, host: Host, name: str, waiter: Waiter | None = None) -> None:
         """End a query over there; the waiter is woken once it counts as given up, or can't be reached."""
-        if host.lost or len(self._deletes) >= DELETES_MOST:
+        if host.lost or len(host.deletes) >= DELETES_MOST:
             self.counts["undeleted"] += 1
             if waiter is not None:
                 waiter.wake()
             return
-        self._deletes.append((host, name, waiter))
+        host.deletes.append((name, waiter))
         self._deleting[host.name, name] += 1
-        if self._deleters < DELETERS:
-            self._deleters += 1
-            self.loop.spawn(self._delete, name="executors: delete")
+        if host.deleters < DELETERS:
+            host.deleters += 1
+            self.loop.spawn(self._delete, host, name="executors: delete")
 
-    def _delete(self) -> None:
+    def _delete(self, host: Host) -> None:
         try:
-            while self._deletes:
-                host, name, waiter = self._deletes.popleft()
+            while host.deletes:
+                name, waiter = host.deletes.popleft()
                 try:
                     self._delete_one(host, name)
                 finally:
@@ -324,7 +339,7 @@
                     if waiter is not None:
                         waiter.wake()
         finally:
-            self._deleters -= 1
+            host.deleters -= 1
 
     def _delete_one(self, host: Host, name: str) -> None:
         for number in range(DELETE_TRIES):
@@ -436,8 +451,8 @@
             return AttemptEnd("moot", str(exc))
         except ConnectFailed as exc:
             return AttemptEnd("connect_failed", str(exc))
-        if self.host.lost:
-            return AttemptEnd("connect_failed", "the executor has gone")
+        if self.host.lost or self.host.draining:  # told while there was no connection yet
+            return AttemptEnd("moot", "nothing new is to be sent to the executor any more")
         self.posted = True
         try:
             return self._news(self._ask(self._post(), NEWS_MS + SILENCE_MS))
--- a/fennelwind/node/lifecycle.py
+++ b/fennelwind/node/lifecycle.py
@@ -18,13 +18,17 @@
 from fennelwind.node.config import ConfigError, NodeConfig, read_config
 from fennelwind.node.executors import Executors
 from fennelwind.node.front import Front
+from fennelwind.node.view import compare, drift
 
 MARGIN_LEAST_MS, MARGIN_MOST_MS = 15.0, 200.0  # bounds of the measured time of answers on their way
 CLIENTS_PART, EXECUTORS_PART = 0.55, 0.36  # of the descriptors; the rest is for files, channel and deletes
 STAY_MS = 1000.0  # ms after SIGTERM in which new connections and requests are still served
 LINGER_MS = 150.0  # ms for the last answers to leave
 GC_STEP = 20_000  # new objects between two collections; nearly all garbage here is freed by counts
+LOOK_MS = 1000.0  # ms between two looks at what is believed beside what is on the sockets
+LOOKS_A_LINE = 10  # looks between two lines of the log that tell of it
 TEXT_MOST = 300  # letters of a line
+STATE_MOST = 2000  # letters of a line that tells of all executors
 
 
 class Log:
@@ -36,13 +40,13 @@
     def __init__(self, now: Callable[[], float]) -> None:
         self.limit = RateLimit(now)
 
-    def write(self, sort: str, text: str) -> None:
+    def write(self, sort: str, text: str, most: int = TEXT_MOST) -> None:
         """Write a line, unless there were many of its sort."""
         dropped = self.limit.allow(sort)
         if dropped is not None:
             more = f" ({dropped} such lines before were dropped)" if dropped else ""
             with contextlib.suppress(OSError):  # nobody may read it
-                print(f"{sort}: {' '.join(text[:TEXT_MOST].split())}{more}", file=sys.stderr, flush=True)
+                print(f"{sort}: {' '.join(text[:most].split())}{more}", file=sys.stderr, flush=True)
 
     def answered(self, entry: Entry) -> None:
         """Write of a query that was not served."""
@@ -93,6 +97,7 @@
         self.links.start()
         self.channel.start()
         self.front.start()
+        self.loop.spawn(self._look, name="view")
 
     def reload(self, text: str) -> None:
         """Take a new file: its channel and what it knows; a file that can't be read changes nothing."""
@@ -108,6 +113,20 @@
             self.channel.move(config.channel)
         self.log.write("reload", f"command channel at {config.channel}")
 
+    def _look(self) -> None:
+        looks = differed = 0
+        while True:
+            self.loop.sleep(LOOK_MS)
+            looks += 1
+            differed += drift(self.driver.gateway, self.links) > 0
+            if looks % LOOKS_A_LINE == 0:
+                rows = compare(self.driver.gateway, self.links)
+                self.log.write("state", (
+                    f"{self.driver.ledger.open} open, {len(self.front.connections)} clients, "
+                    f"{self.links.count} connections {dict(self.links.counts)}, margin "
+                    f"{self.driver.margin.ms:.0f} ms, view differed in {differed} of {looks} looks; "
+                    f"{'; '.join(map(str, rows))}"), STATE_MOST)
+
     def leave(self) -> None:
         """Go in order: no longer well, but serving for some time, then until all that is open is answered."""
         self.front.well = False
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -152,3 +152,9 @@
     us, ms, kept = timers.play(structure, 1)
     assert us > 0 and ms > 0
     assert kept >= 300
+
+
+def test_bench_platform_tells_parsers_and_connections():
+    result = CliRunner().invoke(main, ["bench", "platform", "--connections", "20"])
+    assert result.exit_code == 0, result.output
+    assert "h11" in result.output and "KB each" in result.output
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -20,6 +20,7 @@
 )
 
 from fennelwind.loop import Address, DeadlineExceeded, SimLoop, StreamReset
+from fennelwind.node.view import compare, drift
 
 
 def run(seed, main, *args):
@@ -797,3 +798,62 @@
         assert not front.connections and not front.idle and not front.unheard
 
     run(31, main)
+
+
+def test_nothing_is_sent_to_an_executor_that_came_to_drain_while_there_was_no_connection():
+    def main(loop):
+        executor = Executor(loop, 1, work_ms=1500.0)
+        node = start(loop, [instance("s-1", 1)], sockets=30)
+        client = Client(loop)
+        numbers = [client.ask(name(k), "publish", 5900, h="100.0") for k in range(16)]
+        loop.sleep(200.0)
+        sent = len(executor.ran)
+        assert sent == node.links.most == 10 and node.links.counts["waited_for_room"]
+        node.channel._take(nodes_event(2, [instance("s-1", 1, "terminating")]), "full")
+        ends = [client.answer(number, 7000.0)[0] for number in numbers]
+        assert sum(error is None for error in ends) == sent == len(executor.ran)
+        assert node.log.ends.count("moot") == 6
+        settled(node)
+
+    run(32, main)
+
+
+def test_an_executor_that_answers_nothing_holds_up_no_others_deletes():
+    def main(loop):
+        hung = Executor(loop, 1, work_ms=9000.0, script=lambda *_: "silent")
+        node = start(loop, [instance("s-1", 1), instance("s-2", 2)])
+        well = Executor(loop, 2)
+        for k in range(200):
+            node.links.end(node.links.hosts["s-1"], name(k))
+        well.started[name(999)] = loop.now()
+        node.links.end(node.links.hosts["s-2"], name(999))
+        loop.sleep(50.0)
+        assert well.deleted == [name(999)] and hung.open <= 3
+        loop.sleep(200 * 1300.0)
+        assert not node.links._deleting and node.links.counts["undeleted"] == 200
+
+    run(33, main)
+
+
+def test_what_is_believed_is_what_is_on_the_sockets():
+    def main(loop):
+        executors = [Executor(loop, k, work_ms=700.0) for k in range(2)]
+        node = start(loop, [instance(f"s-{k}", k) for k in range(2)])
+        client = Client(loop)
+        numbers = [client.ask(name(k), "publish", 5900, h="100.0") for k in range(12)]
+        loop.sleep(300.0)
+        rows = compare(node.driver.gateway, node.links)
+        assert [row.believed for row in rows] == [row.running for row in rows]
+        assert sum(row.running for row in rows) == sum(len(executor.ran) for executor in executors) == 12
+        assert drift(node.driver.gateway, node.links) == 0
+        node.driver.gateway.engines["s-0"].out.popitem()  # planted: an attempt forgotten
+        assert drift(node.driver.gateway, node.links) == 1
+        for number in numbers:
+            assert client.answer(number)[0] is None
+        ended = compare(node.driver.gateway, node.links)
+        assert sum(row.answers for row in ended) == 12 and not any(row.others for row in ended)
+        assert not any(row.answers for row in compare(node.driver.gateway, node.links))
+        loop.sleep(11000.0)
+        assert any(sort == "state" and "view differed in" in text for sort, text in node.log.lines)
+
+    run(34, main)
