--- a/fennelwind/node/executors.py
+++ b/fennelwind/node/executors.py
@@ -24,7 +24,7 @@
 from fennelwind.node.http1 import Malformed, Response, ResponseReader
 
 NEWS_MS = 250.0  # ms after which an executor answers that a query goes on, as the protocol states
-SILENCE_MS = 350.0  # ms beyond that without an answer; then a connection is given up as cut or stalled
+SILENCE_MS = 100.0  # ms beyond that without an answer; then a connection is given up as cut or stalled
 EARLY_MS = 150.0  # ms; "goes on" sooner than this answers an earlier call: a second copy of something
 PAGE_MS = 400.0  # ms for a page, which is there at once; beyond them as above
 REST_MS = 15.0  # ms that a connection rests after an answer; what follows a spoilt one shows by then
