--- a/fennelwind/node/lifecycle.py
+++ b/fennelwind/node/lifecycle.py
@@ -181,8 +181,8 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(GC_STEP, 10, 10)
-        limits = f"{config.cores:g} cores, {config.memory_mb:.0f} MB, {config.sockets} descriptors"
-        log.write("listening", f"{config.name} on {config.listen}, {len(config.events)} events known, {limits}")
+        size = f"{config.cores:g} cores, {config.memory_mb:.0f} MB, {config.sockets} descriptors"
+        log.write("listening", f"{config.name} on {config.listen}, {len(config.events)} events known, {size}")
         stop.wait()
         node.leave()
         return 0
