--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,6 +9,7 @@
     CHANNEL,
     LISTEN,
     ROWS,
+    SETTINGS,
     Client,
     Executor,
     config_text,
@@ -857,3 +858,32 @@
         assert any(sort == "state" and "view differed in" in text for sort, text in node.log.lines)
 
     run(34, main)
+
+
+@pytest.mark.parametrize("parallel", [False, True])
+def test_where_two_attempts_may_not_be_out_the_first_is_deleted_before_the_second_is_sent(parallel):
+    def main(loop):
+        when = {}
+
+        def script(verb, path, number):
+            if verb == "DELETE":
+                loop.sleep(200.0)
+                when.setdefault("deleted", loop.now())
+                return None
+            if verb == "POST":
+                when.setdefault("sent", []).append(loop.now())
+            return "silent"
+
+        for number in (1, 2):
+            Executor(loop, number, script=script)
+        limits = SETTINGS["Ceilings"] | {"ParallelTries": parallel}
+        node = start(loop, [instance("s-1", 1), instance("s-2", 2)], Ceilings=limits)
+        client = Client(loop)
+        client.ask(name(1), "scene-build", 5500, h="10.0")
+        loop.sleep(3000.0)
+        first, second, *_ = when["sent"]
+        assert first < second and (when["deleted"] <= second) is not parallel
+        loop.sleep(6000.0)
+        settled(node)
+
+    run(35, main)
