--- a/fennelwind/node/front.py
+++ b/fennelwind/node/front.py
@@ -9,6 +9,7 @@
 from fennelwind.core.driver import Driver
 from fennelwind.core.ledger import Entry
 from fennelwind.core.types import LEFT, REFUSED, SERVED, Submission
+from fennelwind.limits.places import Places
 from fennelwind.loop.scheduler import DeadlineExceeded, Loop
 from fennelwind.loop.streams import Listener, PushStream, StreamReset
 from fennelwind.node import msgrpc
@@ -16,9 +17,6 @@
 from fennelwind.node.requests import Unusable, read_request
 
 SWEEP_MS = 250.0  # ms between two looks at all connections
-SILENT_MS = 1800.0  # ms without a first message, or with one half sent; 3 s are what the platform allows
-MUTE_MS = 400.0  # ms; a usual client's first request follows its connecting by a few ms
-IDLE_MS = 8000.0  # ms without an open request; usual clients close after 4 s
 OPEN_MOST = 32  # open requests on a connection, as the protocol states
 UNREAD_MOST = 262_144  # bytes of answers that a client leaves unread before no more of it is read
 WRITE_MS = 3000.0  # ms that a client may leave its answers unread; the longest that one is owed anything
@@ -31,13 +29,11 @@
 class Connection:
     """One client's connection."""
 
-    __slots__ = ("front", "stream", "reader", "since", "heard", "last", "open", "unread", "unread_bytes",
-                 "writing", "unusable", "partial", "partial_since", "closed")
+    __slots__ = ("front", "stream", "reader", "last", "open", "unread", "unread_bytes", "writing",
+                 "unusable", "partial", "closed")
 
     def __init__(self, front: "Front", stream: PushStream) -> None:
         self.front, self.stream, self.reader = front, stream, msgrpc.Reader()
-        self.since = front.loop.now()  # when it last came to be without an open request
-        self.heard = False  # a whole message has come
         self.last = 0  # highest message id
         self.open: dict[int, Entry] = {}
         self.unread: deque[tuple[bytes, Entry | None]] = deque()  # answers that the peer has yet to take
@@ -45,7 +41,6 @@
         self.writing = False
         self.unusable = 0
         self.partial = 0  # bytes of a message half sent
-        self.partial_since = 0.0
         self.closed = False
 
     def run(self) -> None:
@@ -72,8 +67,7 @@
 
     def _count_partial(self) -> None:
         under_way = self.reader.under_way()
-        if under_way and not self.partial:
-            self.partial_since = self.front.loop.now()
+        self.front.places.sent(self, self.front.loop.now(), under_way > 0)
         self.front.partial += under_way - self.partial
         self.partial = under_way
         if self.front.partial > PARTIAL_MOST and under_way > PARTIAL_MOST // 100:
@@ -86,11 +80,7 @@
         if message.number <= self.last:
             raise msgrpc.Malformed("message ids do not rise")
         self.last = message.number
-        if not self.heard:
-            self.heard = True
-            front = self.front
-            del front.unheard[self]
-            front.idle[self] = None
+        self.front.places.heard(self, self.front.loop.now())
         if message.method == "isWell":
             self.send(msgrpc.result(message.number, [self.front.well, {}]), None)
         elif len(self.open) >= OPEN_MOST:
@@ -137,14 +127,15 @@
         entry = front.driver.submit(submission, answered)
         if entry.answer is None:
             self.open[number] = entry
-            front.idle.pop(self, None)
+            front.places.owes(self)
 
     def _let_go(self, entry: Entry) -> None:
         self.front.names.discard(entry.submission.engine_id)
-        if not self.open and not self.closed:
-            self.since = self.front.loop.now()
-            self.front.idle.pop(self, None)
-            self.front.idle[self] = None
+        self._rest()
+
+    def _rest(self) -> None:
+        if not self.open and not self.unread:
+            self.front.places.owes_nothing(self, self.front.loop.now())
 
     def answer(self, number: int, entry: Entry) -> None:
         """Give a query's final answer."""
@@ -179,6 +170,7 @@
                 return
             raw = raw[taken:]
         self.unread.append((raw, entry))
+        self.front.places.owes(self)
         self.unread_bytes += len(raw)
         if not self.writing:
             self.writing = True
@@ -189,34 +181,26 @@
             while self.unread and not self.closed:
                 raw, entry = self.unread[0]
                 self.stream.write(raw, WRITE_MS)
+                if self.closed:
+                    return
                 self.unread.popleft()
                 self.unread_bytes -= len(raw)
                 if entry is not None:
                     self.front.driver.delivered(entry)
+            self._rest()
         except (StreamReset, DeadlineExceeded):
             self.front.counts["unread"] += 1
             self.close()
         finally:
             self.writing = False
 
-    def stale(self, now: float) -> str:
-        """Return why the connection is to be closed, if it is."""
-        if self.open or self.unread:
-            return ""
-        if self.partial and now - self.partial_since > SILENT_MS:
-            return "half_sent"
-        if not self.heard and now - self.since > SILENT_MS:
-            return "silent"
-        return "idle" if now - self.since > IDLE_MS else ""
-
     def close(self) -> None:
         """Close it; what is open on it is nobody's any more."""
         if self.closed:
             return
         self.closed = True
         self.front.partial -= self.partial
-        for table in (self.front.connections, self.front.unheard, self.front.idle):
-            table.pop(self, None)
+        self.front.places.left(self)
         for entry in list(self.open.values()):
             self.front.names.discard(entry.submission.engine_id)
             self.front.driver.leave(entry, "its client has closed the connection")
@@ -229,11 +213,8 @@
     """Takes clients in; `most` connections at a time."""
 
     def __init__(self, loop: Loop, listener: Listener, driver: Driver, config: NodeConfig, most: int) -> None:
-        self.loop, self.listener, self.driver, self.config, self.most = loop, listener, driver, config, most
-        self.connections: dict[Connection, None] = {}
-        # In the order in which they came to be so, for whoever has to make room at once.
-        self.unheard: dict[Connection, None] = {}
-        self.idle: dict[Connection, None] = {}  # heard, without an open request
+        self.loop, self.listener, self.driver, self.config = loop, listener, driver, config
+        self.places = Places(most)
         self.names: set[str] = set()  # ids of open requests
         self.well = True
         self.partial = 0
@@ -250,12 +231,12 @@
         while True:
             stream = self.listener.accept()
             self.counts["accepted"] += 1
-            if len(self.connections) >= self.most and not self._make_room():
+            if len(self.places) >= self.places.most and not self._make_room():
                 self.counts["turned_away"] += 1
                 stream.close()
             else:
                 connection = Connection(self, stream)
-                self.connections[connection] = self.unheard[connection] = None
+                self.places.came(connection, self.loop.now())
                 self.loop.spawn(connection.run, name="client")
             taken += 1
             if taken >= ACCEPTED_AT_ONCE:
@@ -263,35 +244,20 @@
                 self.loop.sleep(0.0)
 
     def _make_room(self) -> bool:
-        """Close the connection that needs its place least; False if none may be closed.
-
-        First those that have said nothing for `MUTE_MS`, then the idle one that was answered longest ago: its
-        client sends again what crosses the close. A request that crosses the close of a connection that was
-        never answered is lost to its client, so those just opened come last.
-        """
-        oldest = next(iter(self.unheard), None)
-        if oldest is not None and self.loop.now() - oldest.since > MUTE_MS:
-            chosen, why = oldest, "mute"
-        else:
-            free = (each for each in self.idle if not each.unread and not each.partial)
-            chosen, why = next(free, None), "idle"
-            if chosen is None:
-                chosen, why = oldest, "new"
+        """Close who needs his place least; False if none may be closed."""
+        chosen = self.places.for_room(self.loop.now())
         if chosen is None:
             return False
-        self.counts[f"closed_for_room_{why}"] += 1
-        chosen.close()
+        self.counts[f"closed_for_room_{chosen[1]}"] += 1
+        chosen[0].close()
         return True
 
     def _sweep(self) -> None:
         while True:
             self.loop.sleep(SWEEP_MS)
-            now = self.loop.now()
-            for connection in list(self.connections):
-                why = connection.stale(now)
-                if why:
-                    self.counts[f"closed_{why}"] += 1
-                    connection.close()
+            for connection, why in self.places.overdue(self.loop.now()):
+                self.counts[f"closed_{why}"] += 1
+                connection.close()
 
     def unreadable(self, why: str) -> None:
         """Count a connection that can't be read any further."""
--- a/fennelwind/node/lifecycle.py
+++ b/fennelwind/node/lifecycle.py
@@ -127,7 +127,7 @@
             if looks % LOOKS_A_LINE == 0:
                 rows = compare(self.driver.gateway, self.links)
                 self.log.write("state", (
-                    f"{self.driver.ledger.open} open, {len(self.front.connections)} clients, "
+                    f"{self.driver.ledger.open} open, {len(self.front.places)} clients, "
                     f"{self.links.count} connections {dict(self.links.counts)}, margin "
                     f"{self.driver.margin.ms:.0f} ms, view differed in {differed} of {looks} looks; "
                     f"{'; '.join(map(str, rows))}"), STATE_MOST)
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -176,8 +176,8 @@
     for name in ("rules.py", "state.py", "interface.py", "core/ledger.py", "core/types.py",
                  "thrift/transport.py", "core/sessions.py", "limits/margin.py", "limits/admission.py",
                  "recovery/repeats.py", "engines/verdicts.py", "limits/logins.py", "client/retry.py",
-                 "limits/lines.py", "node/msgrpc.py", "node/http1.py", "node/statement.py",
-                 "node/requests.py", "node/view.py"):
+                 "limits/lines.py", "limits/places.py", "node/msgrpc.py", "node/http1.py",
+                 "node/statement.py", "node/requests.py", "node/view.py"):
         assert not re.findall(pattern, (ROOT / name).read_text("utf-8"), re.M), name
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -271,7 +271,7 @@
         client = Client(loop)
         loop.spawn(lambda: client.stream.write(BAD[kind]))
         assert client.closed(3000.0)
-        assert not node.front.connections and node.front.partial == 0
+        assert not len(node.front.places) and node.front.partial == 0
         assert not node.log.broke or all(isinstance(exc, StreamReset) for _, exc in node.log.broke)
 
     run(11, main)
@@ -408,7 +408,7 @@
         began = loop.now()
         assert silent.closed(3000.0) and half.closed(3000.0) and loop.now() - began < 2500.0
         assert busy.answer(number)[0] is None
-        assert len(node.front.connections) == 1
+        assert len(node.front.places) == 1
         assert busy.closed(10000.0)
 
     run(17, main)
@@ -420,7 +420,7 @@
     def main(loop):
         Executor(loop, 1)
         node = start(loop, [instance("s-1", 1)], sockets=40)
-        most = node.front.most
+        most = node.front.places.most
         idle = [Client(loop) for _ in range(most)]
         for k, client in enumerate(idle):
             assert client.answer(client.ask(name(k)))[0] is None
@@ -454,7 +454,7 @@
         loop.sleep(1500.0)
         assert other.answer(other.ask(name(100)))[0] is None
         loop.sleep(6000.0)
-        assert node.front.counts["unread"] == 1 and len(node.front.connections) <= 1
+        assert node.front.counts["unread"] == 1 and len(node.front.places) <= 1
 
     run(19, main)
 
@@ -662,7 +662,7 @@
                         links.count,
                         len(links._out),
                         len(links._deleting),
-                        len(node.front.connections),
+                        len(node.front.places),
                         len(node.front.names),
                         len(node.driver._tasks),
                         len(gateway.expiry) < 50,
@@ -765,7 +765,7 @@
             client.stream.write(half)
         loop.sleep(100.0)
         assert 0 < node.front.partial <= 4_100_000
-        assert len(node.front.connections) < 100
+        assert len(node.front.places) < 100
 
     run(30, main)
 
@@ -776,27 +776,26 @@
     def main(loop):
         Executor(loop, 1)
         node = start(loop, [instance("s-1", 1)], sockets=100)
-        front = node.front
-        clients = [Client(loop) for _ in range(front.most)]
+        front, places = node.front, node.front.places
+        clients = [Client(loop) for _ in range(places.most)]
         for k, client in enumerate(clients[:-2]):
             assert client.answer(client.ask(name(k)))[0] is None
-        assert all(each.reader._unpacker is None for each in front.connections)
-        assert list(front.idle) == sorted(front.idle, key=lambda each: each.since)
-        assert len(front.idle) == front.most - 2 and len(front.unheard) == 2
+        assert all(each.reader._unpacker is None for each in places.idle)
+        assert len(places.idle) == places.most - 2 and len(places.unheard) == 2
         number = clients[0].ask(name(500), "scene-build", 5000)
         loop.sleep(5.0)
-        oldest = next(iter(front.idle))
-        assert len(front.idle) == front.most - 3 and clients[1].stream.peer == LISTEN
+        oldest = next(iter(places.idle))
+        assert len(places.idle) == places.most - 3 and clients[1].stream.peer == LISTEN
         clients[-2].stream.close()
         clients[-1].stream.close()
         loop.sleep(10.0)
-        assert not front.unheard
+        assert not places.unheard
         extra = [Client(loop) for _ in range(3)]
         loop.sleep(10.0)
-        assert oldest.closed and front.counts["closed_for_room_idle"] == 1 and len(front.unheard) == 3
+        assert oldest.closed and front.counts["closed_for_room_idle"] == 1 and len(places.unheard) == 3
         assert clients[0].answer(number)[0] is None and extra
         loop.sleep(20000.0)
-        assert not front.connections and not front.idle and not front.unheard
+        assert not len(places)
 
     run(31, main)
 
