--- a/fennelwind/node/http1.py
+++ b/fennelwind/node/http1.py
@@ -53,6 +53,18 @@
     return Response(int(found[1]), headers)
 
 
+def take_head(data: bytes) -> tuple[Response | None, bytes]:
+    """Return the head that the bytes begin with, None while it is not whole, and what is left of them."""
+    end = data.find(b"\r\n\r\n", 0, HEAD_MOST)
+    if end >= 0:
+        return parse_head(data[:end]), data[end + 4:]
+    if len(data) >= HEAD_MOST:
+        raise Malformed("a head without an end")
+    if not b"HTTP/1.1 ".startswith(data[:9]):
+        raise Malformed(f"no status line: {data[:40]!r}")
+    return None, data
+
+
 class ResponseReader:
     """Turns the bytes of one connection into answers, one for each call."""
 
@@ -68,15 +80,9 @@
         """Take some bytes; return the answer once it is whole. Raises `Malformed`."""
         self._data += data
         while self._head is None:
-            end = self._data.find(b"\r\n\r\n", 0, HEAD_MOST)
-            if end < 0:
-                if len(self._data) >= HEAD_MOST:
-                    raise Malformed("a head without an end")
-                if self._data and not b"HTTP/1.1 ".startswith(self._data[:9]):
-                    raise Malformed(f"no status line: {self._data[:40]!r}")
+            head, self._data = take_head(self._data)
+            if head is None:
                 return None
-            head = parse_head(self._data[:end])
-            self._data = self._data[end + 4:]
             if head.status < 200:
                 if head.status == 101:
                     raise Malformed("an upgrade that nobody asked for")
@@ -197,13 +203,9 @@
         if self.head is None:
             self._raw += data
             while self.head is None:
-                end = self._raw.find(b"\r\n\r\n", 0, HEAD_MOST)
-                if end < 0:
-                    if len(self._raw) >= HEAD_MOST:
-                        raise Malformed("a head without an end")
+                head, self._raw = take_head(self._raw)
+                if head is None:
                     return []
-                head = parse_head(self._raw[:end])
-                self._raw = self._raw[end + 4:]
                 if head.status >= 200:
                     self._begin(head)
             data, self._raw = self._raw, b""
