--- a/fennelwind/config/read.py
+++ b/fennelwind/config/read.py
@@ -1,7 +1,6 @@
 """Reads and checks settings. Everything that decides has to be stated; problems are all told at once.
 
-The text is walked once by protobuf's own tokenizer to learn where each field stands and which names are
-unknown; its values are then parsed by protobuf, and checked here against one another.
+`text` parses it and knows where each field stands; the values are checked here against one another.
 """
 
 import re
@@ -9,13 +8,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, NamedTuple
-
-from google.protobuf import text_format
-from google.protobuf.descriptor import Descriptor, FieldDescriptor
+from typing import Any
 
 from fennelwind import interface as api
 from fennelwind.config import settings_pb2 as pb
+from fennelwind.config.text import FieldPath, Places, Problem, SettingsError, parse
 from fennelwind.config.tls import TlsError, client_context, server_context
 from fennelwind.config.users import User, UsersError, load_users
 from fennelwind.loop.streams import Address, parse_address
@@ -33,25 +30,6 @@
                 "max_result_bytes", "max_attempts", "threads", "cores", "gateways", "max_open"}
 ABOVE_ZERO = {"answer_margin_ms", "aim_ms", "give_up_ms", "idle_ms", "long_poll_ms", "connect_ms",
               "cold_share"}
-Path_ = tuple[Any, ...]
-
-
-class Problem(NamedTuple):
-    """What is wrong, and where: line and column count from 1; 0 where nothing is there to point at."""
-
-    line: int
-    column: int
-    text: str
-
-
-class SettingsError(Exception):
-    """Settings that can't be used, with all that is wrong with them."""
-
-    def __init__(self, name: str, problems: list[Problem]) -> None:
-        self.name, self.problems = name, sorted(problems)
-        super().__init__("\n".join(f"{name}:{p.line}:{p.column}: {p.text}" for p in self.problems))
-
-
 @dataclass(slots=True, frozen=True)
 class Selector:
     """What a query has to be like to belong to a class."""
@@ -107,15 +85,8 @@
 
 def read(text: str, name: str = "settings", folder: Path = Path()) -> Controller:
     """Read settings from text; files that it names are looked for in the folder. Raises `SettingsError`."""
-    places, problems = _places(text)
     message = pb.Settings()
-    if not problems:
-        try:
-            text_format.Parse(text, message)
-        except text_format.ParseError as exc:
-            problems.append(Problem(exc.GetLine() or 0, exc.GetColumn() or 0, _reason(exc)))
-    if problems:
-        raise SettingsError(name, problems)
+    places = parse(text, name, message)
     check = _Check(message, places, folder)
     controller = check.controller()
     if check.problems or controller is None:
@@ -123,82 +94,14 @@
     return controller
 
 
-def _reason(exc: text_format.ParseError) -> str:
-    return re.sub(r"^\d+:\d+ : ", "", str(exc))
-
-
-def _places(text: str) -> tuple[dict[Path_, tuple[int, int]], list[Problem]]:
-    """Return where each field stands, by its path, and the names that are unknown."""
-    places: dict[Path_, tuple[int, int]] = {}
-    problems: list[Problem] = []
-    tokens = text_format.Tokenizer(text.split("\n"))
-
-    def here() -> tuple[int, int]:
-        return tokens._line + 1, tokens._column + 1  # noqa: SLF001 - it tells its place in no other way
-
-    def skip_value() -> None:
-        depth = 0
-        while not tokens.AtEnd():
-            token = tokens.token
-            depth += (token in ("{", "<", "[")) - (token in ("}", ">", "]"))
-            if depth < 0:
-                return
-            tokens.NextToken()
-            if depth == 0 and tokens.token not in ("{", "<", "["):
-                return
-
-    def message(descriptor: Descriptor, path: Path_, closing: str) -> None:
-        counts: dict[str, int] = {}
-        while not tokens.AtEnd() and tokens.token != closing:
-            place = here()
-            label = tokens.ConsumeIdentifier()
-            found: FieldDescriptor | None = descriptor.fields_by_name.get(label)
-            colon = tokens.TryConsume(":")
-            if found is None:
-                known = ", ".join(sorted(descriptor.fields_by_name))
-                problems.append(Problem(
-                    *place, f"{label}: no such field of {descriptor.name}; it has {known}"))
-                skip_value()
-            elif found.message_type is not None and tokens.token in ("{", "<"):
-                inner = path + (label, counts.get(label, 0)) if found.is_repeated else path + (label,)
-                counts[label] = counts.get(label, 0) + 1
-                places[inner] = place
-                end = "}" if tokens.token == "{" else ">"
-                tokens.NextToken()
-                message(found.message_type, inner, end)
-                if not tokens.TryConsume(end):
-                    raise tokens.ParseErrorPreviousToken(f"{label}: {end!r} is missing")
-            elif not colon:
-                raise tokens.ParseError(f"{label}: ':' is missing")
-            else:
-                index = counts.get(label, 0)
-                counts[label] = index + 1
-                places[path + ((label, index) if found.is_repeated else (label,))] = place
-                skip_value()
-            _ = tokens.TryConsume(",") or tokens.TryConsume(";")
-
-    try:
-        message(pb.Settings.DESCRIPTOR, (), "")
-    except text_format.ParseError as exc:
-        problems.append(Problem(exc.GetLine() or 0, exc.GetColumn() or 0, _reason(exc)))
-    return places, problems
-
-
-class _Check:
+class _Check(Places):
     """Checks a parsed message and turns it into settings."""
 
-    def __init__(self, message: pb.Settings, places: dict[Path_, tuple[int, int]], folder: Path) -> None:
-        self.file, self.places, self.folder = message, places, folder
-        self.problems: list[Problem] = []
-
-    def wrong(self, path: Path_, text: str) -> None:
-        """Note a problem at a field, or at the closest thing around it that stands in the text."""
-        place = path
-        while place and place not in self.places:
-            place = place[:-1]
-        self.problems.append(Problem(*self.places.get(place, (0, 0)), text))
+    def __init__(self, message: pb.Settings, places: dict[FieldPath, tuple[int, int]], folder: Path) -> None:
+        super().__init__(places)
+        self.file, self.folder = message, folder
 
-    def stated(self, path: Path_, message: Any, names: tuple[str, ...]) -> None:
+    def stated(self, path: FieldPath, message: Any, names: tuple[str, ...]) -> None:
         """Check that numbers are stated and in their range."""
         for label in names:
             value = getattr(message, label)
@@ -221,7 +124,7 @@
             elif value in values[:i]:
                 self.wrong((field, i), f"{field}: the name {value!r} stands twice")
 
-    def find(self, path: Path_, what: str, value: str, known: list[str]) -> int:
+    def find(self, path: FieldPath, what: str, value: str, known: list[str]) -> int:
         """Return the position of a name; note it if it is unknown."""
         if value in known:
             return known.index(value)
@@ -230,7 +133,7 @@
         self.wrong(path, f"{label}: no {what} {value!r}; known: {said}")
         return 0
 
-    def address(self, path: Path_, text: str) -> Address:
+    def address(self, path: FieldPath, text: str) -> Address:
         """Read an address; note what is wrong with it."""
         try:
             return parse_address(text)
@@ -260,7 +163,7 @@
         self.stated(("rules",), f.rules, RULES)
         self.stated(("traits",), f.traits, ("memory_grants", "priorities", "note_ms", "tells_cost"))
         if f.rules.answer_margin_most_ms < f.rules.answer_margin_ms:
-            path: Path_ = ("rules", "answer_margin_most_ms")
+            path: FieldPath = ("rules", "answer_margin_most_ms")
             self.wrong(path, "answer_margin_most_ms: less than answer_margin_ms")
         if not f.traits.when_short_of_memory:
             self.wrong(("traits",), "when_short_of_memory: has to be stated")
@@ -308,7 +211,8 @@
             module, f, listen, selectors, by_user, engines, discovery, tuple(zones), tuple(kinds),
             metrics, http, self.folder, tls, engines_tls, users, metadata)
 
-    def _tls(self, path: Path_, make: Callable[..., ssl.SSLContext], *names: str) -> ssl.SSLContext | None:
+    def _tls(self, path: FieldPath, make: Callable[..., ssl.SSLContext],
+             *names: str) -> ssl.SSLContext | None:
         if not any(names):
             return None
         if not all(names):
@@ -328,7 +232,7 @@
             return {}
 
     def _class(self, i: int, c: pb.QueryClass, zones: list[str], kinds: list[str]) -> api.QueryClass | None:
-        path: Path_ = ("classes", i)
+        path: FieldPath = ("classes", i)
         self.stated(path, c, CLASS)
         if not c.effect:
             self.wrong(path, "effect: has to be stated")
@@ -352,7 +256,7 @@
             holds=c.holds_tables, waits=c.waits_for_tables)
 
     def _selector(self, i: int, s: pb.Selector, classes: list[str]) -> Selector:
-        path: Path_ = ("selectors", i)
+        path: FieldPath = ("selectors", i)
         cls, pattern = self.find((*path, "query_class"), "class", s.query_class, classes), None
         try:
             pattern = re.compile(s.statement) if s.statement else None
@@ -361,7 +265,7 @@
         return Selector(cls, s.user, pattern, tuple(sorted(s.configuration.items())))
 
     def _engine(self, i: int, e: pb.Engine, zones: list[str], kinds: list[str]) -> api.EngineEntry:
-        path: Path_ = ("engines", i)
+        path: FieldPath = ("engines", i)
         self.address((*path, "address"), e.address)
         if any(e.address == other.address for other in self.file.engines[:i]):
             self.wrong((*path, "address"), f"address: {e.address} stands twice")
--- /dev/null
+++ b/fennelwind/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Many controllers as real processes or in virtual time, with faults between them."""
--- a/fennelwind/loop/__init__.py
+++ b/fennelwind/loop/__init__.py
@@ -22,6 +22,7 @@
 from fennelwind.loop.streams import (
     Address,
     ConnectFailed,
+    Datagrams,
     Listener,
     ShortOfDescriptors,
     Stream,
@@ -31,8 +32,8 @@
 
 __all__ = [
     "TlsStream",
-    "Address", "Cancelled", "Channel", "ChannelClosed", "ChannelFull", "ConnectFailed", "Deadline",
-    "DeadlineExceeded", "Deadlock", "Listener", "Loop", "Once", "RealLoop", "ShortOfDescriptors",
+    "Address", "Cancelled", "Channel", "ChannelClosed", "ChannelFull", "ConnectFailed", "Datagrams",
+    "Deadline", "DeadlineExceeded", "Deadlock", "Listener", "Loop", "Once", "RealLoop", "ShortOfDescriptors",
     "SimLoop", "Stream", "StreamReset", "Task", "parse_address",
 ]
 
--- a/fennelwind/loop/real.py
+++ b/fennelwind/loop/real.py
@@ -14,7 +14,14 @@
 from typing import TYPE_CHECKING, Any
 
 from fennelwind.loop.scheduler import Loop, Waiter
-from fennelwind.loop.streams import READ_MOST, Address, ConnectFailed, ShortOfDescriptors, StreamReset
+from fennelwind.loop.streams import (
+    DATAGRAM_MOST,
+    READ_MOST,
+    Address,
+    ConnectFailed,
+    ShortOfDescriptors,
+    StreamReset,
+)
 
 if TYPE_CHECKING:
     from concurrent.futures import Future, ThreadPoolExecutor
@@ -76,8 +83,23 @@
             raise
         return SocketListener(self, sock)
 
-    def connect(self, address: Address) -> "SocketStream":
-        """Connect to an address; `ConnectFailed` proves that nothing was sent."""
+    def datagrams(self, address: Address) -> "SocketDatagrams":
+        """Open a socket for datagrams at an address; port 0 takes a free one."""
+        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_DGRAM)
+        try:
+            sock.setblocking(False)
+            sock.bind((address.host, address.port))
+        except OSError:
+            sock.close()
+            raise
+        return SocketDatagrams(self, sock)
+
+    def connect(self, address: Address, source: str = "") -> "SocketStream":
+        """Connect to an address, from the host `source` if one is named.
+
+        `ConnectFailed` proves that nothing was sent.
+        """
         try:
             sock = socket.socket(socket.AF_INET6 if ":" in address.host else socket.AF_INET)
         except OSError as exc:
@@ -85,6 +107,8 @@
             raise kind(exc.errno, f"{address}: {exc.strerror}") from None
         sock.setblocking(False)
         try:
+            if source:
+                sock.bind((source, 0))
             code = sock.connect_ex((address.host, address.port))
             if code == errno.EINPROGRESS:
                 self.watch(sock.fileno(), WRITE).wait()
@@ -287,6 +311,10 @@
         self.loop, self.sock = loop, sock
         self.address = Address(*sock.getsockname()[:2])
 
+    def backlog(self, most: int) -> None:
+        """Let so many connections wait from now on; what the kernel finds over it never comes up."""
+        self.sock.listen(most)
+
     def accept(self) -> SocketStream:
         """Return the next connection; with no descriptors left, rest and leave it to wait."""
         while self.sock.fileno() >= 0:
@@ -310,3 +338,37 @@
         """Take no more connections."""
         if self.sock.fileno() >= 0:
             self.loop.forget(self.sock)
+
+
+class SocketDatagrams:
+    """A socket for datagrams; what waits unread is bounded by the kernel's buffer."""
+
+    def __init__(self, loop: RealLoop, sock: socket.socket) -> None:
+        self.loop, self.sock = loop, sock
+        self.address = Address(*sock.getsockname()[:2])
+
+    def send(self, data: bytes, to: Address) -> bool:
+        """Hand a datagram on without waiting; False if it was dropped here at once."""
+        try:
+            return self.sock.sendto(data, (to.host, to.port)) == len(data)
+        except OSError:  # no room, nobody there, closed: all of them are ways of being lost
+            return False
+
+    def receive(self) -> tuple[bytes, Address]:
+        """Return the next datagram and whose it is; wait for it."""
+        while self.sock.fileno() >= 0:
+            try:
+                data, source = self.sock.recvfrom(DATAGRAM_MOST)
+            except AGAIN:
+                self.loop.watch(self.sock.fileno(), READ).wait()
+            except OSError as exc:
+                if self.sock.fileno() >= 0:
+                    raise StreamReset(exc.errno, f"{self.address}: {exc.strerror}") from None
+            else:
+                return data, Address(*source[:2])
+        raise StreamReset(errno.EBADF, f"{self.address}: closed here")
+
+    def close(self) -> None:
+        """Send and receive nothing more."""
+        if self.sock.fileno() >= 0:
+            self.loop.forget(self.sock)
--- a/fennelwind/loop/scheduler.py
+++ b/fennelwind/loop/scheduler.py
@@ -13,7 +13,7 @@
 
 from greenlet import getcurrent, greenlet
 
-from fennelwind.loop.streams import Address, Listener, Stream
+from fennelwind.loop.streams import Address, Datagrams, Listener, Stream
 from fennelwind.loop.timers import Timer, TimerWheel
 
 DELAY_PART = 0.1  # part of a new sample in the loop's delay: the last ten timers or so count
@@ -316,6 +316,10 @@
         """Connect to an address; `ConnectFailed` proves that nothing was sent."""
         raise NotImplementedError
 
+    def datagrams(self, address: Address) -> Datagrams:
+        """Open a socket for datagrams at an address; port 0 takes a free one."""
+        raise NotImplementedError
+
     def _pause(self, until: float | None) -> None:
         """Wait for news until the time, at most; None: as long as it takes."""
         raise NotImplementedError
--- a/fennelwind/loop/sim.py
+++ b/fennelwind/loop/sim.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from fennelwind.loop.scheduler import Deadlock, Loop, Waiter
-from fennelwind.loop.streams import READ_MOST, Address, ConnectFailed, StreamReset
+from fennelwind.loop.streams import READ_MOST, UNREAD_MOST, Address, ConnectFailed, StreamReset
 
 ASIDE_MS = 30.0  # ms that a call beside the loop takes here; about a password's check
 PIPE_BYTES = 262144  # bytes under way and unread, one way; about what a kernel keeps
@@ -29,6 +29,7 @@
         self.random = Random(seed)
         self.latency_ms, self.jitter = latency_ms, jitter
         self.listeners: dict[Address, SimListener] = {}
+        self.sockets: dict[Address, SimDatagrams] = {}
         self.unreachable: set[Address] = set()  # connecting there hangs, as to a machine that is lost
         self._time = 1000.0
         self._port = 40000
@@ -67,10 +68,32 @@
         listener = self.listeners.get(address)
         if listener is None or len(listener.waiting) >= listener.backlog:
             raise ConnectFailed(errno.ECONNREFUSED, f"{address}: refused")
-        there, back = _Pipe(self), _Pipe(self)
+        there, back = Pipe(self), Pipe(self)
         listener.offer(SimStream(self, Address("127.0.0.1", self._free_port()), there, back))
         return SimStream(self, address, back, there)
 
+    def datagrams(self, address: Address) -> "SimDatagrams":
+        """Open a socket for datagrams at an address; port 0 takes a free one."""
+        if address.port == 0:
+            address = Address(address.host, self._free_port())
+        if address in self.sockets:
+            raise OSError(errno.EADDRINUSE, f"{address}: in use")
+        socket = self.sockets[address] = SimDatagrams(self, address)
+        return socket
+
+    def carry(self, data: bytes, source: Address, to: Address) -> None:
+        """Bring a datagram to its receiver, if there is one."""
+        def arrive() -> None:
+            socket = self.sockets.get(to)
+            if socket is not None:
+                socket.offer(data, source)
+
+        self.after(self.delay(), arrive)
+
+    def free(self, address: Address) -> None:
+        """Forget a socket for datagrams."""
+        self.sockets.pop(address, None)
+
     def delay(self) -> float:
         """Draw the time of one piece on its way, in ms."""
         return self.latency_ms * (1.0 + self.jitter * (self.random.random() - 0.5))
@@ -88,10 +111,10 @@
         self._time = max(self._time, until)
 
 
-class _Pipe:
-    """One way of a connection."""
+class Pipe:
+    """One way of a connection, between two tasks of one loop. `loop/world.py` has one between two hosts."""
 
-    def __init__(self, loop: SimLoop) -> None:
+    def __init__(self, loop: Loop) -> None:
         self.loop = loop
         self.arrived: deque[bytes] = deque()
         self.held = 0  # bytes under way and unread
@@ -103,34 +126,60 @@
     def send(self, data: bytes) -> None:
         """Put a piece under way."""
         self.held += len(data)
-        self._later(lambda: self.arrived.append(data))
+        self.later(lambda: self.arrived.append(data))
 
     def end(self) -> None:
         """Put the end under way, behind what was sent."""
-        self._later(lambda: setattr(self, "ended", True))
+        self.later(self._end)
+
+    def _end(self) -> None:
+        self.ended = True
 
     def cut(self) -> None:
         """Break the pipe: what is unread is lost."""
         self.reset = True
         self.arrived.clear()
-        self.wake()
+        self.wake_reader()
+        self.wake_writer()
 
-    def wake(self) -> None:
-        """Wake both ends, to look again."""
-        for waiter in (self.reader, self.writer):
-            if waiter is not None:
-                waiter.wake()
+    def drop(self) -> None:
+        """Let the reading end go: what is unread is lost."""
+        self.cut()
 
-    def _later(self, deliver) -> None:
+    def refuse(self) -> None:
+        """Let its writer see a reset from the reader's end."""
+        self.reset = True
+        self.wake_reader()
+        self.wake_writer()
+
+    def arrive(self, deliver: Callable[[], None]) -> None:
+        """Deliver what was under way, unless the pipe broke meanwhile."""
+        if not self.reset:
+            deliver()
+            self.wake_reader()
+
+    def wake_reader(self) -> None:
+        """Let the reading end look again."""
+        if self.reader is not None:
+            self.reader.wake()
+
+    def wake_writer(self) -> None:
+        """Let the writing end look again."""
+        if self.writer is not None:
+            self.writer.wake()
+
+    def later(self, deliver: Callable[[], None]) -> None:
+        """Make the call when what is sent now arrives."""
         self.last_at = max(self.last_at, self.loop.now() + self.loop.delay())
+        self.loop.at(self.last_at, lambda: self.arrive(deliver))
 
-        def arrive() -> None:
-            if not self.reset:
-                deliver()
-                if self.reader is not None:
-                    self.reader.wake()
+    def refuse_later(self) -> None:
+        """Let the writing end see, after the way back, that nobody reads any more."""
+        self.loop.after(self.loop.delay(), self.refuse)
 
-        self.loop.at(self.last_at, arrive)
+    def cut_later(self) -> None:
+        """Let the reading end see, after the way there, that the pipe broke."""
+        self.loop.after(self.loop.delay(), self.cut)
 
 
 class SimStream:
@@ -138,7 +187,7 @@
 
     __slots__ = ("loop", "peer", "inward", "outward", "closed")
 
-    def __init__(self, loop: SimLoop, peer: Address, inward: _Pipe, outward: _Pipe) -> None:
+    def __init__(self, loop: Loop, peer: Address, inward: Pipe, outward: Pipe) -> None:
         self.loop, self.peer, self.inward, self.outward = loop, peer, inward, outward
         self.closed = False
 
@@ -157,8 +206,7 @@
             pipe.arrived.appendleft(data[most:])
             data = data[:most]
         pipe.held -= len(data)
-        if pipe.writer is not None:
-            pipe.writer.wake()
+        pipe.wake_writer()
         return data
 
     def write(self, data: bytes, within_ms: float | None = None) -> None:
@@ -198,25 +246,22 @@
         if not self.closed:
             self.closed = True
             self.outward.end()
-            self.loop.after(self.loop.delay(), self._refuse)
-            self.inward.wake()
-
-    def _refuse(self) -> None:
-        self.inward.reset = True
-        self.inward.wake()
+            self.inward.refuse_later()
+            self.inward.wake_reader()
+            self.inward.wake_writer()
 
     def abort(self) -> None:
         """Close at once, so that the peer sees a reset."""
         if not self.closed:
             self.closed = True
-            self.inward.cut()
-            self.loop.after(self.loop.delay(), self.outward.cut)
+            self.inward.drop()
+            self.outward.cut_later()
 
 
 class SimListener:
     """Takes in-memory connections in."""
 
-    def __init__(self, loop: SimLoop, address: Address, backlog: int) -> None:
+    def __init__(self, loop: Any, address: Address, backlog: int) -> None:
         self.loop, self.address, self.backlog = loop, address, backlog
         self.waiting: deque[SimStream] = deque()
         self._waiter: Waiter | None = None
@@ -246,3 +291,46 @@
                 self.waiting.popleft().abort()
             if self._waiter is not None:
                 self._waiter.wake()
+
+
+class SimDatagrams:
+    """A socket for datagrams in memory; `loop` carries them."""
+
+    def __init__(self, loop: Any, address: Address) -> None:
+        self.loop, self.address = loop, address
+        self.waiting: deque[tuple[bytes, Address]] = deque()
+        self.dropped = 0  # came while as many waited as may
+        self._waiter: Waiter | None = None
+        self.closed = False
+
+    def send(self, data: bytes, to: Address) -> bool:
+        """Hand a datagram on."""
+        if not self.closed:
+            self.loop.carry(bytes(data), self.address, to)
+        return not self.closed
+
+    def offer(self, data: bytes, source: Address) -> None:
+        """Take a datagram that came."""
+        if len(self.waiting) >= UNREAD_MOST:
+            self.dropped += 1
+            return
+        self.waiting.append((data, source))
+        if self._waiter is not None:
+            self._waiter.wake()
+
+    def receive(self) -> tuple[bytes, Address]:
+        """Return the next datagram and whose it is; wait for it."""
+        while not self.waiting:
+            if self.closed:
+                raise StreamReset(errno.EBADF, f"{self.address}: closed here")
+            self._waiter = Waiter(self.loop)
+            self._waiter.wait()
+        return self.waiting.popleft()
+
+    def close(self) -> None:
+        """Send and receive nothing more."""
+        if not self.closed:
+            self.closed = True
+            self.loop.free(self.address)
+            if self._waiter is not None:
+                self._waiter.wake()
--- a/fennelwind/loop/streams.py
+++ b/fennelwind/loop/streams.py
@@ -3,6 +3,8 @@
 from typing import NamedTuple, Protocol
 
 READ_MOST = 262144  # bytes that one read returns at most
+DATAGRAM_MOST = 65507  # bytes of one datagram; what carries the protocols above sets far smaller bounds
+UNREAD_MOST = 256  # datagrams that wait to be received, in memory; those that come then are dropped
 
 
 class Address(NamedTuple):
@@ -66,6 +68,21 @@
         """Hand on what is taken without waiting; return how many bytes. Raises `StreamReset`."""
 
 
+class Datagrams(Protocol):
+    """A socket for datagrams, which may be late, lost, doubled or out of order. One task may receive."""
+
+    address: Address
+
+    def send(self, data: bytes, to: Address) -> bool:
+        """Hand a datagram on without waiting; False if it was dropped here at once."""
+
+    def receive(self) -> tuple[bytes, Address]:
+        """Return the next datagram and whose it is; wait for it. Raises `StreamReset` when closed."""
+
+    def close(self) -> None:
+        """Send and receive nothing more."""
+
+
 class Listener(Protocol):
     """Takes connections in."""
 
--- a/fennelwind/standin/engine.py
+++ b/fennelwind/standin/engine.py
@@ -14,6 +14,7 @@
 
 from fennelwind.loop import Address, DeadlineExceeded, Listener, Loop, Once, Stream, StreamReset
 from fennelwind.standin.model import Job, Machine, Model
+from fennelwind.standin.runner import Runner
 from fennelwind.thrift import hints, messages
 from fennelwind.thrift import hiveserver2 as hs2
 from fennelwind.thrift.codec import Malformed, Structure
@@ -124,7 +125,7 @@
         self._sessions: dict[bytes, str] = {}  # and the database each stands in
         self._operations: dict[bytes, _Operation] = {}
         self._running: dict[Job, _Operation] = {}
-        self._timer = None
+        self._runner: Runner | None = None
         self._loads: list[tuple[float, dict[str, float]]] = []
 
     @property
@@ -138,6 +139,7 @@
         self.address = self.listener.address
         self.model = Model(self.machine, self.loop.now(), cold)
         self.model.slow = self.faults.slow
+        self._runner = Runner(self.loop, self.model, self._done)
         self.counts.lives += 1
         self.loop.spawn(self._accept, self.listener, name=f"engine {self.name}")
 
@@ -153,16 +155,13 @@
         self._sessions.clear()
         self._operations.clear()
         self._running.clear()
-        if self._timer is not None:
-            self._timer.cancel()
+        self._runner.stop()
 
     def set_slow(self, slow: float) -> None:
         """Make everything take so many times as long from now on."""
         self.faults.slow = slow
-        if self.model is not None:
-            self._done(self.model.advance(self.loop.now()))
-            self.model.slow = slow
-            self._schedule()
+        if self._runner is not None:
+            self._runner.slow(slow)
 
     def _accept(self, listener: Listener) -> None:
         while True:
@@ -298,14 +297,13 @@
         self.counts.statements += 1
         self._operations[handle.operationId.guid] = operation
         self._running[job] = operation
-        self._done(self.model.add(job, self.loop.now()))
+        self._runner.add(job)
         self.counts.most_out = max(self.counts.most_out, len(self._running))
         if self.model.fallen:
             self.counts.falls += 1
             self.on_fall(self)
             self.crash()
             raise StreamReset("fallen over")
-        self._schedule()
         if not request.runAsync:
             operation.ended.wait()
             if self.faults.lose:
@@ -353,7 +351,7 @@
             more = [hints.write(hints.COST, work_ms=job.work_ms, memory_mb=job.memory_mb)]
         progress = None
         if self.note_ms and operation.state == hs2.RUNNING:
-            self._done(self.model.advance(self.loop.now()))
+            self._runner.look()
             progress = hs2.TProgressUpdateResp(
                 headerNames=[], rows=[], progressedPercentage=job.share_done, status=0, footerSummary="",
                 startTime=0)
@@ -429,25 +427,13 @@
     def _stop(self, operation: _Operation, state: int) -> None:
         operation.state = state
         self._running.pop(operation.job, None)
-        self._done(self.model.remove(operation.job, self.loop.now()))
+        self._runner.remove(operation.job)
         operation.ended.set()
-        self._schedule()
-
-    def _done(self, jobs: list[Job]) -> None:
-        for job in jobs:
-            operation = self._running.pop(job, None)
-            if operation is not None:
-                failed = self.faults.error or operation.sql_state
-                operation.state = hs2.FAILED if failed else hs2.FINISHED
-                self.counts.finished += 1
-                operation.ended.set()
-
-    def _schedule(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        due = self.model.next_due(self.loop.now())
-        self._timer = self.loop.at(due, self._tick) if due is not None else None
-
-    def _tick(self) -> None:
-        self._done(self.model.advance(self.loop.now()))
-        self._schedule()
+
+    def _done(self, job: Job) -> None:
+        operation = self._running.pop(job, None)
+        if operation is not None:
+            failed = self.faults.error or operation.sql_state
+            operation.state = hs2.FAILED if failed else hs2.FINISHED
+            self.counts.finished += 1
+            operation.ended.set()
--- a/fennelwind/standin/model.py
+++ b/fennelwind/standin/model.py
@@ -24,6 +24,7 @@
     cold_ms: float = 10000.0
     fall_multiple: float = 3.0
     fall_ms: float = 2000.0
+    ranks: tuple[float, ...] = ()  # by priority: parts of short cores; (): priorities are not heeded
 
 
 @dataclass(slots=True, eq=False)
@@ -108,8 +109,10 @@
     def load(self) -> dict[str, float]:
         """Return the load figures that it reports."""
         threads = sum(j.threads for j in self.jobs)
-        return {"active": float(len(self.jobs)), "cpu": min(1.0, threads / self.machine.cores),
-                "memory": sum(j.memory_mb for j in self.jobs) / self.machine.memory_mb}
+        waiting = max(0.0, threads - self.machine.cores)
+        memory = sum(j.memory_mb for j in self.jobs) / self.machine.memory_mb
+        return {"active": float(len(self.jobs)), "waiting": waiting,
+                "cpu": min(1.0, threads / self.machine.cores), "memory": memory}
 
     def _paces(self, now: float) -> dict[Job, float]:
         threads = sum(j.threads for j in self.jobs)
@@ -117,9 +120,28 @@
         crowd = max(0.0, threads / self.machine.cores - CROWD_AT)
         capacity = cores / (1.0 + CROWD_COST * crowd) / self.slow
         short = max(0.0, sum(j.memory_mb for j in self.jobs) / self.machine.memory_mb - 1.0)
-        pace = min(1.0 / self.slow, capacity / max(threads, 1)) / (1.0 + SPILL_COST * short)
+        spill = 1.0 + SPILL_COST * short
+        if self.machine.ranks and capacity * self.slow < threads:
+            return {job: pace / spill for job, pace in self._ranked(capacity).items()}
+        pace = min(1.0 / self.slow, capacity / max(threads, 1)) / spill
         return {job: job.threads * pace for job in self.jobs}
 
+    def _ranked(self, capacity: float) -> dict[Job, float]:
+        """Share cores that are short by priority; no thread gets more than one, what is left goes round."""
+        ranks, paces, left = self.machine.ranks, {}, dict.fromkeys(self.jobs)
+        while left:
+            weights = {job: job.threads * ranks[min(job.priority, len(ranks) - 1)] for job in left}
+            total = sum(weights.values())
+            full = [job for job in left if capacity * weights[job] / total >= job.threads / self.slow]
+            if not full:
+                paces.update((job, capacity * weights[job] / total) for job in left)
+                break
+            for job in full:
+                paces[job] = job.threads / self.slow
+                capacity -= paces[job]
+                del left[job]
+        return {job: paces[job] for job in self.jobs}
+
     def _press(self, work: float, now: float) -> None:
         """Count work that arrives; a cold engine that gets far too much falls over."""
         m = self.machine
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -130,7 +130,7 @@
 
 LAYERS = ["interface", "state", "rules", "adapter", "loop", "thrift", "config", "limits", "recovery",
           "core", "engines", "node", "fronts", "client",
-          "observe", "standin", "audit", "lab", "cli"]
+          "observe", "standin", "audit", "lab", "fleet", "cli"]
 MAY = {
     "interface": set(), "state": {"interface"}, "rules": {"interface", "state"},
     "adapter": {"interface", "rules"},
@@ -141,8 +141,8 @@
     "fronts": {"interface", "loop", "thrift", "config", "core", "limits", "engines"},
     "node": {"interface", "rules", "adapter", "loop", "limits", "core"},
     "client": {"thrift"}, "observe": {"core", "loop", "limits"},
-    "standin": {"loop", "thrift", "config"}, "audit": {"thrift", "config"},
-    "lab": {"loop", "thrift", "standin", "node"}, "cli": set(LAYERS)}
+    "standin": {"loop", "thrift", "config", "audit"}, "audit": {"thrift", "config"},
+    "lab": {"loop", "thrift", "standin", "node"}, "fleet": set(LAYERS) - {"cli"}, "cli": set(LAYERS)}
 
 
 def sources():
@@ -166,18 +166,19 @@
     pattern = r"^\s*(?:import|from) (socket|select|time|signal|secrets|threading|asyncio|selectors)\b"
     for path in sources():
         room = path.relative_to(ROOT).parts[0].removesuffix(".py")
-        if room in allowed or path.name == "sampler.py":
+        if room in allowed or path.name in ("sampler.py", "processes.py"):
             continue
         assert not re.findall(pattern, path.read_text("utf-8"), re.M), path
 
 
 def test_decisions_are_free_of_io():
-    pattern = r"\b(?:open|print|input)\(|^\s*(?:import|from) (?:os|sys|fennelwind\.loop)\b"
+    pattern = r"\b(?:open|print|input)\(|^\s*(?:import|from) (?:os|sys|fennelwind\.loop (?!import Path))\b"
     for name in ("rules.py", "state.py", "interface.py", "core/ledger.py", "core/types.py",
                  "thrift/transport.py", "core/sessions.py", "limits/margin.py", "limits/admission.py",
                  "recovery/repeats.py", "engines/verdicts.py", "limits/logins.py", "client/retry.py",
                  "limits/lines.py", "limits/places.py", "node/msgrpc.py", "node/http1.py",
-                 "node/statement.py", "node/requests.py", "node/view.py"):
+                 "node/statement.py", "node/requests.py", "node/view.py", "fleet/plan.py", "fleet/links.py",
+                 "fleet/yardsticks.py"):
         assert not re.findall(pattern, (ROOT / name).read_text("utf-8"), re.M), name
 
 
