--- a/fennelwind/cli/demo.py
+++ b/fennelwind/cli/demo.py
@@ -19,7 +19,7 @@
 from fennelwind.loop import Once, RealLoop, parse_address
 from fennelwind.standin.day import Day, load_script
 
-DEPLOY = Path(__file__).parent.parent.parent / "deploy"
+DATA = Path(__file__).parent / "data"  # the example that comes with the program
 START_S = 20.0  # s that the controller may take to listen
 
 
@@ -79,9 +79,9 @@
 
 @click.command()
 @click.option("--settings", "settings_file", type=click.Path(exists=True, dir_okay=False, path_type=Path),
-              default=DEPLOY / "bad-day.settings.txtpb")
+              default=DATA / "bad-day.settings.txtpb")
 @click.option("--script", "script_file", type=click.Path(exists=True, dir_okay=False, path_type=Path),
-              default=DEPLOY / "bad-day.script.txtpb")
+              default=DATA / "bad-day.script.txtpb")
 @click.option("--seed", type=int, default=None, help="In place of the script's.")
 @click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), default=None,
               help="Write the figures to this file.")
--- a/fennelwind/cli/main.py
+++ b/fennelwind/cli/main.py
@@ -11,6 +11,7 @@
 from fennelwind import __version__, config
 from fennelwind.cli.bench import bench
 from fennelwind.cli.demo import demo
+from fennelwind.cli.fleet import fleet
 from fennelwind.cli.program import Program
 from fennelwind.cli.query import query
 from fennelwind.cli.standin import standin
@@ -113,7 +114,7 @@
     loop.run(run)
 
 
-for command in (bench, demo, query, standin):
+for command in (bench, demo, fleet, query, standin):
     main.add_command(command)
 
 if __name__ == "__main__":
--- a/fennelwind/fleet/dayfile.py
+++ b/fennelwind/fleet/dayfile.py
@@ -80,17 +80,10 @@
     """Return the day with other sizes or settings; rates follow the executors' cores.
 
     `overlay` is text of a day whose fields take the place of the day's own; `seconds` scales the times of
-    the faults too. Raises `SettingsError`.
+    the day's faults too, not those of the overlay. Raises `SettingsError`.
     """
     file = pb.Day()
     file.CopyFrom(day.file)
-    if overlay:
-        other = pb.Day()
-        parse(overlay, "overlay", other)
-        for field, _ in other.ListFields():
-            if field.is_repeated:
-                file.ClearField(field.name)
-        file.MergeFrom(other)
     if controllers is not None:
         file.controllers.count = controllers
     if executors is not None:
@@ -107,6 +100,13 @@
             fault.for_ms *= times
             if fault.back_ms > 0.0:
                 fault.back_ms *= times
+    if overlay:
+        other = pb.Day()
+        parse(overlay, "overlay", other)
+        for field, _ in other.ListFields():
+            if field.is_repeated:
+                file.ClearField(field.name)
+        file.MergeFrom(other)
     return read(str(file), f"{file.name or 'day'}, changed")
 
 
--- /dev/null
+++ b/fennelwind/fleet/one.py
@@ -0,0 +1,21 @@
+"""One virtual day as a process: its spec on standard input, its result on standard output, both JSON."""
+
+import dataclasses
+import json
+import sys
+
+from fennelwind.fleet import dayfile
+from fennelwind.fleet.plan import make_plan
+from fennelwind.fleet.play import sim
+
+
+def main() -> int:
+    """Play what standard input asks for."""
+    spec = json.load(sys.stdin)
+    plan = make_plan(dayfile.read(spec["day"]), spec["seed"])
+    json.dump(dataclasses.asdict(sim(plan, spec["policy"], spec["salt"])), sys.stdout)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/fennelwind/fleet/plan.py
+++ b/fennelwind/fleet/plan.py
@@ -141,6 +141,11 @@
         zones = {party.name: party.zone for party in (*self.controllers, *self.slots)}
         return zones | {clients_of(zone.name): zone.name for zone in self.day.file.zones}
 
+    @cached_property
+    def stopped(self) -> frozenset[int]:
+        """The controllers that are stopped at some time; their modules had no turn when they were due one."""
+        return frozenset(step.controller for step in self.steps if step.verb == "stop")
+
     @cached_property
     def instances(self) -> dict[str, Life]:
         """All lives of executors, by their instance ids."""
--- a/fennelwind/fleet/processes.py
+++ b/fennelwind/fleet/processes.py
@@ -253,7 +253,8 @@
                     self.rig.broke.append(f"{self.name}: {line[:300]}")
             for agree, _, second, forgotten, errors in BOOKS.findall(text):
                 self.rig.counts["second"] += int(second)
-                if agree != "True" or int(errors) or int(forgotten):
+                stopped = self.number in self.rig.plan.stopped
+                if agree != "True" or int(errors) or int(forgotten) and not stopped:
                     self.rig.broke.append(f"{self.name}: books agree {agree}, forgotten {forgotten}, "
                                           f"step errors {errors}")
 
--- a/fennelwind/fleet/virtual.py
+++ b/fennelwind/fleet/virtual.py
@@ -133,8 +133,8 @@
         """Look at the books of the life that ends, then end it."""
         if self.host is None or self.host.dead:
             return
-        driver = self.node.driver
-        if not driver.ledger.balanced() or driver.step_errors or driver.forgotten:
+        driver, stopped = self.node.driver, self.number in self.fleet.plan.stopped
+        if not driver.ledger.balanced() or driver.step_errors or driver.forgotten and not stopped:
             self.fleet.log.broke.append(
                 f"n{self.number}: books agree {driver.ledger.balanced()}, step errors {driver.step_errors}, "
                 f"forgotten {driver.forgotten}")
@@ -182,14 +182,26 @@
     def __init__(self, plan: Plan, *, make: MakeDecider | None = None, salt: str = "") -> None:
         self.plan, self.make, self.salt = plan, make, salt
         self.addresses = Addresses(PORT, relayed=False)
-        self.world = World(plan.seed, Shifted(plan.links(), BEFORE_MS))
+        self.world = World(f"{plan.seed}/{salt}", Shifted(plan.links(), BEFORE_MS))
         self.book = Book(plan, self.addresses.executor_for, UNIX_MS + BEFORE_MS)
         self.sightings: list[Sighting] = []
         self.note = self.sightings.append
         self.log = Quiet()
+        self.before_ms = BEFORE_MS
+        self.truth: Any = None  # who watches what the stand-ins see, if anybody does
         self.controllers: list[Controller] = []
         self.executors: list[ExecutorStage] = []
 
+    def watch(self, truth: Any) -> None:
+        """Let somebody see what the stand-ins see, as it happens."""
+        self.truth = truth
+
+        def note(one: Sighting) -> None:
+            self.sightings.append(one)
+            truth.see(one)
+
+        self.note = note
+
     def clock(self) -> float:
         """Return the time of the day in ms."""
         return self.world.time - BEFORE_MS
--- a/fennelwind/loop/real.py
+++ b/fennelwind/loop/real.py
@@ -232,7 +232,8 @@
         """Return some bytes, b"" at the end; wait for them."""
         while True:
             if self.drained:  # a look would find nothing: in a dialogue nearly every read comes to here
-                self.loop.watch(self.sock.fileno(), READ).wait()
+                if self.sock.fileno() >= 0:  # another task may have closed it since the last read
+                    self.loop.watch(self.sock.fileno(), READ).wait()
                 if self.sock.fileno() < 0:
                     return b""
             try:
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -373,3 +373,20 @@
 def test_addresses_that_are_none_are_named(text):
     with pytest.raises(ValueError, match="HOST:PORT"):
         parse_address(text)
+
+
+def test_reading_from_a_socket_that_another_task_has_closed_is_its_end():
+    loop = RealLoop()
+
+    def main():
+        listener = loop.listen(HERE)
+        stream = loop.connect(listener.address)
+        other = listener.accept()
+        other.write(b"x")
+        assert stream.read() == b"x"  # all there was, so the next read would wait
+        stream.close()
+        assert stream.read() == b""
+        other.close()
+        listener.close()
+
+    loop.run(main)
