--- a/fennelwind/cli/fleet.py
+++ b/fennelwind/cli/fleet.py
@@ -226,3 +226,16 @@
                 save(result, out)
     if any(line.startswith(f"{base} on") for line in lines):
         sys.exit(1)
+
+
+@fleet.command()
+def capacity() -> None:
+    """Measure what a relay of the rig costs, and up to what rate a day on sockets counts."""
+    from fennelwind.fleet.capacity import IDLE_ROWS, measure
+
+    cost = measure()
+    click.echo(table([
+        ["a message there and back", "us"], ["direct", f"{cost.direct_us:.0f}"],
+        ["through a relay", f"{cost.relayed_us:.0f}"],
+        [f"through one with {IDLE_ROWS} more listeners", f"{cost.crowded_us:.0f}"]]))
+    click.echo(f"\nOne relay process is full at some {cost.per_s:.0f} messages a second; plan for a third.")
