--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -38,7 +38,7 @@
 RESCUE_LAG = 3.0  # times what an attempt should take; beyond it another engine is tried
 NOTES = 2.5  # periods of notes; what the last one told of an attempt is old news after that
 RESCUE_SMALLEST = 0.5  # of the class mean; smaller queries get as much, as estimates of them err most
-RESCUE_SHARE, RESCUE_MOST = 0.25, 10.0  # rescues for each query taken, and saved up; else they feed a jam
+RESCUE_SHARE, RESCUE_MOST = 0.15, 6.0  # of the work taken, and means of it saved up; else rescues feed a jam
 TIE_PER_CORE = 0.5  # threads a core; engines closer than this are tied and warmth, zone and load settle it
 WARM_GROUPS = 4  # groups of tables that an engine is taken to keep warm
 GOLDEN = 0.6180339887  # golden ratio: multiples of it spread gateways evenly over a ring of engines
@@ -68,7 +68,7 @@
         self.rest: dict[str, float] = {}  # keys that rest until then
         self.mean, self.work, self.best = ([start] * len(settings.classes) for start in (0.0, 0.0, 1.0))
         self.taken, self.further = Window(), Window()
-        self.credit, self.token = RESCUE_MOST, 0
+        self.credit, self.token = float("inf"), 0  # ms of work that rescues may start anew
         self.size = 0.0  # mean told work of all queries
         self.wide, self.long = 0.0, 0.0  # mean of attempts: time, and time times threads
         self.took = self.due = 0.0  # mean of attempts: time, and time at its best
@@ -145,11 +145,11 @@
         cls = self.set.classes[c]
         if self.set.budget_ms:
             self.taken.add(self.now, 1.0, self.now - self.set.budget_ms)
-        self.credit = min(self.credit + RESCUE_SHARE, RESCUE_MOST)
         work = told.work_ms or self.work[c] or GUESS * cls.aim_ms * cls.threads
         span = max(work / cls.threads, 1.0)
         self.work[c] += (work - self.work[c]) * (MEAN_PART if self.work[c] else 1.0)
         self.size += (work - self.size) * (MEAN_PART if self.size else 1.0)
+        self.credit = min(self.credit + RESCUE_SHARE * work, RESCUE_MOST * self.size)
         self.mean[c] = self.mean[c] or (span if told.work_ms else cls.aim_ms / 2)
         aim_at = min(self.now + cls.aim_ms + cls.aim_stretch * span, told.deadline_ms)
         short = self.set.priorities and work < SHORT * self.size
@@ -367,8 +367,11 @@
         if (early and attempt.engine.entry.state != "gone" or attempt.cancelled or query.done or query.out > 1
                 or query.cls.effect == "unsafe"):
             return
-        if self.credit >= 1.0 and self._may_go_on(query) and self._budget_left():
-            self.credit -= 1.0
+        # By work, not by number: short queries must not pay for starting long ones anew again and again.
+        work = query.span * query.cls.threads
+        paid = self.credit >= min(work, RESCUE_MOST * self.size)
+        if paid and self._may_go_on(query) and self._budget_left():
+            self.credit -= work
             if self.set.can_cancel:
                 attempt.cancelled = True
                 self.actions.append(api.Cancel(query.told.query, attempt.number))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -221,3 +221,22 @@
     for _ in range(60):
         d.gateway._learn(attempt, api.Outcome(0, 0, "", "ok", 1000.0, False))
     assert d.gateway._part() == rules.WAITING
+
+
+def test_many_short_queries_do_not_pay_for_starting_long_ones_anew():
+    """In a jam every long query is late; starting them all anew throws their work away and feeds the jam."""
+    d = Drive(engines=4)
+    for n in range(60):
+        d.ask(n)
+        d.answer(n)
+    for n in range(100, 104):
+        d.ask(n, cls=1, work=4000.0)
+    out = [n for n in range(100, 104) if n in d.tries]
+    cancelled = {a.query for a in d.run(8000.0) if isinstance(a, api.Cancel)}
+    assert len(out) == 4 and len(cancelled) <= 1
+
+
+def test_the_first_bad_attempt_of_a_gateway_that_just_started_is_rescued():
+    d = Drive(engines=4)
+    d.ask(1, cls=1, work=4000.0)
+    assert [a.query for a in d.run(8000.0) if isinstance(a, api.Cancel)] == [1]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -323,7 +323,7 @@
     d = Drive(engines=1)
     for n in range(6):
         d.ask(n)
-    d.gateway.credit = 2.0
+    d.gateway.credit = 200.0  # ms of work; each of them has 100
     assert len(of(d.run(3000.0), api.Cancel)) == 2
 
 
