--- a/fennelwind/loop/world.py
+++ b/fennelwind/loop/world.py
@@ -253,16 +253,20 @@
             return
         made = 0
         while True:
-            made += len(self.ready)
-            self._call_ready()
-            self._call_timers()
-            if not self.ready or self.dead:
+            if self.ready:
+                made += len(self.ready)
+                self._call_ready()
+            due = self.timers.next_due()
+            if due is not None and due <= now:  # looked at first: most turns have no timer due
+                self._call_timers()
+            elif not self.ready:
                 break
+            if self.dead:
+                return
         world.turns += made
         if self.turn_ms and made:
             self._busy_until = now + self.turn_ms * made
-        due = self.timers.next_due()
-        if due is not None and not self.dead:
+        if due is not None:
             self._ask_turn(due)
 
     def _ask_turn(self, due: float) -> None:
