--- a/fennelwind/audit/fleet.py
+++ b/fennelwind/audit/fleet.py
@@ -174,7 +174,7 @@
         mine, stopped, gone = windows.setdefault(number, []), None, None
         for step in steps:
             if step.what in ("kill", "crashed", "ended"):
-                gone = step.at - SLACK_MS
+                gone = step.at - SLACK_MS if gone is None else gone  # a dead one is cleared away later
             elif step.what == "started" and gone is not None:
                 mine.append((gone, step.at + STARTS_MS))
                 gone = None
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -10,7 +10,8 @@
 import pytest
 from click.testing import CliRunner
 
-from fennelwind.audit.fleet import audit, put_together
+from fennelwind.audit.fleet import audit, excuses, put_together
+from fennelwind.audit.sightings import Asked, Broken, Process
 from fennelwind.cli.main import main as cli
 from fennelwind.config.text import SettingsError
 from fennelwind.core.driver import Driver
@@ -131,6 +132,16 @@
     assert not any(1010 < a.at < 3000 for r in inside for a in r.answers)
 
 
+def test_who_is_killed_and_never_back_is_excused_from_then_on():
+    facts = facts_of(make_plan(day(controllers=1, executors=1), 1))
+    steps = [Process(0.0, 0, "started"), Process(500.0, 0, "kill"), Process(9000.0, 0, "ended")]
+    story = put_together([*steps, Asked(400.0, "x", 0, 0, 0, 0, 3400.0), Broken(501.0, "x")])
+    assert excuses(story, facts)[0] == [(450.0, float("inf"))]
+    assert not any(v.breaks for v in audit(story, facts))
+    story = put_together([steps[0], Asked(400.0, "x", 0, 0, 0, 0, 3400.0), Broken(501.0, "x")])
+    assert "its connection was closed" in {v.rule: v for v in audit(story, facts)}["final answers"].breaks[0]
+
+
 # Faults planted in the program: the audit has to find each, and name it.
 
 
