--- a/fennelwind/fleet/figures.py
+++ b/fennelwind/fleet/figures.py
@@ -135,7 +135,8 @@
     idle = (threads < 0.5) & alive & queued[None, :]
     overfull, short, wasted, all_work = _meetings(bounds, cores, memory)
     return {
-        "uneven": _uneven(load, alive), "idle_while_queued": float(idle.sum()) / max(1.0, float(alive.sum())),
+        "work": _work(load, names), "uneven": _uneven(load, alive),
+        "idle_while_queued": float(idle.sum()) / max(1.0, float(alive.sum())),
         "busy": float(np.minimum(load, 1.0)[alive].mean()) if alive.any() else 0.0,
         "herd": _herd(story), "overfull": overfull, "short_of_memory": short,
         "wasted": wasted / max(all_work, 1e-9),
@@ -164,6 +165,13 @@
     return full / max(1, met), short / max(1, met), wasted, work
 
 
+def _work(load: np.ndarray, names: list[str]) -> dict[str, list[float]]:
+    """Return the threads a core of each executor, the mean of each window, by instance."""
+    step = int(WINDOW_MS / GRID_MS)
+    return {name: [round(float(load[place, start:start + step].mean()), 3)
+                   for start in range(0, load.shape[1], step)] for place, name in enumerate(names)}
+
+
 def _uneven(load: np.ndarray, alive: np.ndarray) -> float:
     """Return the coefficient of variation of work over executors, the mean over windows."""
     step, found = int(WINDOW_MS / GRID_MS), []
--- a/fennelwind/fleet/processes.py
+++ b/fennelwind/fleet/processes.py
@@ -38,6 +38,7 @@
 SLOTS = 10  # executors of one process
 BEFORE_MS = 500.0  # ms from the word to the day's start
 OVER_MS = 60_000.0  # ms after the last request by which every client has ended, or the rig is at fault
+PROGRESS_MS = 5000.0  # ms between two words on how far the day is
 AFTER_MS = 1000.0  # ms after the last request, for what is still to settle
 END_S = 30.0  # s in which a controller has to end after SIGTERM
 PDEATHSIG = 1  # of prctl: the signal that a process gets when its parent ends
@@ -352,6 +353,7 @@
         for part in self.parts:
             part.say({"start_ms": self.start_ms, "epoch_ms": epoch})
         script = loop.spawn(self._script, name="rig: script")
+        loop.spawn(self._tell, name="rig: progress")
         self._wait(lambda part: part.told.get("done") or part.spec["role"] != "clients",
                    (plan.day.file.length_ms + OVER_MS) / 1000.0, "do not end")
         self.over = True
@@ -424,6 +426,13 @@
             if stream is not None:
                 stream.close()
 
+    def _tell(self) -> None:
+        """Say how far the day is."""
+        while not self.over:
+            self.loop.sleep(PROGRESS_MS)
+            length = self.plan.day.file.length_ms
+            self.said(f"{min(self.clock(), length) / 1000.0:.0f} of {length / 1000.0:.0f} s played")
+
     def _script(self) -> None:
         for step in self.plan.steps:
             self.loop.sleep(max(0.0, step.at_ms - self.clock()))
--- a/fennelwind/fleet/report.py
+++ b/fennelwind/fleet/report.py
@@ -12,6 +12,7 @@
 from matplotlib import pyplot  # noqa: E402
 
 BREAKS_MOST = 200  # lines of what broke
+MAPS_MOST = 8  # plays whose work over time is drawn
 
 
 def summary(results: list[dict[str, Any]]) -> list[dict[str, Any]]:
@@ -43,6 +44,22 @@
     axes.set_xticks([i + 0.4 - width / 2 for i in range(len(names))], names)
     axes.set_ylabel(title)
     axes.legend(fontsize=8, ncols=4)
+    return _image(figure, title)
+
+
+def _map(result: dict[str, Any]) -> dict[str, str]:
+    """Return work over time, a row for each executor's life: where all send at once, it shows."""
+    work = result["figures"]["work"]
+    title = f"Threads a core: {result['name']} ({result['rig']}), {result['policy']}, seed {result['seed']}"
+    figure, axes = pyplot.subplots(figsize=(10.0, 0.6 + 0.12 * len(work)))
+    image = axes.imshow(list(work.values()), aspect="auto", vmin=0.0, vmax=4.0, cmap="viridis")
+    axes.set_xlabel("s")
+    axes.set_ylabel("executors")
+    figure.colorbar(image)
+    return _image(figure, title)
+
+
+def _image(figure: Any, title: str) -> dict[str, str]:
     data = BytesIO()
     figure.savefig(data, format="png", dpi=110, bbox_inches="tight", metadata={"Software": None})
     pyplot.close(figure)
@@ -55,6 +72,8 @@
     charts = [_chart(rows, label, title) for label, title in (
         ("worth", "Share of the worth served"), ("uneven", "Variation of work over executors"),
         ("idle", "Idle while another queues"), ("wasted", "Work wasted"))]
+    drawn = [result for result in results if result["figures"].get("work")]  # older results have none
+    charts += [_map(result) for result in drawn[:MAPS_MOST]]
     breaks = [f"{result['name']}, {result['policy']}, seed {result['seed']}: {text}" for result in results
               for text in [*result["broke"], *(f"{rule['rule']}: {first}" for rule in result["rules"]
                                                for first in rule["first"])]][:BREAKS_MOST]
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -283,7 +283,7 @@
     told = run.invoke(cli, ["fleet", "report", str(tmp_path)])
     assert told.exit_code == 0, told.output
     page = (tmp_path / "report.html").read_text("utf-8")
-    assert page.count("data:image/png;base64,") == 4 and "module@x" in page
+    assert page.count("data:image/png;base64,") == 4 + 6 and "module@x" in page
     for words in (["fleet", "sim", "nosuch"], ["fleet", "sim", "calm", "--policy", "worst"],
                   ["fleet", "compare", "calm", "--b", "module"],
                   ["fleet", "compare", "calm", "--b", "commit:"],
