--- a/fennelwind/core/driver.py
+++ b/fennelwind/core/driver.py
@@ -28,6 +28,7 @@
 from fennelwind.loop import Cancelled, Loop, Task
 from fennelwind.recovery.repeats import Repeats, Request, goes_on, request_name
 from fennelwind.rules import Gateway
+from fennelwind.spread.advisor import Advisor
 
 LAST_MOMENT = 0.5  # part of the margin before a client gives up: the module has had its say until then
 
@@ -52,11 +53,13 @@
     """One controller's core."""
 
     def __init__(self, loop: Loop, settings: api.Settings, engines: Engines, observer: Observer, *, seed: int,
-                 max_open: int, margin: AnswerMargin, subscribe: Callable[[], None] = lambda: None) -> None:
+                 max_open: int, margin: AnswerMargin, subscribe: Callable[[], None] = lambda: None,
+                 advisor: Advisor | None = None) -> None:
         self.loop, self.settings, self.engines, self.observer = loop, settings, engines, observer
         self.max_open, self.margin, self.subscribe = max_open, margin, subscribe
         self.ledger = Ledger(len(settings.classes))
         self.gateway = Gateway(settings, seed)
+        self.advisor = advisor  # who tells the module of whole loads, if anybody
         self.closing = False
         self.steps = 0
         self.step_errors = 0
@@ -170,7 +173,7 @@
         events, self._events = self._events, []
         self.steps += 1
         try:
-            actions = self.gateway.step(self.loop.now(), events)
+            actions = self.gateway.step(self.loop.now(), self._advised(events))
         except Exception as exc:  # its queries still get their answers, at the last moment
             self.step_errors += 1
             self.observer.failed("module", exc)
@@ -182,6 +185,15 @@
                 self.step_errors += 1
                 self.observer.failed(f"carrying out {type(action).__name__}", exc)
 
+    def _advised(self, events: list[api.Event]) -> list[api.Event]:
+        """Return the events with what is known of whole loads ahead of them."""
+        if self.advisor is None:
+            return events
+        now = self.loop.now()
+        for event in events:
+            self.advisor.take(event, now)
+        return [self.advisor.picture(now), *events]
+
     def _carry_out(self, action: api.Action) -> None:
         match action:
             case api.Send(query, engine, timeout):
@@ -221,6 +233,8 @@
             return
         deadline = min(entry.due_ms, now + timeout) if timeout else entry.due_ms
         entry.tries.append(Try(now))
+        if self.advisor is not None:
+            self.advisor.sent(engine, self.settings.classes[entry.submission.cls].threads)
         order = Order(query, number, entry.submission, deadline, entry.memory_mb, entry.priority,
                       lambda sort, value: self._note(entry, number, sort, value))
         self._tasks[query, number] = self.loop.spawn(
--- a/fennelwind/fleet/yardsticks.py
+++ b/fennelwind/fleet/yardsticks.py
@@ -11,7 +11,7 @@
 from fennelwind import interface as api
 
 AGAIN = ("full", "connect_failed", "moot")  # ends that prove that nothing ran
-TIMES_GRANT = 2.2  # of the told memory, as the module grants, so that choices alone differ
+TIMES_GRANT = 2.5  # of the told memory, as the module grants, so that choices alone differ
 Truth = Callable[[float, str], float]  # time and instance: threads a core that truly ran there
 
 
--- a/fennelwind/interface.py
+++ b/fennelwind/interface.py
@@ -191,6 +191,16 @@
     load: dict[str, float] = field(default_factory=dict)
 
 
+@dataclass(slots=True, frozen=True)
+class Picture:
+    """News of whole loads: engines to lean to, in order, with the load that each is taken to have now.
+
+    A load is the busy share of the engine's busiest resource; the price of another zone is added to it.
+    """
+
+    loads: dict[str, float]
+
+
 @dataclass(slots=True, frozen=True)
 class Send:
     """Start an attempt; a time-out of 0 means until the client gives up."""
@@ -267,5 +277,5 @@
     text: str
 
 
-Event = EngineList | Arrival | Outcome | Begun | Gone | Note | TimerFired | PeerMessage | Probed
+Event = EngineList | Arrival | Outcome | Begun | Gone | Note | TimerFired | PeerMessage | Probed | Picture
 Action = Send | Refuse | Fail | Cancel | Terms | Timer | Tell | Probe | Subscribe | Log
--- a/fennelwind/node/lifecycle.py
+++ b/fennelwind/node/lifecycle.py
@@ -20,6 +20,7 @@
 from fennelwind.node.executors import Executors
 from fennelwind.node.front import Front
 from fennelwind.node.view import compare, drift
+from fennelwind.spread.advisor import Advisor, acts
 
 MARGIN_LEAST_MS, MARGIN_MOST_MS = 15.0, 200.0  # bounds of the measured time of answers on their way
 CLIENTS_PART, EXECUTORS_PART = 0.55, 0.36  # of the descriptors; the rest is for files, channel and deletes
@@ -87,7 +88,8 @@
             most=int(config.sockets * EXECUTORS_PART), parallel=settings.parallel)
         self.driver = Driver(
             loop, settings, self.links, log, seed=config.seed, max_open=config.most_open,
-            margin=AnswerMargin(MARGIN_LEAST_MS, MARGIN_MOST_MS))
+            margin=AnswerMargin(MARGIN_LEAST_MS, MARGIN_MOST_MS),
+            advisor=Advisor(settings, config.seed, config.idle_ms) if acts(settings) else None)
         self.channel = Channel(loop, config.channel, self.links, zones=config.zones, kinds=config.kinds,
                                post=self.driver.post, said=log.said)
         self.front: Front | None = None
--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -32,7 +32,7 @@
 SHUT_MS = 1000.0  # ms that a failing engine is left alone, doubled with each failure up to four times
 GUESS = 0.25  # of the aim: span of a class that nothing tells of; with half, LIKELY would never let it start
 LIKELY = 2.0  # times best; a query with less time left than this is unlikely to be served in time
-GRANT = 2.2  # times the told memory; estimates scatter, and a spill costs far more than what lies idle
+GRANT = 2.5  # times the told memory; estimates scatter, and a spill costs far more than what lies idle
 PAGED = 3.0  # the same where only memory in use counts, so that what is granted too much costs nothing
 ERRORS = 3  # errors in a row; a bad query errs once anywhere, an engine that errs quickly would draw all in
 RESCUE_LAG = 3.0  # times what an attempt should take; beyond it another engine is tried
@@ -40,6 +40,8 @@
 RESCUE_SMALLEST = 0.5  # of the class mean; smaller queries get as much, as estimates of them err most
 RESCUE_SHARE, RESCUE_MOST = 0.15, 6.0  # of the work taken, and means of it saved up; else rescues feed a jam
 TIE_PER_CORE = 0.5  # threads a core; engines closer than this are tied and warmth, zone and load settle it
+TOLD_TIE = 0.25  # of the capacity; the same for engines whose whole load is told, a second old and noisy
+TOLD_LAG = 2.0  # times the usual lateness before a rescue where loads are told: who reports is busy, not hung
 WARM_GROUPS = 4  # groups of tables that an engine is taken to keep warm
 GOLDEN = 0.6180339887  # golden ratio: multiples of it spread gateways evenly over a ring of engines
 WAITING = 3.0  # of the allowance where engines let queries wait for memory: overfilling costs less there
@@ -73,6 +75,7 @@
         self.wide, self.long = 0.0, 0.0  # mean of attempts: time, and time times threads
         self.took = self.due = 0.0  # mean of attempts: time, and time at its best
         self.fill = 0.0  # pooled reports: threads a core over the fleet; 0: none told
+        self.told: dict[str, float] = {}  # engines to lean to with their whole loads; empty: no such news
         self.busy: dict[str, Engine] = {}  # engines that own attempts are out at, so that work follows them
         self.ready: list[Engine] = []
         self.usual = 1.0  # median lag of the fleet
@@ -98,6 +101,8 @@
                     self._outcome(event)
                 case api.EngineList():
                     self._list(event)
+                case api.Picture(loads):
+                    self.told = loads
                 case api.Gone(query) if query in self.queries:
                     self._close(self.queries[query])
                 case api.Begun(query) if query in self.queries:
@@ -359,7 +364,8 @@
         """Call off an attempt that takes far longer than its estimate and the fleet explain."""
         query, c = attempt.query, attempt.query.c
         usual_span = max(query.span, RESCUE_SMALLEST * self.work[c] / query.cls.threads)
-        due = RESCUE_LAG * max(self.usual, attempt.engine.lag, 1.0) * usual_span * self.best[c]
+        lateness = RESCUE_LAG * (TOLD_LAG if self.told else 1.0)
+        due = lateness * max(self.usual, attempt.engine.lag, 1.0) * usual_span * self.best[c]
         # What its notes tell to be under way is left alone, though a busy engine or its low priority makes it
         # late: starting anew costs all its work. When notes stop, as from a hung engine, its age decides.
         told = self.now - attempt.noted < NOTES * self.set.note_ms
@@ -469,21 +475,31 @@
         full = running and running + wide > most
         near, far = self.ready[:SAMPLE // 2], self.ready[SAMPLE // 2:]
         near += self.random.sample(far, SAMPLE // 2) if len(self.ready) > SAMPLE else far
+        if self.told:
+            near = [self.engines[name] for name in self.told if name in self.engines]
         allowed = [e for e in near if self._permitted(query, e)]
-        allowed = allowed or [e for e in self.ready if self._permitted(query, e)]
+        if not allowed or self.told and all(e.suspect for e in allowed):
+            allowed = [e for e in self.ready if self._permitted(query, e)]
         healthy = [e for e in allowed if not e.suspect]
         # Where nothing healthy is left, what failed this query a moment ago would only fail it again.
         rested = [e for e in allowed if e.entry.engine not in tried or e.shut_until <= self.now]
         pool = [e for e in healthy if e.entry.engine not in tried] or healthy or rested
-        loads = {}
+        loads, worst = {}, max(self.told.values(), default=0.0)
+        # Where each gateway leans to a few engines, each engine is shared by so many gateways fewer.
+        fewer = max(1.0, len(self.ready) / len(near)) if self.told and near else 1.0
         for engine in pool:
-            if full or engine.threads and engine.threads + wide > self._limit(engine):
+            if full or engine.threads and engine.threads + wide > self._limit(engine) * fewer:
                 engine.reached = True
             else:
                 pace = min(1.0, max(0.1, self.usual / engine.lag_now)) * self._warmth(engine)
                 loads[engine] = (engine.threads + wide) / (engine.cores * pace)
-        least = min(loads.values(), default=0.0) + TIE_PER_CORE
-        return min((e for e, load in loads.items() if load <= least), default=None, key=lambda e: (
+                if self.told:
+                    loads[engine] += self.told.get(engine.entry.engine, worst) / pace
+        least = min(loads.values(), default=0.0) + (TOLD_TIE if self.told else TIE_PER_CORE)
+        tied = [e for e, load in loads.items() if load <= least]
+        if self.told:  # the order is this gateway's own, so that it comes back to connections that are open
+            return min(tied, default=None, key=lambda e: query.told.tables not in e.warm)
+        return min(tied, default=None, key=lambda e: (
             e.entry.zone != self.set.zone, query.told.tables not in e.warm, e.threads / e.cores))
 
     def _limit(self, engine: Engine) -> float:
--- /dev/null
+++ b/fennelwind/spread/__init__.py
@@ -0,0 +1,1 @@
+"""How one of many controllers spreads load of which it sees little."""
