--- a/fennelwind/cli/bench.py
+++ b/fennelwind/cli/bench.py
@@ -9,6 +9,7 @@
 from fennelwind.lab import codec as codec_bench
 from fennelwind.lab import path as path_bench
 from fennelwind.lab import platform as platform_bench
+from fennelwind.lab import spread as spread_bench
 from fennelwind.lab import timers as timers_bench
 from fennelwind.loop import RealLoop, parse_address
 
@@ -45,6 +46,15 @@
     click.echo(table(rows))
 
 
+@bench.command()
+def spread() -> None:
+    """Decisions with news of whole loads beside those without, by number of executors."""
+    rows = [["executors", "queries a second", "us a query without", "with", "KB kept"]]
+    rows += [[str(engines), f"{rate:g}", f"{without:.0f}", f"{told:.0f}", f"{kept:.0f}"]
+             for engines, rate, without, told, kept in spread_bench.measure()]
+    click.echo(table(rows))
+
+
 @bench.command()
 def timers() -> None:
     """The timer wheel beside a heap, with 100,000 pending timers."""
