An advisor that breaks costs the module no event; one echo server for two tests

Seen on reading the change: the advisor ran inside the module's guard, so an exception of its own dropped all events of that turn, and arrivals were answered at their last moment only. At fault: Driver._advised.

Also: candidates by chance are no longer drawn where loads are told; the program's test asks a bounded number of times; two tests' echo server stands once.

--- a/fennelwind/core/driver.py
+++ b/fennelwind/core/driver.py
@@ -190,9 +190,14 @@
         if self.advisor is None:
             return events
         now = self.loop.now()
-        for event in events:
-            self.advisor.take(event, now)
-        return [self.advisor.picture(now), *events]
+        try:
+            for event in events:
+                self.advisor.take(event, now)
+            return [self.advisor.picture(now), *events]
+        except Exception as exc:  # the module decides without such news, and must miss no event
+            self.step_errors += 1
+            self.observer.failed("advisor", exc)
+            return [api.Picture({}), *events]
 
     def _carry_out(self, action: api.Action) -> None:
         match action:
@@ -233,12 +238,12 @@
             return
         deadline = min(entry.due_ms, now + timeout) if timeout else entry.due_ms
         entry.tries.append(Try(now))
-        if self.advisor is not None:
-            self.advisor.sent(engine, self.settings.classes[entry.submission.cls].threads)
         order = Order(query, number, entry.submission, deadline, entry.memory_mb, entry.priority,
                       lambda sort, value: self._note(entry, number, sort, value))
         self._tasks[query, number] = self.loop.spawn(
             self._attempt, entry, number, engine, order, name=f"query {query} attempt {number}")
+        if self.advisor is not None:
+            self.advisor.sent(engine, self.settings.classes[entry.submission.cls].threads)
 
     def _note(self, entry: Entry, number: int, sort: int, value: float) -> None:
         if sort == DONE:
--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -473,10 +473,11 @@
         # In a jam long queries give way: short ones held here would be late for room that they hardly use.
         most = max(self.allowance, self.even) if query.short else self.allowance
         full = running and running + wide > most
-        near, far = self.ready[:SAMPLE // 2], self.ready[SAMPLE // 2:]
-        near += self.random.sample(far, SAMPLE // 2) if len(self.ready) > SAMPLE else far
         if self.told:
             near = [self.engines[name] for name in self.told if name in self.engines]
+        else:
+            near, far = self.ready[:SAMPLE // 2], self.ready[SAMPLE // 2:]
+            near += self.random.sample(far, SAMPLE // 2) if len(self.ready) > SAMPLE else far
         allowed = [e for e in near if self._permitted(query, e)]
         if not allowed or self.told and all(e.suspect for e in allowed):
             allowed = [e for e in self.ready if self._permitted(query, e)]
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -8,6 +8,21 @@
 from fennelwind.node.config import read_config
 from fennelwind.node.lifecycle import Node
 
+
+def serve_echo(spawn, listener):
+    """Say back what comes on each connection, for as long as the listener is open; `spawn` starts a task."""
+    def serve(stream):
+        try:
+            while data := stream.read():
+                stream.write(data)
+        except StreamReset:
+            pass
+        stream.close()
+
+    while True:
+        spawn(serve, listener.accept())
+
+
 LISTEN, CHANNEL = Address("127.0.0.9", 9090), Address("127.0.0.8", 9092)
 SETTINGS = {
     "Balancers": 1,
--- a/tests/test_node_run.py
+++ b/tests/test_node_run.py
@@ -149,9 +149,11 @@
     assert program.call(ask(4)) == [1, 1, None, [ROWS, {}]]
 
     program.process.send_signal(signal.SIGTERM)
-    well = True
-    while well:  # the signal may arrive after the first of these calls
-        well = program.call(msgpack.packb([0, 1, "isWell", [{}]]))[3][0]
+    for _ in range(1000):  # the signal may arrive after the first of these calls
+        well = program.call(msgpack.packb([0, 1, "isWell", [{}]]))
+        if well == [1, 1, None, [False, {}]]:
+            break
+    assert well == [1, 1, None, [False, {}]]
     assert program.call(ask(5)) == [1, 1, None, [ROWS, {}]]
     line = program.expect("closed")
     assert program.process.wait(WAIT_S) == 0
--- a/tests/test_rig_processes.py
+++ b/tests/test_rig_processes.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 import pytest
+from nodes import serve_echo
 
 from fennelwind.audit.fleet import audit, put_together
 from fennelwind.fleet import day_pb2 as pb
@@ -137,20 +138,7 @@
 
 def _prepare(loop, links):
     listener = loop.listen(Address(HERE, 0))
-
-    def serve(stream):
-        try:
-            while data := stream.read():
-                stream.write(data)
-        except StreamReset:
-            pass
-        stream.close()
-
-    def accept():
-        while True:
-            loop.spawn(serve, listener.accept())
-
-    loop.spawn(accept)
+    loop.spawn(serve_echo, loop.spawn, listener)
     free = loop.listen(Address(HERE, 0))
     free.close()
     start = loop.now()
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -322,6 +322,18 @@
     assert with_news < 0.85 * play()
 
 
+def test_an_advisor_that_breaks_costs_the_module_no_event(monkeypatch):
+    def broken(self, now):
+        raise RuntimeError("planted")
+
+    monkeypatch.setattr(Advisor, "picture", broken)
+    plan = make_plan(fleet_day(executors=8, seconds=2.0), 5)
+    outcome = Virtual(plan).play()
+    story = put_together(outcome.sightings)
+    assert outcome.broke and not any(v.breaks for v in audit(story, facts_of(plan)))
+    assert figures(plan, story, outcome.sightings)["worth"] > 0.9  # none of it with the events lost
+
+
 def test_sixteen_controllers_with_faults_between_them_keep_every_rule(tmp_path):
     plan = make_plan(fleet_day(executors=12, faults=FAULTS), 9)
     outcome = Processes(plan, tmp_path).play()
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -1,6 +1,7 @@
 """Many hosts in virtual time: ways that fail, processes that die, stop and start; datagrams."""
 
 import pytest
+from nodes import serve_echo
 
 from fennelwind.loop import Address, ConnectFailed, DeadlineExceeded, RealLoop, SimLoop, StreamReset
 from fennelwind.loop.world import FOREVER, Path, World
@@ -29,21 +30,7 @@
 
 
 def echo(host, address=B):
-    listener = host.listen(address)
-
-    def serve(stream):
-        try:
-            while data := stream.read():
-                stream.write(data)
-        except StreamReset:
-            pass
-        stream.close()
-
-    def accept():
-        while True:
-            host.spawn(serve, listener.accept())
-
-    host.start(accept)
+    host.start(serve_echo, host.spawn, host.listen(address))
 
 
 def test_two_hosts_talk_and_the_same_seed_gives_the_same_times():
