--- /dev/null
+++ b/fennelwind/council/interface.py
@@ -0,0 +1,227 @@
+"""Between the council's core, which decides, and what carries out: events in, actions out.
+
+`Core.step(now, events) -> actions`. Times are ms on the member's own clock, which never goes back. The
+carrier makes writes in their order, sends messages without waiting, and hands the core whatever comes of it.
+Nothing that rests on a write leaves before its `Written`: the core holds it back.
+"""
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from fennelwind.council import council_pb2 as pb
+
+
+class Life(NamedTuple):
+    """Who a member is: its name, and the number drawn when its folder was made."""
+
+    name: str
+    life: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Timing:
+    """How long a member waits, in ms, and what it holds at most."""
+
+    heartbeat_ms: float = 50.0
+    election_ms: float = 300.0  # to twice that is drawn anew for each wait
+    append_most: int = 512 * 1024  # bytes of entries in one message
+    under_way_most: int = 4  # messages of entries unanswered by one member
+    piece_most: int = 256 * 1024  # bytes of a snapshot in one message
+    waiting_most: int = 4096  # proposals that wait for their entry's commit
+    reads_most: int = 4096  # reads that wait for a majority's word
+    kept_entries: int = 10_000  # entries kept behind a snapshot for those who are a little behind
+    log_most: int = 64 * 1024 * 1024  # bytes of log: a snapshot is due; at twice that nothing is proposed
+    clock_ms: float = 1000.0  # time alone is written so often while something is going to lapse
+
+
+@dataclass(slots=True)
+class Durable:
+    """What a member's folder held when it was opened."""
+
+    me: Life
+    hard: pb.HardState = field(default_factory=pb.HardState)
+    head: pb.SnapshotHead | None = None
+    snapshot: bytes = b""
+    entries: list[pb.Entry] = field(default_factory=list)  # behind the snapshot, without gaps
+
+
+# What happens to a member.
+
+@dataclass(slots=True, frozen=True)
+class Received:
+    """A message of another member, whose name and life were checked against the connection's hello."""
+
+    sender: Life
+    message: pb.Message
+
+
+@dataclass(slots=True, frozen=True)
+class Written:
+    """All writes up to this number are on the disk."""
+
+    number: int
+
+
+@dataclass(slots=True, frozen=True)
+class WriteFailed:
+    """The write with this number and all behind it are not on the disk, and nothing of them counts.
+
+    Until `CanWrite` the member has no vote, acknowledges nothing and leads nobody.
+    """
+
+    number: int
+    full: bool
+
+
+@dataclass(slots=True, frozen=True)
+class CanWrite:
+    """The folder takes writes again; what it holds was read anew."""
+
+    durable: Durable
+
+
+@dataclass(slots=True, frozen=True)
+class RoomShort:
+    """The disk is nearly full: who leads hands over while it still can."""
+
+
+@dataclass(slots=True, frozen=True)
+class Propose:
+    """Somebody's command; `Answer` with this token tells what became of it."""
+
+    token: int
+    command: pb.Command
+
+
+@dataclass(slots=True, frozen=True)
+class Read:
+    """Somebody wants to read what is true now; `Readable` with this token tells from which index on."""
+
+    token: int
+
+
+@dataclass(slots=True, frozen=True)
+class Applied:
+    """The carrier has applied entries up to this index; `due` is when the record lapses something next."""
+
+    index: int
+    due: int | None
+
+
+@dataclass(slots=True, frozen=True)
+class Snapshot:
+    """The record's state as of an index that is applied, asked for by `TakeSnapshot`."""
+
+    index: int
+    clock_ms: int
+    data: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class HandOver:
+    """The member is going to end, or cannot do its part: who leads lets another lead."""
+
+
+@dataclass(slots=True, frozen=True)
+class Change:
+    """An operator, or a lost member's return, changes the members by one; `Answer` tells the outcome."""
+
+    token: int
+    add: pb.Member | None = None
+    remove: Life | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class TimerFired:
+    """The time that `Timer` named has come."""
+
+
+Event = (Received | Written | WriteFailed | CanWrite | RoomShort | Propose | Read | Applied | Snapshot
+         | HandOver | Change | TimerFired)
+
+
+# What is to be done.
+
+@dataclass(slots=True, frozen=True)
+class Send:
+    """A message for a member; lost where it can't be sent at once."""
+
+    to: Life
+    message: pb.Message
+
+
+@dataclass(slots=True, frozen=True)
+class Write:
+    """What has to be on the disk, as one step, in the order of numbers; `Written` or `WriteFailed` follows.
+
+    In this order: the snapshot in place of all up to its head (`keep_from`: entries kept from there on), the
+    log cut behind `cut_after`, the entries, the hard state.
+    """
+
+    number: int
+    hard: pb.HardState | None = None
+    cut_after: int | None = None
+    entries: tuple[pb.Entry, ...] = ()
+    head: pb.SnapshotHead | None = None
+    snapshot: bytes = b""
+    keep_from: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Apply:
+    """Entries that are agreed, in order; each comes once, but after a `Restore`."""
+
+    entries: tuple[pb.Entry, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Restore:
+    """A snapshot is agreed in place of entries that this member never saw."""
+
+    head: pb.SnapshotHead
+    data: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class TakeSnapshot:
+    """The log has grown: `Snapshot` is wanted."""
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """What became of a proposal. Where it was done, its result comes from applying the entry at `index`."""
+
+    token: int
+    refusal: int = 0  # pb.Result.Refusal; 0: done, or to be done, at `index`
+    index: int = 0
+    leader: str = ""
+    again_ms: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Readable:
+    """The read may be answered from a state of at least this index; a refusal where nobody can say."""
+
+    token: int
+    index: int = 0
+    refusal: int = 0
+    leader: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Timer:
+    """`TimerFired` is wanted at this time; the last one counts."""
+
+    at: float
+
+
+@dataclass(slots=True, frozen=True)
+class Became:
+    """The member's part: `leader`, `follower`, `asking`, `learner`, `outside` or `mute` (can't write)."""
+
+    part: str
+    term: int
+    leader: str  # by name; "": none is known
+
+
+Action = Send | Write | Apply | Restore | TakeSnapshot | Answer | Readable | Timer | Became
--- /dev/null
+++ b/fennelwind/council/record.py
@@ -0,0 +1,111 @@
+"""The agreed state: the machines together, and which commands of which client are done.
+
+A client is opened on the record and gets a number from it; a number that the record doesn't know, or no
+longer, is refused, so that a command is never done twice for having been forgotten.
+"""
+
+from collections.abc import Iterable
+
+from fennelwind.council import council_pb2 as pb
+from fennelwind.council.machine import At, Machine, UnreadableCommand
+
+CLIENTS_MOST = 4096  # clients remembered; the one that was quiet for longest goes first
+KEPT_MOST = 64  # answers kept for one client; it may have as many commands under way
+COMMAND_MOST = 256 * 1024  # bytes of one command's body; what is larger is cut into several by who asks
+
+
+class _Client:
+    __slots__ = ("heard", "last_index", "kept")
+
+    def __init__(self, last_index: int) -> None:
+        self.heard, self.last_index = 0, last_index
+        self.kept: dict[int, bytes] = {}  # results by number
+
+
+class Record:
+    """What all entries up to `index` have made."""
+
+    def __init__(self, machines: Iterable[Machine]) -> None:
+        self.machines = {machine.name: machine for machine in machines}
+        self._tellers = {kind: machine for machine in self.machines.values() for kind in machine.kinds}
+        self.index = self.clock_ms = 0
+        self._clients: dict[int, _Client] = {}  # in the order in which they were last heard
+
+    def apply(self, entry: pb.Entry) -> pb.Result:
+        """Carry an entry out; return what became of its command."""
+        self.index, self.clock_ms = entry.index, max(self.clock_ms, entry.clock_ms)
+        at = At(self.index, self.clock_ms)
+        for name in sorted(self.machines):
+            due = self.machines[name].due()
+            if due is not None and due <= self.clock_ms:
+                self.machines[name].pass_time(at)
+        if entry.WhichOneof("what") != "command":
+            return pb.Result(index=at.index)
+        return self._command(at, entry.command)
+
+    def due(self) -> int | None:
+        """Return when something lapses next, on the record's clock; None: never."""
+        return min((due for m in self.machines.values() if (due := m.due()) is not None), default=None)
+
+    def fact(self, kind: str, key: str) -> int:
+        """Return what the machine says that tells of this kind; 0 if none does."""
+        teller = self._tellers.get(kind)
+        return teller.fact(kind, key) if teller is not None else 0
+
+    def _command(self, at: At, command: pb.Command) -> pb.Result:
+        if not command.client:
+            while len(self._clients) >= CLIENTS_MOST:
+                del self._clients[next(iter(self._clients))]
+            self._clients[at.index] = _Client(at.index)
+            return pb.Result(index=at.index)
+        client = self._clients.pop(command.client, None)
+        if client is None:
+            return pb.Result(refusal=pb.Result.CLIENT_GONE, index=at.index)
+        self._clients[command.client] = client
+        client.last_index = at.index
+        client.heard = max(client.heard, command.heard)
+        for number in [n for n in client.kept if n <= client.heard]:
+            del client.kept[number]
+        if command.number in client.kept:
+            return pb.Result.FromString(client.kept[command.number])
+        if command.number <= client.heard:
+            return pb.Result(refusal=pb.Result.NUMBER_GONE, index=at.index)
+        if len(client.kept) >= KEPT_MOST:
+            return pb.Result(refusal=pb.Result.TOO_MANY, index=at.index)
+        result = self._done(at, command)
+        client.kept[command.number] = result.SerializeToString(deterministic=True)
+        return result
+
+    def _done(self, at: At, command: pb.Command) -> pb.Result:
+        machine = self.machines.get(command.machine)
+        if machine is None:
+            return pb.Result(refusal=pb.Result.NO_MACHINE, index=at.index)
+        if len(command.body) > COMMAND_MOST:
+            return pb.Result(refusal=pb.Result.TOO_LARGE, index=at.index)
+        try:
+            return pb.Result(body=machine.apply(at, command.body, self), index=at.index)
+        except UnreadableCommand as exc:
+            return pb.Result(refusal=pb.Result.UNREADABLE, index=at.index, text=str(exc))
+
+    def snapshot(self) -> bytes:
+        """Return all state; equal states give equal bytes."""
+        state = pb.RecordState(index=self.index, clock_ms=self.clock_ms)
+        for number, client in self._clients.items():  # their order is state as well: who is forgotten next
+            kept = [pb.RecordState.Kept(number=n, result=r) for n, r in sorted(client.kept.items())]
+            state.clients.add(client=number, heard=client.heard, last_index=client.last_index, kept=kept)
+        for name in sorted(self.machines):
+            state.parts.add(machine=name, state=self.machines[name].snapshot())
+        return state.SerializeToString(deterministic=True)
+
+    def restore(self, data: bytes) -> None:
+        """Take a snapshot's state in place of its own."""
+        state = pb.RecordState.FromString(data)
+        self.index, self.clock_ms = state.index, state.clock_ms
+        self._clients = {}
+        for told in state.clients:
+            client = self._clients[told.client] = _Client(told.last_index)
+            client.heard = told.heard
+            client.kept = {kept.number: kept.result for kept in told.kept}
+        parts = {part.machine: part.state for part in state.parts}
+        for name, machine in self.machines.items():
+            machine.restore(parts.get(name, b""))
--- /dev/null
+++ b/fennelwind/shards/state.py
@@ -0,0 +1,104 @@
+"""What is known of shards, engines and moves: plain values, between the machine, the planner and the carrier.
+
+Sizes are bytes. Names are unique: a shard's is `TABLE/PARTITION` (`TABLE/` for a whole table), an engine's is
+its address, a move's the record's number.
+"""
+
+from dataclasses import dataclass, field
+
+LIVES = ("ready", "cold", "draining", "gone")
+STEPS = ("planned", "reserved", "copying", "checked", "switched", "done", "undone")
+# A copy that is not `good` may not be read: it is coming in, or what an engine that was away still holds.
+COPY_STATES = ("coming", "good", "leaving", "doubtful")
+
+
+@dataclass(slots=True, frozen=True)
+class Shard:
+    """A partition of a table, or a whole one."""
+
+    name: str
+    table: str
+    size: int
+    copies: int = 1  # wanted
+    zones: int = 1  # that the copies have to span at least
+    kinds: tuple[str, ...] = ()  # engine kinds allowed; none: all
+    heat: float = 0.0  # share of the queries' work that names it, any unit, the same for all
+
+
+@dataclass(slots=True, frozen=True)
+class Home:
+    """An engine as a place for copies."""
+
+    name: str
+    zone: str
+    kind: str
+    disk: int
+    headroom: int  # that has to stay free at every moment
+    life: str = "ready"
+    generation: int = 0  # counts up when it comes back empty, or under the same name as another
+
+
+@dataclass(slots=True, frozen=True)
+class Copy:
+    """A copy of a shard on an engine."""
+
+    shard: str
+    engine: str
+    state: str = "good"
+
+
+@dataclass(slots=True, frozen=True)
+class Move:
+    """A copy that comes in, and the one that goes for it, if any."""
+
+    number: int
+    shard: str
+    source: str  # engine with a good copy to read from
+    target: str
+    drops: str = ""  # engine whose copy goes when this one has been switched to; "": none does
+    step: str = "planned"
+    after: tuple[int, ...] = ()  # moves whose space it waits for
+
+
+@dataclass(slots=True, frozen=True)
+class Bounds:
+    """What moves may take at a time."""
+
+    streams_per_engine: int = 2  # copies that one engine reads or writes at once
+    streams_per_link: int = 4  # between two zones at once
+    bytes_per_hour: float = float("inf")  # over the fleet
+    disk_tolerance: float = 0.1  # how far an engine's used share may lie from the mean
+    heat_tolerance: float = 0.25  # the same of its part of the heat, of the mean
+    gain_least: float = 0.05  # part of its unevenness that a move for evenness has to take away
+
+
+@dataclass(slots=True)
+class World:
+    """All of it, by name."""
+
+    shards: dict[str, Shard] = field(default_factory=dict)
+    homes: dict[str, Home] = field(default_factory=dict)
+    copies: dict[tuple[str, str], Copy] = field(default_factory=dict)  # by shard and engine
+    moves: dict[int, Move] = field(default_factory=dict)
+    frozen: frozenset[str] = frozenset()  # tables whose schema changes: none of their shards is moved
+
+
+@dataclass(slots=True, frozen=True)
+class Short:
+    """A need that can't be met, said plainly."""
+
+    shard: str
+    reason: str  # "space", "zones", "kinds", "source", "frozen"
+    engines: tuple[str, ...] = ()  # that were looked at
+    bytes_short: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Planned:
+    """What the planner wants: moves in an order in which they may begin, and what it can't do."""
+
+    moves: tuple[Move, ...] = ()
+    drops: tuple[tuple[str, str], ...] = ()  # copies (shard, engine) that are over what is wanted
+    cancels: tuple[int, ...] = ()  # moves under way that have become wrong
+    short: tuple[Short, ...] = ()
+    bytes: int = 0  # that the moves transfer
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -128,17 +128,21 @@
 
 # The shape of the program.
 
-LAYERS = ["interface", "state", "rules", "adapter", "loop", "thrift", "config", "limits", "recovery",
-          "spread", "core", "engines", "node", "fronts", "client",
+LAYERS = ["errors", "interface", "state", "rules", "adapter", "loop", "thrift", "config", "limits",
+          "recovery", "council", "store", "leases", "shards", "contracts",
+          "spread", "core", "engines", "node", "keeper", "fronts", "client",
           "observe", "standin", "audit", "lab", "fleet", "cli"]
 MAY = {
     "interface": set(), "state": {"interface"}, "rules": {"interface", "state"},
     "adapter": {"interface", "rules"},
-    "loop": set(), "thrift": set(), "config": {"interface", "loop"},
+    "errors": set(), "loop": {"errors"}, "thrift": set(), "config": {"errors", "interface", "loop"},
+    "council": {"errors"}, "store": {"errors", "loop", "council"}, "leases": {"errors", "council"},
+    "shards": {"errors", "council"}, "contracts": {"errors", "council"},
+    "keeper": {"errors", "loop", "council", "store", "leases", "shards", "contracts", "core", "engines"},
     "core": {"interface", "rules", "loop", "limits", "recovery", "spread"},
     "limits": set(), "recovery": set(), "spread": {"interface"},
-    "engines": {"interface", "loop", "thrift", "config", "core"},
-    "fronts": {"interface", "loop", "thrift", "config", "core", "limits", "engines"},
+    "engines": {"errors", "interface", "loop", "thrift", "config", "core"},
+    "fronts": {"errors", "interface", "loop", "thrift", "config", "core", "limits", "engines", "keeper"},
     "node": {"interface", "rules", "adapter", "loop", "limits", "core", "spread"},
     "client": {"thrift"}, "observe": {"core", "loop", "limits"},
     "standin": {"loop", "thrift", "config", "audit"}, "audit": {"thrift", "config"},
@@ -179,7 +183,9 @@
                  "recovery/repeats.py", "engines/verdicts.py", "limits/logins.py", "client/retry.py",
                  "limits/lines.py", "limits/places.py", "node/msgrpc.py", "node/http1.py",
                  "node/statement.py", "node/requests.py", "node/view.py", "fleet/plan.py", "fleet/links.py",
-                 "fleet/yardsticks.py", "spread/estimate.py", "spread/subset.py", "spread/advisor.py"):
+                 "fleet/yardsticks.py", "spread/estimate.py", "spread/subset.py", "spread/advisor.py",
+                 *(str(p.relative_to(ROOT)) for room in ("council", "leases", "shards", "contracts")
+                   for p in (ROOT / room).glob("*.py"))):
         assert not re.findall(pattern, (ROOT / name).read_text("utf-8"), re.M), name
 
 
--- /dev/null
+++ b/tests/test_record.py
@@ -0,0 +1,124 @@
+"""The record: commands done once, bounded memory of clients, snapshots that give the same bytes."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fennelwind.council import council_pb2 as pb
+from fennelwind.council import record as record_module
+from fennelwind.council.machine import UnreadableCommand
+from fennelwind.council.record import COMMAND_MOST, Record
+
+
+class Sum:
+    """Adds what it is given; lets everything lapse 100 ms after the first."""
+
+    name, kinds = "sum", ("total",)
+
+    def __init__(self):
+        self.total, self.until = 0, None
+
+    def apply(self, at, command, facts):
+        if not command.isdigit():
+            raise UnreadableCommand("no digits")
+        self.total += int(command)
+        if self.until is None:
+            self.until = at.clock_ms + 100
+        return b"%d" % self.total
+
+    def pass_time(self, at):
+        self.total, self.until = 0, None
+
+    def due(self):
+        return self.until
+
+    def fact(self, kind, key):
+        return self.total
+
+    def snapshot(self):
+        return b"" if self.until is None else b"%d %d" % (self.total, self.until)
+
+    def restore(self, data):
+        self.total, self.until = map(int, data.split()) if data else (0, None)
+
+
+def entry(index, clock_ms=0, **command):
+    return pb.Entry(term=1, index=index, clock_ms=clock_ms, command=pb.Command(machine="sum", **command))
+
+
+def opened(record=None):
+    record = record or Record([Sum()])
+    return record, record.apply(pb.Entry(term=1, index=record.index + 1, command=pb.Command())).index
+
+
+def test_a_command_asked_twice_is_done_once_and_answered_alike():
+    record, client = opened()
+    first = record.apply(entry(2, client=client, number=1, body=b"5"))
+    again = record.apply(entry(3, client=client, number=1, body=b"5"))
+    assert first == again and first.body == b"5" and record.fact("total", "") == 5
+
+
+def test_what_was_heard_is_not_kept_and_never_done_anew():
+    record, client = opened()
+    record.apply(entry(2, client=client, number=1, body=b"5"))
+    record.apply(entry(3, client=client, number=2, heard=1, body=b"5"))
+    assert record.apply(entry(4, client=client, number=1, body=b"5")).refusal == pb.Result.NUMBER_GONE
+    assert record.fact("total", "") == 10
+
+
+def test_a_forgotten_client_is_refused_not_done_anew(monkeypatch):
+    monkeypatch.setattr(record_module, "CLIENTS_MOST", 2)
+    record, first = opened()
+    record.apply(entry(2, client=first, number=1, body=b"5"))
+    _, second = opened(record)
+    record.apply(entry(4, client=first, number=2, body=b"1"))  # so the second is the quiet one
+    _, third = opened(record)
+    assert record.apply(entry(6, client=second, number=1, body=b"5")).refusal == pb.Result.CLIENT_GONE
+    assert record.apply(entry(7, client=first, number=1, body=b"5")).body == b"5"
+    assert record.apply(entry(8, client=third, number=1, body=b"1")).body == b"7"
+
+
+@pytest.mark.parametrize("command, refusal", [
+    (pb.Command(machine="sum", body=b"x"), pb.Result.UNREADABLE),
+    (pb.Command(machine="none", body=b"1"), pb.Result.NO_MACHINE),
+    (pb.Command(machine="sum", body=b"1" * (COMMAND_MOST + 1)), pb.Result.TOO_LARGE)])
+def test_what_cannot_be_done_changes_nothing(command, refusal):
+    record, command.client = opened()
+    command.number = 1
+    assert record.apply(pb.Entry(term=1, index=2, command=command)).refusal == refusal
+    assert record.fact("total", "") == 0
+
+
+def test_answers_kept_for_one_client_are_bounded():
+    record, client = opened()
+    for number in range(1, 70):
+        last = record.apply(entry(1 + number, client=client, number=number, body=b"1"))
+    assert last.refusal == pb.Result.TOO_MANY and record.fact("total", "") == 64
+    last = record.apply(entry(80, client=client, number=69, heard=64, body=b"1"))
+    assert last.body == b"65"  # asked again with room, it is done
+
+
+def test_what_is_due_lapses_ahead_of_the_entry_and_time_never_goes_back():
+    record, client = opened()
+    record.apply(entry(2, 50, client=client, number=1, body=b"5"))
+    assert record.due() == 150
+    record.apply(pb.Entry(term=1, index=3, clock_ms=200, nothing=True))
+    assert (record.fact("total", ""), record.due()) == (0, None)
+    record.apply(entry(4, 100, client=client, number=2, body=b"5"))
+    assert record.due() == 300
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(st.integers(0, 4), st.integers(1, 4), st.integers(0, 3), st.integers(0, 60)),
+                max_size=40), st.integers(0, 40))
+def test_a_restored_record_goes_on_as_the_one_that_never_stopped(steps, cut):
+    entries = [entry(i + 1, sum(s[3] for s in steps[:i + 1]), client=c, number=n, heard=h, body=b"%d" % n)
+               if c else pb.Entry(index=i + 1, command=pb.Command())
+               for i, (c, n, h, _) in enumerate(steps)]
+    whole, first, second = Record([Sum()]), Record([Sum()]), Record([Sum()])
+    told = [whole.apply(e) for e in entries]
+    for e in entries[:cut]:
+        first.apply(e)
+    second.restore(first.snapshot())
+    assert [second.apply(e) for e in entries[cut:]] == told[cut:]
+    assert second.snapshot() == whole.snapshot()
