Errors that reach an operator have one root, a code, and what can be done

Need: an operator who reads an error has to know what to do; scripts need a name that stays. Errors that end where they are caught, and those of the platform's programs, stay as they were: run imports nothing more.

--- a/fennelwind/cli/main.py
+++ b/fennelwind/cli/main.py
@@ -12,6 +12,7 @@
 from fennelwind.cli.bench import bench
 from fennelwind.cli.demo import demo
 from fennelwind.cli.fleet import fleet
+from fennelwind.cli.output import told
 from fennelwind.cli.program import Program
 from fennelwind.cli.query import query
 from fennelwind.cli.standin import standin
@@ -48,7 +49,7 @@
     try:
         return config.load(path)
     except config.SettingsError as exc:
-        click.echo(str(exc), err=True)
+        click.echo(told(exc), err=True)
         sys.exit(2)
 
 
--- a/fennelwind/cli/program.py
+++ b/fennelwind/cli/program.py
@@ -75,7 +75,7 @@
         try:
             context = server_context(folder / listener.tls_certificate, folder / listener.tls_key)
         except TlsError as exc:
-            return f"the certificate is as before: {exc}"
+            return f"the certificate is as before: {exc} ({exc.code}: {exc.advice})"
         for front in (self.front, self.http):
             if front is not None:
                 front.tls = context
@@ -89,7 +89,9 @@
         names = [c.name for c in self.settings.module.classes]
         try:
             door.users = load_users(self.settings.folder / listener.users_file, names)
-        except (UsersError, OSError) as exc:
+        except UsersError as exc:
+            return f"users are as before: {exc} ({exc.code}: {exc.advice})"
+        except OSError as exc:
             return f"users are as before: {exc}"
         door.logins.forget()
         return f"{len(door.users)} users"
--- a/fennelwind/config/text.py
+++ b/fennelwind/config/text.py
@@ -10,6 +10,8 @@
 from google.protobuf.descriptor import Descriptor, FieldDescriptor
 from google.protobuf.message import Message
 
+from fennelwind.errors import FennelwindError
+
 FieldPath = tuple[Any, ...]
 
 
@@ -21,12 +23,17 @@
     text: str
 
 
-class SettingsError(Exception):
+class SettingsError(FennelwindError):
     """Settings that can't be used, with all that is wrong with them."""
 
+    code = "settings-unusable"
+    advice = ("Mend each place that is named (file:line:column) and try again with `fennelwind check`; "
+              "docs/operators/controller.md tells what each field means.")
+
     def __init__(self, name: str, problems: list[Problem]) -> None:
         self.name, self.problems = name, sorted(problems)
-        super().__init__("\n".join(f"{name}:{p.line}:{p.column}: {p.text}" for p in self.problems))
+        super().__init__("\n".join(f"{name}:{p.line}:{p.column}: {p.text}" for p in self.problems),
+                         file=name, problems=len(problems))
 
 
 def reason(exc: text_format.ParseError) -> str:
--- a/fennelwind/config/tls.py
+++ b/fennelwind/config/tls.py
@@ -3,10 +3,16 @@
 import ssl
 from pathlib import Path
 
+from fennelwind.errors import FennelwindError
 
-class TlsError(Exception):
+
+class TlsError(FennelwindError):
     """A certificate or key that can't be used; the text says which and why."""
 
+    code = "tls-unusable"
+    advice = ("Give a PEM certificate and its key without a password, readable for the controller's "
+              "user, and send SIGHUP; until then the certificate is as before.")
+
 
 def server_context(certificate: Path, key: Path) -> ssl.SSLContext:
     """Return the context of a listener: TLS 1.2 or newer. Raises `TlsError`."""
--- a/fennelwind/config/users.py
+++ b/fennelwind/config/users.py
@@ -6,6 +6,7 @@
 from google.protobuf import text_format
 
 from fennelwind.config import settings_pb2 as pb
+from fennelwind.errors import FennelwindError
 
 
 @dataclass(slots=True, frozen=True)
@@ -17,9 +18,13 @@
     classes: frozenset[str]
 
 
-class UsersError(Exception):
+class UsersError(FennelwindError):
     """A file of users that can't be used; the text says why and where."""
 
+    code = "users-unusable"
+    advice = ("Mend the file of users at the place that is named and send SIGHUP; until then the users "
+              "are as before. `fennelwind password` makes a hash.")
+
 
 def load_users(path: str | Path, classes: list[str]) -> dict[str, User]:
     """Read users by name. Raises `UsersError`, which never holds a hash, and `OSError`."""
--- a/fennelwind/engines/discovery.py
+++ b/fennelwind/engines/discovery.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from fennelwind import interface as api
+from fennelwind.errors import FennelwindError
 from fennelwind.loop import Address, DeadlineExceeded, Loop, Stream, StreamReset, Task, parse_address
 
 LINE_MOST = 4 * 1024 * 1024  # bytes of one line; some 20,000 engines
@@ -19,9 +20,13 @@
 STATES = ("ready", "draining", "gone")
 
 
-class DiscoveryError(ValueError):
+class DiscoveryError(FennelwindError, ValueError):
     """A line that is no list."""
 
+    code = "discovery-unreadable"
+    advice = ("Look at what discovery sends: lines of JSON as engines/discovery.py describes them. The "
+              "engines known before are used meanwhile, with growing caution.")
+
 
 class Lives:
     """Times of engines' starts, put on the controller's clock once a life so that they stay comparable."""
--- a/fennelwind/engines/links.py
+++ b/fennelwind/engines/links.py
@@ -25,6 +25,7 @@
 from fennelwind.core.types import DONE, SPILLS, WAITS, AttemptEnd, Order, Result
 from fennelwind.engines.rowstream import RowStream, may_flow
 from fennelwind.engines.verdicts import ANSWER, FAULT, TURNED_AWAY, choose_link, verdict
+from fennelwind.errors import FennelwindError
 from fennelwind.loop import (
     Address,
     ConnectFailed,
@@ -55,9 +56,13 @@
 PROBE_MS = 1000.0  # ms that a probe may take
 
 
-class RemoteError(Exception):
+class RemoteError(FennelwindError):
     """The engine answered a call with an error."""
 
+    code = "engine-answered-error"
+    advice = ("Read the engine's own log at this time. An error of the statement itself is the client's "
+              "to mend; any other counts against the engine.")
+
     def __init__(self, text: str, status: Structure | None = None) -> None:
         super().__init__(text)
         self.status = status
@@ -220,9 +225,13 @@
             self.drop(link)
 
 
-class LinksUsedUp(Exception):
+class LinksUsedUp(FennelwindError):
     """No link to the engine may be opened; nothing was sent."""
 
+    code = "links-used-up"
+    advice = ("All links that links.max_links allows to this engine are in use: raise it if the engine "
+              "bears more connections, or look for statements that hold theirs for long.")
+
 
 class EngineLinks:
     """The links to all engines."""
--- a/fennelwind/engines/rowstream.py
+++ b/fennelwind/engines/rowstream.py
@@ -11,6 +11,7 @@
 
 from typing import Any
 
+from fennelwind.errors import FennelwindError
 from fennelwind.loop import DeadlineExceeded
 from fennelwind.thrift import hiveserver2 as hs2
 from fennelwind.thrift.codec import Malformed, Structure
@@ -20,9 +21,14 @@
 PART_OF_LINKS = 0.5  # of an engine's links that may carry streams; the rest is for new statements
 
 
-class StreamLostError(Exception):
+class StreamLostError(FennelwindError):
     """The rest of the rows can't be had any more; the text says why."""
 
+    code = "engine-stream-lost"
+    advice = ("The engine ended, or its client was silent for long, after rows of a large answer had "
+              "gone out. The client asks again; links.max_result_bytes tells up to which size answers "
+              "are held whole.")
+
 
 class RowStream:
     """The pages of one answer that are still at its engine. `links`, `pool` and `link` are its way there."""
--- a/fennelwind/fleet/compare.py
+++ b/fennelwind/fleet/compare.py
@@ -19,6 +19,7 @@
 from pathlib import Path
 from typing import Any
 
+from fennelwind.errors import FennelwindError
 from fennelwind.fleet import dayfile
 from fennelwind.fleet.play import Result, deciders
 from fennelwind.fleet.stats import Difference, difference
@@ -32,9 +33,12 @@
            "idle while another queues", "overfull": "attempts met overfull", "wasted": "work wasted"}
 
 
-class CompareFailed(Exception):
+class CompareFailed(FennelwindError):
     """A comparison could not be made; the text says why."""
 
+    code = "compare-failed"
+    advice = "Play the named variant alone with `fennelwind fleet sim` and the same seed; it tells more."
+
 
 @dataclass(slots=True, frozen=True)
 class Variant:
--- a/fennelwind/fleet/processes.py
+++ b/fennelwind/fleet/processes.py
@@ -24,6 +24,7 @@
 import msgpack
 
 from fennelwind.audit.sightings import Process, Sighting, Usage, read
+from fennelwind.errors import FennelwindError
 from fennelwind.fleet.addresses import PORTS, Addresses
 from fennelwind.fleet.plan import FOREVER, Plan, Step
 from fennelwind.fleet.settings import Book, config_text
@@ -46,9 +47,13 @@
                    r"step errors (\d+)")
 
 
-class RigFailed(Exception):
+class RigFailed(FennelwindError):
     """The rig itself could not do its part; the text says why."""
 
+    code = "rig-failed"
+    advice = ("The play says nothing of the controllers. Read the logs in its folder, give it more of "
+              "the machine.")
+
 
 def run_command(root: Path | None = None) -> tuple[str, Path]:
     """Return the command of `run` and the folder it starts from.
