--- a/fennelwind/loop/real.py
+++ b/fennelwind/loop/real.py
@@ -125,12 +125,12 @@
 
     def on_signal(self, number: int, call: Callable[[], None]) -> None:
         """Make the call in a turn of the loop when the process gets the signal."""
-        self._open_wake()
+        self.open_wake()
         signal.set_wakeup_fd(self._wake_out, warn_on_full_buffer=False)
         self._signals[number] = call
         signal.signal(number, lambda *_: None)
 
-    def _open_wake(self) -> None:
+    def open_wake(self) -> None:
         """Make the pipe by which signals and threads wake the loop."""
         if self._wake_in < 0:
             self._wake_in, self._wake_out = os.pipe()
@@ -140,7 +140,7 @@
 
     def aside(self, call: Callable[..., Any], *args: Any) -> Any:
         """Make a call that takes long in a thread; wait for it. It must touch nothing of the loop's."""
-        self._open_wake()
+        self.open_wake()
         if self._aside is None:
             from concurrent.futures import ThreadPoolExecutor  # most programs on the loop never need it
 
@@ -148,14 +148,18 @@
         future, waiter = self._aside.submit(call, *args), Waiter(self)
 
         def ended(_: "Future") -> None:
-            self._came.append(waiter.wake)
-            with suppress(BlockingIOError):  # a full pipe wakes the loop as well
-                os.write(self._wake_out, b"\0")
+            self.from_thread(waiter.wake)
 
         future.add_done_callback(ended)
         waiter.wait()
         return future.result()
 
+    def from_thread(self, call: Callable[[], None]) -> None:
+        """Make the call in a turn of the loop; for threads, once `open_wake` was called on the loop's own."""
+        self._came.append(call)
+        with suppress(BlockingIOError):  # a full pipe wakes the loop as well
+            os.write(self._wake_out, b"\0")
+
     def watch(self, fd: int, mask: int) -> Waiter:
         """Return a waiter that is woken when the descriptor is ready for what the mask says."""
         watch = self._watches.get(fd)
--- /dev/null
+++ b/fennelwind/loop/realdisk.py
@@ -0,0 +1,228 @@
+"""A folder of the system as a `Disk`: what may block is done in a thread of the folder's own.
+
+`Loop.aside` has two threads for all who use it. A disk that hangs would hold one of them for as long as it
+hangs, and a sync would wait behind the checks of passwords; so each folder has one thread, which also keeps
+its calls in their order. What is small and goes to the kernel's memory alone is done on the spot, unless
+that thread is at work.
+"""
+
+import errno
+import fcntl
+import os
+import threading
+from collections.abc import Callable
+from queue import SimpleQueue
+from typing import Any
+
+from fennelwind.loop.disk import (
+    READ_MOST,
+    DiskError,
+    DiskFailed,
+    DiskFull,
+    FolderTaken,
+    NameMissing,
+    SyncFailed,
+)
+from fennelwind.loop.real import RealLoop
+from fennelwind.loop.scheduler import Waiter
+
+SMALL = 65536  # bytes that are appended on the spot; a copy into the kernel's memory of some 10 us
+NO_ROOM = {errno.ENOSPC, errno.EDQUOT, errno.EFBIG}  # EFBIG: the process's own limit of a file's size
+FILES_MOST = 16  # files kept open; the store appends to three at a time
+
+# Data and size reach the disk, but not a file's times; where the system has no such call, all of it does.
+_sync = getattr(os, "fdatasync", os.fsync)
+
+
+class _Worker:
+    """One thread that makes calls in their order. It is a daemon: a disk that hangs holds no process up."""
+
+    def __init__(self, loop: RealLoop) -> None:
+        loop.open_wake()
+        self.loop, self.under_way = loop, 0
+        self._calls: SimpleQueue = SimpleQueue()
+        threading.Thread(target=self._serve, name="fennelwind-disk", daemon=True).start()
+
+    def _serve(self) -> None:
+        while (job := self._calls.get()) is not None:
+            call, args, outcome, ended = job
+            try:
+                outcome.append((call(*args), None))
+            except BaseException as exc:  # raised where the call was asked for
+                outcome.append((None, exc))
+            self.loop.from_thread(ended)
+
+    def make(self, call: Callable[..., Any], *args: Any) -> Any:
+        """Make the call in the thread; wait for it. A task that is cancelled does not stop the call."""
+        waiter, outcome = Waiter(self.loop), []
+
+        def ended() -> None:
+            self.under_way -= 1
+            waiter.wake()
+
+        self.under_way += 1
+        self._calls.put((call, args, outcome, ended))
+        waiter.wait()
+        value, error = outcome[0]
+        if error is not None:
+            raise error
+        return value
+
+    def close(self) -> None:
+        """Let the thread end behind what was asked for."""
+        self._calls.put(None)
+
+
+class RealDisk:
+    """A folder of the system; it is made if need be. Used by one task at a time."""
+
+    def __init__(self, loop: RealLoop, folder: str) -> None:
+        self.loop, self.folder = loop, folder
+        try:
+            os.makedirs(folder, mode=0o700, exist_ok=True)
+            self._folder = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+        except OSError as exc:
+            raise self._error(exc, "open", "") from None
+        self._files: dict[str, int] = {}  # open for appending
+        self._worker = _Worker(loop)
+
+    def lock(self) -> None:
+        """Take the folder for this process, until `close` or the process's end. Raises `FolderTaken`."""
+        try:
+            fcntl.flock(self._folder, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            raise FolderTaken(f"{self.folder}: another process holds it", folder=self.folder) from None
+        except OSError as exc:
+            raise self._error(exc, "lock", "") from None
+
+    def names(self) -> list[str]:
+        """Return the names of its files, sorted."""
+        return sorted(self._made("list", "", os.listdir, self._folder))
+
+    def size(self, name: str) -> int:
+        """Return the bytes of a file. Raises `NameMissing`."""
+        return self._made("size", name, os.stat, self._path(name)).st_size
+
+    def read(self, name: str, offset: int = 0, most: int = READ_MOST) -> bytes:
+        """Return bytes from an offset on; b"" at the end. Raises `NameMissing`."""
+        return self._made("read", name, _read, self._path(name), offset, most)
+
+    def append(self, name: str, data: bytes) -> None:
+        """Write behind what a file holds; it is made if need be. After `DiskFull` a part may be written."""
+        if len(data) > SMALL or self._worker.under_way or name not in self._files:
+            self._made("append", name, self._append, name, data)
+            return
+        try:
+            self._append(name, data)
+        except OSError as exc:
+            raise self._error(exc, "append", name) from None
+
+    def _append(self, name: str, data: bytes) -> None:
+        fd, rest = self._open(name), memoryview(data)
+        while rest:  # a short write is followed by the error that made it short
+            rest = rest[os.write(fd, rest):]
+
+    def sync(self, name: str) -> None:
+        """Let what a file holds reach the disk. After `SyncFailed` nothing unsynced of it counts."""
+        self._made("sync", name, self._sync, name)
+
+    def _sync(self, name: str) -> None:
+        try:
+            _sync(self._open(name, made=False))
+        except FileNotFoundError:
+            raise
+        except OSError:
+            self._forget(name)
+            raise
+
+    def sync_names(self) -> None:
+        """Let new, changed and removed names reach the disk. Raises `SyncFailed`."""
+        self._made("sync", "", os.fsync, self._folder)
+
+    def rename(self, old: str, new: str) -> None:
+        """Give a file another name; one that has it already is replaced as one step."""
+        self._made("rename", old, self._rename, old, new)
+
+    def _rename(self, old: str, new: str) -> None:
+        os.rename(self._path(old), self._path(new))
+        self._forget(new)
+        if old in self._files:
+            self._files[new] = self._files.pop(old)
+
+    def remove(self, name: str) -> None:
+        """Take a file away. Raises `NameMissing`."""
+        self._made("remove", name, self._remove, name)
+
+    def _remove(self, name: str) -> None:
+        os.unlink(self._path(name))
+        self._forget(name)
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to so many bytes."""
+        self._made("truncate", name, os.truncate, self._path(name), size)
+
+    def free(self) -> int:
+        """Return how many bytes can still be written, as far as it is known."""
+        try:
+            told = os.fstatvfs(self._folder)
+        except OSError as exc:
+            raise self._error(exc, "free", "") from None
+        return told.f_bavail * told.f_frsize
+
+    def close(self) -> None:
+        """Give the folder up."""
+        if self._folder >= 0:
+            self._made("close", "", self._close)
+            self._worker.close()
+
+    def _close(self) -> None:
+        for name in list(self._files):
+            self._forget(name)
+        os.close(self._folder)
+        self._folder = -1
+
+    # Within.
+
+    def _path(self, name: str) -> str:
+        return os.path.join(self.folder, name)
+
+    def _open(self, name: str, made: bool = True) -> int:
+        fd = self._files.get(name)
+        if fd is None:
+            flags = os.O_WRONLY | os.O_APPEND | (os.O_CREAT if made else 0)
+            while len(self._files) >= FILES_MOST:
+                self._forget(next(iter(self._files)))
+            fd = self._files[name] = os.open(self._path(name), flags, 0o600)
+        return fd
+
+    def _forget(self, name: str) -> None:
+        fd = self._files.pop(name, None)
+        if fd is not None:
+            os.close(fd)
+
+    def _made(self, what: str, name: str, call: Callable[..., Any], *args: Any) -> Any:
+        """Make a call in the folder's thread; raise its error as one of `Disk`'s."""
+        try:
+            return self._worker.make(call, *args)
+        except OSError as exc:
+            raise self._error(exc, what, name) from None
+
+    def _error(self, exc: OSError, what: str, name: str) -> DiskError:
+        if isinstance(exc, FileNotFoundError) and name:
+            kind: type[DiskError] = NameMissing
+        elif what == "sync":  # even for want of room: what was not written may be gone
+            kind = SyncFailed
+        elif exc.errno in NO_ROOM:
+            kind = DiskFull
+        else:
+            kind = DiskFailed
+        text = f"{self._path(name)}: {what}: {exc.strerror}"
+        return kind(text, folder=self.folder, file=name, call=what, errno=exc.errno or 0)
+
+
+def _read(path: str, offset: int, most: int) -> bytes:
+    fd = os.open(path, os.O_RDONLY)
+    try:
+        return os.pread(fd, most, offset)
+    finally:
+        os.close(fd)
--- /dev/null
+++ b/fennelwind/store/store.py
@@ -0,0 +1,535 @@
+"""A member's folder: its log in segments, its snapshots, whose it is.
+
+Files: `meta` (whose folder it is), `log-N` (segments), `marks-N` (how far a segment was acknowledged),
+`snapshot-INDEX-TERM`, `reserve` (room that is given up for a snapshot). A name that ends in `.new` is not yet
+what its name says.
+
+The orders, each step when the one before has returned:
+
+- A folder made anew: `log-1.new` written, synced, renamed, names synced; `meta.new` written, synced, renamed,
+  names synced. `meta` is the last: a folder without it whose log holds nothing is made anew.
+- A write: the snapshot if there is one; the group's records behind the segment; the segment synced. Now it
+  counts. Then its mark, not synced.
+- A snapshot: `snapshot.new` written, synced, renamed to its own name, names synced; then the group that names
+  it, by which it counts. Only behind that group's sync is removed what nobody needs any more.
+- A new segment (the last one is large enough, or the folder was opened): `log-N.new` with a first record that
+  says where the log stands, synced, renamed, names synced. Groups go to it from then on.
+- Opening: `meta` is written anew as it is, for the process that made it may have failed to sync its name.
+  The last group in the last segment may have been written and not synced, even where it reads well. It is
+  written again into a new segment; all before it was synced before it was written.
+- A write that failed, in any of its calls: the store takes nothing more. `reopen` reads the folder anew,
+  drops all groups that were not acknowledged, and goes on in a new segment; a file whose sync failed is
+  never written or synced again.
+"""
+
+from collections.abc import Iterable, Iterator
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import NamedTuple, TypeVar
+
+from google.protobuf.message import DecodeError, Message
+
+from fennelwind.council import council_pb2 as pb
+from fennelwind.council.interface import Durable, Life, Write
+from fennelwind.loop.disk import READ_MOST, Disk, DiskError, DiskFull, NameMissing
+from fennelwind.store import records
+from fennelwind.store import store_pb2 as kept
+from fennelwind.store.errors import (
+    LogDamaged,
+    MetaDamaged,
+    MetaMissing,
+    NewerFormat,
+    NoRoom,
+    OtherFleet,
+    OtherMember,
+    SegmentMissing,
+    SnapshotDamaged,
+    StoreError,
+    StoreStopped,
+    WriteRefused,
+    WriteTooLarge,
+)
+from fennelwind.store.shape import GENERATIONS, Replay, Shape
+
+FORMAT = 1  # of all files; a folder with a higher one is refused
+META, RESERVE, NEW = "meta", "reserve", ".new"
+LOG, MARKS, SNAPSHOT = "log-", "marks-", "snapshot-"
+OURS = (META, LOG, SNAPSHOT)  # kinds of files that are first written under another name
+MARKS_READ = 4096  # bytes at the end of a file of marks that are looked at; the last one counts
+
+Kind = TypeVar("Kind", bound=Message)
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """How large what is written gets, in bytes."""
+
+    segment: int = 8 << 20  # the next write begins a new segment; short enough that little outlives its use
+    group: int = 64 << 20  # of one write at most; the council proposes nothing with twice as much log
+    snapshot: int = 256 << 20  # at most; the record's bounds keep it far below
+    reserve: int = 16 << 20  # held for a snapshot while the disk is full
+    low: int = 32 << 20  # free: below it room is short, and a full store waits for as much
+
+
+class _Segment(NamedTuple):
+    """A segment as it was read."""
+
+    head: kept.Head
+    groups: list[tuple[int, kept.Group]]  # whole ones, by number
+    data: bytes
+    rest: int | None  # where what is not a whole group begins; None: there is no such thing
+
+
+class Store:
+    """The record on disk. One task at a time may call it."""
+
+    def __init__(self, disk: Disk, fleet: str, name: str, limits: Limits) -> None:
+        self.disk, self.fleet, self.name, self.limits = disk, fleet, name, limits
+        self.life = b""
+        self.shape = Shape()
+        self.segments: dict[int, int] = {}  # those needed: the last index before each
+        self.segment = self.size = 0  # the one written to, and its bytes
+        self.first = 1  # the first that is needed, as the disk says
+        self.group = 0  # the last that is on the disk
+        self.failed = True  # nothing is written until the folder was read anew
+        self.full = False  # the last failure was for want of room
+        self.fallbacks = 0  # snapshots that could not be read while an older one and the log said all
+        self.unswept = 0  # times that files could not be removed; they are at the next opening or snapshot
+        self.unmarked = 0  # marks that could not be written
+
+    @classmethod
+    def open(cls, disk: Disk, fleet: str, name: str, life: bytes,
+             limits: Limits | None = None) -> tuple["Store", Durable]:
+        """Take the folder and read it; make it if it is empty, for a member with this life.
+
+        Raises `StoreError` where it can't be used, `DiskError` where the disk fails.
+        """
+        store = cls(disk, fleet, name, limits or Limits())
+        disk.lock()
+        if META not in disk.names():
+            store._make(life)
+        else:
+            store._check_meta()
+            store._put_meta()
+        durable = store._load(None)
+        store._take_reserve()
+        return store, durable
+
+    def write(self, *writes: Write) -> None:
+        """Carry writes out, as one group with one sync; on return all of them are on the disk.
+
+        Raises `WriteTooLarge` ahead of any effect. After any other error nothing of them counts, and nothing
+        is taken until `reopen`.
+        """
+        if self.failed:
+            raise StoreStopped("an earlier write failed; the folder has to be read anew")
+        group = _grouped(writes)
+        for size, most in ((group.ByteSize(), self.limits.group),
+                           *((len(write.snapshot), self.limits.snapshot) for write in writes)):
+            if size > most:
+                raise WriteTooLarge(f"{size} bytes in one write, {most} at most", size=size, most=most)
+        self.failed, self.full = True, False  # also for who is cancelled in the middle
+        try:
+            self._write(group, writes)
+        except DiskFull:
+            self.full = True
+            raise
+        self.failed = False
+        if group.first_segment:
+            self.first = group.first_segment
+            self._sweep()
+            self._take_reserve()
+
+    def reopen(self, head: pb.SnapshotHead | None = None, snapshot: bytes = b"") -> Durable:
+        """Read anew what the disk holds after a failed write, and take writes again.
+
+        Of the failed write nothing counts. A snapshot of what is agreed and applied, handed in while the disk
+        is full, is written at the cost of the reserve and takes the place of all else. Raises `NoRoom` where
+        the disk was full and still is nearly so; `DiskError` or `StoreError` as `open` does.
+        """
+        self.failed = True
+        if self.full and head is None:
+            self._check_room()
+        was_full = self.full
+        durable = self._load(self.group)
+        if head is not None and was_full:
+            if durable.head is None or durable.head.index < head.index:
+                self.write(Write(0, head=head, snapshot=snapshot))
+            self.failed = True
+            durable = self._load(self.group, generations=1)
+            self.failed = self.full = True
+            self._check_room()
+        self.failed = self.full = False
+        self._take_reserve()
+        return durable
+
+    def short(self) -> bool:
+        """Tell whether room is nearly used up."""
+        return self.disk.free() < self.limits.low
+
+    def close(self) -> None:
+        """Give the folder up."""
+        self.failed = True
+        self.disk.close()
+
+    # Whose folder it is.
+
+    def _make(self, life: bytes) -> None:
+        for name in self.disk.names():  # what a making that was cut short left, and nothing else
+            if name.endswith(NEW) or not name.startswith((LOG, MARKS, SNAPSHOT)):
+                continue
+            if name != _log(1) or self._read_segment(1).groups:
+                raise MetaMissing(f"{META} is not there, but {name} is", file=name)
+        self.life = life
+        self._begin(self._head(1, 1, 1))
+        self._put_meta()
+
+    def _put_meta(self) -> None:
+        meta = kept.Meta(format=FORMAT, fleet=self.fleet, name=self.name, life=self.life)
+        self._put(META, [records.pack(records.META, 0, meta.SerializeToString())])
+
+    def _check_meta(self) -> None:
+        data = self._whole(META, records.AROUND + records.RECORD_MOST, MetaDamaged)
+        record = records.read(data, 0)
+        if record is None or record.kind != records.META or record.end != len(data):
+            raise MetaDamaged(f"{META} can't be read", file=META)
+        meta = _parsed(kept.Meta, record.payload, MetaDamaged, META)
+        if meta.format > FORMAT:
+            raise NewerFormat(f"the folder's format is {meta.format}, this version's {FORMAT}",
+                              format=meta.format)
+        if meta.fleet != self.fleet:
+            raise OtherFleet(f"the folder is of the fleet {meta.fleet!r}", fleet=meta.fleet)
+        if meta.name != self.name:
+            raise OtherMember(f"the folder is the member {meta.name!r}'s", member=meta.name)
+        self.life = meta.life
+
+    # Reading.
+
+    def _load(self, acknowledged: int | None, generations: int = GENERATIONS) -> Durable:
+        """Read the folder and begin a new segment; drop what is known not to be acknowledged."""
+        segments, doubtful = self._read_log(acknowledged)
+        last = segments[-1]
+        sure = last.head.group - 1 + len(last.groups)
+        reached = sure + (doubtful is not None)
+        marked = self._marked(last.head.segment) if acknowledged is None else acknowledged
+        if reached < marked:
+            raise LogDamaged(f"group {marked} was acknowledged, the log ends with {reached}", group=marked,
+                             reached=reached)
+        self.segments = {s.head.segment: s.head.last_index for s in segments}
+        number = last.head.segment + bool(last.groups)  # one that says nothing of its own is replaced
+        replay, snapshot, head = self._replay(segments, doubtful, generations, number, sure + 1)
+        body = records.parts(reached, doubtful.SerializeToString()) if doubtful is not None else b""
+        self.shape, self.group = replay.shape, reached
+        self._begin(head, body)
+        self.first = max(head.first_segment, doubtful.first_segment if doubtful is not None else 0)
+        self.shape.trim(generations)
+        self._mark()
+        self._sweep()
+        newest = self.shape.heads[-1] if self.shape.heads else None
+        hard = _parsed(pb.HardState, self.shape.hard, LogDamaged, _log(number))
+        self.failed = False
+        return Durable(Life(self.name, self.life), hard, newest, snapshot,
+                       replay.behind(newest.index if newest is not None else 0))
+
+    def _read_log(self, acknowledged: int | None) -> tuple[list[_Segment], kept.Group | None]:
+        """Return the segments needed, with the groups that count, and the last group if it is in doubt."""
+        numbers = _numbers(self.disk.names(), LOG)
+        if not numbers:
+            raise SegmentMissing("there is no log", file=_log(1))
+        last, doubtful = self._read_segment(numbers[-1]), None
+        if acknowledged is not None:
+            del last.groups[max(0, acknowledged + 1 - last.head.group):]
+        else:
+            after = last.head.group + len(last.groups)
+            if last.rest is not None and not records.torn(last.data, last.rest, after):
+                raise LogDamaged(f"{_log(numbers[-1])} is damaged at {last.rest}", file=_log(numbers[-1]),
+                                 offset=last.rest)
+        first = max([last.head.first_segment, *(group.first_segment for group in last.groups)])
+        if acknowledged is None and last.groups:
+            doubtful = last.groups.pop()
+        segments = [last]
+        for number in range(numbers[-1] - 1, first - 1, -1):
+            if number not in numbers:
+                raise SegmentMissing(f"{_log(number)} is not there", file=_log(number))
+            segment, following = self._read_segment(number), segments[0].head.group
+            if segment.head.group + len(segment.groups) < following:
+                raise LogDamaged(f"{_log(number)} ends before group {following}", file=_log(number),
+                                 offset=segment.rest or len(segment.data))
+            del segment.groups[following - segment.head.group:]  # never acknowledged
+            segments.insert(0, segment)
+        return segments, doubtful
+
+    def _read_segment(self, number: int) -> _Segment:
+        name = _log(number)
+        data = self._whole(name, self.limits.segment + 2 * self.limits.group, LogDamaged)
+        record = records.read(data, 0)
+        if record is None or record.kind != records.HEAD:
+            raise LogDamaged(f"{name} has no beginning", file=name, offset=0)
+        head = _parsed(kept.Head, record.payload, LogDamaged, name)
+        if head.format > FORMAT:
+            raise NewerFormat(f"{name} is of format {head.format}, this version's is {FORMAT}",
+                              format=head.format)
+        if head.segment != number or self.life and head.life != self.life:
+            raise LogDamaged(f"{name} is not this folder's", file=name, offset=0)
+        groups: list[kept.Group] = []
+        at = begin = record.end
+        payloads: list[bytes] = []
+        while (record := records.read(data, at)) is not None:
+            if record.kind not in (records.PART, records.LAST) or record.number != head.group + len(groups):
+                raise LogDamaged(f"{name} has what does not belong there at {at}", file=name, offset=at)
+            payloads.append(record.payload)
+            at = record.end
+            if record.kind == records.LAST:
+                groups.append(_parsed(kept.Group, b"".join(payloads), LogDamaged, name))
+                payloads, begin = [], at
+        return _Segment(head, groups, data, at if begin < len(data) else None)
+
+    def _replay(self, segments: list[_Segment], doubtful: kept.Group | None, generations: int, number: int,
+                group: int) -> tuple[Replay, bytes, kept.Head]:
+        """Return what the groups make, the newest snapshot, and a new segment's first record."""
+        bad: set[int] = set()
+        while True:
+            replay = Replay(Shape.of(segments[0].head))
+            shape = replay.shape
+            shape.heads = [head for head in shape.heads if head.index not in bad]
+            try:
+                for segment in segments:
+                    self._check_joint(shape, segment.head)
+                    for one in segment.groups:
+                        replay.take(one, lambda head: head.index not in bad)
+                shape.trim(generations)
+                head = self._head(number, group, self._first(shape), shape)
+                if doubtful is not None:
+                    replay.take(doubtful, lambda head: head.index not in bad)
+            except (WriteRefused, DecodeError) as exc:
+                raise LogDamaged(f"the log does not fit together: {exc}") from None
+            if not shape.heads:
+                if shape.start:
+                    raise SnapshotDamaged("no snapshot is whole behind which the log goes on")
+                return replay, b"", head
+            newest = shape.heads[-1]
+            snapshot = self._read_snapshot(newest)
+            if snapshot is not None:
+                self.fallbacks += bool(bad)
+                return replay, snapshot, head
+            if newest.index in bad:
+                name = _snapshot(newest)
+                raise SnapshotDamaged(f"{name} can't be read, and the log does not go back so far", file=name)
+            bad.add(newest.index)
+
+    @staticmethod
+    def _check_joint(shape: Shape, head: kept.Head) -> None:
+        if (shape.last, shape.hard) != (head.last_index, head.hard) \
+                or shape.last_term not in (0, head.last_term):
+            raise LogDamaged(f"{_log(head.segment)} does not go on where the one before ends",
+                             file=_log(head.segment))
+
+    def _read_snapshot(self, head: pb.SnapshotHead) -> bytes | None:
+        """Return a snapshot's bytes; None: it is not there or not whole."""
+        try:
+            data = self._whole(_snapshot(head), 2 * self.limits.snapshot, SnapshotDamaged)
+        except (NameMissing, SnapshotDamaged):
+            return None
+        record = records.read(data, 0)
+        if record is None or record.kind != records.SNAPSHOT:
+            return None
+        start = kept.SnapshotStart.FromString(record.payload)
+        told, pieces = pb.SnapshotHead.FromString(start.head), []
+        while record is not None and record.end < len(data):
+            record = records.read(data, record.end)
+            if record is None or record.kind != records.PIECE or record.number != len(pieces) + 1:
+                return None
+            pieces.append(record.payload)
+        snapshot = b"".join(pieces)
+        if (told.index, told.term, start.size) != (head.index, head.term, len(snapshot)):
+            return None
+        return snapshot
+
+    def _marked(self, number: int) -> int:
+        """Return the last group that a mark says was acknowledged; marks are not synced and may be gone."""
+        found = 0
+        for one in _numbers(self.disk.names(), MARKS)[-2:]:
+            size = self.disk.size(_marks(one))
+            data = self.disk.read(_marks(one), max(0, size - MARKS_READ))
+            at = data.find(records.MAGIC)
+            while at >= 0:
+                record = records.read(data, at)
+                if record is not None and record.kind == records.MARK:
+                    found = max(found, record.number)
+                at = data.find(records.MAGIC, at + 1)
+        return found
+
+    def _whole(self, name: str, most: int, kind: type[StoreError]) -> bytes:
+        """Return a file's bytes, of which there are no more than so many."""
+        size = self.disk.size(name)
+        if size > most:
+            raise kind(f"{name} has {size} bytes, more than any that was written", file=name, size=size)
+        pieces: list[bytes] = []
+        at = 0
+        while piece := self.disk.read(name, at, READ_MOST):
+            pieces.append(piece)
+            at += len(piece)
+        return b"".join(pieces)
+
+    # Writing.
+
+    def _write(self, group: kept.Group, writes: tuple[Write, ...]) -> None:
+        if self.size >= self.limits.segment:
+            self._begin(self._head(self.segment + 1, self.group + 1, self._first(self.shape)))
+        for write in writes:
+            if write.head is not None:
+                self.shape.snapshot(write.head)
+            if write.cut_after is not None:
+                self.shape.cut(write.cut_after)
+            self.shape.append(write.entries)
+            if write.hard is not None:
+                self.shape.hard = write.hard.SerializeToString()
+        for write in writes:
+            if write.head is not None:
+                self._put(_snapshot(write.head), _pieces(write.head, write.snapshot))
+                self.shape.trim()
+                group.first_segment = self._first(self.shape)
+        data = records.parts(self.group + 1, group.SerializeToString())
+        self.disk.append(_log(self.segment), data)
+        self.disk.sync(_log(self.segment))
+        self.group += 1
+        self.size += len(data)
+        self._mark()
+
+    def _head(self, segment: int, group: int, first: int, shape: Shape | None = None) -> kept.Head:
+        """Return a new segment's first record."""
+        shape = shape or self.shape
+        return kept.Head(format=FORMAT, life=self.life, segment=segment, group=group, hard=shape.hard,
+                         heads=[head.SerializeToString() for head in shape.heads], last_index=shape.last,
+                         last_term=shape.last_term, first_segment=first)
+
+    def _begin(self, head: kept.Head, body: bytes = b"") -> None:
+        """Begin a segment, with records that are written again."""
+        data = records.pack(records.HEAD, head.segment, head.SerializeToString()) + body
+        self._put(_log(head.segment), [data])
+        self.segments[head.segment] = head.last_index
+        self.segment, self.size = head.segment, len(data)
+
+    def _put(self, name: str, pieces: Iterable[bytes]) -> None:
+        """Write a file as a whole; give the reserve up for it if need be."""
+        pieces = list(pieces)
+        try:
+            self._put_once(name, pieces)
+        except DiskFull:
+            if not self._give_reserve():
+                raise
+            self._put_once(name, pieces)
+
+    def _put_once(self, name: str, pieces: list[bytes]) -> None:
+        new = name + NEW
+        with suppress(NameMissing):
+            self.disk.remove(new)
+        for piece in pieces:
+            self.disk.append(new, piece)
+        self.disk.sync(new)
+        self.disk.rename(new, name)
+        self.disk.sync_names()
+
+    def _mark(self) -> None:
+        """Note that the last group is acknowledged; a mark that fails costs nothing but its use."""
+        try:
+            self.disk.append(_marks(self.segment), records.pack(records.MARK, self.group, b""))
+        except DiskError:
+            self.unmarked += 1
+
+    # Room.
+
+    def _first(self, shape: Shape) -> int:
+        """Return the first segment that is needed to read the log behind the oldest snapshot kept."""
+        return max(number for number, last in self.segments.items() if last <= shape.start)
+
+    def _sweep(self) -> None:
+        """Remove what nobody needs; what can't be removed is left for the next time."""
+        first, wanted = self.first, {_snapshot(head) for head in self.shape.heads}
+        self.segments = {number: last for number, last in self.segments.items() if number >= first}
+        try:
+            gone = [name for name in self.disk.names() if name.endswith(NEW) and name.startswith(OURS)
+                    or name.startswith(SNAPSHOT) and name not in wanted
+                    or any(number < first for kind in (LOG, MARKS) for number in _numbers([name], kind))]
+            for name in gone:
+                self.disk.remove(name)
+            if gone:
+                self.disk.sync_names()
+        except DiskError:
+            self.unswept += 1
+
+    def _check_room(self) -> None:
+        free = self.disk.free()
+        if free < self.limits.low:
+            raise NoRoom(f"{free} bytes are free, {self.limits.low} are wanted", free=free,
+                         wanted=self.limits.low)
+
+    def _take_reserve(self) -> None:
+        """Hold room for a snapshot, if the disk has it to spare."""
+        wanted = self.limits.reserve
+        try:
+            if RESERVE in self.disk.names():
+                if self.disk.size(RESERVE) == wanted:
+                    return
+                self.disk.remove(RESERVE)
+            if self.disk.free() < wanted + self.limits.low:
+                return
+            for at in range(0, wanted, READ_MOST):
+                self.disk.append(RESERVE, bytes(min(READ_MOST, wanted - at)))
+            self.disk.sync(RESERVE)
+        except DiskError:
+            self._give_reserve()
+
+    def _give_reserve(self) -> bool:
+        """Give the reserve up; tell whether there was one."""
+        try:
+            self.disk.remove(RESERVE)
+            self.disk.sync_names()
+        except DiskError:
+            return False
+        return True
+
+
+def _pieces(head: pb.SnapshotHead, snapshot: bytes) -> Iterator[bytes]:
+    start = kept.SnapshotStart(head=head.SerializeToString(), size=len(snapshot))
+    yield records.pack(records.SNAPSHOT, 0, start.SerializeToString())
+    for number, at in enumerate(range(0, len(snapshot), records.RECORD_MOST), 1):
+        yield records.pack(records.PIECE, number, snapshot[at:at + records.RECORD_MOST])
+
+
+def _grouped(writes: Iterable[Write]) -> kept.Group:
+    group = kept.Group()
+    for write in writes:
+        step = group.steps.add(entries=[entry.SerializeToString() for entry in write.entries])
+        if write.head is not None:
+            step.head = write.head.SerializeToString()
+        if write.cut_after is not None:
+            step.cut_after = write.cut_after
+        if write.hard is not None:
+            step.hard = write.hard.SerializeToString()
+    return group
+
+
+def _parsed(kind: type[Kind], data: bytes, error: type[StoreError], name: str) -> Kind:
+    try:
+        return kind.FromString(data)
+    except DecodeError:
+        raise error(f"{name} has a record that can't be read", file=name) from None
+
+
+def _log(number: int) -> str:
+    return f"{LOG}{number:010d}"
+
+
+def _marks(number: int) -> str:
+    return f"{MARKS}{number:010d}"
+
+
+def _snapshot(head: pb.SnapshotHead) -> str:
+    return f"{SNAPSHOT}{head.index:020d}-{head.term:020d}"
+
+
+def _numbers(names: list[str], kind: str) -> list[int]:
+    """Return the numbers of the files of a kind, in order."""
+    return sorted(int(name[len(kind):]) for name in names
+                  if name.startswith(kind) and name[len(kind):].isdigit())
