--- a/fennelwind/store/store.py
+++ b/fennelwind/store/store.py
@@ -150,15 +150,18 @@
         self.failed = True
         if self.full and head is None:
             self._check_room()
-        was_full = self.full
-        durable = self._load(self.group)
-        if head is not None and was_full:
-            if durable.head is None or durable.head.index < head.index:
-                self.write(Write(0, head=head, snapshot=snapshot))
-            self.failed = True
-            durable = self._load(self.group, generations=1)
-            self.failed = self.full = True
-            self._check_room()
+        try:
+            durable = self._load(self.group)
+            if head is not None and self.full:
+                if durable.head is None or durable.head.index < head.index:
+                    self.write(Write(0, head=head, snapshot=snapshot))
+                self.failed = self.full = True
+                durable = self._load(self.group, generations=1)
+                self.failed = True
+                self._check_room()
+        except DiskFull:
+            self.full = True
+            raise
         self.failed = self.full = False
         self._take_reserve()
         return durable
@@ -219,6 +222,7 @@
         number = last.head.segment + bool(last.groups)  # one that says nothing of its own is replaced
         replay, snapshot, head = self._replay(segments, doubtful, generations, number, sure + 1)
         body = records.parts(reached, doubtful.SerializeToString()) if doubtful is not None else b""
+        head.whole = reached - sure
         self.shape, self.group = replay.shape, reached
         self._begin(head, body)
         self.first = max(head.first_segment, doubtful.first_segment if doubtful is not None else 0)
@@ -241,9 +245,11 @@
             del last.groups[max(0, acknowledged + 1 - last.head.group):]
         else:
             after = last.head.group + len(last.groups)
-            if last.rest is not None and not records.torn(last.data, last.rest, after):
-                raise LogDamaged(f"{_log(numbers[-1])} is damaged at {last.rest}", file=_log(numbers[-1]),
-                                 offset=last.rest)
+            if len(last.groups) < last.head.whole \
+                    or last.rest is not None and not records.torn(last.data, last.rest, after):
+                offset = last.rest or len(last.data)
+                raise LogDamaged(f"{_log(numbers[-1])} is damaged at {offset}", file=_log(numbers[-1]),
+                                 offset=offset)
         first = max([last.head.first_segment, *(group.first_segment for group in last.groups)])
         if acknowledged is None and last.groups:
             doubtful = last.groups.pop()
@@ -291,10 +297,10 @@
         while True:
             replay = Replay(Shape.of(segments[0].head))
             shape = replay.shape
-            shape.heads = [head for head in shape.heads if head.index not in bad]
             try:
                 for segment in segments:
                     self._check_joint(shape, segment.head)
+                    shape.heads = [one for one in Shape.of(segment.head).heads if one.index not in bad]
                     for one in segment.groups:
                         replay.take(one, lambda head: head.index not in bad)
                 shape.trim(generations)
@@ -441,7 +447,8 @@
 
     def _first(self, shape: Shape) -> int:
         """Return the first segment that is needed to read the log behind the oldest snapshot kept."""
-        return max(number for number, last in self.segments.items() if last <= shape.start)
+        return max((number for number, last in self.segments.items() if last <= shape.start),
+                   default=min(self.segments, default=1))
 
     def _sweep(self) -> None:
         """Remove what nobody needs; what can't be removed is left for the next time."""
--- /dev/null
+++ b/tests/fuzz_store.py
@@ -0,0 +1,27 @@
+"""Plays the record on disk against the model for a time: `python tests/fuzz_store.py SECONDS [SEED]`.
+
+Prints the seeds that fail, each with its error; ends with 1 if there were any.
+"""
+
+import sys
+import time
+
+from storemodel import random_play
+
+
+def main(seconds, seed):
+    until, first, cuts, failures, bad = time.monotonic() + seconds, seed, 0, 0, 0
+    while time.monotonic() < until:
+        try:
+            play = random_play(seed)
+            cuts, failures = cuts + play.cuts, failures + play.failures
+        except Exception as exc:
+            bad += 1
+            print(f"seed {seed}: {type(exc).__name__}: {str(exc)[:300]}")
+        seed += 1
+    print(f"{seed - first} plays from seed {first}, {cuts} power cuts, {failures} failed calls: {bad} bad")
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(float(sys.argv[1]), int(sys.argv[2]) if len(sys.argv) > 2 else 0))
--- a/tests/storemodel.py
+++ b/tests/storemodel.py
@@ -11,6 +11,7 @@
 
 SMALL = Limits(segment=400, group=1 << 16, snapshot=1 << 16, reserve=2000, low=1500)
 LIFE = b"a life of sixteen"
+FAULTS = ("cut", "late", "full", "short", "error", "sync")
 
 
 class Model:
@@ -20,17 +21,22 @@
         self.hard, self.head, self.snapshot = pb.HardState(), None, b""
         self.terms = {0: 0}  # of all entries up to the last, as far back as any snapshot could need
         self.entries = {}
+        self.former = {}  # snapshots by index, as heads and bytes
 
     def copy(self):
         other = Model()
         other.hard, other.head, other.snapshot = self.hard, self.head, self.snapshot
-        other.terms, other.entries = dict(self.terms), dict(self.entries)
+        other.terms, other.entries, other.former = dict(self.terms), dict(self.entries), dict(self.former)
         return other
 
     @property
     def last(self):
         return max(self.terms)
 
+    @property
+    def agreed(self):
+        return self.head.index if self.head is not None else 0
+
     def after(self, *writes):
         """Return what is held when the writes are done."""
         new = self.copy()
@@ -51,14 +57,21 @@
         if self.terms.get(head.index) != head.term:
             self.terms, self.entries = {head.index: head.term}, {}
         self.head, self.snapshot = head, data
+        self.former[head.index] = head, data
 
     def same(self, durable):
         """Tell whether a folder that was read holds just this."""
-        base = self.head.index if self.head is not None else 0
-        wanted = [self.entries[i] for i in range(base + 1, self.last + 1)]
+        wanted = [self.entries[i] for i in range(self.agreed + 1, self.last + 1)]
         return (durable.hard, durable.head, durable.snapshot, durable.entries) == \
             (self.hard, self.head, self.snapshot, wanted)
 
+    def says_as_much(self, durable):
+        """Tell whether a folder that was read holds the same by way of an older snapshot, or of none."""
+        base = durable.head.index if durable.head is not None else 0
+        wanted = [self.entries.get(i) for i in range(base + 1, self.last + 1)]
+        return (durable.hard, durable.entries) == (self.hard, wanted) and \
+            (durable.head, durable.snapshot) == self.former.get(base, (None, b""))
+
 
 def entry(index, term, size=20, random=None):
     body = random.randbytes(size) if random is not None else b"b" * size
@@ -67,8 +80,7 @@
 
 def next_writes(model, random):
     """Draw what a council could write next."""
-    term, last = max(model.hard.term, 1), model.last
-    floor = model.head.index if model.head is not None else 0
+    term, last, floor = max(model.hard.term, 1), model.last, model.agreed
     draw = random.random()
     if draw < 0.5:
         many = random.choice((1, 1, 1, 2, 5))
@@ -96,84 +108,151 @@
 class Play:
     """Writes on one platter, through faults, power cuts and openings; what is read back is checked each time.
 
-    `plan` is a disk's, but counts calls through all openings.
+    `plan` is a disk's, but counts calls through all openings. What a folder may hold are `models`: one where
+    it is known, two where a write was cut short.
     """
 
-    def __init__(self, seed, plan=None, limits=SMALL, loss=None, room=1 << 20):
+    def __init__(self, seed, plan=None, limits=SMALL, loss=None, room=1 << 20, store=Store):
         self.random, self.limits, self.loss = Random(f"play {seed}"), limits, loss
         self.crashes = Random(f"crashes {seed}")
-        self.platter, self.model = Platter(room=room), Model()
+        self.platter, self.models = Platter(room=room), [Model()]
         self.calls, self._plan = 0, plan
         self.cuts = self.failures = 0
-        self.store, self.seed = None, seed
-        self.start(self.model)
+        self.kind, self.store, self.seed = store, None, seed
+        self.pending = []  # writes that failed: gone where the same process reads anew, else perhaps not
+        self.start()
+
+    @property
+    def model(self):
+        return self.models[0]
 
     def plan(self, number, what, name):
         self.calls += 1
         return self._plan(self.calls - 1, what, name) if self._plan is not None else None
 
+    def next_fault(self, fault, within):
+        """Let one of the next calls meet a fault."""
+        at = self.calls + self.crashes.randint(0, within)
+        self._plan = lambda number, what, name: fault if number == at else None
+
+    def no_faults(self):
+        self._plan = None
+        self.platter.sync_fails = self.platter.fails = False
+        self.platter.room = max(self.platter.room, 1 << 20)
+
     def crash(self):
+        """The machine loses power."""
         self.cuts += 1
+        self._lose()
         self.platter.crash(self.crashes, self.loss or self.crashes.choice(LOSSES))
 
-    def start(self, *allowed):
-        """Open the folder until it is open; what it holds is one of the allowed."""
-        for _ in range(20):
+    def kill(self):
+        """The process ends, the machine does not."""
+        self._lose()
+        self.platter.end()
+
+    def _lose(self):
+        self.store = None
+        self.models += self.pending
+        self.pending = []
+
+    def start(self, tries=20):
+        """Open the folder until it is open; what it holds is what it may hold."""
+        while self.store is None and tries:
+            tries -= 1
             disk = SimDisk(None, self.platter, seed=f"{self.seed} {self.calls}", plan=self.plan)
             try:
-                self.store, durable = Store.open(disk, "fleet", "a", LIFE, self.limits)
+                self.store, durable = self.kind.open(disk, "fleet", "a", LIFE, self.limits)
             except PowerCut:
                 self.crash()
             except DiskError:
                 self.failures += 1
-                self.platter.end()
+                self.kill()
             else:
-                self.settle(durable, allowed)
-                return
-        raise AssertionError("it never opens")
+                self.settle(durable)
+        return self.store is not None
 
-    def settle(self, durable, allowed):
-        held = [model for model in allowed if model.same(durable)]
+    def settle(self, durable):
+        held = [model for model in self.models if model.same(durable)]
         assert held, f"not what was written: {durable}"
         assert durable.me == ("a", LIFE)
-        self.model = held[0]
+        self.models, self.pending = held[:1], []
 
-    def again(self):
-        """Read the folder anew after a failure, in the same process."""
-        for _ in range(20):
+    def again(self, tries=20, shrink=False):
+        """Read the folder anew after a failure, in the same process; with a snapshot if it is full."""
+        while self.store is not None and self.store.failed and tries:
+            tries -= 1
+            head, data = None, b""
+            if shrink and self.model.last > self.model.agreed:
+                index = self.random.randint(self.model.agreed + 1, self.model.last)
+                head, data = pb.SnapshotHead(index=index, term=self.model.terms[index]), b"small"
+                if self.store.full:
+                    self.models = [*self.models, self.model.after(Write(1, head=head, snapshot=data))]
             try:
-                durable = self.store.reopen()
+                durable = self.store.reopen(head, data)
             except PowerCut:
                 self.crash()
-                self.start(self.model)
-                return
+                return self.start()
             except NoRoom:
-                return
+                continue
             except DiskError:
                 self.failures += 1
             else:
-                self.settle(durable, (self.model,))
-                return
-        raise AssertionError("it never opens again")
+                self.settle(durable)
+        return self.store is not None and not self.store.failed
 
     def write(self, *writes):
-        """Carry writes out through whatever happens."""
+        """Carry writes out; tell whether they are on the disk."""
         after = self.model.after(*writes)
         try:
             self.store.write(*writes)
         except PowerCut:
+            self.pending = [after]
             self.crash()
-            self.start(self.model, after)
         except DiskError:
+            self.pending = [after]
             self.failures += 1
-            self.again()
         else:
-            self.model = after
+            self.models = [after]
+            return True
+        return False
 
     def go(self, writes):
         """Carry out so many writes as they are drawn, then lose power and look once more."""
         for _ in range(writes):
-            self.write(*next_writes(self.model, self.random))
-        self._plan = None
+            if not self.write(*next_writes(self.model, self.random)):
+                assert self.again() if self.store is not None else self.start()
+        self.no_faults()
         self.crash()
-        self.start(self.model)
+        assert self.start()
+
+
+def random_play(seed, store=Store, steps=40):
+    """Play writes among faults, power cuts, kills, a disk that fills and openings, as the seed draws them."""
+    random = Random(f"random play {seed}")
+    at, fault = random.randint(0, 30), random.choice(FAULTS)  # the folder's making may meet one as well
+    play = Play(seed, lambda number, what, name: fault if number == at else None, store=store)
+    for _ in range(steps):
+        draw = random.random()
+        if draw < 0.10:
+            play.next_fault(random.choice(FAULTS), random.choice((2, 12, 40)))
+        elif draw < 0.15:
+            play.crash()
+        elif draw < 0.19:
+            play.kill()
+        elif draw < 0.24:
+            play.platter.room = play.platter.used() + random.choice((0, 300, 1500, 4000, 1 << 20, 1 << 20))
+        elif draw < 0.27:
+            play.platter.sync_fails = not play.platter.sync_fails
+        if play.store is None:
+            play.start(tries=2)
+        elif play.store.failed:
+            play.again(tries=1, shrink=random.random() < 0.5)
+        else:
+            play.write(*next_writes(play.model, play.random))
+    play.no_faults()
+    if play.store is not None and random.random() < 0.5:
+        assert play.again()  # what was wrong has gone: the same process comes back by itself
+    play.crash()
+    assert play.start()
+    return play
