The record on disk in real processes: kills, a limit on files, and a measurement

Processes on a real folder are killed while they write, refused a folder in use, and stopped by a limit of files' sizes that is lifted again: what they said was kept is there, and they come back by themselves.

--- a/fennelwind/store/shape.py
+++ b/fennelwind/store/shape.py
@@ -70,11 +70,14 @@
 
     def append(self, entries: Iterable[pb.Entry]) -> None:
         """Take entries behind those that are held."""
+        last, last_term, terms = self.last, self.last_term, self.terms
         for entry in entries:
-            if entry.index != self.last + 1 or entry.term < self.last_term:
-                raise WriteRefused(f"entry {entry.index} of term {entry.term} behind {self.last} of term "
-                                   f"{self.last_term}", index=entry.index, term=entry.term)
-            self.terms.append(entry.term)
+            index, term = entry.index, entry.term
+            if index != last + 1 or term < last_term:
+                raise WriteRefused(f"entry {index} of term {term} behind {last} of term {last_term}",
+                                   index=index, term=term)
+            terms.append(term)
+            last, last_term = index, term
 
     def trim(self, generations: int = GENERATIONS) -> None:
         """Keep so many generations only, and no terms that none of them needs.
--- a/tests/test_disks.py
+++ b/tests/test_disks.py
@@ -1,6 +1,7 @@
 """The two folders behind `Disk`: the system's own, and the one in virtual time with faults."""
 
 import os
+import resource
 import subprocess
 import sys
 import textwrap
@@ -262,3 +263,112 @@
         SimDisk(None, platter).lock()
     platter.crash(Random(1))
     SimDisk(None, platter).lock()
+
+
+# The record on disk, in a real folder, by processes that end badly.
+
+KEEPER = """
+import sys
+from fennelwind.council import council_pb2 as pb
+from fennelwind.council.interface import Write
+from fennelwind.loop import RealLoop
+from fennelwind.loop.disk import DiskError
+from fennelwind.loop.realdisk import RealDisk
+from fennelwind.store.errors import StoreError
+from fennelwind.store.store import Limits, Store
+loop = RealLoop()
+limits = Limits(segment=20_000, reserve=50_000, low=50_000)
+
+def main():
+    try:
+        store, durable = Store.open(RealDisk(loop, sys.argv[1]), "fleet", "a", loop.token(16), limits)
+    except (DiskError, StoreError) as exc:
+        print(exc.code, flush=True)
+        return
+    last = durable.entries[-1].index if durable.entries else durable.head.index if durable.head else 0
+    print("open", durable.me.life.hex(), last, flush=True)
+    while last < 100_000:
+        entry = pb.Entry(term=1, index=last + 1, command=pb.Command(body=b"%d " % (last + 1) * 50))
+        writes = [Write(1, entries=(entry,), hard=pb.HardState(term=last + 1))]
+        if last % 100 == 99:
+            writes.append(Write(2, head=pb.SnapshotHead(index=last, term=1), snapshot=b"s" * last))
+        try:
+            store.write(*writes)
+        except DiskError as exc:
+            print(exc.code, last, flush=True)
+            while store.failed:
+                loop.sleep(5.0)
+                try:
+                    durable = store.reopen()
+                except DiskError:
+                    print("not yet", flush=True)
+            assert durable.hard.term == last
+            print("back", last, flush=True)
+            continue
+        last += 1
+        print("kept", last, flush=True)
+
+loop.run(main)
+"""
+
+
+class Keeper:
+    """A process that writes to a folder and says what is on the disk."""
+
+    def __init__(self, folder):
+        self.process = subprocess.Popen([sys.executable, "-c", KEEPER, str(folder)], text=True,
+                                        stdout=subprocess.PIPE)
+
+    def until(self, word, times=1):
+        """Return the last line of those that begin with the word; how many to wait for."""
+        while times:
+            words = self.process.stdout.readline().split()
+            assert words, "it ended"
+            times -= words[0] == word
+        return words
+
+    def kill(self):
+        """Kill the process; return the last index that it said was kept."""
+        self.process.kill()
+        kept = [int(line.split()[1]) for line in self.process.stdout if line.startswith("kept ")
+                and line.endswith("\n")]
+        self.process.wait()
+        return kept[-1] if kept else 0
+
+
+def test_what_a_killed_process_said_is_kept_is_there_for_the_next(tmp_path):
+    lives, last = set(), 0
+    for times in (5, 230, 120):
+        keeper = Keeper(tmp_path)
+        _, life, found = keeper.until("open")
+        lives.add(life)
+        assert int(found) in (last, last + 1)  # the next may have been written and not said
+        _, last = keeper.until("kept", times)
+        last = max(int(last), keeper.kill())
+    assert len(lives) == 1 and last >= 355
+
+
+def test_a_folder_in_use_is_refused_to_a_second_process(tmp_path):
+    first = Keeper(tmp_path)
+    first.until("kept")
+    second = Keeper(tmp_path)
+    assert second.until("disk-folder-taken") == ["disk-folder-taken"]
+    second.kill()
+    first.until("kept")
+    first.kill()
+
+
+def test_a_process_whose_files_may_not_grow_says_so_and_comes_back_by_itself(tmp_path):
+    keeper = Keeper(tmp_path)
+    keeper.until("kept", 20)
+    pid, (_, hard) = keeper.process.pid, resource.prlimit(keeper.process.pid, resource.RLIMIT_FSIZE)
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (10, hard))  # not even a new segment's beginning
+    _, last = keeper.until("disk-full")
+    keeper.until("not", 3)
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (hard, hard))
+    assert keeper.until("back") == ["back", last]
+    _, last = keeper.until("kept", 20)
+    last = max(int(last), keeper.kill())
+    keeper = Keeper(tmp_path)
+    assert int(keeper.until("open")[2]) in (last, last + 1)
+    keeper.kill()
