--- /dev/null
+++ b/fennelwind/council/joining.py
@@ -0,0 +1,35 @@
+"""A member without a record asks to be let in; the first by name founds one if nobody has any. No I/O."""
+
+from fennelwind.council import council_pb2 as pb
+from fennelwind.council.interface import Life
+
+
+class Joining:
+    """What a member knows of the others while it has no record."""
+
+    def __init__(self, me: Life, stated: dict[str, pb.Member]) -> None:
+        self.me, self.stated = me, stated
+        self.empty: set[str] = set()  # who said in its present life that it has no record either
+        self.lives: dict[str, bytes] = {}
+        self.next_at: float | None = None  # ms, when it asks again
+
+    def messages(self) -> list[tuple[Life, pb.Message]]:
+        """Return what is asked of all others, whose lives aren't known yet."""
+        stated = self.stated.get(self.me.name)
+        member = pb.Member(name=self.me.name, life=self.me.life, address=stated.address if stated else "")
+        return [(Life(name, b""), pb.Message(join=pb.Join(member=member)))
+                for name in sorted(self.stated) if name != self.me.name]
+
+    def answered(self, sender: Life, answer: pb.JoinAnswer) -> None:
+        """Take another's word."""
+        if sender.name not in self.stated or answer.life != sender.life:
+            return
+        if answer.word == pb.JoinAnswer.EMPTY:
+            self.empty.add(sender.name)
+        else:
+            self.empty.discard(sender.name)
+
+    def founds(self) -> bool:
+        """Whether this member is to found the record: the first by name, and all others have none."""
+        others = set(self.stated) - {self.me.name}
+        return self.me.name in self.stated and self.me.name == min(self.stated) and others <= self.empty
--- /dev/null
+++ b/fennelwind/council/log.py
@@ -0,0 +1,119 @@
+"""The log in memory: entries behind a base, and which members count from which entry on. No I/O."""
+
+from bisect import bisect_right
+from collections.abc import Iterable, Sequence
+
+from fennelwind.council import council_pb2 as pb
+from fennelwind.council.interface import Life
+
+
+def lives(members: pb.Members, voters: bool = False) -> list[Life]:
+    """Return who the members are, or those of them that vote, in their order."""
+    return [Life(m.name, m.life) for m in members.members if m.votes or not voters]
+
+
+class Log:
+    """Entries without gaps from `base` + 1 to `last`; entries are never changed once they are in.
+
+    All up to `base` is agreed and held by a snapshot; of it only the last one's term is known.
+    """
+
+    def __init__(self, head: pb.SnapshotHead | None, entries: Sequence[pb.Entry]) -> None:
+        self.base, self.base_term = (head.index, head.term) if head is not None else (0, 0)
+        self.entries: list[pb.Entry] = list(entries)
+        self.size = sum(entry.ByteSize() for entry in self.entries)
+        self.configs: list[tuple[int, pb.Members]] = [(0, pb.Members())]
+        if self.entries and self.entries[0].index <= self.base:  # some are kept behind the snapshot
+            first = self.entries.pop(0)
+            self.size -= first.ByteSize()
+            self.base, self.base_term = first.index, first.term
+        if head is not None:
+            self.configs += [(e.index, e.members) for e in self.entries
+                             if e.index < head.index and e.WhichOneof("what") == "members"]
+            self.configs.append((head.index, head.members))
+        start = head.index if head is not None else 0
+        self.configs += [(e.index, e.members) for e in self.entries
+                         if e.index > start and e.WhichOneof("what") == "members"]
+
+    @property
+    def last(self) -> int:
+        """The last entry's index; 0 in an empty log."""
+        return self.base + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """The last entry's term; 0 in an empty log."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    @property
+    def members(self) -> pb.Members:
+        """Who counts now: the latest that is written, agreed or not."""
+        return self.configs[-1][1]
+
+    @property
+    def members_index(self) -> int:
+        """Where the present members were written; 0: there are none."""
+        return self.configs[-1][0]
+
+    def members_at(self, index: int) -> pb.Members:
+        """Return who counted as of an entry."""
+        return next(members for at, members in reversed(self.configs) if at <= index)
+
+    def term(self, index: int) -> int | None:
+        """Return an entry's term; None where the log doesn't hold it."""
+        if index == self.base:
+            return self.base_term
+        if self.base < index <= self.last:
+            return self.entries[index - self.base - 1].term
+        return None
+
+    def slice(self, first: int, last: int) -> list[pb.Entry]:
+        """Return the entries from `first` to `last`, both included, as far as they are held."""
+        return self.entries[max(first - self.base - 1, 0):max(last - self.base, 0)]
+
+    def batch(self, first: int, last: int, most: int) -> list[pb.Entry]:
+        """Return entries from `first` on of at most so many bytes, but one at least if there is one."""
+        taken, size = [], 0
+        for entry in self.slice(first, last):
+            size += entry.ByteSize()
+            if taken and size > most:
+                break
+            taken.append(entry)
+        return taken
+
+    def append(self, entries: Iterable[pb.Entry]) -> None:
+        """Add entries that follow the last one."""
+        for entry in entries:
+            self.entries.append(entry)
+            self.size += entry.ByteSize()
+            if entry.WhichOneof("what") == "members":
+                self.configs.append((entry.index, entry.members))
+
+    def cut(self, after: int) -> None:
+        """Drop what lies behind an index; the members are again who they were there."""
+        self.size -= sum(entry.ByteSize() for entry in self.slice(after + 1, self.last))
+        del self.entries[max(after - self.base, 0):]
+        while self.configs[-1][0] > after:
+            self.configs.pop()
+
+    def compact(self, base: int) -> None:
+        """Forget entries up to `base`, which a snapshot holds."""
+        term = self.term(base)
+        if term is None or base <= self.base:
+            return
+        self.size -= sum(entry.ByteSize() for entry in self.slice(self.base + 1, base))
+        del self.entries[:base - self.base]
+        self.base, self.base_term = base, term
+        place = bisect_right([at for at, _ in self.configs], base) - 1
+        del self.configs[:place]
+
+    def reset(self, head: pb.SnapshotHead) -> None:
+        """Begin anew behind a snapshot that came from another."""
+        self.__init__(head, ())  # type: ignore[misc]
+
+    def back_to(self, term: int, index: int) -> int:
+        """Return the last index up to `index` whose term is not above `term`: none behind it can agree."""
+        index = min(index, self.last)
+        while index > self.base and self.entries[index - self.base - 1].term > term:
+            index -= 1
+        return index
