Council's core: who wrote its own removal may still lead; a leader tells the removed

A leader of two that wrote its own removal and lost touch was the only one with the longest log, and asked for no votes: nobody could lead. By the thesis it asks until its removal is agreed. One that was removed and never heard of it is told so by a leader, and falls silent.

--- a/fennelwind/council/core.py
+++ b/fennelwind/council/core.py
@@ -14,7 +14,7 @@
 from fennelwind.council.interface import Action, Durable, Event, Life, Timing
 from fennelwind.council.joining import Joining
 from fennelwind.council.leading import Leading
-from fennelwind.council.log import Log, lives
+from fennelwind.council.log import Log
 from fennelwind.council.pieces import SNAPSHOT_MOST, Incoming, head_of
 from fennelwind.council.votes import Ballot, lacks_nothing
 from fennelwind.council.writes import Writes
@@ -70,6 +70,7 @@
         self.compacting: tuple[int, pb.SnapshotHead, bytes, int] | None = None
         self.snapshot_asked = False
         self.mute = False
+        self.removed = False  # a leader said so
         self.now = self.heard = self.shy_until = -math.inf
         self.patience = 0.0  # ms without a word from a leader, after which votes are asked for
         self.ask_at: float | None = None  # when to look whether that is so
@@ -146,7 +147,7 @@
                 self.ask_at = self.heard + self.patience
             else:
                 self._draw(now)
-                if self._may_lead() and now >= self.shy_until:
+                if self._may_lead() and now >= self.shy_until and self.writes.hard_done:
                     self._ask_before()
         if self._wants_in():
             joining = self.joining
@@ -161,7 +162,7 @@
         """Do what follows from all that came in this step."""
         if self.leading is not None and not self.leading.settle(self.now):
             self._follow(self.term, None)
-        if self.ballot is not None and self.ballot.won(lives(self.log.members, voters=True)):
+        if self.ballot is not None and self.ballot.won(self.log.config.voters):
             self._won()
         write = None if self.mute else self.writes.flush(self.log.last)
         if write is not None:
@@ -191,16 +192,15 @@
     @property
     def part(self) -> str:
         """Its part, as `Became` tells it."""
-        mine = [m for m in self.log.members.members if (m.name, m.life) == self.me]
-        if not mine:
-            return "leader" if self.leading is not None else "outside"
-        if self.mute:
-            return "mute"
         if self.leading is not None:
             return "leader"
+        if self.mute and self.me in self.log.config.lives:
+            return "mute"
         if self.ballot is not None:
             return "asking"
-        return "follower" if mine[0].votes else "learner"
+        if self._may_lead():
+            return "follower"
+        return "learner" if self.me in self.log.config.lives else "outside"
 
     @property
     def empty(self) -> bool:
@@ -208,15 +208,21 @@
         return self.head is None and not self.log.last and not self.term
 
     def _may_lead(self) -> bool:
-        return not self.mute and self.me in lives(self.log.members, voters=True)
+        """Whether it may ask for votes: it has one, or has one until it is agreed that it has not.
+
+        One that wrote its own removal may be the only one that has it, and nobody else can be elected then.
+        """
+        if self.mute or self.removed:
+            return False
+        return any(self.me in found.voters for found in self.log.configs_from(self.commit))
 
     def _wants_in(self) -> bool:
         """Whether it never was a member, as far as its log tells: one that was removed asks nobody."""
-        return not self.mute and not any(self.me in lives(members) for _, members in self.log.configs)
+        return not self.mute and not any(self.me in found.lives for found in self.log.configs)
 
     def founded(self) -> bool:
         """Whether commands may come: not while they would rest on the founder's disk alone."""
-        voters = len(lives(self.log.members, voters=True))
+        voters = len(self.log.config.voters)
         return self.commands_seen or self.head is not None or 2 * voters > len(self.stated)
 
     def log_clock(self) -> int:
@@ -233,7 +239,7 @@
             commit=self.commit, given=self.given, last=self.log.last, durable=self.writes.durable,
             base=self.log.base, log_bytes=self.log.size,
             waiting=len(leading.waiting) if leading else 0, reads=len(leading.reads) if leading else 0,
-            members=self.log.members,
+            members=self.log.config.members,
             match={life.name: peer.match for life, peer in leading.peers.items()} if leading else {},
             counts=dict(self.counts))
 
@@ -318,7 +324,7 @@
 
     def _ask(self, term: int, vote: pb.Vote) -> None:
         vote.last_index, vote.last_term = self.log.last, self.log.last_term
-        for life in lives(self.log.members, voters=True):
+        for life in self.log.config.voters:
             if life != self.me:
                 self.send(life, pb.Message(term=term, vote=vote))
 
@@ -343,13 +349,16 @@
         if self.mute or self.empty:
             self.counts["vote not given"] += 1
             return
-        known = sender in lives(self.log.members)
+        known = sender in self.log.config.lives
         heard = self._hears() and not (vote.handed_over and known and not vote.before)
         fit = lacks_nothing(vote, self.log.last_term, self.log.last)
         if vote.before:
             granted = fit and not heard and term > self.term
             answer = pb.VoteAnswer(before=True, granted=granted)
             self.send(sender, pb.Message(term=term if granted else self.term, vote_answer=answer))
+            if self.leading is not None and not known and self.log.config.index <= self.commit:
+                word = pb.JoinAnswer(word=pb.JoinAnswer.REFUSED, leader=self.me.name, life=self.me.life)
+                self.send(sender, pb.Message(term=self.term, join_answer=word))  # it may not know yet
             return
         if heard:
             self.counts["vote not given"] += 1
@@ -366,7 +375,7 @@
 
     def _vote_answer(self, sender: Life, term: int, answer: pb.VoteAnswer) -> None:
         ballot = self.ballot
-        if ballot is None or sender not in lives(self.log.members, voters=True):
+        if ballot is None or sender not in self.log.config.voters:
             self.counts["late"] += 1
         elif answer.granted:
             if answer.before == ballot.before and term == ballot.term:
@@ -396,7 +405,7 @@
                 leading = self.leading
                 if leading is None or sender not in leading.peers or (
                         term > self.term and leading.peers[sender].leaves_at):
-                    self.counts["late" if sender in lives(self.log.members) else "stranger"] += 1
+                    self.counts["late" if sender in self.log.config.lives else "stranger"] += 1
                 elif term > self.term:
                     self._follow(term, None)
                 elif term == self.term and body == "append_answer":
@@ -409,8 +418,11 @@
             case "join":
                 self._join(sender, message.join)
             case "join_answer":
+                word = message.join_answer
                 if self._wants_in():
-                    self.joining.answered(sender, message.join_answer)
+                    self.joining.answered(sender, word)
+                elif word.word == pb.JoinAnswer.REFUSED and word.leader == sender.name and not self._hears():
+                    self.removed, self.ballot = True, None
 
     def _leads(self, sender: Life, term: int, append: bool) -> bool:
         """Take a leader's message as one; False: it is late, or a stranger's while another is heard."""
@@ -418,7 +430,7 @@
             if append and not self.mute:
                 self.send(sender, pb.Message(term=self.term, append_answer=pb.AppendAnswer()))
             return False
-        if sender not in lives(self.log.members) and sender != self.leader and self._hears():
+        if sender not in self.log.config.lives and sender != self.leader and self._hears():
             self.counts["stranger"] += 1
             return False
         if term == self.term and self.leader not in (None, sender):
@@ -426,7 +438,7 @@
             return False
         if term > self.term or self.leader != sender:
             self._follow(term, sender)
-        self.heard = self.now
+        self.heard, self.removed = self.now, False
         return True
 
     def _append(self, append: pb.Append) -> None:
@@ -576,7 +588,7 @@
         if len(event.data) > SNAPSHOT_MOST:
             self.counts["snapshot too large"] += 1
             return
-        head = head_of(event.index, term, event.clock_ms, self.log.members_at(event.index), event.data)
+        head = head_of(event.index, term, event.clock_ms, self.log.config_at(event.index).members, event.data)
         keep_from, size = event.index + 1, 0
         while keep_from > max(self.log.base + 1, event.index + 1 - self.timing.kept_entries):
             size += self.log.entries[keep_from - self.log.base - 2].ByteSize()
--- a/fennelwind/council/leading.py
+++ b/fennelwind/council/leading.py
@@ -9,7 +9,6 @@
 
 from fennelwind.council import council_pb2 as pb
 from fennelwind.council.interface import Answer, Change, Life, Propose
-from fennelwind.council.log import lives
 from fennelwind.council.progress import PIECES, PROBE, STREAM, Progress
 from fennelwind.council.reads import Reads
 from fennelwind.council.record import COMMAND_MOST
@@ -69,22 +68,22 @@
     def may_change(self) -> bool:
         """Whether the members may change: one at a time, and only once an entry of the own term is agreed."""
         core = self.core
-        return core.log.members_index <= core.commit and core.log.term(core.commit) == self.term \
+        return core.log.config.index <= core.commit and core.log.term(core.commit) == self.term \
             and self.hand_over_by is None
 
     def change(self, event: Change, now: float) -> None:
         """Change the members by one, or say why not."""
-        core, members = self.core, self.core.log.members
-        known = {Life(m.name, m.life): m for m in members.members}
+        core, config = self.core, self.core.log.config
+        known = dict(zip(config.lives, config.members.members, strict=True))
         refusal = pb.Result.NONE
         if event.add is not None:
             life = Life(event.add.name, event.add.life)
             if life in known:
-                core.out.append(Answer(event.token, index=core.log.members_index))
+                core.out.append(Answer(event.token, index=core.log.config.index))
                 return
             if not life.life or len(known) >= MEMBERS_MOST or self.lives_still(life.name, now):
                 refusal = pb.Result.NOT_MEMBER
-        elif event.remove not in known or (lives(members, True) == [event.remove]):
+        elif event.remove not in known or config.voters == (event.remove,):
             refusal = pb.Result.NOT_MEMBER
         if not refusal and not self.may_change():
             refusal = pb.Result.TOO_MANY
@@ -104,7 +103,7 @@
 
     def let_in(self, member: pb.Member, now: float) -> int:
         """Add a member without a vote, in place of an earlier life of its name; return the entry's index."""
-        kept = [m for m in self.core.log.members.members if m.name != member.name]
+        kept = [m for m in self.core.log.config.members.members if m.name != member.name]
         added = pb.Member(name=member.name, life=member.life, address=member.address)
         return self._members([*kept, added], now)
 
@@ -117,11 +116,11 @@
     def join(self, sender: Life, member: pb.Member, now: float) -> "pb.JoinAnswer.Word":
         """Answer one that asks to be let in."""
         core, words = self.core, pb.JoinAnswer
-        if sender in lives(core.log.members):
+        if sender in core.log.config.lives:
             return words.LEARNING
-        if sender.name not in core.stated and sender.name not in [m.name for m in core.log.members.members]:
+        if sender.name not in {*core.stated, *(life.name for life in core.log.config.lives)}:
             return words.REFUSED
-        if self.lives_still(sender.name, now) or len(core.log.members.members) >= MEMBERS_MOST:
+        if self.lives_still(sender.name, now) or len(core.log.config.lives) >= MEMBERS_MOST:
             return words.REFUSED
         if not self.may_change():
             return words.WAIT
@@ -131,21 +130,21 @@
     def sync_peers(self, now: float) -> None:
         """Follow the present members; one that was removed is told so for a while."""
         log = self.core.log
-        present = [life for life in lives(log.members) if life != self.core.me]
+        present = [life for life in log.config.lives if life != self.core.me]
         for life in present:
             if life not in self.peers:
                 self.peers[life] = Progress(log.last + 1, now)
             self.peers[life].leaves_at = 0
         for life, peer in self.peers.items():
             if life not in present and not peer.leaves_at:
-                peer.leaves_at = log.members_index
+                peer.leaves_at = log.config.index
                 peer.leaves_by = now + LEAVE_TIMEOUTS * self.core.timing.election_ms
 
     # Answers
 
-    def voters(self) -> list[Life]:
+    def voters(self) -> tuple[Life, ...]:
         """Return those whose disks and words count."""
-        return lives(self.core.log.members, voters=True)
+        return self.core.log.config.voters
 
     def answered(self, sender: Life, answer: pb.AppendAnswer, now: float) -> None:
         """Take a member's word on entries."""
@@ -244,7 +243,7 @@
             while self.waiting and self.waiting[0][0] <= commit:
                 index, token = self.waiting.popleft()
                 core.out.append(Answer(token, index=index))
-            if core.me not in lives(core.log.members) and core.log.members_index <= commit:
+            if core.me not in core.log.config.lives and core.log.config.index <= commit:
                 self.start_round()  # the others learn that it is agreed
                 self._ask_over(now)
                 return False
@@ -258,7 +257,7 @@
         return True
 
     def _promote(self, now: float) -> None:
-        members = list(self.core.log.members.members)
+        members = list(self.core.log.config.members.members)
         if sum(m.votes for m in members) >= VOTERS_MOST:
             return
         for place, member in enumerate(members):
--- a/fennelwind/council/log.py
+++ b/fennelwind/council/log.py
@@ -2,14 +2,25 @@
 
 from bisect import bisect_right
 from collections.abc import Iterable, Sequence
+from typing import NamedTuple
 
 from fennelwind.council import council_pb2 as pb
 from fennelwind.council.interface import Life
 
 
-def lives(members: pb.Members, voters: bool = False) -> list[Life]:
-    """Return who the members are, or those of them that vote, in their order."""
-    return [Life(m.name, m.life) for m in members.members if m.votes or not voters]
+class Config(NamedTuple):
+    """Who counts from an entry on."""
+
+    index: int
+    members: pb.Members
+    lives: tuple[Life, ...]  # all of them, in order of their names
+    voters: tuple[Life, ...]  # those whose votes and disks count
+
+
+def config(index: int, members: pb.Members) -> Config:
+    """Return who counts from an entry on."""
+    return Config(index, members, tuple(Life(m.name, m.life) for m in members.members),
+                  tuple(Life(m.name, m.life) for m in members.members if m.votes))
 
 
 class Log:
@@ -22,17 +33,17 @@
         self.base, self.base_term = (head.index, head.term) if head is not None else (0, 0)
         self.entries: list[pb.Entry] = list(entries)
         self.size = sum(entry.ByteSize() for entry in self.entries)
-        self.configs: list[tuple[int, pb.Members]] = [(0, pb.Members())]
+        self.configs: list[Config] = [config(0, pb.Members())]
         if self.entries and self.entries[0].index <= self.base:  # some are kept behind the snapshot
             first = self.entries.pop(0)
             self.size -= first.ByteSize()
             self.base, self.base_term = first.index, first.term
         if head is not None:
-            self.configs += [(e.index, e.members) for e in self.entries
+            self.configs += [config(e.index, e.members) for e in self.entries
                              if e.index < head.index and e.WhichOneof("what") == "members"]
-            self.configs.append((head.index, head.members))
+            self.configs.append(config(head.index, head.members))
         start = head.index if head is not None else 0
-        self.configs += [(e.index, e.members) for e in self.entries
+        self.configs += [config(e.index, e.members) for e in self.entries
                          if e.index > start and e.WhichOneof("what") == "members"]
 
     @property
@@ -46,18 +57,17 @@
         return self.entries[-1].term if self.entries else self.base_term
 
     @property
-    def members(self) -> pb.Members:
+    def config(self) -> Config:
         """Who counts now: the latest that is written, agreed or not."""
-        return self.configs[-1][1]
+        return self.configs[-1]
 
-    @property
-    def members_index(self) -> int:
-        """Where the present members were written; 0: there are none."""
-        return self.configs[-1][0]
-
-    def members_at(self, index: int) -> pb.Members:
+    def config_at(self, index: int) -> Config:
         """Return who counted as of an entry."""
-        return next(members for at, members in reversed(self.configs) if at <= index)
+        return next(found for found in reversed(self.configs) if found.index <= index)
+
+    def configs_from(self, index: int) -> list[Config]:
+        """Return who counted as of an entry, and all later ones."""
+        return self.configs[bisect_right(self.configs, index, key=lambda found: found.index) - 1:]
 
     def term(self, index: int) -> int | None:
         """Return an entry's term; None where the log doesn't hold it."""
@@ -87,13 +97,13 @@
             self.entries.append(entry)
             self.size += entry.ByteSize()
             if entry.WhichOneof("what") == "members":
-                self.configs.append((entry.index, entry.members))
+                self.configs.append(config(entry.index, entry.members))
 
     def cut(self, after: int) -> None:
         """Drop what lies behind an index; the members are again who they were there."""
         self.size -= sum(entry.ByteSize() for entry in self.slice(after + 1, self.last))
         del self.entries[max(after - self.base, 0):]
-        while self.configs[-1][0] > after:
+        while self.configs[-1].index > after:
             self.configs.pop()
 
     def compact(self, base: int) -> None:
@@ -104,7 +114,7 @@
         self.size -= sum(entry.ByteSize() for entry in self.slice(self.base + 1, base))
         del self.entries[:base - self.base]
         self.base, self.base_term = base, term
-        place = bisect_right([at for at, _ in self.configs], base) - 1
+        place = bisect_right(self.configs, base, key=lambda found: found.index) - 1
         del self.configs[:place]
 
     def reset(self, head: pb.SnapshotHead) -> None:
--- a/fennelwind/council/votes.py
+++ b/fennelwind/council/votes.py
@@ -1,5 +1,6 @@
 """Who asks for votes, and who gets one. No I/O."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from fennelwind.council import council_pb2 as pb
@@ -15,7 +16,7 @@
     write: int = 0  # the write with its own vote, which counts when that is done
     granted: set[Life] = field(default_factory=set)
 
-    def won(self, voters: list[Life]) -> bool:
+    def won(self, voters: Sequence[Life]) -> bool:
         """Whether more than half of the voters said yes."""
         return 2 * sum(life in self.granted for life in voters) > len(voters)
 
