Council's core: a founder serves once a majority of the stated has voted

In full: Council's core: a founder serves once a majority of the stated has voted; fewer looks at members. A founder whose second member was removed again refused for ever.

--- a/fennelwind/council/core.py
+++ b/fennelwind/council/core.py
@@ -218,12 +218,14 @@
 
     def _wants_in(self) -> bool:
         """Whether it never was a member, as far as its log tells: one that was removed asks nobody."""
-        return not self.mute and not any(self.me in found.lives for found in self.log.configs)
+        if self.mute or self.me in self.log.config.lives:
+            return False
+        return not any(self.me in found.lives for found in self.log.configs)
 
     def founded(self) -> bool:
         """Whether commands may come: not while they would rest on the founder's disk alone."""
-        voters = len(self.log.config.voters)
-        return self.commands_seen or self.head is not None or 2 * voters > len(self.stated)
+        return self.commands_seen or self.head is not None or any(
+            2 * len(found.voters) > len(self.stated) for found in self.log.configs)
 
     def log_clock(self) -> int:
         """Return the record's clock as of the last entry."""
@@ -413,7 +415,8 @@
                 elif term == self.term:
                     leading.piece_answered(sender, message.piece_answer, self.now)
             case "take_over":
-                if term == self.term and sender == self.leader and self._may_lead() and not self.installing:
+                if term == self.term and sender == self.leader and self._may_lead() \
+                        and not self.installing and self.now >= self.shy_until:
                     self._campaign(True)
             case "join":
                 self._join(sender, message.join)
--- a/fennelwind/council/leading.py
+++ b/fennelwind/council/leading.py
@@ -78,8 +78,8 @@
         refusal = pb.Result.NONE
         if event.add is not None:
             life = Life(event.add.name, event.add.life)
-            if life in known:
-                core.out.append(Answer(event.token, index=core.log.config.index))
+            if life in known and config.index <= core.commit:
+                core.out.append(Answer(event.token, index=config.index))
                 return
             if not life.life or len(known) >= MEMBERS_MOST or self.lives_still(life.name, now):
                 refusal = pb.Result.NOT_MEMBER
@@ -247,9 +247,11 @@
                 self.start_round()  # the others learn that it is agreed
                 self._ask_over(now)
                 return False
-        if self.may_change():
+        config = core.log.config
+        if len(config.voters) < min(len(config.lives), VOTERS_MOST) and self.may_change():
             self._promote(now)
-        self._serve_reads()
+        if len(self.reads):
+            self._serve_reads()
         for life, peer in self.peers.items():
             self._send_entries(life, peer, False)
         if self.hand_over_by is not None:
@@ -258,8 +260,6 @@
 
     def _promote(self, now: float) -> None:
         members = list(self.core.log.config.members.members)
-        if sum(m.votes for m in members) >= VOTERS_MOST:
-            return
         for place, member in enumerate(members):
             peer = self.peers.get(Life(member.name, member.life))
             if member.votes or peer is None or peer.cannot_write or peer.way != STREAM:
--- a/fennelwind/council/log.py
+++ b/fennelwind/council/log.py
@@ -67,6 +67,8 @@
 
     def configs_from(self, index: int) -> list[Config]:
         """Return who counted as of an entry, and all later ones."""
+        if self.configs[-1].index <= index:
+            return self.configs[-1:]
         return self.configs[bisect_right(self.configs, index, key=lambda found: found.index) - 1:]
 
     def term(self, index: int) -> int | None:
@@ -117,10 +119,6 @@
         place = bisect_right(self.configs, base, key=lambda found: found.index) - 1
         del self.configs[:place]
 
-    def reset(self, head: pb.SnapshotHead) -> None:
-        """Begin anew behind a snapshot that came from another."""
-        self.__init__(head, ())  # type: ignore[misc]
-
     def back_to(self, term: int, index: int) -> int:
         """Return the last index up to `index` whose term is not above `term`: none behind it can agree."""
         index = min(index, self.last)
