Leases: machine, holder and guard, with two never acting at once in virtual time

Need: a task of the whole fleet has to be one controller's with certainty. The machine grants with the record's index as fence, offers a freed lease to one waiter, passes over who fails; the holder counts from before it asked, less the drift, all that is due in one command; the guard stands before each act.

--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,404 @@
+"""Leases: the machine, the holder, the guard, and both together in virtual time."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from lease_play import Play
+
+from fennelwind.council.machine import At, UnreadableCommand
+from fennelwind.leases import guard as g
+from fennelwind.leases import holder as h
+from fennelwind.leases import leases_pb2 as pb
+from fennelwind.leases import machine as m
+from fennelwind.leases.errors import ActTooLong, FencesFull, OlderFence, TaskNotHeld
+from fennelwind.leases.machine import LeaseMachine, Life
+
+A, B, C = (Life(name, b"1") for name in "abc")
+
+
+class Desk:
+    """A machine with its index and clock."""
+
+    def __init__(self):
+        self.machine, self.index, self.clock = LeaseMachine(), 0, 0
+
+    def pass_ms(self, ms):
+        self.index, self.clock = self.index + 1, self.clock + ms
+        due = self.machine.due()
+        if due is not None and due <= self.clock:
+            self.machine.pass_time(At(self.index, self.clock))
+
+    def ask(self, by, *asks, leave=False):
+        self.pass_ms(0)
+        command = pb.LeaseCommand(by=pb.Who(name=by.name, life=by.life), asks=asks, leave=leave)
+        return pb.LeaseAnswer.FromString(
+            self.machine.apply(At(self.index, self.clock), command.SerializeToString(), None))
+
+    def gain(self, by, task="t", term_ms=1000):
+        return self.ask(by, pb.LeaseAsk(task=task, gain=pb.Gain(term_ms=term_ms))).told[0]
+
+    def renew(self, by, fence, task="t", **more):
+        return self.ask(by, pb.LeaseAsk(task=task, renew=pb.Renew(fence=fence, **more))).told[0]
+
+    def hand_over(self, by, fence, task="t", **more):
+        return self.ask(by, pb.LeaseAsk(task=task, hand_over=pb.HandOver(fence=fence, **more))).told[0]
+
+    def give_up(self, by, fence, reason=0, task="t", **more):
+        return self.ask(by, pb.LeaseAsk(
+            task=task, give_up=pb.GiveUp(fence=fence, reason=reason, **more))).told[0]
+
+    def holder(self, task="t"):
+        view = self.machine.view(task)
+        return view.holder if view is not None else ""
+
+
+@pytest.fixture
+def desk():
+    return Desk()
+
+
+def test_a_lease_is_one_holders_until_it_lapses_and_fences_rise(desk):
+    first = desk.gain(A)
+    assert first.state == pb.Told.HELD and first.fence == desk.index == desk.machine.fact("fence", "t")
+    assert desk.gain(B).state == pb.Told.WAITING
+    desk.pass_ms(999)
+    assert desk.renew(A, first.fence).state == pb.Told.HELD
+    desk.pass_ms(1000)
+    assert desk.renew(A, first.fence).refusal == pb.NOT_HOLDER
+    assert desk.machine.offers(B) == ("t",) and desk.machine.fact("fence", "t") == 0
+    second = desk.gain(B)
+    assert second.state == pb.Told.HELD and second.fence > first.fence
+
+
+def test_an_offer_is_one_waiters_and_goes_on_if_it_is_not_confirmed(desk):
+    fence = desk.gain(A).fence
+    desk.gain(B), desk.gain(C)
+    assert desk.ask(A, leave=True).offers == []
+    assert desk.machine.offers(B) == ("t",) and desk.machine.offers(C) == ()
+    assert desk.gain(A).state == pb.Told.WAITING
+    desk.pass_ms(500)
+    assert desk.machine.offers(C) == ("t",) and desk.gain(C).fence > fence
+
+
+def test_a_restart_is_a_new_holder(desk):
+    fence = desk.gain(A).fence
+    again = Life("a", b"2")
+    assert desk.gain(again).state == pb.Told.WAITING
+    assert desk.renew(again, fence).refusal == pb.NOT_HOLDER
+
+
+def test_checkpoint_and_place_go_to_the_next_or_to_a_named_one(desk):
+    fence = desk.gain(A).fence
+    desk.gain(B), desk.gain(C)
+    assert desk.hand_over(A, fence, to="d").refusal == pb.NOT_WAITING
+    assert desk.hand_over(A, fence, to="c", checkpoint=b"half").holder == "c"
+    assert desk.gain(C).checkpoint == b"half"
+
+
+def test_one_that_cannot_is_passed_over_for_growing_times(desk):
+    waits = []
+    for _ in range(9):
+        told = desk.gain(A)
+        while told.state == pb.Told.WAITING:
+            desk.pass_ms(told.aside_ms)
+            told = desk.gain(A)
+        desk.give_up(A, told.fence, pb.GiveUp.CANNOT)
+        waits.append(desk.gain(A).aside_ms)
+    assert waits == [2000, 4000, 8000, 16_000, 32_000, 64_000, 120_000, 120_000, 120_000]
+    told = desk.gain(B)
+    assert told.state == pb.Told.HELD and desk.machine.view("t").asides.keys() == {"a"}
+    desk.give_up(B, told.fence)
+    assert desk.holder() == ""  # a is passed over though nobody else waits
+    desk.pass_ms(240_000)
+    assert desk.machine.offers(A) == () and desk.machine.tasks() == []  # it said no word for long
+
+
+def test_leases_are_spread_over_who_waits(desk):
+    told = desk.ask(A, *(pb.LeaseAsk(task=f"t{n}", gain=pb.Gain(term_ms=1000)) for n in range(6))).told
+    assert not any(one.spare for one in told)
+    for who in (B, C):
+        desk.ask(who, *(pb.LeaseAsk(task=f"t{n}", gain=pb.Gain(term_ms=1000)) for n in range(6)))
+    hand = [pb.LeaseAsk(task=f"t{n}", hand_over=pb.HandOver(fence=told[n].fence, only_spare=True))
+            for n in range(6)]
+    after = desk.ask(A, *hand).told
+    assert [one.state for one in after].count(pb.Told.HELD) == 2  # the rest went to b and c in turn
+    assert len(desk.machine.offers(B)) == len(desk.machine.offers(C)) == 2
+
+
+def test_who_says_no_word_waits_no_longer(desk):
+    fence = desk.gain(A, term_ms=60_000).fence
+    desk.gain(B), desk.gain(C)
+    desk.pass_ms(m.HEARD_MS - 1)
+    assert desk.ask(C).waits == 1
+    desk.pass_ms(1)
+    assert desk.machine.view("t").waiting == ("c",) and desk.ask(B).waits == 0
+    assert desk.hand_over(A, fence).holder == "c"
+
+
+@pytest.mark.parametrize("ask, refusal", [
+    (pb.LeaseAsk(task="t", gain=pb.Gain(term_ms=299)), pb.BAD_TERM),
+    (pb.LeaseAsk(task="t" * 257, gain=pb.Gain(term_ms=1000)), pb.TOO_LARGE),
+    (pb.LeaseAsk(task="", gain=pb.Gain(term_ms=1000)), pb.TOO_LARGE),
+    (pb.LeaseAsk(task="t", gain=pb.Gain(term_ms=1000, purpose="p" * 257)), pb.TOO_LARGE),
+    (pb.LeaseAsk(task="t"), pb.NOTHING_ASKED),
+    (pb.LeaseAsk(task="t", renew=pb.Renew(fence=1)), pb.NOT_HOLDER)])
+def test_what_is_out_of_bounds_is_refused_and_changes_nothing(desk, ask, refusal):
+    assert desk.ask(A, ask).told[0].refusal == refusal
+    assert desk.machine.snapshot() == LeaseMachine().snapshot()
+
+
+def test_bounds_on_tasks_waiters_checkpoints_and_asks(desk, monkeypatch):
+    monkeypatch.setattr(m, "TASKS_MOST", 2)
+    monkeypatch.setattr(m, "WAITERS_MOST", 1)
+    monkeypatch.setattr(m, "CHECKPOINTS_MOST", 5000)
+    fence, other = desk.gain(A).fence, desk.gain(A, "u").fence
+    assert desk.gain(A, "v").refusal == pb.TOO_MANY_TASKS
+    assert desk.gain(B).refusal == pb.NONE and desk.gain(C).refusal == pb.TOO_MANY_WAITERS
+    refused = desk.renew(A, fence, checkpoint=b"x" * 4097)
+    assert refused.refusal == pb.TOO_LARGE and refused.term_ms == 0
+    assert desk.renew(A, fence, checkpoint=b"x" * 4096).refusal == pb.NONE
+    assert desk.renew(A, other, "u", checkpoint=b"x" * 905).refusal == pb.NO_ROOM
+    assert desk.renew(A, fence, checkpoint=b"").refusal == pb.NONE
+    assert desk.renew(A, other, "u", checkpoint=b"x" * 905).refusal == pb.NONE
+    twice = pb.LeaseAsk(task="t", renew=pb.Renew(fence=fence))
+    assert desk.ask(A, twice, twice).refusal == pb.NAMED_TWICE
+    assert desk.ask(A, *[twice] * 513).refusal == pb.TOO_MANY_ASKS
+    with pytest.raises(UnreadableCommand):
+        desk.machine.apply(At(1, 1), b"\xff\xff", None)
+
+
+class Leases(RuleBasedStateMachine):
+    """The machine against plain rules, with a snapshot taken and restored at any time."""
+
+    tasks, people = st.sampled_from("tu"), st.sampled_from([A, B, C, Life("a", b"2")])
+
+    def __init__(self):
+        super().__init__()
+        self.desk, self.held, self.last = Desk(), {}, {}
+
+    @rule(by=people, task=tasks, term=st.integers(300, 3000))
+    def gain(self, by, task, term):
+        before = self.desk.machine.view(task)
+        told = self.desk.gain(by, task, term)
+        held = self.held.get(task)
+        if held is not None and held[0] != by:
+            assert told.state == pb.Told.WAITING
+        elif told.state == pb.Told.HELD:
+            if held is None:
+                assert told.fence > self.last.get(task, 0)
+                assert before is None or not before.fence
+                self.last[task] = told.fence
+                self.held[task] = (by, told.fence, self.desk.clock + term)
+            else:
+                assert told.fence == held[1]
+                self.held[task] = (by, told.fence, max(held[2], self.desk.clock + term))
+        else:  # free, or offered to another, or it is passed over
+            assert before.holder or before.asides.get(by.name, 0) > self.desk.clock
+
+    @rule(by=people, task=tasks, old=st.booleans(), checkpoint=st.none() | st.binary(max_size=3))
+    def renew(self, by, task, old, checkpoint):
+        fence = self.last.get(task, 1) - old
+        told = self.desk.renew(by, fence, task, checkpoint=checkpoint)
+        held = self.held.get(task)
+        if held is None or held[:2] != (by, fence):
+            assert told.refusal == pb.NOT_HOLDER
+        else:
+            assert told.state == pb.Told.HELD and not told.refusal
+            self.held[task] = (by, fence, max(held[2], self.desk.clock + told.term_ms))
+
+    @rule(by=people, task=tasks, how=st.sampled_from(["hand_over", "give_up", "cannot", "forget", "leave"]))
+    def end(self, by, task, how):
+        held, fence = self.held.get(task), self.last.get(task, 1)
+        mine = held is not None and held[:2] == (by, fence)
+        if how == "leave":
+            self.desk.ask(by, leave=True)
+            self.held = {t: one for t, one in self.held.items() if one[0] != by}
+            return
+        if how == "forget":
+            told = self.desk.ask(by, pb.LeaseAsk(task=task, forget=pb.Forget(fence=fence))).told[0]
+            if mine:
+                assert self.desk.machine.view(task) is None
+        elif how == "hand_over":
+            told = self.desk.hand_over(by, fence, task)
+        else:
+            told = self.desk.give_up(by, fence, pb.GiveUp.CANNOT if how == "cannot" else 0, task)
+        if mine:
+            assert not told.refusal
+            del self.held[task]
+        elif how != "forget" or held is not None:
+            assert told.refusal == pb.NOT_HOLDER
+
+    @rule(ms=st.integers(0, 3000))
+    def time(self, ms):
+        self.desk.pass_ms(ms)
+        self.held = {task: one for task, one in self.held.items() if one[2] > self.desk.clock}
+
+    @rule()
+    def snapshot(self):
+        restored = LeaseMachine()
+        restored.restore(self.desk.machine.snapshot())
+        assert restored.snapshot() == self.desk.machine.snapshot()
+        assert restored.due() == self.desk.machine.due()
+        self.desk.machine = restored
+
+    @invariant()
+    def agrees(self):
+        machine = self.desk.machine
+        for task in "tu":
+            held, view = self.held.get(task), machine.view(task)
+            assert machine.fact("fence", task) == (held[1] if held else 0)
+            if held:
+                assert (view.holder, view.until_ms) == (held[0].name, held[2])
+            elif view is not None and not view.holder:  # free: whoever waits is passed over
+                assert all(view.asides[name] > self.desk.clock for name in view.waiting)
+        assert len({t for who in (A, B, C) for t in machine.offers(who)}) == sum(
+            len(machine.offers(who)) for who in (A, B, C))
+        due = machine.due()
+        assert due is None or due > self.desk.clock
+
+
+TestLeases = Leases.TestCase
+TestLeases.settings = settings(max_examples=120, stateful_step_count=30, deadline=None, derandomize=True)
+
+
+# The holder and the guard.
+
+class Side:
+    """A holder with a machine that answers at once, or when told to."""
+
+    def __init__(self, desk, life, seed=1):
+        self.desk, self.holder, self.seen = desk, h.Holder(life, seed), []
+
+    def step(self, now, *events):
+        actions = self.holder.step(now, list(events))
+        self.seen += actions
+        return [one for one in actions if isinstance(one, h.Ask)]
+
+    def answer(self, ask):
+        self.desk.pass_ms(0)
+        return h.Answered(ask.token, self.desk.machine.apply(
+            At(self.desk.index, self.desk.clock), ask.body, None))
+
+    def settle(self, now, *events):
+        asks = self.step(now, *events)
+        while asks:
+            asks = self.step(now, *[self.answer(ask) for ask in asks])
+
+
+def test_a_lease_counts_from_before_it_was_asked_for(desk):
+    side = Side(desk, A)
+    ask, = side.step(5000.0, h.Want("t", 1200))
+    side.step(5100.0, side.answer(ask))
+    guard = side.holder.guard("t")
+    assert guard.until == 5000.0 + g.usable_ms(1200) == 5000.0 + 798.0
+    assert side.holder.held(5797.0) == ["t"] and side.holder.held(5798.0) == []
+    side.step(5798.0, h.Woken())
+    assert isinstance(side.seen[-3], h.Lost) and guard.fence == 0
+
+
+def test_a_late_answer_to_what_was_asked_before_a_hand_over_gives_nothing(desk):
+    side = Side(desk, A)
+    side.settle(0.0, h.Want("t", 3000))
+    renewal, = side.step(1000.0, h.Woken())
+    late = side.answer(renewal)
+    assert side.step(1400.0, h.Unwant("t")) == []  # no answer within 300 ms: a short wait
+    hand, = side.step(1450.0, h.Woken())
+    assert pb.LeaseCommand.FromString(hand.body).asks[0].WhichOneof("what") == "hand_over"
+    side.step(1500.0, late)
+    with pytest.raises(TaskNotHeld):
+        side.holder.guard("t").begin(1500.0, 1.0)
+
+
+def test_sigterm_hands_over_in_one_command_when_acts_have_ended(desk):
+    side = Side(desk, A)
+    side.settle(0.0, h.Want("t", 3000), h.Want("u", 3000))
+    desk.gain(B), desk.gain(B, "u")
+    guard = side.holder.guard("t")
+    act = guard.begin(10.0, 500.0)
+    side.settle(20.0, h.Terminate())
+    assert desk.machine.offers(B) == ("u",) and guard.may_go_on(30.0, act)
+    with pytest.raises(TaskNotHeld):
+        guard.begin(30.0, 1.0)
+    guard.end(act)
+    side.settle(40.0, h.Woken())
+    assert desk.machine.offers(B) == ("t", "u") and h.Left(True) in side.seen
+
+
+def test_a_holder_that_fails_gives_up_and_its_checkpoint_goes_along(desk):
+    side = Side(desk, A)
+    side.settle(0.0, h.Want("t", 3000))
+    desk.gain(B)
+    side.settle(100.0, h.Progress("t", b"half"), h.Failed("t"))
+    assert desk.gain(B).checkpoint == b"half" and "a" in desk.machine.view("t").asides
+    assert desk.machine.view("t").waiting == ("a",)  # it would again, later
+
+
+def test_fifty_tasks_are_renewed_in_one_command(desk):
+    side = Side(desk, A)
+    side.settle(0.0, *(h.Want(f"t{n}", 9000) for n in range(50)))
+    timer = side.seen[-1]
+    assert timer.at == 3000.0
+    asks = side.step(3000.0, h.Woken())
+    assert len(asks) == 1 and len(pb.LeaseCommand.FromString(asks[0].body).asks) == 50
+
+
+def test_waits_between_tries_grow_and_are_bounded(desk):
+    side, now, times = Side(desk, A), 0.0, []
+    for _ in range(40):
+        asks = side.step(now, h.Want("t", 60_000))
+        if asks:
+            times.append(now)
+            side.step(now, h.Answered(asks[0].token, None))
+        now = side.seen[-1].at
+    gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
+    assert gaps[0] <= 50 and 1000 <= gaps[-1] <= 2000 and len(set(gaps)) > 10
+    assert len(side.holder._sent) <= h.COMMANDS_MOST
+
+
+def test_a_place_that_was_lost_is_asked_for_again(desk):
+    desk.gain(B)
+    side = Side(desk, A)
+    side.settle(0.0, h.Want("t", 3000))
+    desk.ask(A, pb.LeaseAsk(task="t", give_up=pb.GiveUp()))  # as if an old command came late
+    assert desk.machine.view("t").waiting == ()
+    side.settle(8000.0, h.Woken())
+    assert desk.machine.view("t").waiting == ("a",)
+
+
+def test_a_guard_refuses_what_does_not_fit_and_stops_what_has_lost_its_fence():
+    guard = g.Guard("t", pause_ms=100.0)
+    with pytest.raises(TaskNotHeld):
+        guard.begin(0.0, 1.0)
+    guard.open(7, 1000.0, 1000.0)
+    with pytest.raises(ActTooLong):
+        guard.begin(0.0, 901.0)
+    act = guard.begin(0.0, 900.0)
+    assert act.fence == 7 and guard.may_go_on(900.0, act) and not guard.may_go_on(901.0, act)
+    with pytest.raises(TaskNotHeld):
+        guard.begin(1.0, 900.0)
+    guard.open(9, 2000.0, 1000.0)
+    assert not guard.may_go_on(10.0, act)
+    for _ in range(g.ACTS_MOST - 1):
+        last = guard.begin(10.0, 100.0)
+    with pytest.raises(TaskNotHeld):
+        guard.begin(10.0, 100.0)
+    guard.close()
+    assert not guard.may_go_on(20.0, last)
+
+
+def test_a_resource_refuses_older_fences(monkeypatch):
+    fenced = g.Fenced()
+    fenced.show("t", 5), fenced.show("t", 5), fenced.show("t", 9), fenced.show("u", 6)
+    with pytest.raises(OlderFence) as refused:
+        fenced.show("t", 8)
+    assert refused.value.facts == {"task": "t", "fence": 8, "seen": 9} and refused.value.advice
+    monkeypatch.setattr(g, "FENCES_MOST", 2)
+    with pytest.raises(FencesFull):
+        fenced.show("v", 1)
+
+
+@pytest.mark.parametrize("kind", ["fences", "plain"])
+def test_two_never_act_at_once(kind):
+    total = sum((Play(seed, kind, played_ms=8000.0).run() for seed in range(1, 101)), start=Play(0).counts)
+    assert total["acts"] > 5000 and total["faults"] > 300 and (kind == "plain" or total["refused"])
