--- a/fennelwind/leases/guard.py
+++ b/fennelwind/leases/guard.py
@@ -52,7 +52,7 @@
 
     # The holder's side.
 
-    def open(self, fence: int, until: float, usable: float) -> None:
+    def allow(self, fence: int, until: float, usable: float) -> None:
         """Let acts pass under this fence until then."""
         if fence == self.fence:
             until = max(until, self.until)
--- a/fennelwind/leases/holder.py
+++ b/fennelwind/leases/holder.py
@@ -373,10 +373,10 @@
         if task.checkpoint is sent.checkpoints.get(name):
             task.checkpoint = None
         if task.phase == ENDING and (task.ending != "spare" or told.spare):
-            task.guard.open(told.fence, until, 0.0)
+            task.guard.allow(told.fence, until, 0.0)
             return
         was_ending = task.phase == ENDING  # the one who would have had it has got enough meanwhile
-        task.guard.open(told.fence, until, usable)
+        task.guard.allow(told.fence, until, usable)
         task.phase, task.ending, task.ask_at = HELD, "", task.renew_at
         if fresh or was_ending:
             self._actions.append(Gained(name, told.fence, told.checkpoint))
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -370,14 +370,14 @@
     guard = g.Guard("t", pause_ms=100.0)
     with pytest.raises(TaskNotHeld):
         guard.begin(0.0, 1.0)
-    guard.open(7, 1000.0, 1000.0)
+    guard.allow(7, 1000.0, 1000.0)
     with pytest.raises(ActTooLong):
         guard.begin(0.0, 901.0)
     act = guard.begin(0.0, 900.0)
     assert act.fence == 7 and guard.may_go_on(900.0, act) and not guard.may_go_on(901.0, act)
     with pytest.raises(TaskNotHeld):
         guard.begin(1.0, 900.0)
-    guard.open(9, 2000.0, 1000.0)
+    guard.allow(9, 2000.0, 1000.0)
     assert not guard.may_go_on(10.0, act)
     for _ in range(g.ACTS_MOST - 1):
         last = guard.begin(10.0, 100.0)
