Stand-in engines refuse a statement of an older fence and stop what runs under one

Need: an act of the fleet reaches engines as a statement; what a deposed holder has begun must not go on beside its successor's. fennelwind.fence in the overlay is TASK:NUMBER; an older number is answered with 42501, which is the statement's own fault and never tried elsewhere. A newer one stops running ones. Fences outlast a crash. Tested: tests/test_fences.py, tests/test_engines.py.

--- a/fennelwind/standin/engine.py
+++ b/fennelwind/standin/engine.py
@@ -4,7 +4,8 @@
 `.tables`, `.rows`; `.types` gives a column of every type; `.sqlstate` makes it fail as a statement at fault
 does, after its work. It answers with that many rows of (id BIGINT, name STRING). As a real server does, it
 serves each connection's calls in turn; an operation may be named from any connection; `USE` changes its
-session alone.
+session alone. A statement of a task carries its fence, `fennelwind.fence` as `TASK:NUMBER`: an older one than
+was seen is refused, and a newer one stops what runs under an older. Fences outlast a life, as on a disk.
 """
 
 from collections import Counter
@@ -32,6 +33,7 @@
 METADATA_MS = 2.0  # ms that a metadata call takes
 LONG_POLL_MS = 5000.0  # ms; Hive's own default
 ROWS_MOST = 1_000_000  # rows of one answer
+FENCES_MOST = 10_000  # tasks whose fence is remembered; statements of further ones are refused
 
 
 @dataclass(slots=True)
@@ -61,6 +63,7 @@
     types: bool = False  # a column of every type
     sql_state: str = ""  # it ends with this error of its own
     columns: tuple[str, ...] = ()  # text columns of a metadata call's answer; (): a statement's
+    task: str = ""  # of the fleet, that it is an act of
 
 
 @dataclass(slots=True)
@@ -71,6 +74,7 @@
     finished: int = 0
     cancelled: int = 0
     refused: int = 0
+    fenced: int = 0  # refused for an older fence, and stopped for a newer one
     metadata: int = 0
     lives: int = 0
     falls: int = 0
@@ -127,6 +131,7 @@
         self._running: dict[Job, _Operation] = {}
         self._runner: Runner | None = None
         self._loads: list[tuple[float, dict[str, float]]] = []
+        self._fences: dict[str, int] = {}  # the highest of each task
 
     @property
     def name(self) -> str:
@@ -270,6 +275,10 @@
         if self.faults.refuse:
             self.counts.refused += 1
             return reply(status=self._error("turned away", "53000", hints.write(hints.NOT_RUN)))
+        task, against = self._fence(said.get("fennelwind.fence", ""))
+        if against is not None:
+            self.counts.fenced += 1
+            return reply(status=against)
         session = request.sessionHandle.sessionId.guid
         if request.statement.startswith("USE "):
             database = request.statement.removeprefix("USE ").strip("`")
@@ -292,7 +301,7 @@
         operation = _Operation(
             handle, job, rows, Once(self.loop), session=session,
             statement=request.statement, types="standin.types" in said,
-            sql_state=said.get("standin.sqlstate", ""))
+            sql_state=said.get("standin.sqlstate", ""), task=task)
         self.counts.databases[self._sessions[session]] += 1
         self.counts.statements += 1
         self._operations[handle.operationId.guid] = operation
@@ -310,6 +319,25 @@
                 raise _Hang
         return reply(status=self._status(), operationHandle=handle)
 
+    def _fence(self, said: str) -> tuple[str, Structure | None]:
+        """Take a statement's fence; return its task, and the error if it must not run."""
+        if not said:
+            return "", None
+        task, _, number = said.rpartition(":")
+        if not task or not (number.isascii() and number.isdigit() and len(number) <= 20):
+            return "", self._error(f"no fence: {said[:100]}", "22023")
+        fence, seen = int(number), self._fences.get(task)
+        if seen is None and len(self._fences) >= FENCES_MOST:
+            return "", self._error(f"fences of {FENCES_MOST} tasks are known", "42501")
+        if seen is not None and fence < seen:
+            return "", self._error(f"fence {fence} of {task} is older than {seen}", "42501")
+        if seen is not None and fence > seen:
+            for operation in [o for o in self._running.values() if o.task == task]:
+                self.counts.fenced += 1
+                self._stop(operation, hs2.CANCELED)
+        self._fences[task] = fence
+        return task, None
+
     def _metadata(self, method: str, request: Structure, mine: set[bytes]) -> Structure:
         """Answer a metadata call, when its work is done; the text columns are the JDBC specification's."""
         if self.faults.hang or self.faults.lose:
--- /dev/null
+++ b/tests/test_fences.py
@@ -0,0 +1,58 @@
+"""Stand-in engines refuse statements of an older fence."""
+
+import pytest
+from fleet import Fleet, execute, outcome, status
+
+from fennelwind.engines.links import Link
+from fennelwind.loop import SimLoop
+from fennelwind.thrift import hiveserver2 as hs2
+
+
+@pytest.fixture
+def on_engine():
+    """Return what runs a test with an engine and a link to it."""
+    def run(test):
+        loop = SimLoop(1)
+
+        def main():
+            engine = Fleet(loop, engines=1).engines[0]
+            link = Link(loop, engine.address, "sasl", "ann")
+            link.open()
+            test(loop, engine, link)
+
+        loop.run(main)
+    return run
+
+
+def sent(link, fence, **more):
+    return execute(link, "EXPORT TABLE t", **{"fennelwind.fence": fence}, **more)
+
+
+def test_an_older_fence_is_refused_and_a_newer_one_stops_what_runs(on_engine):
+    def test(loop, engine, link):
+        old = sent(link, "moves:5", work=500, asynchronous=True)
+        other = sent(link, "a:b:5", work=500, asynchronous=True)
+        loop.sleep(10)
+        assert outcome(lambda: sent(link, "moves:9")) == "served"
+        assert status(link, old).operationState == hs2.CANCELED
+        assert outcome(lambda: sent(link, "moves:8")) == "42501"
+        assert outcome(lambda: sent(link, "moves:9")) == "served"
+        assert outcome(lambda: execute(link, "select 1")) == "served"
+        loop.sleep(600)
+        assert status(link, other).operationState == hs2.FINISHED and engine.counts.fenced == 2
+
+    on_engine(test)
+
+
+def test_fences_outlast_a_life_and_what_is_none_is_refused(on_engine):
+    def test(loop, engine, link):
+        for said in ("moves", ":5", "moves:", "moves:-1"):
+            assert outcome(lambda said=said: sent(link, said)) == "22023"
+        sent(link, "moves:5")
+        engine.crash()
+        engine.start(cold=True)
+        link = Link(loop, engine.address, "sasl", "ann")
+        link.open()
+        assert outcome(lambda: sent(link, "moves:4")) == "42501"
+
+    on_engine(test)
