Values of shards: what has to be off the disk before, why a move is cancelled

Cause: a move may need the space of a copy that is over what is wanted and goes without a move; a cancel was told without its cause; a copy that was lost elsewhere makes a drop wrong, not the transfer. Change: Move.cleared, Planned.reasons, Planned.keeps, each with a default. A move waits until all of 'after' are done and all of 'cleared' are off the disk.

--- a/fennelwind/shards/state.py
+++ b/fennelwind/shards/state.py
@@ -57,7 +57,8 @@
     target: str
     drops: str = ""  # engine whose copy goes when this one has been switched to; "": none does
     step: str = "planned"
-    after: tuple[int, ...] = ()  # moves whose space it waits for
+    after: tuple[int, ...] = ()  # moves that have to be done before it begins: it waits for their space
+    cleared: tuple[tuple[str, str], ...] = ()  # copies (shard, engine) that have to be off the disk before
 
 
 @dataclass(slots=True, frozen=True)
@@ -102,3 +103,5 @@
     cancels: tuple[int, ...] = ()  # moves under way that have become wrong
     short: tuple[Short, ...] = ()
     bytes: int = 0  # that the moves transfer
+    reasons: tuple[str, ...] = ()  # why, for each of the cancels: "target", "kinds", "source", "frozen", ..
+    keeps: tuple[int, ...] = ()  # moves under way whose drop falls away: the copy that was to go stays good
