--- /dev/null
+++ b/fennelwind/lab/shard_cases.py
@@ -0,0 +1,182 @@
+"""Worlds of shards and engines by a seed, small ones for the exact yardstick and large ones like a fleet."""
+
+import random
+from dataclasses import replace
+
+from fennelwind.shards.state import Copy, Home, Move, Shard, World
+
+GB = 1 << 30  # bytes
+ZONES = ("east", "north", "west")
+KINDS = ("wide", "plain")
+
+
+def small(seed: int) -> World:
+    """Return a world of 3 to 6 engines and 4 to 12 shards with trouble of many kinds."""
+    chance = random.Random(seed)
+    world = World()
+    zones, mixed = chance.randint(1, 3), chance.random() < 0.3
+    names = [f"e{number}" for number in range(chance.randint(3, 6))]
+    for number, name in enumerate(names):
+        world.homes[name] = Home(
+            name, ZONES[number % zones], chance.choice(KINDS) if mixed else KINDS[0], 0, 0
+        )
+    for number in range(chance.randint(4, 12)):
+        table = f"t{number % 4}"
+        copies = min(len(names), chance.choice((1, 1, 2, 2, 3)))
+        world.shards[f"{table}/p{number}"] = Shard(
+            f"{table}/p{number}",
+            table,
+            chance.randint(1, 20) * GB,
+            copies,
+            min(copies, chance.randint(1, zones)),
+            (chance.choice(KINDS),) if mixed and chance.random() < 0.3 else (),
+            chance.random(),
+        )
+    used = dict.fromkeys(names, 0)
+    for shard in world.shards.values():
+        for engine in _lie(chance, world, shard, used, names):
+            world.copies[shard.name, engine] = Copy(shard.name, engine)
+            used[engine] += shard.size
+    slack = chance.choice((0.05, 0.15, 0.4, 1.0))  # how much room there is beside what lies there
+    mean = sum(used.values()) // len(names)
+    for name in names:
+        room = int((used[name] + mean) / 2 * slack * chance.uniform(0.3, 1.7)) + chance.randint(0, 6) * GB
+        spare = chance.randint(1, 4) * GB
+        world.homes[name] = replace(world.homes[name], disk=used[name] + room + spare, headroom=spare)
+    _trouble(chance, world, names)
+    _begun(chance, world, names, chance.choice((0, 0, 1, 2)))
+    return world
+
+
+def _lie(
+    chance: random.Random, world: World, shard: Shard, used: dict[str, int], names: list[str]
+) -> list[str]:
+    """Return where a shard's copies lie at first: over its zones, mostly on emptier engines."""
+    fit = [name for name in names if not shard.kinds or world.homes[name].kind in shard.kinds]
+    fit.sort(key=lambda name: (used[name] * chance.uniform(0.5, 1.5), name))
+    chosen: list[str] = []
+    for name in fit:
+        seen = {world.homes[one].zone for one in chosen}
+        if len(chosen) < shard.copies and (
+            world.homes[name].zone not in seen or len(seen) + shard.copies - len(chosen) > shard.zones
+        ):
+            chosen.append(name)
+    return chosen
+
+
+def _trouble(chance: random.Random, world: World, names: list[str]) -> None:
+    """Let engines drain, go, fill and return, tables freeze, and copies be lost, doubted or too many."""
+    for name in names:
+        draw = chance.random()
+        life = "draining" if draw < 0.15 else "gone" if draw < 0.25 else "cold" if draw < 0.3 else "ready"
+        home = replace(world.homes[name], life=life)
+        if chance.random() < 0.05:  # a spill's headroom was raised: it is over now
+            home = replace(home, headroom=home.headroom + chance.randint(1, 10) * GB)
+        world.homes[name] = home
+    for key in sorted(world.copies):
+        draw = chance.random()
+        if draw < 0.05:
+            del world.copies[key]
+        elif draw < 0.1:
+            world.copies[key] = replace(world.copies[key], state="doubtful")
+    for shard in sorted(world.shards.values(), key=lambda one: one.name):
+        if chance.random() < 0.1:
+            world.shards[shard.name] = replace(shard, copies=chance.randint(1, 3), zones=1)
+    if chance.random() < 0.2:
+        world.frozen = frozenset({f"t{chance.randint(0, 3)}"})
+
+
+def free(world: World, engine: str) -> int:
+    """Return the bytes that an engine may still take."""
+    home = world.homes[engine]
+    return (
+        home.disk
+        - home.headroom
+        - sum(world.shards[shard].size for shard, where in world.copies if where == engine)
+        - sum(
+            world.shards[move.shard].size
+            for move in world.moves.values()
+            if move.target == engine
+            and move.step in ("planned", "reserved", "copying", "checked")
+            and (move.shard, engine) not in world.copies
+        )
+    )
+
+
+def _begun(chance: random.Random, world: World, names: list[str], count: int) -> None:
+    """Let a few moves be under way, at any step."""
+    for number in range(1, count + 1):
+        name = chance.choice(sorted(world.shards))
+        shard = world.shards[name]
+        good = [
+            engine
+            for engine in names
+            if (name, engine) in world.copies and world.copies[name, engine].state == "good"
+        ]
+        to = [
+            engine
+            for engine in names
+            if (name, engine) not in world.copies
+            and free(world, engine) >= shard.size
+            and world.homes[engine].life != "gone"
+            and (not shard.kinds or world.homes[engine].kind in shard.kinds)
+        ]
+        if (
+            not good
+            or not to
+            or any(move.shard == name for move in world.moves.values())
+            or shard.table in world.frozen
+        ):
+            continue
+        source, target = chance.choice(good), chance.choice(to)
+        drops = chance.choice((source, chance.choice(good), ""))
+        step = chance.choice(("planned", "reserved", "copying", "checked", "switched"))
+        world.moves[number] = Move(number, name, source, target, drops, step)
+        if step != "planned":
+            world.copies[name, target] = Copy(name, target, "good" if step == "switched" else "coming")
+        if step == "switched" and drops:
+            world.copies[name, drops] = Copy(name, drops, "leaving")
+
+
+def large(seed: int, engines: int = 200, shards: int = 20_000, tight: bool = False) -> World:
+    """Return a fleet of three zones and two kinds, some of whose engines drain, are gone or over."""
+    chance = random.Random(seed)
+    world = World()
+    names = [f"engine{number:03}" for number in range(engines)]
+    for number, name in enumerate(names):
+        world.homes[name] = Home(name, ZONES[number % 3], KINDS[number % 10 == 0], 0, 0)
+    used = dict.fromkeys(names, 0)
+    for number in range(shards):
+        table = f"t{number % 400:03}"
+        copies = chance.choice((1, 2, 2, 2, 3))
+        shard = Shard(
+            f"{table}/p{number:05}",
+            table,
+            int(chance.lognormvariate(1.5, 1.0) * GB) + 1,
+            copies,
+            min(copies, 2),
+            ("wide",) if chance.random() < 0.1 else (),
+            chance.paretovariate(1.5),
+        )
+        world.shards[shard.name] = shard
+        some = chance.sample(names, 12)
+        for engine in _lie(chance, world, shard, used, some):
+            world.copies[shard.name, engine] = Copy(shard.name, engine)
+            used[engine] += shard.size
+    mean = sum(used.values()) // engines
+    for name in names:
+        room = mean * (chance.uniform(0.04, 0.12) if tight else chance.uniform(0.2, 0.5))
+        spare = mean // 10
+        world.homes[name] = replace(
+            world.homes[name], disk=int(max(used[name], mean) + room) + spare, headroom=spare
+        )
+    for name in chance.sample(names, engines // 12):
+        world.homes[name] = replace(
+            world.homes[name], life=chance.choice(("draining", "gone")) if not tight else "draining"
+        )
+    for name in chance.sample(names, engines // 40):
+        world.homes[name] = replace(world.homes[name], headroom=world.homes[name].headroom + mean // 8)
+    for key in chance.sample(sorted(world.copies), len(world.copies) // 200):
+        world.copies[key] = replace(world.copies[key], state="doubtful")
+    world.frozen = frozenset(chance.sample([f"t{number:03}" for number in range(400)], 4))
+    return world
