Values of shards: what a check found, a home's mark, spills

In full: Values of shards: what a check found, a home's mark, spills, and a move's two further steps. The machine needs to say when a copy's drop may be under way (dropping) and when a half copy is being cleared (undoing). Fields are added with defaults only, so what the planner reads is as before.

--- a/fennelwind/shards/state.py
+++ b/fennelwind/shards/state.py
@@ -7,7 +7,9 @@
 from dataclasses import dataclass, field
 
 LIVES = ("ready", "cold", "draining", "gone")
-STEPS = ("planned", "reserved", "copying", "checked", "switched", "done", "undone")
+# From `planned` on to `done`, or by `undoing` (a half copy is being dropped) to `undone`. What is done or
+# undone is no longer among the moves of a world.
+STEPS = ("planned", "reserved", "copying", "checked", "switched", "dropping", "done", "undoing", "undone")
 # A copy that is not `good` may not be read: it is coming in, or what an engine that was away still holds.
 COPY_STATES = ("coming", "good", "leaving", "doubtful")
 
@@ -23,6 +25,8 @@
     zones: int = 1  # that the copies have to span at least
     kinds: tuple[str, ...] = ()  # engine kinds allowed; none: all
     heat: float = 0.0  # share of the queries' work that names it, any unit, the same for all
+    rows: int = -1  # what its good copies hold, as last agreed by a check; -1: none was made yet
+    checksum: int = 0  # of the same check
 
 
 @dataclass(slots=True, frozen=True)
@@ -36,6 +40,8 @@
     headroom: int  # that has to stay free at every moment
     life: str = "ready"
     generation: int = 0  # counts up when it comes back empty, or under the same name as another
+    mark: str = ""  # written on its disk when it was first met; another one is another generation
+    spilled: int = 0  # bytes on its disk that are no copies; up to the headroom they are expected
 
 
 @dataclass(slots=True, frozen=True)
@@ -45,11 +51,12 @@
     shard: str
     engine: str
     state: str = "good"
+    wrong: bool = False  # a check found that a doubtful one differs: it may only be dropped
 
 
 @dataclass(slots=True, frozen=True)
 class Move:
-    """A copy that comes in, and the one that goes for it, if any."""
+    """A copy that comes in, and the one that goes for it, if any; without a target only one goes."""
 
     number: int
     shard: str
@@ -57,7 +64,11 @@
     target: str
     drops: str = ""  # engine whose copy goes when this one has been switched to; "": none does
     step: str = "planned"
-    after: tuple[int, ...] = ()  # moves whose space it waits for
+    after: tuple[int, ...] = ()  # moves whose space it waits for; one that is no longer known has ended
+    attempt: int = 0  # how often its copying was begun
+    generation: int = 0  # the target's, when its space was reserved
+    at_ms: int = 0  # the record's clock when its step was taken
+    rested: bool = False  # switched for so long that nobody sends queries by an older view
 
 
 @dataclass(slots=True, frozen=True)
@@ -81,6 +92,7 @@
     copies: dict[tuple[str, str], Copy] = field(default_factory=dict)  # by shard and engine
     moves: dict[int, Move] = field(default_factory=dict)
     frozen: frozenset[str] = frozenset()  # tables whose schema changes: none of their shards is moved
+    aside: frozenset[str] = frozenset()  # shards whose last move failed: none is begun for some time
 
 
 @dataclass(slots=True, frozen=True)
