Machine of shards: copies, engines and moves on the record, each step fenced

In full: Machine of shards: copies, engines and moves on the record, each step fenced and from the one before. Where copies lie was nobody's decision. Steps are refused once they are no longer right: headroom with what comes in counted, last copies, another disk under the same name, a table whose schema changes.

--- /dev/null
+++ b/fennelwind/shards/machine.py
@@ -0,0 +1,554 @@
+"""Shards on the record: where copies lie, what engines have room for, and the moves with their steps.
+
+Every command but an operator's declaration carries the fence of the lease `moves`; one of an earlier holder
+is refused. A move's step is taken from the step before it and only while it is right: the record is the one
+place that decides it, whoever asks and however late. What a step allows (statements to engines) comes after
+its commit and never before.
+
+Space counts from a copy's reservation until its drop was answered, so a coming copy and the one that goes for
+it count side by side. A copy may be read while it is `good`, and in no other state.
+"""
+
+import math
+from collections.abc import Iterable
+from dataclasses import replace
+
+from google.protobuf.message import DecodeError
+
+from fennelwind.council.machine import At, Facts, UnreadableCommand
+from fennelwind.shards import shards_pb2 as pb
+from fennelwind.shards.state import LIVES, Copy, Home, Move, Shard, World
+
+LEASE = "moves"  # the task whose holder writes here
+SHARDS_MOST = 65_536  # shards; three times what two hundred engines are planned for
+HOMES_MOST = 4_096  # engines, those that are gone for good among them until they are removed
+COPIES_MOST = 16  # copies of one shard, whatever their state
+MOVES_MOST = 4_096  # moves that have not ended
+PLAN_MOST = 1_024  # moves in one command, far within the record's bound on a command
+NAME_MOST = 512  # characters of a name
+SIZE_MOST = 2**60  # bytes of a shard or a disk; sums of them stay far from 2**64
+REST_MS = 10_000  # ms from a switch until the old copy may go: views are used for 5 s, twice for clocks' sake
+ASIDE_FIRST_MS, ASIDE_MOST_MS = 30_000, 3_600_000  # ms that a shard rests after a failed move; it doubles
+
+Step, Answer = pb.Step, pb.Answer
+UNDER_WAY = ("reserved", "copying", "checked", "switched", "dropping", "undoing")  # steps that hold the table
+TAKES = ("ready", "cold")  # lives in which an engine takes copies
+
+
+class ShardMachine:
+    """The machine `shards` of the record; also what planner, carrier and routing read."""
+
+    name, kinds = "shards", ("moving",)
+
+    def __init__(self) -> None:
+        self.shards: dict[str, Shard] = {}
+        self.homes: dict[str, Home] = {}
+        self.copies: dict[str, dict[str, Copy]] = {}  # by shard and engine
+        self.moves: dict[int, Move] = {}
+        self.asides: dict[str, tuple[int, int]] = {}  # until when (0: no longer), how often in a row
+        self.used: dict[str, int] = {}  # bytes of copies by engine, whatever their state
+        self.last_move = 0
+        self._of_table: dict[str, dict[str, None]] = {}  # shards by table
+        self._of_shard: dict[str, int] = {}  # the one move of a shard
+        self._due: int | None = None
+
+    # What others read.
+
+    def fact(self, kind: str, key: str) -> int:
+        """Return how many shards of a table are under way."""
+        return sum(m.step in UNDER_WAY and self.shards[m.shard].table == key for m in self.moves.values())
+
+    def good(self, shard: str) -> tuple[str, ...]:
+        """Return the engines whose copy of a shard may be read, in order of their names."""
+        held = self.copies.get(shard, {})
+        return tuple(sorted(engine for engine, copy in held.items() if copy.state == "good"))
+
+    def places(self, table: str) -> dict[str, tuple[str, ...]]:
+        """Return the engines with good copies of each shard of a table."""
+        return {shard: self.good(shard) for shard in sorted(self._of_table.get(table, ()))}
+
+    def leaving(self, shard: str) -> str:
+        """Return the engine whose copy gets no further queries and waits for its drop; "": none."""
+        held = self.copies.get(shard, {})
+        return next((engine for engine, copy in sorted(held.items()) if copy.state == "leaving"), "")
+
+    def room(self, engine: str) -> int:
+        """Return the bytes that further copies may take on an engine; below 0 where it holds too much."""
+        home = self.homes[engine]
+        return effective(home) - home.headroom - self.used.get(engine, 0)
+
+    def move_of(self, shard: str) -> Move | None:
+        """Return the move of a shard that has not ended."""
+        return self.moves.get(self._of_shard.get(shard, 0))
+
+    def world(self, frozen: Iterable[str] = ()) -> World:
+        """Return all of it as the planner reads it; what spills took beyond the headroom is no disk."""
+        return World(
+            shards=dict(self.shards),
+            homes={name: replace(home, disk=effective(home)) for name, home in self.homes.items()},
+            copies={(copy.shard, copy.engine): copy for held in self.copies.values() for copy in held.values()},
+            moves=dict(self.moves), frozen=frozenset(frozen),
+            aside=frozenset(shard for shard, (until, _) in self.asides.items() if until))
+
+    # The record's side.
+
+    def apply(self, at: At, command: bytes, facts: Facts) -> bytes:
+        """Carry a command out; its answer tells a refusal. Raises `UnreadableCommand`."""
+        try:
+            asked = pb.Command.FromString(command)
+        except DecodeError as exc:
+            raise UnreadableCommand(str(exc)) from exc
+        what = asked.WhichOneof("what")
+        if what is None:
+            raise UnreadableCommand("a command of no kind")
+        if what in ("declare", "remove"):
+            answer = getattr(self, "_" + what)(getattr(asked, what))
+        elif not self._fenced(asked.fence, facts):
+            answer = Answer(refusal=Answer.FENCE)
+        else:
+            answer = getattr(self, "_" + what)(getattr(asked, what), at, facts)
+        self._look_ahead()
+        return answer.SerializeToString(deterministic=True)
+
+    def _fenced(self, fence: int, facts: Facts) -> bool:
+        return bool(fence) and facts.fact("fence", LEASE) == fence
+
+    def pass_time(self, at: At) -> None:
+        """Let rests after switches end, and shards come back that were set aside."""
+        for number, move in self.moves.items():
+            if _rests(move) and move.at_ms + REST_MS <= at.clock_ms:
+                self.moves[number] = replace(move, rested=True)
+        for shard, (until, times) in self.asides.items():
+            if until <= at.clock_ms:
+                self.asides[shard] = (0, times)
+        self._look_ahead()
+
+    def due(self) -> int | None:
+        """Return when a rest or a time aside ends next."""
+        return self._due
+
+    def _look_ahead(self) -> None:
+        ends = [until for until, _ in self.asides.values() if until]
+        ends += [move.at_ms + REST_MS for move in self.moves.values() if _rests(move)]
+        self._due = min(ends, default=None)
+
+    # Operators and news.
+
+    def _declare(self, asked: pb.Declare) -> pb.Answer:
+        if len(asked.shards) > PLAN_MOST:
+            return Answer(refusal=Answer.TOO_MANY)
+        return Answer(refusals=[self._declared(told) for told in asked.shards])
+
+    def _declared(self, told: pb.Shard) -> int:
+        named = told.table and told.name.startswith(told.table + "/") and len(told.name) <= NAME_MOST
+        if not (named and 0 < told.size <= SIZE_MOST and 1 <= told.copies <= COPIES_MOST
+                and 1 <= told.zones <= told.copies and _sane(told.heat)
+                and len(told.kinds) <= COPIES_MOST and all(0 < len(kind) <= NAME_MOST for kind in told.kinds)):
+            return Answer.BAD
+        known = self.shards.get(told.name)
+        if known is None and len(self.shards) >= SHARDS_MOST:
+            return Answer.TOO_MANY
+        if told.name in self._of_shard and known.size != told.size:
+            return Answer.UNDER_WAY  # its space was reserved by the size that it had
+        shard = Shard(told.name, told.table, told.size, told.copies, told.zones, tuple(told.kinds), told.heat)
+        if known is not None and known.size == shard.size:
+            shard = replace(shard, rows=known.rows, checksum=known.checksum)
+        elif known is not None:
+            for engine in self.copies.get(told.name, ()):
+                self.used[engine] += shard.size - known.size
+        self.shards[told.name] = shard
+        self._of_table.setdefault(shard.table, {})[shard.name] = None
+        return Answer.NONE
+
+    def _remove(self, asked: pb.Remove) -> pb.Answer:
+        if asked.engine:
+            return self._remove_home(asked.engine)
+        shard = self.shards.get(asked.shard)
+        if shard is None:
+            return Answer(refusal=Answer.UNKNOWN)
+        if shard.name in self._of_shard:
+            return Answer(refusal=Answer.UNDER_WAY)
+        if self.copies.get(shard.name):
+            return Answer(refusal=Answer.HELD)
+        del self.shards[shard.name]
+        self.asides.pop(shard.name, None)
+        of_table = self._of_table[shard.table]
+        del of_table[shard.name]
+        if not of_table:
+            del self._of_table[shard.table]
+        return Answer()
+
+    def _remove_home(self, engine: str) -> pb.Answer:
+        home = self.homes.get(engine)
+        if home is None:
+            return Answer(refusal=Answer.UNKNOWN)
+        if home.life != "gone":
+            return Answer(refusal=Answer.HELD)
+        if any(engine in (move.target, move.drops) for move in self.moves.values()):
+            return Answer(refusal=Answer.UNDER_WAY)
+        self._emptied(engine)
+        del self.homes[engine]
+        return Answer()
+
+    def _news(self, asked: pb.News, at: At, facts: Facts) -> pb.Answer:
+        if len(asked.homes) > PLAN_MOST:
+            return Answer(refusal=Answer.TOO_MANY)
+        return Answer(refusals=[self._heard(told) for told in asked.homes])
+
+    def _heard(self, told: pb.Home) -> int:
+        if not (told.name and all(len(text) <= NAME_MOST for text in (told.name, told.zone, told.kind, told.mark))
+                and told.disk <= SIZE_MOST and told.headroom <= SIZE_MOST and told.spilled <= SIZE_MOST
+                and told.life in LIVES):
+            return Answer.BAD
+        known = self.homes.get(told.name)
+        if known is None and len(self.homes) >= HOMES_MOST:
+            return Answer.TOO_MANY
+        home = Home(told.name, told.zone, told.kind, told.disk, told.headroom, told.life, 0, told.mark,
+                    told.spilled)
+        if known is not None:
+            home = replace(home, generation=known.generation, mark=told.mark or known.mark)
+            if known.mark and home.mark != known.mark:
+                home = replace(home, generation=known.generation + 1)
+                self._emptied(home.name)
+        self.homes[home.name] = home
+        if home.life == "gone" and known is not None and known.life != "gone":
+            self._doubted(home.name)
+        return Answer.NONE
+
+    def _emptied(self, engine: str) -> None:
+        """An engine's disk is another: nothing is on it."""
+        for shard in [shard for shard, held in self.copies.items() if engine in held]:
+            self._forget(shard, engine)
+
+    def _doubted(self, engine: str) -> None:
+        """What an engine held is not read until it was checked again; it may come back with old copies."""
+        for held in self.copies.values():
+            copy = held.get(engine)
+            if copy is not None and copy.state in ("good", "leaving"):
+                held[engine] = replace(copy, state="doubtful")
+
+    def _heat(self, asked: pb.Heat, at: At, facts: Facts) -> pb.Answer:
+        if not all(map(_sane, asked.heat.values())):
+            return Answer(refusal=Answer.BAD)
+        for shard in sorted(asked.heat):
+            if shard in self.shards:
+                self.shards[shard] = replace(self.shards[shard], heat=asked.heat[shard])
+        return Answer()
+
+    def _found(self, asked: pb.Found, at: At, facts: Facts) -> pb.Answer:
+        return Answer(refusal=self._checked(asked))
+
+    def _checked(self, asked: pb.Found) -> int:
+        shard, home = self.shards.get(asked.shard), self.homes.get(asked.engine)
+        if shard is None or home is None:
+            return Answer.UNKNOWN
+        if home.generation != asked.generation or home.life == "gone":
+            return Answer.TARGET
+        move = self.move_of(shard.name)
+        if move is not None and move.step in UNDER_WAY and home.name in (move.target, move.drops):
+            return Answer.UNDER_WAY
+        copy = self.copies.get(shard.name, {}).get(home.name)
+        if not asked.present:
+            if copy is not None:
+                self._forget(shard.name, home.name)
+            return Answer.NONE
+        if copy is None and len(self.copies.get(shard.name, ())) >= COPIES_MOST:
+            return Answer.TOO_MANY
+        good = self.good(shard.name)
+        if shard.rows < 0 and (not good or home.name in good):  # the first that is known of it
+            shard = self.shards[shard.name] = replace(shard, rows=asked.rows, checksum=asked.checksum)
+        elif shard.rows < 0:
+            return Answer.WAITS  # for a check of a good copy, to compare with
+        same = (shard.rows, shard.checksum) == (asked.rows, asked.checksum)
+        if not same and good == (home.name,):
+            return Answer.DIFFERS  # the only good copy is not given up for a figure
+        self._hold(shard.name, Copy(shard.name, home.name, "good" if same else "doubtful", not same))
+        return Answer.NONE
+
+    # Plans and steps.
+
+    def _plan(self, asked: pb.Plan, at: At, facts: Facts) -> pb.Answer:
+        if len(asked.moves) > PLAN_MOST:
+            return Answer(refusal=Answer.TOO_MANY)
+        answer, numbers, own = Answer(), {}, {told.number for told in asked.moves}
+        for told in asked.moves:
+            refusal = self._wanted(told, facts)
+            if any(ahead in own and not numbers.get(ahead) for ahead in told.after):
+                refusal = refusal or Answer.WAITS  # for space that another move won't make
+            if not refusal:
+                self.last_move += 1
+                after = {numbers.get(ahead, ahead) for ahead in told.after}
+                self.moves[self.last_move] = Move(
+                    self.last_move, told.shard, told.source, told.target, told.drops, "planned",
+                    tuple(sorted(ahead for ahead in after if ahead in self.moves)), at_ms=at.clock_ms)
+                self._of_shard[told.shard] = numbers[told.number] = self.last_move
+            answer.numbers.append(0 if refusal else self.last_move)
+            answer.refusals.append(refusal)
+        return answer
+
+    def _wanted(self, told: pb.Move, facts: Facts) -> int:
+        """Return why a planned move is not taken; 0: it is."""
+        shard, held = self.shards.get(told.shard), self.copies.get(told.shard, {})
+        if shard is None:
+            return Answer.UNKNOWN
+        if len(self.moves) >= MOVES_MOST:
+            return Answer.TOO_MANY
+        if shard.name in self._of_shard:
+            return Answer.UNDER_WAY
+        if self.asides.get(shard.name, (0, 0))[0]:
+            return Answer.ASIDE
+        if facts.fact("changing", shard.table):
+            return Answer.CHANGING
+        if told.drops == told.target or told.drops and told.drops not in held:
+            return Answer.BAD
+        if told.target and told.source not in self.good(shard.name):
+            return Answer.SOURCE
+        return self._taken(shard, told.target) if told.target else 0
+
+    def _taken(self, shard: Shard, target: str) -> int:
+        """Return why an engine takes no copy of a shard, its space aside; 0: it does."""
+        home = self.homes.get(target)
+        if home is None:
+            return Answer.UNKNOWN
+        fits = home.life in TAKES and (not shard.kinds or home.kind in shard.kinds)
+        held = self.copies.get(shard.name, {})
+        return 0 if fits and target not in held and len(held) < COPIES_MOST else Answer.TARGET
+
+    def _step(self, asked: pb.Step, at: At, facts: Facts) -> pb.Answer:
+        move = self.moves.get(asked.move)
+        if move is None:
+            return Answer(refusal=Answer.UNKNOWN)
+        take = {
+            Step.RESERVE: self._reserve, Step.COPY: self._copy, Step.CHECK: self._check,
+            Step.SWITCH: self._switch, Step.DROP: self._drop, Step.DONE: self._done, Step.KEEP: self._keep,
+            Step.UNDO: self._undo, Step.UNDONE: self._undone}.get(asked.kind)
+        if take is None:
+            return Answer(refusal=Answer.BAD)
+        forth = asked.kind in (Step.RESERVE, Step.COPY, Step.CHECK, Step.SWITCH, Step.DROP)
+        if forth and facts.fact("changing", self.shards[move.shard].table):
+            return Answer(refusal=Answer.CHANGING)
+        return Answer(refusal=take(move, asked, at))
+
+    def _at(self, move: Move, step: str, at: At, **more: object) -> None:
+        self.moves[move.number] = replace(move, step=step, at_ms=at.clock_ms, **more)
+
+    def _reserve(self, move: Move, asked: pb.Step, at: At) -> int:
+        if move.step != "planned" or not move.target:
+            return Answer.STEP
+        shard = self.shards[move.shard]
+        if any(ahead in self.moves for ahead in move.after):
+            return Answer.WAITS
+        if not self.good(shard.name):
+            return Answer.SOURCE
+        refusal = self._taken(shard, move.target)
+        if refusal:
+            return refusal
+        if not self._fits(shard, move.target):
+            return Answer.HEADROOM
+        self._hold(shard.name, Copy(shard.name, move.target, "coming"))
+        self._at(move, "reserved", at, generation=self.homes[move.target].generation)
+        return Answer.NONE
+
+    def _fits(self, shard: Shard, target: str) -> bool:
+        return shard.size <= self.room(target)
+
+    def _coming(self, move: Move) -> bool:
+        """Tell whether a move's target is the engine that it was, with the copy that comes in."""
+        home, copy = self.homes[move.target], self.copies.get(move.shard, {}).get(move.target)
+        return (home.life != "gone" and home.generation == move.generation
+                and copy is not None and copy.state == "coming")
+
+    def _copy(self, move: Move, asked: pb.Step, at: At) -> int:
+        if move.step not in ("reserved", "copying") or asked.attempt != move.attempt + 1:
+            return Answer.STEP
+        if asked.source not in self.good(move.shard):
+            return Answer.SOURCE
+        if not self._coming(move):
+            return Answer.TARGET
+        self._at(move, "copying", at, attempt=asked.attempt, source=asked.source)
+        return Answer.NONE
+
+    def _check(self, move: Move, asked: pb.Step, at: At) -> int:
+        if move.step != "copying" or asked.attempt != move.attempt:
+            return Answer.STEP
+        if not self._coming(move):
+            return Answer.TARGET
+        shard = self.shards[move.shard]
+        if shard.rows >= 0 and (shard.rows, shard.checksum) != (asked.rows, asked.checksum):
+            return Answer.DIFFERS
+        self.shards[shard.name] = replace(shard, rows=asked.rows, checksum=asked.checksum)
+        self._at(move, "checked", at)
+        return Answer.NONE
+
+    def _switch(self, move: Move, asked: pb.Step, at: At) -> int:
+        held = self.copies.get(move.shard, {})
+        old = held.get(move.drops)
+        if not move.target:
+            if move.step != "planned":
+                return Answer.STEP
+            if any(ahead in self.moves for ahead in move.after):
+                return Answer.WAITS
+            if old is not None and not self._spared(move.shard, move.drops):
+                return Answer.LAST
+        elif move.step != "checked":
+            return Answer.STEP
+        elif not self._coming(move):
+            return Answer.TARGET
+        else:
+            held[move.target] = replace(held[move.target], state="good")
+        if old is None or not self._spared(move.shard, move.drops):
+            self._end(move, well=True)  # nothing to drop, or what goes is needed still
+            return Answer.NONE
+        held[move.drops] = replace(old, state="leaving")
+        self._at(move, "switched", at)
+        return Answer.NONE
+
+    def _spared(self, shard: str, engine: str) -> bool:
+        """Tell whether a copy may go: all that is wanted is there without it.
+
+        One that was found to differ is no copy: for it to go, one good copy is enough.
+        """
+        wanted, others = self.shards[shard], [e for e in self.good(shard) if e != engine]
+        if self.copies[shard][engine].wrong:
+            return bool(others)
+        return len(others) >= wanted.copies and len({self.homes[e].zone for e in others}) >= wanted.zones
+
+    def _drop(self, move: Move, asked: pb.Step, at: At) -> int:
+        if move.step != "switched":
+            return Answer.STEP
+        if not move.rested:
+            return Answer.WAITS
+        copy = self.copies.get(move.shard, {}).get(move.drops)
+        if copy is None or copy.state != "leaving":
+            return Answer.SOURCE  # it went with its engine, or is in doubt since
+        if not self._spared(move.shard, move.drops):
+            return Answer.LAST
+        self._at(move, "dropping", at)
+        return Answer.NONE
+
+    def _done(self, move: Move, asked: pb.Step, at: At) -> int:
+        if move.step != "dropping":
+            return Answer.STEP
+        self._forget(move.shard, move.drops)
+        self._end(move, well=True)
+        return Answer.NONE
+
+    def _keep(self, move: Move, asked: pb.Step, at: At) -> int:
+        if move.step not in ("switched", "dropping"):
+            return Answer.STEP
+        held = self.copies.get(move.shard, {})
+        copy = held.get(move.drops)
+        leaves = copy is not None and copy.state == "leaving"
+        if leaves and self._spared(move.shard, move.drops):
+            return Answer.STEP  # there is no reason to
+        if leaves:  # once its drop may have been sent, only a check can say whether it is there
+            sure = move.step == "switched" and not copy.wrong
+            held[move.drops] = replace(copy, state="good" if sure else "doubtful")
+        self._end(move, well=True)
+        return Answer.NONE
+
+    def _undo(self, move: Move, asked: pb.Step, at: At) -> int:
+        if move.step not in ("planned", "reserved", "copying", "checked"):
+            return Answer.STEP
+        if asked.failed:
+            times = self.asides.get(move.shard, (0, 0))[1] + 1
+            rest = min(ASIDE_FIRST_MS * 2 ** min(times - 1, 16), ASIDE_MOST_MS)
+            self.asides[move.shard] = (at.clock_ms + rest, times)
+        if move.step == "reserved":
+            self._forget(move.shard, move.target)  # no statement was sent for it
+        if move.step in ("planned", "reserved") or move.target not in self.copies.get(move.shard, {}):
+            self._end(move, well=False)
+        else:
+            self._at(move, "undoing", at)
+        return Answer.NONE
+
+    def _undone(self, move: Move, asked: pb.Step, at: At) -> int:
+        if move.step != "undoing":
+            return Answer.STEP
+        if self.homes[move.target].life == "gone":  # what it has of the copy comes back with it, perhaps
+            self.copies[move.shard][move.target] = Copy(move.shard, move.target, "doubtful")
+        else:
+            self._forget(move.shard, move.target)
+        self._end(move, well=False)
+        return Answer.NONE
+
+    def _end(self, move: Move, well: bool) -> None:
+        del self.moves[move.number]
+        del self._of_shard[move.shard]
+        if well:
+            self.asides.pop(move.shard, None)
+
+    def _hold(self, shard: str, copy: Copy) -> None:
+        held = self.copies.setdefault(shard, {})
+        if copy.engine not in held:
+            self.used[copy.engine] = self.used.get(copy.engine, 0) + self.shards[shard].size
+        held[copy.engine] = copy
+
+    def _forget(self, shard: str, engine: str) -> None:
+        held = self.copies.get(shard, {})
+        if held.pop(engine, None) is None:
+            return
+        self.used[engine] -= self.shards[shard].size
+        if not self.used[engine]:
+            del self.used[engine]
+        if not held:
+            del self.copies[shard]
+
+    # Its state as bytes.
+
+    def snapshot(self) -> bytes:
+        """Return its state; equal states give equal bytes."""
+        state = pb.State(last_move=self.last_move)
+        for _, s in sorted(self.shards.items()):
+            state.shards.add(name=s.name, table=s.table, size=s.size, copies=s.copies, zones=s.zones,
+                             kinds=s.kinds, heat=s.heat, checked=s.rows >= 0, rows=max(s.rows, 0), checksum=s.checksum)
+        for _, h in sorted(self.homes.items()):
+            state.homes.add(name=h.name, zone=h.zone, kind=h.kind, disk=h.disk, headroom=h.headroom,
+                            life=h.life, generation=h.generation, mark=h.mark, spilled=h.spilled)
+        for shard in sorted(self.copies):
+            for _, c in sorted(self.copies[shard].items()):
+                state.copies.add(shard=shard, engine=c.engine, state=c.state, wrong=c.wrong)
+        for _, m in sorted(self.moves.items()):
+            state.moves.add(number=m.number, shard=m.shard, source=m.source, target=m.target, drops=m.drops,
+                            step=m.step, after=m.after, attempt=m.attempt, generation=m.generation,
+                            at_ms=m.at_ms, rested=m.rested)
+        for shard, (until, times) in sorted(self.asides.items()):
+            state.asides.add(shard=shard, until_ms=until, times=times)
+        return state.SerializeToString(deterministic=True)
+
+    def restore(self, data: bytes) -> None:
+        """Take a state in place of its own."""
+        state = pb.State.FromString(data)
+        self.__init__()
+        self.last_move = state.last_move
+        for s in state.shards:
+            self.shards[s.name] = Shard(s.name, s.table, s.size, s.copies, s.zones, tuple(s.kinds), s.heat,
+                                        s.rows if s.checked else -1, s.checksum)
+            self._of_table.setdefault(s.table, {})[s.name] = None
+        for h in state.homes:
+            self.homes[h.name] = Home(h.name, h.zone, h.kind, h.disk, h.headroom, h.life, h.generation,
+                                      h.mark, h.spilled)
+        for c in state.copies:
+            self._hold(c.shard, Copy(c.shard, c.engine, c.state, c.wrong))
+        for m in state.moves:
+            self.moves[m.number] = Move(m.number, m.shard, m.source, m.target, m.drops, m.step,
+                                        tuple(m.after), m.attempt, m.generation, m.at_ms, m.rested)
+            self._of_shard[m.shard] = m.number
+        self.asides = {a.shard: (a.until_ms, a.times) for a in state.asides}
+        self._look_ahead()
+
+
+def effective(home: Home) -> int:
+    """Return the bytes of an engine's disk that copies and headroom may count on.
+
+    Spills are what the headroom is for; only what they take beyond it is missing.
+    """
+    return home.disk - max(0, home.spilled - home.headroom)
+
+
+def _rests(move: Move) -> bool:
+    return move.step == "switched" and not move.rested
+
+
+def _sane(figure: float) -> bool:
+    return math.isfinite(figure) and figure >= 0.0
