--- /dev/null
+++ b/fennelwind/shards/carrier.py
@@ -0,0 +1,582 @@
+"""Carries moves out for the holder of the lease `moves`. No I/O and no clock: events in, actions out.
+
+`Carrier.step(now, events) -> actions`, times in ms of the holder's own clock. All that must outlive the
+holder is on the record: a move's step there says which statements may have been sent, and the next holder
+goes on from it or undoes it. What is kept here (tokens, waits, what a check found) may be lost at any time.
+
+What holds, with every statement and command that can be lost, doubled, late or without an answer:
+
+- a statement is sent only after the step that allows it was seen on the record
+- an outcome that is not known is looked at by a check before anything is repeated, and repeats do no harm
+- a copy is loaded or checked only after every drop that may be on its way to it has ended: answered, or given
+  up by the engine itself, whose time-out it carries. A new holder takes the last one's to be on their way
+- all of its statements carry the fence
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+
+from fennelwind.shards import shards_pb2 as pb
+from fennelwind.shards import steps
+from fennelwind.shards.machine import MOVES_MOST, PLAN_MOST, ShardMachine
+from fennelwind.shards.state import Bounds, Home, Move, Planned, Shard, World
+
+Planner = Callable[[World, Bounds], Planned]
+Step, Answer = pb.Step, pb.Answer
+NEW = 2**62  # numbers of moves in a plan from here on, apart from the record's
+CHECKS_AT_ONCE = 8  # checks of copies in doubt that are under way
+LATER = (Answer.CHANGING, Answer.WAITS)  # refusals that pass by themselves
+
+
+@dataclass(slots=True, frozen=True)
+class Timing:
+    """How long a holder waits, in ms, and how often it tries."""
+
+    answer_ms: float = 5_000.0  # for the record's answer to a command
+    drop_ms: float = 30_000.0  # for a drop; the engine's own time-out as well
+    check_ms: float = 120_000.0  # for a count and checksum
+    copy_ms: float = 60_000.0  # for an export or import, and
+    slowest: float = 10_000.0  # bytes per ms that it may count on besides
+    slack_ms: float = 5_000.0  # from an engine's time-out until the statement is taken to have ended
+    finish_ms: float = 60_000.0  # for queries on a copy that leaves
+    again_ms: float = 1_000.0  # until a failed statement is repeated; it doubles
+    again_most_ms: float = 60_000.0
+    tries: int = 5  # of one statement or one attempt at a copy, then the move is undone
+    plan_ms: float = 5_000.0  # between plans
+
+
+# What happens.
+
+@dataclass(slots=True, frozen=True)
+class Seen:
+    """The record up to this index is in the holder's copy of the machine; `frozen`: tables under change."""
+
+    index: int
+    machine: ShardMachine
+    frozen: frozenset[str] = frozenset()
+
+
+@dataclass(slots=True, frozen=True)
+class Proposed:
+    """What became of a command; None: nobody knows."""
+
+    token: int
+    answer: pb.Answer | None
+    index: int = 0  # of the entry that did it
+
+
+@dataclass(slots=True, frozen=True)
+class Ended:
+    """What became of a statement: `ok`, `failed` (the engine says so) or `unknown`; a check's two figures."""
+
+    token: int
+    outcome: str
+    rows: int = 0
+    checksum: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Heard:
+    """News of engines; `held`: the shards that an engine lists, where it was asked."""
+
+    homes: tuple[Home, ...]
+    held: dict[str, frozenset[str]] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class Quiet:
+    """No query runs on a copy that is leaving."""
+
+    shard: str
+    engine: str
+
+
+Event = Seen | Proposed | Ended | Heard | Quiet
+
+
+# What is to be done.
+
+@dataclass(slots=True, frozen=True)
+class Propose:
+    """A command for the machine of shards; `Proposed` with this token follows."""
+
+    token: int
+    command: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Run:
+    """A statement for an engine; `Ended` with this token follows, by the deadline at the latest."""
+
+    token: int
+    engine: str
+    statement: str
+    overlay: dict[str, str]
+    timeout_ms: float
+
+
+@dataclass(slots=True, frozen=True)
+class Stop:
+    """A statement has taken too long: it is to be cancelled."""
+
+    token: int
+
+
+@dataclass(slots=True, frozen=True)
+class Wake:
+    """A step is wanted at this time."""
+
+    at: float
+
+
+@dataclass(slots=True, frozen=True)
+class Over:
+    """Another holds the lease: nothing more comes from here."""
+
+
+Action = Propose | Run | Stop | Wake | Over
+
+
+@dataclass(slots=True)
+class _Asked:
+    """A command or statement without its answer."""
+
+    owner: object  # a move's number, a pair of shard and engine in doubt, or None
+    kind: str
+    until: float
+    pair: tuple[str, str] | None = None  # shard and engine of a statement
+
+
+@dataclass(slots=True)
+class _Work:
+    """What the holder itself knows of a move."""
+
+    phase: str = ""  # of the copying: "clear", "export", "import", "verify"
+    attempt: int = 0  # the one that the phase belongs to
+    tries: int = 0  # of what is being tried now
+    wait_until: float = 0.0
+    since: float = 0.0  # when it was first seen at this step
+    step: str = ""
+    source: tuple[int, int] | None = None  # what checks found
+    target: tuple[int, int] | None = None
+    source_lost: bool = False
+
+
+class Carrier:
+    """The holder's part; one for each time that the lease is gained."""
+
+    def __init__(self, fence: int, since_index: int, planner: Planner, staging: str,
+                 bounds: Bounds | None = None, timing: Timing | None = None) -> None:
+        self.fence, self.since_index, self.planner, self.staging = fence, since_index, planner, staging
+        self.bounds, self.timing = bounds or Bounds(), timing or Timing()
+        self.machine: ShardMachine | None = None
+        self.frozen: frozenset[str] = frozenset()
+        self.planned = Planned()
+        self.over = False
+        self._index = 0
+        self._need_index = since_index  # what is done was answered from there: an older copy is not acted on
+        self._token = 0
+        self._asked: dict[int, _Asked] = {}
+        self._work: dict[int, _Work] = {}
+        self._doubts: dict[tuple[str, str], tuple[int, float]] = {}  # pairs to check: tries, not before
+        self._drops_end: dict[tuple[str, str], float] = {}  # when a drop without an answer has ended
+        self._first_load: float | None = None  # when the last holder's drops have ended
+        self._quiet: set[tuple[str, str]] = set()
+        self._listed: dict[str, frozenset[str]] = {}  # what engines said last that they hold
+        self._news: dict[str, Home] = {}
+        self._plan_at = 0.0
+        self._paced_until = 0.0
+        self._now = 0.0
+        self._out: list[Action] = []
+
+    def step(self, now: float, events: Iterable[Event]) -> list[Action]:
+        """Take what has happened; return what is to be done."""
+        self._now, self._out = now, []
+        if self._first_load is None:
+            self._first_load = now + self.timing.drop_ms + self.timing.slack_ms
+        for event in events:
+            match event:
+                case Seen():
+                    self._index, self.machine, self.frozen = event.index, event.machine, event.frozen
+                case Proposed():
+                    self._proposed(event)
+                case Ended():
+                    self._ended(event)
+                case Heard():
+                    self._heard(event)
+                case Quiet():
+                    self._quiet.add((event.shard, event.engine))
+        for token in [token for token, asked in self._asked.items() if asked.until <= now]:
+            if self._asked[token].pair is not None:
+                self._out.append(Stop(token))
+                self._ended(Ended(token, "unknown"))
+            else:
+                self._proposed(Proposed(token, None))
+        if not self.over and self.machine is not None and self._index >= self._need_index:
+            self._go_on()
+        if self.over:
+            return [*self._out, Over()]
+        return [*self._out, Wake(self._next())]
+
+    def _go_on(self) -> None:
+        for number in [number for number in self._work if number not in self.machine.moves]:
+            del self._work[number]
+        self._tell_news()
+        for number in sorted(self.machine.moves):
+            move = self.machine.moves[number]
+            work = self._work.setdefault(number, _Work())
+            if work.step != move.step:
+                work.step, work.since, work.tries, work.wait_until = move.step, self._now, 0, 0.0
+            if work.wait_until <= self._now and not any(a.owner == number for a in self._asked.values()):
+                getattr(self, "_at_" + move.step)(move, work)
+        self._check_doubtful()
+        if self._plan_at <= self._now and not any(a.kind == "plan" for a in self._asked.values()):
+            self._plan_at = self._now + self.timing.plan_ms
+            self._replan()
+
+    def _next(self) -> float:
+        times = [asked.until for asked in self._asked.values()]
+        times += [work.wait_until for work in self._work.values()] + [self._plan_at, self._first_load]
+        times += [w.since + self.timing.finish_ms for w in self._work.values() if w.step == "switched"]
+        times += [until for _, until in self._doubts.values()] + list(self._drops_end.values())
+        return min((at for at in times if at > self._now), default=self._now + self.timing.plan_ms)
+
+    # Asking.
+
+    def _propose(self, owner: object, kind: str, **what: object) -> None:
+        self._token += 1
+        self._asked[self._token] = _Asked(owner, kind, self._now + self.timing.answer_ms)
+        command = pb.Command(fence=self.fence, **what)
+        self._out.append(Propose(self._token, command.SerializeToString(deterministic=True)))
+
+    def _take(self, move: Move, kind: int, **more: object) -> None:
+        """Ask for a move's step."""
+        self._propose(move.number, Step.Kind.Name(kind), step=Step(move=move.number, kind=kind, **more))
+
+    def _run(self, owner: object, kind: str, shard: str, engine: str, statement: str,
+             within: float) -> None:
+        self._token += 1
+        self._asked[self._token] = _Asked(
+            owner, kind, self._now + within + self.timing.slack_ms, (shard, engine))
+        self._out.append(Run(self._token, engine, statement, steps.overlay(self.fence, within), within))
+
+    def _proposed(self, event: Proposed) -> None:
+        asked = self._asked.pop(event.token, None)
+        if asked is None:
+            return
+        answer = event.answer
+        if answer is None:
+            return  # the record tells, once more of it is seen; a step asked twice is refused
+        self._need_index = max(self._need_index, event.index)
+        if answer.refusal == Answer.FENCE:
+            self.over = True
+        work = self._work.get(asked.owner) if isinstance(asked.owner, int) else None
+        if work is None:
+            if asked.kind == "found" and answer.refusal:
+                self._again_doubt(asked.owner)
+                if answer.refusal == Answer.WAITS:  # for a good copy's figures, to compare with
+                    for engine in self.machine.good(asked.owner[0]):
+                        self._doubts.setdefault((asked.owner[0], engine), (0, 0.0))
+            if asked.kind == "news":
+                self._news = {n: home for n, home in self._news.items() if home not in asked.owner}
+            return
+        if not answer.refusal:
+            if asked.kind == "COPY":
+                work.phase, work.attempt = "clear", work.attempt + 1
+                work.tries, work.wait_until = 0, 0.0
+            return
+        if answer.refusal == Answer.STEP:
+            return  # an earlier one of the same was done, or the world has changed: the record tells
+        if answer.refusal in LATER:
+            work.wait_until = self._now + self.timing.again_ms
+        else:
+            self._again(work)
+
+    def _again(self, work: _Work) -> None:
+        """Wait, longer each time, before trying again."""
+        work.tries += 1
+        work.wait_until = self._now + self._pause(work.tries)
+
+    def _pause(self, tries: int) -> float:
+        return min(self.timing.again_ms * 2 ** min(tries - 1, 30), self.timing.again_most_ms)
+
+    # Steps.
+
+    def _at_planned(self, move: Move, work: _Work) -> None:
+        if any(ahead in self.machine.moves for ahead in move.after):
+            return
+        if work.tries >= self.timing.tries:
+            return self._take(move, Step.UNDO)
+        if not move.target:
+            return self._take(move, Step.SWITCH)
+        if self._may_stream(move):
+            self._take(move, Step.RESERVE)
+
+    def _may_stream(self, move: Move) -> bool:
+        """Tell whether engines, links and the hour's bytes have room for a further copy."""
+        if self._paced_until > self._now:
+            return False
+        engines: dict[str, int] = {}
+        links: dict[frozenset[str], int] = {}
+        for other in self.machine.moves.values():
+            asked = any(a.owner == other.number and a.kind == "RESERVE" for a in self._asked.values())
+            if other.step in ("reserved", "copying") or asked:
+                for engine in (other.source, other.target):
+                    engines[engine] = engines.get(engine, 0) + 1
+                link = self._link(other)
+                links[link] = links.get(link, 0) + 1
+        if links.get(self._link(move), 0) >= self.bounds.streams_per_link:
+            return False
+        return all(engines.get(e, 0) < self.bounds.streams_per_engine for e in (move.source, move.target))
+
+    def _link(self, move: Move) -> frozenset[str]:
+        homes = self.machine.homes
+        return frozenset(homes[e].zone for e in (move.source, move.target) if e in homes)
+
+    def _at_reserved(self, move: Move, work: _Work) -> None:
+        self._begin_copy(move, work)
+
+    def _begin_copy(self, move: Move, work: _Work) -> None:
+        """Begin the next attempt, or give the move up."""
+        good = [e for e in self.machine.good(move.shard) if self.machine.homes[e].life != "gone"]
+        if not good or move.attempt >= self.timing.tries or not self._target_there(move):
+            return self._take(move, Step.UNDO, failed=True)
+        if move.attempt and len(good) > 1:  # another one each time
+            source = good[move.attempt % len(good)]
+        else:
+            source = move.source if move.source in good else good[0]
+        if not move.attempt:
+            shard = self.machine.shards[move.shard]
+            self._paced_until = max(self._now, self._paced_until) + (
+                shard.size / self.bounds.bytes_per_hour * 3_600_000.0)
+        work.attempt, work.source, work.target, work.source_lost = move.attempt, None, None, False
+        self._take(move, Step.COPY, source=source, attempt=move.attempt + 1)
+
+    def _target_there(self, move: Move) -> bool:
+        home = self.machine.homes[move.target]
+        return (home.life != "gone" and home.generation == move.generation
+                and move.target in self.machine.copies.get(move.shard, {}))
+
+    def _at_copying(self, move: Move, work: _Work) -> None:
+        if not self._target_there(move):
+            return self._take(move, Step.UNDO, failed=True)
+        if work.attempt != move.attempt or not work.phase:  # another holder began it: what is there, first
+            work.phase, work.attempt = "verify", move.attempt
+        if work.tries >= self.timing.tries:
+            return self._begin_copy(move, work)
+        shard, t = self.machine.shards[move.shard], self.timing
+        path = steps.folder(self.staging, move.number, self.fence, move.attempt)
+        within = t.copy_ms + shard.size / t.slowest
+        if work.phase == "clear":
+            self._run(move.number, "clear", shard.name, move.target, steps.drop(shard.name), t.drop_ms)
+        elif work.phase == "export":
+            self._run(move.number, "export", shard.name, move.source, steps.export(shard.name, path), within)
+        elif not self._drops_ended(shard.name, move.target):
+            return
+        elif work.phase == "import":
+            self._run(move.number, "import", shard.name, move.target, steps.load(shard.name, path), within)
+        else:
+            self._verify(move, work, shard)
+
+    def _drops_ended(self, shard: str, engine: str) -> bool:
+        """Tell whether no drop can still reach a copy."""
+        if self._now < self._first_load or self._drops_end.get((shard, engine), 0.0) > self._now:
+            return False
+        drops = (a.pair for a in self._asked.values() if a.kind in ("clear", "drop"))
+        return (shard, engine) not in drops
+
+    def _verify(self, move: Move, work: _Work, shard: Shard) -> None:
+        """Ask both sides for count and checksum; once both are known, go on or begin anew."""
+        if work.target is not None and (work.source is not None or work.source_lost):
+            known = work.source
+            if known is None and shard.rows >= 0:
+                known = shard.rows, shard.checksum  # the source is away: what was agreed before has to do
+            agreed, work.source, work.target, work.source_lost = known == work.target, None, None, False
+            if agreed:
+                return self._take(move, Step.CHECK, attempt=move.attempt, rows=known[0], checksum=known[1])
+            return self._begin_copy(move, work)
+        statement = steps.check(shard.name)
+        if work.target is None:
+            self._run(move.number, "target", shard.name, move.target, statement, self.timing.check_ms)
+        if work.source is None and not work.source_lost:
+            self._run(move.number, "source", shard.name, move.source, statement, self.timing.check_ms)
+
+    def _at_checked(self, move: Move, work: _Work) -> None:
+        if not self._target_there(move) or work.tries >= self.timing.tries:
+            return self._take(move, Step.UNDO, failed=True)
+        self._take(move, Step.SWITCH)
+
+    def _at_switched(self, move: Move, work: _Work) -> None:
+        if not self._may_go(move):
+            return self._take(move, Step.KEEP)
+        finished = (move.shard, move.drops) in self._quiet or self._now >= work.since + self.timing.finish_ms
+        if move.rested and finished:
+            self._quiet.discard((move.shard, move.drops))
+            self._take(move, Step.DROP)
+
+    def _may_go(self, move: Move) -> bool:
+        """Tell whether the copy that goes is still there and not needed again."""
+        copy = self.machine.copies.get(move.shard, {}).get(move.drops)
+        return copy is not None and copy.state == "leaving" and self.machine.spared(move.shard, move.drops)
+
+    def _at_dropping(self, move: Move, work: _Work) -> None:
+        if not self._may_go(move):
+            return self._take(move, Step.KEEP)
+        if work.phase == "dropped":
+            return self._take(move, Step.DONE)
+        if work.tries >= self.timing.tries:
+            return self._take(move, Step.KEEP, failed=True)
+        self._run(move.number, "drop", move.shard, move.drops, steps.drop(move.shard), self.timing.drop_ms)
+
+    def _at_undoing(self, move: Move, work: _Work) -> None:
+        if work.phase == "dropped" or not self._target_there(move):
+            return self._take(move, Step.UNDONE)
+        if work.tries >= self.timing.tries:
+            return self._take(move, Step.UNDONE, failed=True)
+        self._run(move.number, "drop", move.shard, move.target, steps.drop(move.shard), self.timing.drop_ms)
+
+    # Answers of engines.
+
+    def _ended(self, event: Ended) -> None:
+        asked = self._asked.pop(event.token, None)
+        if asked is None:
+            return
+        if asked.kind in ("clear", "drop") and event.outcome == "unknown":
+            self._drops_end[asked.pair] = max(asked.until, self._now) + self.timing.slack_ms
+        if asked.kind == "doubt":
+            return self._doubt_ended(asked, event)
+        work = self._work.get(asked.owner)
+        if work is None:
+            return
+        well = event.outcome == "ok"
+        match asked.kind:
+            case "clear":
+                work.phase = "export" if well else "clear"
+            case "export":
+                work.phase = "import" if well else "failed"
+            case "import":
+                work.phase = "verify"  # whatever was said of it: what is there tells
+            case "target" if well:
+                work.target = (event.rows, event.checksum)
+            case "source" if well:
+                work.source = (event.rows, event.checksum)
+            case "source":
+                work.source_lost = True
+            case "drop" if well:
+                work.phase = "dropped"
+        if not well:
+            self._again(work)
+        elif asked.kind in ("clear", "export", "import", "drop"):
+            work.tries = 0
+        if work.phase == "failed":
+            work.phase, work.tries = "export", self.timing.tries  # its folder is used up: the next attempt
+
+    # Copies in doubt.
+
+    def _heard(self, event: Heard) -> None:
+        for home in event.homes:
+            self._news[home.name] = home
+        if self.machine is None:
+            return
+        self._listed.update(event.held)
+        for engine, listed in event.held.items():
+            held = {shard for shard, of in self.machine.copies.items() if engine in of}
+            for shard in sorted(listed ^ held):
+                if shard in self.machine.shards:
+                    self._doubts.setdefault((shard, engine), (0, 0.0))
+
+    def _tell_news(self) -> None:
+        if not self._news or any(a.kind == "news" for a in self._asked.values()):
+            return
+        known = self.machine.homes
+        self._news = {name: home for name, home in sorted(self._news.items())
+                      if name not in known or _differs(home, known[name])}
+        news = tuple(self._news.values())[:PLAN_MOST]
+        if news:
+            told = [pb.Home(name=h.name, zone=h.zone, kind=h.kind, disk=h.disk, headroom=h.headroom,
+                            life=h.life, mark=h.mark, spilled=h.spilled) for h in news]
+            self._propose(news, "news", news=pb.News(homes=told))
+
+    def _check_doubtful(self) -> None:
+        """Check what came back with an engine, and what an engine lists that the record doesn't know."""
+        machine = self.machine
+        for shard, held in machine.copies.items():
+            for engine, copy in held.items():
+                if copy.state == "doubtful" and not copy.wrong:
+                    self._doubts.setdefault((shard, engine), (0, 0.0))
+        running = sum(a.kind in ("doubt", "found") for a in self._asked.values())
+        for pair in sorted(self._doubts):
+            shard, engine = pair
+            home, move = machine.homes.get(engine), machine.move_of(shard)
+            if home is None or home.life == "gone" or shard not in machine.shards:
+                del self._doubts[pair]
+                continue
+            tries, not_before = self._doubts[pair]
+            if not_before > self._now or running >= CHECKS_AT_ONCE or not self._drops_ended(shard, engine):
+                continue
+            busy = move is not None and engine in (move.target, move.drops)
+            if busy or any(a.owner == pair for a in self._asked.values()):
+                continue
+            running += 1
+            self._run(pair, "doubt", shard, engine, steps.check(shard), self.timing.check_ms)
+
+    def _doubt_ended(self, asked: _Asked, event: Ended) -> None:
+        shard, engine = asked.pair
+        known = self.machine.shards.get(shard)
+        home = self.machine.homes.get(engine)
+        if event.outcome != "ok" or known is None or home is None:
+            return self._again_doubt(asked.pair)
+        self._doubts.pop(asked.pair, None)
+        self._propose(asked.pair, "found", found=pb.Found(
+            shard=shard, engine=engine, generation=home.generation, rows=event.rows, checksum=event.checksum,
+            present=event.rows > 0 or known.rows == 0 or shard in self._listed.get(engine, ())))
+
+    def _again_doubt(self, pair: tuple[str, str]) -> None:
+        tries = self._doubts.get(pair, (0, 0.0))[0] + 1
+        self._doubts[pair] = tries, self._now + self._pause(tries)
+
+    # Plans.
+
+    def _replan(self) -> None:
+        machine = self.machine
+        self.planned = self.planner(machine.world(self.frozen), self.bounds)
+        for number in self.planned.cancels:
+            move = machine.moves.get(number)
+            if move is not None and move.step in ("planned", "reserved", "copying", "checked") and not any(
+                    a.owner == number for a in self._asked.values()):
+                self._take(move, Step.UNDO)
+        wanted, numbers, left = [], {}, set()
+        for move in self.planned.moves:
+            if move.number in machine.moves:
+                continue
+            if not self._may_begin(move.shard) or left.intersection(move.after):
+                left.add(move.number)  # nor what waits for its space
+                continue
+            numbers[move.number] = NEW + len(numbers)
+            wanted.append(move)
+        goes = list(self.planned.drops)
+        goes += [(shard, engine) for shard, held in sorted(machine.copies.items())
+                 for engine, copy in sorted(held.items())
+                 if copy.wrong and machine.homes[engine].life != "gone"]
+        moving = {move.shard for move in wanted}
+        for shard, engine in goes:
+            if shard not in moving and self._may_begin(shard) and machine.spared(shard, engine):
+                moving.add(shard)
+                wanted.append(Move(-len(wanted) - 1, shard, "", "", engine))
+                numbers[wanted[-1].number] = NEW + len(numbers)
+        wanted = wanted[:min(PLAN_MOST, MOVES_MOST - len(machine.moves))]
+        if wanted:
+            self._propose(None, "plan", plan=pb.Plan(moves=[
+                pb.Move(number=numbers[m.number], shard=m.shard, source=m.source, target=m.target,
+                        drops=m.drops, after=[numbers.get(ahead, ahead) for ahead in m.after])
+                for m in wanted]))
+
+    def _may_begin(self, shard: str) -> bool:
+        known = self.machine.shards.get(shard)
+        return (known is not None and known.table not in self.frozen and self.machine.move_of(shard) is None
+                and not self.machine.asides.get(shard, (0, 0))[0])
+
+
+def _differs(told: Home, known: Home) -> bool:
+    """Tell whether news say anything that the record doesn't."""
+    return replace(told, generation=known.generation, mark=told.mark or known.mark) != known
--- a/fennelwind/shards/machine.py
+++ b/fennelwind/shards/machine.py
@@ -86,7 +86,7 @@
         return World(
             shards=dict(self.shards),
             homes={name: replace(home, disk=effective(home)) for name, home in self.homes.items()},
-            copies={(copy.shard, copy.engine): copy for held in self.copies.values() for copy in held.values()},
+            copies={(c.shard, c.engine): c for held in self.copies.values() for c in held.values()},
             moves=dict(self.moves), frozen=frozenset(frozen),
             aside=frozenset(shard for shard, (until, _) in self.asides.items() if until))
 
@@ -143,7 +143,7 @@
         named = told.table and told.name.startswith(told.table + "/") and len(told.name) <= NAME_MOST
         if not (named and 0 < told.size <= SIZE_MOST and 1 <= told.copies <= COPIES_MOST
                 and 1 <= told.zones <= told.copies and _sane(told.heat)
-                and len(told.kinds) <= COPIES_MOST and all(0 < len(kind) <= NAME_MOST for kind in told.kinds)):
+                and len(told.kinds) <= COPIES_MOST and all(map(_named, told.kinds))):
             return Answer.BAD
         known = self.shards.get(told.name)
         if known is None and len(self.shards) >= SHARDS_MOST:
@@ -196,7 +196,7 @@
         return Answer(refusals=[self._heard(told) for told in asked.homes])
 
     def _heard(self, told: pb.Home) -> int:
-        if not (told.name and all(len(text) <= NAME_MOST for text in (told.name, told.zone, told.kind, told.mark))
+        if not (_named(told.name) and all(len(t) <= NAME_MOST for t in (told.zone, told.kind, told.mark))
                 and told.disk <= SIZE_MOST and told.headroom <= SIZE_MOST and told.spilled <= SIZE_MOST
                 and told.life in LIVES):
             return Answer.BAD
@@ -388,7 +388,7 @@
                 return Answer.STEP
             if any(ahead in self.moves for ahead in move.after):
                 return Answer.WAITS
-            if old is not None and not self._spared(move.shard, move.drops):
+            if old is not None and not self.spared(move.shard, move.drops):
                 return Answer.LAST
         elif move.step != "checked":
             return Answer.STEP
@@ -396,20 +396,23 @@
             return Answer.TARGET
         else:
             held[move.target] = replace(held[move.target], state="good")
-        if old is None or not self._spared(move.shard, move.drops):
+        if old is None or not self.spared(move.shard, move.drops):
             self._end(move, well=True)  # nothing to drop, or what goes is needed still
             return Answer.NONE
         held[move.drops] = replace(old, state="leaving")
         self._at(move, "switched", at)
         return Answer.NONE
 
-    def _spared(self, shard: str, engine: str) -> bool:
+    def spared(self, shard: str, engine: str) -> bool:
         """Tell whether a copy may go: all that is wanted is there without it.
 
         One that was found to differ is no copy: for it to go, one good copy is enough.
         """
+        copy = self.copies.get(shard, {}).get(engine)
+        if copy is None:
+            return False
         wanted, others = self.shards[shard], [e for e in self.good(shard) if e != engine]
-        if self.copies[shard][engine].wrong:
+        if copy.wrong:
             return bool(others)
         return len(others) >= wanted.copies and len({self.homes[e].zone for e in others}) >= wanted.zones
 
@@ -421,7 +424,7 @@
         copy = self.copies.get(move.shard, {}).get(move.drops)
         if copy is None or copy.state != "leaving":
             return Answer.SOURCE  # it went with its engine, or is in doubt since
-        if not self._spared(move.shard, move.drops):
+        if not self.spared(move.shard, move.drops):
             return Answer.LAST
         self._at(move, "dropping", at)
         return Answer.NONE
@@ -439,21 +442,21 @@
         held = self.copies.get(move.shard, {})
         copy = held.get(move.drops)
         leaves = copy is not None and copy.state == "leaving"
-        if leaves and self._spared(move.shard, move.drops):
+        if leaves and self.spared(move.shard, move.drops) and not asked.failed:
             return Answer.STEP  # there is no reason to
         if leaves:  # once its drop may have been sent, only a check can say whether it is there
             sure = move.step == "switched" and not copy.wrong
             held[move.drops] = replace(copy, state="good" if sure else "doubtful")
-        self._end(move, well=True)
+        self._end(move, well=not asked.failed)
+        if asked.failed:
+            self._set_aside(move.shard, at)
         return Answer.NONE
 
     def _undo(self, move: Move, asked: pb.Step, at: At) -> int:
         if move.step not in ("planned", "reserved", "copying", "checked"):
             return Answer.STEP
         if asked.failed:
-            times = self.asides.get(move.shard, (0, 0))[1] + 1
-            rest = min(ASIDE_FIRST_MS * 2 ** min(times - 1, 16), ASIDE_MOST_MS)
-            self.asides[move.shard] = (at.clock_ms + rest, times)
+            self._set_aside(move.shard, at)
         if move.step == "reserved":
             self._forget(move.shard, move.target)  # no statement was sent for it
         if move.step in ("planned", "reserved") or move.target not in self.copies.get(move.shard, {}):
@@ -465,13 +468,19 @@
     def _undone(self, move: Move, asked: pb.Step, at: At) -> int:
         if move.step != "undoing":
             return Answer.STEP
-        if self.homes[move.target].life == "gone":  # what it has of the copy comes back with it, perhaps
-            self.copies[move.shard][move.target] = Copy(move.shard, move.target, "doubtful")
+        left = self.copies.get(move.shard, {}).get(move.target)
+        if left is not None and (asked.failed or self.homes[move.target].life == "gone"):
+            self._hold(move.shard, Copy(move.shard, move.target, "doubtful", asked.failed))
         else:
             self._forget(move.shard, move.target)
         self._end(move, well=False)
         return Answer.NONE
 
+    def _set_aside(self, shard: str, at: At) -> None:
+        times = self.asides.get(shard, (0, 0))[1] + 1
+        rest = min(ASIDE_FIRST_MS * 2 ** min(times - 1, 16), ASIDE_MOST_MS)
+        self.asides[shard] = (at.clock_ms + rest, times)
+
     def _end(self, move: Move, well: bool) -> None:
         del self.moves[move.number]
         del self._of_shard[move.shard]
@@ -501,7 +510,8 @@
         state = pb.State(last_move=self.last_move)
         for _, s in sorted(self.shards.items()):
             state.shards.add(name=s.name, table=s.table, size=s.size, copies=s.copies, zones=s.zones,
-                             kinds=s.kinds, heat=s.heat, checked=s.rows >= 0, rows=max(s.rows, 0), checksum=s.checksum)
+                             kinds=s.kinds, heat=s.heat, checked=s.rows >= 0, rows=max(s.rows, 0),
+                             checksum=s.checksum)
         for _, h in sorted(self.homes.items()):
             state.homes.add(name=h.name, zone=h.zone, kind=h.kind, disk=h.disk, headroom=h.headroom,
                             life=h.life, generation=h.generation, mark=h.mark, spilled=h.spilled)
@@ -550,5 +560,9 @@
     return move.step == "switched" and not move.rested
 
 
+def _named(text: str) -> bool:
+    return 0 < len(text) <= NAME_MOST
+
+
 def _sane(figure: float) -> bool:
     return math.isfinite(figure) and figure >= 0.0
--- /dev/null
+++ b/tests/move_play.py
@@ -0,0 +1,469 @@
+"""A play of moves in virtual time: the record, one holder after another, engines' disks, queries, and faults.
+
+Everything goes by one heap of times and one seed. Invariants are looked at after every event; `Broken` tells
+the one that failed. `python tests/move_play.py SEEDS` plays many.
+"""
+
+import heapq
+import random
+import sys
+from collections import Counter
+
+from fennelwind.council.machine import At
+from fennelwind.shards import shards_pb2 as pb
+from fennelwind.shards.carrier import (
+    Carrier,
+    Ended,
+    Heard,
+    Over,
+    Propose,
+    Proposed,
+    Quiet,
+    Run,
+    Seen,
+    Stop,
+    Timing,
+    Wake,
+)
+from fennelwind.shards.machine import ShardMachine
+from fennelwind.shards.state import Bounds, Home, Move, Planned, World
+from fennelwind.standin.shelves import Content, Refused, Shelf
+
+SIZE, DISK, HEADROOM = 100, 1000, 200  # bytes, as good as any
+RATE = 0.01  # bytes per ms that an import or export carries: a copy takes 10 s
+TIMING = Timing(answer_ms=2_000, drop_ms=3_000, check_ms=5_000, copy_ms=30_000, slowest=1.0, slack_ms=1_000,
+                finish_ms=15_000, again_ms=500, again_most_ms=8_000, tries=4, plan_ms=2_000)
+VIEW_MS = 5_000.0  # how old a router's view may be
+QUERY_MS = 8_000.0  # the longest query
+TERM_MS = 4_000.0  # from a holder's end until the next one
+FAULTS = ("crash", "down", "down", "wipe", "spill", "hang", "fail", "drain", "both", "change")
+CALM_MS = 150_000.0  # for what is left when faults have stopped
+
+
+class Broken(AssertionError):
+    """An invariant does not hold."""
+
+
+def plan(world: World, bounds: Bounds) -> Planned:
+    """Plan simply: what is missing comes to the emptiest engine, what drains moves, what is over goes."""
+    room = {home.name: home.disk - home.headroom for home in world.homes.values() if home.life == "ready"}
+    for copy in world.copies.values():
+        if copy.engine in room:
+            room[copy.engine] -= world.shards[copy.shard].size
+    moves, drops = [], []
+    under_way = {move.shard for move in world.moves.values()}
+    coming = Counter(move.target for move in world.moves.values() if move.step == "planned")
+    for engine in room:
+        room[engine] -= SIZE * coming[engine]
+    for name, shard in sorted(world.shards.items()):
+        if name in under_way or name in world.aside or shard.table in world.frozen:
+            continue
+        held = {engine: copy for (of, engine), copy in world.copies.items() if of == name}
+        good = sorted(engine for engine, copy in held.items() if copy.state == "good")
+        ready = [engine for engine in good if world.homes[engine].life == "ready"]
+        if len(good) > shard.copies and len(ready) >= shard.copies:
+            away = [engine for engine in good if engine not in ready] or ready[-1:]
+            drops.append((name, away[0]))
+        elif good and len(ready) < shard.copies:
+            fits = [e for e in sorted(room) if e not in held and room[e] >= shard.size]
+            target = max(fits, key=lambda e: room[e], default=None)
+            if target is not None:
+                room[target] -= shard.size
+                away = [engine for engine in good if engine not in ready]
+                moves.append(Move(1_000_000 + len(moves), name, good[0], target, away[0] if away else ""))
+    wrong = tuple(move.number for move in world.moves.values()
+                  if move.target and world.homes[move.target].life in ("draining", "gone"))
+    return Planned(tuple(moves), tuple(drops), wrong)
+
+
+class Engine:
+    """An engine: its shelf, whether it is up, and which disk it has."""
+
+    def __init__(self, name, zone, staging):
+        self.name, self.zone, self.staging = name, zone, staging
+        self.shelf, self.up, self.draining, self.disk_number = Shelf(DISK, staging), True, False, 0
+        self.life_number = 0
+        self.hang = 0.0  # statements sent before this time get no answer
+        self.fail = 0.0  # and these an error
+
+    def home(self):
+        life = "gone" if not self.up else "draining" if self.draining else "ready"
+        return Home(self.name, self.zone, "", DISK, HEADROOM, life, 0,
+                    f"{self.name}.{self.disk_number}" if self.up else "", self.shelf.spilled if self.up else 0)
+
+
+class Play:
+    """One play."""
+
+    def __init__(self, seed=0, *, engines=5, shards=6, copies=2, faults=True, fault_ms=120_000.0,
+                 machine=ShardMachine, carrier=Carrier, planner=plan, crash_at=None, lossy=0.0, lag=0.0):
+        self.random = random.Random(seed)
+        self.now, self.clock, self.index, self.order = 0.0, 0, 0, 0
+        self.heap = []
+        self.machine_type, self.carrier_type, self.planner = machine, carrier, planner
+        self.machine = machine()
+        self.staging, self.asked, self.lag, self.replica = {}, {}, lag, None
+        self.engines = {f"e{n}": Engine(f"e{n}", f"z{n % 3}", self.staging) for n in range(engines)}
+        self.truth = {}
+        self.fence, self.carrier, self.holder = 0, None, 0
+        self.changing = set()
+        self.running = Counter()  # queries by shard and engine
+        self.counts = Counter()
+        self.crash_at, self.boundary, self.lossy = crash_at, 0, lossy
+        self.faulty_until = fault_ms if faults else 0.0
+        self.lost_at = Counter()  # when an engine lost its disk last
+        self.woken = None
+        self.steps = []
+        for n in range(shards):
+            name = f"t{n % 2}/day={n}"
+            self.truth[name] = Content(10 + n, 1000 + n, SIZE)
+            self.declare(name, copies)
+            for k in range(copies):
+                engine = self.engines[f"e{(n + k) % engines}"]
+                engine.shelf.held[name] = self.truth[name]
+        self.begin_holder()
+        self.later(10.0, self.tell_news)
+        self.later(100.0, self.query)
+        if faults:
+            self.later(8_000.0, self.fault)
+
+    # Time.
+
+    def later(self, delay, what, *args):
+        self.order += 1
+        heapq.heappush(self.heap, (self.now + delay, self.order, what, args))
+
+    def run(self, until):
+        while self.heap and self.heap[0][0] <= until:
+            self.now, _, what, args = heapq.heappop(self.heap)
+            what(*args)
+            self.look()
+        self.now = until
+
+    # The record.
+
+    def fact(self, kind, key):
+        if kind == "fence":
+            return self.fence
+        return int(key in self.changing)
+
+    def pass_time(self):
+        self.index += 1
+        self.clock = int(self.now)
+        due = self.machine.due()
+        if due is not None and due <= self.clock:
+            self.machine.pass_time(At(self.index, self.clock))
+
+    def apply(self, command):
+        self.pass_time()
+        asked = pb.Command.FromString(command)
+        answer = pb.Answer.FromString(self.machine.apply(At(self.index, self.clock), command, self))
+        if not answer.refusal:
+            self.check_accepted(asked)
+        return answer
+
+    def check_accepted(self, asked):
+        """Check what the record took with rules of the play's own."""
+        if asked.WhichOneof("what") not in ("declare", "remove") and asked.fence != self.fence:
+            raise Broken("an older fence was taken")
+        if asked.WhichOneof("what") != "step":
+            return
+        self.steps.append(pb.Step.Kind.Name(asked.step.kind))
+        machine = self.machine
+        if asked.step.kind == pb.Step.RESERVE:
+            for name, home in machine.homes.items():
+                used = sum(machine.shards[s].size for s, held in machine.copies.items() if name in held)
+                over = used + max(home.headroom, home.spilled) > home.disk
+                move = machine.moves[asked.step.move]
+                if over and move.target == name:
+                    raise Broken(f"headroom of {name} crossed")
+        for shard in machine.shards:
+            kind = pb.Step.Kind.Name(asked.step.kind)
+            if kind in ("DROP", "DONE") and not machine.good(shard) and self.was_good.get(shard):
+                raise Broken(f"{kind} took the last good copy of {shard}")
+
+    def declare(self, name, copies):
+        self.apply(pb.Command(declare=pb.Declare(shards=[pb.Shard(
+            name=name, table=name.split("/")[0], size=SIZE, copies=copies, zones=min(copies, 2))])
+            ).SerializeToString())
+
+    # The holder.
+
+    def begin_holder(self):
+        self.pass_time()
+        self.fence += 1
+        self.holder += 1
+        self.carrier = self.carrier_type(
+            self.fence, self.index, self.planner, "/staging", Bounds(2, 4), TIMING)
+        self.replica = None
+        self.later(5.0, self.step_holder, self.holder, [])
+
+    def crash_holder(self, after=None):
+        if self.carrier is not None:
+            self.carrier = None
+            self.holder += 1
+            self.counts["crashes"] += 1
+            self.later(TERM_MS if after is None else after, self.begin_holder)
+
+    def step_holder(self, holder, events):
+        if holder != self.holder or self.carrier is None:
+            return
+        if not self.lag:
+            events = [Seen(self.index, self.machine, frozenset(self.changing)), *events]
+        elif self.replica is None or self.now >= self.replica[0] + self.lag:
+            copy = self.machine_type()
+            copy.restore(self.machine.snapshot())
+            self.replica = (self.now, copy)
+            events = [Seen(self.index, copy, frozenset(self.changing)), *events]
+        for action in self.carrier.step(self.now, events):
+            if isinstance(action, Propose | Run):
+                self.boundary += 1
+                if self.boundary == self.crash_at:  # before it leaves
+                    return self.crash_holder()
+            match action:
+                case Propose():
+                    self.send_command(action)
+                case Run():
+                    self.send_statement(action)
+                case Stop():
+                    self.later(2.0, self.stop, action.token, holder)
+                case Wake():
+                    if self.woken != (holder, action.at):
+                        self.woken = (holder, action.at)
+                        self.later(max(1.0, action.at - self.now), self.step_holder, holder, [])
+                case Over():
+                    raise Broken("the one holder was told that it is not")
+
+    def send_command(self, action):
+        holder = self.holder
+        lost = self.random.random() < self.lossy
+        delay = self.random.uniform(1.0, 30.0)
+        if lost and self.random.random() < 0.5:
+            return self.later(TIMING.answer_ms, self.step_holder, holder, [Proposed(action.token, None)])
+        if self.lossy and self.random.random() < 0.05:  # on its way for so long that others may hold by then
+            delay = self.random.uniform(3_000.0, 9_000.0)
+
+        def arrive():
+            answer = self.apply(action.command)
+            if not lost:
+                self.later(self.random.uniform(1.0, 30.0), self.step_holder, holder,
+                           [Proposed(action.token, answer, self.index)])
+        self.later(delay, arrive)
+
+    # Engines.
+
+    def send_statement(self, action):
+        engine, holder = self.engines[action.engine], self.holder
+        delay = self.random.uniform(1.0, 20.0)
+        hang = self.now < engine.hang
+        if hang and self.random.random() < 0.5:
+            return  # it never came
+        if hang:  # it is done late, within its own time-out, and its answer is lost
+            delay = self.random.uniform(1.0, action.timeout_ms * 0.9)
+        self.later(delay, self.begin_statement, engine, engine.life_number, action, holder, hang, self.now)
+
+    def answer(self, holder, token, hang, *ended):
+        if not hang and self.random.random() >= self.lossy:
+            self.later(self.random.uniform(1.0, 20.0), self.step_holder, holder, [Ended(token, *ended)])
+
+    def begin_statement(self, engine, life, action, holder, hang, sent):
+        if not engine.up or engine.life_number != life:
+            return self.answer(holder, action.token, hang, "unknown")
+        if self.now < engine.fail:
+            return self.answer(holder, action.token, hang, "failed")
+        try:
+            task = engine.shelf.begin(action.statement, action.overlay)
+        except Refused as exc:
+            self.counts[str(exc).split(",")[0]] += 1
+            return self.answer(holder, action.token, hang, "failed")
+        took = task.size / RATE / 100.0 if task.size else self.random.uniform(5.0, 200.0)
+        took = task.size / RATE if task.kind in ("import", "export") else took
+        if hang:
+            took = min(took, max(0.0, sent + action.timeout_ms - self.now))
+        self.asked[action.token, holder] = (engine, task)
+        self.later(took, self.end_statement, engine, life, task, action, holder, hang)
+
+    def end_statement(self, engine, life, task, action, holder, hang):
+        if self.asked.pop((action.token, holder), None) is None and holder == self.holder:
+            return self.answer(holder, action.token, hang, "unknown")  # it was stopped
+        if not engine.up or engine.life_number != life:
+            return self.answer(holder, action.token, hang, "unknown")
+        self.counts[task.kind] += 1
+        if task.kind.startswith("drop") and task.shard in engine.shelf.held:
+            if engine.shelf.held[task.shard] == self.truth[task.shard]:
+                self.counts["whole dropped"] += 1
+            if self.running[task.shard, engine.name]:
+                self.counts["queries cut"] += self.running[task.shard, engine.name]
+        try:
+            content = engine.shelf.end(task)
+        except Refused as exc:
+            self.counts[str(exc)] += 1
+            return self.answer(holder, action.token, hang, "failed")
+        if task.kind == "import":
+            self.counts[f"import {task.shard} {engine.name}"] += 1
+        figures = (content.rows, content.checksum) if content is not None else ()
+        self.answer(holder, action.token, hang, "ok", *figures)
+
+    def stop(self, token, holder):
+        running = self.asked.pop((token, holder), None)
+        if running is not None:
+            running[0].shelf.stop(running[1])
+
+    def tell_news(self):
+        self.later(2_000.0, self.tell_news)
+        homes = tuple(engine.home() for engine in self.engines.values())
+        held = {name: frozenset(e.shelf.held) for name, e in self.engines.items() if e.up}
+        self.later(self.random.uniform(5.0, 500.0), self.step_holder, self.holder, [Heard(homes, held)])
+        if self.index % 3 == 0 or self.machine.due() is not None:
+            self.pass_time()
+        for shard in self.machine.shards:
+            engine = self.machine.leaving(shard)
+            if engine and not self.running[shard, engine]:
+                self.later(5.0, self.step_holder, self.holder, [Quiet(shard, engine)])
+
+    # Queries.
+
+    def query(self):
+        self.later(self.random.uniform(50.0, 400.0), self.query)
+        shard = self.random.choice(sorted(self.truth))
+        good = self.machine.good(shard)
+        if good:  # the view is that of now, the query is sent by it up to VIEW_MS later
+            engine = self.engines[self.random.choice(good)]
+            self.later(self.random.uniform(0.0, VIEW_MS), self.read, shard, engine, self.now)
+
+    def read(self, shard, engine, viewed):
+        if not engine.up or self.lost_at[engine.name] >= viewed - 3_000.0:
+            return  # refused by the connection, or the play itself took the disk away
+        if engine.shelf.held.get(shard) != self.truth[shard]:
+            raise Broken(f"a query of {shard} was sent to {engine.name}, which has no such copy")
+        self.counts["queries"] += 1
+        self.running[shard, engine.name] += 1
+        self.later(self.random.uniform(10.0, QUERY_MS), self.answered, shard, engine)
+
+    def answered(self, shard, engine):
+        self.running[shard, engine.name] -= 1
+
+    # Faults.
+
+    def fault(self):
+        if self.now >= self.faulty_until:
+            return
+        self.later(self.random.uniform(1_000.0, 12_000.0), self.fault)
+        engine = self.engines[self.random.choice(sorted(self.engines))]
+        kind = self.random.choice(FAULTS)
+        self.counts[f"fault {kind}"] += 1
+        self.do(kind, engine)
+
+    def do(self, kind, engine):
+        long = self.random.uniform(1_000.0, 20_000.0)
+        if kind == "crash":
+            self.crash_holder(self.random.choice((TERM_MS, 50.0)))
+        elif kind == "down":
+            self.take_down(engine, long)
+        elif kind == "both":
+            move = next((m for m in self.machine.moves.values() if m.target and m.source), None)
+            for name in (move.source, move.target) if move is not None else (engine.name,):
+                self.take_down(self.engines[name], self.random.uniform(1_000.0, 20_000.0))
+        elif kind == "wipe":
+            if self.may_wipe(engine):
+                engine.shelf = Shelf(DISK, self.staging)
+                engine.disk_number += 1
+                self.lost_at[engine.name] = self.now
+                self.take_down(engine, self.random.choice((10.0, long)))
+        elif kind == "spill":
+            bytes_ = self.random.choice((HEADROOM, HEADROOM, 700))
+            engine.shelf.spilled = max(0, min(bytes_, engine.shelf.free + engine.shelf.spilled))
+            self.later(long, self.unspill, engine)
+        elif kind == "hang":
+            engine.hang = self.now + long
+        elif kind == "fail":
+            engine.fail = self.now + long
+        elif kind == "drain":
+            if sum(not e.draining for e in self.engines.values()) > 4:
+                engine.draining = True
+                self.later(long * 3, self.undrain, engine)
+        elif kind == "change":
+            table = self.random.choice(("t0", "t1"))
+            if not self.machine.fact("moving", table):
+                self.changing.add(table)
+                self.later(long / 4, self.changing.discard, table)
+
+    def take_down(self, engine, long):
+        if engine.up:
+            engine.up = False
+            engine.life_number += 1
+            engine.shelf.spilled = 0
+            self.later(long, self.bring_up, engine)
+
+    def bring_up(self, engine):
+        engine.up = True
+        engine.life_number += 1
+
+    def unspill(self, engine):
+        engine.shelf.spilled = 0
+
+    def undrain(self, engine):
+        engine.draining = False
+
+    def whole(self, shard):
+        return [name for name, e in self.engines.items() if e.shelf.held.get(shard) == self.truth[shard]]
+
+    def may_wipe(self, engine):
+        """Tell whether each of its shards has another copy that is whole and that the record calls good."""
+        return all(set(self.whole(shard)) & set(self.machine.good(shard)) - {engine.name}
+                   for shard in engine.shelf.held)
+
+    # Invariants.
+
+    was_good: dict = {}
+
+    def look(self):
+        for shard in self.truth:
+            if not self.whole(shard):
+                raise Broken(f"no copy of {shard} is left")
+        for engine in self.engines.values():
+            if engine.shelf.free < 0:
+                raise Broken(f"{engine.name} holds more than its disk")
+        self.was_good = {shard: bool(self.machine.good(shard)) for shard in self.machine.shards}
+
+    def settle(self):
+        """Play on without faults; check that all needs are met then."""
+        self.run(self.faulty_until)
+        self.lossy = 0.0
+        for engine in self.engines.values():
+            engine.hang = engine.fail = 0.0
+        if self.carrier is None and not any(item[2] == self.begin_holder for item in self.heap):
+            self.begin_holder()
+        self.run(self.now + CALM_MS)
+        self.check_needs()
+
+    def check_needs(self):
+        if self.machine.moves:
+            raise Broken(f"moves never end: {list(self.machine.moves.values())[:3]}")
+        for shard, wanted in self.machine.shards.items():
+            ready = [e for e in self.machine.good(shard) if not self.engines[e].draining]
+            if len(ready) < wanted.copies:
+                raise Broken(f"{shard} has {ready} only")
+        for name, engine in self.engines.items():
+            known = {shard for shard, held in self.machine.copies.items() if name in held}
+            if known != set(engine.shelf.held):
+                raise Broken(f"{name}: the record knows {sorted(known)}, on disk {sorted(engine.shelf.held)}")
+
+
+def play(seed, **more):
+    """Play one seed of mixed faults to its end."""
+    one = Play(seed, lossy=0.05, lag=300.0 * (seed % 2), **more)
+    one.settle()
+    return one
+
+
+if __name__ == "__main__":
+    total, broken = Counter(), 0
+    seeds = range(int(sys.argv[1]), int(sys.argv[2])) if len(sys.argv) > 2 else range(int(sys.argv[1]))
+    for seed in seeds:
+        try:
+            total.update({k: v for k, v in play(seed).counts.items() if not k.startswith("import ")})
+        except Broken as exc:
+            broken += 1
+            print(f"seed {seed}: {exc}", flush=True)
+    print(f"{len(seeds)} plays, {broken} broken", dict(sorted(total.items())))
