--- a/fennelwind/shards/carrier.py
+++ b/fennelwind/shards/carrier.py
@@ -183,6 +183,7 @@
         self._first_load: float | None = None  # when the last holder's drops have ended
         self._quiet: set[tuple[str, str]] = set()
         self._listed: dict[str, frozenset[str]] = {}  # what engines said last that they hold
+        self._strange: dict[str, frozenset[str]] = {}  # where that was not what the record knows
         self._news: dict[str, Home] = {}
         self._plan_at = 0.0
         self._paced_until = 0.0
@@ -478,12 +479,13 @@
             self._news[home.name] = home
         if self.machine is None:
             return
-        self._listed.update(event.held)
         for engine, listed in event.held.items():
             held = {shard for shard, of in self.machine.copies.items() if engine in of}
-            for shard in sorted(listed ^ held):
-                if shard in self.machine.shards:
-                    self._doubts.setdefault((shard, engine), (0, 0.0))
+            strange = frozenset(shard for shard in listed ^ held if shard in self.machine.shards)
+            # A list may be older than a drop or a load that the record knows; two in a row are looked into.
+            for shard in sorted(strange & self._strange.get(engine, frozenset())):
+                self._doubts.setdefault((shard, engine), (0, 0.0))
+            self._listed[engine], self._strange[engine] = listed, strange
 
     def _tell_news(self) -> None:
         if not self._news or any(a.kind == "news" for a in self._asked.values()):
