Values of shards: what has to be off the disk before, why a move is cancelled

Cause: a move may need the space of a copy that is over what is wanted and goes without a move; a cancel was told without its cause; a copy that was lost elsewhere makes a drop wrong, not the transfer. Change: Move.cleared, Planned.reasons, Planned.keeps, each with a default. A move waits until all of 'after' are done and all of 'cleared' are off the disk.

--- a/fennelwind/shards/machine.py
+++ b/fennelwind/shards/machine.py
@@ -542,7 +542,8 @@
             self._hold(c.shard, Copy(c.shard, c.engine, c.state, c.wrong))
         for m in state.moves:
             self.moves[m.number] = Move(m.number, m.shard, m.source, m.target, m.drops, m.step,
-                                        tuple(m.after), m.attempt, m.generation, m.at_ms, m.rested)
+                                        tuple(m.after), attempt=m.attempt, generation=m.generation,
+                                        at_ms=m.at_ms, rested=m.rested)
             self._of_shard[m.shard] = m.number
         self.asides = {a.shard: (a.until_ms, a.times) for a in state.asides}
         self._look_ahead()
--- a/fennelwind/shards/state.py
+++ b/fennelwind/shards/state.py
@@ -64,7 +64,8 @@
     target: str
     drops: str = ""  # engine whose copy goes when this one has been switched to; "": none does
     step: str = "planned"
-    after: tuple[int, ...] = ()  # moves whose space it waits for; one that is no longer known has ended
+    after: tuple[int, ...] = ()  # moves that have to be done before it begins: it waits for their space
+    cleared: tuple[tuple[str, str], ...] = ()  # copies (shard, engine) that have to be off the disk before
     attempt: int = 0  # how often its copying was begun
     generation: int = 0  # the target's, when its space was reserved
     at_ms: int = 0  # the record's clock when its step was taken
@@ -114,3 +115,5 @@
     cancels: tuple[int, ...] = ()  # moves under way that have become wrong
     short: tuple[Short, ...] = ()
     bytes: int = 0  # that the moves transfer
+    reasons: tuple[str, ...] = ()  # why, for each of the cancels: "target", "kinds", "source", "frozen", ..
+    keeps: tuple[int, ...] = ()  # moves under way whose drop falls away: the copy that was to go stays good
