Carrier plans anew when something has changed

In full: Carrier plans anew when something has changed, and what waits for a drop is ordered behind it.

--- a/fennelwind/shards/carrier.py
+++ b/fennelwind/shards/carrier.py
@@ -42,7 +42,8 @@
     again_ms: float = 1_000.0  # until a failed statement is repeated; it doubles
     again_most_ms: float = 60_000.0
     tries: int = 5  # of one statement or one attempt at a copy, then the move is undone
-    plan_ms: float = 5_000.0  # between plans
+    plan_ms: float = 5_000.0  # between plans, when something has changed
+    plan_most_ms: float = 60_000.0  # and when nothing has but heat
 
 
 # What happens.
@@ -186,6 +187,7 @@
         self._strange: dict[str, frozenset[str]] = {}  # where that was not what the record knows
         self._news: dict[str, Home] = {}
         self._plan_at = 0.0
+        self._plan_of: tuple[int, frozenset[str]] | None = None  # changes and frozen tables of the last one
         self._paced_until = 0.0
         self._now = 0.0
         self._out: list[Action] = []
@@ -231,13 +233,18 @@
             if work.wait_until <= self._now and not any(a.owner == number for a in self._asked.values()):
                 getattr(self, "_at_" + move.step)(move, work)
         self._check_doubtful()
-        if self._plan_at <= self._now and not any(a.kind == "plan" for a in self._asked.values()):
+        changed = (self.machine.changes, self.frozen) != self._plan_of
+        due = self._plan_at if changed else self._plan_at + self.timing.plan_most_ms - self.timing.plan_ms
+        if due <= self._now and not any(a.kind == "plan" for a in self._asked.values()):
             self._plan_at = self._now + self.timing.plan_ms
+            self._plan_of = self.machine.changes, self.frozen
             self._replan()
 
     def _next(self) -> float:
         times = [asked.until for asked in self._asked.values()]
-        times += [work.wait_until for work in self._work.values()] + [self._plan_at, self._first_load]
+        times += [work.wait_until for work in self._work.values()]
+        times += [self._first_load, self._plan_at]
+        times.append(self._plan_at + self.timing.plan_most_ms - self.timing.plan_ms)
         times += [w.since + self.timing.finish_ms for w in self._work.values() if w.step == "switched"]
         times += [until for _, until in self._doubts.values()] + list(self._drops_end.values())
         return min((at for at in times if at > self._now), default=self._now + self.timing.plan_ms)
@@ -266,6 +273,8 @@
         if asked is None:
             return
         answer = event.answer
+        if asked.kind == "plan" and (answer is None or answer.refusal or any(answer.refusals)):
+            self._plan_of = None
         if answer is None:
             return  # the record tells, once more of it is seen; a step asked twice is refused
         self._need_index = max(self._need_index, event.index)
@@ -547,31 +556,37 @@
             if move is not None and move.step in ("planned", "reserved", "copying", "checked") and not any(
                     a.owner == number for a in self._asked.values()):
                 self._take(move, Step.UNDO)
-        wanted, numbers, left = [], {}, set()
-        for move in self.planned.moves:
-            if move.number in machine.moves:
-                continue
-            if not self._may_begin(move.shard) or left.intersection(move.after):
-                left.add(move.number)  # nor what waits for its space
-                continue
-            numbers[move.number] = NEW + len(numbers)
-            wanted.append(move)
         goes = list(self.planned.drops)
         goes += [(shard, engine) for shard, held in sorted(machine.copies.items())
                  for engine, copy in sorted(held.items())
                  if copy.wrong and machine.homes[engine].life != "gone"]
-        moving = {move.shard for move in wanted}
+        wanted: list[pb.Move] = []
+        begun: set[str] = set()  # shards that this plan moves: each has one move at a time
+        clears = {(move.shard, move.drops): move.number for move in machine.moves.values() if move.drops}
+        numbers: dict[int, int] = {}  # of the planner's moves within this plan
+        coming = {move.shard for move in self.planned.moves}
         for shard, engine in goes:
-            if shard not in moving and self._may_begin(shard) and machine.spared(shard, engine):
-                moving.add(shard)
-                wanted.append(Move(-len(wanted) - 1, shard, "", "", engine))
-                numbers[wanted[-1].number] = NEW + len(numbers)
-        wanted = wanted[:min(PLAN_MOST, MOVES_MOST - len(machine.moves))]
+            if (shard not in begun and shard not in coming and self._may_begin(shard)
+                    and machine.spared(shard, engine)):
+                begun.add(shard)
+                clears[shard, engine] = NEW + len(wanted)
+                wanted.append(pb.Move(number=NEW + len(wanted), shard=shard, drops=engine))
+        left: set[int] = set()
+        for move in self.planned.moves:
+            if move.number in machine.moves:
+                continue
+            if move.shard in begun or not self._may_begin(move.shard) or left.intersection(move.after):
+                left.add(move.number)  # nor what waits for it
+                continue
+            begun.add(move.shard)
+            numbers[move.number] = NEW + len(wanted)
+            after = [numbers.get(ahead, ahead) for ahead in move.after]
+            after += [clears[pair] for pair in move.cleared if pair in clears]
+            wanted.append(pb.Move(number=NEW + len(wanted), shard=move.shard, source=move.source,
+                                  target=move.target, drops=move.drops, after=after))
+        wanted = wanted[:max(0, min(PLAN_MOST, MOVES_MOST - len(machine.moves)))]
         if wanted:
-            self._propose(None, "plan", plan=pb.Plan(moves=[
-                pb.Move(number=numbers[m.number], shard=m.shard, source=m.source, target=m.target,
-                        drops=m.drops, after=[numbers.get(ahead, ahead) for ahead in m.after])
-                for m in wanted]))
+            self._propose(None, "plan", plan=pb.Plan(moves=wanted))
 
     def _may_begin(self, shard: str) -> bool:
         known = self.machine.shards.get(shard)
--- a/fennelwind/shards/machine.py
+++ b/fennelwind/shards/machine.py
@@ -48,6 +48,7 @@
         self.asides: dict[str, tuple[int, int]] = {}  # until when (0: no longer), how often in a row
         self.used: dict[str, int] = {}  # bytes of copies by engine, whatever their state
         self.last_move = 0
+        self.changes = 0  # counts what may call for another plan
         self._of_table: dict[str, dict[str, None]] = {}  # shards by table
         self._of_shard: dict[str, int] = {}  # the one move of a shard
         self._due: int | None = None
@@ -82,12 +83,23 @@
         return self.moves.get(self._of_shard.get(shard, 0))
 
     def world(self, frozen: Iterable[str] = ()) -> World:
-        """Return all of it as the planner reads it; what spills took beyond the headroom is no disk."""
+        """Return all of it as the planner reads it.
+
+        What spills took beyond the headroom is no disk. Drops without a copy that comes in, and half copies
+        that are being cleared, are no moves to it: their copies are `leaving` or `coming`, and take space.
+        """
+        copies = {(c.shard, c.engine): c for held in self.copies.values() for c in held.values()}
+        moves = {}
+        for number, move in self.moves.items():
+            pair = (move.shard, move.drops)
+            if not move.target and pair in copies:
+                copies[pair] = replace(copies[pair], state="leaving")
+            elif move.target and move.step != "undoing":
+                moves[number] = replace(move, step="switched") if move.step == "dropping" else move
         return World(
             shards=dict(self.shards),
             homes={name: replace(home, disk=effective(home)) for name, home in self.homes.items()},
-            copies={(c.shard, c.engine): c for held in self.copies.values() for c in held.values()},
-            moves=dict(self.moves), frozen=frozenset(frozen),
+            copies=copies, moves=moves, frozen=frozenset(frozen),
             aside=frozenset(shard for shard, (until, _) in self.asides.items() if until))
 
     # The record's side.
@@ -102,10 +114,12 @@
         if what is None:
             raise UnreadableCommand("a command of no kind")
         if what in ("declare", "remove"):
+            self.changes += 1
             answer = getattr(self, "_" + what)(getattr(asked, what))
         elif not self._fenced(asked.fence, facts):
             answer = Answer(refusal=Answer.FENCE)
         else:
+            self.changes += what in ("news", "found")
             answer = getattr(self, "_" + what)(getattr(asked, what), at, facts)
         self._look_ahead()
         return answer.SerializeToString(deterministic=True)
@@ -119,7 +133,8 @@
             if _rests(move) and move.at_ms + REST_MS <= at.clock_ms:
                 self.moves[number] = replace(move, rested=True)
         for shard, (until, times) in self.asides.items():
-            if until <= at.clock_ms:
+            if until and until <= at.clock_ms:
+                self.changes += 1
                 self.asides[shard] = (0, times)
         self._look_ahead()
 
@@ -482,6 +497,7 @@
         self.asides[shard] = (at.clock_ms + rest, times)
 
     def _end(self, move: Move, well: bool) -> None:
+        self.changes += 1
         del self.moves[move.number]
         del self._of_shard[move.shard]
         if well:
@@ -507,7 +523,7 @@
 
     def snapshot(self) -> bytes:
         """Return its state; equal states give equal bytes."""
-        state = pb.State(last_move=self.last_move)
+        state = pb.State(last_move=self.last_move, changes=self.changes)
         for _, s in sorted(self.shards.items()):
             state.shards.add(name=s.name, table=s.table, size=s.size, copies=s.copies, zones=s.zones,
                              kinds=s.kinds, heat=s.heat, checked=s.rows >= 0, rows=max(s.rows, 0),
@@ -530,7 +546,7 @@
         """Take a state in place of its own."""
         state = pb.State.FromString(data)
         self.__init__()
-        self.last_move = state.last_move
+        self.last_move, self.changes = state.last_move, state.changes
         for s in state.shards:
             self.shards[s.name] = Shard(s.name, s.table, s.size, s.copies, s.zones, tuple(s.kinds), s.heat,
                                         s.rows if s.checked else -1, s.checksum)
--- a/tests/move_play.py
+++ b/tests/move_play.py
@@ -91,7 +91,11 @@
     def home(self):
         life = "gone" if not self.up else "draining" if self.draining else "ready"
         return Home(self.name, self.zone, "", DISK, HEADROOM, life, 0,
-                    f"{self.name}.{self.disk_number}" if self.up else "", self.shelf.spilled if self.up else 0)
+                    self.mark if self.up else "", self.shelf.spilled if self.up else 0)
+
+    @property
+    def mark(self):
+        return f"{self.name}.{self.disk_number}"
 
 
 class Play:
@@ -113,7 +117,6 @@
         self.counts = Counter()
         self.at, self.boundary, self.lossy = at, 0, lossy  # at: the action from which on, and what goes wrong
         self.faulty_until = fault_ms if faults else 0.0
-        self.lost_at = Counter()  # when an engine lost its disk last
         self.woken = None
         self.steps, self.was_good, self.touched = [], {}, True
         for n in range(shards):
@@ -222,7 +225,8 @@
         for action in self.carrier.step(self.now, events):
             if isinstance(action, Propose | Run) and self.now >= DRAIN_MS:
                 self.boundary += 1
-                if self.at is not None and self.boundary == self.at[0] and self.planned_fault(self.at[1]):
+                number, kind = self.at or (0, "")
+                if self.boundary == number and self.planned_fault(kind):
                     return
             match action:
                 case Propose():
@@ -334,11 +338,12 @@
         good = self.machine.good(shard)
         if good:  # the view is that of now, the query is sent by it up to VIEW_MS later
             engine = self.engines[self.random.choice(good)]
-            self.later(self.random.uniform(0.0, VIEW_MS), self.read, shard, engine, self.now)
+            disk = self.machine.homes[engine.name].mark
+            self.later(self.random.uniform(0.0, VIEW_MS), self.read, shard, engine, disk)
 
-    def read(self, shard, engine, viewed):
-        if not engine.up or self.lost_at[engine.name] >= viewed - 3_000.0:
-            return  # refused by the connection, or the play itself took the disk away
+    def read(self, shard, engine, disk):
+        if not engine.up or disk != engine.mark:
+            return  # refused by the connection, or the play took the disk away and the record can't know yet
         if engine.shelf.held.get(shard) != self.truth[shard]:
             raise Broken(f"a query of {shard} was sent to {engine.name}, which has no such copy")
         self.counts["queries"] += 1
@@ -393,7 +398,6 @@
                for shard in engine.shelf.held):
             engine.shelf = Shelf(DISK, self.staging)
             engine.disk_number += 1
-            self.lost_at[engine.name] = self.now
             self.take_down(engine, long)
 
     def do(self, kind, engine):
