A quiet copy counts only once no older view can send to it

In full: A quiet copy counts only once no older view can send to it; queries cut are an invariant of the play.

--- a/fennelwind/shards/carrier.py
+++ b/fennelwind/shards/carrier.py
@@ -207,8 +207,10 @@
                     self._ended(event)
                 case Heard():
                     self._heard(event)
-                case Quiet():
-                    self._quiet.add((event.shard, event.engine))
+                case Quiet() if self.machine is not None:
+                    move = self.machine.move_of(event.shard)
+                    if move is not None and move.rested:  # before, one may still be sent by an older view
+                        self._quiet.add((event.shard, event.engine))
         for token in [token for token, asked in self._asked.items() if asked.until <= now]:
             if self._asked[token].pair is not None:
                 self._out.append(Stop(token))
--- a/tests/move_play.py
+++ b/tests/move_play.py
@@ -134,6 +134,10 @@
 
     # Time.
 
+    def loads(self):
+        """Return how many copies were read in."""
+        return sum(n for what, n in self.counts.items() if what.startswith("import "))
+
     def later(self, delay, what, *args):
         self.order += 1
         heapq.heappush(self.heap, (self.now + delay, self.order, what, args))
@@ -175,6 +179,10 @@
             raise Broken("an older fence was taken")
         if asked.WhichOneof("what") != "step":
             return
+        move, step = self.machine.moves.get(asked.step.move), pb.Step
+        forth = (step.RESERVE, step.COPY, step.CHECK, step.SWITCH, step.DROP)
+        if asked.step.kind in forth and move and move.shard.split("/")[0] in self.changing:
+            raise Broken(f"{move.shard} went on while its table changes")
         self.steps.append(pb.Step.Kind.Name(asked.step.kind))
         machine = self.machine
         if asked.step.kind == pb.Step.RESERVE:
@@ -302,7 +310,7 @@
             if engine.shelf.held[task.shard] == self.truth[task.shard]:
                 self.counts["whole dropped"] += 1
             if self.running[task.shard, engine.name]:
-                self.counts["queries cut"] += self.running[task.shard, engine.name]
+                raise Broken(f"a query of {task.shard} on {engine.name} was cut, though there was time")
         try:
             content = engine.shelf.end(task)
         except Refused as exc:
@@ -365,9 +373,9 @@
         self.do(kind, engine)
 
     def planned_fault(self, kind):
-        """Cause one fault ahead of an action; tell whether the holder ends by it and the action is not sent."""
+        """Cause one fault ahead of an action; tell whether the holder ends by it, without that action."""
         self.touched = True
-        self.loads_then = sum(n for what, n in self.counts.items() if what.startswith("import "))
+        self.loads_then = self.loads()
         move = next((m for m in self.machine.moves.values() if m.target), None)
         if kind in ("crash", "crash soon"):
             self.crash_holder(TERM_MS if kind == "crash" else 20.0)
