--- a/tests/move_defects.py
+++ b/tests/move_defects.py
@@ -1,4 +1,4 @@
-"""Planted defects of moves, and which play finds each after how many: `python tests/move_defects.py [SEEDS]`."""
+"""Planted defects of moves, and which play finds each after how many: `tests/move_defects.py [SEEDS]`."""
 
 import sys
 from contextlib import contextmanager
@@ -150,10 +150,10 @@
 }
 
 
-def one_fault(number, kind, defect):
+def one_fault(number, kind, defect, **more):
     """Play one fault; a copy that was read in before its holder's end is not read in again."""
-    one = play_one_fault(number, kind, **defect)
-    if kind.startswith("crash") and one.boundary >= number and one.loads_then and one.loads() > one.loads_then:
+    one = play_one_fault(number, kind, **defect, **more)
+    if kind.startswith("crash") and one.boundary >= number and 0 < one.loads_then < one.loads():
         raise Broken("a copy was read in twice")
     return one
 
@@ -163,6 +163,10 @@
     for kind in ONE_FAULT:
         for number in range(1, ACTIONS):
             yield f"one fault: {kind}", lambda defect, n=number, k=kind: one_fault(n, k, defect)
+    for seed in range(3):
+        for number in range(1, ACTIONS):
+            yield "one fault, quick copies", lambda defect, n=number, s=seed: one_fault(
+                n, "hang, crash target", defect, seed=s, quick=True)
     for seed in range(most // 4):
         yield "careless planner", lambda defect, s=seed: play_careless(s, **defect)
     for seed in range(most):
@@ -185,7 +189,7 @@
 
 if __name__ == "__main__":
     limit = int(sys.argv[1]) if len(sys.argv) > 1 else 200
-    print("| defect | found by | after plays of that sort | of all | what it says |\n| --- | --- | --- | --- | --- |")
+    print("| defect | found by | plays of that sort | of all | what it says |\n" + "| --- " * 5 + "|")
     for title, planted in DEFECTS.items():
         found = hunt(planted, limit) or ("nothing", limit, "", "")
         print("| " + " | ".join(map(str, (title, *found))) + " |", flush=True)
--- a/tests/move_play.py
+++ b/tests/move_play.py
@@ -104,7 +104,8 @@
     """One play."""
 
     def __init__(self, seed=0, *, engines=5, shards=6, copies=2, faults=True, fault_ms=120_000.0,
-                 machine=ShardMachine, carrier=Carrier, planner=plan, at=None, lossy=0.0, lag=0.0, disk=DISK, quick=False):
+                 machine=ShardMachine, carrier=Carrier, planner=plan, at=None, lossy=0.0, lag=0.0, disk=DISK,
+                 quick=False):
         self.random = random.Random(seed)
         self.now, self.clock, self.index, self.order = 0.0, 0, 0, 0
         self.heap = []
@@ -387,7 +388,7 @@
             return True
         if move is None:
             return False
-        what, _, side = kind.partition(" ")
+        what, _, side = kind.rpartition(" ")
         for engine in [self.engines[e] for e in {
                 "source": [move.source], "target": [move.target], "both": [move.source, move.target]}[side]]:
             if what == "wipe":
@@ -401,6 +402,9 @@
                 engine.draining = True
             elif what == "hang":
                 engine.hang = self.now + 12_000.0
+            elif what == "hang, crash":  # of what is sent just now; the next holder begins at once
+                engine.hang = self.now + 5.0
+                self.later(30.0, self.crash_holder, 20.0)
             elif what == "fail":
                 engine.fail = self.now + 6_000.0
         return False
@@ -523,12 +527,12 @@
 
 ONE_FAULT = ("crash", "crash soon", *(
     f"{what} {side}" for what in ("wipe", "down", "hang", "fail") for side in ("source", "target")),
-    "down both", "spill target", "drain target")
+    "down both", "spill target", "drain target", "hang, crash target", "hang, crash source")
 
 
-def play_one_fault(number, kind, **more):
+def play_one_fault(number, kind, seed=0, **more):
     """Drain an engine whose copies are the only ones; let one thing go wrong ahead of one action."""
-    one = Play(number, engines=4, shards=3, copies=1, faults=False, at=(number, kind), **more)
+    one = Play(seed, engines=4, shards=3, copies=1, faults=False, at=(number, kind), **more)
     one.run(DRAIN_MS)
     one.engines["e0"].draining = True
     one.run(DRAIN_MS + 10_000.0)
