Keeper: streams, members and askers of the council

In full: Keeper: streams, members and askers of the council, in virtual time with a core of its own. What members decide has to be carried to other controllers, to the folder and to those who ask. Frames are bounded before they are read, strangers counted and dropped, another fleet refused; an asker numbers its commands, follows who leads and asks again with the same number until its deadline; reads and watches rest on the applied state. Tests run in virtual time with a core that agrees with itself; the first whole member follows with the core and the store.

--- a/fennelwind/config/read.py
+++ b/fennelwind/config/read.py
@@ -29,7 +29,28 @@
                 "max_sessions", "max_operations", "max_request_bytes", "max_links", "page_rows",
                 "max_result_bytes", "max_attempts", "threads", "cores", "gateways", "max_open"}
 ABOVE_ZERO = {"answer_margin_ms", "aim_ms", "give_up_ms", "idle_ms", "long_poll_ms", "connect_ms",
-              "cold_share"}
+              "cold_share", "heartbeat_ms", "election_ms", "handover_ms"}
+COUNCIL = ("heartbeat_ms", "election_ms", "handover_ms")
+MEMBERS = (3, 5, 7)  # an even number stands no more losses than the odd one below it
+BEATS_LEAST = 3  # heartbeats in an election time-out: one that is lost or late must elect nobody
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")  # of fleets and members: they stand in logs and files
+
+
+@dataclass(slots=True, frozen=True)
+class Council:
+    """Who this controller is towards the agreed record."""
+
+    fleet: str
+    me: str
+    members: dict[str, Address]
+    folder: Path | None  # of the record; None: a follower
+    listen: Address | None
+    heartbeat_ms: float
+    election_ms: float
+    handover_ms: float
+    reserve_bytes: int
+
+
 @dataclass(slots=True, frozen=True)
 class Selector:
     """What a query has to be like to belong to a class."""
@@ -66,6 +87,7 @@
     engines_tls: ssl.SSLContext | None  # of links to engines
     users: dict[str, User] | None  # who may come in; None: all are believed
     metadata_class: int | None  # the class of metadata calls; None: they are not served
+    council: Council | None  # None: nothing of it is loaded
 
     def class_of(self, user: str, statement: str, configuration: dict[str, str]) -> int | None:
         """Return the position of the class of the first selector that matches, if one does."""
@@ -200,6 +222,7 @@
         discovery = self.address(("discovery", "address"), asked) if asked else None
         if discovery and not f.discovery.mode:
             self.wrong(("discovery",), "mode: has to be stated")
+        council = self._council() if f.HasField("council") else None
         if self.problems:
             return None
         try:
@@ -209,7 +232,45 @@
             return None
         return Controller(
             module, f, listen, selectors, by_user, engines, discovery, tuple(zones), tuple(kinds),
-            metrics, http, self.folder, tls, engines_tls, users, metadata)
+            metrics, http, self.folder, tls, engines_tls, users, metadata, council)
+
+    def _council(self) -> Council | None:
+        """Check who keeps the record, and this controller's part in it."""
+        c, path = self.file.council, ("council",)
+        for label in ("fleet", "me"):
+            if not NAME.fullmatch(getattr(c, label)):
+                self.wrong((*path, label), f"{label}: {getattr(c, label)!r}, where a name of letters, digits, "
+                                           "'.', '_' and '-' is needed, 64 at most")
+        if len(c.members) not in MEMBERS:
+            self.wrong(path, f"members: {len(c.members)}, where 3, 5 or 7 are needed")
+        members: dict[str, Address] = {}
+        for i, member in enumerate(c.members):
+            place: FieldPath = (*path, "members", i)
+            address = self.address((*place, "address"), member.address)
+            if not NAME.fullmatch(member.name):
+                self.wrong((*place, "name"), f"name: {member.name!r} is no name")
+            elif member.name in members:
+                self.wrong((*place, "name"), f"name: {member.name!r} stands twice")
+            elif address in members.values():
+                self.wrong((*place, "address"), f"address: {member.address} stands twice")
+            members[member.name] = address
+        self.stated(path, c, COUNCIL)
+        mine = c.me in members
+        if mine and not c.folder:
+            self.wrong((*path, "me"), f"folder: {c.me!r} is a member and needs a folder of its own")
+        if not mine and c.folder:
+            self.wrong((*path, "folder"), f"folder: {c.me!r} is no member and keeps no record")
+        if mine:
+            self.stated(path, c, ("reserve_bytes",))
+        if c.election_ms < BEATS_LEAST * c.heartbeat_ms:
+            self.wrong((*path, "election_ms"), f"election_ms: {c.election_ms:g}, where {BEATS_LEAST} times "
+                                               f"heartbeat_ms are needed at least")
+        listen = self.address((*path, "listen"), c.listen) if c.listen else members.get(c.me)
+        if self.problems:
+            return None
+        return Council(c.fleet, c.me, members, self.folder / c.folder if mine else None,
+                       listen if mine else None, c.heartbeat_ms, c.election_ms, c.handover_ms,
+                       c.reserve_bytes)
 
     def _tls(self, path: FieldPath, make: Callable[..., ssl.SSLContext],
              *names: str) -> ssl.SSLContext | None:
--- /dev/null
+++ b/fennelwind/keeper/door.py
@@ -0,0 +1,192 @@
+"""Where a member is reached: by other members, whose messages it takes, and by those who ask.
+
+Whoever connects is a stranger until its hello was read: so many at once, for so long, with so few bytes.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Protocol
+
+from google.protobuf.message import DecodeError
+
+from fennelwind.council import council_pb2
+from fennelwind.council.interface import Life
+from fennelwind.keeper import keeper_pb2 as pb
+from fennelwind.keeper.errors import CouncilError, FrameRefused
+from fennelwind.keeper.frames import FrameReader, Outbox, framed
+from fennelwind.keeper.peers import PULSE_MS
+from fennelwind.keeper.place import NAME_MOST, wrong_hello
+from fennelwind.loop import Listener, Loop, Stream, StreamReset, Task
+
+HELLO_MS = 2000.0  # ms in which a stranger has to say who it is
+STRANGERS_MOST = 128  # connections without a hello; one more is broken at once
+ASKERS_MOST = 1024  # connections that ask: five for each of two hundred controllers
+MEMBERS_MOST = 16  # connections of members: seven, and their lives that are not known to be over
+ASKED_MOST = 128  # asks of one connection that wait; twice what one client may have under way
+
+
+class Taker(Protocol):
+    """What becomes of what comes in."""
+
+    def hello(self) -> pb.Hello:
+        """Return what this member says first."""
+
+    def received(self, sender: Life, message: council_pb2.Message) -> None:
+        """Take a message of a member."""
+
+    def asked(self, caller: "Caller", ask: pb.Ask) -> None:
+        """Take an ask, to be answered by `Caller.tell` once."""
+
+
+class Caller:
+    """One that asks, on one connection."""
+
+    def __init__(self, loop: Loop, name: str) -> None:
+        self.name, self.waiting, self.gone = name, 0, False
+        self.outbox = Outbox(loop)
+
+    def tell(self, told: pb.Told) -> None:
+        """Answer an ask; one that doesn't read its answers is let go."""
+        self.waiting -= 1
+        if not self.gone and not self.outbox.put(framed(pb.Frame(told=told))):
+            self.gone = True
+
+
+class Door:
+    """Accepts, and reads what comes."""
+
+    def __init__(self, loop: Loop, listener: Listener, fleet: str, taker: Taker,
+                 said: Callable[[CouncilError], None]) -> None:
+        self.loop, self.listener, self.fleet, self.taker, self.said = loop, listener, fleet, taker, said
+        self.counts: Counter[str] = Counter()  # connections by what became of them
+        self.strangers = 0
+        self.members: dict[Life, Stream] = {}  # the newest connection of each
+        self.callers: set[Caller] = set()
+        self._task: Task | None = None
+        self._tasks: set[Task] = set()
+
+    def start(self) -> None:
+        """Accept from now on."""
+        self._task = self.loop.spawn(self._accept, name="keeper: accept")
+
+    def close(self) -> None:
+        """Take nothing more and let all go."""
+        self.listener.close()
+        for task in [self._task, *self._tasks]:
+            if task is not None:
+                task.cancel()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                stream = self.listener.accept()
+            except StreamReset:
+                return
+            if self.strangers >= STRANGERS_MOST:
+                self.counts["too many"] += 1
+                stream.abort()
+                continue
+            self.strangers += 1
+            self._tasks.add(self.loop.spawn(self._serve, stream, name="keeper: connection"))
+
+    def _serve(self, stream: Stream) -> None:
+        reader = FrameReader(stream)
+        try:
+            try:
+                hello = self._greet(stream, reader)
+            finally:
+                self.strangers -= 1
+            if hello is not None:
+                self.counts["taken"] += 1
+                (self._member if hello.life else self._asker)(stream, reader, hello)
+        except FrameRefused as exc:
+            self.counts["dropped"] += 1
+            self.said(exc)
+        except TimeoutError:
+            self.counts["silent"] += 1
+        except StreamReset:
+            self.counts["reset"] += 1
+        finally:
+            stream.abort()
+            self._tasks.discard(self.loop.current)
+
+    def _greet(self, stream: Stream, reader: FrameReader) -> pb.Hello | None:
+        """Read the other's hello and say ours; None: it is not talked to."""
+        with self.loop.deadline(HELLO_MS):
+            hello = reader.hello()
+            if hello is None:
+                self.counts["silent"] += 1
+                return None
+            ours = self.taker.hello()
+            wrong = wrong_hello(hello, self.fleet)
+            if wrong is None:
+                full = len(self.members) >= MEMBERS_MOST and Life(hello.name, hello.life) not in self.members \
+                    if hello.life else len(self.callers) >= ASKERS_MOST
+                if full or not 0 < len(hello.name) <= NAME_MOST:
+                    self.counts["too many" if full else "dropped"] += 1
+                    return None
+                stream.write(framed(ours))
+                return hello
+            self.counts["refused"] += 1
+            self.said(wrong)
+            ours.refused = str(wrong)
+            stream.write(framed(ours))
+            stream.close()
+            return None
+
+    def _member(self, stream: Stream, reader: FrameReader, hello: pb.Hello) -> None:
+        sender = Life(hello.name, hello.life)
+        before = self.members.get(sender)
+        self.members[sender] = stream
+        if before is not None:
+            before.abort()
+        pulse = self.loop.spawn(self._pulse, stream, name="keeper: pulse")
+        try:
+            while (frame := reader.frame()) is not None:
+                if frame.WhichOneof("what") != "council":
+                    raise FrameRefused(f"{hello.name} asks where members talk", peer=hello.name)
+                try:
+                    message = council_pb2.Message.FromString(frame.council)
+                except DecodeError:
+                    raise FrameRefused(f"{hello.name} sent what is no message", peer=hello.name) from None
+                self.taker.received(sender, message)
+        finally:
+            pulse.cancel()
+            if self.members.get(sender) is stream:
+                del self.members[sender]
+
+    def _pulse(self, stream: Stream) -> None:
+        word = framed(pb.Frame(pulse=True))
+        try:
+            while True:
+                self.loop.sleep(PULSE_MS)
+                stream.write(word, PULSE_MS)
+        except (StreamReset, TimeoutError):
+            stream.abort()
+
+    def _asker(self, stream: Stream, reader: FrameReader, hello: pb.Hello) -> None:
+        caller = Caller(self.loop, hello.name)
+        self.callers.add(caller)
+        writer = self.loop.spawn(self._answer, stream, caller, name="keeper: answers")
+        try:
+            while not caller.gone and (frame := reader.frame()) is not None:
+                if frame.WhichOneof("what") != "ask":
+                    raise FrameRefused(f"{hello.name} says what it may not", peer=hello.name)
+                caller.waiting += 1
+                if caller.waiting > ASKED_MOST:
+                    self.counts["asked too much"] += 1
+                    result = council_pb2.Result(refusal=council_pb2.Result.TOO_MANY, again_ms=100)
+                    caller.tell(pb.Told(token=frame.ask.token, result=result.SerializeToString()))
+                    continue
+                self.taker.asked(caller, frame.ask)
+        finally:
+            caller.gone = True
+            writer.cancel()
+            self.callers.discard(caller)
+
+    def _answer(self, stream: Stream, caller: Caller) -> None:
+        try:
+            caller.outbox.run(stream)
+        except (StreamReset, TimeoutError):
+            caller.gone = True
+            stream.abort()
--- /dev/null
+++ b/fennelwind/keeper/frames.py
@@ -0,0 +1,128 @@
+"""Frames on a stream: read with a bound before anything is allocated, written in order from a bounded box."""
+
+import struct
+from collections import deque
+
+from google.protobuf.message import DecodeError, Message
+
+from fennelwind.keeper import keeper_pb2 as pb
+from fennelwind.keeper.errors import FrameRefused
+from fennelwind.loop import Channel, ChannelClosed, ChannelFull, Loop, Stream
+
+HELLO_MOST = 1024  # bytes of a first frame: names are short, and who sends it is a stranger
+FRAME_MOST = 2 * 1024 * 1024  # bytes; an append holds 512 KiB and at least one command of 256 KiB
+BOX_MOST = 4 * 1024 * 1024  # bytes that wait for one stream; twice the largest frame
+TOGETHER_MOST = 256 * 1024  # bytes written at once
+WRITE_MS = 5000.0  # ms in which a peer has to take some bytes, or it counts as gone
+LENGTH = struct.Struct(">I")
+
+
+def framed(message: Message) -> bytes:
+    """Return a message as a frame."""
+    data = message.SerializeToString()
+    return LENGTH.pack(len(data)) + data
+
+
+class FrameReader:
+    """Takes frames from a stream. The buffer never holds more than one frame and one read."""
+
+    def __init__(self, stream: Stream) -> None:
+        self.stream = stream
+        self._held = bytearray()
+
+    def raw(self, most: int) -> bytes | None:
+        """Return the next frame's bytes; None at the end. Raises `FrameRefused` and `StreamReset`."""
+        if not self._fill(LENGTH.size):
+            return None
+        size = LENGTH.unpack_from(self._held)[0]
+        if size > most:
+            raise FrameRefused(f"a frame of {size} bytes, where {most} are allowed", size=size, most=most)
+        if not self._fill(LENGTH.size + size):
+            return None
+        data = bytes(self._held[LENGTH.size:LENGTH.size + size])
+        del self._held[:LENGTH.size + size]
+        return data
+
+    def hello(self) -> pb.Hello | None:
+        """Return the first frame; None at the end. Raises `FrameRefused` and `StreamReset`."""
+        return self._parsed(pb.Hello, self.raw(HELLO_MOST))
+
+    def frame(self) -> pb.Frame | None:
+        """Return the next frame; None at the end. Raises `FrameRefused` and `StreamReset`."""
+        return self._parsed(pb.Frame, self.raw(FRAME_MOST))
+
+    @staticmethod
+    def _parsed(kind: type[Message], data: bytes | None) -> Message | None:
+        if data is None:
+            return None
+        try:
+            return kind.FromString(data)
+        except DecodeError:
+            raise FrameRefused(f"{len(data)} bytes that are no {kind.__name__}", size=len(data)) from None
+
+    def _fill(self, size: int) -> bool:
+        while len(self._held) < size:
+            data = self.stream.read()
+            if not data:
+                return False
+            self._held += data
+        return True
+
+
+class Outbox:
+    """What waits to be written to one peer.
+
+    At the bound the oldest frames that may be lost go first; one that may not be lost and finds no room is
+    not taken, and the peer counts as gone.
+    """
+
+    def __init__(self, loop: Loop, most: int = BOX_MOST) -> None:
+        self.loop, self.most, self.held, self.dropped = loop, most, 0, 0
+        self._frames: deque[tuple[bytes, bool]] = deque()
+        self._bell = Channel(loop, 1)
+
+    def __len__(self) -> int:
+        return len(self._frames)
+
+    def put(self, frame: bytes, may_be_lost: bool = False) -> bool:
+        """Take a frame in; tell whether it was."""
+        while self.held + len(frame) > self.most and self._drop_oldest():
+            pass
+        if self.held + len(frame) > self.most:
+            self.dropped += 1
+            return False
+        self._frames.append((frame, may_be_lost))
+        self.held += len(frame)
+        try:
+            self._bell.offer(None)
+        except (ChannelFull, ChannelClosed):
+            pass
+        return True
+
+    def _drop_oldest(self) -> bool:
+        for place, (frame, may_be_lost) in enumerate(self._frames):
+            if may_be_lost:
+                del self._frames[place]
+                self.held -= len(frame)
+                self.dropped += 1
+                return True
+        return False
+
+    def clear(self) -> None:
+        """Drop all that waits: it was for a connection that is no more."""
+        self._frames.clear()
+        self.held = 0
+
+    def run(self, stream: Stream) -> None:
+        """Write what comes until the stream breaks. Raises `StreamReset` and `DeadlineExceeded`."""
+        while True:
+            while not self._frames:
+                self._bell.get()
+            together = []
+            size = 0
+            while self._frames and (not together or size + len(self._frames[0][0]) <= TOGETHER_MOST):
+                frame, _ = self._frames.popleft()
+                self.held -= len(frame)
+                size += len(frame)
+                together.append(frame)
+            stream.write(b"".join(together) if len(together) > 1 else together[0], WRITE_MS)
--- /dev/null
+++ b/fennelwind/keeper/member.py
@@ -0,0 +1,378 @@
+"""A member at work: its core decides, this carries out.
+
+One task gives the core what has happened and spreads what it wants done; one makes writes, in their order;
+one applies. Nobody on a query's way waits for any of them.
+"""
+
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import Protocol
+
+from google.protobuf.message import DecodeError
+
+from fennelwind.council import council_pb2
+from fennelwind.council.interface import (
+    Action,
+    Answer,
+    Apply,
+    Became,
+    CanWrite,
+    Durable,
+    Event,
+    HandOver,
+    Life,
+    Propose,
+    Read,
+    Readable,
+    Received,
+    Restore,
+    RoomShort,
+    Send,
+    TakeSnapshot,
+    Timer,
+    TimerFired,
+    Write,
+    WriteFailed,
+    Written,
+)
+from fennelwind.council.record import Record
+from fennelwind.errors import FennelwindError
+from fennelwind.keeper import keeper_pb2 as pb
+from fennelwind.keeper.door import Caller, Door
+from fennelwind.keeper.errors import AddressTaken, CouncilError
+from fennelwind.keeper.peers import Peer, Peers
+from fennelwind.keeper.place import PROTOCOL, Place
+from fennelwind.keeper.state import State
+from fennelwind.keeper.waits import Waits
+from fennelwind.loop import Address, Channel, ChannelFull, Loop, Once, Task, parse_address
+from fennelwind.loop.disk import DiskFull
+
+EVENTS_MOST = 8192  # messages that wait for the core; more are lost, as on any network
+TOGETHER_MOST = 256  # writes made with one sync
+OPEN_FIRST_MS, OPEN_MOST_MS = 200.0, 5000.0  # ms between two tries to open the folder, or to write again
+ROOM_MS = 1000.0  # ms between two looks at the disk's room
+BUSY_MS = 200  # ms after which one who found too many waiting may ask again
+
+Result = council_pb2.Result
+
+
+class Deciding(Protocol):
+    """The core, as far as it is used here."""
+
+    members: council_pb2.Members
+
+    def step(self, now: float, events: list[Event]) -> list[Action]:
+        """Decide."""
+
+
+class Keeping(Protocol):
+    """The folder, as far as it is used here. Its calls wait, and raise what a disk raises."""
+
+    def open(self) -> Durable:
+        """Read what is kept; also once more after a write has failed."""
+
+    def write(self, writes: list[Write]) -> None:
+        """Let writes reach the disk, in order, as one."""
+
+    def room_short(self) -> bool:
+        """Tell whether the disk is nearly full."""
+
+    def close(self) -> None:
+        """Give the folder up."""
+
+
+class Member:
+    """Keeps the record together with the others. `start` returns at once; what can't be had is tried again."""
+
+    def __init__(self, loop: Loop, place: Place, record: Record, store: Keeping,
+                 core: Callable[[Durable], Deciding], seed: str,
+                 said: Callable[[str, dict], None]) -> None:
+        self.loop, self.place, self.store, self.make_core = loop, place, store, core
+        self.said = said
+        self.core: Deciding | None = None
+        self.me = Life(place.me, b"")
+        self.part, self.term, self.leader = "closed", 0, ""
+        self.state = State(loop, record, self.post)
+        self.peers = Peers(loop, place.fleet, self.hello, seed, self._wrong, self._met)
+        self.door: Door | None = None
+        self.counts: Counter[str] = Counter()
+        self.random = self.peers.random
+        self._events: deque[Event] = deque()
+        self._bell, self._ink = Channel(loop, 1), Channel(loop, 1)
+        self._writes: deque[Write] = deque()
+        self._timer = None
+        self._token = 0
+        self._asked: dict[int, Callable[[Answer | Readable], None]] = {}
+        self._parts: list[Once] = []  # who waits for a change of part
+        self._tasks: list[Task] = []
+
+    # Life.
+
+    def start(self) -> None:
+        """Open the folder and take part."""
+        self._tasks.append(self.loop.spawn(self._live, name="keeper: member"))
+
+    def _live(self) -> None:
+        durable = self._opened()
+        self.me = durable.me
+        self.state.restore(durable.snapshot)
+        self.core = self.make_core(durable)
+        self._listen()
+        self._reach()
+        for call, name in ((self._write, "keeper: writes"), (self.state.run, "keeper: applies"),
+                           (self._look_for_room, "keeper: room")):
+            self._tasks.append(self.loop.spawn(call, name=name))
+        self.said("member", {"name": self.me.name, "life": self.me.life.hex(), "index": self.state.record.index,
+                             "entries": len(durable.entries)})
+        self._turns()
+
+    def _opened(self) -> Durable:
+        """Open the folder, sooner or later."""
+        waits = Waits(self.random, OPEN_FIRST_MS, OPEN_MOST_MS)
+        told = ""
+        while True:
+            try:
+                return self.store.open()
+            except FennelwindError as exc:
+                if exc.code != told:
+                    self.said("cannot open", exc.told())
+                    told = exc.code
+                self.loop.sleep(waits.next())
+
+    def _listen(self) -> None:
+        waits, told = Waits(self.random, OPEN_FIRST_MS, OPEN_MOST_MS), False
+        while self.door is None:
+            try:
+                listener = self.loop.listen(self.place.listen)
+            except OSError as exc:
+                if not told:
+                    self.said("cannot listen", AddressTaken(f"{self.place.listen}: {exc.strerror}",
+                                                            address=str(self.place.listen)).told())
+                    told = True
+                self.loop.sleep(waits.next())
+            else:
+                self.door = Door(self.loop, listener, self.place.fleet, self, self._wrong)
+                self.door.start()
+
+    def hand_over(self, within_ms: float) -> bool:
+        """Let another lead, if this one does; tell whether it doesn't any more."""
+        if self.part == "leader":
+            self.post(HandOver())
+            self.wait_for(lambda: self.part != "leader", within_ms)
+        return self.part != "leader"
+
+    def wait_for(self, true: Callable[[], bool], within_ms: float) -> bool:
+        """Wait until something holds of this member's part; tell whether it does."""
+        try:
+            with self.loop.deadline(within_ms):
+                while not true():
+                    once = Once(self.loop)
+                    self._parts.append(once)
+                    once.wait()
+        except TimeoutError:
+            pass
+        return true()
+
+    def close(self) -> None:
+        """Take part no more; what is agreed stays."""
+        self.part = "closed"
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in self._tasks:
+            task.cancel()
+        self.peers.close()
+        if self.door is not None:
+            self.door.close()
+        self.store.close()
+
+    # What happens.
+
+    def post(self, event: Event) -> None:
+        """Hand the core an event, in its next turn."""
+        self._events.append(event)
+        _ring(self._bell)
+
+    def hello(self) -> pb.Hello:
+        """Return what this member says first."""
+        return pb.Hello(protocol=PROTOCOL, fleet=self.place.fleet, name=self.me.name, life=self.me.life)
+
+    def received(self, sender: Life, message: council_pb2.Message) -> None:
+        """Take a message of a member."""
+        if len(self._events) >= EVENTS_MOST:
+            self.counts["lost, too busy"] += 1
+            return
+        self.post(Received(sender, message))
+
+    def asked(self, caller: Caller, ask: pb.Ask) -> None:
+        """Take an ask; each is answered once."""
+        what = ask.WhichOneof("what")
+        if len(self._events) >= EVENTS_MOST:
+            self._refuse(caller, ask.token, Result(refusal=Result.TOO_MANY, again_ms=BUSY_MS))
+        elif what == "command":
+            try:
+                command = council_pb2.Command.FromString(ask.command)
+            except DecodeError:
+                self._refuse(caller, ask.token, Result(refusal=Result.UNREADABLE))
+                return
+            self._propose(command, lambda result: self._refuse(caller, ask.token, result))
+        elif what == "view":
+            self._look(caller, ask.token, ask.view)
+        else:
+            self._refuse(caller, ask.token, Result(refusal=Result.UNREADABLE))
+
+    @staticmethod
+    def _refuse(caller: Caller, token: int, result: Result) -> None:
+        caller.tell(pb.Told(token=token, result=result.SerializeToString()))
+
+    def _propose(self, command: council_pb2.Command, tell: Callable[[Result], None]) -> None:
+        def answered(answer: Answer) -> None:
+            if answer.refusal:
+                tell(_refusal(answer))
+            else:
+                self.state.result_of(answer.index, tell)
+
+        self.post(Propose(self._new_token(answered), command))
+
+    def _look(self, caller: Caller, token: int, view: pb.View) -> None:
+        def tell() -> None:
+            told = self.state.view(view)
+            told.token = token
+            caller.tell(told)
+
+        def watch() -> None:
+            if not view.after:
+                tell()
+            elif not self.state.watch(view.machine, view.after, view.wait_ms, tell):
+                self._refuse(caller, token, Result(refusal=Result.TOO_MANY, again_ms=BUSY_MS))
+
+        def readable(answer: Readable) -> None:
+            if answer.refusal:
+                self._refuse(caller, token, _refusal(answer))
+            else:
+                self.state.when(answer.index, watch)
+
+        if view.fresh:
+            self.post(Read(self._new_token(readable)))
+        else:
+            watch()
+
+    def _new_token(self, call: Callable) -> int:
+        self._token += 1
+        self._asked[self._token] = call
+        return self._token
+
+    def _met(self, peer: Peer) -> None:
+        self.said("met", {"peer": peer.name, "life": peer.life.hex(), "level": peer.level})
+
+    def _wrong(self, exc: CouncilError) -> None:
+        if exc.code != "council-frame-refused":  # strangers may not fill the log; they are counted
+            self.said("refused", exc.told())
+
+    # The core's turns.
+
+    def _turns(self) -> None:
+        self._carry(self.core.step(self.loop.now(), []))
+        while True:
+            while not self._events:
+                self._bell.get()
+            events = list(self._events)
+            self._events.clear()
+            self._carry(self.core.step(self.loop.now(), events))
+
+    def _carry(self, actions: list[Action]) -> None:
+        for action in actions:  # who waits for an entry has to be known before it is applied
+            if isinstance(action, Answer | Readable):
+                call = self._asked.pop(action.token, None)
+                if call is not None:
+                    call(action)
+        for action in actions:
+            if isinstance(action, Send):
+                self.peers.send(action.to, action.message)
+            elif isinstance(action, Write):
+                self._writes.append(action)
+                _ring(self._ink)
+            elif isinstance(action, Apply | Restore | TakeSnapshot):
+                self.state.take(action)
+            elif isinstance(action, Timer):
+                self._set_timer(action.at)
+            elif isinstance(action, Became):
+                self._become(action)
+        if any(isinstance(action, Restore) or isinstance(action, Apply) and any(
+                entry.WhichOneof("what") == "members" for entry in action.entries) for action in actions):
+            self._reach()
+
+    def _set_timer(self, at: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self.loop.at(at, lambda: self.post(TimerFired()))
+
+    def _become(self, became: Became) -> None:
+        self.part, self.term, self.leader = became.part, became.term, became.leader
+        self.said("part", {"part": became.part, "term": became.term, "leader": became.leader,
+                           "index": self.state.record.index})
+        parts, self._parts = self._parts, []
+        for once in parts:
+            once.set()
+
+    def _reach(self) -> None:
+        """Keep ways to the members of the settings, and to those of the record that these don't name."""
+        addresses: dict[str, Address] = {}
+        for member in self.core.members.members:
+            try:
+                addresses[member.name] = parse_address(member.address)
+            except ValueError:
+                self.counts["no address"] += 1
+        addresses |= self.place.members
+        addresses.pop(self.me.name, None)
+        self.peers.reach(addresses)
+
+    # The folder.
+
+    def _write(self) -> None:
+        while True:
+            while not self._writes:
+                self._ink.get()
+            writes = [self._writes.popleft() for _ in range(min(len(self._writes), TOGETHER_MOST))]
+            try:
+                self.store.write(writes)
+            except FennelwindError as exc:
+                self.said("cannot write", exc.told())
+                self.counts["failed writes"] += 1
+                self.post(WriteFailed(writes[0].number, isinstance(exc, DiskFull)))
+                self._write_again()
+            else:
+                self.post(Written(writes[-1].number))
+
+    def _write_again(self) -> None:
+        """Wait until the folder takes writes; what was asked for behind a failed write counts for nothing."""
+        waits = Waits(self.random, OPEN_FIRST_MS, OPEN_MOST_MS)
+        while True:
+            self.loop.sleep(waits.next())
+            try:
+                durable = self.store.open()
+                break
+            except FennelwindError:
+                self.counts["still cannot write"] += 1
+        self._writes.clear()
+        self.said("can write again", {"entries": len(durable.entries)})
+        self.post(CanWrite(durable))
+
+    def _look_for_room(self) -> None:
+        short = False
+        while True:
+            self.loop.sleep(ROOM_MS)
+            was, short = short, self.store.room_short()
+            if short and not was:
+                self.said("room is short", {})
+                self.post(RoomShort())
+
+
+def _refusal(answer: Answer | Readable) -> Result:
+    return Result(refusal=answer.refusal, leader=answer.leader, again_ms=getattr(answer, "again_ms", 0))
+
+
+def _ring(bell: Channel) -> None:
+    try:
+        bell.offer(None)
+    except ChannelFull:
+        pass
--- /dev/null
+++ b/fennelwind/keeper/state.py
@@ -0,0 +1,173 @@
+"""The record as a member or one that asks sees it: applied in slices, with revisions, reads and watches.
+
+Entries are applied between turns of the loop, so many at a time, so that a long catch-up delays no query.
+"""
+
+import heapq
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from fennelwind.council import council_pb2
+from fennelwind.council.interface import Applied, Apply, Event, Restore, Snapshot, TakeSnapshot
+from fennelwind.council.record import Record
+from fennelwind.keeper import keeper_pb2 as pb
+from fennelwind.keeper.frames import FRAME_MOST
+from fennelwind.loop import Channel, ChannelFull, Loop
+
+SLICE = 64  # entries applied in one turn of the loop; some 2 ms
+WATCHERS_MOST = 4096  # watches that wait here: two hundred controllers with twenty tables each
+VIEW_MOST = FRAME_MOST - 4096  # bytes of a state that is told in one frame
+WAIT_MOST_MS = 60_000  # ms that one watch waits; longer ones ask again
+
+Result = council_pb2.Result
+
+
+@dataclass(slots=True)
+class _Watch:
+    after: int
+    call: Callable[[], None]
+    timer: Any = None
+
+
+class State:
+    """Applies what is agreed; tells who waits for an entry, a state of at least an index, or a change."""
+
+    def __init__(self, loop: Loop, record: Record, post: Callable[[Event], None]) -> None:
+        self.loop, self.record, self.post = loop, record, post
+        self.revisions = dict.fromkeys(record.machines, 0)
+        self.applied = 0  # entries since the start
+        self._work: deque[Apply | Restore | TakeSnapshot] = deque()
+        self._bell = Channel(loop, 1)
+        self._results: dict[int, Callable[[Result], None]] = {}  # who waits for an entry's result
+        self._reads: list[tuple[int, int, Callable[[], None]]] = []  # heap: index, order, what is to be done
+        self._order = 0
+        self._watches: dict[str, list[_Watch]] = {name: [] for name in record.machines}
+        self.watchers = 0
+
+    def restore(self, data: bytes) -> None:
+        """Begin with the state of a snapshot that the folder held."""
+        if data:
+            self.record.restore(data)
+        self.revisions = dict.fromkeys(self.record.machines, self.record.index)
+
+    def take(self, action: Apply | Restore | TakeSnapshot) -> None:
+        """Take what is to be done, in order."""
+        self._work.append(action)
+        try:
+            self._bell.offer(None)
+        except ChannelFull:
+            pass
+
+    def result_of(self, index: int, call: Callable[[Result], None]) -> None:
+        """Make the call with what the entry brings; UNKNOWN if it was applied already: ask again."""
+        if index <= self.record.index:
+            call(Result(refusal=Result.UNKNOWN, index=index))
+        else:
+            self._results[index] = call
+
+    def when(self, index: int, call: Callable[[], None]) -> None:
+        """Make the call when the state is of this index or a later one."""
+        if index <= self.record.index:
+            call()
+        else:
+            self._order += 1
+            heapq.heappush(self._reads, (index, self._order, call))
+
+    def watch(self, machine: str, after: int, wait_ms: float, call: Callable[[], None]) -> bool:
+        """Make the call once the machine's state has changed, or after so long; False: too many wait."""
+        if self.revisions.get(machine, after + 1) > after:
+            call()
+            return True
+        if self.watchers >= WATCHERS_MOST:
+            return False
+        watch = _Watch(after, call)
+
+        def late() -> None:
+            self._watches[machine].remove(watch)
+            self.watchers -= 1
+            call()
+
+        watch.timer = self.loop.after(min(wait_ms, WAIT_MOST_MS), late)
+        self._watches[machine].append(watch)
+        self.watchers += 1
+        return True
+
+    def run(self) -> None:
+        """Apply what comes, for ever."""
+        while True:
+            while not self._work:
+                self._bell.get()
+            action = self._work.popleft()
+            if isinstance(action, Apply):
+                for start in range(0, len(action.entries), SLICE):
+                    if start:
+                        self.loop.sleep(0.0)
+                    self._apply(action.entries[start:start + SLICE])
+            elif isinstance(action, Restore):
+                self.record.restore(action.data)
+                self._changed(list(self.record.machines))
+            else:
+                record = self.record
+                self.post(Snapshot(record.index, record.clock_ms, record.snapshot()))
+                continue
+            self._settle()
+            self.post(Applied(self.record.index, self.record.due()))
+
+    def _apply(self, entries: tuple[council_pb2.Entry, ...]) -> None:
+        record = self.record
+        for entry in entries:
+            if entry.index <= record.index:
+                continue  # a folder that was read anew gives again what was agreed
+            clock_ms = max(record.clock_ms, entry.clock_ms)
+            changed = [name for name, machine in record.machines.items()
+                       if (due := machine.due()) is not None and due <= clock_ms]
+            result = record.apply(entry)
+            self.applied += 1
+            if entry.WhichOneof("what") == "command" and entry.command.machine in record.machines \
+                    and entry.command.machine not in changed:
+                changed.append(entry.command.machine)
+            if changed:
+                self._changed(changed)
+            call = self._results.pop(entry.index, None)
+            if call is not None:
+                call(result)
+
+    def _changed(self, machines: list[str]) -> None:
+        for name in machines:
+            self.revisions[name] = self.record.index
+            watches = self._watches[name]
+            if watches:
+                self._watches[name] = [w for w in watches if w.after >= self.record.index]
+                for watch in watches:
+                    if watch.after < self.record.index:
+                        watch.timer.cancel()
+                        self.watchers -= 1
+                        watch.call()
+
+    def _settle(self) -> None:
+        """Answer the reads whose index has come, and those whose entry a snapshot has swallowed."""
+        while self._reads and self._reads[0][0] <= self.record.index:
+            heapq.heappop(self._reads)[2]()
+        for index in [i for i in self._results if i <= self.record.index]:
+            self._results.pop(index)(Result(refusal=Result.UNKNOWN, index=index))
+
+    def view(self, view: pb.View) -> pb.Told:
+        """Return what is asked for as it is here now."""
+        told = pb.Told(revision=self.revisions.get(view.machine, 0), clock_ms=self.record.clock_ms)
+        result = Result(index=self.record.index)
+        machine = self.record.machines.get(view.machine)
+        if view.kind:
+            told.fact = self.record.fact(view.kind, view.key)
+        elif machine is None:
+            result.refusal = Result.NO_MACHINE
+        else:
+            tell = getattr(machine, "view", None)  # a machine may answer queries; its whole state else
+            result.body = tell(view.query) if tell is not None else machine.snapshot()
+            if len(result.body) > VIEW_MOST:
+                result.ClearField("body")
+                result.refusal = Result.TOO_LARGE
+        told.result = result.SerializeToString()
+        return told
+
--- /dev/null
+++ b/tests/test_keeper.py
@@ -0,0 +1,393 @@
+"""What carries the council out, in virtual time: frames, hellos, askers, members with a core that is all alone."""
+
+import pytest
+
+from fennelwind.council import council_pb2 as cpb
+from fennelwind.council.interface import (
+    Answer,
+    Applied,
+    Apply,
+    Became,
+    Durable,
+    Life,
+    Propose,
+    Read,
+    Readable,
+    Timing,
+)
+from fennelwind.council.machine import UnreadableCommand
+from fennelwind.council.record import Record
+from fennelwind.keeper import keeper_pb2 as pb
+from fennelwind.keeper.asker import Asker
+from fennelwind.keeper.door import STRANGERS_MOST, Door
+from fennelwind.keeper.errors import (
+    CommandRefused,
+    CouncilLost,
+    FleetMismatch,
+    FrameRefused,
+    NameMismatch,
+    NoLeader,
+    OutcomeUnknown,
+)
+from fennelwind.keeper.frames import FRAME_MOST, LENGTH, FrameReader, Outbox, framed
+from fennelwind.keeper.member import Member
+from fennelwind.keeper.place import PROTOCOL, Place
+from fennelwind.loop import Address, SimLoop, StreamReset
+
+Result = cpb.Result
+HERE = {name: Address("127.0.0.1", 7000 + n) for n, name in enumerate("abc")}
+
+
+class Counter:
+    """A machine: adds up numbers, tells the sum."""
+
+    name, kinds = "sum", ("sum",)
+
+    def __init__(self):
+        self.sum = 0
+
+    def apply(self, at, command, facts):
+        if not command.isdigit():
+            raise UnreadableCommand("no number")
+        self.sum += int(command)
+        return b"%d" % self.sum
+
+    def pass_time(self, at):
+        pass
+
+    def due(self):
+        return None
+
+    def fact(self, kind, key):
+        return self.sum
+
+    def snapshot(self):
+        return b"%d" % self.sum
+
+    def restore(self, data):
+        self.sum = int(data or 0)
+
+
+class Alone:
+    """A core that agrees with itself at once; `way` makes it refuse, forget to answer, or send elsewhere."""
+
+    def __init__(self, log):
+        self.log, self.way, self.leader, self.asked = log, "", "", 0
+        self.members = cpb.Members()
+
+    def step(self, now, events):
+        actions = [] if events else [Became("leader", 1, "a")]
+        for event in events:
+            if isinstance(event, Propose):
+                self.asked += 1
+                if self.way == "refuses":
+                    actions.append(Answer(event.token, Result.NO_LEADER))
+                    continue
+                if self.way == "elsewhere":
+                    actions.append(Answer(event.token, Result.NOT_LEADER, leader=self.leader))
+                    continue
+                entry = cpb.Entry(term=1, index=len(self.log) + 1, clock_ms=int(now), command=event.command)
+                self.log.append(entry)
+                actions.append(Apply((entry,)))
+                if self.way != "silent":
+                    actions.append(Answer(event.token, index=entry.index))
+            elif isinstance(event, Read):
+                actions.append(Readable(event.token, index=len(self.log)))
+            elif isinstance(event, Applied):
+                assert event.index <= len(self.log)
+        return actions
+
+
+class Folder:
+    """A store that holds nothing."""
+
+    def __init__(self, me):
+        self.me = me
+
+    def open(self):
+        return Durable(self.me)
+
+    def write(self, writes):
+        pass
+
+    def room_short(self):
+        return False
+
+    def close(self):
+        pass
+
+
+def member(loop, name="a", log=None, fleet="f", said=lambda *_: None):
+    place = Place(fleet, name, HERE, listen=HERE[name], timing=Timing())
+    core = Alone([] if log is None else log)
+    made = Member(loop, place, Record([Counter()]), Folder(Life(name, name.encode())), lambda _: core, "1", said)
+    made.start()
+    loop.sleep(5.0)
+    return made
+
+
+def asker(loop, names="a", fleet="f", name="me", seed="1"):
+    return Asker(loop, fleet, name, {n: HERE[n] for n in names}, seed)
+
+
+def play(main, seed=1):
+    """Run `main(loop)`; a task that broke is a failure."""
+    loop, broke = SimLoop(seed), []
+    loop.on_error = lambda task, exc: broke.append((task.name, exc))
+    value = loop.run(lambda: main(loop))
+    assert not broke
+    return value
+
+
+def test_commands_are_numbered_done_once_and_read_back():
+    def main(loop):
+        there, ours = member(loop), asker(loop)
+        assert [ours.propose("sum", b"%d" % n, 1000) for n in (1, 2, 3)] == [b"1", b"3", b"6"]
+        seen = ours.read("sum", within_ms=1000)
+        assert (seen.state, seen.index, seen.revision) == (b"6", 4, 4)
+        assert ours.fact("sum", "sum", "", within_ms=1000).fact == 6
+        with pytest.raises(CommandRefused, match="UNREADABLE no number"):
+            ours.propose("sum", b"x", 1000)
+        with pytest.raises(CommandRefused, match="NO_MACHINE"):
+            ours.propose("moon", b"x", 1000)
+        assert there.state.record.machines["sum"].sum == 6
+
+    play(main)
+
+
+def test_a_command_whose_answer_was_lost_is_asked_again_and_done_once():
+    def main(loop):
+        there, ours = member(loop), asker(loop)
+        ours.propose("sum", b"1", 1000)
+        there.core.way = "silent"
+        loop.after(1500.0, lambda: setattr(there.core, "way", ""))
+        assert ours.propose("sum", b"5", 9000) == b"6"
+        assert there.core.asked > 3 and there.state.record.machines["sum"].sum == 6
+
+    play(main)
+
+
+def test_a_command_that_nobody_tells_of_ends_unknown_and_its_number_is_not_used_again():
+    def main(loop):
+        there, ours = member(loop), asker(loop)
+        ours.propose("sum", b"1", 1000)
+        there.core.way = "silent"
+        with pytest.raises(OutcomeUnknown):
+            ours.propose("sum", b"5", 1200)
+        there.core.way = ""
+        assert ours.propose("sum", b"1", 3000) == b"7"  # done, though nobody could tell
+        assert ours.read("sum", within_ms=1000).state == b"7"
+
+    play(main)
+
+
+def test_many_commands_at_once_stay_within_what_the_record_keeps():
+    def main(loop):
+        there, ours = member(loop), asker(loop)
+        tasks = [loop.spawn(ours.propose, "sum", b"1", 5000) for _ in range(300)]
+        answers = sorted(int(task.join()) for task in tasks)
+        assert answers == list(range(1, 301))
+        kept = [client.kept for client in there.state.record._clients.values()]
+        assert max(map(len, kept)) <= 64
+
+    play(main)
+
+
+def test_a_forgotten_client_opens_anew_unless_something_may_have_been_done():
+    def main(loop):
+        there, ours = member(loop), asker(loop)
+        ours.propose("sum", b"1", 1000)
+        there.state.record._clients.clear()
+        assert ours.propose("sum", b"1", 1000) == b"2"
+        there.core.way = "silent"
+        loop.after(500.0, there.state.record._clients.clear)
+        loop.after(900.0, lambda: setattr(there.core, "way", ""))
+        with pytest.raises(OutcomeUnknown):
+            ours.propose("sum", b"1", 9000)
+        assert ours.propose("sum", b"1", 1000) == b"4"
+
+    play(main)
+
+
+def test_whoever_does_not_lead_names_who_does():
+    def main(loop):
+        log = []
+        members = [member(loop, name, log) for name in "abc"]
+        for there in members[1:]:
+            there.core.way, there.core.leader = "elsewhere", "a"
+        for seed in "1234":
+            ours = asker(loop, "abc", seed=seed)
+            began = loop.now()
+            ours.propose("sum", b"1", 5000)
+            assert loop.now() - began < 50.0  # no wait where somebody knew
+        members[0].core.way = "refuses"
+        with pytest.raises(NoLeader) as exc:
+            ours.propose("sum", b"1", 3000)
+        assert exc.value.facts["again_ms"] > 0 and exc.value.advice
+
+    play(main)
+
+
+def test_no_member_at_all_is_told_in_time():
+    def main(loop):
+        ours = asker(loop, "abc")
+        began = loop.now()
+        with pytest.raises(CouncilLost) as exc:
+            ours.propose("sum", b"1", 2000)
+        assert type(exc.value) is CouncilLost and exc.value.facts["again_ms"] > 0
+        assert loop.now() - began <= 2001.0
+        member(loop, "b")
+        assert ours.propose("sum", b"1", 5000) == b"1"
+
+    play(main)
+
+
+def test_a_watch_ends_with_a_change_or_with_its_time():
+    def main(loop):
+        member(loop)
+        ours, other = asker(loop), asker(loop, name="other", seed="2")
+        ours.propose("sum", b"1", 1000)
+        seen = ours.read("sum", within_ms=1000)
+        loop.after(700.0, lambda: loop.spawn(other.propose, "sum", b"4", 1000))
+        began = loop.now()
+        changed = other.watch("sum", seen.revision, wait_ms=5000)
+        assert changed.state == b"5" and changed.revision > seen.revision and loop.now() - began < 1000.0
+        began = loop.now()
+        same = ours.watch("sum", changed.revision, wait_ms=3000)
+        assert same.state == b"5" and 3000.0 <= loop.now() - began < 3500.0
+
+    play(main)
+
+
+def test_another_fleet_and_another_name_are_refused_and_told():
+    def main(loop):
+        said = []
+        there = member(loop, said=lambda what, facts: said.append(facts.get("code")))
+        with pytest.raises(FleetMismatch):
+            asker(loop, fleet="g").propose("sum", b"1", 1500)
+        assert "council-fleet-mismatch" in said and there.door.counts["refused"] >= 1
+        with pytest.raises(NameMismatch):
+            Asker(loop, "f", "me", {"b": HERE["a"]}, "1").propose("sum", b"1", 1500)
+        assert there.core.asked == 0
+
+    play(main)
+
+
+def test_bytes_of_strangers_are_bounded_dropped_and_counted():
+    def main(loop):
+        there = member(loop)
+        for data in (b"GET / HTTP/1.1\r\n\r\n", LENGTH.pack(5) + b"\xff" * 5, LENGTH.pack(1 << 31)):
+            stream = loop.connect(HERE["a"])
+            stream.write(data)
+            with pytest.raises(StreamReset):
+                while stream.read():
+                    pass
+        assert there.door.counts["dropped"] == 3
+        silent = [loop.connect(HERE["a"]) for _ in range(STRANGERS_MOST + 5)]
+        loop.sleep(100.0)
+        assert there.door.counts["too many"] == 5
+        loop.sleep(5000.0)
+        assert there.door.counts["silent"] == STRANGERS_MOST and there.door.strangers == 0
+        assert asker(loop).propose("sum", b"1", 1000) == b"1" and silent
+
+    play(main)
+
+
+@pytest.mark.parametrize("frame", [
+    pb.Frame(pulse=True), pb.Frame(told=pb.Told()), pb.Frame(council=b"\xff"), pb.Frame()])
+def test_what_an_asker_may_not_say_ends_its_connection(frame):
+    def main(loop):
+        there = member(loop)
+        for life in (b"", b"x"):
+            stream = loop.connect(HERE["a"])
+            stream.write(framed(pb.Hello(protocol=PROTOCOL, fleet="f", name="s", life=life)) + framed(frame))
+            with pytest.raises(StreamReset):
+                while stream.read():
+                    pass
+        assert there.door.counts["dropped"] == 2 and not there.door.members and not there.door.callers
+
+    play(main)
+
+
+def test_asks_that_cannot_be_read_are_refused_one_by_one():
+    def main(loop):
+        member(loop)
+        stream = loop.connect(HERE["a"])
+        stream.write(framed(pb.Hello(protocol=PROTOCOL, fleet="f", name="s")))
+        reader = FrameReader(stream)
+        assert reader.hello().name == "a"
+        for number, ask in enumerate((pb.Ask(command=b"\xff"), pb.Ask(), pb.Ask(view=pb.View(machine="no")))):
+            ask.token = number
+            stream.write(framed(pb.Frame(ask=ask)))
+            told = reader.frame().told
+            assert told.token == number and Result.FromString(told.result).refusal in (
+                Result.UNREADABLE, Result.NO_MACHINE)
+
+    play(main)
+
+
+def test_members_that_meet_hear_one_another_and_meet_again():
+    def main(loop):
+        heard = []
+        one, two = member(loop, "a"), member(loop, "b")
+        two.received = lambda sender, message: heard.append((sender, message.term))
+        loop.sleep(3000.0)
+        one.peers.send(Life("b", b"b"), cpb.Message(term=3))
+        one.peers.send(Life("b", b"another"), cpb.Message(term=4))
+        loop.sleep(50.0)
+        assert heard == [(Life("a", b"a"), 3)] and one.peers.counts["unsent"] == 1
+        two.close()
+        loop.sleep(6000.0)
+        assert not one.peers.peers["b"].up
+        again = member(loop, "b")
+        again.received = lambda sender, message: heard.append((sender, message.term))
+        loop.sleep(3000.0)
+        one.peers.send(Life("b", b""), cpb.Message(term=5))
+        loop.sleep(50.0)
+        assert heard[1:] == [(Life("a", b"a"), 5)]
+
+    play(main)
+
+
+def test_an_outbox_drops_the_oldest_that_may_be_lost_first():
+    def main(loop):
+        box = Outbox(loop, most=100)
+        assert box.put(b"a" * 40, True) and box.put(b"b" * 40) and box.put(b"c" * 40, True)
+        assert (len(box), box.held, box.dropped) == (2, 80, 1)
+        assert not box.put(b"d" * 70)
+        assert (len(box), box.dropped) == (1, 3)  # what could be lost made room, though not enough
+
+    play(main)
+
+
+def test_frames_come_out_as_they_went_in_however_they_are_cut():
+    def main(loop):
+        listener = loop.listen(HERE["a"])
+        near = loop.connect(HERE["a"])
+        reader = FrameReader(listener.accept())
+        frames = [pb.Frame(council=bytes([n]) * (n * 37)) for n in range(1, 30)]
+        data = b"".join(map(framed, frames))
+        loop.spawn(lambda: [near.write(data[n:n + 11]) for n in range(0, len(data), 11)] and near.close())
+        assert [reader.frame() for _ in frames] == frames and reader.frame() is None
+        far = loop.connect(HERE["a"])
+        reader = FrameReader(listener.accept())
+        far.write(LENGTH.pack(FRAME_MOST + 1))
+        with pytest.raises(FrameRefused):
+            reader.frame()
+
+    play(main)
+
+
+def test_a_door_that_closes_lets_all_go():
+    def main(loop):
+        there = member(loop)
+        assert isinstance(there.door, Door)
+        ours = asker(loop)
+        ours.propose("sum", b"1", 1000)
+        there.close()
+        with pytest.raises(CouncilLost):
+            ours.read("sum", within_ms=500)
+        loop.sleep(100.0)
+        assert not there.door.callers
+
+    play(main)
