--- a/fennelwind/config/read.py
+++ b/fennelwind/config/read.py
@@ -239,8 +239,8 @@
         c, path = self.file.council, ("council",)
         for label in ("fleet", "me"):
             if not NAME.fullmatch(getattr(c, label)):
-                self.wrong((*path, label), f"{label}: {getattr(c, label)!r}, where a name of letters, digits, "
-                                           "'.', '_' and '-' is needed, 64 at most")
+                self.wrong((*path, label), f"{label}: {getattr(c, label)!r}, where a name of letters, "
+                                           "digits, '.', '_' and '-' is needed, 64 at most")
         if len(c.members) not in MEMBERS:
             self.wrong(path, f"members: {len(c.members)}, where 3, 5 or 7 are needed")
         members: dict[str, Address] = {}
--- a/fennelwind/keeper/asker.py
+++ b/fennelwind/keeper/asker.py
@@ -141,8 +141,8 @@
     def propose(self, machine: str, body: bytes, within_ms: float) -> bytes:
         """Have a command done once; return the machine's answer.
 
-        Raises `CommandRefused` and `AskerFull`, where nothing was done, `OutcomeUnknown`, where it may be, and
-        `CouncilLost` and its like, where it was never sent or refused by all that were asked.
+        Raises `CommandRefused` and `AskerFull`, where nothing was done, `OutcomeUnknown`, where it may be,
+        and `CouncilLost` and its like, where it was never sent or refused by all that were asked.
         """
         until = self.loop.now() + within_ms
         maybe = False  # it was sent, and nobody told what became of it
@@ -241,7 +241,7 @@
     # Reads.
 
     def read(self, machine: str, query: bytes = b"", *, within_ms: float) -> Seen:
-        """Return a machine's state, or its answer to a query, as of now. Raises `CouncilLost` and its like."""
+        """Return a machine's state or answer to a query, as of now. Raises `CouncilLost` and its like."""
         return self._view(pb.View(machine=machine, query=query, fresh=True), within_ms)
 
     def fact(self, machine: str, kind: str, key: str, *, within_ms: float, fresh: bool = True) -> Seen:
@@ -311,7 +311,7 @@
         return None
 
     def _turn(self, asked: str, leader: str) -> bool:
-        """Ask another from now on, unless somebody turned already; tell whether it is one that should know."""
+        """Ask another from now on, unless somebody turned already; tell whether it should know."""
         if self._target != asked:
             return True
         if leader in self.members and leader != asked:
--- a/fennelwind/keeper/door.py
+++ b/fennelwind/keeper/door.py
@@ -120,8 +120,9 @@
             ours = self.taker.hello()
             wrong = wrong_hello(hello, self.fleet)
             if wrong is None:
-                full = len(self.members) >= MEMBERS_MOST and Life(hello.name, hello.life) not in self.members \
-                    if hello.life else len(self.callers) >= ASKERS_MOST
+                full = (len(self.members) >= MEMBERS_MOST
+                        and Life(hello.name, hello.life) not in self.members if hello.life
+                        else len(self.callers) >= ASKERS_MOST)
                 if full or not 0 < len(hello.name) <= NAME_MOST:
                     self.counts["too many" if full else "dropped"] += 1
                     return None
--- a/fennelwind/keeper/errors.py
+++ b/fennelwind/keeper/errors.py
@@ -23,8 +23,8 @@
     """Members answer, but none leads: no majority of them can reach one another or write."""
 
     code = "council-no-leader"
-    advice = ("A majority of the members has to run, reach one another and be able to write. Look for members "
-              "that are down, for full disks and for cut links; a leader is elected by itself then.")
+    advice = ("A majority of the members has to run, reach one another and be able to write. Look for "
+              "members that are down, for full disks and for cut links; a leader is elected by itself then.")
 
 
 class OutcomeUnknown(CouncilError):
@@ -39,7 +39,7 @@
 
     code = "council-command-refused"
     advice = ("NO_MACHINE: members of an older version do not know the command yet, finish the upgrade. "
-              "TOO_LARGE: cut it into several. UNREADABLE: versions that never met in one fleet, or a defect.")
+              "TOO_LARGE: cut it into several. UNREADABLE: a version that never met this one, or a defect.")
 
 
 class AskerFull(CouncilError):
--- a/fennelwind/keeper/frames.py
+++ b/fennelwind/keeper/frames.py
@@ -6,8 +6,9 @@
 from google.protobuf.message import DecodeError, Message
 
 from fennelwind.keeper import keeper_pb2 as pb
+from fennelwind.keeper.bell import Bell
 from fennelwind.keeper.errors import FrameRefused
-from fennelwind.loop import Channel, ChannelClosed, ChannelFull, Loop, Stream
+from fennelwind.loop import Loop, Stream
 
 HELLO_MOST = 1024  # bytes of a first frame: names are short, and who sends it is a stranger
 FRAME_MOST = 2 * 1024 * 1024  # bytes; an append holds 512 KiB and at least one command of 256 KiB
@@ -79,7 +80,7 @@
     def __init__(self, loop: Loop, most: int = BOX_MOST) -> None:
         self.loop, self.most, self.held, self.dropped = loop, most, 0, 0
         self._frames: deque[tuple[bytes, bool]] = deque()
-        self._bell = Channel(loop, 1)
+        self._bell = Bell(loop)
 
     def __len__(self) -> int:
         return len(self._frames)
@@ -93,10 +94,7 @@
             return False
         self._frames.append((frame, may_be_lost))
         self.held += len(frame)
-        try:
-            self._bell.offer(None)
-        except (ChannelFull, ChannelClosed):
-            pass
+        self._bell.ring()
         return True
 
     def _drop_oldest(self) -> bool:
@@ -117,7 +115,7 @@
         """Write what comes until the stream breaks. Raises `StreamReset` and `DeadlineExceeded`."""
         while True:
             while not self._frames:
-                self._bell.get()
+                self._bell.wait()
             together = []
             size = 0
             while self._frames and (not together or size + len(self._frames[0][0]) <= TOGETHER_MOST):
--- a/fennelwind/keeper/member.py
+++ b/fennelwind/keeper/member.py
@@ -38,13 +38,14 @@
 from fennelwind.council.record import Record
 from fennelwind.errors import FennelwindError
 from fennelwind.keeper import keeper_pb2 as pb
+from fennelwind.keeper.bell import Bell
 from fennelwind.keeper.door import Caller, Door
 from fennelwind.keeper.errors import AddressTaken, CouncilError
 from fennelwind.keeper.peers import Peer, Peers
 from fennelwind.keeper.place import PROTOCOL, Place
 from fennelwind.keeper.state import State
 from fennelwind.keeper.waits import Waits
-from fennelwind.loop import Address, Channel, ChannelFull, Loop, Once, Task, parse_address
+from fennelwind.loop import Address, Loop, Once, Task, parse_address
 from fennelwind.loop.disk import DiskFull
 
 EVENTS_MOST = 8192  # messages that wait for the core; more are lost, as on any network
@@ -82,7 +83,7 @@
 
 
 class Member:
-    """Keeps the record together with the others. `start` returns at once; what can't be had is tried again."""
+    """Keeps the record with the others. `start` returns at once; what can't be had is tried again."""
 
     def __init__(self, loop: Loop, place: Place, record: Record, store: Keeping,
                  core: Callable[[Durable], Deciding], seed: str,
@@ -98,7 +99,7 @@
         self.counts: Counter[str] = Counter()
         self.random = self.peers.random
         self._events: deque[Event] = deque()
-        self._bell, self._ink = Channel(loop, 1), Channel(loop, 1)
+        self._bell, self._ink = Bell(loop), Bell(loop)
         self._writes: deque[Write] = deque()
         self._timer = None
         self._token = 0
@@ -122,8 +123,8 @@
         for call, name in ((self._write, "keeper: writes"), (self.state.run, "keeper: applies"),
                            (self._look_for_room, "keeper: room")):
             self._tasks.append(self.loop.spawn(call, name=name))
-        self.said("member", {"name": self.me.name, "life": self.me.life.hex(), "index": self.state.record.index,
-                             "entries": len(durable.entries)})
+        self.said("member", {"name": self.me.name, "life": self.me.life.hex(),
+                             "index": self.state.record.index, "entries": len(durable.entries)})
         self._turns()
 
     def _opened(self) -> Durable:
@@ -190,7 +191,7 @@
     def post(self, event: Event) -> None:
         """Hand the core an event, in its next turn."""
         self._events.append(event)
-        _ring(self._bell)
+        self._bell.ring()
 
     def hello(self) -> pb.Hello:
         """Return what this member says first."""
@@ -274,7 +275,7 @@
         self._carry(self.core.step(self.loop.now(), []))
         while True:
             while not self._events:
-                self._bell.get()
+                self._bell.wait()
             events = list(self._events)
             self._events.clear()
             self._carry(self.core.step(self.loop.now(), events))
@@ -290,7 +291,7 @@
                 self.peers.send(action.to, action.message)
             elif isinstance(action, Write):
                 self._writes.append(action)
-                _ring(self._ink)
+                self._ink.ring()
             elif isinstance(action, Apply | Restore | TakeSnapshot):
                 self.state.take(action)
             elif isinstance(action, Timer):
@@ -331,7 +332,7 @@
     def _write(self) -> None:
         while True:
             while not self._writes:
-                self._ink.get()
+                self._ink.wait()
             writes = [self._writes.popleft() for _ in range(min(len(self._writes), TOGETHER_MOST))]
             try:
                 self.store.write(writes)
@@ -369,10 +370,3 @@
 
 def _refusal(answer: Answer | Readable) -> Result:
     return Result(refusal=answer.refusal, leader=answer.leader, again_ms=getattr(answer, "again_ms", 0))
-
-
-def _ring(bell: Channel) -> None:
-    try:
-        bell.offer(None)
-    except ChannelFull:
-        pass
--- a/fennelwind/keeper/state.py
+++ b/fennelwind/keeper/state.py
@@ -13,8 +13,9 @@
 from fennelwind.council.interface import Applied, Apply, Event, Restore, Snapshot, TakeSnapshot
 from fennelwind.council.record import Record
 from fennelwind.keeper import keeper_pb2 as pb
+from fennelwind.keeper.bell import Bell
 from fennelwind.keeper.frames import FRAME_MOST
-from fennelwind.loop import Channel, ChannelFull, Loop
+from fennelwind.loop import Loop
 
 SLICE = 64  # entries applied in one turn of the loop; some 2 ms
 WATCHERS_MOST = 4096  # watches that wait here: two hundred controllers with twenty tables each
@@ -39,7 +40,7 @@
         self.revisions = dict.fromkeys(record.machines, 0)
         self.applied = 0  # entries since the start
         self._work: deque[Apply | Restore | TakeSnapshot] = deque()
-        self._bell = Channel(loop, 1)
+        self._bell = Bell(loop)
         self._results: dict[int, Callable[[Result], None]] = {}  # who waits for an entry's result
         self._reads: list[tuple[int, int, Callable[[], None]]] = []  # heap: index, order, what is to be done
         self._order = 0
@@ -55,10 +56,7 @@
     def take(self, action: Apply | Restore | TakeSnapshot) -> None:
         """Take what is to be done, in order."""
         self._work.append(action)
-        try:
-            self._bell.offer(None)
-        except ChannelFull:
-            pass
+        self._bell.ring()
 
     def result_of(self, index: int, call: Callable[[Result], None]) -> None:
         """Make the call with what the entry brings; UNKNOWN if it was applied already: ask again."""
@@ -98,7 +96,7 @@
         """Apply what comes, for ever."""
         while True:
             while not self._work:
-                self._bell.get()
+                self._bell.wait()
             action = self._work.popleft()
             if isinstance(action, Apply):
                 for start in range(0, len(action.entries), SLICE):
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -1,4 +1,4 @@
-"""What carries the council out, in virtual time: frames, hellos, askers, members with a core that is all alone."""
+"""What carries the council out, in virtual time: frames, askers, members with a core that is alone."""
 
 import pytest
 
@@ -120,7 +120,8 @@
 def member(loop, name="a", log=None, fleet="f", said=lambda *_: None):
     place = Place(fleet, name, HERE, listen=HERE[name], timing=Timing())
     core = Alone([] if log is None else log)
-    made = Member(loop, place, Record([Counter()]), Folder(Life(name, name.encode())), lambda _: core, "1", said)
+    folder = Folder(Life(name, name.encode()))
+    made = Member(loop, place, Record([Counter()]), folder, lambda _: core, "1", said)
     made.start()
     loop.sleep(5.0)
     return made
