Keeper whole: folder, machines, tasks under leases

In full: Keeper whole: folder, machines, tasks under leases; wired into the program by its settings. A section council of the settings starts a member or an asker, and a holder of leases on top of it; without it nothing of it is loaded. SIGTERM gives leases and the lead to others within the stated time. Members are played in virtual worlds with virtual disks.

--- a/fennelwind/cli/main.py
+++ b/fennelwind/cli/main.py
@@ -105,6 +105,7 @@
         stop.wait()
         if sample is not None:
             sampler.write(sample)
+        program.hand_over()
         program.close()
         ledger, driver = program.driver.ledger, program.driver
         observer.log.info(
--- a/fennelwind/cli/program.py
+++ b/fennelwind/cli/program.py
@@ -1,5 +1,7 @@
 """A controller put together: front, core, links and discovery on one loop."""
 
+from typing import TYPE_CHECKING
+
 from fennelwind import interface as api
 from fennelwind.config import Controller
 from fennelwind.config import settings_pb2 as pb
@@ -15,6 +17,9 @@
 from fennelwind.loop import Address, Loop
 from fennelwind.observe.metrics import MetricsFront
 
+if TYPE_CHECKING:
+    from fennelwind.keeper.whole import Keeper
+
 
 class Program:
     """A running controller. `start` listens; `close` gives all that is open its final answer."""
@@ -35,6 +40,7 @@
                 zones=settings.zones, kinds=settings.kinds, post=self.driver.post, seed=seed,
                 said=observer.said)
         self.service = Service(loop, settings, self.driver)
+        self.keeper = self._keeper(seed) if settings.council is not None else None
         self.front: Front | None = None
         self.http: HttpFront | None = None
         self.metrics: MetricsFront | None = None
@@ -59,14 +65,35 @@
             self.metrics.start()
         self.service.start()
         self.front.start()
+        if self.keeper is not None:
+            self.keeper.start()
+
+    def hand_over(self) -> None:
+        """Give the fleet's tasks and the council's lead to others, within the time that the settings say."""
+        if self.keeper is not None:
+            self.keeper.hand_over()
 
     def close(self) -> None:
         """Take nothing more, answer what is open, let the answers out."""
+        if self.keeper is not None:
+            self.keeper.close()
         self.driver.close()
         for front in (self.front, self.http, self.metrics):
             if front is not None:
                 front.close()
 
+    def _keeper(self, seed: int) -> "Keeper":
+        """Return the controller's part in the council; only here is anything of it loaded."""
+        from fennelwind.council.interface import Timing
+        from fennelwind.keeper.place import Place
+        from fennelwind.keeper.whole import Keeper
+
+        c = self.settings.council
+        place = Place(c.fleet, c.me, c.members, c.folder, c.listen,
+                      Timing(heartbeat_ms=c.heartbeat_ms, election_ms=c.election_ms),
+                      c.reserve_bytes, c.handover_ms)
+        return Keeper(self.loop, place, seed, self.observer.council)
+
     def reload_certificates(self) -> str:
         """Read certificate and key anew, for new connections; return what became of it."""
         listener, folder = self.settings.file.listener, self.settings.folder
--- a/fennelwind/keeper/asker.py
+++ b/fennelwind/keeper/asker.py
@@ -248,16 +248,18 @@
         """Return a fact; without `fresh` as some member knows it. Raises `CouncilLost` and its like."""
         return self._view(pb.View(machine=machine, kind=kind, key=key, fresh=fresh), within_ms)
 
-    def watch(self, machine: str, after: int, *, wait_ms: float, query: bytes = b"") -> Seen:
+    def watch(self, machine: str, after: int = 0, *, wait_ms: float, query: bytes = b"",
+              unlike: bytes | None = None) -> Seen:
         """Return the state once it has changed behind the revision, or as it is after so long.
 
-        Raises `AskerFull` when as many watch as may, and `CouncilLost` and its like.
+        With `unlike` it is the answer to the query that has to be another. Raises `AskerFull` when as many
+        watch as may, and `CouncilLost` and its like.
         """
         if self._watches >= WATCHES_MOST:
             raise AskerFull(f"{WATCHES_MOST} watches are under way", most=WATCHES_MOST)
         self._watches += 1
         try:
-            view = pb.View(machine=machine, query=query, after=after, wait_ms=int(wait_ms))
+            view = pb.View(machine=machine, query=query, after=after, wait_ms=int(wait_ms), unlike=unlike)
             return self._view(view, wait_ms + 4.0 * ATTEMPT_MS, wait_ms)
         finally:
             self._watches -= 1
--- /dev/null
+++ b/fennelwind/keeper/folder.py
@@ -0,0 +1,49 @@
+"""A member's folder at work: its disk and its store, opened when the member is, and once more if they fail."""
+
+from collections.abc import Callable
+
+from fennelwind.council import council_pb2
+from fennelwind.council.interface import Durable, Write
+from fennelwind.loop.disk import Disk, DiskError
+from fennelwind.store.store import Limits, Store
+
+LIFE = 16  # bytes of a life: no two folders ever draw the same
+
+
+class Folder:
+    """What `Member` keeps. A life is drawn for a folder that is made anew."""
+
+    def __init__(self, disk: Callable[[], Disk], fleet: str, name: str, token: Callable[[int], bytes],
+                 limits: Limits) -> None:
+        self.make_disk, self.fleet, self.name, self.token, self.limits = disk, fleet, name, token, limits
+        self.store: Store | None = None
+
+    def open(self) -> Durable:
+        """Read what is kept. Raises `StoreError` and `DiskError`; it may be tried again."""
+        disk = self.make_disk()
+        try:
+            self.store, durable = Store.open(disk, self.fleet, self.name, self.token(LIFE), self.limits)
+        except BaseException:
+            disk.close()
+            raise
+        return durable
+
+    def reopen(self, head: council_pb2.SnapshotHead | None, snapshot: bytes) -> Durable:
+        """Read anew what is kept after a write has failed. Raises `StoreError` and `DiskError`."""
+        return self.store.reopen(head, snapshot)
+
+    def write(self, writes: list[Write]) -> None:
+        """Let writes reach the disk as one. Raises `StoreError` and `DiskError`; nothing counts then."""
+        self.store.write(*writes)
+
+    def room_short(self) -> bool:
+        """Tell whether the disk is nearly full."""
+        try:
+            return self.store.short()
+        except DiskError:
+            return False  # a disk that can't even say so is met by the next write
+
+    def close(self) -> None:
+        """Give the folder up."""
+        if self.store is not None:
+            self.store.close()
--- /dev/null
+++ b/fennelwind/keeper/machines.py
@@ -0,0 +1,29 @@
+"""The machines of this version on the record, and what each may be asked."""
+
+from google.protobuf.message import DecodeError
+
+from fennelwind.council.machine import Machine
+from fennelwind.keeper.state import whole_state
+from fennelwind.leases import leases_pb2
+from fennelwind.leases.machine import LeaseMachine, Life
+
+LEASES = "leases"
+
+
+def machines() -> list[Machine]:
+    """Return the machines, empty."""
+    return [LeaseMachine()]
+
+
+def answer(machine: Machine, query: bytes) -> bytes:
+    """Answer a query; without one, with all that the machine keeps.
+
+    `leases`: by a `Who`, which tasks are offered to it.
+    """
+    if machine.name == LEASES and query:
+        try:
+            who = leases_pb2.Who.FromString(query)
+        except DecodeError:
+            return b""
+        return leases_pb2.LeaseAnswer(offers=machine.offers(Life(who.name, who.life))).SerializeToString()
+    return whole_state(machine, query)
--- a/fennelwind/keeper/member.py
+++ b/fennelwind/keeper/member.py
@@ -35,6 +35,9 @@
     WriteFailed,
     Written,
 )
+from fennelwind.council.log import Log
+from fennelwind.council.machine import Machine
+from fennelwind.council.pieces import head_of
 from fennelwind.council.record import Record
 from fennelwind.errors import FennelwindError
 from fennelwind.keeper import keeper_pb2 as pb
@@ -43,7 +46,7 @@
 from fennelwind.keeper.errors import AddressTaken, CouncilError
 from fennelwind.keeper.peers import Peer, Peers
 from fennelwind.keeper.place import PROTOCOL, Place
-from fennelwind.keeper.state import State
+from fennelwind.keeper.state import State, whole_state
 from fennelwind.keeper.waits import Waits
 from fennelwind.loop import Address, Loop, Once, Task, parse_address
 from fennelwind.loop.disk import DiskFull
@@ -60,7 +63,7 @@
 class Deciding(Protocol):
     """The core, as far as it is used here."""
 
-    members: council_pb2.Members
+    log: Log
 
     def step(self, now: float, events: list[Event]) -> list[Action]:
         """Decide."""
@@ -70,7 +73,10 @@
     """The folder, as far as it is used here. Its calls wait, and raise what a disk raises."""
 
     def open(self) -> Durable:
-        """Read what is kept; also once more after a write has failed."""
+        """Read what is kept."""
+
+    def reopen(self, head: council_pb2.SnapshotHead | None, snapshot: bytes) -> Durable:
+        """Read anew what is kept after a write has failed; a full disk may take a snapshot for all else."""
 
     def write(self, writes: list[Write]) -> None:
         """Let writes reach the disk, in order, as one."""
@@ -86,14 +92,14 @@
     """Keeps the record with the others. `start` returns at once; what can't be had is tried again."""
 
     def __init__(self, loop: Loop, place: Place, record: Record, store: Keeping,
-                 core: Callable[[Durable], Deciding], seed: str,
-                 said: Callable[[str, dict], None]) -> None:
+                 core: Callable[[Durable], Deciding], seed: str, said: Callable[[str, dict], None],
+                 ask: Callable[[Machine, bytes], bytes] = whole_state) -> None:
         self.loop, self.place, self.store, self.make_core = loop, place, store, core
         self.said = said
         self.core: Deciding | None = None
         self.me = Life(place.me, b"")
         self.part, self.term, self.leader = "closed", 0, ""
-        self.state = State(loop, record, self.post)
+        self.state = State(loop, record, self.post, ask)
         self.peers = Peers(loop, place.fleet, self.hello, seed, self._wrong, self._met)
         self.door: Door | None = None
         self.counts: Counter[str] = Counter()
@@ -116,7 +122,6 @@
     def _live(self) -> None:
         durable = self._opened()
         self.me = durable.me
-        self.state.restore(durable.snapshot)
         self.core = self.make_core(durable)
         self._listen()
         self._reach()
@@ -241,9 +246,9 @@
             caller.tell(told)
 
         def watch() -> None:
-            if not view.after:
+            if not view.wait_ms:
                 tell()
-            elif not self.state.watch(view.machine, view.after, view.wait_ms, tell):
+            elif not self.state.watch(view, tell):
                 self._refuse(caller, token, Result(refusal=Result.TOO_MANY, again_ms=BUSY_MS))
 
         def readable(answer: Readable) -> None:
@@ -318,7 +323,7 @@
     def _reach(self) -> None:
         """Keep ways to the members of the settings, and to those of the record that these don't name."""
         addresses: dict[str, Address] = {}
-        for member in self.core.members.members:
+        for member in self.core.log.members.members:
             try:
                 addresses[member.name] = parse_address(member.address)
             except ValueError:
@@ -340,17 +345,17 @@
                 self.said("cannot write", exc.told())
                 self.counts["failed writes"] += 1
                 self.post(WriteFailed(writes[0].number, isinstance(exc, DiskFull)))
-                self._write_again()
+                self._write_again(isinstance(exc, DiskFull))
             else:
                 self.post(Written(writes[-1].number))
 
-    def _write_again(self) -> None:
+    def _write_again(self, full: bool) -> None:
         """Wait until the folder takes writes; what was asked for behind a failed write counts for nothing."""
         waits = Waits(self.random, OPEN_FIRST_MS, OPEN_MOST_MS)
         while True:
             self.loop.sleep(waits.next())
             try:
-                durable = self.store.open()
+                durable = self.store.reopen(*(self._compact() if full else (None, b"")))
                 break
             except FennelwindError:
                 self.counts["still cannot write"] += 1
@@ -358,6 +363,15 @@
         self.said("can write again", {"entries": len(durable.entries)})
         self.post(CanWrite(durable))
 
+    def _compact(self) -> tuple[council_pb2.SnapshotHead | None, bytes]:
+        """Return a snapshot of what is agreed and applied, which makes room in place of a long log."""
+        record, log = self.state.record, self.core.log
+        term = log.term(record.index)
+        if not record.index or term is None:
+            return None, b""
+        data = record.snapshot()
+        return head_of(record.index, term, record.clock_ms, log.members_at(record.index), data), data
+
     def _look_for_room(self) -> None:
         short = False
         while True:
--- a/fennelwind/keeper/state.py
+++ b/fennelwind/keeper/state.py
@@ -11,6 +11,7 @@
 
 from fennelwind.council import council_pb2
 from fennelwind.council.interface import Applied, Apply, Event, Restore, Snapshot, TakeSnapshot
+from fennelwind.council.machine import Machine
 from fennelwind.council.record import Record
 from fennelwind.keeper import keeper_pb2 as pb
 from fennelwind.keeper.bell import Bell
@@ -20,6 +21,7 @@
 SLICE = 64  # entries applied in one turn of the loop; some 2 ms
 WATCHERS_MOST = 4096  # watches that wait here: two hundred controllers with twenty tables each
 VIEW_MOST = FRAME_MOST - 4096  # bytes of a state that is told in one frame
+WATCH_MOST = 4096  # bytes of what one watch compares with; a longer one is answered at once
 WAIT_MOST_MS = 60_000  # ms that one watch waits; longer ones ask again
 
 Result = council_pb2.Result
@@ -27,7 +29,7 @@
 
 @dataclass(slots=True)
 class _Watch:
-    after: int
+    holds: Callable[[], bool]
     call: Callable[[], None]
     timer: Any = None
 
@@ -35,8 +37,9 @@
 class State:
     """Applies what is agreed; tells who waits for an entry, a state of at least an index, or a change."""
 
-    def __init__(self, loop: Loop, record: Record, post: Callable[[Event], None]) -> None:
-        self.loop, self.record, self.post = loop, record, post
+    def __init__(self, loop: Loop, record: Record, post: Callable[[Event], None],
+                 ask: Callable[[Machine, bytes], bytes]) -> None:
+        self.loop, self.record, self.post, self.ask = loop, record, post, ask
         self.revisions = dict.fromkeys(record.machines, 0)
         self.applied = 0  # entries since the start
         self._work: deque[Apply | Restore | TakeSnapshot] = deque()
@@ -47,12 +50,6 @@
         self._watches: dict[str, list[_Watch]] = {name: [] for name in record.machines}
         self.watchers = 0
 
-    def restore(self, data: bytes) -> None:
-        """Begin with the state of a snapshot that the folder held."""
-        if data:
-            self.record.restore(data)
-        self.revisions = dict.fromkeys(self.record.machines, self.record.index)
-
     def take(self, action: Apply | Restore | TakeSnapshot) -> None:
         """Take what is to be done, in order."""
         self._work.append(action)
@@ -73,22 +70,32 @@
             self._order += 1
             heapq.heappush(self._reads, (index, self._order, call))
 
-    def watch(self, machine: str, after: int, wait_ms: float, call: Callable[[], None]) -> bool:
-        """Make the call once the machine's state has changed, or after so long; False: too many wait."""
-        if self.revisions.get(machine, after + 1) > after:
+    def watch(self, view: pb.View, call: Callable[[], None]) -> bool:
+        """Make the call once what is watched has changed, or after its time; False: too many wait."""
+        machine = self.record.machines.get(view.machine)
+        if machine is None or view.ByteSize() > WATCH_MOST:
+            call()
+            return True
+
+        def holds() -> bool:
+            if view.HasField("unlike"):
+                return self.ask(machine, view.query) != view.unlike
+            return self.revisions[view.machine] > view.after
+
+        if holds():
             call()
             return True
         if self.watchers >= WATCHERS_MOST:
             return False
-        watch = _Watch(after, call)
+        watch = _Watch(holds, call)
 
         def late() -> None:
-            self._watches[machine].remove(watch)
+            self._watches[view.machine].remove(watch)
             self.watchers -= 1
             call()
 
-        watch.timer = self.loop.after(min(wait_ms, WAIT_MOST_MS), late)
-        self._watches[machine].append(watch)
+        watch.timer = self.loop.after(min(view.wait_ms, WAIT_MOST_MS), late)
+        self._watches[view.machine].append(watch)
         self.watchers += 1
         return True
 
@@ -134,15 +141,17 @@
 
     def _changed(self, machines: list[str]) -> None:
         for name in machines:
-            self.revisions[name] = self.record.index
-            watches = self._watches[name]
-            if watches:
-                self._watches[name] = [w for w in watches if w.after >= self.record.index]
-                for watch in watches:
-                    if watch.after < self.record.index:
-                        watch.timer.cancel()
-                        self.watchers -= 1
-                        watch.call()
+            # A machine may tell when its state has really changed; else every command counts as a change.
+            revision = getattr(self.record.machines[name], "revision", self.record.index)
+            if revision == self.revisions[name]:
+                continue
+            self.revisions[name] = revision
+            ripe = [watch for watch in self._watches[name] if watch.holds()]
+            for watch in ripe:
+                self._watches[name].remove(watch)
+                watch.timer.cancel()
+                self.watchers -= 1
+                watch.call()
 
     def _settle(self) -> None:
         """Answer the reads whose index has come, and those whose entry a snapshot has swallowed."""
@@ -161,11 +170,15 @@
         elif machine is None:
             result.refusal = Result.NO_MACHINE
         else:
-            tell = getattr(machine, "view", None)  # a machine may answer queries; its whole state else
-            result.body = tell(view.query) if tell is not None else machine.snapshot()
+            result.body = self.ask(machine, view.query)
             if len(result.body) > VIEW_MOST:
                 result.ClearField("body")
                 result.refusal = Result.TOO_LARGE
         told.result = result.SerializeToString()
         return told
 
+
+
+def whole_state(machine: Machine, query: bytes) -> bytes:
+    """Answer any query by all that a machine keeps."""
+    return machine.snapshot()
--- /dev/null
+++ b/fennelwind/keeper/whole.py
@@ -0,0 +1,70 @@
+"""The controller's part in the council put together: its member, if it is one, its asker, its tasks."""
+
+from collections.abc import Callable
+
+from fennelwind.council.council_pb2 import Member as Stated
+from fennelwind.council.core import Core
+from fennelwind.council.interface import Durable
+from fennelwind.council.record import Record
+from fennelwind.keeper.asker import Asker
+from fennelwind.keeper.errors import CouncilError
+from fennelwind.keeper.folder import Folder
+from fennelwind.keeper.machines import answer, machines
+from fennelwind.keeper.member import Member
+from fennelwind.keeper.place import Place
+from fennelwind.keeper.tasks import Tasks
+from fennelwind.loop import Loop
+from fennelwind.loop.disk import Disk
+from fennelwind.store.store import Limits
+
+LEAVE_PART = 0.5  # of the time to hand over: leases first, then the lead
+
+
+class Keeper:
+    """What a controller with a section `council` runs. Nothing on a query's way waits for it."""
+
+    def __init__(self, loop: Loop, place: Place, seed: int, said: Callable[[str, dict], None],
+                 disk: Callable[[], Disk] | None = None) -> None:
+        self.loop, self.place, self.said = loop, place, said
+        self.member = self._member(seed, disk) if place.member else None
+        self.asker = Asker(loop, place.fleet, place.me, place.members, f"asker {seed}", self._wrong)
+        self.tasks = Tasks(loop, self.asker, place.me, seed, said)
+
+    def _member(self, seed: int, disk: Callable[[], Disk] | None) -> Member:
+        place, loop = self.place, self.loop
+        limits = Limits(reserve=place.reserve_bytes, low=2 * place.reserve_bytes)
+        stated = [Stated(name=name, address=str(address)) for name, address in sorted(place.members.items())]
+
+        def core(durable: Durable) -> Core:
+            return Core(place.timing, durable, seed, stated)
+
+        folder = Folder(disk or self._disk, place.fleet, place.me, loop.token, limits)
+        return Member(loop, place, Record(machines()), folder, core, f"member {seed}", self.said, answer)
+
+    def _disk(self) -> Disk:
+        from fennelwind.loop.realdisk import RealDisk  # in virtual time the disk is handed in
+
+        return RealDisk(self.loop, str(self.place.folder))
+
+    def _wrong(self, exc: CouncilError) -> None:
+        self.said("asking", exc.told())
+
+    def start(self) -> None:
+        """Take part; returns at once."""
+        if self.member is not None:
+            self.member.start()
+        self.tasks.start()
+
+    def hand_over(self) -> None:
+        """Give leases and the lead to others, within the stated time."""
+        within = self.place.handover_ms
+        self.tasks.leave(within * LEAVE_PART)
+        if self.member is not None:
+            self.member.hand_over(within * (1.0 - LEAVE_PART))
+
+    def close(self) -> None:
+        """Take part no more."""
+        self.tasks.close()
+        self.asker.close()
+        if self.member is not None:
+            self.member.close()
--- a/fennelwind/observe/logs.py
+++ b/fennelwind/observe/logs.py
@@ -66,6 +66,10 @@
         if self.limit.allow("failed") is not None:
             self.log.error("failed", where=where, exc_info=exc)
 
+    def council(self, what: str, facts: dict[str, Any]) -> None:
+        """Log what the council's carriers tell: few lines, none for a command."""
+        self._limited("council", what=what, **facts)
+
     def _limited(self, event: str, **fields: Any) -> None:
         dropped = self.limit.allow(event)
         if dropped is not None:
--- /dev/null
+++ b/tests/test_council_world.py
@@ -0,0 +1,61 @@
+"""Whole members with their folders and streams, their clients and tasks, in virtual time."""
+
+import pytest
+from council_world import Council
+
+from fennelwind.keeper.errors import CouncilError
+
+
+def test_three_members_found_a_record_and_a_task_moves_on_when_its_holder_is_killed():
+    acts = []
+
+    def sweep(name, council):
+        def run(held):
+            while not held.stop.ready:
+                with held.act(100.0) as act:
+                    acts.append((council.world.time, name, act.fence, "begins"))
+                    held.loop.sleep(20.0)
+                    act.check()
+                    acts.append((council.world.time, name, act.fence, "ends"))
+                held.loop.sleep(20.0)
+            return False
+        return run
+
+    def main(council):
+        for name in council.names:
+            council.keepers[name].tasks.want("sweep", sweep(name, council), term_ms=2000)
+        council.until(lambda: len(acts) > 20)
+        first = acts[-1][1]
+        council.kill(first)
+        seen = len(acts)
+        council.until(lambda: len(acts) > seen + 20)
+        council.start(first)
+        council.until(lambda: council.keepers[first].member.state.record.index
+                      >= council.keepers[acts[-1][1]].member.state.record.index - 2)
+        council.kill(council.leader(), "pick")
+        seen = len(acts)
+        council.until(lambda: len(acts) > seen + 20)
+
+    Council(1).play(main)
+    fences = [fence for _, _, fence, _ in acts]
+    assert fences == sorted(fences) and len(set(fences)) >= 2
+    for (_, *one, what), (_, *other, _) in zip(acts, acts[1:], strict=False):
+        assert what == "ends" or one == other or one[1] < other[1]
+
+
+@pytest.mark.parametrize("members", [3, 5])
+def test_commands_go_on_while_a_majority_is_there_and_come_back_with_it(members):
+    def main(council):
+        follower = council.start("f0", "10.0.1.1")
+        read = council.on("f0", lambda: follower.asker.read("leases", within_ms=30_000))
+        assert read.index > 0
+        for name in council.names[:members // 2 + 1]:
+            council.kill(name)
+        with pytest.raises(CouncilError):
+            council.on("f0", lambda: follower.asker.read("leases", within_ms=5000))
+        for name in council.names[:members // 2 + 1]:
+            council.start(name)
+        again = council.on("f0", lambda: follower.asker.read("leases", within_ms=30_000))
+        assert again.index >= read.index
+
+    Council(2, members).play(main)
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -15,6 +15,7 @@
     Readable,
     Timing,
 )
+from fennelwind.council.log import Log
 from fennelwind.council.machine import UnreadableCommand
 from fennelwind.council.record import Record
 from fennelwind.keeper import keeper_pb2 as pb
@@ -72,8 +73,8 @@
     """A core that agrees with itself at once; `way` makes it refuse, forget to answer, or send elsewhere."""
 
     def __init__(self, log):
-        self.log, self.way, self.leader, self.asked = log, "", "", 0
-        self.members = cpb.Members()
+        self.entries, self.way, self.leader, self.asked = log, "", "", 0
+        self.log = Log(None, ())
 
     def step(self, now, events):
         actions = [] if events else [Became("leader", 1, "a")]
@@ -86,15 +87,15 @@
                 if self.way == "elsewhere":
                     actions.append(Answer(event.token, Result.NOT_LEADER, leader=self.leader))
                     continue
-                entry = cpb.Entry(term=1, index=len(self.log) + 1, clock_ms=int(now), command=event.command)
-                self.log.append(entry)
+                entry = cpb.Entry(term=1, index=len(self.entries) + 1, clock_ms=int(now), command=event.command)
+                self.entries.append(entry)
                 actions.append(Apply((entry,)))
                 if self.way != "silent":
                     actions.append(Answer(event.token, index=entry.index))
             elif isinstance(event, Read):
-                actions.append(Readable(event.token, index=len(self.log)))
+                actions.append(Readable(event.token, index=len(self.entries)))
             elif isinstance(event, Applied):
-                assert event.index <= len(self.log)
+                assert event.index <= len(self.entries)
         return actions
 
 
