Rig of the council by processes: members, relays between each two

In full: Rig of the council by processes: members, relays between each two, one resource that checks fences. Disks of the rig fill, slow down, fail syncs and lose what was not synced; clocks run at a pace of their own.

--- /dev/null
+++ b/fennelwind/fleet/councilwork.py
@@ -0,0 +1,188 @@
+"""One controller of a rig of the council: a member or one that asks, with clients and a leased task.
+
+It reads what it is to be as a line of JSON and goes on until its rig ends. What clients asked and got goes to
+a file line by line, so that a kill loses nothing of it; what the task does goes to the rig's resource.
+"""
+
+import json
+import resource
+import sys
+from itertools import count
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from fennelwind.council.interface import Timing
+from fennelwind.fleet.registers import Registers
+from fennelwind.fleet.rigdisk import Faults, RigDisk
+from fennelwind.fleet.worker import say
+from fennelwind.keeper.errors import CommandRefused, CouncilError, CouncilLost, OutcomeUnknown
+from fennelwind.keeper.place import Place
+from fennelwind.keeper.tasks import Held
+from fennelwind.keeper.whole import Keeper
+from fennelwind.loop import RealLoop, Stream, parse_address
+
+KEYS = ("a", "b", "c")  # registers that all clients use: few, so that they meet
+PAUSE_MS = 10.0  # ms between two asks of a client, at most
+WITHIN_MS = 3000.0  # ms of one ask; outcomes that are unknown make a history harder to check
+RESOURCE_MS = 2000.0  # ms for the resource's answer
+
+
+class SkewedLoop(RealLoop):
+    """A loop whose clock runs at a pace of its own."""
+
+    def __init__(self, pace: float) -> None:
+        super().__init__()
+        self.pace = pace
+
+    def now(self) -> float:
+        """Return the time in ms, as this process has it."""
+        return super().now() * self.pace
+
+    def _pause(self, until: float | None) -> None:
+        now = self.now()
+        super()._pause(None if until is None else now + (until - now) / self.pace)
+
+
+class Work:
+    """What the line asks for."""
+
+    def __init__(self, loop: SkewedLoop, spec: dict[str, Any]) -> None:
+        self.loop, self.spec, self.name = loop, spec, spec["name"]
+        self.random = Random(f"{spec['seed']} {self.name}")
+        self.faults = Faults(**spec.get("disk", {}))
+        self.errors: list[str] = []
+        self.history = Path(spec["history"]).open("a", encoding="utf-8")  # noqa: SIM115 - until the end
+        loop.on_error = lambda task, exc: say(error=f"{task.name}: {type(exc).__name__}: {exc}")
+        members = {name: parse_address(address) for name, address in spec["members"].items()}
+        folder = Path(spec["folder"]) if spec.get("folder") else None
+        place = Place(
+            spec["fleet"], self.name, members, folder, parse_address(spec["listen"]) if folder else None,
+            Timing(**spec.get("timing", {})), spec.get("reserve", 1 << 20), spec.get("handover_ms", 3000.0))
+        self.keeper = Keeper(loop, place, spec["seed"], lambda what, facts: say(said=[what, facts]),
+                             lambda: RigDisk(loop, str(folder), self.faults), (Registers(),))
+
+    def start(self) -> None:
+        """Begin to take part."""
+        self.keeper.start()
+        for number in range(self.spec.get("clients", 0)):
+            self.loop.spawn(self._client, number, name=f"client {number}")
+        task = self.spec.get("task")
+        if task:
+            self.keeper.tasks.want(task["name"], self._act, task["term_ms"])
+
+    # Clients.
+
+    def _client(self, number: int) -> None:
+        asker, random = self.keeper.asker, self.random
+        who = f"{self.name}/{self.spec['life']}/{number}"
+        for ask in count():
+            key, what = random.choice(KEYS), random.choice(("get", "put", "swap"))
+            value = random.randrange(1, 6)
+            old = random.randrange(0, 6)
+            asked = {"get": ["get", key], "put": ["put", key, value], "swap": ["swap", key, old, value]}[what]
+            self._note(who, ask, "asked", asked)
+            try:
+                if what == "get":
+                    got = asker.read("registers", key.encode(), within_ms=WITHIN_MS).state
+                else:
+                    got = asker.propose("registers", json.dumps(asked).encode(), WITHIN_MS)
+                self._note(who, ask, "got", json.loads(got))
+            except OutcomeUnknown:
+                self._note(who, ask, "unknown", None)
+            except (CouncilLost, CommandRefused):
+                self._note(who, ask, "refused", None)
+            except CouncilError as exc:
+                self._note(who, ask, "refused", exc.code)
+            self.loop.sleep(PAUSE_MS * random.random())
+
+    def _note(self, who: str, ask: int, what: str, value: Any) -> None:
+        at = self.loop.now() / self.loop.pace  # true time, which all processes of the machine share
+        self.history.write(json.dumps([at, who, ask, what, value]) + "\n")
+        self.history.flush()
+
+    # The task.
+
+    def _act(self, held: Held) -> bool:
+        task = self.spec["task"]
+        with self.loop.deadline(RESOURCE_MS):
+            stream = self.loop.connect(parse_address(self.spec["resource"]))
+        try:
+            for number in count():
+                if held.stop.ready:
+                    return False
+                with held.act(task["act_ms"]) as act:
+                    for step in range(task["steps"]):
+                        if step:
+                            self.loop.sleep(task["act_ms"] / (2.0 * task["steps"]))
+                            act.check()
+                        what = "begin" if not step else "end" if step == task["steps"] - 1 else "step"
+                        if not self._tell(stream, what, number, act.fence):
+                            return False  # somebody with a later fence was there: the lease is over
+                self.loop.sleep(task["gap_ms"])
+        finally:
+            stream.abort()
+        return False
+
+    def _tell(self, stream: Stream, what: str, number: int, fence: int) -> bool:
+        with self.loop.deadline(RESOURCE_MS):
+            stream.write(json.dumps([self.spec["task"]["name"], self.name, self.spec["life"], what, number,
+                                     fence]).encode() + b"\n")
+            answer = b""
+            while not answer.endswith(b"\n"):
+                data = stream.read()
+                if not data:
+                    raise TimeoutError("the resource has gone")
+                answer += data
+        return bool(json.loads(answer))
+
+    # The rig's words.
+
+    def told(self, word: dict[str, Any]) -> bool:
+        """Do what a line says; false: it was the last."""
+        for key, value in word.get("disk", {}).items():
+            setattr(self.faults, key, value)
+        if "fsize" in word:
+            hard = resource.getrlimit(resource.RLIMIT_FSIZE)[1]
+            soft = hard if word["fsize"] is None else word["fsize"]
+            resource.setrlimit(resource.RLIMIT_FSIZE, (soft, hard))
+        if "ask" in word:
+            self.loop.spawn(self._tell_state, word["ask"], name="state")
+        if word.get("end"):
+            self.keeper.hand_over()
+            self.keeper.close()
+            return False
+        return True
+
+    def _tell_state(self, token: int) -> None:
+        member = self.keeper.member
+        if member is None or member.core is None:
+            say(state=[token, None])
+            return
+        view = member.core.state()
+        say(state=[token, {"part": view.part, "term": view.term, "leader": view.leader, "commit": view.commit,
+                           "applied": member.state.record.index, "members": len(view.members.members),
+                           "votes": sum(m.votes for m in view.members.members)}])
+
+
+def main() -> int:
+    """Be one controller of the rig."""
+    spec = json.loads(sys.stdin.readline())
+    loop = SkewedLoop(spec.get("pace", 1.0))
+
+    def run() -> int:
+        work = Work(loop, spec)
+        work.start()
+        say(ready=True)
+        while True:
+            line = loop.aside(sys.stdin.readline)
+            if not line or not work.told(json.loads(line)):
+                break
+        say(ended=True)
+        return 0
+
+    return loop.run(run)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/fennelwind/fleet/processes.py
+++ b/fennelwind/fleet/processes.py
@@ -74,14 +74,15 @@
 class Part:
     """A worker's process, which is talked to in lines of JSON."""
 
-    def __init__(self, loop: Loop, spec: dict[str, Any], log: Path) -> None:
+    def __init__(self, loop: Loop, spec: dict[str, Any], log: Path,
+                 module: str = "fennelwind.fleet.worker") -> None:
         self.loop, self.spec = loop, spec
-        self.done = self.ready = False
+        self.done = self.ready = self.ended = False
         self.told: dict[str, Any] = {}
         self.log = log.open("wb")
         root = Path(__file__).parent.parent.parent
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "fennelwind.fleet.worker"], stdin=subprocess.PIPE, stdout=subprocess.PIPE,
+            [sys.executable, "-m", module], stdin=subprocess.PIPE, stdout=subprocess.PIPE,
             stderr=self.log, preexec_fn=_with_parent,  # noqa: PLW1509 - one thread here
             env=os.environ | {"PYTHONPATH": f"{root}{os.pathsep}{os.environ.get('PYTHONPATH', '')}"})
         os.set_blocking(self.process.stdout.fileno(), False)
@@ -96,16 +97,24 @@
 
     def look(self) -> None:
         """Take what it has said. Raises `RigFailed` if it has failed or ended."""
+        for told in self.hear():
+            self.told |= told
+        if "failed" in self.told:
+            raise RigFailed(f"{self.spec['name']}: {self.told['failed']}")
+
+    def hear(self) -> list[dict[str, Any]]:
+        """Return what it has said since, line by line. Raises `RigFailed` if it has ended unsaid."""
+        ended = False
         with suppress(BlockingIOError):
             data = os.read(self.process.stdout.fileno(), 65536)
-            if not data and "ended" not in self.told:
-                raise RigFailed(f"{self.spec['name']} has ended with status {self.process.wait()}")
+            ended = not data
             self._rest += data
         *lines, self._rest = self._rest.split(b"\n")
-        for line in lines:
-            self.told |= json.loads(line)
-        if "failed" in self.told:
-            raise RigFailed(f"{self.spec['name']}: {self.told['failed']}")
+        heard = [json.loads(line) for line in lines]
+        self.ended = self.ended or any("ended" in told for told in heard)
+        if ended and not self.ended:
+            raise RigFailed(f"{self.spec['name']} has ended with status {self.process.wait()}")
+        return heard
 
     def close(self) -> None:
         """End it, whatever it is doing."""
--- a/fennelwind/keeper/machines.py
+++ b/fennelwind/keeper/machines.py
@@ -18,8 +18,10 @@
 def answer(machine: Machine, query: bytes) -> bytes:
     """Answer a query; without one, with all that the machine keeps.
 
-    `leases`: by a `Who`, which tasks are offered to it.
+    `leases`: by a `Who`, which tasks are offered to it. A machine with a method `asked` answers itself.
     """
+    if query and hasattr(machine, "asked"):
+        return machine.asked(query)
     if machine.name == LEASES and query:
         try:
             who = leases_pb2.Who.FromString(query)
