A task that found its lease too short is called again while it is held

Its function ended and nobody acted, though the lease was renewed on and on: found by the first play of processes under load, where a renewal came late.

--- a/fennelwind/fleet/councilrig.py
+++ b/fennelwind/fleet/councilrig.py
@@ -210,7 +210,8 @@
             "name": name, "fleet": "rig", "seed": self.seed + self.lives[name], "life": self.lives[name],
             "members": {other: str(self.home(other) if other == name else self.way(name, other))
                         for other in self.members},
-            "folder": str(self.folder / name) if member else "", "listen": str(self.home(name)) if member else "",
+            "folder": str(self.folder / name) if member else "",
+            "listen": str(self.home(name)) if member else "",
             "history": str(self.folder / f"{name}.history"), "timing": TIMING,
             "resource": str(self.way(name, "resource"))} | self.every | self.more.get(name, {})
 
@@ -304,7 +305,8 @@
     def leader(self, among: Iterable[str] | None = None) -> str:
         """Wait for a leader among the running members; return its name."""
         def one() -> str:
-            states = {name: self.state(name) for name in (among or [n for n in self.members if n in self.parts])}
+            asked = among or [name for name in self.members if name in self.parts]
+            states = {name: self.state(name) for name in asked}
             leading = [(s["term"], name) for name, s in states.items() if s and s["part"] == "leader"]
             return max(leading)[1] if leading else ""
 
--- a/fennelwind/fleet/councilwork.py
+++ b/fennelwind/fleet/councilwork.py
@@ -13,9 +13,9 @@
 from typing import Any
 
 from fennelwind.council.interface import Timing
+from fennelwind.fleet.lines import say
 from fennelwind.fleet.registers import Registers
 from fennelwind.fleet.rigdisk import Faults, RigDisk
-from fennelwind.fleet.worker import say
 from fennelwind.keeper.errors import CommandRefused, CouncilError, CouncilLost, OutcomeUnknown
 from fennelwind.keeper.place import Place
 from fennelwind.keeper.tasks import Held
--- a/fennelwind/fleet/worker.py
+++ b/fennelwind/fleet/worker.py
@@ -13,6 +13,7 @@
 from fennelwind.audit.sightings import Sighting, Usage, write
 from fennelwind.fleet import dayfile
 from fennelwind.fleet.addresses import Addresses
+from fennelwind.fleet.lines import say
 from fennelwind.fleet.plan import CHANNEL, Plan, clients_of, make_plan
 from fennelwind.fleet.relay import Relay, Row
 from fennelwind.fleet.settings import Book
@@ -117,11 +118,6 @@
             write(file, self.sightings)
 
 
-def say(**told: Any) -> None:
-    """Tell the rig something, as a line of JSON."""
-    print(json.dumps(told), flush=True)
-
-
 def main() -> int:
     """Play one part of a day."""
     loop = RealLoop()
--- a/fennelwind/keeper/folder.py
+++ b/fennelwind/keeper/folder.py
@@ -1,4 +1,4 @@
-"""A member's folder at work: its disk and its store, opened when the member is, and once more if they fail."""
+"""A member's folder at work: its disk and its store, opened when the member is, read anew if they fail."""
 
 from collections.abc import Callable
 
--- a/fennelwind/keeper/tasks.py
+++ b/fennelwind/keeper/tasks.py
@@ -24,6 +24,7 @@
 ASK_MS = 4000.0  # ms for which one command is asked; the holder itself asks anew when it wants to
 WATCH_MS = 20_000.0  # ms of one watch for offers; each ends with the first offer
 AGAIN_MS = 1000.0  # ms until a watch that failed is tried again
+NOT_HELD_MS = 50.0  # ms until a function that found its lease too short is called again, if it still runs
 LIFE = 16  # bytes: no two starts of a controller draw the same
 
 Run = Callable[["Held"], bool]
@@ -102,7 +103,8 @@
 
         `run` returns true when the task is over for the whole fleet, false when it shall go to another, and
         raises where it can't be done here: then another gets it, and this controller is passed over a while.
-        It is cancelled as soon as the lease is not surely held.
+        It is cancelled as soon as the lease is not surely held; where `TaskNotHeld` ends it before, it is
+        called again.
         """
         self._runs[name] = run
         self.post(api.Want(name, term_ms, purpose))
@@ -187,15 +189,21 @@
 
     def _run(self, held: Held) -> None:
         name = held.name
-        try:
-            over = self._runs[name](held)
-        except TaskNotHeld:
-            return  # the lease has ended, or is about to; the holder knows
-        except (FennelwindError, OSError, TimeoutError) as exc:
-            self.counts["failed"] += 1
-            self.said("task failed", exc.told() if isinstance(exc, FennelwindError) else {"text": str(exc)})
-            self.post(api.Failed(name))
-            return
+        while True:
+            try:
+                over = self._runs[name](held)
+                break
+            except TaskNotHeld:  # too little was left for an act, while a renewal may be on its way
+                self.counts["not held"] += 1
+                if held.stop.ready:
+                    return
+                self.loop.sleep(NOT_HELD_MS)
+            except (FennelwindError, OSError, TimeoutError) as exc:
+                self.counts["failed"] += 1
+                told = exc.told() if isinstance(exc, FennelwindError) else {"text": str(exc)}
+                self.said("task failed", {"task": name} | told)
+                self.post(api.Failed(name))
+                return
         if not held.stop.ready:
             self.post(api.Finished(name) if over else api.Unwant(name))
 
--- a/fennelwind/keeper/whole.py
+++ b/fennelwind/keeper/whole.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable, Iterable
 
-from fennelwind.council.council_pb2 import Member as Stated
 from fennelwind.council.core import Core
+from fennelwind.council.council_pb2 import Member as Stated
 from fennelwind.council.interface import Durable
 from fennelwind.council.machine import Machine
 from fennelwind.council.record import Record
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -87,7 +87,8 @@
                 if self.way == "elsewhere":
                     actions.append(Answer(event.token, Result.NOT_LEADER, leader=self.leader))
                     continue
-                entry = cpb.Entry(term=1, index=len(self.entries) + 1, clock_ms=int(now), command=event.command)
+                entry = cpb.Entry(term=1, index=len(self.entries) + 1, clock_ms=int(now),
+                                  command=event.command)
                 self.entries.append(entry)
                 actions.append(Apply((entry,)))
                 if self.way != "silent":
