--- a/fennelwind/fleet/councilrig.py
+++ b/fennelwind/fleet/councilrig.py
@@ -8,7 +8,6 @@
 import json
 import os
 import shutil
-import signal
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -248,11 +247,11 @@
 
     def stop(self, name: str) -> None:
         """Stop a process where it stands."""
-        self.parts[name].process.send_signal(signal.SIGSTOP)
+        self.parts[name].stop()
 
     def go_on(self, name: str) -> None:
         """Let a stopped process go on."""
-        self.parts[name].process.send_signal(signal.SIGCONT)
+        self.parts[name].go_on()
 
     def end(self, name: str) -> None:
         """Let a process hand over and end, as on SIGTERM."""
--- a/fennelwind/fleet/processes.py
+++ b/fennelwind/fleet/processes.py
@@ -121,6 +121,14 @@
             raise RigFailed(f"{self.spec['name']} has ended with status {self.process.wait()}")
         return heard
 
+    def stop(self) -> None:
+        """Stop it where it stands."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def go_on(self) -> None:
+        """Let it go on."""
+        self.process.send_signal(signal.SIGCONT)
+
     def close(self) -> None:
         """End it, whatever it is doing."""
         with suppress(BrokenPipeError):
--- a/fennelwind/keeper/errors.py
+++ b/fennelwind/keeper/errors.py
@@ -6,8 +6,8 @@
 class CouncilError(FennelwindError):
     """The root of what the council's carriers raise."""
 
-    code = "council"
-    advice = "Look into the members' logs."
+    code = "council-error"
+    advice = "Look into the logs of the members and of this controller, by the same time of day."
 
 
 class CouncilLost(CouncilError):
--- /dev/null
+++ b/tests/test_council_program.py
@@ -0,0 +1,152 @@
+"""The section `council` of the settings: what is wrong in it, nothing loaded without it, no query lost by it."""
+
+import json
+import re
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from fleet import SETTINGS, Fleet, execute, fetch, outcome
+from test_node_run import Program as Node
+
+from fennelwind import config
+from fennelwind.keeper.errors import CouncilLost
+from fennelwind.loop import SimLoop
+
+ROOT = Path(__file__).parent.parent
+COUNCIL = """
+council {
+  fleet: "north" me: "m0" folder: "record"
+  members { name: "m0" address: "127.0.0.1:7001" }
+  members { name: "m1" address: "127.0.0.1:7002" }
+  members { name: "m2" address: "127.0.0.1:7003" }
+  heartbeat_ms: 50 election_ms: 300 handover_ms: 2000 reserve_bytes: 1048576
+}
+"""
+FOLLOWER = COUNCIL.replace('me: "m0" folder: "record"', 'me: "c7"')
+GOOD = SETTINGS % {"engines": 'engines { address: "127.0.0.1:5000" kind: "k" }', "note": 0, "open": 9}
+DAY_MS, ASKS = 86_400_000.0, 400
+
+
+def test_members_and_followers_are_told_apart(tmp_path):
+    assert config.read(GOOD).council is None
+    member = config.read(GOOD + COUNCIL, folder=tmp_path).council
+    assert (member.folder, str(member.listen), len(member.members)) == (
+        tmp_path / "record", "127.0.0.1:7001", 3)
+    moved = config.read(GOOD + COUNCIL.replace('folder:', 'listen: "0.0.0.0:7009" folder:')).council
+    assert str(moved.listen) == "0.0.0.0:7009"
+    follower = config.read(GOOD + FOLLOWER).council
+    assert follower.folder is None and follower.listen is None and follower.me == "c7"
+
+
+@pytest.mark.parametrize(("old", "new", "label"), [
+    ('fleet: "north"', 'fleet: "no rth"', "fleet"),
+    ('fleet: "north"', "", "fleet"),
+    ('me: "m0"', "", "me"),
+    ('me: "m0"', 'me: "c7"', "folder"),
+    ('folder: "record"', "", "folder"),
+    ('members { name: "m1" address: "127.0.0.1:7002" }', "", "members"),
+    ('name: "m1"', 'name: "m0"', "name"),
+    ('name: "m1"', 'name: ""', "name"),
+    ("127.0.0.1:7002", "127.0.0.1:7001", "address"),
+    ("127.0.0.1:7002", "nowhere", "address"),
+    ('folder:', 'listen: "x" folder:', "listen"),
+    ("heartbeat_ms: 50", "", "heartbeat_ms"),
+    ("heartbeat_ms: 50", "heartbeat_ms: 0", "heartbeat_ms"),
+    ("heartbeat_ms: 50", "heartbeat_ms: 101", "election_ms"),
+    ("reserve_bytes: 1048576", "", "reserve_bytes"),
+    ("reserve_bytes: 1048576", "reserve_bytes: -1", "reserve_bytes"),
+])
+def test_what_is_wrong_in_the_section_has_its_place(old, new, label):
+    text = GOOD + COUNCIL
+    assert old in text
+    with pytest.raises(config.SettingsError) as exc:
+        config.read(text.replace(old, new), "x.txtpb")
+    first = text[:text.index("council {")].count("\n") + 1
+    assert all(p.line >= first and p.column for p in exc.value.problems)
+    assert label in {p.text.split(":")[0] for p in exc.value.problems}
+
+
+SHIM = """import atexit, os, sys
+atexit.register(lambda: open(os.environ["MODULES"], "w").write(" ".join(sys.modules)))
+"""
+COUNCILS = re.compile(r"fennelwind\.(council|store|leases|shards|contracts|keeper)\b|^(crc32c|highspy)\b")
+
+
+@pytest.fixture
+def loaded(tmp_path, monkeypatch):
+    """Return a call that tells which modules of the council's a program had loaded when it ended."""
+    (tmp_path / "shim").mkdir()
+    (tmp_path / "shim" / "sitecustomize.py").write_text(SHIM, encoding="utf-8")
+    monkeypatch.setenv("PYTHONPATH", f"{tmp_path / 'shim'}:{ROOT}")
+    monkeypatch.setenv("MODULES", str(tmp_path / "modules"))
+
+    def found():
+        modules = (tmp_path / "modules").read_text("utf-8").split()
+        assert "fennelwind.core.driver" in modules
+        return sorted(filter(COUNCILS.search, modules))
+
+    return found
+
+
+def serve(path):
+    """Run a controller with these settings until it listens, then end it by SIGTERM; return its log."""
+    child = subprocess.Popen([sys.executable, "-m", "fennelwind.cli.main", "serve", str(path), "--log", "json"],
+                             stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True, cwd=ROOT)
+    try:
+        assert json.loads(child.stdout.readline())["ready"]
+        child.send_signal(signal.SIGTERM)
+        _, log = child.communicate(timeout=60)
+    finally:
+        child.kill()
+        child.wait()
+    assert child.returncode == 0, log
+    return [json.loads(line) for line in log.splitlines()]
+
+
+def test_without_the_section_nothing_of_the_council_is_loaded(tmp_path, loaded):
+    path = tmp_path / "s.txtpb"
+    path.write_text(GOOD, encoding="utf-8")
+    serve(path)
+    assert loaded() == []
+    path.write_text(GOOD + FOLLOWER, encoding="utf-8")
+    serve(path)
+    assert "fennelwind.keeper.whole" in loaded()  # the test can fail
+
+
+def test_on_the_platform_nothing_of_the_council_is_loaded(tmp_path, loaded):
+    node = Node(tmp_path)
+    try:
+        node.process.send_signal(signal.SIGTERM)
+        node.process.communicate(timeout=60)
+    finally:
+        node.process.kill()
+        node.process.wait()
+        node.executor.close()
+        node.channel.close()
+    assert loaded() == []
+
+
+def day(council):
+    """Play a day of queries; return what became of each, when it ended, and the program."""
+    loop = SimLoop(3, jitter=0.0)
+
+    def main():
+        fleet = Fleet(loop, change=lambda text: text + council)
+        client, ends = fleet.client(), []
+        changes = []
+        for number in range(ASKS):
+            def ask(number=number):
+                return fetch(client, execute(client, f"select {number}", work=5.0 + number % 7))
+
+            ends.append((outcome(ask), round(loop.now(), 3)))
+            if fleet.program.keeper is not None and number % 50 == 0:
+                with pytest.raises(CouncilLost) as exc:
+                    fleet.program.keeper.asker.propose("leases", b"", 1000.0)
+                changes.append(exc.value.facts["again_ms"])
+            loop.sleep(DAY_MS / ASKS + 1000.0 * (number + 1) - loop.now() % 1000.0)
+        return ends, fleet.seen.attempts, changes
+
+    return loop.run(main)
