--- a/fennelwind/keeper/tasks.py
+++ b/fennelwind/keeper/tasks.py
@@ -87,6 +87,7 @@
         self.counts: Counter[str] = Counter()
         self.left = Once(loop)
         self._runs: dict[str, Run] = {}
+        self._wanted = Once(loop)  # set with the first task
         self._running: dict[str, _Running] = {}
         self._events: deque[api.Event] = deque()
         self._bell = Bell(loop)
@@ -107,6 +108,7 @@
         called again.
         """
         self._runs[name] = run
+        self._wanted.set()
         self.post(api.Want(name, term_ms, purpose))
 
     def unwant(self, name: str) -> None:
@@ -210,6 +212,7 @@
     def _watch(self) -> None:
         """Hear of offers at once; without a watch they come with the holder's next word."""
         query, seen = pb.Who(name=self.me.name, life=self.me.life).SerializeToString(), b""
+        self._wanted.wait()
         while True:
             try:
                 answer = self.asker.watch(LEASES, wait_ms=WATCH_MS, query=query, unlike=seen).state
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -57,6 +57,9 @@
     def said(self, text):
         self.texts.append(text)
 
+    def council(self, what, facts):
+        self.texts.append(what)
+
     def failed(self, where, exc):
         self.failures.append((where, exc))
 
--- a/tests/test_council_program.py
+++ b/tests/test_council_program.py
@@ -1,4 +1,4 @@
-"""The section `council` of the settings: what is wrong in it, nothing loaded without it, no query lost by it."""
+"""The section `council` of the settings: what is wrong in it, nothing loaded without it, no query lost."""
 
 import json
 import re
@@ -25,7 +25,7 @@
   heartbeat_ms: 50 election_ms: 300 handover_ms: 2000 reserve_bytes: 1048576
 }
 """
-FOLLOWER = COUNCIL.replace('me: "m0" folder: "record"', 'me: "c7"')
+FOLLOWER = COUNCIL.replace(' me: "m0" folder: "record"', ' me: "c7"')
 GOOD = SETTINGS % {"engines": 'engines { address: "127.0.0.1:5000" kind: "k" }', "note": 0, "open": 9}
 DAY_MS, ASKS = 86_400_000.0, 400
 
@@ -44,8 +44,8 @@
 @pytest.mark.parametrize(("old", "new", "label"), [
     ('fleet: "north"', 'fleet: "no rth"', "fleet"),
     ('fleet: "north"', "", "fleet"),
-    ('me: "m0"', "", "me"),
-    ('me: "m0"', 'me: "c7"', "folder"),
+    (' me: "m0"', "", "me"),
+    (' me: "m0"', ' me: "c7"', "folder"),
     ('folder: "record"', "", "folder"),
     ('members { name: "m1" address: "127.0.0.1:7002" }', "", "members"),
     ('name: "m1"', 'name: "m0"', "name"),
@@ -93,8 +93,8 @@
 
 def serve(path):
     """Run a controller with these settings until it listens, then end it by SIGTERM; return its log."""
-    child = subprocess.Popen([sys.executable, "-m", "fennelwind.cli.main", "serve", str(path), "--log", "json"],
-                             stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True, cwd=ROOT)
+    command = [sys.executable, "-m", "fennelwind.cli.main", "serve", str(path), "--log", "json"]
+    child = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True, cwd=ROOT)
     try:
         assert json.loads(child.stdout.readline())["ready"]
         child.send_signal(signal.SIGTERM)
@@ -129,24 +129,39 @@
     assert loaded() == []
 
 
+def one(fleet):
+    client = fleet.client()
+    try:
+        return fetch(client, execute(client, "select 1", work=40.0))
+    finally:
+        client.drop()
+
+
 def day(council):
-    """Play a day of queries; return what became of each, when it ended, and the program."""
+    """Play a day of queries; return what became of each and when, and the changes that were refused."""
     loop = SimLoop(3, jitter=0.0)
 
     def main():
         fleet = Fleet(loop, change=lambda text: text + council)
-        client, ends = fleet.client(), []
-        changes = []
+        keeper, ends, refused = fleet.program.keeper, [], []
         for number in range(ASKS):
-            def ask(number=number):
-                return fetch(client, execute(client, f"select {number}", work=5.0 + number % 7))
-
-            ends.append((outcome(ask), round(loop.now(), 3)))
-            if fleet.program.keeper is not None and number % 50 == 0:
-                with pytest.raises(CouncilLost) as exc:
-                    fleet.program.keeper.asker.propose("leases", b"", 1000.0)
-                changes.append(exc.value.facts["again_ms"])
-            loop.sleep(DAY_MS / ASKS + 1000.0 * (number + 1) - loop.now() % 1000.0)
-        return ends, fleet.seen.attempts, changes
+            loop.sleep(DAY_MS / ASKS * (number + 1) - loop.now())
+            if keeper is not None and not number % 20:
+                refused.append(loop.spawn(keeper.asker.propose, "leases", b"", 3000.0))
+            ends.append((outcome(lambda: one(fleet)), loop.now()))
+        for task in refused:
+            with pytest.raises(CouncilLost) as exc:
+                task.join()
+            assert exc.value.facts["again_ms"] > 0
+        assert not fleet.seen.failures
+        return ends, [answer for _, answer in fleet.seen.answers], len(refused)
 
     return loop.run(main)
+
+
+def test_a_day_without_any_member_costs_no_query():
+    without, answers, _ = day("")
+    ends, told, refused = day(FOLLOWER)
+    assert len(ends) == ASKS and {what for what, _ in ends} == {"served"}
+    assert ends == without and told == answers  # each at the same moment as without a council
+    assert refused == ASKS // 20
