Members of the record are read where the core keeps them now

Need: it came up in the work on the fleet's record and what stands on it. Change: fennelwind/keeper/member.py (1 file changed, 2 insertions(+), 2 deletions(-)).

--- a/fennelwind/keeper/member.py
+++ b/fennelwind/keeper/member.py
@@ -323,7 +323,7 @@
     def _reach(self) -> None:
         """Keep ways to the members of the settings, and to those of the record that these don't name."""
         addresses: dict[str, Address] = {}
-        for member in self.core.log.members.members:
+        for member in self.core.log.config.members.members:
             try:
                 addresses[member.name] = parse_address(member.address)
             except ValueError:
@@ -370,7 +370,7 @@
         if not record.index or term is None:
             return None, b""
         data = record.snapshot()
-        return head_of(record.index, term, record.clock_ms, log.members_at(record.index), data), data
+        return head_of(record.index, term, record.clock_ms, log.config_at(record.index).members, data), data
 
     def _look_for_room(self) -> None:
         short = False
