--- a/fennelwind/fleet/councilrig.py
+++ b/fennelwind/fleet/councilrig.py
@@ -9,6 +9,7 @@
 import os
 import shutil
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -145,6 +146,7 @@
         self.parts: dict[str, Part] = {}
         self.lives = dict.fromkeys(self.names, 0)
         self.said: list[tuple[str, str, dict[str, Any]]] = []  # who, what, facts
+        self.history: list[list[Any]] = []  # what clients asked and got: at, who, ask, what, value
         self.broke: list[str] = []
         self._tokens = 0
         self._states: dict[int, dict[str, Any] | None] = {}
@@ -211,7 +213,7 @@
                         for other in self.members},
             "folder": str(self.folder / name) if member else "",
             "listen": str(self.home(name)) if member else "",
-            "history": str(self.folder / f"{name}.history"), "timing": TIMING,
+            "timing": TIMING,
             "resource": str(self.way(name, "resource"))} | self.every | self.more.get(name, {})
 
     def start(self, name: str) -> None:
@@ -234,16 +236,21 @@
                 self.said.append((name, *told["said"]))
             if "state" in told:
                 self._states[told["state"][0]] = told["state"][1]
+            if "history" in told:
+                self.history.append(told["history"])
             if "error" in told:
                 self.broke.append(f"{name}: {told['error']}")
 
     # What happens to them.
 
     def kill(self, name: str) -> None:
-        """Kill a process."""
+        """Kill a process; what it has said before still counts."""
         part = self.parts.pop(name)
         part.process.kill()
         part.process.wait()
+        with suppress(RigFailed):  # at the end of what it said
+            while True:
+                self._hear(name, part)
 
     def stop(self, name: str) -> None:
         """Stop a process where it stands."""
@@ -327,15 +334,3 @@
 
         self.until(enough, f"{more} acts")
         return len(self.resource.seen)
-
-    def history(self) -> list[list[Any]]:
-        """Return what all clients asked and got, by time: at, who, ask, what, value."""
-        lines = []
-        for name in self.names:
-            path = self.folder / f"{name}.history"
-            for line in path.read_text("utf-8").splitlines() if path.exists() else ():
-                try:
-                    lines.append(json.loads(line))
-                except ValueError:  # a kill in the middle of a line
-                    continue
-        return sorted(lines, key=lambda line: line[0])
--- a/fennelwind/fleet/councilwork.py
+++ b/fennelwind/fleet/councilwork.py
@@ -1,7 +1,7 @@
 """One controller of a rig of the council: a member or one that asks, with clients and a leased task.
 
-It reads what it is to be as a line of JSON and goes on until its rig ends. What clients asked and got goes to
-a file line by line, so that a kill loses nothing of it; what the task does goes to the rig's resource.
+It reads what it is to be as a line of JSON and goes on until its rig ends. What clients asked and got it says
+line by line, so that a kill loses nothing of it; what the task does goes to the rig's resource.
 """
 
 import json
@@ -51,8 +51,6 @@
         self.loop, self.spec, self.name = loop, spec, spec["name"]
         self.random = Random(f"{spec['seed']} {self.name}")
         self.faults = Faults(**spec.get("disk", {}))
-        self.errors: list[str] = []
-        self.history = Path(spec["history"]).open("a", encoding="utf-8")  # noqa: SIM115 - until the end
         loop.on_error = lambda task, exc: say(error=f"{task.name}: {type(exc).__name__}: {exc}")
         members = {name: parse_address(address) for name, address in spec["members"].items()}
         folder = Path(spec["folder"]) if spec.get("folder") else None
@@ -98,8 +96,7 @@
 
     def _note(self, who: str, ask: int, what: str, value: Any) -> None:
         at = self.loop.now() / self.loop.pace  # true time, which all processes of the machine share
-        self.history.write(json.dumps([at, who, ask, what, value]) + "\n")
-        self.history.flush()
+        say(history=[at, who, ask, what, value])
 
     # The task.
 
