The record has a level: members of two versions make the same state

A newer member that carried out a command which an older one refuses would part the record in two. Machines now come with a level; what is of a later one than the record's is refused by all alike and kept by none.

--- a/fennelwind/council/record.py
+++ b/fennelwind/council/record.py
@@ -2,6 +2,10 @@
 
 A client is opened on the record and gets a number from it; a number that the record doesn't know, or no
 longer, is refused, so that a command is never done twice for having been forgotten.
+
+Members of two versions make the same state, as the record has a level: of a machine that came with a later
+level nothing is done and nothing kept, by a version that knows it no more than by one that doesn't. The level
+is raised by a command, by one, once all members have said that they know the next one, and never lowered.
 """
 
 from collections.abc import Iterable
@@ -11,6 +15,8 @@
 
 CLIENTS_MOST = 4096  # clients remembered; the one that was quiet for longest goes first
 KEPT_MOST = 64  # answers kept for one client; it may have as many commands under way
+LEVEL = 1  # that this version knows; a new machine, or command of an old one, comes with the next
+ITSELF = "record"  # the machine that a command to raise the level names
 COMMAND_MOST = 256 * 1024  # bytes of one command's body; what is larger is cut into several by who asks
 
 
@@ -25,9 +31,13 @@
 class Record:
     """What all entries up to `index` have made."""
 
-    def __init__(self, machines: Iterable[Machine]) -> None:
-        self.machines = {machine.name: machine for machine in machines}
-        self._tellers = {kind: machine for machine in self.machines.values() for kind in machine.kinds}
+    def __init__(self, machines: Iterable[Machine], known: int = LEVEL) -> None:
+        self.known = known  # the level that this version knows
+        self.level = 1  # a command's result may rest on it, as on all that the record says
+        self._all = {machine.name: machine for machine in machines}
+        self.machines: dict[str, Machine] = {}  # those of the level
+        self._tellers: dict[str, Machine] = {}
+        self._set_level(1)
         self.index = self.clock_ms = 0
         self._clients: dict[int, _Client] = {}  # in the order in which they were last heard
 
@@ -43,16 +53,32 @@
             return pb.Result(index=at.index)
         return self._command(at, entry.command)
 
+    def _set_level(self, level: int) -> None:
+        self.level = level
+        self.machines = {name: machine for name, machine in self._all.items()
+                         if getattr(machine, "since", 1) <= level}
+        self._tellers = {kind: machine for machine in self.machines.values() for kind in machine.kinds}
+
     def due(self) -> int | None:
         """Return when something lapses next, on the record's clock; None: never."""
         return min((due for m in self.machines.values() if (due := m.due()) is not None), default=None)
 
     def fact(self, kind: str, key: str) -> int:
-        """Return what the machine says that tells of this kind; 0 if none does."""
+        """Return what the machine says that tells of this kind; 0 if none does. `level` is the record's own."""
+        if kind == "level":
+            return self.level
         teller = self._tellers.get(kind)
         return teller.fact(kind, key) if teller is not None else 0
 
+    def _raise_level(self, at: At, body: bytes) -> pb.Result:
+        """Raise the level by one; asked again, or for another, nothing is done."""
+        if body == b"%d" % (self.level + 1):
+            self._set_level(self.level + 1)
+        return pb.Result(body=b"%d" % self.level, index=at.index)
+
     def _command(self, at: At, command: pb.Command) -> pb.Result:
+        if command.machine == ITSELF:
+            return self._raise_level(at, command.body)
         if not command.client:
             while len(self._clients) >= CLIENTS_MOST:
                 del self._clients[next(iter(self._clients))]
@@ -89,7 +115,7 @@
 
     def snapshot(self) -> bytes:
         """Return all state; equal states give equal bytes."""
-        state = pb.RecordState(index=self.index, clock_ms=self.clock_ms)
+        state = pb.RecordState(index=self.index, clock_ms=self.clock_ms, level=self.level)
         for number, client in self._clients.items():  # their order is state as well: who is forgotten next
             kept = [pb.RecordState.Kept(number=n, result=r) for n, r in sorted(client.kept.items())]
             state.clients.add(client=number, heard=client.heard, last_index=client.last_index, kept=kept)
@@ -101,11 +127,12 @@
         """Take a snapshot's state in place of its own."""
         state = pb.RecordState.FromString(data)
         self.index, self.clock_ms = state.index, state.clock_ms
+        self._set_level(max(state.level, 1))
         self._clients = {}
         for told in state.clients:
             client = self._clients[told.client] = _Client(told.last_index)
             client.heard = told.heard
             client.kept = {kept.number: kept.result for kept in told.kept}
         parts = {part.machine: part.state for part in state.parts}
-        for name, machine in self.machines.items():
+        for name, machine in self._all.items():
             machine.restore(parts.get(name, b""))
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -122,3 +122,32 @@
     second.restore(first.snapshot())
     assert [second.apply(e) for e in entries[cut:]] == told[cut:]
     assert second.snapshot() == whole.snapshot()
+
+
+class Later(Sum):
+    """A machine that came with the second level."""
+
+    name, kinds, since = "later", ("later",), 2
+
+
+def command(index, machine, body, client=0, number=0):
+    return pb.Entry(term=1, index=index, clock_ms=index * 50, command=pb.Command(
+        machine=machine, body=body, client=client, number=number))
+
+
+def test_members_of_two_versions_make_the_same_state_until_all_know_the_next_level():
+    older, newer = Record([Sum()], known=1), Record([Later(), Sum()], known=2)
+    entries = [pb.Entry(term=1, index=1, command=pb.Command()), command(2, "later", b"4", 1, 1),
+               command(3, "sum", b"4", 1, 2), command(4, "record", b"3"), command(5, "record", b"x")]
+    for one in entries:
+        assert older.apply(one) == newer.apply(one)
+    assert older.snapshot() == newer.snapshot() and older.level == newer.level == 1
+    assert newer.fact("later", "") == 0 and newer.fact("level", "") == 1
+    for _ in range(2):  # asked twice, raised once
+        assert newer.apply(command(newer.index + 1, "record", b"2")).body == b"2"
+    assert newer.apply(command(8, "later", b"4", 1, 3)).body == b"4"
+    again = Record([Later(), Sum()], known=2)
+    again.restore(newer.snapshot())
+    assert again.snapshot() == newer.snapshot() and again.fact("later", "") == 4
+    older.restore(newer.snapshot())
+    assert older.level > older.known  # it can't go on, and whoever carries it out sees that
