Members say which level they know; the leader has it raised, who knows less stops

A rolling upgrade of three members is played in virtual time: the new machine is refused until the last of them is new, an older one that comes back later takes part no more and says why.

--- a/fennelwind/council/record.py
+++ b/fennelwind/council/record.py
@@ -34,7 +34,7 @@
     def __init__(self, machines: Iterable[Machine], known: int = LEVEL) -> None:
         self.known = known  # the level that this version knows
         self.level = 1  # a command's result may rest on it, as on all that the record says
-        self._all = {machine.name: machine for machine in machines}
+        self.every = {machine.name: machine for machine in machines}  # that this version knows
         self.machines: dict[str, Machine] = {}  # those of the level
         self._tellers: dict[str, Machine] = {}
         self._set_level(1)
@@ -55,7 +55,7 @@
 
     def _set_level(self, level: int) -> None:
         self.level = level
-        self.machines = {name: machine for name, machine in self._all.items()
+        self.machines = {name: machine for name, machine in self.every.items()
                          if getattr(machine, "since", 1) <= level}
         self._tellers = {kind: machine for machine in self.machines.values() for kind in machine.kinds}
 
@@ -64,7 +64,7 @@
         return min((due for m in self.machines.values() if (due := m.due()) is not None), default=None)
 
     def fact(self, kind: str, key: str) -> int:
-        """Return what the machine says that tells of this kind; 0 if none does. `level` is the record's own."""
+        """Return what the machine says that tells of this kind; 0 if none does. `level`: the record's."""
         if kind == "level":
             return self.level
         teller = self._tellers.get(kind)
@@ -134,5 +134,5 @@
             client.heard = told.heard
             client.kept = {kept.number: kept.result for kept in told.kept}
         parts = {part.machine: part.state for part in state.parts}
-        for name, machine in self._all.items():
+        for name, machine in self.every.items():
             machine.restore(parts.get(name, b""))
--- a/fennelwind/keeper/member.py
+++ b/fennelwind/keeper/member.py
@@ -38,12 +38,12 @@
 from fennelwind.council.log import Log
 from fennelwind.council.machine import Machine
 from fennelwind.council.pieces import head_of
-from fennelwind.council.record import Record
+from fennelwind.council.record import ITSELF, Record
 from fennelwind.errors import FennelwindError
 from fennelwind.keeper import keeper_pb2 as pb
 from fennelwind.keeper.bell import Bell
 from fennelwind.keeper.door import Caller, Door
-from fennelwind.keeper.errors import AddressTaken, CouncilError
+from fennelwind.keeper.errors import AddressTaken, CouncilError, RecordTooNew
 from fennelwind.keeper.peers import Peer, Peers
 from fennelwind.keeper.place import PROTOCOL, Place
 from fennelwind.keeper.state import State, whole_state
@@ -55,6 +55,7 @@
 TOGETHER_MOST = 256  # writes made with one sync
 OPEN_FIRST_MS, OPEN_MOST_MS = 200.0, 5000.0  # ms between two tries to open the folder, or to write again
 ROOM_MS = 1000.0  # ms between two looks at the disk's room
+LEVEL_MS = 2000.0  # ms between two looks whether all members know a later level; upgrades take minutes
 BUSY_MS = 200  # ms after which one who found too many waiting may ask again
 
 Result = council_pb2.Result
@@ -125,8 +126,8 @@
         self.core = self.make_core(durable)
         self._listen()
         self._reach()
-        for call, name in ((self._write, "keeper: writes"), (self.state.run, "keeper: applies"),
-                           (self._look_for_room, "keeper: room")):
+        for call, name in ((self._write, "keeper: writes"), (self._apply, "keeper: applies"),
+                           (self._look_for_room, "keeper: room"), (self._raise_level, "keeper: level")):
             self._tasks.append(self.loop.spawn(call, name=name))
         self.said("member", {"name": self.me.name, "life": self.me.life.hex(),
                              "index": self.state.record.index, "entries": len(durable.entries)})
@@ -200,7 +201,8 @@
 
     def hello(self) -> pb.Hello:
         """Return what this member says first."""
-        return pb.Hello(protocol=PROTOCOL, fleet=self.place.fleet, name=self.me.name, life=self.me.life)
+        return pb.Hello(protocol=PROTOCOL, fleet=self.place.fleet, name=self.me.name, life=self.me.life,
+                        level=self.state.record.known)
 
     def received(self, sender: Life, message: council_pb2.Message) -> None:
         """Take a message of a member."""
@@ -332,6 +334,25 @@
         addresses.pop(self.me.name, None)
         self.peers.reach(addresses)
 
+    def _apply(self) -> None:
+        try:
+            self.state.run()
+        except RecordTooNew as exc:
+            self.said("takes part no more", exc.told())
+            self.loop.spawn(self.close, name="keeper: close")
+
+    def _raise_level(self) -> None:
+        """Have the record's level raised, while leading, once all members have said that they know the next."""
+        record = self.state.record
+        while record.level < record.known:
+            self.loop.sleep(LEVEL_MS)
+            others = [m for m in self.core.log.config.members.members if (m.name, m.life) != self.me]
+            known = [peer.level if (peer := self.peers.peers.get(m.name)) is not None and peer.up
+                     and peer.life == m.life else 0 for m in others]
+            if self.part == "leader" and min(known, default=0) > record.level:
+                self._propose(council_pb2.Command(machine=ITSELF, body=b"%d" % (record.level + 1)),
+                              lambda result: self.said("level", {"level": result.body.decode()}))
+
     # The folder.
 
     def _write(self) -> None:
@@ -350,7 +371,7 @@
                 self.post(Written(writes[-1].number))
 
     def _write_again(self, full: bool) -> None:
-        """Wait until the folder takes writes; what was asked for behind a failed write counts for nothing."""
+        """Wait until the folder takes writes; what was asked for behind a failed one counts for nothing."""
         waits = Waits(self.random, OPEN_FIRST_MS, OPEN_MOST_MS)
         while True:
             self.loop.sleep(waits.next())
--- a/fennelwind/keeper/state.py
+++ b/fennelwind/keeper/state.py
@@ -15,6 +15,7 @@
 from fennelwind.council.record import Record
 from fennelwind.keeper import keeper_pb2 as pb
 from fennelwind.keeper.bell import Bell
+from fennelwind.keeper.errors import RecordTooNew
 from fennelwind.keeper.frames import FRAME_MOST
 from fennelwind.loop import Loop
 
@@ -40,14 +41,14 @@
     def __init__(self, loop: Loop, record: Record, post: Callable[[Event], None],
                  ask: Callable[[Machine, bytes], bytes]) -> None:
         self.loop, self.record, self.post, self.ask = loop, record, post, ask
-        self.revisions = dict.fromkeys(record.machines, 0)
+        self.revisions = dict.fromkeys(record.every, 0)
         self.applied = 0  # entries since the start
         self._work: deque[Apply | Restore | TakeSnapshot] = deque()
         self._bell = Bell(loop)
         self._results: dict[int, Callable[[Result], None]] = {}  # who waits for an entry's result
         self._reads: list[tuple[int, int, Callable[[], None]]] = []  # heap: index, order, what is to be done
         self._order = 0
-        self._watches: dict[str, list[_Watch]] = {name: [] for name in record.machines}
+        self._watches: dict[str, list[_Watch]] = {name: [] for name in record.every}
         self.watchers = 0
 
     def take(self, action: Apply | Restore | TakeSnapshot) -> None:
@@ -100,7 +101,7 @@
         return True
 
     def run(self) -> None:
-        """Apply what comes, for ever."""
+        """Apply what comes, for ever. Raises `RecordTooNew`."""
         while True:
             while not self._work:
                 self._bell.wait()
@@ -117,6 +118,7 @@
                 record = self.record
                 self.post(Snapshot(record.index, record.clock_ms, record.snapshot()))
                 continue
+            self._check_level()
             self._settle()
             self.post(Applied(self.record.index, self.record.due()))
 
@@ -153,6 +155,12 @@
                 self.watchers -= 1
                 watch.call()
 
+    def _check_level(self) -> None:
+        record = self.record
+        if record.level > record.known:
+            raise RecordTooNew(f"the record is of level {record.level}, this version knows {record.known}",
+                               level=record.level, known=record.known)
+
     def _settle(self) -> None:
         """Answer the reads whose index has come, and those whose entry a snapshot has swallowed."""
         while self._reads and self._reads[0][0] <= self.record.index:
--- a/fennelwind/keeper/whole.py
+++ b/fennelwind/keeper/whole.py
@@ -6,7 +6,7 @@
 from fennelwind.council.council_pb2 import Member as Stated
 from fennelwind.council.interface import Durable
 from fennelwind.council.machine import Machine
-from fennelwind.council.record import Record
+from fennelwind.council.record import LEVEL, Record
 from fennelwind.keeper.asker import Asker
 from fennelwind.keeper.errors import CouncilError
 from fennelwind.keeper.folder import Folder
@@ -25,13 +25,15 @@
     """What a controller with a section `council` runs. Nothing on a query's way waits for it."""
 
     def __init__(self, loop: Loop, place: Place, seed: int, said: Callable[[str, dict], None],
-                 disk: Callable[[], Disk] | None = None, more: Iterable[Machine] = ()) -> None:
+                 disk: Callable[[], Disk] | None = None, more: Iterable[Machine] = (),
+                 level: int = LEVEL) -> None:
+        """Make it. `disk`, `more` machines and another `level` that is known are for rigs."""
         self.loop, self.place, self.said = loop, place, said
-        self.member = self._member(seed, disk, [*machines(), *more]) if place.member else None
+        self.member = self._member(seed, disk, Record([*machines(), *more], level)) if place.member else None
         self.asker = Asker(loop, place.fleet, place.me, place.members, f"asker {seed}", self._wrong)
         self.tasks = Tasks(loop, self.asker, place.me, seed, said)
 
-    def _member(self, seed: int, disk: Callable[[], Disk] | None, made: list[Machine]) -> Member:
+    def _member(self, seed: int, disk: Callable[[], Disk] | None, record: Record) -> Member:
         place, loop = self.place, self.loop
         limits = Limits(reserve=place.reserve_bytes, low=2 * place.reserve_bytes)
         stated = [Stated(name=name, address=str(address)) for name, address in sorted(place.members.items())]
@@ -40,7 +42,7 @@
             return Core(place.timing, durable, seed, stated)
 
         folder = Folder(disk or self._disk, place.fleet, place.me, loop.token, limits)
-        return Member(loop, place, Record(made), folder, core, f"member {seed}", self.said, answer)
+        return Member(loop, place, record, folder, core, f"member {seed}", self.said, answer)
 
     def _disk(self) -> Disk:
         from fennelwind.loop.realdisk import RealDisk  # in virtual time the disk is handed in
--- /dev/null
+++ b/tests/council_chaos.py
@@ -0,0 +1,205 @@
+"""Whole members, followers, clients and a leased task in a virtual world in which all sorts of things break.
+
+`python tests/council_chaos.py 1000 0` plays seeds 0 to 999 and tells which broke, how, and what was met.
+"""
+
+import json
+import sys
+import time
+from collections import Counter
+from random import Random
+
+from council_world import Council
+
+from fennelwind.audit.histories import Linearizable, Operation, check
+from fennelwind.council.interface import Timing
+from fennelwind.fleet.councilrig import Seen, overlaps
+from fennelwind.fleet.registers import Registers
+from fennelwind.keeper.errors import CommandRefused, CouncilLost, OutcomeUnknown
+from fennelwind.leases.errors import OlderFence
+from fennelwind.leases.guard import Fenced
+
+PLAY_MS = 30_000.0  # of virtual time with faults
+WITHIN_MS = 2000.0  # of one ask
+TERM_MS = 2000  # of the task's lease
+KEYS = "ab"
+TIMING = Timing(heartbeat_ms=100.0, election_ms=500.0, kept_entries=200, log_most=64 * 1024)
+
+
+class Chaos:
+    """One play; what it saw."""
+
+    def __init__(self, seed, members=3, followers=2, faults=("kill", "power", "stop", "cut", "full", "sync",
+                                                             "all")):
+        self.random = Random(f"chaos {seed}")
+        self.council = Council(seed, members, TIMING)
+        self.followers = [f"f{n}" for n in range(followers)]
+        self.faults = faults
+        self.seen, self.operations, self.counts = [], [], Counter()
+        self.fenced = Fenced()
+        self.over = False
+
+    def play(self):
+        """Play; return what is wrong, nothing at best."""
+        wrong = []
+        try:
+            self.council.play(self._script)
+        except AssertionError as exc:
+            wrong.append(f"play: {str(exc)[:2000]}")
+        taken = [seen for seen in self.seen if seen.taken]
+        wrong += overlaps(taken)
+        verdict = check(self.operations, start=0)
+        if not isinstance(verdict, Linearizable):
+            wrong.append(f"history: {verdict}")
+        self.counts["acts"] = sum(seen.what == "end" for seen in taken)
+        self.counts["refused acts"] = len(self.seen) - len(taken)
+        self.counts["operations"] = len(self.operations)
+        self.counts["fences"] = len({seen.fence for seen in taken})
+        return wrong
+
+    # Parties.
+
+    def _start(self, name):
+        council = self.council
+        address = "" if name in council.names else f"10.0.1.{self.followers.index(name) + 1}"
+        keeper = council.start(name, address, (Registers(),))
+        host, life = council.hosts[name], council.lives
+        host.start(keeper.tasks.want, "sweep", lambda held: self._act(name, life, held), TERM_MS)
+        if name in self.followers:
+            host.start(self._client, name, life, host, keeper)
+
+    def _act(self, name, life, held):
+        number = 0
+        while not held.stop.ready:
+            with held.act(400.0) as act:
+                for what in ("begin", "step", "end"):
+                    if what != "begin":
+                        held.loop.sleep(100.0 * self.random.random())
+                        act.check()
+                    try:
+                        self.fenced.show("sweep", act.fence)
+                        taken = True
+                    except OlderFence:
+                        taken = False
+                    self.seen.append(Seen("sweep", name, life, what, number, act.fence, taken))
+                    if not taken:
+                        return False
+            number += 1
+            held.loop.sleep(50.0)
+        return False
+
+    def _client(self, name, life, host, keeper):
+        number, random = 0, Random(f"{name} {life} {self.random.random()}")
+        while not self.over:
+            key, what = random.choice(KEYS), random.choice(("get", "put", "swap"))
+            new, old = random.randrange(1, 5), random.randrange(5)
+            argument = {"get": None, "put": new, "swap": (old, new)}[what]
+            began, place = host.now(), len(self.operations)
+            if what != "get":  # whose client is killed may be done
+                self.operations.append(Operation(f"{name}/{life}", key, began, None, what, argument))
+            try:
+                if what == "get":
+                    got = json.loads(keeper.asker.read("registers", key.encode(), within_ms=WITHIN_MS).state)
+                    self.operations.append(Operation(f"{name}/{life}", key, began, host.now(), what, None, got))
+                else:
+                    body = [what, key, new] if what == "put" else [what, key, old, new]
+                    got = json.loads(keeper.asker.propose("registers", json.dumps(body).encode(), WITHIN_MS))
+                    self.operations[place] = Operation(f"{name}/{life}", key, began, host.now(), what, argument,
+                                                       got if what == "swap" else None)
+                self.counts["answered"] += 1
+            except OutcomeUnknown:
+                self.counts["unknown"] += 1
+            except (CouncilLost, CommandRefused):
+                self.counts["refused"] += 1
+                if what != "get":
+                    self.operations[place] = None  # for certain it was not done
+            number += 1
+            host.sleep(20.0 + 100.0 * random.random())
+
+    # What happens.
+
+    def _script(self, council):
+        rig, random = council.world.rig, self.random
+        for name in council.names:
+            council.kill(name)  # `Council.play` started them without registers
+            council.platters[name] = type(council.platters[name])()
+            self._start(name)
+        for name in self.followers:
+            self._start(name)
+        council.until(lambda: self.counts["answered"] > 5)
+        end = rig.now() + PLAY_MS
+        while rig.now() < end:
+            rig.sleep(random.expovariate(1 / 1200.0))
+            self._fault(random.choice(self.faults))
+        council.ways.cut.clear()
+        for name in council.names:
+            council.platters[name].room, council.platters[name].sync_fails = 1 << 30, False
+        for name in [*council.names, *self.followers]:
+            council.hosts[name].go_on()
+        answered, acts = self.counts["answered"], len(self.seen)
+        council.until(lambda: self.counts["answered"] > answered + 10 and len(self.seen) > acts + 10)
+        self.over = True
+        for keeper in council.keepers.values():
+            keeper.tasks.close()
+        records = [council.keepers[name].member.state.record for name in council.names]
+        council.until(lambda: len({record.index for record in records}) == 1)
+        states = {record.snapshot() for record in records}
+        self.operations = [operation for operation in self.operations if operation is not None]
+        assert len(states) == 1, "states differ at the same index"
+
+    def _fault(self, what):
+        council, random, rig = self.council, self.random, self.council.world.rig
+        self.counts[what] += 1
+        name = random.choice(council.names)
+        match what:
+            case "kill" | "power":
+                self._kill(random.choice([*council.names, *self.followers]),
+                           random.choice(("none", "all", "prefix", "pick")) if what == "power" else None)
+            case "all":
+                for each in council.names:
+                    self._kill(each, random.choice((None, "pick", "none")))
+            case "stop":
+                council.hosts[random.choice([*council.names, *self.followers])].stop(
+                    rig.now() + random.uniform(100.0, 5000.0))
+            case "cut":
+                others = [n for n in [*council.names, *self.followers] if n != name]
+                some = random.sample(others, random.randint(1, len(others)))
+                before = set(council.ways.cut)
+                council.ways.part([name], some, random.random() < 0.5)
+                mine = council.ways.cut - before
+                rig.at(rig.now() + random.uniform(200.0, 6000.0), lambda: council.ways.cut.__isub__(mine))
+            case "full":
+                platter = council.platters[name]
+                platter.room = platter.used() + random.randrange(2000)
+                rig.at(rig.now() + random.uniform(200.0, 5000.0), lambda: setattr(platter, "room", 1 << 30))
+            case "sync":
+                platter = council.platters[name]
+                platter.sync_fails = True
+                rig.at(rig.now() + random.uniform(1.0, 300.0), lambda: setattr(platter, "sync_fails", False))
+
+    def _kill(self, name, loss):
+        council, rig = self.council, self.council.world.rig
+        if council.hosts[name].dead:
+            return
+        council.kill(name, loss)
+        rig.at(rig.now() + self.random.uniform(10.0, 3000.0),
+               lambda: rig.spawn(self._start, name, name="rig: back"))
+
+
+def main():
+    """Play seeds; print what broke."""
+    count, first = int(sys.argv[1]), int(sys.argv[2]) if len(sys.argv) > 2 else 0
+    total, began, broke = Counter(), time.monotonic(), []
+    for seed in range(first, first + count):
+        chaos = Chaos(seed, members=3 if seed % 4 else 5)
+        wrong = chaos.play()
+        total += chaos.counts
+        if wrong:
+            broke.append(seed)
+            print(f"seed {seed}: {wrong[0][:3000]}", flush=True)
+    print(f"{count} seeds in {time.monotonic() - began:.0f} s, broke: {broke}; {dict(total)}")
+    return 1 if broke else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/council_world.py
+++ b/tests/council_world.py
@@ -51,12 +51,12 @@
         return Place("f", name, self.addresses, folder="folder" if member else None,
                      listen=self.addresses.get(name), timing=self.timing, reserve_bytes=1 << 20, **more)
 
-    def start(self, name, address=""):
+    def start(self, name, address="", more=(), level=1):
         """Start a member, or a follower at an address."""
         self.lives += 1
         host = self.world.host(name, address or self.addresses[name].host)
         keeper = Keeper(host, self.place(name), self.lives, lambda what, facts: self.said.append(
-            (self.world.time, name, what, facts)), lambda: SimDisk(host, self.platters[name]))
+            (self.world.time, name, what, facts)), lambda: SimDisk(host, self.platters[name]), more, level)
         host.start(keeper.start)
         self.hosts[name], self.keepers[name] = host, keeper
         return keeper
--- a/tests/test_council_world.py
+++ b/tests/test_council_world.py
@@ -3,7 +3,7 @@
 import pytest
 from council_world import Council
 
-from fennelwind.keeper.errors import CouncilError
+from fennelwind.keeper.errors import CommandRefused, CouncilError
 
 
 def test_three_members_found_a_record_and_a_task_moves_on_when_its_holder_is_killed():
@@ -59,3 +59,67 @@
         assert again.index >= read.index
 
     Council(2, members).play(main)
+
+
+class Tally:
+    """A machine that a later version brings: it counts its commands."""
+
+    name, kinds, since = "tally", (), 2
+
+    def __init__(self):
+        self.count = 0
+
+    def apply(self, at, command, facts):
+        self.count += 1
+        return b"%d" % self.count
+
+    def pass_time(self, at):
+        pass
+
+    def due(self):
+        return None
+
+    def fact(self, kind, key):
+        return 0
+
+    def snapshot(self):
+        return b"%d" % self.count
+
+    def restore(self, data):
+        self.count = int(data or 0)
+
+
+def test_a_fleet_of_two_versions_takes_up_the_new_only_when_all_members_know_it():
+    def main(council):
+        newer = {"more": (Tally(),), "level": 2}
+        asker = council.start("f0", "10.0.1.1").asker
+
+        def ask():
+            return asker.propose("tally", b"x", 10_000)
+
+        for name in council.names[:2]:  # a rolling upgrade: two of three
+            council.kill(name)
+            council.start(name, **newer | {"more": (Tally(),)})
+            council.until(lambda: council.leader())
+        with pytest.raises(CommandRefused, match="NO_MACHINE"):
+            council.on("f0", ask)
+        council.world.rig.sleep(10_000.0)
+        assert {k.member.state.record.level for n, k in council.keepers.items() if k.member} == {1}
+        council.kill("m2")
+        council.start("m2", **newer | {"more": (Tally(),)})
+        council.until(lambda: all(k.member.state.record.level == 2
+                                  for n, k in council.keepers.items() if k.member))
+        assert council.on("f0", ask) == b"1"
+        council.kill("m0")
+        council.start("m0")  # back to the older version: it must not go on
+        council.until(lambda: any(what == "takes part no more" and facts["code"] == "council-record-too-new"
+                                  for _, _, what, facts in council.said))
+        assert council.on("f0", ask) == b"2"
+        council.kill("m0")
+        council.start("m0", **newer | {"more": (Tally(),)})
+        council.until(lambda: council.keepers["m0"].member.part in ("follower", "leader"))
+        records = [k.member.state.record for k in council.keepers.values() if k.member]
+        council.until(lambda: len({r.index for r in records}) == 1)
+        assert len({r.snapshot() for r in records}) == 1
+
+    Council(3).play(main)
