--- a/fennelwind/cli/errorpage.py
+++ b/fennelwind/cli/errorpage.py
@@ -18,11 +18,15 @@
 
 
 def all_kinds() -> list[type[FennelwindError]]:
-    """Import the whole program; return all its types of errors, in order of their codes."""
+    """Import the whole program; return its types of errors in order of their codes.
+
+    A type that only holds others together has no code of its own and is left out.
+    """
     for module in pkgutil.walk_packages(fennelwind.__path__, "fennelwind."):
         if not module.name.endswith("__main__"):
             importlib.import_module(module.name)
-    return [kind for kind in kinds() if kind.__module__.startswith("fennelwind.")]
+    ours = [kind for kind in kinds() if kind.__module__.startswith("fennelwind.")]
+    return [kind for kind in ours if "code" in vars(kind) or not kind.__subclasses__()]
 
 
 def page() -> str:
