--- a/fennelwind/council/leading.py
+++ b/fennelwind/council/leading.py
@@ -76,17 +76,17 @@
         core, config = self.core, self.core.log.config
         known = dict(zip(config.lives, config.members.members, strict=True))
         refusal = pb.Result.NONE
-        if event.add is not None:
+        if not self.may_change():
+            refusal = pb.Result.TOO_MANY
+        elif event.add is not None:
             life = Life(event.add.name, event.add.life)
-            if life in known and config.index <= core.commit:
+            if life in known:
                 core.out.append(Answer(event.token, index=config.index))
                 return
             if not life.life or len(known) >= MEMBERS_MOST or self.lives_still(life.name, now):
                 refusal = pb.Result.NOT_MEMBER
         elif event.remove not in known or config.voters == (event.remove,):
             refusal = pb.Result.NOT_MEMBER
-        if not refusal and not self.may_change():
-            refusal = pb.Result.TOO_MANY
         if refusal:
             core.out.append(Answer(event.token, refusal, again_ms=int(core.timing.election_ms)))
         elif event.add is not None:
--- a/tests/council_cluster.py
+++ b/tests/council_cluster.py
@@ -75,6 +75,7 @@
     def __init__(self) -> None:
         self.leaders: dict[int, Life] = {}
         self.votes: dict[tuple[Life, int], Life] = {}
+        self.terms: dict[Life, int] = {}  # the last in which each gave its vote
         self.entries: dict[tuple[int, int], tuple[bytes, int]] = {}  # by index and term: bytes, term before
         self.agreed: list[pb.Entry] = []
         self.digests: list[bytes] = [b""]
@@ -93,9 +94,24 @@
 
     def voted(self, voter: Life, term: int, candidate: Life) -> None:
         """One vote a term, whatever was lost in between."""
+        self.terms[voter] = max(self.terms.get(voter, 0), term)
         if self.votes.setdefault((voter, term), candidate) != candidate:
             raise Broken(f"{voter.name} voted twice in term {term}")
 
+    def remembers(self, node: "Node") -> None:
+        """A member knows whom it has given its vote, whatever became of it since."""
+        core = node.core
+        given = self.votes.get((node.me, core.term))
+        if core.term < self.terms.get(node.me, 0) or given not in (None, core.voted):
+            raise Broken(f"{node.name} has forgotten a promise")
+
+    def headed(self, head: pb.SnapshotHead) -> None:
+        """A snapshot's head says what was agreed up to its entry."""
+        members = [e.members for e in self.agreed[:head.index] if e.WhichOneof("what") == "members"]
+        last = self.agreed[head.index - 1]
+        if (head.term, head.clock_ms, head.members) != (last.term, last.clock_ms, members[-1]):
+            raise Broken(f"the head of the snapshot at {head.index} is not what was agreed")
+
     def logged(self, log, entries) -> None:
         """Entries of one index and term are the same, and so is what lies before them."""
         for entry in entries:
@@ -198,6 +214,7 @@
         node.image.pending.clear()
         seed = self.seed + node.restarts
         node.core = self.core(self.timing, node.image.durable(node.me), seed, self.stated)
+        self.checks.remembers(node)
         node.applied, node.state, node.clock_ms, node.inbox = 0, b"", 0, []
         node.failing = node.broken = False
         self.step(node, [])
@@ -256,6 +273,7 @@
         core = node.core
         self.counts["steps"] += 1
         actions = core.step(self.clock(node), events)
+        self.checks.remembers(node)
         if core.leading is not None:
             self.checks.leads(node)
         for action in actions:
@@ -269,6 +287,8 @@
                 self._send(node, to, message)
             case api.Write(number):
                 self.checks.logged(node.core.log, action.entries)
+                if action.head is not None:
+                    self.checks.headed(action.head)
                 node.image.pending.append(action)
                 self.at(self.random.uniform(*self.sync) * node.slow, self._synced, node, node.epoch, number)
             case api.Apply(entries):
@@ -438,10 +458,13 @@
 
     # Looking
 
+    def leading(self) -> list[Node]:
+        """Return all who think that they lead."""
+        return [n for n in self.nodes.values() if n.core is not None and n.core.leading is not None]
+
     def leader(self) -> Node | None:
         """Return who leads in the latest term."""
-        leading = [n for n in self.nodes.values() if n.core is not None and n.core.leading is not None]
-        return max(leading, key=lambda n: n.core.term, default=None)
+        return max(self.leading(), key=lambda n: n.core.term, default=None)
 
     def await_leader(self, most: float = 10_000.0) -> Node:
         """Play until somebody leads."""
@@ -518,7 +541,8 @@
         cluster.run(cluster.now + random.expovariate(1 / 25.0))
         name = random.choice(names)
         ask = random.random()
-        target = cluster.leader().name if cluster.leader() and random.random() < 0.7 else name
+        leading = [node.name for node in cluster.leading()]
+        target = random.choice(leading) if leading and random.random() < 0.8 else name  # the old one as well
         if ask < 0.5:
             for _ in range(random.choice((1, 1, 1, 12))):
                 cluster.propose(target, random.choice((8, 8, 200)))
@@ -560,15 +584,15 @@
         case "room":
             cluster.give(name, api.RoomShort())
         case "member":
-            leader = cluster.leader()
-            if leader is not None:
-                node = cluster.nodes[name]
-                if wiped or not leader.core.founded():
-                    return False
-                if node.me in leader.core.log.config.lives:
-                    cluster.change(leader.name, remove=node.me)
-                else:
-                    cluster.change(leader.name, add=pb.Member(name=name, life=node.me.life, address=name))
+            for leader in cluster.leading():
+                for each in random.sample(names, random.choice((1, 1, min(2, len(names))))):
+                    node = cluster.nodes[each]
+                    if leader.core is None or wiped or not leader.core.founded():
+                        continue
+                    if node.me in leader.core.log.config.lives:
+                        cluster.change(leader.name, remove=node.me)
+                    else:
+                        cluster.change(leader.name, add=pb.Member(name=each, life=node.me.life, address=each))
         case "wipe":
             leader = cluster.leader()
             if wiped or leader is None or leader.name == name or len(cluster.voters()) < 3:
@@ -576,8 +600,7 @@
             cluster.run(cluster.now + 500.0)
             leader = cluster.leader()
             voters, last = cluster.voters(), cluster.checks.agreed[-1]
-            fresh = [n for n in voters if n != name and cluster.nodes[n].core is not None
-                     and cluster.nodes[n].image.holds(last.index, last.term)]
+            fresh = [n for n in voters if cluster.nodes[n].image.holds(last.index, last.term)]
             if leader is None or leader.name == name or 2 * len(fresh) <= len(voters) or len(voters) < 3 \
                     or leader.core.log.config.index > leader.core.commit:
                 return False
