--- a/fennelwind/store/shape.py
+++ b/fennelwind/store/shape.py
@@ -18,12 +18,15 @@
         self.terms: list[int] = []
         self.hard = hard
         self.heads = list(heads)  # the older first
+        self.keep_from = 0  # entries from here on are wanted though a snapshot holds them; 0: none
 
     @classmethod
     def of(cls, head: kept.Head) -> "Shape":
         """Return what a segment's first record says."""
         heads = [pb.SnapshotHead.FromString(data) for data in head.heads]
-        return cls(head.last_index, head.last_term, head.hard, heads)
+        shape = cls(head.last_index, head.last_term, head.hard, heads)
+        shape.keep_from = head.keep_from
+        return shape
 
     @property
     def last(self) -> int:
@@ -52,32 +55,42 @@
             return True
         return self.term(head.index) == head.term
 
-    def snapshot(self, head: pb.SnapshotHead) -> None:
+    def snapshot(self, head: pb.SnapshotHead, keep_from: int) -> None:
         """Take a snapshot; one older than the newest changes nothing."""
         if not self.joins(head):
+            keep_from = 0
             self.start, self.start_term, self.terms, self.heads = head.index, head.term, [], []
         elif head.index < max(self.start, self.agreed):
             return
         self.heads = [h for h in self.heads if h.index != head.index] + [head]
+        self.keep_from = keep_from
 
-    def cut(self, after: int) -> None:
-        """Drop the entries behind an index."""
+    def cut(self, after: int, with_head: bool) -> None:
+        """Drop the entries behind an index; with a snapshot, what it holds stays."""
+        if with_head:
+            after = max(after, self.agreed)
         if after < self.agreed:
             raise WriteRefused(f"cut behind {after}, but {self.agreed} is agreed", after=after)
         if after < self.start:  # reading began behind it, since nobody needs what lies there
             self.start, self.start_term = after, 0
         del self.terms[after - self.start:]
 
-    def append(self, entries: Iterable[pb.Entry]) -> None:
-        """Take entries behind those that are held."""
-        last, last_term, terms = self.last, self.last_term, self.terms
+    def append(self, entries: Iterable[pb.Entry]) -> int:
+        """Take entries behind those that are held; return how many were new.
+
+        One of the same index and term is the same entry; so is one that a snapshot holds, which is agreed.
+        """
+        last, last_term, terms, taken = self.last, self.last_term, self.terms, 0
         for entry in entries:
             index, term = entry.index, entry.term
+            if index <= last and self.term(index) in ((term, None) if index <= self.agreed else (term,)):
+                continue
             if index != last + 1 or term < last_term:
                 raise WriteRefused(f"entry {index} of term {term} behind {last} of term {last_term}",
                                    index=index, term=term)
             terms.append(term)
-            last, last_term = index, term
+            last, last_term, taken = index, term, taken + 1
+        return taken
 
     def trim(self, generations: int = GENERATIONS) -> None:
         """Keep so many generations only, and no terms that none of them needs.
@@ -111,17 +124,19 @@
                 if not joins:
                     self.entries.clear()
                 if not joins or good(head):
-                    shape.snapshot(head)
+                    shape.snapshot(head, step.keep_from)
             if step.HasField("cut_after"):
                 last = shape.last
-                shape.cut(step.cut_after)
+                shape.cut(step.cut_after, bool(step.head))
                 del self.entries[max(0, len(self.entries) - (last - shape.last)):]
             entries = [pb.Entry.FromString(data) for data in step.entries]
-            shape.append(entries)
-            self.entries += entries
+            taken = shape.append(entries)
+            self.entries += entries[len(entries) - taken:]
             if step.hard:
                 shape.hard = step.hard
 
-    def behind(self, index: int) -> list[pb.Entry]:
-        """Return the entries behind an index."""
-        return self.entries[len(self.entries) - (self.shape.last - index):]
+    def wanted(self) -> list[pb.Entry]:
+        """Return the entries behind the newest snapshot, and those before it that are wanted and held."""
+        shape = self.shape
+        first = min(shape.keep_from or shape.agreed + 1, shape.agreed + 1)
+        return self.entries[max(0, len(self.entries) - (shape.last + 1 - first)):]
--- a/fennelwind/store/store.py
+++ b/fennelwind/store/store.py
@@ -22,7 +22,7 @@
   never written or synced again.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import NamedTuple, TypeVar
@@ -56,6 +56,7 @@
 LOG, MARKS, SNAPSHOT = "log-", "marks-", "snapshot-"
 OURS = (META, LOG, SNAPSHOT)  # kinds of files that are first written under another name
 MARKS_READ = 4096  # bytes at the end of a file of marks that are looked at; the last one counts
+READ_AT_ONCE = 65536  # bytes of groups between two pauses; some 2 ms of work
 
 Kind = TypeVar("Kind", bound=Message)
 
@@ -83,8 +84,8 @@
 class Store:
     """The record on disk. One task at a time may call it."""
 
-    def __init__(self, disk: Disk, fleet: str, name: str, limits: Limits) -> None:
-        self.disk, self.fleet, self.name, self.limits = disk, fleet, name, limits
+    def __init__(self, disk: Disk, fleet: str, name: str, limits: Limits, pause: Callable[[], None]) -> None:
+        self.disk, self.fleet, self.name, self.limits, self.pause = disk, fleet, name, limits, pause
         self.life = b""
         self.shape = Shape()
         self.segments: dict[int, int] = {}  # those needed: the last index before each
@@ -93,18 +94,20 @@
         self.group = 0  # the last that is on the disk
         self.failed = True  # nothing is written until the folder was read anew
         self.full = False  # the last failure was for want of room
+        self.read = 0  # bytes of groups since the last pause
         self.fallbacks = 0  # snapshots that could not be read while an older one and the log said all
         self.unswept = 0  # times that files could not be removed; they are at the next opening or snapshot
         self.unmarked = 0  # marks that could not be written
 
     @classmethod
-    def open(cls, disk: Disk, fleet: str, name: str, life: bytes,
-             limits: Limits | None = None) -> tuple["Store", Durable]:
+    def open(cls, disk: Disk, fleet: str, name: str, life: bytes, limits: Limits | None = None,
+             pause: Callable[[], None] = lambda: None) -> tuple["Store", Durable]:
         """Take the folder and read it; make it if it is empty, for a member with this life.
 
-        Raises `StoreError` where it can't be used, `DiskError` where the disk fails.
+        `pause` is called while a log is read, each few ms of work: it lets other tasks run. Raises
+        `StoreError` where the folder can't be used, `DiskError` where the disk fails; who asked closes it.
         """
-        store = cls(disk, fleet, name, limits or Limits())
+        store = cls(disk, fleet, name, limits or Limits(), pause)
         disk.lock()
         if META not in disk.names():
             store._make(life)
@@ -233,7 +236,7 @@
         hard = _parsed(pb.HardState, self.shape.hard, LogDamaged, _log(number))
         self.failed = False
         return Durable(Life(self.name, self.life), hard, newest, snapshot,
-                       replay.behind(newest.index if newest is not None else 0))
+                       replay.wanted())
 
     def _read_log(self, acknowledged: int | None) -> tuple[list[_Segment], kept.Group | None]:
         """Return the segments needed, with the groups that count, and the last group if it is in doubt."""
@@ -303,6 +306,7 @@
                     shape.heads = [one for one in Shape.of(segment.head).heads if one.index not in bad]
                     for one in segment.groups:
                         replay.take(one, lambda head: head.index not in bad)
+                        self._worked(one.ByteSize())
                 shape.trim(generations)
                 head = self._head(number, group, self._first(shape), shape)
                 if doubtful is not None:
@@ -384,9 +388,9 @@
             self._begin(self._head(self.segment + 1, self.group + 1, self._first(self.shape)))
         for write in writes:
             if write.head is not None:
-                self.shape.snapshot(write.head)
+                self.shape.snapshot(write.head, write.keep_from)
             if write.cut_after is not None:
-                self.shape.cut(write.cut_after)
+                self.shape.cut(write.cut_after, write.head is not None)
             self.shape.append(write.entries)
             if write.hard is not None:
                 self.shape.hard = write.hard.SerializeToString()
@@ -407,7 +411,7 @@
         shape = shape or self.shape
         return kept.Head(format=FORMAT, life=self.life, segment=segment, group=group, hard=shape.hard,
                          heads=[head.SerializeToString() for head in shape.heads], last_index=shape.last,
-                         last_term=shape.last_term, first_segment=first)
+                         last_term=shape.last_term, first_segment=first, keep_from=shape.keep_from)
 
     def _begin(self, head: kept.Head, body: bytes = b"") -> None:
         """Begin a segment, with records that are written again."""
@@ -436,6 +440,13 @@
         self.disk.rename(new, name)
         self.disk.sync_names()
 
+    def _worked(self, size: int) -> None:
+        """Count bytes that were read; let other tasks run now and then."""
+        self.read += size
+        if self.read >= READ_AT_ONCE:
+            self.read = 0
+            self.pause()
+
     def _mark(self) -> None:
         """Note that the last group is acknowledged; a mark that fails costs nothing but its use."""
         try:
@@ -509,7 +520,7 @@
     for write in writes:
         step = group.steps.add(entries=[entry.SerializeToString() for entry in write.entries])
         if write.head is not None:
-            step.head = write.head.SerializeToString()
+            step.head, step.keep_from = write.head.SerializeToString(), write.keep_from
         if write.cut_after is not None:
             step.cut_after = write.cut_after
         if write.hard is not None:
