--- a/fennelwind/store/store.py
+++ b/fennelwind/store/store.py
@@ -76,7 +76,7 @@
     """A segment as it was read."""
 
     head: kept.Head
-    groups: list[tuple[int, kept.Group]]  # whole ones, by number
+    groups: list[kept.Group]  # whole ones, from number `head.group` on
     data: bytes
     rest: int | None  # where what is not a whole group begins; None: there is no such thing
 
@@ -217,7 +217,7 @@
         last = segments[-1]
         sure = last.head.group - 1 + len(last.groups)
         reached = sure + (doubtful is not None)
-        marked = self._marked(last.head.segment) if acknowledged is None else acknowledged
+        marked = self._marked() if acknowledged is None else acknowledged
         if reached < marked:
             raise LogDamaged(f"group {marked} was acknowledged, the log ends with {reached}", group=marked,
                              reached=reached)
@@ -235,8 +235,7 @@
         newest = self.shape.heads[-1] if self.shape.heads else None
         hard = _parsed(pb.HardState, self.shape.hard, LogDamaged, _log(number))
         self.failed = False
-        return Durable(Life(self.name, self.life), hard, newest, snapshot,
-                       replay.wanted())
+        return Durable(Life(self.name, self.life), hard, newest, snapshot, replay.wanted())
 
     def _read_log(self, acknowledged: int | None) -> tuple[list[_Segment], kept.Group | None]:
         """Return the segments needed, with the groups that count, and the last group if it is in doubt."""
@@ -355,7 +354,7 @@
             return None
         return snapshot
 
-    def _marked(self, number: int) -> int:
+    def _marked(self) -> int:
         """Return the last group that a mark says was acknowledged; marks are not synced and may be gone."""
         found = 0
         for one in _numbers(self.disk.names(), MARKS)[-2:]:
