--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 	.venv/bin/python -m grpc_tools.protoc -I fennelwind/config --python_out=fennelwind/config fennelwind/config/settings.proto
 	.venv/bin/python -m grpc_tools.protoc -I fennelwind/standin --python_out=fennelwind/standin fennelwind/standin/script.proto
 	.venv/bin/python -m grpc_tools.protoc -I fennelwind/council --python_out=fennelwind/council fennelwind/council/council.proto
+	.venv/bin/python -m grpc_tools.protoc -I fennelwind/store --python_out=fennelwind/store fennelwind/store/store.proto
 	.venv/bin/python -m grpc_tools.protoc -I fennelwind/fleet --python_out=fennelwind/fleet fennelwind/fleet/day.proto
 
 clean:
