--- a/fennelwind/store/store.py
+++ b/fennelwind/store/store.py
@@ -31,6 +31,7 @@
 
 from fennelwind.council import council_pb2 as pb
 from fennelwind.council.interface import Durable, Life, Write
+from fennelwind.council.pieces import SNAPSHOT_MOST
 from fennelwind.loop.disk import READ_MOST, Disk, DiskError, DiskFull, NameMissing
 from fennelwind.store import records
 from fennelwind.store import store_pb2 as kept
@@ -66,8 +67,8 @@
     """How large what is written gets, in bytes."""
 
     segment: int = 8 << 20  # the next write begins a new segment; short enough that little outlives its use
-    group: int = 64 << 20  # of one write at most; the council proposes nothing with twice as much log
-    snapshot: int = 256 << 20  # at most; the record's bounds keep it far below
+    group: int = 160 << 20  # of one write at most; the council proposes nothing with 128 MB of log
+    snapshot: int = SNAPSHOT_MOST  # at most; the council takes and sends no larger one
     reserve: int = 16 << 20  # held for a snapshot while the disk is full
     low: int = 32 << 20  # free: below it room is short, and a full store waits for as much
 
