A folder that is made is synced in its parents

In full: A folder that is made is synced in its parents; a disk that hangs does not hold the end up. The name of a new folder could be gone after a power cut though all in it was synced: a member would have lost what it acknowledged. Closing waited for a call that hung; it now waits a second and leaves the rest to the thread.

--- a/fennelwind/loop/realdisk.py
+++ b/fennelwind/loop/realdisk.py
@@ -11,6 +11,7 @@
 import os
 import threading
 from collections.abc import Callable
+from contextlib import suppress
 from queue import SimpleQueue
 from typing import Any
 
@@ -24,10 +25,11 @@
     SyncFailed,
 )
 from fennelwind.loop.real import RealLoop
-from fennelwind.loop.scheduler import Waiter
+from fennelwind.loop.scheduler import DeadlineExceeded, Waiter
 
 SMALL = 65536  # bytes that are appended on the spot; a copy into the kernel's memory of some 10 us
 NO_ROOM = {errno.ENOSPC, errno.EDQUOT, errno.EFBIG}  # EFBIG: the process's own limit of a file's size
+CLOSE_MS = 1000.0  # ms that the end of a program waits for a disk that hangs
 FILES_MOST = 16  # files kept open; the store appends to three at a time
 
 # Data and size reach the disk, but not a file's times; where the system has no such call, all of it does.
@@ -74,17 +76,18 @@
 
 
 class RealDisk:
-    """A folder of the system; it is made if need be. Used by one task at a time."""
+    """A folder of the system; it is made if need be. Made and used by tasks, one at a time."""
 
     def __init__(self, loop: RealLoop, folder: str) -> None:
-        self.loop, self.folder = loop, folder
-        try:
-            os.makedirs(folder, mode=0o700, exist_ok=True)
-            self._folder = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
-        except OSError as exc:
-            raise self._error(exc, "open", "") from None
+        self.loop, self.folder = loop, os.path.abspath(folder)
         self._files: dict[str, int] = {}  # open for appending
+        self._folder = -1
         self._worker = _Worker(loop)
+        try:
+            self._folder = self._made("open", "", _open_folder, self.folder)
+        except BaseException:
+            self._worker.close()
+            raise
 
     def lock(self) -> None:
         """Take the folder for this process, until `close` or the process's end. Raises `FolderTaken`."""
@@ -170,16 +173,20 @@
         return told.f_bavail * told.f_frsize
 
     def close(self) -> None:
-        """Give the folder up."""
-        if self._folder >= 0:
-            self._made("close", "", self._close)
+        """Give the folder up; a disk that hangs is waited for no longer than `CLOSE_MS`."""
+        if self._folder < 0:
+            return
+        folder, self._folder = self._folder, -1
+        try:
+            with suppress(DeadlineExceeded), self.loop.deadline(CLOSE_MS):
+                self._made("close", "", self._close, folder)
+        finally:
             self._worker.close()
 
-    def _close(self) -> None:
+    def _close(self, folder: int) -> None:
         for name in list(self._files):
             self._forget(name)
-        os.close(self._folder)
-        self._folder = -1
+        os.close(folder)
 
     # Within.
 
@@ -220,6 +227,22 @@
         return kind(text, folder=self.folder, file=name, call=what, errno=exc.errno or 0)
 
 
+def _open_folder(folder: str) -> int:
+    """Open a folder. One that is made is there for good: the names of all that are made are synced."""
+    made, above = [], folder
+    while not os.path.isdir(above):
+        above = os.path.dirname(above)
+        made.append(above)
+    os.makedirs(folder, mode=0o700, exist_ok=True)
+    for above in made:
+        fd = os.open(above, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+    return os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+
+
 def _read(path: str, offset: int, most: int) -> bytes:
     fd = os.open(path, os.O_RDONLY)
     try:
