--- a/fennelwind/store/store.py
+++ b/fennelwind/store/store.py
@@ -22,7 +22,7 @@
   never written or synced again.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import NamedTuple, TypeVar
@@ -31,6 +31,7 @@
 
 from fennelwind.council import council_pb2 as pb
 from fennelwind.council.interface import Durable, Life, Write
+from fennelwind.council.pieces import SNAPSHOT_MOST
 from fennelwind.loop.disk import READ_MOST, Disk, DiskError, DiskFull, NameMissing
 from fennelwind.store import records
 from fennelwind.store import store_pb2 as kept
@@ -56,6 +57,7 @@
 LOG, MARKS, SNAPSHOT = "log-", "marks-", "snapshot-"
 OURS = (META, LOG, SNAPSHOT)  # kinds of files that are first written under another name
 MARKS_READ = 4096  # bytes at the end of a file of marks that are looked at; the last one counts
+READ_AT_ONCE = 65536  # bytes of groups between two pauses; some 2 ms of work
 
 Kind = TypeVar("Kind", bound=Message)
 
@@ -65,8 +67,8 @@
     """How large what is written gets, in bytes."""
 
     segment: int = 8 << 20  # the next write begins a new segment; short enough that little outlives its use
-    group: int = 64 << 20  # of one write at most; the council proposes nothing with twice as much log
-    snapshot: int = 256 << 20  # at most; the record's bounds keep it far below
+    group: int = 160 << 20  # of one write at most; the council proposes nothing with 128 MB of log
+    snapshot: int = SNAPSHOT_MOST  # at most; the council takes and sends no larger one
     reserve: int = 16 << 20  # held for a snapshot while the disk is full
     low: int = 32 << 20  # free: below it room is short, and a full store waits for as much
 
@@ -75,7 +77,7 @@
     """A segment as it was read."""
 
     head: kept.Head
-    groups: list[tuple[int, kept.Group]]  # whole ones, by number
+    groups: list[kept.Group]  # whole ones, from number `head.group` on
     data: bytes
     rest: int | None  # where what is not a whole group begins; None: there is no such thing
 
@@ -83,8 +85,8 @@
 class Store:
     """The record on disk. One task at a time may call it."""
 
-    def __init__(self, disk: Disk, fleet: str, name: str, limits: Limits) -> None:
-        self.disk, self.fleet, self.name, self.limits = disk, fleet, name, limits
+    def __init__(self, disk: Disk, fleet: str, name: str, limits: Limits, pause: Callable[[], None]) -> None:
+        self.disk, self.fleet, self.name, self.limits, self.pause = disk, fleet, name, limits, pause
         self.life = b""
         self.shape = Shape()
         self.segments: dict[int, int] = {}  # those needed: the last index before each
@@ -93,18 +95,20 @@
         self.group = 0  # the last that is on the disk
         self.failed = True  # nothing is written until the folder was read anew
         self.full = False  # the last failure was for want of room
+        self.read = 0  # bytes of groups since the last pause
         self.fallbacks = 0  # snapshots that could not be read while an older one and the log said all
         self.unswept = 0  # times that files could not be removed; they are at the next opening or snapshot
         self.unmarked = 0  # marks that could not be written
 
     @classmethod
-    def open(cls, disk: Disk, fleet: str, name: str, life: bytes,
-             limits: Limits | None = None) -> tuple["Store", Durable]:
+    def open(cls, disk: Disk, fleet: str, name: str, life: bytes, limits: Limits | None = None,
+             pause: Callable[[], None] = lambda: None) -> tuple["Store", Durable]:
         """Take the folder and read it; make it if it is empty, for a member with this life.
 
-        Raises `StoreError` where it can't be used, `DiskError` where the disk fails.
+        `pause` is called while a log is read, each few ms of work: it lets other tasks run. Raises
+        `StoreError` where the folder can't be used, `DiskError` where the disk fails; who asked closes it.
         """
-        store = cls(disk, fleet, name, limits or Limits())
+        store = cls(disk, fleet, name, limits or Limits(), pause)
         disk.lock()
         if META not in disk.names():
             store._make(life)
@@ -214,7 +218,7 @@
         last = segments[-1]
         sure = last.head.group - 1 + len(last.groups)
         reached = sure + (doubtful is not None)
-        marked = self._marked(last.head.segment) if acknowledged is None else acknowledged
+        marked = self._marked() if acknowledged is None else acknowledged
         if reached < marked:
             raise LogDamaged(f"group {marked} was acknowledged, the log ends with {reached}", group=marked,
                              reached=reached)
@@ -232,8 +236,7 @@
         newest = self.shape.heads[-1] if self.shape.heads else None
         hard = _parsed(pb.HardState, self.shape.hard, LogDamaged, _log(number))
         self.failed = False
-        return Durable(Life(self.name, self.life), hard, newest, snapshot,
-                       replay.behind(newest.index if newest is not None else 0))
+        return Durable(Life(self.name, self.life), hard, newest, snapshot, replay.wanted())
 
     def _read_log(self, acknowledged: int | None) -> tuple[list[_Segment], kept.Group | None]:
         """Return the segments needed, with the groups that count, and the last group if it is in doubt."""
@@ -303,6 +306,7 @@
                     shape.heads = [one for one in Shape.of(segment.head).heads if one.index not in bad]
                     for one in segment.groups:
                         replay.take(one, lambda head: head.index not in bad)
+                        self._worked(one.ByteSize())
                 shape.trim(generations)
                 head = self._head(number, group, self._first(shape), shape)
                 if doubtful is not None:
@@ -351,7 +355,7 @@
             return None
         return snapshot
 
-    def _marked(self, number: int) -> int:
+    def _marked(self) -> int:
         """Return the last group that a mark says was acknowledged; marks are not synced and may be gone."""
         found = 0
         for one in _numbers(self.disk.names(), MARKS)[-2:]:
@@ -384,9 +388,9 @@
             self._begin(self._head(self.segment + 1, self.group + 1, self._first(self.shape)))
         for write in writes:
             if write.head is not None:
-                self.shape.snapshot(write.head)
+                self.shape.snapshot(write.head, write.keep_from)
             if write.cut_after is not None:
-                self.shape.cut(write.cut_after)
+                self.shape.cut(write.cut_after, write.head is not None)
             self.shape.append(write.entries)
             if write.hard is not None:
                 self.shape.hard = write.hard.SerializeToString()
@@ -407,7 +411,7 @@
         shape = shape or self.shape
         return kept.Head(format=FORMAT, life=self.life, segment=segment, group=group, hard=shape.hard,
                          heads=[head.SerializeToString() for head in shape.heads], last_index=shape.last,
-                         last_term=shape.last_term, first_segment=first)
+                         last_term=shape.last_term, first_segment=first, keep_from=shape.keep_from)
 
     def _begin(self, head: kept.Head, body: bytes = b"") -> None:
         """Begin a segment, with records that are written again."""
@@ -436,6 +440,13 @@
         self.disk.rename(new, name)
         self.disk.sync_names()
 
+    def _worked(self, size: int) -> None:
+        """Count bytes that were read; let other tasks run now and then."""
+        self.read += size
+        if self.read >= READ_AT_ONCE:
+            self.read = 0
+            self.pause()
+
     def _mark(self) -> None:
         """Note that the last group is acknowledged; a mark that fails costs nothing but its use."""
         try:
@@ -509,7 +520,7 @@
     for write in writes:
         step = group.steps.add(entries=[entry.SerializeToString() for entry in write.entries])
         if write.head is not None:
-            step.head = write.head.SerializeToString()
+            step.head, step.keep_from = write.head.SerializeToString(), write.keep_from
         if write.cut_after is not None:
             step.cut_after = write.cut_after
         if write.hard is not None:
