The planner of shard moves searches for fewer bytes; moves under way are judged; evenness

Cause: greedy places leave unmet what an eviction would meet, and moves under way with drops that no longer fit broke zones or headroom. Change: needs.py judges moves (kept, cancelled with a reason, going on without their drop), board.py holds where copies end and what that takes, search.py extends choices cheapest first (whole small worlds, around a trouble in large ones), evenness.py beyond tolerances only.

--- a/fennelwind/shards/check.py
+++ b/fennelwind/shards/check.py
@@ -24,9 +24,7 @@
 class Finding:
     """What is wrong with a plan."""
 
-    rule: (
-        str  # "headroom", "last-copy", "copies", "zones", "kinds", "source", "frozen", "order", "unmet", ..
-    )
+    rule: str  # "headroom", "last-copy", "copies", "zones", "kinds", "source", "frozen", "order", "unmet", ..
     what: str  # shard, engine or move
     text: str = ""
 
@@ -134,9 +132,7 @@
                     waits.append(("gone", *pair))
                     if ("gone", *pair) not in self.needs and pair not in undone:
                         self._bad("order", number, f"waits for the drop of {pair}, which nobody does")
-            self.needs["begin", number] = (
-                tuple(waits) if number in self.new or move.step == "planned" else ()
-            )
+            self.needs["begin", number] = tuple(waits) if number in self.new or move.step == "planned" else ()
             self.needs["done", number] = (("begin", number),)
         for (shard, engine), state in self.copies.items():
             self.lying.setdefault(shard, []).append((engine, state))
@@ -229,9 +225,7 @@
         """See that no order of events makes an engine hold more than it may."""
         home, held, weights = self.world.homes[engine], self._held(engine), self._weights(engine)
         limit = home.disk - home.headroom
-        incoming = [
-            event for event, weight in sorted(weights.items()) if weight > 0 and event[1] in self.new
-        ]
+        incoming = [event for event, weight in sorted(weights.items()) if weight > 0 and event[1] in self.new]
         if not incoming:
             return
         forced: list[Event | None] = [None] if held <= limit else list(incoming)
@@ -302,13 +296,13 @@
 
     def _after(self, moves: list[Move], start: set[str], events: set[Event]) -> set[str]:
         """Return the engines with a good copy when a set of a shard's events has come."""
-        good = set(start)
+        good = start - {event[2] for event in events if event[0] == "gone"}  # before one comes there anew
         for move in moves:  # in order of numbers, which later moves of the same shard follow
             if ("done", move.number) in events:
                 good.add(move.target)
                 if move.drops and move.number not in self.planned.keeps:
                     good.discard(move.drops)
-        return good - {event[2] for event in events if event[0] == "gone"}
+        return good
 
     def _sources(self, moves: list[Move], start: set[str]) -> None:
         """See that each new move reads a copy that is good when it begins and stays until it is done."""
--- /dev/null
+++ b/fennelwind/shards/evenness.py
@@ -0,0 +1,118 @@
+"""Evenness of disk and heat, where it is out of tolerance and a move takes away enough of it, without I/O."""
+
+from fennelwind.shards.board import Board
+from fennelwind.shards.needs import heats, mean, span_wanted, takes, wanted
+from fennelwind.shards.order import Sequence, Transfer
+from fennelwind.shards.state import Bounds, Shard
+
+MOVES_MOST = 64  # that one plan makes for evenness alone; the next one goes on
+LOOKED_AT = 40  # shards of the engine that stands out, those with the most gain for their bytes
+
+
+class _Scale:
+    """What stands out of the mean, of disk and of heat, as the engines will be."""
+
+    def __init__(self, board: Board, sequence: Sequence, bounds: Bounds) -> None:
+        self.board, self.sequence, self.bounds, self.view = board, sequence, bounds, board.view
+        places = {name: set(have) for name, have in sequence.have.items()}
+        self.places = {name: places.get(name, engines) for name, engines in self.view.good.items()}
+        heat = heats(self.view)
+        for name, engines in places.items():
+            shard = self.view.world.shards[name]
+            for engine in self.view.good[name]:
+                heat[engine] -= shard.heat / len(self.view.good[name])
+            for engine in engines:
+                heat[engine] += shard.heat / len(engines)
+        self.heat = heat
+        self.heat_mean = mean(heat, self.view)
+        self.disk_mean = mean({engine: self.share(engine) for engine in heat}, self.view)
+
+    def share(self, engine: str, more: int = 0) -> float:
+        """Return the part of an engine's disk that is used, with some bytes more."""
+        limit = max(1, self.view.limit[engine])
+        return (limit - self.sequence.left(engine) + more) / limit
+
+    def out(self, engine: str, size: int = 0, heat: float = 0.0) -> tuple[float, float]:
+        """Return how far an engine is above the mean in disk and heat, in tolerances."""
+        disk = (self.share(engine, size) - self.disk_mean) / max(self.bounds.disk_tolerance, 1e-9)
+        warm = (self.heat[engine] + heat - self.heat_mean) / max(
+            self.bounds.heat_tolerance * self.heat_mean, 1e-9
+        )
+        return disk, warm
+
+
+def even(board: Board, sequence: Sequence, bounds: Bounds) -> None:
+    """List moves for evenness behind the others."""
+    scale = _Scale(board, sequence, bounds)
+    tired: set[str] = set()
+    for _ in range(MOVES_MOST):
+        worst = max(
+            (
+                engine
+                for engine in sorted(scale.heat)
+                if engine not in tired and board.world.homes[engine].life in ("ready", "cold")
+            ),
+            key=lambda engine: max(scale.out(engine)),
+            default="",
+        )
+        if not worst or max(scale.out(worst)) <= 1.0:
+            return
+        if not _away(scale, worst):
+            tired.add(worst)
+
+
+def _away(scale: _Scale, engine: str) -> bool:
+    """List the move that takes the most unevenness from an engine for its bytes, if one takes enough."""
+    board, view = scale.board, scale.view
+    world = view.world
+    disk = scale.out(engine)[0] >= scale.out(engine)[1]
+    fixed = {move.shard for move in (*scale.sequence.moves, *view.kept.values())}
+    some = [
+        world.shards[name]
+        for name, places in sorted(scale.places.items())
+        if engine in places
+        and engine in view.now[name]
+        and name not in fixed
+        and not board.fixed(world.shards[name])
+        and not view.doubtful[name]
+        and takes(world.homes[engine], world.shards[name])
+        and len(places) == len(view.now[name])
+    ]
+    some.sort(
+        key=lambda shard: (
+            -shard.heat / wanted(shard) / max(1, shard.size) if not disk else -shard.size,
+            shard.name,
+        )
+    )
+    for shard in some[:LOOKED_AT]:
+        part = shard.heat / len(scale.places[shard.name])
+        before, after = scale.out(engine), scale.out(engine, -shard.size, -part)
+        which = 0 if disk else 1
+        gain = (before[which] - max(after[which], 0.0)) / before[which]
+        if gain < scale.bounds.gain_least or after[which] < -1.0:
+            continue
+        if target := _target(scale, shard, engine, part, before[which]):
+            scale.sequence.add(Transfer(shard.name, target, engine))
+            scale.places[shard.name] = scale.places[shard.name] - {engine} | {target}
+            scale.heat[engine] -= part
+            scale.heat[target] += part
+            return True
+    return False
+
+
+def _target(scale: _Scale, shard: Shard, engine: str, part: float, worst: float) -> str:
+    """Return the engine that stands out least with the copy, if it stays within tolerance."""
+    board, view = scale.board, scale.view
+    rest = scale.places[shard.name] - {engine}
+    best, least = "", 1.0
+    for target in board.fit(shard):
+        if (
+            target in view.holds[shard.name]
+            or scale.sequence.left(target) < shard.size
+            or view.span(rest | {target}) < min(span_wanted(shard), view.span(rest | {engine}))
+        ):
+            continue
+        out = max(scale.out(target, shard.size, part))
+        if out < least and out < worst:
+            best, least = target, out
+    return best
--- a/fennelwind/shards/needs.py
+++ b/fennelwind/shards/needs.py
@@ -3,18 +3,21 @@
 A copy counts when it is `good` on an engine that is not gone. Copies on engines that are gone count for
 nothing: neither as good, nor as disk that is used, nor as something to drop. A copy that is `doubtful`,
 `coming` or `leaving` takes disk and counts for nothing else.
+
+A move is wrong, and cancelled, when its target may not or need not have the copy any more, when nobody has a
+good copy to read, when its table is frozen before it has begun, or when the space it was to have is gone. A
+move whose copy that was to go is needed after all goes on without its drop (`keeps`).
 """
 
+from collections import Counter
 from dataclasses import dataclass, field
 
-from fennelwind.shards.state import Home, Move, Shard, World
+from fennelwind.shards.state import Bounds, Home, Move, Shard, World
 
 ENDED = ("done", "undone")  # steps of a move that is over
-HELD = (
-    "reserved",
-    "copying",
-    "checked",
-)  # steps at which the target's space is taken and the copy is not good
+HELD = ("reserved", "copying", "checked")  # steps with space taken and a copy that is not good yet
+READING = ("planned", "reserved", "copying")  # steps that still need the source
+STILL = 0.5  # part of a tolerance below which a planned move for evenness is no longer worth it
 
 
 def wanted(shard: Shard) -> int:
@@ -42,43 +45,100 @@
     keeps: set[int] = field(default_factory=set)  # moves whose drop falls away
     now: dict[str, set[str]] = field(default_factory=dict)  # by shard: engines with a good copy
     good: dict[str, set[str]] = field(default_factory=dict)  # the same when the kept moves have ended
+    doubtful: dict[str, set[str]] = field(default_factory=dict)  # by shard: living engines
     used: dict[str, int] = field(default_factory=dict)  # bytes by engine: all copies, whatever their state
     limit: dict[str, int] = field(default_factory=dict)  # bytes by engine that copies may take
-    holds: dict[str, set[str]] = field(
-        default_factory=dict
-    )  # by shard: living engines with any copy, or due one
+    holds: dict[str, set[str]] = field(default_factory=dict)  # by shard: living engines with any copy
+    going: set[tuple[str, str]] = field(
+        default_factory=set
+    )  # copies of cancelled moves, that go by themselves
+    orphans: list[tuple[str, str]] = field(default_factory=list)  # coming or leaving, and no move knows of it
 
     def span(self, engines: set[str]) -> int:
         """Return how many zones the engines span."""
         homes = self.world.homes
         return len({homes[engine].zone for engine in engines})
 
+    def enough(self, shard: Shard, engines: set[str]) -> bool:
+        """Return whether good copies on these engines are all that a shard needs."""
+        fit = {engine for engine in engines if takes(self.world.homes[engine], shard)}
+        return len(fit) >= wanted(shard) and self.span(fit) >= span_wanted(shard)
+
+    def released(self, move: Move) -> int:
+        """Return the bytes that leave the engine that a move drops from."""
+        on_disk = move.drops in self.used and move.drops in self.holds.get(move.shard, ())
+        return self.world.shards[move.shard].size if on_disk and move.number not in self.keeps else 0
 
-def read(world: World) -> View:
+
+def read(world: World, bounds: Bounds) -> View:
     """Return the view of a world: what counts, what is used, which moves go on."""
     view = View(world)
     for name in sorted(world.shards):
-        view.now[name], view.holds[name] = set(), set()
+        view.now[name], view.holds[name], view.doubtful[name] = set(), set(), set()
     for name, home in sorted(world.homes.items()):
         if home.life != "gone":
             view.used[name], view.limit[name] = 0, home.disk - home.headroom
     for (shard, engine), copy in sorted(world.copies.items()):
-        if shard not in world.shards or engine not in view.used:
-            continue
-        view.used[engine] += world.shards[shard].size
-        view.holds[shard].add(engine)
-        if copy.state == "good":
-            view.now[shard].add(engine)
-    _judge(view)
+        if shard in world.shards and engine in view.used:
+            view.used[engine] += world.shards[shard].size
+            view.holds[shard].add(engine)
+            if copy.state == "good":
+                view.now[shard].add(engine)
+            elif copy.state == "doubtful":
+                view.doubtful[shard].add(engine)
+    live = {
+        number: move
+        for number, move in sorted(world.moves.items())
+        if move.step not in ENDED and move.shard in world.shards
+    }
+    for move in live.values():
+        if move.step in HELD and move.target in view.used and move.target not in view.holds[move.shard]:
+            view.used[move.target] += world.shards[move.shard].size
+            view.holds[move.shard].add(move.target)
+    _judge(view, live, bounds)
+    _strays(view, live)
     return view
 
 
+def _strays(view: View, live: dict[int, Move]) -> None:
+    """Find copies that go by themselves, and those that no move knows of."""
+    for number in view.cancels:
+        move = view.world.moves[number]
+        if move.step in HELD and move.target in view.used and move.shard in view.holds:
+            view.going.add((move.shard, move.target))
+    known = {(move.shard, move.target) for move in live.values()}
+    known |= {(move.shard, move.drops) for move in live.values() if move.step == "switched"}
+    for (shard, engine), copy in sorted(view.world.copies.items()):
+        stray = copy.state in ("coming", "leaving") and (shard, engine) not in known
+        fixed = shard not in view.world.shards or view.world.shards[shard].table in view.world.frozen
+        if stray and engine in view.used and not fixed:
+            view.orphans.append((shard, engine))
+
+
+def _judge(view: View, live: dict[int, Move], bounds: Bounds) -> None:
+    """Sort the moves that are not over into those that go on and those that have become wrong."""
+    while True:
+        before = len(view.cancels)
+        view.kept = {}
+        for number, move in live.items():
+            if number in view.cancels:
+                continue
+            if move.step != "switched" and (why := _wrong(view, move)):
+                view.cancels[number] = why
+            else:
+                view.kept[number] = move
+        _settle(view)
+        _crowded(view)
+        if len(view.cancels) == before:
+            _needless(view, bounds)
+        if len(view.cancels) == before:
+            return
+
+
 def _wrong(view: View, move: Move) -> str:
     """Return why a move that has not been switched to can't go on, or nothing."""
     world = view.world
-    shard, target = world.shards.get(move.shard), world.homes.get(move.target)
-    if shard is None:
-        return "shard"
+    shard, target = world.shards[move.shard], world.homes.get(move.target)
     if target is None or target.life not in ("ready", "cold"):
         return "target"
     if not takes(target, shard):
@@ -86,95 +146,166 @@
     if move.step == "planned":
         if shard.table in world.frozen:
             return "frozen"
-        if move.target in view.holds[move.shard] and (move.shard, move.target) not in move.cleared:
-            return "target"
-        if any(number in view.cancels or _undone(world, number) for number in move.after):
+        if any(
+            number in view.cancels or (number in world.moves and world.moves[number].step == "undone")
+            for number in move.after
+        ):
             return "order"
-    waits = any(
-        number in view.kept
-        and view.kept[number].target == move.source
-        and view.kept[number].shard == move.shard
-        for number in move.after
-    )
-    if not move.drops and _enough(view, move):
-        return "needless"
-    if move.step != "checked" and move.source not in view.now[move.shard] and not waits:
-        return "source"
-    return ""
-
-
-def _enough(view: View, move: Move) -> bool:
-    """Return whether the shard of a move that drops nothing has all it needs without it."""
-    homes, shard = view.world.homes, view.world.shards[move.shard]
-    fit = {engine for engine in view.now[move.shard] if takes(homes[engine], shard)}
-    return len(fit) >= wanted(shard) and view.span(fit) >= span_wanted(shard)
-
-
-def _undone(world: World, number: int) -> bool:
-    return number in world.moves and world.moves[number].step == "undone"
-
-
-def _judge(view: View) -> None:
-    """Sort the moves that are not over into those that go on and those that have become wrong."""
-    world = view.world
-    for number, move in sorted(world.moves.items()):
-        if move.step in ENDED:
-            continue
-        if move.step == "switched":
-            view.kept[number] = move
-            continue
         if (
-            move.step in HELD
-            and move.target in view.used
-            and move.shard in world.shards
-            and (move.shard, move.target) not in world.copies
+            move.target in view.holds[move.shard]
+            and (move.shard, move.target) not in move.cleared
+            and not any(
+                number in view.kept
+                and view.kept[number].shard == move.shard
+                and view.kept[number].drops == move.target
+                for number in move.after
+            )
         ):
-            view.used[move.target] += world.shards[move.shard].size
-        if why := _wrong(view, move):
-            view.cancels[number] = why
-            continue
-        view.kept[number] = move
-    _settle(view)
+            return "target"
+    if (
+        move.step in READING
+        and move.source not in view.now[move.shard]
+        and not any(
+            number in view.kept
+            and view.kept[number].shard == move.shard
+            and view.kept[number].target == move.source
+            for number in move.after
+        )
+    ):
+        return "source"
+    return ""
 
 
 def _settle(view: View) -> None:
     """Say which good copies there will be, and which moves' drops would leave too few."""
     world = view.world
-    for name in sorted(world.shards):
-        view.good[name] = set(view.now[name])
+    view.good = {name: set(engines) for name, engines in view.now.items()}
+    view.keeps = set()
     for move in view.kept.values():
-        if move.shard in view.good and move.step != "switched":
-            view.good[move.shard].add(move.target)
-            view.holds[move.shard].add(move.target)
+        view.good[move.shard].add(move.target)
     for number, move in sorted(view.kept.items()):
-        if not move.drops or move.shard not in world.shards:
+        state = (
+            view.world.copies[move.shard, move.drops].state
+            if view.released(move) and ((move.shard, move.drops) in world.copies)
+            else ""
+        )
+        good, shard = view.good[move.shard], world.shards[move.shard]
+        if move.step == "switched" and move.target not in view.now[move.shard]:
+            good.discard(move.target)  # the engine has gone since, or its copy is doubted
+        if not (state == "good" or (state == "leaving" and move.step == "switched")):
+            if any(other.shard == move.shard and other.target == move.drops for other in view.kept.values()):
+                good.discard(move.drops)  # by way of a third engine
             continue
-        shard, good = world.shards[move.shard], view.good[move.shard]
-        living = move.drops in view.used and move.drops in view.holds[move.shard]
-        state = world.copies[move.shard, move.drops].state if living else ""
-        counted = state == "good" or (state == "leaving" and move.step == "switched")
-        if not counted:
-            continue
-        before, rest = good | {move.drops}, good - {move.drops}
-        count, zones, now = wanted(shard), span_wanted(shard), view.now[move.shard] | {move.drops}
+        rest, now = good - {move.drops}, view.now[move.shard] | {move.drops}
         if takes(world.homes[move.drops], shard):
-            fewer = len(rest) < count or view.span(rest) < min(zones, view.span(before))
+            both = rest | {move.drops}
+            fewer = len(rest) < wanted(shard) or view.span(rest) < min(span_wanted(shard), view.span(both))
         else:
-            fewer = len(rest) < min(count, len(now)) or view.span(rest) < min(zones, view.span(now))
-        if not fewer and rest:
+            fewer = len(rest) < min(wanted(shard), len(now)) or view.span(rest) < min(
+                span_wanted(shard), view.span(now)
+            )
+        if rest and not fewer:
             good.discard(move.drops)
             continue
-        if move.step != "switched" and _enough(view, move):
+        good.add(move.drops)
+        if move.step in READING and view.enough(shard, good - {move.target}):
             view.cancels[number] = "needless"
-            del view.kept[number]
-            good.discard(move.target)
-            view.holds[move.shard] = {
-                engine
-                for engine in view.holds[move.shard]
-                if engine != move.target or (move.shard, engine) in world.copies
-            }
-            continue
         view.keeps.add(number)
-        good.add(move.drops)
-        if state == "leaving":
-            view.now[move.shard].add(move.drops)
+
+
+def _crowded(view: View) -> None:
+    """Cancel moves whose target has lost the space they were to have: the last first."""
+    sizes = view.world.shards
+    over = {engine: view.used[engine] - view.limit[engine] for engine in view.used}
+    for number in view.cancels:
+        move = view.world.moves[number]
+        if move.step in HELD and move.target in over:
+            over[move.target] -= sizes[move.shard].size
+    for number, move in sorted(view.kept.items(), reverse=True):
+        if move.step in ("reserved", "copying") and over[move.target] > 0:
+            view.cancels[number] = "space"
+            over[move.target] -= sizes[move.shard].size
+    room = {engine: view.limit[engine] - view.used[engine] for engine in view.used}
+    for number, move in sorted(view.kept.items()):
+        if move.step != "planned" or number in view.cancels:
+            continue
+        freed = sum(
+            view.released(view.kept[other])
+            for other in move.after
+            if other in view.kept and view.kept[other].drops == move.target
+        )
+        freed += sum(
+            sizes[shard].size
+            for shard, engine in move.cleared
+            if engine == move.target and engine in view.holds.get(shard, ())
+        )
+        if room[move.target] + freed < sizes[move.shard].size:
+            view.cancels[number] = "space"
+        else:
+            room[move.target] -= sizes[move.shard].size
+
+
+def _needless(view: View, bounds: Bounds) -> None:
+    """Cancel planned moves, and begun ones that drop nothing, whose cause has gone: the last first."""
+    world = view.world
+    waited = Counter(other for move in view.kept.values() for other in move.after)
+    load = dict(view.used)
+    for move in view.kept.values():
+        if move.step == "planned":
+            load[move.target] += world.shards[move.shard].size
+        if move.drops in load:
+            load[move.drops] -= view.released(move)
+    heat = heats(view)
+    for number, move in sorted(view.kept.items(), reverse=True):
+        shard = world.shards[move.shard]
+        drops = move.drops if view.released(move) and number not in view.keeps else ""
+        if waited[number] or move.step not in READING or (move.step != "planned" and drops):
+            continue
+        without = view.good[move.shard] - {move.target} | ({drops} - {""})
+        if not view.enough(shard, without):
+            continue
+        if drops and (
+            not takes(world.homes[drops], shard)
+            or load[drops] + shard.size > view.limit[drops]
+            or _uneven(view, bounds, load, heat, drops, shard)
+        ):
+            continue
+        view.cancels[number] = "needless"
+        view.good[move.shard] = without
+        waited.subtract(move.after)
+        if drops:
+            load[drops] += shard.size
+
+
+def heats(view: View) -> dict[str, float]:
+    """Return the part of the queries' work that each living engine has, its moves carried out."""
+    heat = dict.fromkeys(view.used, 0.0)
+    for name, engines in sorted(view.good.items()):
+        if engines:
+            part = view.world.shards[name].heat / len(engines)
+            for engine in engines:
+                heat[engine] += part
+    return heat
+
+
+def mean(values: dict[str, float], view: View) -> float:
+    """Return the mean over the engines that may take copies."""
+    some = [
+        value
+        for engine, value in sorted(values.items())
+        if view.world.homes[engine].life in ("ready", "cold")
+    ]
+    return sum(some) / len(some) if some else 0.0
+
+
+def _uneven(
+    view: View, bounds: Bounds, load: dict[str, int], heat: dict[str, float], engine: str, shard: Shard
+) -> bool:
+    """Return whether an engine would stand out if a planned move away from it were left out."""
+    shares = {name: load[name] / max(1, view.limit[name]) for name in load}
+    share = (load[engine] + shard.size) / max(1, view.limit[engine])
+    part, common = heat[engine] + shard.heat / wanted(shard), mean(heat, view)
+    return (
+        share - mean(shares, view) > bounds.disk_tolerance * STILL
+        or part - common > bounds.heat_tolerance * STILL * common
+    )
--- a/fennelwind/shards/order.py
+++ b/fennelwind/shards/order.py
@@ -1,17 +1,19 @@
 """The order in which transfers may begin, so that headroom holds at every moment, without I/O.
 
-Transfers are put one behind the other. For each, room is counted as if all that were listed before it for
-the same engine had begun, and nothing had left but what it waits for. So whatever is begun as soon as it
-may be, in whatever parallel, no engine's headroom is crossed: of those that have begun on an engine the
-last one listed waited for enough space for all of them.
+Transfers are put one behind the other. For each, room is counted as if all that were listed before it for the
+same engine had begun, and nothing had left but what it waits for. So whatever is begun as soon as it may be,
+in whatever parallel, no engine's headroom is crossed: of those that have begun on an engine the last one
+listed waited for enough space for all of them.
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
-from fennelwind.shards.needs import View, span_wanted, takes
+from fennelwind.shards.needs import READING, View, span_wanted, takes
 from fennelwind.shards.state import Move
 
+Pair = tuple[str, str]  # shard, engine
+
 
 @dataclass(slots=True, frozen=True)
 class Transfer:
@@ -28,49 +30,52 @@
 
     view: View
     first: int  # number of the first new move
+    drops: Iterable[Pair] = ()  # copies that go without a move
     moves: list[Move] = field(default_factory=list)
-    room: dict[str, int] = field(
-        default_factory=dict
-    )  # bytes when all listed have begun and nothing has left
-    leaves: dict[str, list[tuple[int, int | tuple[str, str]]]] = field(
+    room: dict[str, int] = field(default_factory=dict)  # bytes, all listed begun and nothing gone
+    leaves: dict[str, list[tuple[int, int | Pair]]] = field(
         default_factory=dict
-    )  # size, by what
-    given: dict[str, int] = field(default_factory=dict)  # bytes that leave when all listed are done
+    )  # size, by which move or drop
+    given: dict[str, int] = field(default_factory=dict)  # bytes that have left when all listed are done
     have: dict[str, dict[str, int]] = field(
         default_factory=dict
     )  # shard: engine: by which move, 0: from the start
-    readers: dict[tuple[str, str], list[int]] = field(default_factory=dict)  # moves that read a copy
+    readers: dict[Pair, list[int]] = field(default_factory=dict)  # moves that read a copy
     reads: dict[str, int] = field(default_factory=dict)  # moves that read from an engine
+    listed: dict[str, list[int]] = field(default_factory=dict)  # moves of a shard
 
     def __post_init__(self) -> None:
         view = self.view
         for engine, used in view.used.items():
             self.room[engine] = view.limit[engine] - used
             self.leaves[engine], self.given[engine], self.reads[engine] = [], 0, 0
+        for pair in sorted({*view.going, *self.drops}):
+            self._leave(pair[1], view.world.shards[pair[0]].size, pair)
+            self.sources(pair[0]).pop(pair[1], None)
         for number, move in sorted(view.kept.items()):
             self._go_on(number, move)
 
+    def _leave(self, engine: str, size: int, by: int | Pair) -> None:
+        self.leaves[engine].append((size, by))
+        self.given[engine] += size
+
     def _go_on(self, number: int, move: Move) -> None:
         """List a move that is there already."""
-        world = self.view.world
-        if move.shard not in world.shards:
-            return
-        size, have = world.shards[move.shard].size, self.sources(move.shard)
+        have = self.sources(move.shard)
         if move.step == "planned":
-            self.room[move.target] -= size
+            self.room[move.target] -= self.view.world.shards[move.shard].size
         if move.step != "switched":
             have[move.target] = number
-        if move.source in self.reads and move.step in ("planned", "reserved", "copying"):
+        if move.source in self.reads and move.step in READING:
             self.reads[move.source] += 1
             self.readers.setdefault((move.shard, move.source), []).append(number)
-        if (
-            move.drops in self.room
-            and move.drops in self.view.holds[move.shard]
-            and number not in self.view.keeps
-        ):
-            self.leaves[move.drops].append((size, number))
-            self.given[move.drops] += size
+        if number in self.view.keeps:
+            if move.drops in self.room:
+                have.setdefault(move.drops, 0)
+        elif freed := self.view.released(move):
+            self._leave(move.drops, freed, number)
             have.pop(move.drops, None)
+        self.listed.setdefault(move.shard, []).append(number)
 
     def sources(self, shard: str) -> dict[str, int]:
         """Return the engines from which the shard can be read behind what is listed."""
@@ -78,25 +83,20 @@
             self.have[shard] = dict.fromkeys(sorted(self.view.now[shard]), 0)
         return self.have[shard]
 
-    def clear(self, shard: str, engine: str) -> None:
-        """List a copy that is dropped without a move."""
-        size = self.view.world.shards[shard].size
-        self.leaves[engine].append((size, (shard, engine)))
-        self.given[engine] += size
-        self.sources(shard).pop(engine, None)
-
-    def fits(self, shard: str, engine: str) -> bool:
-        """Return whether the engine has space for the shard when all that is listed is done."""
-        return self.room[engine] + self.given[engine] >= self.view.world.shards[shard].size
+    def left(self, engine: str) -> int:
+        """Return the bytes that are free when all that is listed is done."""
+        return self.room[engine] + self.given[engine]
 
-    def add(self, transfer: Transfer, cleared: Iterable[tuple[str, str]] = ()) -> Move | None:
+    def add(self, transfer: Transfer) -> Move | None:
         """List a transfer behind the others; none where the space or a source is missing."""
-        world = self.view.world
-        size, have = world.shards[transfer.shard].size, self.sources(transfer.shard)
-        target, drops = transfer.target, transfer.drops
-        if not have or not self.fits(transfer.shard, target):
+        world, view = self.view.world, self.view
+        shard, target, drops = transfer.shard, transfer.target, transfer.drops
+        size, have, homes = world.shards[shard].size, self.sources(shard), world.homes
+        if not have or self.left(target) < size:
+            return None
+        zones = span_wanted(world.shards[shard])
+        if drops in have and view.span(set(have) - {drops} | {target}) < min(zones, view.span(set(have))):
             return None
-        homes = world.homes
         source = min(
             have,
             key=lambda engine: (
@@ -107,73 +107,94 @@
             ),
         )
         number = self.first + len(self.moves)
-        after, gone = {have[source]} - {0}, set(cleared)
+        after, cleared = {have[source]} - {0}, set()
         lacking = size - self.room[target]
+        for part, by in self.leaves[target]:
+            if (shard, target) == by:  # the same shard's older copy there
+                cleared.add(by)
+                lacking -= part
         for part, by in self.leaves[target]:
             if lacking <= 0:
                 break
-            (after if isinstance(by, int) else gone).add(by)
+            if isinstance(by, int):
+                after.add(by)
+            elif by not in cleared:
+                cleared.add(by)
+            else:
+                continue
             lacking -= part
+        for other in self.listed.get(shard, ()):  # the same shard went from there by a move before
+            move = view.kept[other] if other in view.kept else self.moves[other - self.first]
+            if move.drops == target:
+                after.add(other)
         if drops:
-            after.update(self.readers.get((transfer.shard, drops), ()))
+            after.update(self.readers.get((shard, drops), ()))
             if drops in have:
                 after.update({have[drops]} - {0})
-            self.leaves[drops].append((size, number))
-            self.given[drops] += size
+                if zones > 1:  # one swap at a time, so that no two together take a zone away
+                    after.update(self.listed.get(shard, ()))
+            self._leave(drops, size, number)
         move = Move(
-            number,
-            transfer.shard,
-            source,
-            target,
-            drops,
-            after=tuple(sorted(after)),
-            cleared=tuple(sorted(gone)),
+            number, shard, source, target, drops, after=tuple(sorted(after)), cleared=tuple(sorted(cleared))
         )
         self.moves.append(move)
         self.room[target] -= size
-        self.readers.setdefault((transfer.shard, source), []).append(number)
+        self.readers.setdefault((shard, source), []).append(number)
         self.reads[source] += 1
+        self.listed.setdefault(shard, []).append(number)
         have[target] = number
         have.pop(drops, None)
         return move
 
 
 def arrange(sequence: Sequence, transfers: list[Transfer]) -> list[Transfer]:
-    """List the transfers as far as space allows, cycles by a third engine; return the rest."""
-    pending = list(transfers)
+    """List the transfers as far as space allows, cycles by a third engine; return the rest.
+
+    What frees a crowded engine goes first, what frees none last: the other way round a transfer may take the
+    room that the one needs for whose space it could have waited.
+    """
+    shards = sequence.view.world.shards
+    pending = sorted(
+        transfers,
+        key=lambda one: (
+            not one.drops,
+            sequence.left(one.drops) if one.drops else 0,
+            -shards[one.shard].size,
+            one.shard,
+            one.target,
+        ),
+    )
+    aside: set[str] = set()  # shards that went by a third engine: once each
     while pending:
         later = [one for one in pending if sequence.add(one) is None]
         if len(later) == len(pending):
-            later = _aside(sequence, later)
+            later = _aside(sequence, pending, aside)
             if later is None:
                 return pending
         pending = later
     return []
 
 
-def _aside(sequence: Sequence, pending: list[Transfer]) -> list[Transfer] | None:
+def _aside(sequence: Sequence, pending: list[Transfer], aside: set[str]) -> list[Transfer] | None:
     """Take a copy that stands in the way to a third engine, the smallest that helps."""
-    world = sequence.view.world
-    targets = {one.target for one in pending}
-    shards = world.shards
+    view = sequence.view
+    world, targets = view.world, {one.target for one in pending}
     for index, one in sorted(
-        enumerate(pending), key=lambda pair: (shards[pair[1].shard].size, pair[1].shard)
+        enumerate(pending), key=lambda pair: (world.shards[pair[1].shard].size, pair[1].shard)
     ):
-        if not one.drops or one.drops not in targets:
+        if one.drops not in targets or one.shard in aside:
             continue
-        have = set(sequence.sources(one.shard))
-        short = span_wanted(shards[one.shard])
-        for engine in sorted(
-            sequence.room, key=lambda name: (-sequence.room[name] - sequence.given[name], name)
-        ):
+        have, shard = set(sequence.sources(one.shard)), world.shards[one.shard]
+        for engine in sorted(sequence.room, key=lambda name: (-sequence.left(name), name)):
             rest = have - {one.drops} | {engine}
             if (
-                takes(world.homes[engine], shards[one.shard])
-                and engine not in sequence.view.holds[one.shard]
+                takes(world.homes[engine], shard)
+                and engine not in view.holds[one.shard]
                 and engine not in have
                 and engine not in (one.target, one.drops)
-                and sequence.view.span(rest) >= min(short, sequence.view.span(have))
+                and view.span(rest) >= min(span_wanted(shard), view.span(have))
                 and sequence.add(replace(one, target=engine))
             ):
+                aside.add(one.shard)
                 return [*pending[:index], replace(one, drops=engine), *pending[index + 1 :]]
     return None
--- a/fennelwind/shards/plan.py
+++ b/fennelwind/shards/plan.py
@@ -1,201 +1,230 @@
 """The planner of shard moves: to a world whose needs are met, with few bytes, without I/O.
 
 No clock and no chance: the same world gives the same plan. Moves under way stay as they are unless they
-have become wrong; what can't be met is said and the rest is planned.
+have become wrong; what can't be met is said and the rest is planned. First each shard's needs are met
+greedily; where that leaves something unmet, or an engine over its headroom, or an order that takes more
+bytes, better places are searched for: of all shards in a small world, around the trouble in a large one.
+Evenness comes last.
 """
 
+from dataclasses import dataclass
+
+from fennelwind.shards.board import Board
+from fennelwind.shards.evenness import even
 from fennelwind.shards.needs import View, read, span_wanted, takes, wanted
 from fennelwind.shards.order import Sequence, Transfer, arrange
+from fennelwind.shards.search import choices, neighbours, spread
 from fennelwind.shards.state import Bounds, Planned, Shard, Short, World
 
+SMALL_SHARDS, SMALL_ENGINES = 14, 8  # up to which all places are searched at once
+NODES = 3000  # choices that a search of a small world extends, about 0.3 s
+LEAVES = 60  # whole choices of a small world that are put in order
+NODES_NEAR = 200  # choices that one search around a trouble extends
+TROUBLES = 200  # that are searched around in one plan; the rest is said to be short
+NEAR = 6  # shards and engines that are looked at around one trouble
+
 
 def plan(world: World, bounds: Bounds | None = None, first: int = 1) -> Planned:
     """Return what has to be moved and dropped, in an order in which it may begin.
 
-    New moves are numbered from above those of the world, from `first` at least. They wait for
-    moves of the world and for one another by `after`, and for copies in `drops` by `cleared`.
+    New moves are numbered from above those of the world, from `first` at least. They wait for moves of the
+    world and for one another by `after`, and for copies that go without a move by `cleared`.
     """
     return _Planner(world, bounds or Bounds(), first).run()
 
 
+@dataclass(slots=True)
+class _Attempt:
+    """Places that were put in order: what came of it."""
+
+    sequence: Sequence
+    drops: list[tuple[str, str]]
+    rest: list[Transfer]
+    unmet: int
+    bytes: int
+
+
 class _Planner:
     """One round of planning."""
 
     def __init__(self, world: World, bounds: Bounds, first: int) -> None:
         self.world, self.bounds = world, bounds
-        self.view: View = read(world)
-        self.sequence = Sequence(self.view, max([first, *(number + 1 for number in world.moves)]))
-        self.drops: list[tuple[str, str]] = []
-        self.short: list[Short] = []
-        self.transfers: list[Transfer] = []
-        self.free = {
-            engine: self.sequence.room[engine] + self.sequence.given[engine] for engine in self.view.used
-        }
-        self.sources = {
-            (move.shard, move.source)
-            for move in self.view.kept.values()
-            if move.step in ("planned", "reserved", "copying")
-        }
-        self.ousted: dict[str, set[str]] = {}  # by shard: targets given in this round
+        self.view: View = read(world, bounds)
+        self.first = max([first, *(number + 1 for number in world.moves)])
+        self.board = Board(self.view, bounds)
 
     def run(self) -> Planned:
         """Return the plan."""
-        for name, shard in sorted(self.world.shards.items(), key=lambda item: (-item[1].size, item[0])):
-            self._meet(name, shard)
-        for shard, engine in self.drops:
-            self.sequence.clear(shard, engine)
-        for one in arrange(self.sequence, self.transfers):
-            size = self.world.shards[one.shard].size
-            self.short.append(Short(one.shard, "space", (one.target,), size - self._room(one.target)))
-        for name in sorted(self.view.used):
-            if self._room(name) < 0:
-                self._relieve(name)
-        moves = tuple(self.sequence.moves)
+        self.board.greedy()
+        best = self._attempt()
+        if best.unmet > self._unmet_least() or best.bytes > self._bytes_least():
+            best = self._search(best) if self._is_small() else self._repair(best)
+        even(self.board, best.sequence, self.bounds)
+        moves = tuple(best.sequence.moves)
         cancels = sorted(self.view.cancels)
         return Planned(
             moves,
-            tuple(sorted(self.drops)),
+            tuple(sorted({*best.drops, *self.view.orphans})),
             tuple(cancels),
-            tuple(sorted(self.short, key=lambda s: s.shard)),
+            tuple(self._short(best)),
             sum(self.world.shards[move.shard].size for move in moves),
             tuple(self.view.cancels[number] for number in cancels),
             tuple(sorted(self.view.keeps)),
         )
 
-    def _room(self, engine: str) -> int:
-        return self.sequence.room[engine] + self.sequence.given[engine]
-
-    def _meet(self, name: str, shard: Shard) -> None:
-        """Say what one shard needs."""
-        view, homes, count, zones = self.view, self.world.homes, wanted(shard), span_wanted(shard)
-        good = view.good[name]
-        staying = {engine for engine in good if takes(homes[engine], shard)}
-        kept = self._stay(staying, count, zones)
-        missing, going = (
-            count - len(kept),
-            sorted(good - kept, key=lambda engine: (engine in staying, engine)),
+    def _is_small(self) -> bool:
+        return len(self.world.shards) <= SMALL_SHARDS and len(self.view.used) <= SMALL_ENGINES
+
+    def _unmet_least(self) -> int:
+        """Return what no plan can meet, whatever the space."""
+        return sum(
+            self.board.lacking(shard) for shard in self.world.shards.values() if not self.board.fixed(shard)
         )
-        doubtful = sorted(
-            engine
-            for engine in view.holds[name]
-            if (name, engine) in self.world.copies and self.world.copies[name, engine].state == "doubtful"
+
+    def _bytes_least(self) -> int:
+        """Return the bytes that each plan takes that meets what can be met."""
+        return sum(
+            shard.size * (min(wanted(shard), len(self.board.fit(shard))) - len(self.board.least(shard)))
+            for shard in self.world.shards.values()
+            if not self.board.fixed(shard)
         )
-        if shard.table in self.world.frozen:
-            if missing > 0 or good - staying:
-                self.short.append(Short(name, "frozen", tuple(sorted(good - staying))))
-            return
-        if missing and not good:
-            self.short.append(Short(name, "source", tuple(doubtful)))
-            return
-        have = set(good)
-        for _ in range(missing):
-            target = self._target(name, shard, kept, have, zones - (count - len(kept) - 1), doubtful)
-            if target is None:
+
+    def _attempt(self) -> _Attempt:
+        """Put the board's places in order."""
+        board, drops, transfers, unmet = self.board, [], [], 0
+        for name, places in sorted(board.places.items()):
+            outcome = board.outcome(name, places)
+            transfers += outcome.transfers
+            drops += [(name, engine) for engine in outcome.drops]
+            unmet += outcome.unmet
+        sequence = Sequence(self.view, self.first, (*drops, *self.view.orphans))
+        rest = arrange(sequence, transfers)
+        over = sum(sequence.left(engine) < 0 for engine in sequence.room)
+        size = sum(self.world.shards[move.shard].size for move in sequence.moves)
+        return _Attempt(sequence, drops, rest, unmet + len(rest) + over, size)
+
+    def _search(self, best: _Attempt) -> _Attempt:
+        """Search all places of a small world, cheapest first, for some that can be put in order."""
+        board = self.board
+        shards = [shard for shard in self.world.shards.values() if not board.fixed(shard)]
+        chosen = dict(board.places)
+        for relaxed in (False, True):
+            leaves = 0
+            for unmet, cost, places in choices(board, shards, sorted(board.load), NODES, relaxed):
+                if (unmet, cost) >= (best.unmet, best.bytes) or leaves >= LEAVES:
+                    break
+                leaves += 1
+                before = dict(board.places)
+                for name, where in places.items():
+                    board.put(name, where)
+                attempt = self._attempt()
+                if (attempt.unmet, attempt.bytes) < (best.unmet, best.bytes):
+                    best, chosen = attempt, dict(board.places)
+                for name, where in before.items():
+                    board.put(name, where)
+            if leaves:
                 break
-            have.add(target)
-            kept.add(target)
-            drops = next(
-                (
-                    engine
-                    for engine in going
-                    if view.span(have - {engine}) >= min(zones, view.span(have - {target}))
-                ),
-                "",
-            )
-            if drops:
-                going.remove(drops)
-                have.discard(drops)
-                self.free[drops] += shard.size
-            elif doubtful:
-                drops = doubtful.pop(0)
-                self.free[drops] += shard.size
-            self.transfers.append(Transfer(name, target, drops))
-        if kept - good or len(kept) < count:
-            return
-        for engine in going:  # over what is wanted: the good ones that stay are there already
-            rest = view.now[name] & good & kept
-            if len(rest) >= count and view.span(rest) >= zones and (name, engine) not in self.sources:
-                self._drop(name, engine)
-        if len(view.now[name] & kept) >= count:
-            for engine in doubtful:
-                self._drop(name, engine)
-
-    def _drop(self, shard: str, engine: str) -> None:
-        if (shard, engine) not in self.drops:
-            self.drops.append((shard, engine))
-            self.free[engine] += self.world.shards[shard].size
-
-    def _stay(self, staying: set[str], count: int, zones: int) -> set[str]:
-        """Return the copies that stay: as many as may, one in each zone first, from the emptiest engines."""
-        homes, kept, seen = self.world.homes, set(), set()
-        ranked = sorted(staying, key=lambda engine: (-self.free[engine], engine))
-        for engine in ranked:
-            if homes[engine].zone not in seen and len(kept) < count:
-                seen.add(homes[engine].zone)
-                kept.add(engine)
-        for engine in ranked:
-            if engine not in kept and len(kept) < count and len(seen) + count - len(kept) - 1 >= zones:
-                kept.add(engine)
-        return kept
-
-    def _target(
-        self, name: str, shard: Shard, kept: set[str], have: set[str], zones: int, doubtful: list[str]
-    ) -> str | None:
-        """Return the emptiest engine that may take a copy, or say why there is none."""
-        homes, view = self.world.homes, self.view
-        seen = {homes[engine].zone for engine in kept}
-        fit = [
-            engine
-            for engine in sorted(self.free)
-            if takes(homes[engine], shard) and engine not in have and engine not in view.holds[name]
-        ]
-        if not fit:
-            self.short.append(Short(name, "kinds"))
-            return None
-        if len(seen) < zones:
-            apart = [engine for engine in fit if homes[engine].zone not in seen]
-            if not apart:
-                self.short.append(Short(name, "zones", tuple(fit)))
-            fit = apart or fit
-        best = max(fit, key=lambda engine: self.free[engine] / max(1, view.limit[engine]))
-        roomy = [engine for engine in fit if self.free[engine] >= shard.size]
-        if not roomy:
-            best = max(fit, key=lambda engine: (self.free[engine], engine))
-            self.short.append(Short(name, "space", tuple(fit), shard.size - self.free[best]))
-            return None
-        best = max(roomy, key=lambda engine: (self.free[engine] / max(1, view.limit[engine]), engine))
-        self.free[best] -= shard.size
+        for name, where in chosen.items():
+            board.put(name, where)
         return best
 
+    def _repair(self, best: _Attempt) -> _Attempt:
+        """Search around each trouble of a large world."""
+        board, done = self.board, 0
+        over = [engine for engine in sorted(board.load) if board.free(engine) < 0]
+        for engine in over:
+            self._relieve(engine)
+        for shard in board.troubled():
+            places = board.where(shard.name)
+            if done >= TROUBLES or not board.outcome(shard.name, places).unmet:
+                continue
+            if board.outcome(shard.name, places).unmet <= board.lacking(shard):
+                continue
+            done += 1
+            engines = spread(board, shard, NEAR)
+            near = {shard.name: shard}
+            for engine in engines[:2]:
+                for other in neighbours(board, engine, NEAR, shard.size - board.free(engine)):
+                    near[other.name] = other
+            self._near(list(near.values()), engines)
+        attempt = self._attempt()
+        return attempt if (attempt.unmet, attempt.bytes) < (best.unmet, best.bytes) else best
+
+    def _near(self, shards: list[Shard], engines: list[str]) -> None:
+        """Take the best places of a few shards."""
+        board = self.board
+        for _, _, places in choices(board, shards, engines, NODES_NEAR):
+            for name, where in places.items():
+                board.put(name, where)
+            return
+
     def _relieve(self, engine: str) -> None:
-        """Take copies away from an engine that is over its headroom."""
-        shards, homes, view = self.world.shards, self.world.homes, self.view
-        moving = {move.shard for move in (*self.sequence.moves, *view.kept.values())} | {
-            s for s, _ in self.drops
-        }
-        names = sorted(
-            (
-                name
-                for name in view.good
-                if engine in view.good[name]
-                and name not in moving
-                and shards[name].table not in self.world.frozen
-            ),
-            key=lambda name: (shards[name].size, name),
-        )
-        while self._room(engine) < 0 and names:
-            lacking = -self._room(engine)
-            name = next((name for name in names if shards[name].size >= lacking), names[-1])
-            names.remove(name)
-            rest = view.good[name] - {engine}
-            for target in sorted(view.used, key=lambda other: (-self._room(other), other)):
+        """Take copies from an engine that is over its headroom: large ones, then one that just does."""
+        board, shards = self.board, self.world.shards
+        some = [
+            shard
+            for shard in neighbours(board, engine, len(shards), 0)
+            if shard.name not in board.places and takes(self.world.homes[engine], shard)
+        ]
+        some.sort(key=lambda shard: (-shard.size, shard.name))
+        while board.free(engine) < 0 and some:
+            lacking = -board.free(engine)
+            shard = next((one for one in some if one.size <= lacking), None)
+            shard = shard or min(some, key=lambda one: (one.size, one.name))
+            enough = [one for one in some if one.size >= lacking]
+            if enough and enough[-1].size <= lacking * 1.05:
+                shard = enough[-1]
+            some.remove(shard)
+            rest = board.where(shard.name) - {engine}
+            zones = min(span_wanted(shard), self.view.span(set(rest | {engine})))
+            for target in spread(board, shard, NEAR):
                 if (
-                    takes(homes[target], shards[name])
-                    and target not in view.holds[name]
-                    and view.span(rest | {target})
-                    >= min(span_wanted(shards[name]), view.span(view.good[name]))
-                    and self.sequence.add(Transfer(name, target, engine))
+                    target not in self.view.holds[shard.name]
+                    and target not in rest
+                    and board.free(target) >= shard.size
+                    and self.view.span(set(rest | {target})) >= zones
                 ):
+                    board.put(shard.name, rest | {target})
                     break
-        if self._room(engine) < 0:
-            self.short.append(Short("", "space", (engine,), -self._room(engine)))
+
+    def _short(self, best: _Attempt) -> list[Short]:
+        """Say which needs are not met, and why."""
+        board, found = self.board, []
+        blocked: dict[str, list[Transfer]] = {}
+        for one in best.rest:
+            blocked.setdefault(one.shard, []).append(one)
+        for name, shard in sorted(self.world.shards.items()):
+            good, count, zones = self.view.good[name], wanted(shard), span_wanted(shard)
+            if board.fixed(shard):
+                if good and (len(good) < count or not self.view.enough(shard, good)):
+                    found.append(Short(name, "frozen", tuple(sorted(good))))
+                elif not good:
+                    found.append(
+                        Short(
+                            name,
+                            "source",
+                            tuple(
+                                sorted(
+                                    copy.engine for copy in self.world.copies.values() if copy.shard == name
+                                )
+                            ),
+                        )
+                    )
+                continue
+            places, fit = board.where(name), board.fit(shard)
+            if len(fit) < count:
+                found.append(Short(name, "kinds", tuple(fit)))
+            if board.zones(shard) < zones:
+                found.append(Short(name, "zones", tuple(fit)))
+            if name in blocked or (
+                name in board.places and board.outcome(name, places).unmet > board.lacking(shard)
+            ):
+                others = [engine for engine in fit if engine not in places] or [
+                    one.target for one in blocked[name]
+                ]
+                lacking = min(shard.size - best.sequence.left(engine) for engine in others)
+                found.append(Short(name, "space", tuple(others), max(0, lacking)))
+        for engine in sorted(best.sequence.room):
+            if best.sequence.left(engine) < 0:
+                found.append(Short("", "space", (engine,), -best.sequence.left(engine)))
+        return found
