--- a/tests/test_council_world.py
+++ b/tests/test_council_world.py
@@ -1,6 +1,7 @@
 """Whole members with their folders and streams, their clients and tasks, in virtual time."""
 
 import pytest
+from council_chaos import Chaos
 from council_world import Council
 
 from fennelwind.keeper.errors import CommandRefused, CouncilError
@@ -123,3 +124,10 @@
         assert len({r.snapshot() for r in records}) == 1
 
     Council(3).play(main)
+
+
+@pytest.mark.parametrize("seed", [2, 4, 8, 11])
+def test_two_never_act_at_once_and_histories_are_linearizable_whatever_breaks(seed):
+    chaos = Chaos(seed, members=3 if seed % 4 else 5)
+    assert chaos.play() == []
+    assert chaos.counts["acts"] > 50 and chaos.counts["operations"] > 200 and chaos.counts["fences"] > 3
