--- a/fennelwind/keeper/member.py
+++ b/fennelwind/keeper/member.py
@@ -342,7 +342,7 @@
             self.loop.spawn(self.close, name="keeper: close")
 
     def _raise_level(self) -> None:
-        """Have the record's level raised, while leading, once all members have said that they know the next."""
+        """Have the level raised, while leading, once all members have said that they know the next."""
         record = self.state.record
         while record.level < record.known:
             self.loop.sleep(LEVEL_MS)
