--- a/fennelwind/fleet/councilrig.py
+++ b/fennelwind/fleet/councilrig.py
@@ -136,8 +136,8 @@
     """So many members and followers; `play` runs a test's script with all of them up."""
 
     def __init__(self, folder: Path, members: int = 3, followers: int = 0, *, seed: int = 1,
-                 more: dict[str, dict[str, Any]] | None = None, **every: Any) -> None:
-        self.folder, self.seed = folder, seed
+                 more: dict[str, dict[str, Any]] | None = None, direct: bool = False, **every: Any) -> None:
+        self.folder, self.seed, self.direct = folder, seed, direct  # direct: without relays, nothing is cut
         self.loop = RealLoop()
         self.members = [f"m{n}" for n in range(members)]
         self.names = self.members + [f"f{n}" for n in range(followers)]
@@ -186,6 +186,9 @@
             raise RigFailed("no ports are free for a rig")
         self.resource = Resource(self.loop, Address(f"127.{RESOURCE}.0.1", self.port))
         self.loop.spawn(self.resource.serve, name="resource")
+        if self.direct:
+            self.loop.spawn(self._look, name="look")
+            return
         rows = [Row(self.way(a, b), a, b, self.home(b)) for a in self.names for b in self.members if a != b]
         rows += [Row(self.way(a, "resource"), a, "resource", self.resource.listener.address)
                  for a in self.names]
@@ -201,6 +204,8 @@
 
     def way(self, source: str, target: str) -> Address:
         """Where one party finds another."""
+        if self.direct:
+            return self.resource.listener.address if target == "resource" else self.home(target)
         number = 250 if target == "resource" else self.names.index(target) + 1
         return Address(f"127.{TO_MEMBER}.{self.names.index(source) + 1}.{number}", self.port)
 
--- a/fennelwind/fleet/councilwork.py
+++ b/fennelwind/fleet/councilwork.py
@@ -57,9 +57,16 @@
         place = Place(
             spec["fleet"], self.name, members, folder, parse_address(spec["listen"]) if folder else None,
             Timing(**spec.get("timing", {})), spec.get("reserve", 1 << 20), spec.get("handover_ms", 3000.0))
-        self.keeper = Keeper(loop, place, spec["seed"], lambda what, facts: say(said=[what, facts]),
+        self.keeper = Keeper(loop, place, spec["seed"], self._said,
                              lambda: RigDisk(loop, str(folder), self.faults), (Registers(),))
 
+    def _true_ms(self) -> float:
+        """Return the time that all processes of the machine share."""
+        return self.loop.now() / self.loop.pace
+
+    def _said(self, what: str, facts: dict[str, Any]) -> None:
+        say(said=[what, facts | {"at_ms": self._true_ms()}])
+
     def start(self) -> None:
         """Begin to take part."""
         self.keeper.start()
@@ -95,8 +102,7 @@
             self.loop.sleep(PAUSE_MS * random.random())
 
     def _note(self, who: str, ask: int, what: str, value: Any) -> None:
-        at = self.loop.now() / self.loop.pace  # true time, which all processes of the machine share
-        say(history=[at, who, ask, what, value])
+        say(history=[self._true_ms(), who, ask, what, value])
 
     # The task.
 
@@ -159,6 +165,8 @@
         view = member.core.state()
         say(state=[token, {"part": view.part, "term": view.term, "leader": view.leader, "commit": view.commit,
                            "applied": member.state.record.index, "members": len(view.members.members),
+                           "memory_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
+                           "log_bytes": view.log_bytes, "base": view.base,
                            "votes": sum(m.votes for m in view.members.members)}])
 
 
--- a/fennelwind/keeper/member.py
+++ b/fennelwind/keeper/member.py
@@ -126,7 +126,7 @@
         self.core = self.make_core(durable)
         self._listen()
         self._reach()
-        for call, name in ((self._write, "keeper: writes"), (self._apply, "keeper: applies"),
+        for call, name in ((self._write, "keeper: writes"), (self.state.run, "keeper: applies"),
                            (self._look_for_room, "keeper: room"), (self._raise_level, "keeper: level")):
             self._tasks.append(self.loop.spawn(call, name=name))
         self.said("member", {"name": self.me.name, "life": self.me.life.hex(),
@@ -305,6 +305,7 @@
                 self._set_timer(action.at)
             elif isinstance(action, Became):
                 self._become(action)
+        self._stop_if_too_new()
         if any(isinstance(action, Restore) or isinstance(action, Apply) and any(
                 entry.WhichOneof("what") == "members" for entry in action.entries) for action in actions):
             self._reach()
@@ -334,11 +335,14 @@
         addresses.pop(self.me.name, None)
         self.peers.reach(addresses)
 
-    def _apply(self) -> None:
-        try:
-            self.state.run()
-        except RecordTooNew as exc:
-            self.said("takes part no more", exc.told())
+    def _stop_if_too_new(self) -> None:
+        """Take part no more in a record that a later version goes on with; queries go on as without it."""
+        record = self.state.record
+        if self.state.too_new and self.part != "closed":
+            self.said("takes part no more", RecordTooNew(
+                f"the record is of level {record.level}, this version knows {record.known}",
+                level=record.level, known=record.known).told())
+            self.part = "closed"
             self.loop.spawn(self.close, name="keeper: close")
 
     def _raise_level(self) -> None:
--- a/fennelwind/keeper/state.py
+++ b/fennelwind/keeper/state.py
@@ -15,10 +15,10 @@
 from fennelwind.council.record import Record
 from fennelwind.keeper import keeper_pb2 as pb
 from fennelwind.keeper.bell import Bell
-from fennelwind.keeper.errors import RecordTooNew
 from fennelwind.keeper.frames import FRAME_MOST
 from fennelwind.loop import Loop
 
+AT_ONCE = 8  # entries that are applied in the turn that agreed on them: a command's answer waits for it
 SLICE = 64  # entries applied in one turn of the loop; some 2 ms
 WATCHERS_MOST = 4096  # watches that wait here: two hundred controllers with twenty tables each
 VIEW_MOST = FRAME_MOST - 4096  # bytes of a state that is told in one frame
@@ -44,7 +44,8 @@
         self.revisions = dict.fromkeys(record.every, 0)
         self.applied = 0  # entries since the start
         self._work: deque[Apply | Restore | TakeSnapshot] = deque()
-        self._bell = Bell(loop)
+        self._bell, self._busy = Bell(loop), False
+        self._due: int | None = None  # as it was told last
         self._results: dict[int, Callable[[Result], None]] = {}  # who waits for an entry's result
         self._reads: list[tuple[int, int, Callable[[], None]]] = []  # heap: index, order, what is to be done
         self._order = 0
@@ -52,7 +53,11 @@
         self.watchers = 0
 
     def take(self, action: Apply | Restore | TakeSnapshot) -> None:
-        """Take what is to be done, in order."""
+        """Take what is to be done, in order; few entries are applied at once, if nothing is ahead of them."""
+        small = isinstance(action, Apply) and len(action.entries) <= AT_ONCE
+        if small and not self._work and not self._busy:
+            self._do(action)
+            return
         self._work.append(action)
         self._bell.ring()
 
@@ -101,30 +106,41 @@
         return True
 
     def run(self) -> None:
-        """Apply what comes, for ever. Raises `RecordTooNew`."""
+        """Apply what comes, for ever."""
         while True:
             while not self._work:
+                self._busy = False
                 self._bell.wait()
-            action = self._work.popleft()
-            if isinstance(action, Apply):
-                for start in range(0, len(action.entries), SLICE):
-                    if start:
-                        self.loop.sleep(0.0)
-                    self._apply(action.entries[start:start + SLICE])
-            elif isinstance(action, Restore):
-                self.record.restore(action.data)
-                self._changed(list(self.record.machines))
-            else:
-                record = self.record
-                self.post(Snapshot(record.index, record.clock_ms, record.snapshot()))
-                continue
-            self._check_level()
-            self._settle()
-            self.post(Applied(self.record.index, self.record.due()))
+            self._busy = True
+            self._do(self._work.popleft())
+            self.loop.sleep(0.0)
+
+    def _do(self, action: Apply | Restore | TakeSnapshot) -> None:
+        record = self.record
+        if self.too_new:
+            return
+        if isinstance(action, TakeSnapshot):
+            self.post(Snapshot(record.index, record.clock_ms, record.snapshot()))
+            return
+        if isinstance(action, Restore):
+            record.restore(action.data)
+            self._changed(list(record.machines))
+        else:
+            for start in range(0, len(action.entries), SLICE):
+                if start:
+                    self.loop.sleep(0.0)
+                self._apply(action.entries[start:start + SLICE])
+        self._settle()
+        due = record.due()
+        if due != self._due:  # all that the core wants to know of what was applied
+            self._due = due
+            self.post(Applied(record.index, due))
 
     def _apply(self, entries: tuple[council_pb2.Entry, ...]) -> None:
         record = self.record
         for entry in entries:
+            if self.too_new:
+                return
             if entry.index <= record.index:
                 continue  # a folder that was read anew gives again what was agreed
             clock_ms = max(record.clock_ms, entry.clock_ms)
@@ -155,11 +171,10 @@
                 self.watchers -= 1
                 watch.call()
 
-    def _check_level(self) -> None:
-        record = self.record
-        if record.level > record.known:
-            raise RecordTooNew(f"the record is of level {record.level}, this version knows {record.known}",
-                               level=record.level, known=record.known)
+    @property
+    def too_new(self) -> bool:
+        """Tell whether the record uses what this version does not know: nothing more is applied then."""
+        return self.record.level > self.record.known
 
     def _settle(self) -> None:
         """Answer the reads whose index has come, and those whose entry a snapshot has swallowed."""
