--- /dev/null
+++ b/tests/contracts_model.py
@@ -0,0 +1,331 @@
+"""The contracts machine beside a plain model: one list of subscriptions, each looked at for each question."""
+
+from dataclasses import replace
+
+from hypothesis import strategies as st
+from hypothesis.stateful import Bundle, RuleBasedStateMachine, consumes, initialize, invariant, multiple, rule
+
+from fennelwind.contracts import contracts_pb2 as pb
+from fennelwind.contracts import machine as under_test
+from fennelwind.contracts.messages import reads_message, schema_message
+from fennelwind.contracts.rules import NUMBER, RULES, Form, Level, Read, judge, worst
+from fennelwind.contracts.said import parse_reads, reads_text
+from fennelwind.contracts.types import parse_schema, table_name
+from fennelwind.council.machine import At
+
+SCHEMAS = (
+    "a int, b string", "A int, b string, c int", "a bigint, b string", "a smallint, b string",
+    "b string, a int",
+    "x int was a, b string", "a int was x, b string", "a int, b string partitioned by (d date)",
+    "a int not null, b varchar(5)", "b string", "a int, c int, b string", "b int was a, a string was b",
+    "a decimal(10,2), b string", "a int, b string, z timestamp with local time zone")
+READS = (
+    "a int", "A int, b string", "a bigint", "* by name", "* by place", "a int by place",
+    "a int, b string by place", "z timestamp with local time zone",
+    "2 b string by place", "b string", "c int", "d date", "a int not null", "x int", "a decimal(12,2)")
+
+
+class GateModel(RuleBasedStateMachine):
+    """Commands in any order; the model says beforehand what becomes of them."""
+
+    subscriptions, changes = Bundle("subscriptions"), Bundle("changes")
+
+    @initialize()
+    def begin_empty(self):
+        """Begin with nothing."""
+        self.machine, self.index, self.clock = under_test.ContractMachine(), 0, 0
+        self.living = {}  # number -> name, version, reads as they were when it registered, until, term
+        self.change = {}  # table -> number, publisher, schema's text, engines' states, step
+        self.moving, self.fence, self.numbers = set(), {}, {}
+
+    def fact(self, kind, key):
+        """Answer what other machines would."""
+        if kind == "moving":
+            return int(key in self.moving)
+        return self.fence.get(key, 0) if kind == "fence" else 0
+
+    def do(self, **what):
+        """Have a command carried out as the record does."""
+        self.index += 1
+        at = At(self.index, self.clock)
+        due = self.machine.due()
+        if due is not None and due <= self.clock:
+            self.machine.pass_time(at)
+        command = pb.ContractCommand(rules=NUMBER, **what).SerializeToString()
+        answer = pb.ContractAnswer.FromString(self.machine.apply(at, command, self))
+        self.living = {n: each for n, each in self.living.items() if each["until"] > self.clock}
+        for table, change in list(self.change.items()):
+            if change["step"] == 0 and change["begin_by"] <= self.clock:
+                del self.change[table]
+        return answer
+
+    def schema(self, table):
+        """Return the schema that stands."""
+        known = self.machine.tables.get(table)
+        return known.schema if known is not None else None
+
+    def forms(self, table):
+        """Return what a subscriber has to be able to read."""
+        forms = [Form(self.schema(table))] if self.schema(table) is not None else []
+        number = self.machine.by_table.get(table)
+        if number is not None:
+            assert table in self.change
+            forms.append(Form(self.machine.changes[number].schema))
+        return forms
+
+    def resolved(self, table, text):
+        """Return reads with what they mean now."""
+        reads, schema = parse_reads(table, text), self.schema(table)
+        if schema is None:
+            return reads
+        parts = {column.name for column in schema.partitions}
+        if reads.star:
+            return replace(reads, columns=tuple(
+                Read(c.name, c.type, c.nullable, n + 1 if reads.by_place else 0, c.number, c.name in parts)
+                for n, c in enumerate(schema.row)))
+        there = {column.name: column for column in schema.row}
+        return replace(reads, columns=tuple(
+            replace(read, number=there[read.name].number, partition=read.name in parts)
+            if read.name in there else read for read in reads.columns))
+
+    @rule(target=subscriptions, name=st.sampled_from(("r1", "R2", "load")), table=st.sampled_from("tTu"),
+          text=st.sampled_from(READS), version=st.sampled_from((5, 10, 11)),
+          term=st.sampled_from((10_000, 40_000)))
+    def register(self, name, table, text, version, term):
+        """Register, or renew by registering the same again."""
+        table = table_name(table)
+        self.do(renew=pb.Renew())  # lets lapse what is due, so that the model looks at the same state
+        reads = self.resolved(table, text)
+        broken = any(worst(judge(reads, version, form)) == Level.BROKEN for form in self.forms(table))
+        answer = self.do(register=pb.Register(
+            name=name, version=version, term_ms=term, reads=[reads_message(parse_reads(table, text))]))
+        assert (answer.refusal == pb.BROKEN) == broken, (table, text, answer)
+        if answer.refusal:
+            return multiple()
+        known = self.living.get(answer.number)
+        assert known is None or (known["name"], known["version"]) == (name.lower(), version)
+        until = max(self.clock + term, known["until"] if known else 0)
+        self.living[answer.number] = dict(
+            name=name.lower(), version=version, reads=reads, until=until, term=term)
+        return answer.number
+
+    @rule(number=subscriptions)
+    def renew(self, number):
+        """Renew; what has lapsed is told so."""
+        lives = number in self.living and self.living[number]["until"] > self.clock
+        answer = self.do(renew=pb.Renew(numbers=[number]))
+        assert (answer.refusal == pb.NONE) == lives and (list(answer.gone) == [number]) == (not lives)
+        if lives:
+            known = self.living[number]
+            known["until"] = max(known["until"], self.clock + known["term"])
+
+    @rule(number=consumes(subscriptions))
+    def leave(self, number):
+        """Leave."""
+        lives = number in self.living and self.living[number]["until"] > self.clock
+        assert (self.do(leave=pb.Leave(number=number)).refusal == pb.NONE) == lives
+        self.living.pop(number, None)
+
+    @rule(target=changes, table=st.sampled_from("tTu"), text=st.sampled_from(SCHEMAS), engines=st.booleans(),
+          publisher=st.sampled_from(("load", "Load", "other")), old=st.integers(0, 9), goes=st.integers(0, 9))
+    def propose(self, table, text, engines, publisher, old, goes):
+        """Propose; what may be is told by looking at each living subscription as it registered."""
+        table = table_name(table)
+        self.do(renew=pb.Renew())
+        known = self.machine.tables.get(table)
+        version = known.version if known is not None else 0
+        wrong_version = not old and version > 0
+        dropped = not goes and known is not None
+        schema = parse_schema(text)
+        names = {c.name for c in known.schema.row} if known else set()
+        invalid = not dropped and any(c.was and c.was not in names for c in schema.row)
+        answer = self.do(propose=pb.Propose(
+            table=table, publisher=publisher, version=version - 1 if wrong_version else version,
+            schema=None if dropped else schema_message(schema), engines=("e1", "e2") if engines else (),
+            forward=("do",) if engines else (), back=("undo",) if engines else ()))
+        if invalid:
+            assert answer.refusal == pb.INVALID
+        elif table in self.change:
+            assert answer.refusal == pb.CHANGING
+        elif wrong_version:
+            assert answer.refusal == pb.VERSION
+        else:
+            made = None if dropped else self.made(known.schema if known else None, schema, text)
+            broken = self.broken(table, made, publisher.lower())
+            told = {name for each in answer.readers for name in each.names if any(
+                RULES[found.rule].level == Level.BROKEN for found in each.found)}
+            assert told == broken, (told, broken)
+            wanted = pb.BROKEN if broken else pb.MOVING if table in self.moving else pb.NONE
+            assert answer.refusal == wanted, (answer, broken)
+            if not answer.refusal:
+                self.admitted(table, publisher.lower(), made, engines, answer.number)
+                return answer.number
+        return multiple()
+
+    def made(self, old, schema, text):
+        """Return the schema with the identities of its columns: kept where a name or `was` says so."""
+        known = {c.name: c.number for c in old.row} if old else {}
+        renamed = {c.was for c in schema.row if c.was}
+        fresh = iter(range(10**9, 2 * 10**9))
+
+        def identity(column):
+            if column.was:
+                return known[column.was]
+            if column.name in known and column.name not in renamed:
+                return known[column.name]
+            return next(fresh)
+        cut = len(schema.columns)
+        row = [replace(c, number=identity(c), was="") for c in schema.row]
+        return replace(schema, columns=tuple(row[:cut]), partitions=tuple(row[cut:]))
+
+    def broken(self, table, made, publisher):
+        """Return who of the living would break."""
+        form = Form(made) if made is not None else None
+        return {each["name"] for each in self.living.values()
+                if each["reads"].table == table and each["name"] != publisher
+                and worst(judge(each["reads"], each["version"], form)) == Level.BROKEN}
+
+    def admitted(self, table, publisher, made, engines, number):
+        """Note an admitted change; without engines it stands at once."""
+        if engines:
+            self.change[table] = dict(number=number, publisher=publisher, made=made, step=0, fence=0,
+                                      states={"e1": 0, "e2": 0}, begin_by=self.clock + under_test.BEGIN_MS)
+        else:
+            self.stands(table, publisher, made)
+
+    def stands(self, table, publisher, made):
+        """Hold that the schema stands as it was proposed, each column being who it was."""
+        schema = self.schema(table)
+        assert (schema is None) == (made is None)
+        if schema is not None:
+            assert str(schema) == str(made)
+            for there, said in zip(schema.row, made.row, strict=True):
+                if said.number < 10**9:
+                    assert there.number == said.number
+                else:
+                    assert there.number not in self.numbers
+            self.numbers.update({c.number: None for c in schema.row})
+        form = Form(schema) if schema is not None else None
+        for number, each in list(self.living.items()):
+            reads = each["reads"]
+            if reads.table == table and each["name"] == publisher and worst(
+                    judge(reads, each["version"], form)) == Level.BROKEN:
+                del self.living[number]
+            elif reads.table == table and schema is not None and all(not r.number for r in reads.columns):
+                each["reads"] = self.resolved(table, reads_text(reads))
+
+    @rule(number=changes, fence=st.integers(1, 3), more=st.booleans())
+    def begin(self, number, fence, more):
+        """Begin under the lease, or with another fence."""
+        table = next((t for t, c in self.change.items() if c["number"] == number), None)
+        held = self.fence.get(f"table:{table}", 0)
+        answer = self.do(begin=pb.Begin(number=number, fence=held if more else fence))
+        table = next((t for t, c in self.change.items() if c["number"] == number), None)
+        if table is not None and not answer.refusal:
+            assert (held if more else fence) == held > 0
+            self.change[table].update(fence=held, step=max(1, self.change[table]["step"]))
+
+    @rule(table=st.sampled_from("tu"))
+    def another_holder(self, table):
+        """The table's lease goes to somebody else."""
+        self.fence[f"table:{table}"] = self.fence.get(f"table:{table}", 0) + 1
+
+    @rule(number=changes, engine=st.sampled_from(("e1", "e2")), state=st.integers(0, 5))
+    def mark(self, number, engine, state):
+        """Note an engine's state."""
+        self.acted(number, mark=lambda fence: pb.Mark(number=number, fence=fence, engine=engine, state=state))
+
+    @rule(number=changes)
+    def go_through(self, number):
+        """Do what a holder does with both engines, to the end."""
+        for engine in ("e1", "e2"):
+            for state in (pb.Change.ASKED, pb.Change.DONE):
+                self.acted(number, mark=lambda fence, e=engine, s=state: pb.Mark(
+                    number=number, fence=fence, engine=e, state=s))
+        self.finish(number)
+
+    @rule(number=changes)
+    def turn(self, number):
+        """Turn back."""
+        self.acted(number, turn=lambda fence: pb.Turn(number=number, fence=fence))
+
+    @rule(number=changes)
+    def finish(self, number):
+        """Finish, which needs all engines at the end of their ways."""
+        table = next((t for t, c in self.change.items() if c["number"] == number), None)
+        change = self.change.get(table)
+        answer = self.acted(number, finish=lambda fence: pb.Finish(number=number, fence=fence))
+        if change is None or answer.refusal:
+            return
+        states = set(change["states"].values())
+        del self.change[table]
+        if change["step"] == 1:
+            assert states <= {pb.Change.DONE, pb.Change.GONE_AWAY} and pb.Change.DONE in states
+            self.stands(table, change["publisher"], change["made"])
+        else:
+            assert states <= {pb.Change.WAITING, pb.Change.UNDONE, pb.Change.GONE_AWAY}
+
+    def acted(self, number, **what):
+        """Act with the fence under which the change was begun; only the present holder's act counts."""
+        table = next((t for t, c in self.change.items() if c["number"] == number), None)
+        change = self.change.get(table, {"fence": 1, "step": 0})
+        (kind, make), = what.items()
+        told = make(change["fence"])
+        answer = self.do(**{kind: told})
+        holds = change["step"] > 0 and change["fence"] == self.fence.get(f"table:{table}", 0) > 0
+        assert not holds or answer.refusal != pb.FENCE
+        if not answer.refusal:
+            assert holds
+            if kind == "mark":
+                change["states"][told.engine] = told.state
+            elif kind == "turn":
+                change["step"] = 2
+        return answer
+
+    @rule(number=changes, publisher=st.sampled_from(("load", "other")))
+    def withdraw(self, number, publisher):
+        """Withdraw, which only its publisher can, and only before it was begun."""
+        answer = self.do(withdraw=pb.Withdraw(number=number, publisher=publisher))
+        table = next((t for t, c in self.change.items() if c["number"] == number), None)
+        if table is not None:
+            mine = self.change[table]["publisher"] == publisher and self.change[table]["step"] == 0
+            assert (answer.refusal == pb.NONE) == mine
+            if mine:
+                del self.change[table]
+
+    @rule(ms=st.sampled_from((1, 5000, 9999, 10_000, 30_000, 60_000, 200_000)))
+    def pass_time(self, ms):
+        """Time passes on the record."""
+        self.clock += ms
+        self.do(renew=pb.Renew())
+
+    @rule(table=st.sampled_from("tu"))
+    def move(self, table):
+        """A move of the table's shards begins, if it may, or ends."""
+        if table in self.moving:
+            self.moving.discard(table)
+        elif not self.machine.fact("changing", table):
+            assert table not in self.change
+            self.moving.add(table)
+
+    @rule()
+    def another_member(self):
+        """Another member goes on from a snapshot."""
+        data = self.machine.snapshot()
+        self.machine = under_test.ContractMachine()
+        self.machine.restore(data)
+        assert self.machine.snapshot() == data
+
+    @invariant()
+    def nobody_is_broken_and_nothing_moves_that_changes(self):
+        """Hold that all living subscribers can read what stands."""
+        if not hasattr(self, "machine"):
+            return
+        for each in self.living.values():
+            schema = self.schema(each["reads"].table)
+            known = schema is not None and any(read.number for read in each["reads"].columns)
+            if each["until"] > self.clock and known:
+                assert worst(judge(each["reads"], each["version"], Form(schema))) < Level.BROKEN, each
+        assert not self.moving & self.change.keys()
+        assert set(self.machine.by_table) == self.change.keys()
+
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -3,7 +3,11 @@
 from pathlib import Path
 
 import pytest
+from contracts_defects import DEFECTS, search
+from contracts_model import GateModel
 from contracts_world import World
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import run_state_machine_as_test
 
 from fennelwind.contracts import contracts_pb2 as pb
 from fennelwind.contracts.machine import BEGIN_MS, REST_MS, TERM_LEAST_MS, WANTED_MS, ContractMachine
@@ -290,6 +294,22 @@
     assert all(rule.source and rule.says and (rule.instead or not rule.level) for rule in RULES.values())
 
 
+def test_another_member_goes_on_where_the_first_one_stopped(gate):
+    gate.register("report", t="a int by name")
+    gate.facts.fence["table:t"] = 7
+    number = gate.propose("t", "a int, b string, c int", engines=["e1"]).number
+    gate.do(begin=pb.Begin(number=number, fence=7))
+    data, gate.machine = gate.machine.snapshot(), ContractMachine()
+    gate.machine.restore(data)
+    assert gate.machine.snapshot() == data
+    states = pb.Change
+    assert [a.refusal for a in gate.carry(number, 7, ("e1", states.ASKED), ("e1", states.DONE))] == [0, 0]
+    assert not gate.do(finish=pb.Finish(number=number, fence=7)).refusal
+    assert gate.propose("t", "a bigint, b string, c int").refusal == pb.BROKEN
+    gate.clock += TERM_LEAST_MS
+    assert not gate.propose("t", "a bigint, b string, c int").refusal
+
+
 # Carrying out.
 
 @pytest.mark.parametrize("seed", range(150))
@@ -385,3 +405,18 @@
     assert together[True, contract_rows.BROKEN] > 100 and together[False, contract_rows.FINE] > 100
     # Text that a client hands out for other types as well: rejected by the kind of the column.
     assert set(cautious) <= {"other-kind", "key-other"} and sum(cautious.values()) < 10
+
+
+# Beside a plain model.
+
+def test_the_machine_beside_a_plain_model():
+    run_state_machine_as_test(GateModel, settings=settings(
+        max_examples=40, stateful_step_count=30, deadline=None, derandomize=True, database=None,
+        suppress_health_check=list(HealthCheck)))
+
+
+# Planted defects.
+
+@pytest.mark.parametrize("defect", DEFECTS, ids=lambda each: each.title)
+def test_a_planted_defect_is_found(defect):
+    assert search(defect)
