A wish for a change keeps new moves out without stopping those under way

In full: A wish for a change keeps new moves out without stopping those under way; questions without commands. Moves check for a change at each step: the wish, told as a change, would have stopped the very moves it waits for.

It is a fact of its own now, wanted. asked() answers for tables, changes, subscribers and verdicts, page by page.

--- a/fennelwind/contracts/machine.py
+++ b/fennelwind/contracts/machine.py
@@ -12,7 +12,7 @@
 One order for moves and changes: a change is refused while shards of its table are under way, a move while
 its table is changed. Both are checked where both are written, on the record, and neither waits for the other
 while it holds anything. So that moves without end can't keep a change out, a change that was refused for them
-is remembered for a while, and no new move of the table begins.
+is remembered for a while (the fact `wanted`), and no new move of the table begins; those under way go on.
 """
 
 import heapq
@@ -117,7 +117,7 @@
     """Who reads what, and which change may pass."""
 
     name = "contracts"
-    kinds = ("changing",)
+    kinds = ("changing", "wanted")
 
     def __init__(self) -> None:
         self._clear()
@@ -183,11 +183,54 @@
         return min(times, default=None)
 
     def fact(self, kind: str, key: str) -> int:
-        """Return 1 for a table that is changed, or whose change waits for its moves to end."""
-        if kind != "changing":
-            return 0
+        """Tell of a table: `changing` 1 while it is changed, `wanted` 1 while a change waits for its moves.
+
+        No shard of a table that is changing takes a step; of one that is wanted none begins.
+        """
         key = key.lower()
-        return int(key in self.by_table or self.wanted.get(key, (0, 0))[0] > 0)
+        if kind == "changing":
+            return int(key in self.by_table)
+        return int(kind == "wanted" and self.wanted.get(key, (0, 0))[0] > 0)
+
+    def asked(self, query: bytes) -> bytes:
+        """Answer a `ContractQuery` with a `ContractSeen`; nothing changes. b"": it can't be read."""
+        try:
+            told = pb.ContractQuery.FromString(query)
+            kind = told.WhichOneof("what")
+            seen = pb.ContractSeen()
+            if kind is not None:
+                getattr(self, "_see_" + kind)(getattr(told, kind), told.skip, seen)
+        except (DecodeError, SchemaError):
+            return b""
+        return seen.SerializeToString(deterministic=True)
+
+    def _see_table(self, name: str, skip: int, seen: pb.ContractSeen) -> None:
+        table, number = self.tables.get(name), self.by_table.get(name)
+        if table is not None:
+            seen.version = table.version
+            seen.schema.CopyFrom(schema_message(table.schema))
+        if number is not None:
+            seen.changes.append(change_message(self.changes[number]))
+        seen.quiet.extend(sorted(self.quiet(name)))
+
+    def _see_change(self, number: int, skip: int, seen: pb.ContractSeen) -> None:
+        seen.outcome = self.ended.get(number, 0)
+        if number in self.changes:
+            seen.changes.append(change_message(self.changes[number]))
+
+    def _see_all_changes(self, wanted: bool, skip: int, seen: pb.ContractSeen) -> None:
+        seen.changes.extend(change_message(change) for _, change in sorted(self.changes.items()))
+
+    def _see_subscriber(self, name: str, skip: int, seen: pb.ContractSeen) -> None:
+        seen.subscriptions.extend(_told(self.subscriptions[n]) for n in self._by_name.get(name, ()))
+
+    def _see_verdict(self, told: pb.Propose, skip: int, seen: pb.ContractSeen) -> None:
+        table = self.tables.get(told.table)
+        old, new = table.schema if table is not None else None, None
+        if told.HasField("schema"):
+            new, _ = numbered(read_schema(told.schema), old, self.next_column)
+        verdict = check(self.readers, told.table, old, new, anew=told.anew, publisher=told.publisher)
+        verdict_message(verdict, seen.verdict, skip)
 
     def quiet(self, table: str) -> frozenset[str]:
         """Return the engines to which no new query of a table is to go.
--- a/fennelwind/contracts/types.py
+++ b/fennelwind/contracts/types.py
@@ -15,6 +15,7 @@
 
 TEXT_MOST = 64 * 1024  # letters of a schema's or a subscription's text: some 2000 columns of usual types
 NAME_MOST = 128  # letters of a name, as Hive's metastore holds them (COLUMN_NAME, TBL_NAME)
+TABLE_MOST = 200  # letters of a table's name with its database's: it is a part of a lease's name
 COLUMNS_MOST = 2000  # of a table, partition columns included; wider ones are not seen in practice
 DEPTH_MOST = 8  # types inside one another; the deepest that Hive's own serialization tests use is 7
 NODES_MOST = 4000  # types of a schema, those inside others counted: what a check may cost
@@ -30,7 +31,7 @@
 DECIMAL_MOST, CHAR_MOST, VARCHAR_MOST = 38, 255, 65535  # LanguageManual Types: the largest of each
 DECIMAL_PLAIN = (10, 0)  # what DECIMAL without sizes means since Hive 0.13
 
-_PLAIN_NAME = re.compile(r"\w+(\.\w+)?")
+_PLAIN_NAME = re.compile(r"\w+(\.\w+)?", re.A)
 
 
 class SchemaTextError(FennelwindError):
@@ -134,7 +135,7 @@
     name = fold(name.replace("`", ""))
     if "." not in name and database:
         name = f"{fold(database)}.{name}"
-    if not _PLAIN_NAME.fullmatch(name):
+    if not _PLAIN_NAME.fullmatch(name) or len(name) > TABLE_MOST:
         raise SchemaError(f"{name[:NAME_MOST]!r} names no table", name=name[:NAME_MOST])
     return name
 
--- a/tests/contracts_model.py
+++ b/tests/contracts_model.py
@@ -304,7 +304,7 @@
         """A move of the table's shards begins, if it may, or ends."""
         if table in self.moving:
             self.moving.discard(table)
-        elif not self.machine.fact("changing", table):
+        elif not self.machine.fact("changing", table) and not self.machine.fact("wanted", table):
             assert table not in self.change
             self.moving.add(table)
 
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -145,12 +145,12 @@
 def test_a_change_waits_for_moves_which_do_not_begin_anew_meanwhile(gate):
     gate.facts.moving["t"] = 2
     assert gate.propose("t", "a int, b string, c int").refusal == pb.MOVING
-    assert gate.machine.fact("changing", "T") == 1
+    assert gate.machine.fact("wanted", "T") == 1
     gate.clock += WANTED_MS
     gate.do(renew=pb.Renew())
-    assert gate.machine.fact("changing", "t") == 0
+    assert gate.machine.fact("wanted", "t") == 0
     assert gate.propose("t", "a int, b string, c int").refusal == pb.MOVING
-    assert gate.machine.fact("changing", "t") == 0  # moves have their turn
+    assert gate.machine.fact("wanted", "t") == 0  # moves have their turn
     gate.clock += REST_MS
     gate.do(renew=pb.Renew())
     assert gate.propose("t", "a int, b string, c int").refusal == pb.MOVING
@@ -310,6 +310,25 @@
     assert not gate.propose("t", "a bigint, b string, c int").refusal
 
 
+def test_what_may_be_asked_without_a_command(gate):
+    def asked(**what):
+        return pb.ContractSeen.FromString(gate.machine.asked(pb.ContractQuery(**what).SerializeToString()))
+
+    for number in range(1200):
+        gate.register(f"r{number:04}", t="a int")
+    would = pb.Propose(table="t", schema=schema_message(parse_schema("a bigint")))
+    first, rest = asked(verdict=would).verdict, asked(verdict=would, skip=1000).verdict
+    names = [name for told in (first, rest) for each in told.readers for name in each.names]
+    assert (first.more, rest.more, names) == (200, 0, [f"r{n:04}" for n in range(1200)])
+    assert asked(subscriber="r0007").subscriptions[0].name == "r0007"
+    number = gate.propose("t", "a int, b string, c int", engines=["e1"]).number
+    assert [asked(**what).changes[0].number for what in (
+        {"table": "t"}, {"change": number}, {"all_changes": True})] == [number] * 3
+    gate.do(withdraw=pb.Withdraw(number=number, publisher="load"))
+    assert asked(change=number).outcome == 3 and asked(table="t").version == 1
+    assert gate.machine.asked(b"\xff") == b"" and not gate.machine.asked(b"")
+
+
 # Carrying out.
 
 @pytest.mark.parametrize("seed", range(150))
