--- a/fennelwind/cli/program.py
+++ b/fennelwind/cli/program.py
@@ -92,7 +92,15 @@
         place = Place(c.fleet, c.me, c.members, c.folder, c.listen,
                       Timing(heartbeat_ms=c.heartbeat_ms, election_ms=c.election_ms),
                       c.reserve_bytes, c.handover_ms)
-        return Keeper(self.loop, place, seed, self.observer.council)
+        keeper = Keeper(self.loop, place, seed, self.observer.council)
+        keeper.serve_engines(self.links, self._engines)
+        self.service.gate = keeper.gate
+        return keeper
+
+    def _engines(self) -> list[str]:
+        """Return the engines that are there now, as the module was told."""
+        known = self.driver.gateway.engines
+        return [name for name, engine in known.items() if engine.entry.state != "gone"]
 
     def reload_certificates(self) -> str:
         """Read certificate and key anew, for new connections; return what became of it."""
--- a/fennelwind/fronts/hs2/service.py
+++ b/fennelwind/fronts/hs2/service.py
@@ -16,6 +16,7 @@
 import json
 from collections.abc import Callable
 from functools import partial
+from typing import Any
 
 from fennelwind import __version__
 from fennelwind.config import Controller
@@ -24,6 +25,7 @@
 from fennelwind.core.sessions import SessionError, SessionState
 from fennelwind.core.types import FAILED, LEFT, REFUSED, SERVED, Answer, Result, Submission
 from fennelwind.engines.rowstream import StreamLostError
+from fennelwind.errors import FennelwindError
 from fennelwind.fronts.hs2.door import Door
 from fennelwind.fronts.hs2.rows import Reader, by_rows, text_page
 from fennelwind.limits.admission import Admission, Bounds
@@ -35,7 +37,9 @@
 OWN = "fennelwind."  # configuration with this prefix is the controller's and does not go to engines
 NAMES = {hs2.CLI_SERVER_NAME: "fennelwind", hs2.CLI_DBMS_NAME: "fennelwind", hs2.CLI_DBMS_VER: __version__}
 TIMEOUT_MOST_MS = 24 * 3600 * 1000.0  # ms; a client that would wait longer is taken to mean this
-REFUSED_CODE, FAILED_CODE, CANCELLED_CODE, STREAM_CODE = 1203, 1204, 1205, 1206
+REFUSED_CODE, FAILED_CODE, CANCELLED_CODE, STREAM_CODE, GATE_CODE = 1203, 1204, 1205, 1206, 1207
+CHANGE_MS = 600_000.0  # ms that a change of a schema may take where its publisher states no time-out
+SUBSCRIBED = "fennelwind.subscribed"  # setting in which OpenSession answers a subscriber
 SWEEPS = 4.0  # looks for idle sessions and forgotten operations within the time that makes them so
 NOT_BOUND: dict[bytes, None] = {}  # in place of a connection's sessions: they outlive it
 METADATA = {"GetTypeInfo": 1, "GetCatalogs": 2, "GetSchemas": 3, "GetTables": 4, "GetTableTypes": 5,
@@ -74,7 +78,7 @@
 class Session:
     """A client's session."""
 
-    __slots__ = ("handle", "user", "protocol", "state", "operations", "used_ms", "bound")
+    __slots__ = ("handle", "user", "protocol", "state", "operations", "used_ms", "bound", "subscriber")
 
     def __init__(self, handle: Structure, user: str, protocol: int, configuration: dict[str, str],
                  now_ms: float) -> None:
@@ -82,6 +86,7 @@
         self.bound = True  # it ends with the connection that opened it
         self.state = SessionState(configuration)
         self.operations: dict[bytes, Operation] = {}
+        self.subscriber: Any = None  # what it reads, for the gate of schema changes
 
 
 def success() -> Structure:
@@ -158,8 +163,9 @@
 class Service:
     """The service for the clients of one listener."""
 
-    def __init__(self, loop: Loop, settings: Controller, driver: Driver) -> None:
-        self.loop, self.settings, self.driver = loop, settings, driver
+    def __init__(self, loop: Loop, settings: Controller, driver: Driver, gate: Any = None) -> None:
+        """Serve; with a `gate` (`keeper.gate.Gate`) sessions may subscribe, and statements bring schemas."""
+        self.loop, self.settings, self.driver, self.gate = loop, settings, driver, gate
         self.sessions: dict[bytes, Session] = {}
         self.operations: dict[bytes, tuple[Session, Operation]] = {}
         self.door = Door(loop, settings.users)
@@ -210,12 +216,15 @@
         """End a session with all its operations."""
         if self.sessions.pop(session.handle.sessionId.guid, None) is not None:
             self.admission.sessions.give_back(session.user)
+            if session.subscriber is not None:
+                self.gate.leave(session.subscriber)
         for operation in list(session.operations.values()):
             self._close(session, operation, reason)
 
     # Sessions.
 
-    def _OpenSession(self, request: Structure, user: str, mine: dict[bytes, None]) -> Structure:  # noqa: N802
+    def _OpenSession(self, request: Structure, user: str,  # noqa: N802
+                     mine: dict[bytes, None]) -> Structure | Pending:
         protocol = min(max(request.client_protocol or 0, 0), hs2.PROTOCOL_NEWEST)
         who = request.username or user
         if self.door.users is not None:
@@ -225,12 +234,24 @@
             raise BadRequestError(against, "53300")
         handle = hs2.TSessionHandle(hs2.THandleIdentifier(self.loop.token(16), self.loop.token(16)))
         session = Session(handle, who, protocol, dict(request.configuration or {}), self.loop.now())
+        if self.gate is not None:
+            try:
+                session.subscriber = self.gate.subscribe(session.state.configuration(None), protocol,
+                                                         session.state.database)
+            except FennelwindError as exc:
+                self.admission.sessions.give_back(who)
+                raise BadRequestError(f"{exc} ({exc.code}: {exc.advice})", "22023") from None
         session.bound = mine is not NOT_BOUND
         self.sessions[handle.sessionId.guid] = session
         if session.bound:
             mine[handle.sessionId.guid] = None
-        return hs2.TOpenSessionResp(
-            status=success(), serverProtocolVersion=protocol, sessionHandle=handle, configuration={})
+
+        def reply() -> tuple[Structure, None]:
+            told = {} if session.subscriber is None else {SUBSCRIBED: self.gate.word(session.subscriber)}
+            return hs2.TOpenSessionResp(status=success(), serverProtocolVersion=protocol,
+                                        sessionHandle=handle, configuration=told), None
+
+        return reply()[0] if session.subscriber is None else reply
 
     def _CloseSession(self, request: Structure, user: str, mine: dict[bytes, None]) -> Structure:  # noqa: N802
         session = self._session(request.sessionHandle)
@@ -258,7 +279,10 @@
             own = session.state.take(statement)
         except SessionError as exc:
             raise BadRequestError(str(exc), exc.state) from None
-        submission = self._submission(session, request, own)
+        change = self._change(session, request) if self.gate is not None and not own else None
+        submission = self._submission(session, request, own)  # also a publisher may do only what users may
+        if change is not None:
+            return partial(self._publish, change, request)
         operation = self._operate(session, hs2.EXECUTE_STATEMENT, not own)
         handle = operation.handle
         if own:  # it concerned the session alone, and is done
@@ -272,6 +296,34 @@
             return hs2.TExecuteStatementResp(status=success(), operationHandle=handle)
         return partial(self._answer, session, operation, hs2.TExecuteStatementResp)
 
+    def _change(self, session: Session, request: Structure) -> Any:
+        """Return the change of a table's schema that a statement brings along; None if it brings none."""
+        try:
+            change = self.gate.publication(request.confOverlay or {}, session.state.database)
+        except FennelwindError as exc:
+            raise BadRequestError(f"{exc} ({exc.code}: {exc.advice})", "22023") from None
+        if change is not None and request.runAsync:
+            raise BadRequestError("a change of a schema is not run beside its call: runAsync has to be off",
+                                  "0A000")
+        return change
+
+    def _publish(self, change: Any, request: Structure) -> tuple[Structure, None]:
+        """Have a change judged and made, on all engines; the reply tells what is to be known of it."""
+        asked = request.queryTimeout * 1000.0 if request.queryTimeout and request.queryTimeout > 0 else 0.0
+        until = self.loop.now() + (min(asked, TIMEOUT_MOST_MS) or CHANGE_MS)
+        reply = hs2.TExecuteStatementResp
+        try:
+            told = self.gate.publish(change, request.statement, until)
+        except FennelwindError as exc:
+            again = exc.facts.get("again_ms")
+            hint = [hints.write(hints.REFUSED, retry_after_ms=float(again))] if again is not None else None
+            text = f"{exc} ({exc.code}: {exc.advice})"
+            return reply(status=error(text, getattr(exc, "state", "HY000"), GATE_CODE, hint)), None
+        status = success()
+        if told:
+            status = hs2.TStatus(statusCode=hs2.SUCCESS_WITH_INFO, infoMessages=told)
+        return reply(status=status), None
+
     def _metadata(self, method: str, request: Structure, user: str, mine: dict[bytes, None]) -> Pending:
         """Take a metadata call: a query of a class of its own, that any engine may answer."""
         session = self._session(request.sessionHandle)
--- /dev/null
+++ b/fennelwind/keeper/asking.py
@@ -0,0 +1,23 @@
+"""What the machine of contracts is asked by controllers, beside its commands."""
+
+from fennelwind.contracts.machine import ContractMachine, change_message
+from fennelwind.contracts.messages import schema_message
+from fennelwind.keeper import gate_pb2
+
+
+def asked(machine: ContractMachine, raw: bytes) -> bytes:
+    """Answer a `ChangeQuery` from the machine's state."""
+    query, told = gate_pb2.ChangeQuery.FromString(raw), gate_pb2.ChangeTold()
+    if query.open:
+        for number, change in sorted(machine.changes.items()):
+            told.open.add(number=number, table=change.table)
+        return told.SerializeToString(deterministic=True)
+    change = machine.changes.get(query.number)
+    told.under_way = change is not None
+    told.outcome = machine.ended.get(query.number, 0)
+    if query.whole and change is not None:
+        told.change = change_message(change).SerializeToString(deterministic=True)
+        table = machine.tables.get(change.table)
+        if table is not None:
+            told.old = schema_message(table.schema).SerializeToString(deterministic=True)
+    return told.SerializeToString(deterministic=True)
--- /dev/null
+++ b/fennelwind/keeper/changes.py
@@ -0,0 +1,262 @@
+"""Carries admitted changes of schemas out on this controller, wherever it holds the lease of a table.
+
+Every controller with tasks watches for changes under way and wants the lease `table:NAME` of each; the record
+gives it to one. That one's carrier (`contracts.carrying`) decides; this makes its statements and its looks. A
+controller that dies half-way is followed by the next in line, which goes on from what the record says.
+
+That queries which have begun on an engine finish on the old version is the engine's own lock on its table;
+what controllers send there meanwhile is not kept away from it yet.
+"""
+
+from collections import Counter, deque
+from collections.abc import Callable, Iterable
+from functools import partial
+from math import inf
+
+from fennelwind.contracts import carrying
+from fennelwind.contracts import contracts_pb2 as pb
+from fennelwind.contracts.machine import Underway, read_change
+from fennelwind.contracts.messages import read_schema
+from fennelwind.contracts.types import Schema, SchemaError, SchemaTextError, parse_type, quoted
+from fennelwind.errors import FennelwindError
+from fennelwind.keeper import gate_pb2
+from fennelwind.keeper.asker import Asker
+from fennelwind.keeper.bell import Bell
+from fennelwind.keeper.errors import CouncilError
+from fennelwind.keeper.machines import CONTRACTS
+from fennelwind.keeper.statements import FENCED, OK, Statement, Statements
+from fennelwind.keeper.tasks import Held, Tasks
+from fennelwind.leases.errors import TaskNotHeld
+from fennelwind.loop import DeadlineExceeded, Loop, Task
+
+TASK = "table:"  # and the table's name: the lease under which its changes are carried out
+TERM_MS = 60_000  # ms of that lease; some 26 s of it are left at the least while renewals go well
+STATEMENT_MS = 20_000.0  # ms for a statement or a look: an ALTER touches the metastore, no rows
+STOP_MS = 5000.0  # ms for one try to end a statement that nobody knows of
+ASK_MS = 4000.0  # ms for one command
+WATCH_MS = 20_000.0  # ms of one watch for changes under way
+PACE_MS = 200.0  # ms between two watches: a long list is answered at once
+AGAIN_MS = 1000.0  # ms until a watch that failed is tried again
+NO_TABLE = "42S02"  # SQLSTATE of a look at a table that is not there
+
+Carrier = carrying.Carrier
+
+
+class ChangeGivenUp(FennelwindError):
+    """A change can't be carried on from this controller; another one is tried."""
+
+    code = "gate-change-given-up"
+    advice = ("Look at the engine that is named: it refuses the publisher's statement, or can't be reached "
+              "from here. The change goes on from another controller, or from here after a while.")
+
+
+def shape(rows: Iterable[tuple[str, ...]]) -> tuple[tuple[str, str], ...]:
+    """Return names and types of a description's rows: those ahead of the first that is empty or a heading.
+
+    So it stands in the language manual (DDL, Describe): all columns, partition columns among them, and
+    behind an empty row what else there is. Raises `SchemaTextError`, `SchemaError`.
+    """
+    found = []
+    for row in rows:
+        name = row[0].strip().lower() if row else ""
+        if not name or name.startswith("#") or len(row) < 2:
+            break
+        found.append((name, str(parse_type(row[1].strip()))))
+    return tuple(found)
+
+
+class Changes:
+    """This controller's part in carrying changes out."""
+
+    def __init__(self, loop: Loop, asker: Asker, tasks: Tasks, statements: Statements,
+                 engines: Callable[[], Iterable[str]], said: Callable[[str, dict], None]) -> None:
+        self.loop, self.asker, self.tasks, self.statements = loop, asker, tasks, statements
+        self.engines, self.said = engines, said
+        self.counts: Counter[str] = Counter()
+        self._wanted: dict[str, int] = {}  # tables and the change of each
+        self._task: Task | None = None
+
+    def start(self) -> None:
+        """Watch for changes from now on."""
+        self._task = self.loop.spawn(self._watch, name="changes: watch")
+
+    def close(self) -> None:
+        """Watch no more."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def _watch(self) -> None:
+        query, seen = gate_pb2.ChangeQuery(open=True).SerializeToString(), None
+        while True:
+            try:
+                seen = self.asker.watch(CONTRACTS, wait_ms=WATCH_MS, query=query, unlike=seen).state
+            except CouncilError as exc:
+                self.counts[exc.code] += 1
+                self.loop.sleep(AGAIN_MS)
+                continue
+            self._open(gate_pb2.ChangeTold.FromString(seen))
+            self.loop.sleep(PACE_MS)
+
+    def _open(self, told: gate_pb2.ChangeTold) -> None:
+        now = {change.table: change.number for change in told.open}
+        for table in sorted(set(self._wanted) - set(now)):
+            del self._wanted[table]
+            self.tasks.unwant(TASK + table)
+        for table in sorted(now):
+            if self._wanted.get(table) != now[table]:  # also where one has ended and the next came at once
+                self.tasks.want(TASK + table, partial(self._run, table), TERM_MS, "change of its schema")
+            self._wanted[table] = now[table]
+
+    def _run(self, table: str, held: Held) -> bool:
+        """Carry the table's changes out under its lease; true when none is left."""
+        done = 0
+        while self._wanted.get(table, done) != done:
+            done = self._wanted[table]
+            self._carry_out(table, done, held)
+        return True
+
+    def _carry_out(self, table: str, number: int, held: Held) -> None:
+        try:
+            told = gate_pb2.ChangeTold.FromString(self.asker.read(
+                CONTRACTS, gate_pb2.ChangeQuery(number=number, whole=True).SerializeToString(),
+                within_ms=ASK_MS).state)
+        except CouncilError as exc:  # called again while the lease is held
+            raise TaskNotHeld(f"{held.name}: {exc}", task=held.name) from None
+        if not told.under_way:
+            return
+        change = read_change(pb.Change.FromString(told.change))
+        old = read_schema(pb.Schema.FromString(told.old)) if told.HasField("old") else None
+        over = _Carrying(self, held, change, old).run()
+        self.said("change " + over.how, {"table": table, "number": number, "reason": over.reason})
+        self.counts[over.how] += 1
+        if over.how not in ("finished", "undone"):
+            raise ChangeGivenUp(f"change {number} of {table}: {over.how}: {over.reason}", table=table,
+                                number=number)
+
+
+class _Carrying:
+    """One change, under one fence."""
+
+    def __init__(self, changes: Changes, held: Held, change: Underway, old: Schema | None) -> None:
+        self.changes, self.loop, self.held, self.change = changes, changes.loop, held, change
+        patience = carrying.Patience(answer_ms=STATEMENT_MS + STOP_MS, record_ms=ASK_MS + AGAIN_MS)
+        self.carrier = Carrier(change, old, held.fence, patience)
+        self._events: deque[carrying.Event] = deque()
+        self._broken: TaskNotHeld | None = None
+        self._bell = Bell(self.loop)
+        self._under_way: set[Task] = set()
+        self._running: dict[str, Statement] = {}  # the last statement for each engine
+        self._there = set(change.engines)
+
+    def run(self) -> carrying.Over:
+        """Carry it out to its end here. Raises `TaskNotHeld` where too little of the lease is left."""
+        try:
+            while True:
+                self._look_around()
+                events = list(self._events)
+                self._events.clear()
+                for action in self.carrier.step(self.loop.now(), events):
+                    self._carry(action)
+                if self.carrier.over is not None:
+                    return self.carrier.over
+                if self._broken is not None:
+                    raise self._broken
+                self._wait()
+        finally:
+            for task in list(self._under_way):
+                task.cancel()
+
+    def _wait(self) -> None:
+        if self._events:
+            return
+        due = self.carrier.due
+        until = min(inf if due is None else due, self.loop.now() + AGAIN_MS)
+        try:
+            with self.loop.deadline_at(until):
+                self._bell.wait()
+        except DeadlineExceeded:
+            pass
+
+    def _look_around(self) -> None:
+        """Tell the carrier which engines have left, and which are back."""
+        known = set(self.changes.engines())
+        for engine in sorted(self.change.engines):
+            if engine in self._there and engine not in known:
+                self._there.discard(engine)
+                self._events.append(carrying.Left(engine))
+            elif engine not in self._there and engine in known:
+                self._there.add(engine)
+                self._events.append(carrying.Returned(engine))
+
+    def _post(self, event: carrying.Event) -> None:
+        self._events.append(event)
+        self._bell.ring()
+
+    def _spawn(self, call: Callable[..., None], *args: object) -> None:
+        def run() -> None:
+            try:
+                call(*args)
+            except TaskNotHeld as exc:  # another may hold it by now: nothing is said of what came of it
+                self._broken = exc
+                self._bell.ring()
+            finally:
+                self._under_way.discard(task)
+
+        task = self.loop.spawn(run, name=f"{self.held.name}: act")
+        self._under_way.add(task)
+
+    def _carry(self, action: carrying.Action) -> None:
+        match action:
+            case carrying.Tell():
+                self._spawn(self._tell, action)
+            case carrying.Quiet(token, engine):
+                self._post(carrying.Drained(token, engine))  # the engine's own lock keeps them apart
+            case carrying.Run():
+                self._spawn(self._statement, action)
+            case carrying.Stop():
+                self._spawn(self._stop, action)
+            case carrying.Look():
+                self._spawn(self._look, action)
+
+    def _tell(self, action: carrying.Tell) -> None:
+        try:
+            raw = self.changes.asker.propose(
+                CONTRACTS, action.command.SerializeToString(deterministic=True), ASK_MS)
+        except CouncilError as exc:
+            self.changes.counts[exc.code] += 1
+            self._post(carrying.Recorded(action.token, None))
+        else:
+            self._post(carrying.Recorded(action.token, pb.ContractAnswer.FromString(raw)))
+
+    def _statement(self, action: carrying.Run) -> None:
+        with self.held.act(STATEMENT_MS):
+            statement = self._running[action.engine] = self.changes.statements.to(action.engine)
+            how, _ = statement.run(action.statement, dict(action.overlay), STATEMENT_MS)
+        if how != OK:
+            self.changes.said("statement " + how, {"engine": action.engine, "table": self.change.table,
+                                                   "text": statement.text[:300]})
+        self._post(carrying.Ran(action.token, action.engine, how))
+
+    def _stop(self, action: carrying.Stop) -> None:
+        statement = self._running[action.engine]
+        while not statement.stop(STOP_MS):
+            self.loop.sleep(AGAIN_MS)  # until the carrier's own time is up
+        self._post(carrying.Stopped(action.token, action.engine))
+
+    def _look(self, action: carrying.Look) -> None:
+        parts = ".".join(quoted(part) for part in self.change.table.split("."))
+        with self.held.act(STATEMENT_MS):
+            statement = self.changes.statements.to(action.engine)
+            how, rows = statement.run(f"DESCRIBE {parts}", dict(action.overlay), STATEMENT_MS, rows=True)
+        if how == OK:
+            try:
+                self._post(carrying.Looked(action.token, action.engine, shape(rows)))
+                return
+            except (SchemaTextError, SchemaError) as exc:
+                statement.text = f"a description that can't be read: {exc}"
+        elif statement.state == NO_TABLE:
+            self._post(carrying.Looked(action.token, action.engine, None))
+            return
+        self.changes.said("look " + how, {"engine": action.engine, "table": self.change.table,
+                                          "text": statement.text[:300]})
+        self._post(carrying.LookFailed(action.token, action.engine, how == FENCED))
--- a/fennelwind/keeper/machines.py
+++ b/fennelwind/keeper/machines.py
@@ -2,23 +2,26 @@
 
 from google.protobuf.message import DecodeError
 
+from fennelwind.contracts.machine import ContractMachine
 from fennelwind.council.machine import Machine
+from fennelwind.keeper.asking import asked
 from fennelwind.keeper.state import whole_state
 from fennelwind.leases import leases_pb2
 from fennelwind.leases.machine import LeaseMachine, Life
 
-LEASES = "leases"
+LEASES, CONTRACTS = "leases", "contracts"
 
 
 def machines() -> list[Machine]:
     """Return the machines, empty."""
-    return [LeaseMachine()]
+    return [LeaseMachine(), ContractMachine()]
 
 
 def answer(machine: Machine, query: bytes) -> bytes:
     """Answer a query; without one, with all that the machine keeps.
 
-    `leases`: by a `Who`, which tasks are offered to it. A machine with a method `asked` answers itself.
+    `leases`: by a `Who`, which tasks are offered to it. `contracts`: by a `ChangeQuery`, which changes are
+    under way and what became of one. A machine with a method `asked` answers itself.
     """
     if query and hasattr(machine, "asked"):
         return machine.asked(query)
@@ -28,4 +31,9 @@
         except DecodeError:
             return b""
         return leases_pb2.LeaseAnswer(offers=machine.offers(Life(who.name, who.life))).SerializeToString()
+    if machine.name == CONTRACTS and query:
+        try:
+            return asked(machine, query)
+        except DecodeError:
+            return b""
     return whole_state(machine, query)
--- a/fennelwind/keeper/whole.py
+++ b/fennelwind/keeper/whole.py
@@ -7,12 +7,16 @@
 from fennelwind.council.interface import Durable
 from fennelwind.council.machine import Machine
 from fennelwind.council.record import LEVEL, Record
+from fennelwind.engines.links import EngineLinks
 from fennelwind.keeper.asker import Asker
+from fennelwind.keeper.changes import Changes
 from fennelwind.keeper.errors import CouncilError
 from fennelwind.keeper.folder import Folder
+from fennelwind.keeper.gate import Gate
 from fennelwind.keeper.machines import answer, machines
 from fennelwind.keeper.member import Member
 from fennelwind.keeper.place import Place
+from fennelwind.keeper.statements import Statements
 from fennelwind.keeper.tasks import Tasks
 from fennelwind.loop import Loop
 from fennelwind.loop.disk import Disk
@@ -32,6 +36,9 @@
         self.member = self._member(seed, disk, Record([*machines(), *more], level)) if place.member else None
         self.asker = Asker(loop, place.fleet, place.me, place.members, f"asker {seed}", self._wrong)
         self.tasks = Tasks(loop, self.asker, place.me, seed, said)
+        self.gate: Gate | None = None
+        self.changes: Changes | None = None
+        self._seed = seed
 
     def _member(self, seed: int, disk: Callable[[], Disk] | None, record: Record) -> Member:
         place, loop = self.place, self.loop
@@ -52,11 +59,20 @@
     def _wrong(self, exc: CouncilError) -> None:
         self.said("asking", exc.told())
 
+    def serve_engines(self, links: EngineLinks, engines: Callable[[], Iterable[str]]) -> None:
+        """Guard the schemas of the engines' tables; `engines` tells those that are there now."""
+        statements = Statements(self.loop, links.settings, links.tls)
+        self.gate = Gate(self.loop, self.asker, engines, f"gate {self._seed}", self.said)
+        self.changes = Changes(self.loop, self.asker, self.tasks, statements, engines, self.said)
+
     def start(self) -> None:
         """Take part; returns at once."""
         if self.member is not None:
             self.member.start()
         self.tasks.start()
+        for part in (self.gate, self.changes):
+            if part is not None:
+                part.start()
 
     def hand_over(self) -> None:
         """Give leases and the lead to others, within the stated time."""
@@ -67,6 +83,9 @@
 
     def close(self) -> None:
         """Take part no more."""
+        for part in (self.gate, self.changes):
+            if part is not None:
+                part.close()
         self.tasks.close()
         self.asker.close()
         if self.member is not None:
--- a/fennelwind/standin/engine.py
+++ b/fennelwind/standin/engine.py
@@ -16,6 +16,7 @@
 from fennelwind.loop import Address, DeadlineExceeded, Listener, Loop, Once, Stream, StreamReset
 from fennelwind.standin.model import Job, Machine, Model
 from fennelwind.standin.runner import Runner
+from fennelwind.standin.schemas import COLUMNS, Schemas
 from fennelwind.thrift import hints, messages
 from fennelwind.thrift import hiveserver2 as hs2
 from fennelwind.thrift.codec import Malformed, Structure
@@ -64,6 +65,7 @@
     sql_state: str = ""  # it ends with this error of its own
     columns: tuple[str, ...] = ()  # text columns of a metadata call's answer; (): a statement's
     task: str = ""  # of the fleet, that it is an act of
+    cells: tuple[tuple[str, ...], ...] = ()  # rows of text, where `columns` name them
 
 
 @dataclass(slots=True)
@@ -132,6 +134,7 @@
         self._runner: Runner | None = None
         self._loads: list[tuple[float, dict[str, float]]] = []
         self._fences: dict[str, int] = {}  # the highest of each task
+        self.schemas = Schemas()  # outlast a life, as in a metastore of its own
 
     @property
     def name(self) -> str:
@@ -317,6 +320,9 @@
             operation.ended.wait()
             if self.faults.lose:
                 raise _Hang
+            if operation.state != hs2.FINISHED:
+                text = f"it ended in state {operation.state}"
+                return reply(status=self._error(text, operation.sql_state or "HY000"))
         return reply(status=self._status(), operationHandle=handle)
 
     def _fence(self, said: str) -> tuple[str, Structure | None]:
@@ -330,7 +336,8 @@
         if seen is None and len(self._fences) >= FENCES_MOST:
             return "", self._error(f"fences of {FENCES_MOST} tasks are known", "42501")
         if seen is not None and fence < seen:
-            return "", self._error(f"fence {fence} of {task} is older than {seen}", "42501")
+            text = f"fence {fence} of {task} is older than {seen}"
+            return "", self._error(text, "42501", hints.write(hints.FENCED))
         if seen is not None and fence > seen:
             for operation in [o for o in self._running.values() if o.task == task]:
                 self.counts.fenced += 1
@@ -418,6 +425,13 @@
                 _column(position, *each, numbers) for position, each in enumerate(EVERY_TYPE.values())])
             return hs2.TFetchResultsResp(
                 status=self._status(), hasMoreRows=stop < operation.rows, results=rows)
+        if operation.cells:
+            rows = hs2.TRowSet(startRowOffset=start, rows=[], columns=[
+                hs2.TColumn(stringVal=hs2.make("TStringColumn", nulls=b"", values=[
+                    operation.cells[n][i].encode() if i < len(operation.cells[n]) else b"" for n in numbers]))
+                for i in range(len(COLUMNS))])
+            return hs2.TFetchResultsResp(
+                status=self._status(), hasMoreRows=stop < operation.rows, results=rows)
         if operation.columns:
             rows = hs2.TRowSet(startRowOffset=start, rows=[], columns=[
                 hs2.TColumn(stringVal=hs2.make(
@@ -461,6 +475,9 @@
     def _done(self, job: Job) -> None:
         operation = self._running.pop(job, None)
         if operation is not None:
+            if self.schemas.knows(operation.statement) and not self.faults.error:
+                operation.sql_state, operation.cells = self.schemas.run(operation.statement)
+                operation.rows, operation.columns = len(operation.cells), COLUMNS
             failed = self.faults.error or operation.sql_state
             operation.state = hs2.FAILED if failed else hs2.FINISHED
             self.counts.finished += 1
--- a/fennelwind/thrift/hints.py
+++ b/fennelwind/thrift/hints.py
@@ -10,12 +10,14 @@
 - `fennelwind-not-run`: the statement was turned away and never ran
 - `fennelwind-refused retry_after_ms=N`: the controller refused; a further try is harmless, after that time
 - `fennelwind-failed`: the controller gave up; whether the statement ran is not known
+- `fennelwind-fenced`: the engine has seen a newer fence of the task; the statement never ran
 """
 
 from collections.abc import Iterable
 
 PREFIX = "fennelwind-"
 LOAD, COST, NOTE, NOT_RUN, REFUSED, FAILED = "load", "cost", "note", "not-run", "refused", "failed"
+FENCED = "fenced"
 LONGEST = 1000  # letters of a hint; longer ones are not looked into
 FINITE = 1e15  # figures beyond it are nonsense
 
