A look at an engine that failed is made again, and its statements are not

Seen: a publisher's statement ran twice on an engine whose answers were lost for 25 s: the look behind the lost statement failed as well, and the carrier of changes ran the statement anew, though it may have gone through. Lines at fault: both uses of _again for looks in contracts/carrying.py. Change: a look is repeated by itself, then the change turns back.

--- a/fennelwind/contracts/carrying.py
+++ b/fennelwind/contracts/carrying.py
@@ -272,7 +272,7 @@
             if event.fenced:
                 self._end(actions, "superseded", f"{part.name} has seen a newer fence")
             else:
-                self._again(now, part, actions, "it does not show its columns")
+                self._look_again(now, part, actions)
 
     def _recorded(self, now: float, answer: pb.ContractAnswer | None, actions: list[Action]) -> None:
         command = self._asked[0]
@@ -390,6 +390,15 @@
             part.phase = ""
             self._turn(now, actions, f"{part.name}: {why}")
 
+    def _look_again(self, now: float, part: _Part, actions: list[Action]) -> None:
+        """Look once more, turn back, or give up: what was run may have gone through, and is not run anew."""
+        if part.tries < self.patience.tries and not self._turning:
+            part.tries += 1
+            self._look(now, part, actions)
+        else:
+            part.phase = ""
+            self._turn(now, actions, f"{part.name}: it does not show its columns")
+
     def _turn(self, now: float, actions: list[Action], why: str) -> None:
         touched = any(part.state in (Change.ASKED, Change.DONE) for part in self._parts.values())
         if self.step_name == Change.FORWARD and (self.back or not touched):
@@ -413,7 +422,7 @@
             elif part.phase == "stop":  # who can't be reached is not known to have stopped
                 self._end(actions, "given-up", f"{part.name} does not stop")
             elif part.phase == "look":
-                self._again(now, part, actions, "it does not show its columns")
+                self._look_again(now, part, actions)
             elif part.phase == "drain":  # others first; it stays quiet, so that it drains meanwhile
                 part.tries += 1
                 if part.tries >= self.patience.tries:
