--- a/fennelwind/store/store.py
+++ b/fennelwind/store/store.py
@@ -57,6 +57,7 @@
 LOG, MARKS, SNAPSHOT = "log-", "marks-", "snapshot-"
 OURS = (META, LOG, SNAPSHOT)  # kinds of files that are first written under another name
 MARKS_READ = 4096  # bytes at the end of a file of marks that are looked at; the last one counts
+SPARE = 65536  # bytes of the reserve given up with what a file takes: for blocks, its name, marks
 READ_AT_ONCE = 65536  # bytes of groups between two pauses; some 2 ms of work
 
 Kind = TypeVar("Kind", bound=Message)
@@ -421,12 +422,12 @@
         self.segment, self.size = head.segment, len(data)
 
     def _put(self, name: str, pieces: Iterable[bytes]) -> None:
-        """Write a file as a whole; give the reserve up for it if need be."""
+        """Write a file as a whole; give up as much of the reserve as it takes, if need be."""
         pieces = list(pieces)
         try:
             self._put_once(name, pieces)
         except DiskFull:
-            if not self._give_reserve():
+            if not self._give_reserve(sum(map(len, pieces)) + SPARE):
                 raise
             self._put_once(name, pieces)
 
@@ -483,26 +484,29 @@
                          wanted=self.limits.low)
 
     def _take_reserve(self) -> None:
-        """Hold room for a snapshot, if the disk has it to spare."""
-        wanted = self.limits.reserve
+        """Hold room for a snapshot, as far as the disk has it to spare."""
         try:
-            if RESERVE in self.disk.names():
-                if self.disk.size(RESERVE) == wanted:
-                    return
-                self.disk.remove(RESERVE)
-            if self.disk.free() < wanted + self.limits.low:
+            held = self.disk.size(RESERVE) if RESERVE in self.disk.names() else 0
+            missing = self.limits.reserve - held
+            if missing <= 0 or self.disk.free() < missing + self.limits.low:
                 return
-            for at in range(0, wanted, READ_MOST):
-                self.disk.append(RESERVE, bytes(min(READ_MOST, wanted - at)))
+            while missing:
+                self.disk.append(RESERVE, bytes(min(READ_MOST, missing)))
+                missing -= min(READ_MOST, missing)
             self.disk.sync(RESERVE)
         except DiskError:
-            self._give_reserve()
+            self._give_reserve(self.limits.reserve)
 
-    def _give_reserve(self) -> bool:
-        """Give the reserve up; tell whether there was one."""
+    def _give_reserve(self, size: int) -> bool:
+        """Give so many bytes of the reserve up, or what there is; tell whether there was one."""
         try:
-            self.disk.remove(RESERVE)
-            self.disk.sync_names()
+            left = self.disk.size(RESERVE) - size
+            if left > 0:
+                self.disk.truncate(RESERVE, left)
+                self.disk.sync(RESERVE)  # some systems give blocks back only then
+            else:
+                self.disk.remove(RESERVE)
+                self.disk.sync_names()
         except DiskError:
             return False
         return True
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -349,9 +349,21 @@
     assert play.start()
 
 
+def test_what_is_small_takes_a_part_of_the_reserve():
+    limits = Limits(segment=400, reserve=400_000, low=1000)
+    play = Play(1, limits=limits, room=500_000)
+    play.platter.room = play.platter.used()
+    play.kill()
+    assert play.start()  # on a disk without a byte of room
+    assert 200_000 < len(play.platter.names["reserve"].shown) < 400_000
+    play.platter.room += 200_000
+    play.kill()
+    assert play.start() and len(play.platter.names["reserve"].shown) == 400_000
+
+
 def test_the_reserve_is_taken_again_when_there_is_room():
     play = filled_up()
-    assert play.store._give_reserve()
+    assert play.store._give_reserve(SMALL.reserve)
     play.platter.room += 20_000
     assert play.again() and play.platter.names["reserve"].shown == bytes(SMALL.reserve)
 
