--- a/fennelwind/leases/holder.py
+++ b/fennelwind/leases/holder.py
@@ -12,6 +12,7 @@
 from google.protobuf.message import DecodeError
 
 from fennelwind.leases import leases_pb2 as pb
+from fennelwind.leases.errors import LeaseRefused
 from fennelwind.leases.guard import DRIFT, PAUSE_MS, Guard, usable_ms
 from fennelwind.leases.machine import ASKS_MOST, HEARD_MS, Life
 
@@ -141,6 +142,12 @@
     task: str
     refusal: str
 
+    @property
+    def error(self) -> LeaseRefused:
+        """What an operator is told."""
+        return LeaseRefused(f"the record refuses {self.task}: {self.refusal}", task=self.task,
+                            refusal=self.refusal)
+
 
 @dataclass(slots=True, frozen=True)
 class Left:
--- a/fennelwind/leases/machine.py
+++ b/fennelwind/leases/machine.py
@@ -215,8 +215,9 @@
         if task.holder is None:
             self._holds[by.name] += 1
         self._offered(by, name, False)
+        kept = task.until_ms if task.fence else 0  # of its own lease; an offer's end is none
         task.holder, task.fence, task.term_ms, task.purpose = by, at.index, wish.term_ms, wish.purpose
-        task.until_ms = max(task.until_ms, at.clock_ms + wish.term_ms)
+        task.until_ms = max(kept, at.clock_ms + wish.term_ms)
         self._changed(at, name, task)
         return pb.Told(state=pb.Told.HELD, fence=task.fence, term_ms=task.term_ms, checkpoint=task.checkpoint,
                        spare=self._spare(at, task), holder=by.name)
