Plays of leases over a real council: three cores, their clocks, disks and network

council_cluster.py with all its checks: crashes that lose unsynced writes, cuts one way or both, slow disks.

--- /dev/null
+++ b/tests/lease_council.py
@@ -0,0 +1,220 @@
+"""The plays of leases over a real council: three cores, their disks and network, and their clocks.
+
+python tests/lease_council.py --seeds 1000 [--kind fences|plain]
+
+As lease_play.py, but the record is agreed by cores (council_cluster.py, with all its checks). They crash
+with unsynced writes lost, are cut off one way or both, lose and double messages, and hand over; snapshots are
+small and frequent. Each member's clock has its own pace within the stated drift.
+"""
+
+import argparse
+import sys
+from collections import Counter
+
+from council_cluster import Broken, Cluster, Node
+from lease_play import Controller, Play, Violation
+
+from fennelwind.council import council_pb2 as council
+from fennelwind.council import interface as api
+from fennelwind.council.interface import Timing
+from fennelwind.council.record import Record
+from fennelwind.leases import holder as h
+from fennelwind.leases.machine import Life
+
+CLIENTS = 60  # opened ahead: lives of controllers in one play
+
+
+class Members(Cluster):
+    """Three members with the leases' record; stands where lease_play has its one record."""
+
+    def __init__(self, play: "CouncilPlay") -> None:
+        timing = Timing(heartbeat_ms=50, election_ms=200, append_most=4000, under_way_most=3, piece_most=512,
+                        kept_entries=10, log_most=8000, clock_ms=100)
+        super().__init__(play.seed, 3, timing)
+        self.play = play
+        self.records: dict[str, Record] = {}
+        self.results: dict[tuple[str, int], council.Result] = {}
+        self.clients: list[int] = []
+        self.waiting: dict[int, tuple[Controller, Life, int]] = {}  # by token
+        self.at_index: dict[tuple[str, int], int] = {}  # the token whose entry a member is going to apply
+        for node in self.nodes.values():
+            node.rate = play.pace()
+
+    # What lease_play asks of its leader.
+
+    @property
+    def record(self) -> Record:
+        return max(self.records.values(), key=lambda record: record.index)
+
+    @property
+    def stamped(self) -> int:
+        return self.record.clock_ms
+
+    def open(self) -> int:
+        return self.clients.pop(0)
+
+    def change(self) -> None:
+        """Let another lead."""
+        for node in self.leading():
+            self.give(node.name, api.HandOver())
+
+    def begin(self) -> None:
+        """Found the council, and open clients."""
+        self.start_all()
+        while len(self.clients) < CLIENTS:
+            leader = self.await_leader()
+            for _ in range(CLIENTS - len(self.clients)):
+                self.command(leader.name, council.Command())
+            self.run(self.now + 200.0)
+            self.clients = [e.index for e in self.checks.agreed
+                            if e.WhichOneof("what") == "command" and not e.command.client][:CLIENTS]
+
+    def command(self, name: str, command: council.Command) -> int:
+        self.tokens += 1
+        self.asked[self.tokens] = ("propose", self.now, max(self.checks.acked, self.checks.read))
+        self.sent[self.tokens] = command.body
+        self.give(name, api.Propose(self.tokens, command))
+        return self.tokens
+
+    # Carrying out.
+
+    def start(self, name: str) -> None:
+        self.records[name] = Record([self.play.machine()])
+        super().start(name)
+
+    def _act(self, node: Node, action: api.Action) -> None:
+        record = self.records[node.name]
+        match action:
+            case api.TakeSnapshot():
+                snapshot = api.Snapshot(node.applied, node.clock_ms, node.state + record.snapshot())
+                self.at(self.random.uniform(0, 5), self._give_if, node, node.epoch, snapshot)
+                self.counts["snapshots"] += 1
+                return
+            case api.Restore(_, data):
+                record.restore(data[32:])
+        super()._act(node, action)
+        match action:
+            case api.Apply(entries):
+                for entry in entries:
+                    ahead = entry.index > max(r.index for r in self.records.values())
+                    result = record.apply(entry)
+                    if entry.WhichOneof("what") == "command":
+                        self._told(node.name, entry.index, result)
+                    if ahead:
+                        self.play.watched()
+                self.at(0.1, self._give_if, node, node.epoch, api.Applied(node.applied, record.due()))
+            case api.Answer(token, refusal, index, _, again_ms) if token in self.waiting:
+                if refusal:
+                    who, life, number = self.waiting.pop(token)
+                    self.play.answered(who, life, h.Answered(number, None, float(again_ms)))
+                else:
+                    self.at_index[node.name, index] = token
+                    if (node.name, index) in self.results:
+                        self._told(node.name, index, self.results[node.name, index])
+
+    def _told(self, name: str, index: int, result: council.Result) -> None:
+        self.results[name, index] = result
+        token = self.at_index.pop((name, index), None)
+        if token is not None:
+            who, life, number = self.waiting.pop(token)
+            self.play.answered(who, life, h.Answered(number, None if result.refusal else result.body))
+
+
+class CouncilPlay(Play):
+    """A play over a council."""
+
+    def __init__(self, seed: int, kind: str = "fences", **parts) -> None:
+        super().__init__(seed, kind, leader=self._found, **parts)
+
+    @staticmethod
+    def _found(play: "CouncilPlay") -> Members:
+        play.members = Members(play)
+        play.members.begin()
+        play.from_ms = play.members.now
+        return play.members
+
+    @property
+    def now(self) -> float:
+        return self.members.now if "members" in self.__dict__ else 0.0
+
+    @now.setter
+    def now(self, now: float) -> None:
+        pass
+
+    def at(self, when: float, what, *args) -> None:
+        self.members.at(max(0.0, when - self.now), what, *args)
+
+    def run(self) -> Counter:
+        members = self.members
+        members.loss, members.double = self.random.choice(((0, 0), (0.05, 0.05), (0.15, 0.1)))
+        members.delay = self.random.choice(((0.5, 3.0), (1.0, 20.0)))
+        for _ in range(self.random.randint(4, 16)):
+            self.at(self.from_ms + self.random.uniform(0, self.played_ms), self.fault)
+        self.at(self.from_ms + self.played_ms, self.end_of_faults)
+        members.run(self.from_ms + self.played_ms + 20_000.0)
+        self.check_end()
+        return self.counts + members.counts
+
+    def asked(self, who: Controller, life: Life, token: int, command: council.Command) -> None:
+        leader = self.members.leader()
+        name = leader.name if leader is not None and self.random.random() < 0.9 else self.random.choice("abc")
+        if self.members.nodes[name].core is not None:
+            self.members.waiting[self.members.tokens + 1] = (who, life, token)
+            self.members.command(name, command)
+
+    def no_leader(self, ms: float) -> None:
+        """Something happens to a member, the leader mostly, for so long."""
+        members, random = self.members, self.random
+        leader = members.leader()
+        name = leader.name if leader is not None and random.random() < 0.7 else random.choice("abc")
+        others = [other for other in "abc" if other != name]
+        match random.randrange(4):
+            case 0:
+                members.crash(name)
+            case 1:
+                for other in others:
+                    members.cut(name, other, both=random.random() < 0.6)
+            case 2:
+                members.nodes[name].slow = 50.0
+            case 3:
+                for each in "abc":
+                    members.crash(each)
+        self.at(self.now + ms, self.heal)
+
+    def heal(self) -> None:
+        members = self.members
+        members.cuts.clear()
+        for name, node in members.nodes.items():
+            node.slow = 1.0
+            if node.core is None:
+                members.start(name)
+            members.mend(name)
+
+    def end_of_faults(self) -> None:
+        self.members.loss = self.members.double = 0.0
+        self.heal()
+        super().end_of_faults()
+
+
+def main() -> int:
+    """Play seeds; tell how many, and the first that broke."""
+    kind = argparse.RawDescriptionHelpFormatter
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=kind)
+    parser.add_argument("--seeds", type=int, default=1000)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--kind", choices=("fences", "plain"), default="")
+    given = parser.parse_args()
+    for kind in [given.kind] if given.kind else ["fences", "plain"]:
+        counts: Counter[str] = Counter()
+        for seed in range(given.first, given.first + given.seeds):
+            try:
+                counts += CouncilPlay(seed, kind).run()
+            except (Violation, Broken) as exc:
+                print(f"{kind}: seed {seed}: {exc}")
+                return 1
+        print(f"{kind}: {given.seeds} seeds, none broke; {dict(sorted(counts.items()))}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
