Plans follow upon plans: what kept moves wait to have dropped, copies that come anew

In full: Plans follow upon plans: what kept moves wait to have dropped, copies that come anew, evenness settles. Cause: replanned worlds had moves that wait for a drop that nobody does any more, a copy counted that a move had passed through, and evenness that never came to rest. Change: needs.py keeps or cancels by what may still be cleared; evenness counts its mean anew.

--- a/fennelwind/shards/board.py
+++ b/fennelwind/shards/board.py
@@ -37,7 +37,7 @@
                 self.load[move.target] += self.world.shards[move.shard].size
             if move.drops in self.load:
                 self.load[move.drops] -= view.released(move)
-        for shard, engine in (*view.going, *view.orphans):
+        for shard, engine in (*view.going, *view.orphans, *view.clears):
             self.load[engine] -= self.world.shards[shard].size
         self.heat = heats(view)
         self.read = {
@@ -106,9 +106,10 @@
 
     def _outcome(self, name: str, places: Places) -> Outcome:
         view, shard = self.view, self.world.shards[name]
-        good, now, zones, count = view.good[name], view.now[name], span_wanted(shard), wanted(shard)
+        good, zones, count = view.good[name], span_wanted(shard), wanted(shard)
+        now = {engine for engine in view.now[name] if (name, engine) not in view.clears}
         adds, outs = sorted(places - good), sorted(good - places, key=lambda e: (self.free(e), e))
-        doubtful = sorted(view.doubtful[name] - good)
+        doubtful = sorted(e for e in view.doubtful[name] - good if (name, e) not in view.clears)
         drops = [engine for engine in doubtful if engine in places]  # it comes to the same engine anew
         doubtful = [engine for engine in doubtful if engine not in places]
         have, transfers, change = set(good), [], dict.fromkeys(drops, -shard.size)
@@ -194,7 +195,7 @@
             name, count, zones = shard.name, wanted(shard), span_wanted(shard)
             kept = self.least(shard)
             self.put(name, kept)
-            doubtful, part = self.view.doubtful[name], shard.heat / count
+            doubtful, part = self.view.replaced[name], shard.heat / count
             while len(kept) < count:
                 seen = {homes[engine].zone for engine in kept}
                 apart = len(seen) + count - len(kept) - 1 < min(zones, self.zones(shard))
@@ -205,7 +206,7 @@
                             for engine in ranked.get(shard.kinds) or self.fit(shard)
                             if engine not in kept
                             and not (apart and homes[engine].zone in seen)
-                            and self.free(engine) >= (0 if engine in doubtful else shard.size)
+                            and self.free(engine) >= (0 if engine in self.view.doubtful[name] else shard.size)
                             and (
                                 engine not in self.view.holds[name]
                                 or engine in doubtful
--- a/fennelwind/shards/check.py
+++ b/fennelwind/shards/check.py
@@ -125,7 +125,7 @@
             waits: list[Event] = [
                 ("done", other) for other in move.after if other in self.moves or other in self.new
             ]
-            for pair in move.cleared:
+            for pair in move.cleared if move.step == "planned" else ():
                 if pair in leaving and pair not in self.planned.drops:
                     waits.append(("done", leaving[pair]))
                 elif pair in self.copies:
--- a/fennelwind/shards/evenness.py
+++ b/fennelwind/shards/evenness.py
@@ -24,13 +24,22 @@
             for engine in engines:
                 heat[engine] += shard.heat / len(engines)
         self.heat = heat
+        self.lying: dict[str, set[str]] = {engine: set() for engine in heat}  # shards by engine
+        for name, engines in self.places.items():
+            for engine in engines:
+                self.lying[engine].add(name)
         self.heat_mean = mean(heat, self.view)
-        self.disk_mean = mean({engine: self.share(engine) for engine in heat}, self.view)
+        self.disk_mean = 0.0
+        self.anew()
+
+    def anew(self) -> None:
+        """Count the mean of the disks again, which a move between engines of two sizes changes."""
+        self.disk_mean = mean({engine: self.share(engine) for engine in self.heat}, self.view)
 
     def share(self, engine: str, more: int = 0) -> float:
         """Return the part of an engine's disk that is used, with some bytes more."""
-        limit = max(1, self.view.limit[engine])
-        return (limit - self.sequence.left(engine) + more) / limit
+        limit = self.view.limit[engine]
+        return (limit - self.sequence.left(engine) + more) / limit if limit > 0 else 1.0
 
     def out(self, engine: str, size: int = 0, heat: float = 0.0) -> tuple[float, float]:
         """Return how far an engine is above the mean in disk and heat, in tolerances."""
@@ -44,8 +53,9 @@
 def even(board: Board, sequence: Sequence, bounds: Bounds) -> None:
     """List moves for evenness behind the others."""
     scale = _Scale(board, sequence, bounds)
-    tired: set[str] = set()
-    for _ in range(MOVES_MOST):
+    tired: set[str] = set()  # engines from which nothing can be moved as things are
+    most = len(sequence.moves) + MOVES_MOST
+    while len(sequence.moves) < most:
         worst = max(
             (
                 engine
@@ -57,7 +67,10 @@
         )
         if not worst or max(scale.out(worst)) <= 1.0:
             return
-        if not _away(scale, worst):
+        if _away(scale, worst):
+            tired.clear()
+            scale.anew()
+        else:
             tired.add(worst)
 
 
@@ -69,21 +82,26 @@
     fixed = {move.shard for move in (*scale.sequence.moves, *view.kept.values())}
     some = [
         world.shards[name]
-        for name, places in sorted(scale.places.items())
-        if engine in places
-        and engine in view.now[name]
+        for name in sorted(scale.lying[engine])
+        if engine in view.now[name]
         and name not in fixed
         and not board.fixed(world.shards[name])
         and not view.doubtful[name]
         and takes(world.homes[engine], world.shards[name])
-        and len(places) == len(view.now[name])
+        and len(scale.places[name]) == len(view.now[name])
     ]
-    some.sort(
-        key=lambda shard: (
-            -shard.heat / wanted(shard) / max(1, shard.size) if not disk else -shard.size,
-            shard.name,
+    if disk:  # the smallest that is enough, then the largest
+        enough = [scale.out(engine, -shard.size)[0] <= 1.0 for shard in some]
+        ranks = [shard.size if does else -shard.size for shard, does in zip(some, enough, strict=True)]
+    else:  # the most heat for the bytes
+        enough = [True] * len(some)
+        ranks = [-shard.heat / wanted(shard) / max(1, shard.size) for shard in some]
+    some = [
+        shard
+        for _, _, _, shard in sorted(
+            (not does, rank, shard.name, shard) for does, rank, shard in zip(enough, ranks, some, strict=True)
         )
-    )
+    ]
     for shard in some[:LOOKED_AT]:
         part = shard.heat / len(scale.places[shard.name])
         before, after = scale.out(engine), scale.out(engine, -shard.size, -part)
@@ -91,9 +109,11 @@
         gain = (before[which] - max(after[which], 0.0)) / before[which]
         if gain < scale.bounds.gain_least or after[which] < -1.0:
             continue
-        if target := _target(scale, shard, engine, part, before[which]):
-            scale.sequence.add(Transfer(shard.name, target, engine))
+        target = _target(scale, shard, engine, part, before[which])
+        if target and scale.sequence.add(Transfer(shard.name, target, engine)):
             scale.places[shard.name] = scale.places[shard.name] - {engine} | {target}
+            scale.lying[engine].discard(shard.name)
+            scale.lying[target].add(shard.name)
             scale.heat[engine] -= part
             scale.heat[target] += part
             return True
--- a/fennelwind/shards/needs.py
+++ b/fennelwind/shards/needs.py
@@ -40,6 +40,7 @@
     """The world as it is, and as it will be when the moves that go on have ended."""
 
     world: World
+    live: dict[int, Move] = field(default_factory=dict)  # moves that are not over, by number
     kept: dict[int, Move] = field(default_factory=dict)  # moves that go on, by number
     cancels: dict[int, str] = field(default_factory=dict)  # and why
     keeps: set[int] = field(default_factory=set)  # moves whose drop falls away
@@ -49,9 +50,11 @@
     used: dict[str, int] = field(default_factory=dict)  # bytes by engine: all copies, whatever their state
     limit: dict[str, int] = field(default_factory=dict)  # bytes by engine that copies may take
     holds: dict[str, set[str]] = field(default_factory=dict)  # by shard: living engines with any copy
+    clears: set[tuple[str, str]] = field(default_factory=set)  # copies that kept moves wait to have dropped
     going: set[tuple[str, str]] = field(
         default_factory=set
     )  # copies of cancelled moves, that go by themselves
+    replaced: dict[str, set[str]] = field(default_factory=dict)  # by shard: engines whose copy goes or is doubtful
     orphans: list[tuple[str, str]] = field(default_factory=list)  # coming or leaving, and no move knows of it
 
     def span(self, engines: set[str]) -> int:
@@ -95,8 +98,15 @@
         if move.step in HELD and move.target in view.used and move.target not in view.holds[move.shard]:
             view.used[move.target] += world.shards[move.shard].size
             view.holds[move.shard].add(move.target)
+    view.live = live
     _judge(view, live, bounds)
     _strays(view, live)
+    for move in view.kept.values():
+        if move.number not in view.keeps:
+            view.doubtful[move.shard].discard(move.drops)  # it goes by that move
+    view.replaced = {name: set(engines) for name, engines in view.doubtful.items()}
+    for shard, engine in (*view.going, *view.orphans, *view.clears):
+        view.replaced[shard].add(engine)
     return view
 
 
@@ -119,7 +129,7 @@
     """Sort the moves that are not over into those that go on and those that have become wrong."""
     while True:
         before = len(view.cancels)
-        view.kept = {}
+        view.kept, view.clears = {}, set()
         for number, move in live.items():
             if number in view.cancels:
                 continue
@@ -162,6 +172,8 @@
             )
         ):
             return "target"
+        if not all(_clears(view, move, pair) for pair in move.cleared):
+            return "order"
     if (
         move.step in READING
         and move.source not in view.now[move.shard]
@@ -176,13 +188,39 @@
     return ""
 
 
+def _clears(view: View, move: Move, pair: tuple[str, str]) -> bool:
+    """Return whether a copy that a planned move waits to have dropped is gone, going or may go."""
+    world, (name, engine) = view.world, pair
+    if name not in world.shards or engine not in view.holds[name] or pair in view.clears:
+        return True
+    shard, state = world.shards[name], world.copies[pair].state if pair in world.copies else "coming"
+    anew = [other for other in view.live.values() if (other.shard, other.target) == pair]
+    if any(other.step != "planned" and other.number not in view.cancels for other in anew):
+        return False  # the older copy has gone, and the same shard has come there again
+    if state in ("coming", "leaving"):
+        return True
+    if shard.table in world.frozen or any((other.shard, other.source) == pair for other in view.kept.values()):
+        return False
+    left = {other for other in view.now[name] if (name, other) not in view.clears} - {engine}
+    comes = any(pair in other.cleared and other.number not in view.cancels for other in anew)
+    if (comes and state == "doubtful" and left) or view.enough(shard, left):
+        view.clears.add(pair)
+        return True
+    return False
+
+
 def _settle(view: View) -> None:
     """Say which good copies there will be, and which moves' drops would leave too few."""
     world = view.world
-    view.good = {name: set(engines) for name, engines in view.now.items()}
+    view.good = {
+        name: {engine for engine in engines if (name, engine) not in view.clears}
+        for name, engines in view.now.items()
+    }
     view.keeps = set()
-    for move in view.kept.values():
+    came: dict[str, dict[str, int]] = {}  # by shard: target: the last move that brings it there
+    for number, move in sorted(view.kept.items()):
         view.good[move.shard].add(move.target)
+        came.setdefault(move.shard, {})[move.target] = number
     for number, move in sorted(view.kept.items()):
         state = (
             view.world.copies[move.shard, move.drops].state
@@ -193,7 +231,7 @@
         if move.step == "switched" and move.target not in view.now[move.shard]:
             good.discard(move.target)  # the engine has gone since, or its copy is doubted
         if not (state == "good" or (state == "leaving" and move.step == "switched")):
-            if any(other.shard == move.shard and other.target == move.drops for other in view.kept.values()):
+            if move.drops in came.get(move.shard, ()) and number > came[move.shard][move.drops]:
                 good.discard(move.drops)  # by way of a third engine
             continue
         rest, now = good - {move.drops}, view.now[move.shard] | {move.drops}
@@ -205,7 +243,8 @@
                 span_wanted(shard), view.span(now)
             )
         if rest and not fewer:
-            good.discard(move.drops)
+            if came[move.shard].get(move.drops, 0) < number:
+                good.discard(move.drops)
             continue
         good.add(move.drops)
         if move.step in READING and view.enough(shard, good - {move.target}):
--- a/fennelwind/shards/order.py
+++ b/fennelwind/shards/order.py
@@ -13,6 +13,7 @@
 from fennelwind.shards.state import Move
 
 Pair = tuple[str, str]  # shard, engine
+THREADED = 12  # transfers up to which all orders are looked for: at most 4096 sets of them
 
 
 @dataclass(slots=True, frozen=True)
@@ -164,6 +165,8 @@
             one.target,
         ),
     )
+    if len(pending) <= THREADED:
+        pending = _thread(sequence, pending)
     aside: set[str] = set()  # shards that went by a third engine: once each
     while pending:
         later = [one for one in pending if sequence.add(one) is None]
@@ -175,6 +178,41 @@
     return []
 
 
+def _thread(sequence: Sequence, pending: list[Transfer]) -> list[Transfer]:
+    """Return the transfers in an order in which each finds its space, as many as can be; then the rest.
+
+    What room there is depends on which were listed, not in which order; so each set is looked at once.
+    """
+    world = sequence.view.world
+    sizes = [world.shards[one.shard].size for one in pending]
+    best: list[int] = []
+    seen: set[int] = set()
+    stack: list[tuple[int, tuple[int, ...]]] = [(0, ())]
+    while stack:
+        done, way = stack.pop()
+        if done in seen:
+            continue
+        seen.add(done)
+        if len(way) > len(best):
+            best = list(way)
+            if len(best) == len(pending):
+                break
+        room = {one.target: sequence.left(one.target) for one in pending}
+        for number in way:
+            one = pending[number]
+            room[one.target] -= sizes[number]
+            if one.drops in room:
+                room[one.drops] += sizes[number]
+        stack += [
+            (done | 1 << number, (*way, number))
+            for number in range(len(pending) - 1, -1, -1)
+            if not done >> number & 1 and sizes[number] <= room[pending[number].target]
+        ]
+    return [pending[number] for number in best] + [
+        one for number, one in enumerate(pending) if number not in best
+    ]
+
+
 def _aside(sequence: Sequence, pending: list[Transfer], aside: set[str]) -> list[Transfer] | None:
     """Take a copy that stands in the way to a third engine, the smallest that helps."""
     view = sequence.view
--- a/fennelwind/shards/plan.py
+++ b/fennelwind/shards/plan.py
@@ -17,8 +17,8 @@
 from fennelwind.shards.state import Bounds, Planned, Shard, Short, World
 
 SMALL_SHARDS, SMALL_ENGINES = 14, 8  # up to which all places are searched at once
-NODES = 3000  # choices that a search of a small world extends, about 0.3 s
-LEAVES = 60  # whole choices of a small world that are put in order
+NODES = 10000  # choices that a search of a small world extends, about 0.3 s
+LEAVES = 200  # whole choices of a small world that are put in order
 NODES_NEAR = 200  # choices that one search around a trouble extends
 TROUBLES = 200  # that are searched around in one plan; the rest is said to be short
 NEAR = 6  # shards and engines that are looked at around one trouble
@@ -64,7 +64,7 @@
         cancels = sorted(self.view.cancels)
         return Planned(
             moves,
-            tuple(sorted({*best.drops, *self.view.orphans})),
+            tuple(sorted({*best.drops, *self.view.orphans, *self.view.clears})),
             tuple(cancels),
             tuple(self._short(best)),
             sum(self.world.shards[move.shard].size for move in moves),
@@ -97,7 +97,7 @@
             transfers += outcome.transfers
             drops += [(name, engine) for engine in outcome.drops]
             unmet += outcome.unmet
-        sequence = Sequence(self.view, self.first, (*drops, *self.view.orphans))
+        sequence = Sequence(self.view, self.first, (*drops, *self.view.orphans, *self.view.clears))
         rest = arrange(sequence, transfers)
         over = sum(sequence.left(engine) < 0 for engine in sequence.room)
         size = sum(self.world.shards[move.shard].size for move in sequence.moves)
