Tests of moves: a plain model of the machine, one fault ahead of each action

In full: Tests of moves: a plain model of the machine, one fault ahead of each action, planted defects, statements. Cause: the machine and the carrier had a play alone. Change: a stateful model by tables of allowed changes, the order between a move and a change of one table, bounds, quoting, streams.

--- a/fennelwind/shards/machine.py
+++ b/fennelwind/shards/machine.py
@@ -114,12 +114,10 @@
         if what is None:
             raise UnreadableCommand("a command of no kind")
         if what in ("declare", "remove"):
-            self.changes += 1
             answer = getattr(self, "_" + what)(getattr(asked, what))
         elif not self._fenced(asked.fence, facts):
             answer = Answer(refusal=Answer.FENCE)
         else:
-            self.changes += what in ("news", "found")
             answer = getattr(self, "_" + what)(getattr(asked, what), at, facts)
         self._look_ahead()
         return answer.SerializeToString(deterministic=True)
@@ -174,6 +172,7 @@
         if told.checked:  # a load's own word: all good copies hold this now
             shard = replace(shard, rows=told.rows, checksum=told.checksum)
         self.shards[told.name] = shard
+        self.changes += 1
         self._of_table.setdefault(shard.table, {})[shard.name] = None
         return Answer.NONE
 
@@ -227,6 +226,7 @@
             if known.mark and home.mark != known.mark:
                 home = replace(home, generation=known.generation + 1)
                 self._emptied(home.name)
+        self.changes += home != known
         self.homes[home.name] = home
         if home.life == "gone" and known is not None and known.life != "gone":
             self._doubted(home.name)
@@ -509,6 +509,7 @@
             self.asides.pop(move.shard, None)
 
     def _hold(self, shard: str, copy: Copy) -> None:
+        self.changes += 1
         held = self.copies.setdefault(shard, {})
         if copy.engine not in held:
             self.used[copy.engine] = self.used.get(copy.engine, 0) + self.shards[shard].size
@@ -518,6 +519,7 @@
         held = self.copies.get(shard, {})
         if held.pop(engine, None) is None:
             return
+        self.changes += 1
         self.used[engine] -= self.shards[shard].size
         if not self.used[engine]:
             del self.used[engine]
@@ -551,7 +553,7 @@
         """Take a state in place of its own."""
         state = pb.State.FromString(data)
         self.__init__()
-        self.last_move, self.changes = state.last_move, state.changes
+        self.last_move = state.last_move
         for s in state.shards:
             self.shards[s.name] = Shard(s.name, s.table, s.size, s.copies, s.zones, tuple(s.kinds), s.heat,
                                         s.rows if s.checked else -1, s.checksum)
@@ -567,6 +569,7 @@
                                         at_ms=m.at_ms, rested=m.rested)
             self._of_shard[m.shard] = m.number
         self.asides = {a.shard: (a.until_ms, a.times) for a in state.asides}
+        self.changes = state.changes
         self._look_ahead()
 
 
--- a/fennelwind/shards/routing.py
+++ b/fennelwind/shards/routing.py
@@ -87,7 +87,7 @@
         return frozenset.intersection(*known) if known else None
 
     def arrives(self, query: int, cls: int, shards: Iterable[str]) -> tuple[int, list[api.EngineList]]:
-        """Return the class by which a query is handed to the module, and what that is told ahead of it."""
+        """Return the class by which a query is handed to the module, and what it is told ahead of it."""
         named = tuple(sorted(shard for shard in set(shards) if shard in self.places))
         if not self.slots or not named:
             return cls, []
@@ -108,7 +108,7 @@
         return cls + self.classes * (1 + self.slots.index(slot)), told
 
     def may_send(self, query: int, engine: str) -> bool:
-        """Tell whether a query may be sent to an engine now; where not, the attempt was `moot`: never sent."""
+        """Tell whether a query may be sent to an engine now; where not, the attempt is `moot`: never sent."""
         _, shards = self._of_query.get(query, (None, ()))
         holders = self.holders(shards)
         return holders is None or engine in holders
@@ -132,6 +132,6 @@
 
     def _told(self, before: dict[str, int]) -> list[api.EngineList]:
         after = self._masks()
-        changed = [engine for engine in sorted({*before, *after}) if before.get(engine) != after.get(engine)]
-        entries = tuple(self._split(self.entries[engine]) for engine in changed if engine in self.entries)
+        changed = [name for name in sorted({*before, *after}) if before.get(name) != after.get(name)]
+        entries = tuple(self._split(self.entries[name]) for name in changed if name in self.entries)
         return [api.EngineList("delta", entries)] if entries else []
--- a/fennelwind/standin/shelves.py
+++ b/fennelwind/standin/shelves.py
@@ -72,7 +72,7 @@
             self.refused += 1
             raise Refused(f"fence {fence}, where {self.fence} was seen", "55000")
         self.fence = fence
-        task = self._read(statement)
+        task = self.read(statement)
         if task.kind == "export":
             if task.shard not in self.held:
                 raise Refused("no such partition", "42S02")
@@ -116,7 +116,8 @@
             raise Refused("no space left on device", "58030")
         self.held[shard] = content
 
-    def _read(self, statement: str) -> Task:
+    def read(self, statement: str) -> Task:
+        """Return what a statement asks for. Raises `Refused`."""
         for kind, form in FORMS.items():
             found = form.fullmatch(statement)
             if found is not None:
--- /dev/null
+++ b/tests/test_shard_moves.py
@@ -0,0 +1,605 @@
+"""Moves of shards: the machine against a plain model, plays with faults, planted defects, statements."""
+
+from collections import Counter
+from urllib.parse import quote
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+from move_defects import ACTIONS, DEFECTS, by_model, hunt, one_fault
+from move_play import ONE_FAULT, Broken, Play, play, play_careless
+
+from fennelwind.council import council_pb2
+from fennelwind.council.machine import At, UnreadableCommand
+from fennelwind.council.record import Record
+from fennelwind.shards import machine as machine_module
+from fennelwind.shards import shards_pb2 as pb
+from fennelwind.shards import steps
+from fennelwind.shards.carrier import Carrier, Ended, Over, Propose, Proposed, Run, Seen, Stop, Wake
+from fennelwind.shards.machine import ASIDE_FIRST_MS, ASIDE_MOST_MS, REST_MS, ShardMachine
+from fennelwind.shards.state import Bounds, Planned
+from fennelwind.standin.shelves import Shelf
+
+Answer, Step = pb.Answer, pb.Step
+SHARDS, ENGINES = ("t/d=1", "t/d=2", "u/"), ("e1", "e2", "e3", "e4")
+DISKS = {"e1": 350, "e2": 350, "e3": 350, "e4": 250}  # bytes; 100 are headroom, each shard has 100
+
+
+class Desk:
+    """A machine with a fence, a clock, and a table that changes, all by hand."""
+
+    def __init__(self, machine=None):
+        self.machine, self.fence, self.changing = machine or ShardMachine(), 1, set()
+        self.index = self.clock = 0
+
+    def fact(self, kind, key):
+        return self.fence if (kind, key) == ("fence", "moves") else int(key in self.changing)
+
+    def ask(self, fence=None, **what):
+        self.index += 1
+        command = pb.Command(fence=self.fence if fence is None else fence, **what).SerializeToString()
+        return Answer.FromString(self.machine.apply(At(self.index, self.clock), command, self))
+
+    def wait(self, ms):
+        self.clock += ms
+        due = self.machine.due()
+        if due is not None and due <= self.clock:
+            self.machine.pass_time(At(self.index, self.clock))
+
+    def declare(self, name, size=100, copies=1, **more):
+        return self.ask(declare=pb.Declare(shards=[pb.Shard(
+            name=name, table=name.partition("/")[0], size=size, copies=copies, zones=1, **more)])).refusals[0]
+
+    def home(self, name, disk=400, headroom=100, life="ready", mark="m", **more):
+        return self.ask(news=pb.News(homes=[pb.Home(
+            name=name, zone=name, disk=disk, headroom=headroom, life=life, mark=mark, **more)])).refusals[0]
+
+    def found(self, shard, engine, rows=5, checksum=7, present=True, generation=0):
+        return self.ask(found=pb.Found(shard=shard, engine=engine, rows=rows, checksum=checksum,
+                                       present=present, generation=generation)).refusal
+
+    def plan(self, shard, source="", target="", drops="", after=()):
+        return self.ask(plan=pb.Plan(moves=[pb.Move(
+            number=2**62, shard=shard, source=source, target=target, drops=drops, after=after)]))
+
+    def step(self, kind, move=1, fence=None, **more):
+        return self.ask(fence, step=Step(move=move, kind=kind, **more)).refusal
+
+
+def desk_with_copy():
+    desk = Desk()
+    desk.declare("t/d=1")
+    for name in ENGINES:
+        desk.home(name)
+    assert desk.found("t/d=1", "e1") == 0
+    return desk
+
+
+def to_step(desk, step, drops="e1"):
+    """Take one move of t/d=1 from e1 to e2 up to a step."""
+    assert desk.plan("t/d=1", "e1", "e2", drops).numbers == [1]
+    for name, kind, more in (("reserved", Step.RESERVE, {}),
+                             ("copying", Step.COPY, {"source": "e1", "attempt": 1}),
+                             ("checked", Step.CHECK, {"attempt": 1, "rows": 5, "checksum": 7}),
+                             ("switched", Step.SWITCH, {}), ("dropping", Step.DROP, {})):
+        if desk.machine.moves[1].step == step:
+            return desk
+        if kind == Step.DROP:
+            desk.wait(REST_MS)
+        assert desk.step(kind, **more) == 0, name
+        assert desk.machine.moves[1].step == name
+    return desk
+
+
+# The machine alone.
+
+def test_a_move_goes_from_copy_to_copy_and_space_counts_for_both_until_the_drop():
+    desk = to_step(desk_with_copy(), "dropping")
+    assert desk.machine.good("t/d=1") == ("e2",) and desk.machine.leaving("t/d=1") == "e1"
+    assert desk.machine.used == {"e1": 100, "e2": 100} and desk.machine.fact("moving", "t") == 1
+    assert desk.step(Step.DONE) == 0
+    assert desk.machine.used == {"e2": 100} and not desk.machine.moves
+    assert not desk.machine.fact("moving", "t")
+    assert desk.machine.places("t") == {"t/d=1": ("e2",)}
+
+
+@pytest.mark.parametrize("step", ["planned", "reserved", "copying", "checked", "switched", "dropping"])
+def test_each_step_is_taken_once_with_the_fence_of_the_holder_only(step):
+    after = {"planned": Step.RESERVE, "reserved": Step.COPY, "copying": Step.CHECK, "checked": Step.SWITCH,
+             "switched": Step.DROP, "dropping": Step.DONE}
+    more = {Step.COPY: {"source": "e1", "attempt": 1}, Step.CHECK: {"attempt": 1, "rows": 5, "checksum": 7}}
+    desk = to_step(desk_with_copy(), step)
+    desk.fence = 2
+    before = desk.machine.snapshot()
+    for kind in Step.Kind.values():
+        assert desk.step(kind, fence=1, **more.get(kind, {})) == Answer.FENCE
+    for kind in (k for k in after.values() if k != after[step]):
+        assert desk.step(kind, **more.get(kind, {})) != 0, Step.Kind.Name(kind)
+    assert desk.machine.snapshot() == before
+    desk.fence = 0  # nobody holds it
+    assert desk.step(after[step], fence=0, **more.get(after[step], {})) == Answer.FENCE
+
+
+def test_a_table_under_change_is_not_moved_and_one_under_way_is_told():
+    desk = desk_with_copy()
+    desk.changing.add("t")
+    assert desk.plan("t/d=1", "e1", "e2").refusals == [Answer.CHANGING]
+    assert desk.found("t/d=1", "e1") == Answer.CHANGING
+    desk.changing.clear()
+    desk.plan("t/d=1", "e1", "e2", "e1")
+    assert desk.machine.fact("moving", "t") == 0  # planned alone keeps no change waiting
+    desk.changing.add("t")
+    assert desk.step(Step.RESERVE) == Answer.CHANGING
+    desk.changing.clear()
+    assert desk.step(Step.RESERVE) == 0 and desk.machine.fact("moving", "t") == 1
+    assert desk.step(Step.UNDO) == 0 and desk.machine.fact("moving", "t") == 0
+
+
+class Changes:
+    """What the gate for schema changes does of the order, as a machine: a change that begins or ends."""
+
+    name, kinds = "contracts", ("changing", "fence")
+
+    def __init__(self):
+        self.under_change = set()
+
+    def apply(self, at, command, facts):
+        word, table = command.decode().split()
+        if word == "end":
+            self.under_change.discard(table)
+        elif facts.fact("moving", table):
+            return b"refused"
+        else:
+            self.under_change.add(table)
+        return b"done"
+
+    def fact(self, kind, key):
+        return 1 if kind == "fence" else int(key in self.under_change)
+
+    def pass_time(self, at):
+        pass
+
+    def due(self):
+        return None
+
+    def snapshot(self):
+        return b" ".join(sorted(t.encode() for t in self.under_change))
+
+    def restore(self, data):
+        self.under_change = set(data.decode().split())
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.lists(st.sampled_from(
+    ["begin", "end", "plan", "RESERVE", "COPY", "CHECK", "SWITCH", "UNDO", "UNDONE"]), max_size=40))
+def test_change_and_move_of_one_table_never_meet_and_neither_waits_for_the_other(asked):
+    machine, changes = ShardMachine(), Changes()
+    record = Record([machine, changes])
+    client = record.apply(council_pb2.Entry(index=1, command=council_pb2.Command())).index
+    numbers = iter(range(1, 1000))
+
+    def send(to, body):
+        n = next(numbers)
+        return record.apply(council_pb2.Entry(index=n + 1, command=council_pb2.Command(
+            client=client, number=n, machine=to, body=body))).body
+
+    send("shards", pb.Command(declare=pb.Declare(shards=[pb.Shard(
+        name="t/", table="t", size=10, copies=1, zones=1)])).SerializeToString())
+    homes = [pb.Home(name=e, disk=100, life="ready", mark="m") for e in ENGINES]
+    send("shards", pb.Command(fence=1, news=pb.News(homes=homes)).SerializeToString())
+    found = pb.Found(shard="t/", engine="e1", present=True)
+    send("shards", pb.Command(fence=1, found=found).SerializeToString())
+    for word in asked:
+        move = machine.move_of("t/")
+        if word in ("begin", "end"):
+            send("contracts", f"{word} t".encode())
+        elif word == "plan":
+            send("shards", pb.Command(fence=1, plan=pb.Plan(moves=[pb.Move(
+                number=2**62, shard="t/", source="e1", target="e2")])).SerializeToString())
+        elif move is not None:
+            send("shards", pb.Command(fence=1, step=Step(
+                move=move.number, kind=Step.Kind.Value(word), source="e1",
+                attempt=move.attempt + (word == "COPY"))).SerializeToString())
+        assert not (machine.fact("moving", "t") and changes.under_change)
+    send("contracts", b"end t")  # whoever is there can end by itself
+    move = machine.move_of("t/")
+    for kind in (Step.UNDO, Step.UNDONE) if move is not None else ():
+        send("shards", pb.Command(fence=1, step=Step(move=move.number, kind=kind)).SerializeToString())
+    assert send("contracts", b"begin t") == b"done"
+
+
+def test_headroom_counts_what_comes_in_and_spills_beyond_it():
+    desk = desk_with_copy()
+    desk.declare("t/d=2", size=250)
+    desk.found("t/d=2", "e1")
+    to_step(desk, "reserved")
+    assert desk.plan("t/d=2", "e1", "e2").numbers == [2]
+    assert desk.step(Step.RESERVE, 2) == Answer.HEADROOM  # 100 are coming, 250 more than 300
+    assert desk.step(Step.UNDO) == 0
+    desk.home("e2", spilled=151)  # 51 of it beyond the headroom
+    assert desk.step(Step.RESERVE, 2) == Answer.HEADROOM
+    desk.home("e2", spilled=150)
+    assert desk.step(Step.RESERVE, 2) == 0 and desk.machine.room("e2") == 0
+
+
+def test_the_last_good_copy_and_wanted_ones_stay():
+    desk = desk_with_copy()
+    assert desk.plan("t/d=1", drops="e1").numbers == [1]
+    assert desk.step(Step.SWITCH) == Answer.LAST
+    assert desk.step(Step.UNDO) == 0
+    desk.found("t/d=1", "e2")
+    assert desk.plan("t/d=1", drops="e1").numbers == [2] and desk.step(Step.SWITCH, 2) == 0
+    assert desk.machine.good("t/d=1") == ("e2",)
+    assert desk.step(Step.DROP, 2) == Answer.WAITS  # a view may be as old as that
+    desk.wait(REST_MS)
+    desk.home("e2", mark="another")  # it came back empty
+    assert desk.step(Step.DROP, 2) == Answer.LAST
+    assert desk.step(Step.KEEP, 2) == 0 and desk.machine.good("t/d=1") == ("e1",)
+
+
+def test_the_same_name_back_empty_and_back_with_an_old_copy():
+    desk = to_step(desk_with_copy(), "checked")
+    desk.home("e2", mark="another")
+    assert desk.step(Step.SWITCH) == Answer.TARGET and desk.machine.homes["e2"].generation == 1
+    assert desk.step(Step.UNDO) == 0 and not desk.machine.moves  # nothing there to be dropped
+    desk.home("e1", life="gone", mark="")
+    assert desk.machine.good("t/d=1") == ()
+    desk.home("e1")
+    assert desk.machine.good("t/d=1") == () and desk.machine.used["e1"] == 100
+    assert desk.found("t/d=1", "e1", generation=1) == Answer.TARGET
+    assert desk.found("t/d=1", "e1", rows=4) == 0 and desk.machine.copies["t/d=1"]["e1"].wrong
+    assert desk.found("t/d=1", "e1") == 0 and desk.machine.good("t/d=1") == ("e1",)
+    assert desk.found("t/d=1", "e1", rows=4) == Answer.DIFFERS and desk.machine.good("t/d=1") == ("e1",)
+
+
+def test_a_failed_move_sets_its_shard_aside_for_growing_times():
+    desk, rests = desk_with_copy(), []
+    for number in range(1, 12):
+        assert desk.plan("t/d=1", "e1", "e2").numbers == [number]
+        desk.step(Step.UNDO, number, failed=True)
+        assert desk.plan("t/d=1", "e1", "e2").refusals == [Answer.ASIDE]
+        rests.append(desk.machine.due() - desk.clock)
+        desk.wait(rests[-1])
+    assert rests[:3] == [ASIDE_FIRST_MS, ASIDE_FIRST_MS * 2, ASIDE_FIRST_MS * 4]
+    assert rests[-1] == ASIDE_MOST_MS
+
+
+@pytest.mark.parametrize("bad", [
+    {"name": "x/d=1", "table": "t"}, {"name": "t", "table": "t"}, {"name": "/", "table": ""}, {"size": 0},
+    {"size": 2**61}, {"copies": 0}, {"copies": 17}, {"zones": 2}, {"heat": float("nan")}, {"heat": -1.0},
+    {"name": "t/" + "x" * 600}, {"kinds": [""]}])
+def test_declarations_that_cannot_be_are_refused(bad):
+    told = {"name": "t/d=1", "table": "t", "size": 1, "copies": 1, "zones": 1, **bad}
+    assert Desk().ask(declare=pb.Declare(shards=[pb.Shard(**told)])).refusals == [Answer.BAD]
+
+
+def test_bounds_are_refused_and_bytes_of_strangers_change_nothing(monkeypatch):
+    for bound in ("SHARDS_MOST", "HOMES_MOST", "MOVES_MOST", "COPIES_MOST"):
+        monkeypatch.setattr(machine_module, bound, 1)
+    desk = Desk()
+    assert [desk.declare(f"t/d={n}") for n in (1, 1, 2)] == [0, 0, Answer.TOO_MANY]
+    assert [desk.home(name) for name in ("e1", "e1", "e2")] == [0, 0, Answer.TOO_MANY]
+    assert desk.found("t/d=1", "e1") == 0
+    before = desk.machine.snapshot()
+    for data in (b"", b"\xff\xff", b"\x0a", pb.Command(fence=1).SerializeToString()):
+        with pytest.raises(UnreadableCommand):
+            desk.machine.apply(At(1, 1), data, desk)
+    assert desk.step(99) == Answer.UNKNOWN and desk.home("e9", life="odd") == Answer.BAD
+    assert desk.machine.snapshot() == before
+
+
+# The machine against a plain model: which state of a copy and which step may follow which, by which command.
+
+COPY_CHANGES = {
+    "RESERVE": {("", "coming")}, "SWITCH": {("coming", "good"), ("good", "leaving"), ("doubtful", "leaving")},
+    "DONE": {("leaving", ""), ("doubtful", "")}, "KEEP": {("leaving", "good"), ("leaving", "doubtful")},
+    "UNDO": {("coming", "")}, "UNDONE": {("coming", ""), ("coming", "doubtful")},
+    "found": {("", "good"), ("", "doubtful"), ("good", ""), ("good", "doubtful"), ("doubtful", "good"),
+              ("doubtful", "")},
+    "gone": {("good", "doubtful"), ("leaving", "doubtful")}, "empty": {(s, "") for s in (
+        "good", "leaving", "doubtful", "coming")}}
+STEP_CHANGES = {
+    "RESERVE": {("planned", "reserved")}, "COPY": {("reserved", "copying"), ("copying", "copying")},
+    "CHECK": {("copying", "checked")}, "SWITCH": {("checked", "switched"), ("planned", "switched"),
+                                                  ("checked", ""), ("planned", "")},
+    "DROP": {("switched", "dropping")}, "DONE": {("dropping", "")},
+    "KEEP": {("switched", ""), ("dropping", "")},
+    "UNDO": {(s, t) for s in ("planned", "reserved", "copying", "checked") for t in ("", "undoing")},
+    "UNDONE": {("undoing", "")}, "plan": {("", "planned")}}
+
+
+class Model(RuleBasedStateMachine):
+    """Random commands; every change of a copy or a step has to be in the tables above."""
+
+    machine_type = ShardMachine
+
+    def __init__(self):
+        super().__init__()
+        self.desk = Desk(self.machine_type())
+        for n, name in enumerate(SHARDS):
+            self.desk.declare(name, copies=1 + n % 2)
+        for name in ENGINES:
+            self.desk.home(name, disk=DISKS[name])
+        for n, name in enumerate(SHARDS):
+            self.desk.found(name, ENGINES[n])
+
+    def see(self):
+        m = self.desk.machine
+        return ({(s, e): c for s, held in m.copies.items() for e, c in held.items()}, dict(m.moves))
+
+    def did(self, by, answered, before, only=None):
+        copies, moves = self.see()
+        for pair in {*copies, *before[0]}:
+            change = tuple(seen[pair].state if pair in seen else "" for seen in (before[0], copies))
+            assert change[0] == change[1] or change in COPY_CHANGES.get(by, ()), (by, pair, change)
+            assert change[0] == change[1] or only is None or pair[1] == only
+        for number in {*moves, *before[1]}:
+            change = tuple(seen[number].step if number in seen else "" for seen in (before[1], moves))
+            assert change[0] == change[1] or change in STEP_CHANGES.get(by, ()), (by, number, change)
+        if answered:
+            assert (copies, moves) == before
+        for number, move in moves.items():
+            assert sum(other.shard == move.shard for other in moves.values()) == 1, number
+
+    @rule(life=st.sampled_from(("ready", "draining", "gone", "cold")), engine=st.sampled_from(ENGINES),
+          spilled=st.sampled_from((0, 0, 100, 260)))
+    def news(self, engine, life, spilled):
+        before = self.see()
+        self.desk.home(engine, disk=DISKS[engine], life=life, spilled=spilled,
+                       mark=self.desk.machine.homes[engine].mark if life != "gone" else "")
+        self.did("gone" if life == "gone" else "", 0, before, engine)
+
+    @rule(engine=st.sampled_from(ENGINES), number=st.integers(2, 9))
+    def empty(self, engine, number):
+        before = self.see()
+        self.desk.home(engine, disk=DISKS[engine], mark=f"m{number}")
+        self.did("empty", 0, before, engine)
+        if before[0] and self.desk.machine.homes[engine].generation:
+            changed = self.desk.machine.homes[engine].mark
+            assert changed == f"m{number}"
+
+    @rule(shard=st.sampled_from(SHARDS), engine=st.sampled_from(ENGINES), rows=st.sampled_from((5, 5, 6)),
+          present=st.booleans(), late=st.booleans())
+    def found(self, shard, engine, rows, present, late):
+        before, generation = self.see(), self.desk.machine.homes[engine].generation
+        refusal = self.desk.found(shard, engine, rows, present=present, generation=generation + late)
+        self.did("found", refusal, before, engine)
+        assert refusal or not late
+
+    @rule(shard=st.sampled_from(SHARDS), sure=st.booleans(), source=st.sampled_from(ENGINES),
+          to=st.sampled_from(("", "e4", *ENGINES)), drops=st.sampled_from(("", *ENGINES)),
+          waits=st.booleans())
+    def plan(self, shard, sure, source, to, drops, waits):
+        before, good = self.see(), self.desk.machine.good(shard)
+        if sure and good:
+            source = drops = good[0]
+        answer = self.desk.plan(shard, source, to, drops, after=tuple(before[1]) if waits else ())
+        self.did("plan", answer.refusals[0], before)
+
+    @precondition(lambda self: self.desk.machine.moves)
+    @rule(data=st.data(), forth=st.sampled_from((True, True, True, False)), old=st.integers(0, 9),
+          failed=st.booleans(), rows=st.sampled_from((5, 5, 5, 6)))
+    def step(self, data, forth, old, failed, rows):
+        desk, m = self.desk, self.desk.machine
+        move = m.moves[data.draw(st.sampled_from(sorted(m.moves)))]
+        usual = {"planned": "RESERVE" if move.target else "SWITCH", "reserved": "COPY", "copying": "CHECK",
+                 "checked": "SWITCH", "switched": "DROP", "dropping": "DONE", "undoing": "UNDONE"}
+        kind = usual[move.step] if forth else data.draw(st.sampled_from(Step.Kind.keys()))
+        before, changing = self.see(), desk.fact("changing", m.shards[move.shard].table)
+        refusal = desk.step(Step.Kind.Value(kind), move.number, desk.fence - (not old), source=move.source,
+                            attempt=move.attempt + (kind == "COPY"), rows=rows, checksum=7, failed=failed)
+        self.did(kind, refusal, before)
+        if not old:
+            assert refusal == Answer.FENCE
+        elif changing and kind in ("RESERVE", "COPY", "CHECK", "SWITCH", "DROP"):
+            assert refusal == Answer.CHANGING
+        elif kind == "RESERVE":
+            assert (refusal == 0) == self.may_reserve(move, before), (move, refusal)
+        elif kind == "DROP":
+            assert (refusal == 0) == self.may_drop(move, before), (move, refusal)
+        elif kind == "SWITCH" and move.target and not refusal:
+            assert m.homes[move.target].generation == move.generation and m.homes[move.target].life != "gone"
+        if not refusal and kind == "CHECK":
+            assert rows == 5
+        left = m.copies.get(move.shard, {}).get(move.drops)
+        if not refusal and kind == "SWITCH" and left is not None and left.state == "leaving":
+            assert len(m.good(move.shard)) >= (1 if left.wrong else m.shards[move.shard].copies)
+
+    def may_reserve(self, move, before):
+        home, held = self.desk.machine.homes.get(move.target), before[0]
+        if home is None or move.step != "planned" or (move.shard, move.target) in held:
+            return False
+        used = sum(self.desk.machine.shards[s].size for s, e in held if e == move.target)
+        return (home.life in ("ready", "cold") and not any(a in before[1] for a in move.after)
+                and any(c.state == "good" for (s, _), c in held.items() if s == move.shard)
+                and used + self.desk.machine.shards[move.shard].size + max(100, home.spilled) <= home.disk)
+
+    def may_drop(self, move, before):
+        copy = before[0].get((move.shard, move.drops))
+        others = [e for (s, e), c in before[0].items() if s == move.shard and c.state == "good"]
+        return (move.step == "switched" and move.rested and copy is not None and copy.state == "leaving"
+                and len(others) >= (1 if copy.wrong else self.desk.machine.shards[move.shard].copies))
+
+    @rule(ms=st.sampled_from((100, REST_MS, ASIDE_FIRST_MS)))
+    def wait(self, ms):
+        before = self.see()
+        self.desk.wait(ms)
+        assert self.see()[0] == before[0]
+
+    @rule(table=st.sampled_from(("t", "u")))
+    def change(self, table):
+        if table in self.desk.changing:
+            self.desk.changing.discard(table)
+        elif not self.desk.machine.fact("moving", table):
+            self.desk.changing.add(table)
+
+    @rule()
+    def next_holder(self):
+        self.desk.fence += 1
+
+    @rule()
+    def restored(self):
+        data = self.desk.machine.snapshot()
+        other = self.machine_type()
+        other.restore(data)
+        assert other.snapshot() == data and other.due() == self.desk.machine.due()
+        self.desk.machine = other
+
+    @invariant()
+    def sums(self):
+        m, (copies, moves) = self.desk.machine, self.see()
+        used = Counter()
+        for shard, engine in copies:
+            used[engine] += m.shards[shard].size
+        assert m.used == used
+        for table in ("t", "u"):
+            assert m.fact("moving", table) == sum(
+                move.step != "planned" and m.shards[move.shard].table == table for move in moves.values())
+            for shard, engines in m.places(table).items():
+                assert engines == tuple(e for e in ENGINES if copies.get((shard, e)) and copies[
+                    shard, e].state == "good" and m.homes[e].life != "gone")
+
+
+def test_the_machine_does_what_a_plain_model_allows():
+    run_state_machine_as_test(Model, settings=settings(
+        max_examples=50, stateful_step_count=50, deadline=None, derandomize=True))
+
+
+# Statements, and the carrier's own promises.
+
+names = st.text(st.characters(exclude_categories=["Cs", "Cc"]), min_size=1, max_size=12)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(names.filter(lambda t: "/" not in t and ". " not in t and t.strip(".") == t and ".." not in t),
+       st.lists(st.tuples(names, names), max_size=3), names)
+def test_any_name_is_quoted_so_that_an_engine_reads_the_same(table, pairs, path):
+    shard = f"{table}/" + "/".join(f"{quote(c, safe='')}={quote(v, safe='')}" for c, v in pairs)
+    meant = f"{table}/" + "/".join(f"{c}={v}" for c, v in pairs)
+    shelf = Shelf(1, {})
+    for statement in (steps.export(shard, path), steps.load(shard, path), steps.drop(shard),
+                      steps.check(shard)):
+        task = shelf.read(statement)
+        assert task.shard == meant and task.path in ("", path), statement
+
+
+def holder(index=5, since=5, planner=lambda world, bounds: Planned()):
+    """A desk whose move is at a step, and a holder who sees it."""
+    carrier = Carrier(7, since, planner, "/staging")
+    return carrier, lambda desk, now=0.0, *events: carrier.step(now, [Seen(index, desk.machine), *events])
+
+
+def test_a_holder_waits_until_its_copy_of_the_record_holds_its_lease():
+    desk = to_step(desk_with_copy(), "reserved")
+    _, early = holder(index=4)
+    assert not [a for a in early(desk) if isinstance(a, Propose | Run)]
+    _, seen = holder(index=5)
+    command = pb.Command.FromString(next(a for a in seen(desk) if isinstance(a, Propose)).command)
+    assert command.fence == 7 and command.step.kind == Step.COPY and command.step.source == "e1"
+
+
+def test_a_holder_that_is_told_of_another_does_nothing_any_more():
+    desk = to_step(desk_with_copy(), "reserved")
+    _, step = holder()
+    token = next(a for a in step(desk) if isinstance(a, Propose)).token
+    assert step(desk, 1.0, Proposed(token, Answer(refusal=Answer.FENCE))) == [Over()]
+    assert step(desk, 99_000.0) == [Over()]
+
+
+def test_statements_carry_the_fence_and_a_time_out_and_are_stopped_and_repeated_after_growing_waits():
+    desk = to_step(desk_with_copy(), "dropping")
+    _, step = holder()
+    run = next(a for a in step(desk) if isinstance(a, Run))
+    assert run.engine == "e1" and "DROP IF EXISTS PARTITION (`d`='1') PURGE" in run.statement
+    assert run.overlay == {"fennelwind.fence": "moves:7", "hive.query.timeout.seconds": "30"}
+    now, waits = 0.0, []
+    for _ in range(4):
+        actions = step(desk, now + 35_000.0)
+        assert Stop(run.token) in actions
+        now = ended = now + 35_000.0
+        while not any(isinstance(a, Run) for a in actions):
+            now = next(a.at for a in actions if isinstance(a, Wake))
+            actions = step(desk, now)
+        waits.append(now - ended)
+        run = next(a for a in actions if isinstance(a, Run))
+    assert waits == [1_000.0, 2_000.0, 4_000.0, 8_000.0]
+    told = next(a for a in step(desk, now + 1.0, Ended(run.token, "ok")) if isinstance(a, Propose))
+    assert pb.Command.FromString(told.command).step.kind == Step.DONE
+
+
+def test_streams_and_bytes_an_hour_are_bounded():
+    desk = Desk()
+    for n in range(6):
+        desk.declare(f"t/d={n}", size=36)
+    for name in ENGINES:
+        desk.home(name, disk=1_000)
+    for n in range(6):
+        desk.found(f"t/d={n}", "e1")
+        desk.plan(f"t/d={n}", "e1", "e2")
+    carrier = Carrier(1, 0, lambda world, bounds: Planned(), "/staging", Bounds(2, 4, bytes_per_hour=3_600.0))
+
+    def began(now, events=()):
+        out, told = [], []
+        for action in carrier.step(now, [Seen(desk.index, desk.machine), *events]):
+            if isinstance(action, Propose):
+                command = pb.Command.FromString(action.command)
+                out.append(Step.Kind.Name(command.step.kind))
+                answer = Answer.FromString(desk.machine.apply(At(desk.index, 0), action.command, desk))
+                told.append(Proposed(action.token, answer, desk.index))
+        return out, told
+
+    first, told = began(0.0)
+    assert first == ["RESERVE", "RESERVE"]  # streams of one engine
+    second, told = began(1.0, told)
+    assert second == ["COPY"] * 2
+    for move in list(desk.machine.moves.values())[:2]:
+        desk.step(Step.UNDO, move.number)
+        desk.step(Step.UNDONE, move.number)
+    assert began(60_000.0, told)[0] == []  # 72 bytes at 3600 an hour take 72 s
+    assert began(73_500.0)[0] == ["RESERVE", "RESERVE"]
+
+
+# Plays.
+
+@pytest.mark.parametrize("kind", ONE_FAULT)
+def test_from_every_crash_and_fault_ahead_of_any_action_all_needs_are_met(kind):
+    every = 1 if kind.startswith("crash") else 3
+    for number in range(1, ACTIONS, every):
+        one_fault(number, kind, {})
+
+
+def test_mixed_faults_break_no_invariant_and_all_needs_are_met_when_they_stop():
+    for seed in range(60):
+        play(seed, engines=4, shards=3, fault_ms=50_000.0)
+
+
+def test_the_record_keeps_headroom_whatever_the_planner_wants():
+    assert all(play_careless(seed, fault_ms=40_000.0).headroom_refusals > 0 for seed in range(5))
+
+
+def test_a_move_without_faults_copies_once_and_waits_for_queries():
+    one = Play(3, engines=4, shards=3, copies=1, faults=False)
+    one.run(15_000.0)
+    one.engines["e0"].draining = True
+    one.settle()
+    assert one.steps == ["RESERVE", "COPY", "CHECK", "SWITCH", "DROP", "DONE"] and one.loads() == 1
+
+
+@pytest.mark.parametrize("title", ["switched without a check", "old copy dropped before the switch",
+                                   "old copy dropped before the record says so", "resumed move copies again"])
+def test_planted_defects_are_found(title):
+    assert hunt(DEFECTS[title], 0) is not None
+
+
+@pytest.mark.parametrize("title", [
+    "a check's answer from an earlier disk is taken", "fence not checked by the record"])
+def test_planted_defects_are_found_by_the_model(title):
+    with pytest.raises(Broken):
+        by_model(DEFECTS[title])
