Merge main into the work on moves

Need: this part builds on what stood beside it by then. Change: what the merge brings; where both sides had altered a line, the newer interface holds.

--- a/fennelwind/cli/main.py
+++ b/fennelwind/cli/main.py
@@ -12,6 +12,7 @@
 from fennelwind.cli.bench import bench
 from fennelwind.cli.demo import demo
 from fennelwind.cli.fleet import fleet
+from fennelwind.cli.output import told
 from fennelwind.cli.program import Program
 from fennelwind.cli.query import query
 from fennelwind.cli.standin import standin
@@ -48,7 +49,7 @@
     try:
         return config.load(path)
     except config.SettingsError as exc:
-        click.echo(str(exc), err=True)
+        click.echo(told(exc), err=True)
         sys.exit(2)
 
 
@@ -105,6 +106,7 @@
         stop.wait()
         if sample is not None:
             sampler.write(sample)
+        program.hand_over()
         program.close()
         ledger, driver = program.driver.ledger, program.driver
         observer.log.info(
--- a/fennelwind/standin/engine.py
+++ b/fennelwind/standin/engine.py
@@ -4,7 +4,8 @@
 `.tables`, `.rows`; `.types` gives a column of every type; `.sqlstate` makes it fail as a statement at fault
 does, after its work. It answers with that many rows of (id BIGINT, name STRING). As a real server does, it
 serves each connection's calls in turn; an operation may be named from any connection; `USE` changes its
-session alone.
+session alone. A statement of a task carries its fence, `fennelwind.fence` as `TASK:NUMBER`: an older one than
+was seen is refused, and a newer one stops what runs under an older. Fences outlast a life, as on a disk.
 """
 
 from collections import Counter
@@ -15,6 +16,7 @@
 from fennelwind.loop import Address, DeadlineExceeded, Listener, Loop, Once, Stream, StreamReset
 from fennelwind.standin.model import Job, Machine, Model
 from fennelwind.standin.runner import Runner
+from fennelwind.standin.schemas import COLUMNS, Schemas
 from fennelwind.thrift import hints, messages
 from fennelwind.thrift import hiveserver2 as hs2
 from fennelwind.thrift.codec import Malformed, Structure
@@ -32,6 +34,7 @@
 METADATA_MS = 2.0  # ms that a metadata call takes
 LONG_POLL_MS = 5000.0  # ms; Hive's own default
 ROWS_MOST = 1_000_000  # rows of one answer
+FENCES_MOST = 10_000  # tasks whose fence is remembered; statements of further ones are refused
 
 
 @dataclass(slots=True)
@@ -61,6 +64,8 @@
     types: bool = False  # a column of every type
     sql_state: str = ""  # it ends with this error of its own
     columns: tuple[str, ...] = ()  # text columns of a metadata call's answer; (): a statement's
+    task: str = ""  # of the fleet, that it is an act of
+    cells: tuple[tuple[str, ...], ...] = ()  # rows of text, where `columns` name them
 
 
 @dataclass(slots=True)
@@ -71,6 +76,7 @@
     finished: int = 0
     cancelled: int = 0
     refused: int = 0
+    fenced: int = 0  # refused for an older fence, and stopped for a newer one
     metadata: int = 0
     lives: int = 0
     falls: int = 0
@@ -127,6 +133,8 @@
         self._running: dict[Job, _Operation] = {}
         self._runner: Runner | None = None
         self._loads: list[tuple[float, dict[str, float]]] = []
+        self._fences: dict[str, int] = {}  # the highest of each task
+        self.schemas = Schemas()  # outlast a life, as in a metastore of its own
 
     @property
     def name(self) -> str:
@@ -270,6 +278,10 @@
         if self.faults.refuse:
             self.counts.refused += 1
             return reply(status=self._error("turned away", "53000", hints.write(hints.NOT_RUN)))
+        task, against = self._fence(said.get("fennelwind.fence", ""))
+        if against is not None:
+            self.counts.fenced += 1
+            return reply(status=against)
         session = request.sessionHandle.sessionId.guid
         if request.statement.startswith("USE "):
             database = request.statement.removeprefix("USE ").strip("`")
@@ -292,7 +304,7 @@
         operation = _Operation(
             handle, job, rows, Once(self.loop), session=session,
             statement=request.statement, types="standin.types" in said,
-            sql_state=said.get("standin.sqlstate", ""))
+            sql_state=said.get("standin.sqlstate", ""), task=task)
         self.counts.databases[self._sessions[session]] += 1
         self.counts.statements += 1
         self._operations[handle.operationId.guid] = operation
@@ -308,8 +320,31 @@
             operation.ended.wait()
             if self.faults.lose:
                 raise _Hang
+            if operation.state != hs2.FINISHED:
+                text = f"it ended in state {operation.state}"
+                return reply(status=self._error(text, operation.sql_state or "HY000"))
         return reply(status=self._status(), operationHandle=handle)
 
+    def _fence(self, said: str) -> tuple[str, Structure | None]:
+        """Take a statement's fence; return its task, and the error if it must not run."""
+        if not said:
+            return "", None
+        task, _, number = said.rpartition(":")
+        if not task or not (number.isascii() and number.isdigit() and len(number) <= 20):
+            return "", self._error(f"no fence: {said[:100]}", "22023")
+        fence, seen = int(number), self._fences.get(task)
+        if seen is None and len(self._fences) >= FENCES_MOST:
+            return "", self._error(f"fences of {FENCES_MOST} tasks are known", "42501")
+        if seen is not None and fence < seen:
+            text = f"fence {fence} of {task} is older than {seen}"
+            return "", self._error(text, "42501", hints.write(hints.FENCED))
+        if seen is not None and fence > seen:
+            for operation in [o for o in self._running.values() if o.task == task]:
+                self.counts.fenced += 1
+                self._stop(operation, hs2.CANCELED)
+        self._fences[task] = fence
+        return task, None
+
     def _metadata(self, method: str, request: Structure, mine: set[bytes]) -> Structure:
         """Answer a metadata call, when its work is done; the text columns are the JDBC specification's."""
         if self.faults.hang or self.faults.lose:
@@ -390,6 +425,13 @@
                 _column(position, *each, numbers) for position, each in enumerate(EVERY_TYPE.values())])
             return hs2.TFetchResultsResp(
                 status=self._status(), hasMoreRows=stop < operation.rows, results=rows)
+        if operation.cells:
+            rows = hs2.TRowSet(startRowOffset=start, rows=[], columns=[
+                hs2.TColumn(stringVal=hs2.make("TStringColumn", nulls=b"", values=[
+                    operation.cells[n][i].encode() if i < len(operation.cells[n]) else b"" for n in numbers]))
+                for i in range(len(COLUMNS))])
+            return hs2.TFetchResultsResp(
+                status=self._status(), hasMoreRows=stop < operation.rows, results=rows)
         if operation.columns:
             rows = hs2.TRowSet(startRowOffset=start, rows=[], columns=[
                 hs2.TColumn(stringVal=hs2.make(
@@ -433,6 +475,9 @@
     def _done(self, job: Job) -> None:
         operation = self._running.pop(job, None)
         if operation is not None:
+            if self.schemas.knows(operation.statement) and not self.faults.error:
+                operation.sql_state, operation.cells = self.schemas.run(operation.statement)
+                operation.rows, operation.columns = len(operation.cells), COLUMNS
             failed = self.faults.error or operation.sql_state
             operation.state = hs2.FAILED if failed else hs2.FINISHED
             self.counts.finished += 1
