The play takes an engine's refusal of a load for its end

Need: it came up in the work on the fleet's record and what stands on it. Change: fennelwind/shards/machine.py, tests/move_play.py (2 files changed, 2 insertions(+), 1 deletion(-)).

--- a/fennelwind/shards/machine.py
+++ b/fennelwind/shards/machine.py
@@ -583,7 +583,7 @@
 
 
 def _barred(shard: Shard, facts: Facts, begins: bool) -> bool:
-    """Tell whether a table's change keeps a shard where it is; one that is only wished for bars beginnings."""
+    """Tell whether a change of its table keeps a shard where it is; a mere wish bars what would begin."""
     return bool(facts.fact("changing", shard.table) or begins and facts.fact("wanted", shard.table))
 
 
--- a/tests/move_play.py
+++ b/tests/move_play.py
@@ -306,6 +306,7 @@
         if not engine.up or engine.life_number != life:
             return self.answer(holder, action.token, hang, "unknown")
         if self.now < engine.fail:
+            self.flying.pop((holder, action.token), None)
             return self.answer(holder, action.token, hang, "failed")
         try:
             task = engine.shelf.begin(action.statement, action.overlay)
