--- a/fennelwind/shards/carrier.py
+++ b/fennelwind/shards/carrier.py
@@ -147,6 +147,7 @@
     kind: str
     until: float
     pair: tuple[str, str] | None = None  # shard and engine of a statement
+    seen: int = 0  # entry up to which the record was seen when it was sent
 
 
 @dataclass(slots=True)
@@ -270,7 +271,7 @@
              within: float) -> None:
         self._token += 1
         self._asked[self._token] = _Asked(
-            owner, kind, self._now + within + self.timing.slack_ms, (shard, engine))
+            owner, kind, self._now + within + self.timing.slack_ms, (shard, engine), self._index)
         self._out.append(Run(self._token, engine, statement, steps.overlay(self.fence, within), within))
 
     def _proposed(self, event: Proposed) -> None:
@@ -293,7 +294,10 @@
                     for engine in self.machine.good(asked.owner[0]):
                         self._doubts.setdefault((asked.owner[0], engine), (0, 0.0))
             if asked.kind == "news":
-                self._news = {n: home for n, home in self._news.items() if home not in asked.owner}
+                later = {home.name for home, refusal in zip(asked.owner, answer.refusals, strict=False)
+                         if refusal == Answer.WAITS}
+                self._news = {name: home for name, home in self._news.items()
+                              if home not in asked.owner or name in later}
             return
         if not answer.refusal:
             if asked.kind == "COPY":
@@ -532,7 +536,7 @@
         if news:
             told = [pb.Home(name=h.name, zone=h.zone, kind=h.kind, disk=h.disk, headroom=h.headroom,
                             life=h.life, mark=h.mark, spilled=h.spilled) for h in news]
-            self._propose(news, "news", news=pb.News(homes=told))
+            self._propose(news, "news", news=pb.News(homes=told, seen=self._index))
 
     def _check_doubtful(self) -> None:
         """Check what came back with an engine, and what an engine lists that the record doesn't know."""
@@ -566,6 +570,7 @@
         self._doubts.pop(asked.pair, None)
         self._propose(asked.pair, "found", found=pb.Found(
             shard=shard, engine=engine, generation=home.generation, rows=event.rows, checksum=event.checksum,
+            seen=asked.seen,
             present=event.rows > 0 or known.rows == 0 or shard in self._listed.get(engine, ())))
 
     def _again_doubt(self, pair: tuple[str, str]) -> None:
--- a/fennelwind/shards/machine.py
+++ b/fennelwind/shards/machine.py
@@ -27,6 +27,7 @@
 PLAN_MOST = 1_024  # moves in one command, far within the record's bound on a command
 NAME_MOST = 512  # characters of a name
 SIZE_MOST = 2**60  # bytes of a shard or a disk; sums of them stay far from 2**64
+PIECE_MOST = 1024 * 1024  # bytes of its state in one answer, half of what a frame holds
 REST_MS = 10_000  # ms from a switch until the old copy may go: views are used for 5 s, twice for clocks' sake
 ASIDE_FIRST_MS, ASIDE_MOST_MS = 30_000, 3_600_000  # ms that a shard rests after a failed move; it doubles
 
@@ -49,6 +50,10 @@
         self.used: dict[str, int] = {}  # bytes of copies by engine, whatever their state
         self.last_move = 0
         self.changes = 0  # counts what may call for another plan
+        self.revision = 0  # the entry that last changed anything
+        self._touched: dict[str, int] = {}  # by shard: the entry of its last step, or of its last figures
+        self._heard_at: dict[str, int] = {}  # by engine: the entry of the last news
+        self._told: tuple[int, bytes] | None = None  # the state as it was asked for last
         self._of_table: dict[str, dict[str, None]] = {}  # shards by table
         self._of_shard: dict[str, int] = {}  # the one move of a shard
         self._due: int | None = None
@@ -103,6 +108,18 @@
             copies=copies, moves=moves, frozen=frozenset(frozen),
             aside=frozenset(shard for shard, (until, _) in self.asides.items() if until))
 
+    def asked(self, query: bytes) -> bytes:
+        """Answer a `ShardQuery` with a `ShardSeen`; nothing changes. b"": it can't be read."""
+        try:
+            skip = pb.ShardQuery.FromString(query).skip
+        except DecodeError:
+            return b""
+        if self._told is None or self._told[0] != self.revision:
+            self._told = self.revision, self.snapshot()
+        revision, state = self._told
+        return pb.ShardSeen(revision=revision, size=len(state),
+                            piece=state[skip:skip + PIECE_MOST]).SerializeToString()
+
     # The record's side.
 
     def apply(self, at: At, command: bytes, facts: Facts) -> bytes:
@@ -115,12 +132,14 @@
         if what is None:
             raise UnreadableCommand("a command of no kind")
         if what in ("declare", "remove"):
-            answer = getattr(self, "_" + what)(getattr(asked, what))
+            answer = getattr(self, "_" + what)(getattr(asked, what), at)
         elif not self._fenced(asked.fence, facts):
             answer = Answer(refusal=Answer.FENCE)
         else:
             answer = getattr(self, "_" + what)(getattr(asked, what), at, facts)
         self._look_ahead()
+        if not answer.refusal and (not answer.refusals or 0 in answer.refusals):
+            self.revision = at.index
         return answer.SerializeToString(deterministic=True)
 
     def _fenced(self, fence: int, facts: Facts) -> bool:
@@ -131,6 +150,7 @@
         for number, move in self.moves.items():
             if _rests(move) and move.at_ms + REST_MS <= at.clock_ms:
                 self.moves[number] = replace(move, rested=True)
+        self.revision = at.index
         for shard, (until, times) in self.asides.items():
             if until and until <= at.clock_ms:
                 self.changes += 1
@@ -148,12 +168,12 @@
 
     # Operators and news.
 
-    def _declare(self, asked: pb.Declare) -> pb.Answer:
+    def _declare(self, asked: pb.Declare, at: At) -> pb.Answer:
         if len(asked.shards) > PLAN_MOST:
             return Answer(refusal=Answer.TOO_MANY)
-        return Answer(refusals=[self._declared(told) for told in asked.shards])
+        return Answer(refusals=[self._declared(told, at) for told in asked.shards])
 
-    def _declared(self, told: pb.Shard) -> int:
+    def _declared(self, told: pb.Shard, at: At) -> int:
         named = told.table and told.name.startswith(told.table + "/") and len(told.name) <= NAME_MOST
         if not (named and 0 < told.size <= SIZE_MOST and 1 <= told.copies <= COPIES_MOST
                 and 1 <= told.zones <= told.copies and _sane(told.heat)
@@ -172,12 +192,13 @@
                 self.used[engine] += shard.size - known.size
         if told.checked:  # a load's own word: all good copies hold this now
             shard = replace(shard, rows=told.rows, checksum=told.checksum)
+            self._touched[shard.name] = at.index
         self.shards[told.name] = shard
         self.changes += 1
         self._of_table.setdefault(shard.table, {})[shard.name] = None
         return Answer.NONE
 
-    def _remove(self, asked: pb.Remove) -> pb.Answer:
+    def _remove(self, asked: pb.Remove, at: At) -> pb.Answer:
         if asked.engine:
             return self._remove_home(asked.engine)
         shard = self.shards.get(asked.shard)
@@ -189,6 +210,7 @@
             return Answer(refusal=Answer.HELD)
         del self.shards[shard.name]
         self.asides.pop(shard.name, None)
+        self._touched.pop(shard.name, None)
         of_table = self._of_table[shard.table]
         del of_table[shard.name]
         if not of_table:
@@ -205,19 +227,22 @@
             return Answer(refusal=Answer.UNDER_WAY)
         self._emptied(engine)
         del self.homes[engine]
+        del self._heard_at[engine]
         return Answer()
 
     def _news(self, asked: pb.News, at: At, facts: Facts) -> pb.Answer:
         if len(asked.homes) > PLAN_MOST:
             return Answer(refusal=Answer.TOO_MANY)
-        return Answer(refusals=[self._heard(told) for told in asked.homes])
+        return Answer(refusals=[self._heard(told, asked.seen, at) for told in asked.homes])
 
-    def _heard(self, told: pb.Home) -> int:
+    def _heard(self, told: pb.Home, seen: int, at: At) -> int:
         if not (_named(told.name) and all(len(t) <= NAME_MOST for t in (told.zone, told.kind, told.mark))
                 and told.disk <= SIZE_MOST and told.headroom <= SIZE_MOST and told.spilled <= SIZE_MOST
                 and told.life in LIVES):
             return Answer.BAD
         known = self.homes.get(told.name)
+        if seen < self._heard_at.get(told.name, 0):
+            return Answer.WAITS  # it may be older than what is known
         if known is None and len(self.homes) >= HOMES_MOST:
             return Answer.TOO_MANY
         home = Home(told.name, told.zone, told.kind, told.disk, told.headroom, told.life, 0, told.mark,
@@ -228,7 +253,7 @@
                 home = replace(home, generation=known.generation + 1)
                 self._emptied(home.name)
         self.changes += home != known
-        self.homes[home.name] = home
+        self.homes[home.name], self._heard_at[home.name] = home, at.index
         if home.life == "gone" and known is not None and known.life != "gone":
             self._doubted(home.name)
         return Answer.NONE
@@ -265,6 +290,8 @@
             return Answer.UNKNOWN
         if home.generation != asked.generation or home.life == "gone":
             return Answer.TARGET
+        if asked.seen < self._touched.get(shard.name, 0):
+            return Answer.WAITS  # for another check: copies have come or gone since this one began
         move = self.move_of(shard.name)
         if move is not None and move.step in UNDER_WAY and home.name in (move.target, move.drops):
             return Answer.UNDER_WAY
@@ -348,7 +375,10 @@
         forth = asked.kind in (Step.RESERVE, Step.COPY, Step.CHECK, Step.SWITCH, Step.DROP)
         if forth and _barred(self.shards[move.shard], facts, begins=move.step == "planned"):
             return Answer(refusal=Answer.CHANGING)
-        return Answer(refusal=take(move, asked, at))
+        refusal = take(move, asked, at)
+        if not refusal:
+            self._touched[move.shard] = at.index
+        return Answer(refusal=refusal)
 
     def _at(self, move: Move, step: str, at: At, **more: object) -> None:
         self.moves[move.number] = replace(move, step=step, at_ms=at.clock_ms, **more)
@@ -531,14 +561,15 @@
 
     def snapshot(self) -> bytes:
         """Return its state; equal states give equal bytes."""
-        state = pb.State(last_move=self.last_move, changes=self.changes)
+        state = pb.State(last_move=self.last_move, changes=self.changes, revision=self.revision)
         for _, s in sorted(self.shards.items()):
             state.shards.add(name=s.name, table=s.table, size=s.size, copies=s.copies, zones=s.zones,
                              kinds=s.kinds, heat=s.heat, checked=s.rows >= 0, rows=max(s.rows, 0),
-                             checksum=s.checksum)
+                             checksum=s.checksum, touched=self._touched.get(s.name, 0))
         for _, h in sorted(self.homes.items()):
             state.homes.add(name=h.name, zone=h.zone, kind=h.kind, disk=h.disk, headroom=h.headroom,
-                            life=h.life, generation=h.generation, mark=h.mark, spilled=h.spilled)
+                            life=h.life, generation=h.generation, mark=h.mark, spilled=h.spilled,
+                            heard=self._heard_at[h.name])
         for shard in sorted(self.copies):
             for _, c in sorted(self.copies[shard].items()):
                 state.copies.add(shard=shard, engine=c.engine, state=c.state, wrong=c.wrong)
@@ -559,7 +590,10 @@
             self.shards[s.name] = Shard(s.name, s.table, s.size, s.copies, s.zones, tuple(s.kinds), s.heat,
                                         s.rows if s.checked else -1, s.checksum)
             self._of_table.setdefault(s.table, {})[s.name] = None
+            if s.touched:
+                self._touched[s.name] = s.touched
         for h in state.homes:
+            self._heard_at[h.name] = h.heard
             self.homes[h.name] = Home(h.name, h.zone, h.kind, h.disk, h.headroom, h.life, h.generation,
                                       h.mark, h.spilled)
         for c in state.copies:
@@ -570,7 +604,7 @@
                                         at_ms=m.at_ms, rested=m.rested)
             self._of_shard[m.shard] = m.number
         self.asides = {a.shard: (a.until_ms, a.times) for a in state.asides}
-        self.changes = state.changes
+        self.changes, self.revision = state.changes, state.revision
         self._look_ahead()
 
 
