--- a/fennelwind/shards/steps.py
+++ b/fennelwind/shards/steps.py
@@ -68,13 +68,21 @@
 
 
 def check(shard: str) -> str:
-    """Return what counts a copy's rows and sums their hashes.
+    """Return what counts a copy's rows and sums their hashes, both as text.
 
     The sum finds lost, doubled, cut and stale rows; it is no guard against rows made to deceive.
     """
     where = " AND ".join(f"{name_of(column)}={literal(value)}" for column, value in partition(shard))
-    return (f"SELECT COUNT(*), COALESCE(SUM(CAST(HASH(*) AS BIGINT)), 0) FROM {name(table(shard))}"
-            + (f" WHERE {where}" if where else ""))
+    return (f"SELECT CAST(COUNT(*) AS STRING), CAST(COALESCE(SUM(CAST(HASH(*) AS BIGINT)), 0) AS STRING) "
+            f"FROM {name(table(shard))}" + (f" WHERE {where}" if where else ""))
+
+
+def listing(table: str, whole: bool) -> str:
+    """Return what lists a table's partitions on an engine; of a whole one, the table itself."""
+    if not whole:
+        return f"SHOW PARTITIONS {name(table)}"
+    database, _, plain = table.rpartition(".")
+    return f"SHOW TABLES{' IN ' + name(database) if database else ''} LIKE {literal(plain)}"
 
 
 def folder(base: str, move: int, fence: int, attempt: int) -> str:
--- a/fennelwind/standin/engine.py
+++ b/fennelwind/standin/engine.py
@@ -17,6 +17,7 @@
 from fennelwind.standin.model import Job, Machine, Model
 from fennelwind.standin.runner import Runner
 from fennelwind.standin.schemas import COLUMNS, Schemas
+from fennelwind.standin.shelves import Refused, Shelf, Task
 from fennelwind.thrift import hints, messages
 from fennelwind.thrift import hiveserver2 as hs2
 from fennelwind.thrift.codec import Malformed, Structure
@@ -66,6 +67,7 @@
     columns: tuple[str, ...] = ()  # text columns of a metadata call's answer; (): a statement's
     task: str = ""  # of the fleet, that it is an act of
     cells: tuple[tuple[str, ...], ...] = ()  # rows of text, where `columns` name them
+    shelved: Task | None = None  # what it does to the disk
 
 
 @dataclass(slots=True)
@@ -135,6 +137,7 @@
         self._loads: list[tuple[float, dict[str, float]]] = []
         self._fences: dict[str, int] = {}  # the highest of each task
         self.schemas = Schemas()  # outlast a life, as in a metastore of its own
+        self.shelf: Shelf | None = None  # tables' partitions on its disk, where a rig gives it one
 
     @property
     def name(self) -> str:
@@ -298,13 +301,20 @@
             rows = min(int(said.get("standin.rows", 1)), ROWS_MOST)
         except ValueError as exc:
             return reply(status=self._error(str(exc), "22023", hints.write(hints.NOT_RUN)))
+        shelved = None
+        if self.shelf is not None and self.shelf.knows(request.statement):
+            try:
+                shelved = self.shelf.begin(request.statement, {})
+            except Refused as exc:
+                return reply(status=self._error(str(exc), exc.state))
+            job = Job(max(shelved.size * self.shelf.ms_per_byte, 1.0), 1)
         handle = hs2.TOperationHandle(
             operationId=hs2.THandleIdentifier(self.loop.token(16), self.loop.token(16)),
             operationType=hs2.EXECUTE_STATEMENT, hasResultSet=True)
         operation = _Operation(
             handle, job, rows, Once(self.loop), session=session,
             statement=request.statement, types="standin.types" in said,
-            sql_state=said.get("standin.sqlstate", ""), task=task)
+            sql_state=said.get("standin.sqlstate", ""), task=task, shelved=shelved)
         self.counts.databases[self._sessions[session]] += 1
         self.counts.statements += 1
         self._operations[handle.operationId.guid] = operation
@@ -475,7 +485,10 @@
     def _done(self, job: Job) -> None:
         operation = self._running.pop(job, None)
         if operation is not None:
-            if self.schemas.knows(operation.statement) and not self.faults.error:
+            if operation.shelved is not None and not self.faults.error:
+                operation.sql_state, operation.cells = self.shelf.run(operation.shelved)
+                operation.rows, operation.columns = len(operation.cells), COLUMNS
+            elif self.schemas.knows(operation.statement) and not self.faults.error:
                 operation.sql_state, operation.cells = self.schemas.run(operation.statement)
                 operation.rows, operation.columns = len(operation.cells), COLUMNS
             failed = self.faults.error or operation.sql_state
