From each state that a dead holder leaves, the next goes on or back: all enumerated

In full: From each state that a dead holder leaves, the next goes on or back: all enumerated; strange bytes.

--- a/tests/contracts_world.py
+++ b/tests/contracts_world.py
@@ -181,3 +181,24 @@
             if engine.there and name not in behind:
                 assert engine.running is None, f"{name}: something still runs"
                 assert engine.shape == wanted, f"{name}: {engine.shape}, the record says {wanted}"
+
+
+# What an engine may be, by what the record says of it: its state there, and whether it has the new schema.
+FORWARD = [(pb.Change.WAITING, False), (pb.Change.ASKED, False), (pb.Change.ASKED, True),
+           (pb.Change.DONE, True),
+           (pb.Change.GONE_AWAY, False), (pb.Change.GONE_AWAY, True)]
+BACK = [*FORWARD, (pb.Change.ASKED_BACK, False), (pb.Change.ASKED_BACK, True), (pb.Change.UNDONE, False)]
+
+
+def standing(step, states, fence, back=True):
+    """Return a world whose last holder died with the engines in these states."""
+    world = World(1, engines=len(states), back=back, faults=0)
+    change = world.machine.changes[world.number]
+    change.step, change.fence, world.fence = step, fence, fence
+    for (name, engine), (state, new) in zip(world.engines.items(), states, strict=True):
+        change.engines[name] = state
+        engine.shape, engine.fence = shape(NEW if new else OLD), fence
+        engine.there = state != pb.Change.GONE_AWAY
+        if state in (pb.Change.ASKED, pb.Change.ASKED_BACK):
+            change.quiet.add(name)
+    return world
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -1,18 +1,28 @@
 """The gate for schema changes: types, rules, the checker, the machine on the record."""
 
+from itertools import product
 from pathlib import Path
+from random import Random
 
 import pytest
 from contracts_defects import DEFECTS, search
 from contracts_model import GateModel
 from contracts_search import Broken, Search
-from contracts_world import World
+from contracts_world import BACK, FORWARD, World, standing
 from hypothesis import HealthCheck, settings
 from hypothesis.stateful import run_state_machine_as_test
+from test_descriptors import fill
 
 from fennelwind.contracts import contracts_pb2 as pb
-from fennelwind.contracts.machine import BEGIN_MS, REST_MS, TERM_LEAST_MS, WANTED_MS, ContractMachine
-from fennelwind.contracts.messages import reads_message, schema_message
+from fennelwind.contracts.machine import (
+    BEGIN_MS,
+    FINISHED,
+    REST_MS,
+    TERM_LEAST_MS,
+    WANTED_MS,
+    ContractMachine,
+)
+from fennelwind.contracts.messages import reads_message, schema_message, type_message
 from fennelwind.contracts.rules import NUMBER, RULES, Level, type_rules
 from fennelwind.contracts.said import SaidError, parse_reads, publication, reads_text, subscription
 from fennelwind.contracts.types import SchemaError, SchemaTextError, parse_schema, parse_type
@@ -340,6 +350,16 @@
     assert world.holders
 
 
+@pytest.mark.parametrize("step, states, back", [
+    (pb.Change.FORWARD, FORWARD, True), (pb.Change.FORWARD, FORWARD, False), (pb.Change.BACK, BACK, True)])
+def test_from_each_state_that_a_dead_holder_leaves_the_next_goes_on_or_back(step, states, back):
+    for both in product(states, states):
+        world = standing(step, both, 3, back)
+        world.play()
+        forward = world.machine.ended[world.number] == FINISHED
+        assert forward == (step == pb.Change.FORWARD) and world.holders == 1
+
+
 def test_an_engine_that_returns_half_way_is_not_taken_for_untouched(gate):
     number = gate.propose("t", "a int, b string, c int", engines=["e1"]).number
     gate.facts.fence["table:t"] = 7
@@ -467,3 +487,52 @@
     monkeypatch.setattr(machine, "apply", apply)
     with pytest.raises(Broken):
         Search().run()
+
+
+# Bytes of any kind.
+
+def strange(random):
+    """Return a command filled by chance, some of its bytes changed."""
+    kind = random.choice(pb.ContractCommand.DESCRIPTOR.oneofs_by_name["what"].fields).name
+    told = pb.ContractCommand(rules=NUMBER)
+    made = fill(getattr(told, kind), random)
+    if random.random() < 0.7:
+        typed(made, random)
+    getattr(told, kind).SetInParent()
+    for name in ("table", "name", "publisher"):
+        if hasattr(made, name) and random.random() < 0.8:
+            setattr(made, name, random.choice(("t", "u", "T", "", "a.b", "é" * 300)))
+    raw = bytearray(told.SerializeToString())
+    for _ in range(random.choice((0, 0, 1, 3))):
+        raw[random.randrange(len(raw))] = random.randrange(256)
+    return bytes(raw)
+
+
+def typed(message, random):
+    """Put what can be right in place of some of it, so that more than names is looked at."""
+    for name, right in (("was", ""), ("star", False), ("version", random.randrange(12)), ("place", 0),
+                        ("ask_only", False), ("term_ms", random.choice((0, 10**5, 2**64 - 1)))):
+        if name in message.DESCRIPTOR.fields_by_name and random.random() < 0.9:
+            setattr(message, name, right)
+    for field, what in message.ListFields():
+        if field.message_type is not None and field.name == "type":
+            what.CopyFrom(type_message(parse_type(random.choice(("int", "string", "decimal(5,2)", "date")))))
+        elif field.message_type is not None:
+            for each in what if field.is_repeated else (what,):
+                typed(each, random)
+
+
+def test_no_bytes_raise_anything_but_that_they_cannot_be_read(gate):
+    random = Random(5)
+    for index in range(2, 1500):
+        gate.machine.pass_time(At(index, index * 100))
+        command = strange(random)
+        try:
+            pb.ContractAnswer.FromString(gate.machine.apply(At(index, index * 100), command, gate.facts))
+        except UnreadableCommand:
+            continue
+        finally:
+            gate.machine.asked(command)
+    data, other = gate.machine.snapshot(), ContractMachine()
+    other.restore(data)
+    assert other.snapshot() == data
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -157,24 +157,25 @@
 
 
 WHOLE = {FieldDescriptor.CPPTYPE_INT32: 31, FieldDescriptor.CPPTYPE_INT64: 63}
+NATURAL = {FieldDescriptor.CPPTYPE_UINT32: 32, FieldDescriptor.CPPTYPE_UINT64: 64}
 
 
-def value(field, random, make):
+def value(field, random):
+    if field.cpp_type in NATURAL:
+        return random.randrange(1, 1 << random.randrange(1, NATURAL[field.cpp_type] + 1))
     if field.cpp_type in WHOLE:
         return random.choice((1, -1)) * random.randrange(1, 1 << random.randrange(1, WHOLE[field.cpp_type]))
-    if field.cpp_type == FieldDescriptor.CPPTYPE_UINT32:
-        return random.randrange(1, 1 << 32)
     if field.cpp_type == FieldDescriptor.CPPTYPE_ENUM:
         return random.choice(field.enum_type.values).number
     if field.type == FieldDescriptor.TYPE_BYTES:
         return random.randbytes(5)
     if field.cpp_type == FieldDescriptor.CPPTYPE_STRING:
         return "".join(random.choice("abcäöü") for _ in range(4))
-    return make()
+    return random.random() < 0.5
 
 
-def fill(message, random):
-    """Give all fields a value, of a oneof one."""
+def fill(message, random, depth=0):
+    """Give all fields a value, of a oneof one; messages inside themselves to some depth."""
     for field in message.DESCRIPTOR.fields:
         if field.containing_oneof is not None and random.random() < 0.5:
             continue
@@ -182,18 +183,20 @@
         if field.message_type is not None and field.message_type.GetOptions().map_entry:
             of = field.message_type.fields_by_name["value"]
             if of.message_type is not None:
-                fill(there["k"], random)
+                fill(there["k"], random, depth + 1)
             else:
-                there["k"] = value(of, random, None)
+                there["k"] = value(of, random)
+        elif field.message_type is not None and depth > 5:
+            continue
         elif field.is_repeated and field.message_type is not None:
-            fill(there.add(), random)
+            fill(there.add(), random, depth + 1)
         elif field.is_repeated:
-            there.extend(value(field, random, None) for _ in range(3))
+            there.extend(value(field, random) for _ in range(3))
         elif field.message_type is not None:
             there.SetInParent()
-            fill(there, random)
+            fill(there, random, depth + 1)
         else:
-            setattr(message, field.name, value(field, random, None))
+            setattr(message, field.name, value(field, random))
     return message
 
 
