Refusals of the gate as errors: who would break, in what, and what to do instead

An answer in numbers helps no publisher.

Each refusal is a type with a code and advice; a rejection's text has a line for each group of subscribers.

--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -14,6 +14,7 @@
 from test_descriptors import fill
 
 from fennelwind.contracts import contracts_pb2 as pb
+from fennelwind.contracts.errors import refusal
 from fennelwind.contracts.machine import (
     BEGIN_MS,
     FINISHED,
@@ -536,3 +537,24 @@
     data, other = gate.machine.snapshot(), ContractMachine()
     other.restore(data)
     assert other.snapshot() == data
+
+
+# What is told.
+
+def test_a_rejection_names_every_subscriber_what_breaks_and_what_to_do_instead(gate):
+    for name in ("report", "export"):
+        gate.register(name, t="a int by name")
+    gate.register("whole", t="* by place")
+    error = refusal(gate.propose("t", "a bigint, b string, c int"))
+    assert (error.code, error.facts["subscribers"]) == ("contracts-would-break", 3)
+    text = str(error)
+    assert "export, report: a: values may be out of the range" in text and "Add a column of the" in text
+    assert "whole: c: a row has more columns" in text and "by name or by place" in text
+    assert refusal(gate.propose("t", "a int, b string")) is None
+
+
+def test_every_refusal_is_a_type_with_advice():
+    for value in pb.Refusal.values():
+        error = refusal(pb.ContractAnswer(refusal=value, again_ms=5))
+        assert (error is None) == (value == pb.NONE)
+        assert error is None or (error.advice and error.told()["again_ms"] == 5)
