--- a/tests/contracts_world.py
+++ b/tests/contracts_world.py
@@ -202,3 +202,16 @@
         if state in (pb.Change.ASKED, pb.Change.ASKED_BACK):
             change.quiet.add(name)
     return world
+
+
+if __name__ == "__main__":
+    import sys
+    from collections import Counter
+    ended = Counter()
+    for seed in range(int(sys.argv[1])):
+        world = World(seed, engines=1 + seed % 3, at_once=seed % 2 == 1, back=seed % 5 != 0)
+        world.play()
+        ended[{1: "finished", 2: "undone"}[world.machine.ended[world.number]]] += 1
+        ended["holders"] += world.holders
+        ended["statements"] += world.acted
+    print(dict(ended))
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -14,6 +14,7 @@
 from test_descriptors import fill
 
 from fennelwind.contracts import contracts_pb2 as pb
+from fennelwind.contracts.desk import Answered, Desk
 from fennelwind.contracts.errors import refusal
 from fennelwind.contracts.machine import (
     BEGIN_MS,
@@ -558,3 +559,69 @@
         error = refusal(pb.ContractAnswer(refusal=value, again_ms=5))
         assert (error is None) == (value == pb.NONE)
         assert error is None or (error.advice and error.told()["again_ms"] == 5)
+
+
+# The side of one controller.
+
+REPORT = {"fennelwind.subscriber": "report", "fennelwind.subscriber.term_s": "30",
+          "fennelwind.reads.t": "a int"}
+
+
+def answered(gate, asks):
+    made = []
+    for ask in asks:
+        kind = ask.command.WhichOneof("what")
+        made.append(Answered(ask.token, gate.do(**{kind: getattr(ask.command, kind)})))
+    return made
+
+
+def test_sessions_that_say_the_same_register_once_and_are_renewed_while_one_is_open(gate):
+    desk = Desk()
+    said = [desk.opened(0, REPORT, 10) for _ in range(3)]
+    assert desk.opened(0, {}, 10) is None
+    asks = desk.step(0)
+    assert [ask.command.WhichOneof("what") for ask in asks] == ["register"] and not desk.step(1)
+    assert not desk.step(5, answered(gate, asks)) and desk.due == 5 + 10_000
+    desk.closed(said[0])
+    gate.clock = 10_005
+    asks = desk.step(10_005)
+    assert [ask.command.WhichOneof("what") for ask in asks] == ["renew"]
+    desk.step(10_006, answered(gate, asks))
+    for each in said[1:]:
+        desk.closed(each)
+    assert desk.due is None and not desk.step(99_999)
+    gate.clock = 39_000
+    assert gate.propose("t", "a bigint, b string").refusal == pb.BROKEN
+    gate.clock = 40_100
+    assert not gate.propose("t", "a bigint, b string").refusal  # its term is over
+
+
+def test_a_subscription_that_lapsed_registers_anew_and_one_that_breaks_is_told(gate):
+    desk = Desk()
+    said = desk.opened(0, REPORT, 10)
+    desk.step(0, answered(gate, desk.step(0)))
+    gate.clock = 31_000
+    assert not gate.propose("t", "a bigint, b string").refusal
+    asks = desk.step(31_000)
+    asks = desk.step(31_001, answered(gate, asks))
+    assert [ask.command.WhichOneof("what") for ask in asks] == ["register"]
+    assert not desk.step(31_002, answered(gate, asks)) and desk.due is None
+    assert desk.error(said).code == "contracts-would-break"
+    desk.opened(31_003, REPORT, 10)  # another session tries again
+    assert desk.step(31_003)
+
+
+def test_without_a_record_the_desk_asks_ever_less_often_and_holds_nobody_up():
+    desk, now, asked = Desk(), 0.0, []
+    desk.opened(now, REPORT, 10)
+    while now < 300_000:
+        asks = desk.step(now)
+        asked += [now] * len(asks)
+        desk.step(now, [Answered(ask.token, None) for ask in asks])
+        now = desk.due
+    gaps = [b - a for a, b in zip(asked, asked[1:], strict=False)]
+    assert gaps[:4] == [1000, 2000, 4000, 8000] and max(gaps) == 60_000
+    silent = Desk()
+    silent.opened(0, REPORT, 10)
+    assert silent.step(0) and not silent.step(100) and silent.due == 30_000 and not silent.step(30_000)
+    assert silent.step(31_000)
