One way to ask and one to tell: the keeper's

In full: One way to ask and one to tell: the keeper's; engines that missed a change stay out of the next. The machine had questions of its own beside the keeper's, and the keeper asks a machine that has any: a publisher's look for the outcome of its change would have been read as another question. They are gone, with the errors and the desk that the keeper's gate has as well. An engine that was away while a table changed would need that change first; a later change leaves it out, and it stays behind.

--- a/fennelwind/contracts/checker.py
+++ b/fennelwind/contracts/checker.py
@@ -4,11 +4,9 @@
 once. A check costs as much as there are different forms of reading the one table.
 """
 
-from collections.abc import Iterator
 from typing import NamedTuple
 
 from fennelwind.contracts.rules import (
-    RULES,
     Finding,
     Form,
     Level,
@@ -48,22 +46,6 @@
         """Broken if any subscriber breaks; a warning if there is anything to be known."""
         return max(worst(self.own), max((each.level for each in self.affected), default=Level.ACCEPTED))
 
-    def told(self) -> Iterator[str]:
-        """Return the verdict in lines for a person."""
-        for finding in self.own:
-            yield f"{finding.level.name.lower()}: {told(finding)}"
-        for each in self.affected:
-            for finding in each.findings:
-                yield f"{finding.level.name.lower()}: {', '.join(each.names)}: {told(finding)}"
-
-
-def told(finding: Finding) -> str:
-    """Return a finding as a sentence, with what the publisher can do instead."""
-    rule = RULES[finding.rule]
-    about = f" ({finding.what})" if finding.what else ""
-    column = f"{finding.column}: " if finding.column else ""
-    return f"{column}{rule.says}{about}. {rule.instead}".rstrip()
-
 
 class Subscriptions:
     """Who reads which table in which form."""
--- a/fennelwind/contracts/machine.py
+++ b/fennelwind/contracts/machine.py
@@ -192,46 +192,6 @@
             return int(key in self.by_table)
         return int(kind == "wanted" and self.wanted.get(key, (0, 0))[0] > 0)
 
-    def asked(self, query: bytes) -> bytes:
-        """Answer a `ContractQuery` with a `ContractSeen`; nothing changes. b"": it can't be read."""
-        try:
-            told = pb.ContractQuery.FromString(query)
-            kind = told.WhichOneof("what")
-            seen = pb.ContractSeen()
-            if kind is not None:
-                getattr(self, "_see_" + kind)(getattr(told, kind), told.skip, seen)
-        except (DecodeError, SchemaError):
-            return b""
-        return seen.SerializeToString(deterministic=True)
-
-    def _see_table(self, name: str, skip: int, seen: pb.ContractSeen) -> None:
-        table, number = self.tables.get(name), self.by_table.get(name)
-        if table is not None:
-            seen.version = table.version
-            seen.schema.CopyFrom(schema_message(table.schema))
-        if number is not None:
-            seen.changes.append(change_message(self.changes[number]))
-        seen.quiet.extend(sorted(self.quiet(name)))
-
-    def _see_change(self, number: int, skip: int, seen: pb.ContractSeen) -> None:
-        seen.outcome = self.ended.get(number, 0)
-        if number in self.changes:
-            seen.changes.append(change_message(self.changes[number]))
-
-    def _see_all_changes(self, wanted: bool, skip: int, seen: pb.ContractSeen) -> None:
-        seen.changes.extend(change_message(change) for _, change in sorted(self.changes.items()))
-
-    def _see_subscriber(self, name: str, skip: int, seen: pb.ContractSeen) -> None:
-        seen.subscriptions.extend(_told(self.subscriptions[n]) for n in self._by_name.get(name, ()))
-
-    def _see_verdict(self, told: pb.Propose, skip: int, seen: pb.ContractSeen) -> None:
-        table = self.tables.get(told.table)
-        old, new = table.schema if table is not None else None, None
-        if told.HasField("schema"):
-            new, _ = numbered(read_schema(told.schema), old, self.next_column)
-        verdict = check(self.readers, told.table, old, new, anew=told.anew, publisher=told.publisher)
-        verdict_message(verdict, seen.verdict, skip)
-
     def quiet(self, table: str) -> frozenset[str]:
         """Return the engines to which no new query of a table is to go.
 
@@ -375,6 +335,9 @@
         if len(self.changes) >= CHANGES_MOST or (table is None and len(self.tables) >= TABLES_MOST):
             answer.refusal, answer.again_ms = Refused.TOO_MANY, AGAIN_MS
             return
+        # Engines that missed a change would need that one first: they stay out, and behind.
+        behind = table.behind if table is not None else set()
+        engines = {engine: state for engine, state in engines.items() if engine not in behind} or engines
         self.next_column = following
         self.wanted.pop(name, None)
         change = Underway(at.index, name, publisher, answer.version, new, told.anew, engines,
--- a/fennelwind/contracts/messages.py
+++ b/fennelwind/contracts/messages.py
@@ -5,7 +5,7 @@
 
 from fennelwind.contracts import contracts_pb2 as pb
 from fennelwind.contracts.checker import Verdict
-from fennelwind.contracts.rules import RULES, Finding, Read, Reads
+from fennelwind.contracts.rules import Finding, Read, Reads
 from fennelwind.contracts.types import Column, Schema, SchemaError, Type, check, check_type, fold, table_name
 
 READS_MOST = 64  # tables of one subscription
@@ -99,20 +99,13 @@
     return [pb.Found(rule=f.rule, column=f.column, what=f.what) for f in grave[:FOUND_MOST]]
 
 
-def read_found(told: Iterable[pb.Found]) -> tuple[Finding, ...]:
-    """Return findings; those of rules that this version does not know are left out."""
-    return tuple(Finding(f.rule, f.column, f.what) for f in told if f.rule in RULES)
-
-
-def verdict_message(verdict: Verdict, answer: pb.ContractAnswer, skip: int = 0) -> None:
-    """Put a verdict into an answer: as many readers by name as there is room for, behind the first `skip`."""
+def verdict_message(verdict: Verdict, answer: pb.ContractAnswer) -> None:
+    """Put a verdict into an answer: as many readers by name as there is room for."""
     answer.found.extend(found_messages(verdict.own))
     room = NAMED_MOST
     for each in verdict.affected:
-        left = each.names[skip:]
-        skip = max(skip - len(each.names), 0)
-        names = left[:room]
+        names = each.names[:room]
         room -= len(names)
-        answer.more += len(left) - len(names)
+        answer.more += len(each.names) - len(names)
         if names:
             answer.readers.add(names=names, version=each.version, found=found_messages(each.findings))
