The client puts a changed table in one call, and keeps what the server tells

A change of a schema is answered within its call, and the client ran every statement beside it: it could not publish.

Statements with fennelwind.schema.* go with runAsync off; cursor.told and connection.told have what was said.

--- a/fennelwind/client/connection.py
+++ b/fennelwind/client/connection.py
@@ -51,6 +51,7 @@
         self._socket: socket.socket | None = None
         self._side: ClientSide | None = None
         self.session: Structure | None = None
+        self.told: dict[str, str] = {}  # what the server said when the session opened: `fennelwind.subscribed`
         self.lives = 0  # connections made; operations are good within one
         self.closed = False
         self.reconnect()
@@ -74,8 +75,9 @@
             self._drop()
             raise OperationalError(f"{self.address[0]}:{self.address[1]}: {exc}") from exc
         self.lives += 1
-        self.session = self.call("OpenSession", hs2.TOpenSessionReq(
-            hs2.PROTOCOL_NEWEST, self.user, None, self._configuration), self.connect_timeout_s).sessionHandle
+        reply = self.call("OpenSession", hs2.TOpenSessionReq(
+            hs2.PROTOCOL_NEWEST, self.user, None, self._configuration), self.connect_timeout_s)
+        self.session, self.told = reply.sessionHandle, dict(reply.configuration or {})
 
     def call(self, method: str, request: Structure, timeout_s: float) -> Structure:
         """Make a call; return its reply.
--- a/fennelwind/client/cursor.py
+++ b/fennelwind/client/cursor.py
@@ -20,6 +20,7 @@
 GRACE_S = 2.0  # s beyond a statement's time-out; the server answers within it
 POLL_S = 0.01  # s between two looks at a server that does not hold them until there is news
 PAGE_ROWS = 1000
+SCHEMA = "fennelwind.schema."  # settings by which a statement changes a table; it is answered in its call
 OPEN = (hs2.INITIALIZED, hs2.RUNNING, hs2.PENDING)
 Parameters = Mapping[str, Any] | Sequence[Any] | None
 
@@ -34,6 +35,7 @@
         self.description: list[tuple[Any, ...]] | None = None
         self.rowcount = -1  # not known before all are read
         self.tries = 0  # of the last statement
+        self.told: list[str] = []  # what the server said of it, warnings of a changed table among it
         self.closed = False
         self._handle: Structure | None = None
         self._life = 0
@@ -92,8 +94,12 @@
     def _run(self, statement: str, said: dict[str, str]) -> None:
         left = self._left()
         said = {**said, "fennelwind.timeout_ms": str(int(left * 1000))}
+        beside = not any(key.startswith(SCHEMA) for key in said)
         reply = self.connection.call("ExecuteStatement", hs2.TExecuteStatementReq(
-            self.connection.session, statement, said, True, ceil(left)), left + GRACE_S)
+            self.connection.session, statement, said, beside, ceil(left)), left + GRACE_S)
+        self.told = list(reply.status.infoMessages or ())
+        if reply.operationHandle is None:  # it was done within the call, and has no rows
+            return
         self._handle, self._life = reply.operationHandle, self.connection.lives
         try:
             while True:
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -13,6 +13,7 @@
 from hypothesis.stateful import run_state_machine_as_test
 from test_descriptors import fill
 
+from fennelwind.client.cursor import Cursor
 from fennelwind.contracts import contracts_pb2 as pb
 from fennelwind.contracts.machine import (
     BEGIN_MS,
@@ -29,6 +30,7 @@
 from fennelwind.council.machine import At, UnreadableCommand
 from fennelwind.lab import contract_rows
 from fennelwind.shards.machine import ShardMachine
+from fennelwind.thrift import hiveserver2 as hs2
 
 
 class Facts:
@@ -440,6 +442,23 @@
         suppress_health_check=list(HealthCheck)))
 
 
+# The project's own client as a publisher.
+
+def test_the_client_puts_a_changed_table_in_one_call_and_keeps_what_it_was_told():
+    class Connection:
+        timeout_s, tries, chance, lost, closed, lives, session, sent = 5.0, 1, None, False, False, 1, None, []
+
+        def call(self, method, request, timeout_s):
+            self.sent.append((method, request.runAsync))
+            return hs2.TExecuteStatementResp(
+                status=hs2.TStatus(statusCode=hs2.SUCCESS_WITH_INFO, infoMessages=["a warning"]))
+
+    cursor = Cursor(Connection())
+    cursor.execute("ALTER ...", configuration={"fennelwind.schema.t": "a int"})
+    assert cursor.told == ["a warning"] and cursor.description is None
+    assert Connection.sent == [("ExecuteStatement", False)]
+
+
 # Planted defects.
 
 @pytest.mark.parametrize("defect", DEFECTS, ids=lambda each: each.title)
