--- a/fennelwind/client/connection.py
+++ b/fennelwind/client/connection.py
@@ -51,7 +51,7 @@
         self._socket: socket.socket | None = None
         self._side: ClientSide | None = None
         self.session: Structure | None = None
-        self.told: dict[str, str] = {}  # what the server said when the session opened: `fennelwind.subscribed`
+        self.told: dict[str, str] = {}  # what the server said at OpenSession: `fennelwind.subscribed`
         self.lives = 0  # connections made; operations are good within one
         self.closed = False
         self.reconnect()
