The way back when a majority of the members is lost for good: council alone

One member that is left is made the only one; the others join it with empty folders. Its entries begin 100,000 behind its last, so that no fence of the lost ones comes twice.

--- a/fennelwind/cli/main.py
+++ b/fennelwind/cli/main.py
@@ -10,6 +10,7 @@
 
 from fennelwind import __version__, config
 from fennelwind.cli.bench import bench
+from fennelwind.cli.council import council
 from fennelwind.cli.demo import demo
 from fennelwind.cli.fleet import fleet
 from fennelwind.cli.output import told
@@ -116,7 +117,7 @@
     loop.run(run)
 
 
-for command in (bench, demo, fleet, query, standin):
+for command in (bench, council, demo, fleet, query, standin):
     main.add_command(command)
 
 if __name__ == "__main__":
--- /dev/null
+++ b/fennelwind/keeper/rescue.py
@@ -0,0 +1,57 @@
+"""The way back when a majority of the members is lost for good: one that is left founds the record anew.
+
+What it has and the others had not agreed on is agreed from then on; what the others had agreed on and it has
+not is lost. Fences are indexes of the record, and none may come twice: so it begins far behind all that the
+lost ones can have given out.
+"""
+
+from dataclasses import dataclass
+
+from fennelwind.council import council_pb2 as pb
+from fennelwind.council.interface import Durable, Write
+from fennelwind.council.log import Log
+from fennelwind.keeper.folder import Folder
+
+JUMP = 100_000  # entries left out; a member that is further behind takes a snapshot and is no fit heir
+
+
+@dataclass(slots=True, frozen=True)
+class Left:
+    """What a member's folder holds; of several the one with the highest (last_term, last) lost least."""
+
+    name: str
+    last_term: int
+    last: int
+    clock_ms: int
+    members: tuple[str, ...]
+
+    @property
+    def majority(self) -> int:
+        """How many of its members could go on without any rescue."""
+        return len(self.members) // 2 + 1
+
+
+def look(durable: Durable) -> Left:
+    """Return what there is."""
+    log = Log(durable.head, durable.entries)
+    return Left(durable.me.name, log.last_term, log.last, _clock(durable),
+                tuple(member.name for member in log.config.members.members))
+
+
+def found_alone(folder: Folder, durable: Durable, address: str) -> Left:
+    """Make this member the only one. Raises `StoreError` and `DiskError`; nothing is changed then."""
+    left, me = look(durable), durable.me
+    term = max(durable.hard.term, left.last_term) + 1
+    alone = pb.Members(members=[pb.Member(name=me.name, life=me.life, address=address, votes=True)])
+    entries = [pb.Entry(term=term, index=left.last + 1, clock_ms=left.clock_ms, members=alone)]
+    entries += [pb.Entry(term=term, index=left.last + 1 + n, clock_ms=left.clock_ms, nothing=True)
+                for n in range(1, JUMP)]
+    hard = pb.HardState(term=term, voted_name=me.name, voted_life=me.life)
+    folder.write([Write(1, hard=hard, entries=tuple(entries))])
+    return Left(me.name, term, entries[-1].index, left.clock_ms, (me.name,))
+
+
+def _clock(durable: Durable) -> int:
+    if durable.entries:
+        return durable.entries[-1].clock_ms
+    return durable.head.clock_ms if durable.head is not None else 0
--- a/tests/test_council_program.py
+++ b/tests/test_council_program.py
@@ -8,12 +8,19 @@
 from pathlib import Path
 
 import pytest
+from click.testing import CliRunner
 from fleet import SETTINGS, Fleet, execute, fetch, outcome
 from test_node_run import Program as Node
 
 from fennelwind import config
+from fennelwind.cli.main import main
+from fennelwind.council import council_pb2 as cpb
+from fennelwind.council.interface import Write
 from fennelwind.keeper.errors import CouncilLost
-from fennelwind.loop import SimLoop
+from fennelwind.keeper.folder import Folder
+from fennelwind.loop import RealLoop, SimLoop
+from fennelwind.loop.realdisk import RealDisk
+from fennelwind.store.store import Limits
 
 ROOT = Path(__file__).parent.parent
 COUNCIL = """
@@ -129,6 +136,36 @@
     assert loaded() == []
 
 
+def test_the_last_resort_tells_what_a_folder_holds_and_does_it_when_asked(tmp_path):
+    path = tmp_path / "s.txtpb"
+    path.write_text(GOOD + COUNCIL, encoding="utf-8")
+
+    def command(*more):
+        return CliRunner().invoke(main, ["council", "alone", str(path), *more])
+
+    assert command().exit_code == 2 and "no such folder" in command().output
+    loop = RealLoop()
+
+    def fill():
+        folder = Folder(lambda: RealDisk(loop, str(tmp_path / "record")), "north", "m0", loop.token, Limits())
+        members = cpb.Members(members=[cpb.Member(name=f"m{n}", life=b"x", votes=True) for n in range(3)])
+        folder.open()
+        folder.write([Write(1, hard=cpb.HardState(term=4), entries=(
+            cpb.Entry(term=4, index=1, members=members), cpb.Entry(term=4, index=2, nothing=True)))])
+        again = command()  # the folder is held
+        folder.close()
+        return again
+
+    held = loop.run(fill)
+    assert held.exit_code == 1 and "another process" in held.output
+    told = command()
+    assert told.exit_code == 0 and "last entry 2 of term 4, members m0, m1, m2" in told.output
+    assert "only member now" in command("--yes").output
+    assert "of term 5, members m0;" in command().output
+    path.write_text(GOOD + FOLLOWER, encoding="utf-8")
+    assert command().exit_code == 2 and "no settings of a member" in command().output
+
+
 def one(fleet):
     client = fleet.client()
     try:
@@ -141,7 +178,7 @@
     """Play a day of queries; return what became of each and when, and the changes that were refused."""
     loop = SimLoop(3, jitter=0.0)
 
-    def main():
+    def play():
         fleet = Fleet(loop, change=lambda text: text + council)
         keeper, ends, refused = fleet.program.keeper, [], []
         for number in range(ASKS):
@@ -156,7 +193,7 @@
         assert not fleet.seen.failures
         return ends, [answer for _, answer in fleet.seen.answers], len(refused)
 
-    return loop.run(main)
+    return loop.run(play)
 
 
 def test_a_day_without_any_member_costs_no_query():
--- a/tests/test_council_world.py
+++ b/tests/test_council_world.py
@@ -4,7 +4,12 @@
 from council_chaos import Chaos
 from council_world import Council
 
+from fennelwind.fleet.registers import Registers
 from fennelwind.keeper.errors import CommandRefused, CouncilError
+from fennelwind.keeper.folder import Folder
+from fennelwind.keeper.rescue import found_alone, look
+from fennelwind.loop.simdisk import Platter, SimDisk
+from fennelwind.store.store import Limits
 
 
 def test_three_members_found_a_record_and_a_task_moves_on_when_its_holder_is_killed():
@@ -131,3 +136,52 @@
     chaos = Chaos(seed, members=3 if seed % 4 else 5)
     assert chaos.play() == []
     assert chaos.counts["acts"] > 20 and chaos.counts["operations"] > 100 and chaos.counts["fences"] > 1
+
+
+def test_three_of_five_lost_for_good_and_the_way_back():
+    fences = []
+
+    def main(council):
+        for name in council.names:
+            council.kill(name)
+            council.platters[name] = Platter()
+            council.start(name, more=(Registers(),))
+        asker = council.start("f0", "10.0.1.1").asker
+
+        def put(number):
+            asker.propose("registers", b'["put", "a", %d]' % number, 20_000)
+
+        for number in range(30):
+            council.on("f0", put, number)
+        read = council.on("f0", lambda: asker.read("registers", b"a", within_ms=20_000))
+        council.until(lambda: all(k.member.state.record.index >= read.index
+                                  for k in council.keepers.values() if k.member))
+        for name in council.names:
+            council.kill(name)
+        council.platters = {n: p if n in ("m3", "m4") else Platter() for n, p in council.platters.items()}
+        left = {}
+        for name in ("m3", "m4"):
+            folder = Folder(lambda name=name: SimDisk(None, council.platters[name]), "f", name,
+                            lambda size: b"x" * size, Limits(reserve=1 << 20, low=2 << 20))
+            durable = folder.open()
+            left[look(durable).last_term, look(durable).last, name] = folder, durable
+        heir, (folder, durable) = max(left)[2], left[max(left)]
+        before = look(durable)
+        after = found_alone(folder, durable, str(council.addresses[heir]))
+        for folder, _ in left.values():
+            folder.close()
+        assert before.members == tuple(council.names) and after.members == (heir,)
+        fences.append((before.last, after.last))
+        for name in council.names:
+            if name != heir:
+                council.platters[name] = Platter()
+            council.start(name, more=(Registers(),))
+        assert council.on("f0", lambda: asker.read("registers", b"a", within_ms=60_000)).state == b"29"
+        council.on("f0", put, 7)
+        log = council.keepers[heir].member.core.log
+        council.until(lambda: sum(member.votes for member in log.config.members.members) == 5)
+        council.kill(heir)
+        assert council.on("f0", lambda: asker.read("registers", b"a", within_ms=60_000)).state == b"7"
+
+    Council(5, 5).play(main)
+    assert fences[0][1] - fences[0][0] >= 100_000
