--- a/tests/council_chaos.py
+++ b/tests/council_chaos.py
@@ -30,7 +30,7 @@
     """One play; what it saw."""
 
     def __init__(self, seed, members=3, followers=2, faults=("kill", "power", "stop", "cut", "full", "sync",
-                                                             "all")):
+                                                             "all", "lost")):
         self.random = Random(f"chaos {seed}")
         self.council = Council(seed, members, TIMING)
         self.followers = [f"f{n}" for n in range(followers)]
@@ -157,6 +157,8 @@
             case "all":
                 for each in council.names:
                     self._kill(each, random.choice((None, "pick", "none")))
+            case "lost":
+                self._lose(name)
             case "stop":
                 council.hosts[random.choice([*council.names, *self.followers])].stop(
                     rig.now() + random.uniform(100.0, 5000.0))
@@ -176,6 +178,18 @@
                 platter.sync_fails = True
                 rig.at(rig.now() + random.uniform(1.0, 300.0), lambda: setattr(platter, "sync_fails", False))
 
+    def _lose(self, name):
+        """Let a folder be gone, when all members have all: an entry that so few had may not be lost."""
+        council = self.council
+        members = [council.keepers[each].member for each in council.names]
+        if any(council.hosts[each].dead for each in council.names) or any(
+                member.part not in ("leader", "follower") for member in members) or len(
+                {member.state.record.index for member in members}) > 1:
+            self.counts["not lost"] += 1
+            return
+        self._kill(name, None)
+        council.platters[name] = type(council.platters[name])()
+
     def _kill(self, name, loss):
         council, rig = self.council, self.council.world.rig
         if council.hosts[name].dead:
--- /dev/null
+++ b/tests/council_defects.py
@@ -0,0 +1,206 @@
+"""Defects planted into what carries the council out, and after how many seeds of chaos each is found.
+
+`python tests/council_defects.py 60` plants each in turn and plays up to so many seeds.
+"""
+
+import sys
+from contextlib import ExitStack
+from unittest.mock import patch
+
+from council_chaos import Chaos
+
+from fennelwind.council.interface import Life, Written
+from fennelwind.council.record import Record
+from fennelwind.errors import FennelwindError
+from fennelwind.keeper import keeper_pb2 as pb
+from fennelwind.keeper.asker import Asker, Result
+from fennelwind.keeper.folder import Folder
+from fennelwind.keeper.member import Member
+from fennelwind.keeper.state import State
+from fennelwind.keeper.tasks import Acting
+from fennelwind.leases.guard import Fenced, Guard
+from fennelwind.loop.simdisk import SimDisk
+
+
+def acknowledged_before_sync():
+    """`Written` is told before the store has written."""
+    def write(self):
+        while True:
+            while not self._writes:
+                self._ink.wait()
+            writes = [self._writes.popleft() for _ in range(len(self._writes))]
+            self.post(Written(writes[-1].number))
+            try:
+                self.store.write(writes)
+            except FennelwindError:
+                self._write_again(False)
+
+    return [patch.object(Member, "_write", write)]
+
+
+def syncs_do_nothing():
+    """The disk says that it has synced, and has not."""
+    return [patch.object(SimDisk, "sync", lambda self, name: None)]
+
+
+def failed_writes_count():
+    """A write that failed is told as done."""
+    def write(self):
+        while True:
+            while not self._writes:
+                self._ink.wait()
+            writes = [self._writes.popleft() for _ in range(len(self._writes))]
+            try:
+                self.store.write(writes)
+            except FennelwindError:
+                self._write_again(False)
+            self.post(Written(writes[-1].number))
+
+    return [patch.object(Member, "_write", write)]
+
+
+def reads_are_not_confirmed():
+    """A read is answered from what the member has, whoever leads."""
+    whole = Member._look
+
+    def look(self, caller, token, view):
+        view.fresh = False
+        whole(self, caller, token, view)
+
+    return [patch.object(Member, "_look", look)]
+
+
+def a_lost_answer_is_asked_with_a_new_number():
+    """A command that may be done is sent as another one."""
+    def command(self, command, until):
+        maybe = [False]
+
+        def ask():
+            if command.client:
+                command.number = self._number = self._number + 1
+                self._over.add(command.number)
+            command.heard = 0
+            return pb.Ask(command=command.SerializeToString())
+
+        told = self._ask(ask, until, maybe)
+        return (None if told is None else told[1]), maybe[0]
+
+    return [patch.object(Asker, "_command", command)]
+
+
+def unknown_is_told_as_not_done():
+    """A command whose outcome nobody told is said to be refused."""
+    whole = Asker._command
+
+    def command(self, command, until):
+        return whole(self, command, until)[0], False
+
+    return [patch.object(Asker, "_command", command)]
+
+
+def a_deposed_leaders_unknown_is_told_as_refused():
+    """What a member can't tell any more is answered as if it had never been entered."""
+    whole = Member._propose
+
+    def propose(self, command, tell):
+        def told(result):
+            if result.refusal == Result.UNKNOWN:
+                result = Result(refusal=Result.TOO_LARGE)
+            tell(result)
+
+        whole(self, command, told)
+
+    return [patch.object(Member, "_propose", propose)]
+
+
+def a_snapshot_forgets_clients():
+    """Commands that were done are done again after a snapshot was taken over or read."""
+    whole = Record.restore
+
+    def restore(self, data):
+        whole(self, data)
+        for client in self._clients.values():
+            client.kept.clear()
+
+    return [patch.object(Record, "restore", restore)]
+
+
+def an_entry_is_applied_twice():
+    """What a folder read anew gives again is applied again."""
+    whole = State._apply
+
+    def apply(self, entries):
+        if self.applied % 50 == 49:
+            index, self.record.index = self.record.index, 0
+            whole(self, entries[:1])
+            self.record.index = index
+        whole(self, entries)
+
+    return [patch.object(State, "_apply", apply)]
+
+
+def a_lost_folder_votes_as_who_it_was():
+    """A folder made anew gets the life of the one that was lost."""
+    whole = Folder.__init__
+
+    def made(self, disk, fleet, name, token, limits):
+        whole(self, disk, fleet, name, lambda size: name.encode().ljust(size), limits)
+
+    return [patch.object(Folder, "__init__", made)]
+
+
+def lives_are_not_told_apart():
+    """A message counts as its name's latest known life's, whoever sent it."""
+    whole = Member.received
+
+    def received(self, sender, message):
+        lives = [m.life for m in self.core.log.config.members.members if m.name == sender.name]
+        whole(self, Life(sender.name, lives[0] if lives else sender.life), message)
+
+    return [patch.object(Member, "received", received)]
+
+
+def resource_takes_any_fence():
+    """An act of an older fence is not refused."""
+    return [patch.object(Fenced, "show", lambda self, task, fence: None)]
+
+
+def acts_are_not_guarded():
+    """Neither the guard nor the fence is looked at: an act goes on after its lease, and is taken."""
+    return [patch.object(Guard, "may_go_on", lambda self, now, act: True),
+            patch.object(Acting, "check", lambda self: None),
+            patch.object(Fenced, "show", lambda self, task, fence: None)]
+
+
+DEFECTS = [acknowledged_before_sync, syncs_do_nothing, failed_writes_count, reads_are_not_confirmed,
+           a_lost_answer_is_asked_with_a_new_number, unknown_is_told_as_not_done,
+           a_deposed_leaders_unknown_is_told_as_refused, a_snapshot_forgets_clients,
+           an_entry_is_applied_twice, a_lost_folder_votes_as_who_it_was, lives_are_not_told_apart, resource_takes_any_fence,
+           acts_are_not_guarded]
+
+
+def found(defect, seeds):
+    """Return the first seed that finds the defect and what it says; None: none did."""
+    for seed in seeds:
+        with ExitStack() as stack:
+            for one in defect():
+                stack.enter_context(one)
+            wrong = Chaos(seed, members=3 if seed % 4 else 5).play()
+        if wrong:
+            return seed, wrong[0]
+    return None
+
+
+def main():
+    """Plant each; print the table."""
+    most = int(sys.argv[1])
+    print("| planted | found by seed | how |\n| --- | --- | --- |")
+    for defect in DEFECTS:
+        told = found(defect, range(most))
+        what = "not found" if told is None else told[1].split("(")[0][:60].replace("|", " ")
+        seed = f"none of {most}" if told is None else told[0]
+        print(f"| {defect.__doc__} | {seed} | {what} |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
