A member that comes back is reached at once, by whoever it has opened its way to

After a kill 8 of 30 elections took up to 1.6 s: the two that were left could not yet talk one way, as the wait for the next try had grown to 2 s while the restarted one was away. Askers wait 0.8 s at most between two asks.

--- a/fennelwind/keeper/asker.py
+++ b/fennelwind/keeper/asker.py
@@ -32,6 +32,7 @@
 Result = council_pb2.Result
 DIAL_MS = 500.0  # ms to connect and hear a member's name; a member that runs needs few
 ATTEMPT_MS = 1000.0  # ms until another member is asked; three election time-outs of 300 ms
+AGAIN_MOST_MS = 800.0  # ms between two asks at most: a leader is there again within some 600
 AGAIN_MS = 2000  # ms; a time to come back when no member names one: an election and a growing wait
 LINED_MOST = 1024  # commands that wait for a number; one more is refused at once
 WATCHES_MOST = 64  # watches under way from one controller
@@ -284,7 +285,7 @@
 
         `maybe[0]` becomes true where an ask went out and what became of it is not known.
         """
-        waits, hops = Waits(self.random), 0
+        waits, hops = Waits(self.random, most_ms=AGAIN_MOST_MS), 0
         self._last = Result.NONE
         while self.loop.now() < until:
             line = self._connected(until)
--- a/fennelwind/keeper/door.py
+++ b/fennelwind/keeper/door.py
@@ -31,6 +31,9 @@
     def hello(self) -> pb.Hello:
         """Return what this member says first."""
 
+    def greeted(self, sender: Life) -> None:
+        """Take note that a member has opened its way to this one."""
+
     def received(self, sender: Life, message: council_pb2.Message) -> None:
         """Take a message of a member."""
 
@@ -141,6 +144,7 @@
         self.members[sender] = stream
         if before is not None:
             before.abort()
+        self.taker.greeted(sender)
         pulse = self.loop.spawn(self._pulse, stream, name="keeper: pulse")
         try:
             while (frame := reader.frame()) is not None:
--- a/fennelwind/keeper/member.py
+++ b/fennelwind/keeper/member.py
@@ -204,6 +204,10 @@
         return pb.Hello(protocol=PROTOCOL, fleet=self.place.fleet, name=self.me.name, life=self.me.life,
                         level=self.state.record.known)
 
+    def greeted(self, sender: Life) -> None:
+        """Take note that a member has opened its way to this one."""
+        self.peers.heard(sender.name)
+
     def received(self, sender: Life, message: council_pb2.Message) -> None:
         """Take a message of a member."""
         if len(self._events) >= EVENTS_MOST:
--- a/fennelwind/keeper/peers.py
+++ b/fennelwind/keeper/peers.py
@@ -12,6 +12,7 @@
 from fennelwind.council import council_pb2
 from fennelwind.council.interface import Life
 from fennelwind.keeper import keeper_pb2 as pb
+from fennelwind.keeper.bell import Bell
 from fennelwind.keeper.errors import CouncilError, FleetMismatch, FrameRefused, NameMismatch
 from fennelwind.keeper.frames import FrameReader, Outbox, framed
 from fennelwind.keeper.place import wrong_hello
@@ -33,9 +34,15 @@
         self.level = 0
         self.up = False
         self.heard_ms = 0.0
+        self._again = Bell(peers.loop)
         self.wrong: CouncilError | None = None  # why it is not talked to; None: nothing was wrong lately
         self.task: Task = peers.loop.spawn(self._run, name=f"keeper: to {name}")
 
+    def back(self) -> None:
+        """It has just been heard: it can be reached again, so the wait for the next try is over."""
+        if not self.up:
+            self._again.ring()
+
     def _run(self) -> None:
         loop, waits = self.peers.loop, Waits(self.peers.random)
         while True:
@@ -47,7 +54,12 @@
                 self.wrong = exc if isinstance(exc, CouncilError) else None
             self.up = False
             self.outbox.clear()
-            loop.sleep(waits.next())
+            try:
+                with loop.deadline(waits.next()):
+                    self._again.wait()
+                waits.reset()
+            except TimeoutError:
+                pass
 
     def _talk(self, waits: Waits) -> None:
         loop, peers = self.peers.loop, self.peers
@@ -131,6 +143,12 @@
         large = message.WhichOneof("body") in ("append", "piece")
         self.counts["sent" if peer.outbox.put(frame, may_be_lost=large) else "dropped"] += 1
 
+    def heard(self, name: str) -> None:
+        """Somebody of this name has opened its way to us."""
+        peer = self.peers.get(name)
+        if peer is not None:
+            peer.back()
+
     def close(self) -> None:
         """Give up all ways."""
         for peer in self.peers.values():
