Moves carried out over the links: a controller that holds the lease, its statements

In full: Moves carried out over the links: a controller that holds the lease, its statements, news, marks and lists. Cause: the carrier had no hands.

--- /dev/null
+++ b/fennelwind/keeper/moves.py
@@ -0,0 +1,335 @@
+"""Carries moves of shards out on this controller while it holds the lease `moves`.
+
+The carrier (`shards.carrier`) decides; this makes its statements, asks its commands of the record, and tells
+it what engines are there, which disk each has by its mark, and what they list. Sending a statement is an act
+under the lease's guard; what runs at an engine then is ended by its time-out, or when its session is closed.
+"""
+
+from collections import Counter, deque
+from collections.abc import Callable, Iterable
+from contextlib import suppress
+from dataclasses import replace
+from functools import partial
+
+from fennelwind.engines.links import RemoteError
+from fennelwind.keeper import gate_pb2
+from fennelwind.keeper.asker import Asker
+from fennelwind.keeper.bell import Bell
+from fennelwind.keeper.errors import CouncilError
+from fennelwind.keeper.machines import CONTRACTS
+from fennelwind.keeper.statements import FAILED, LOST, OK, Statement, Statements
+from fennelwind.keeper.tasks import Held, Tasks
+from fennelwind.leases.errors import TaskNotHeld
+from fennelwind.loop import Cancelled, DeadlineExceeded, Loop, Task
+from fennelwind.shards import carrier as api
+from fennelwind.shards import shards_pb2 as pb
+from fennelwind.shards import steps
+from fennelwind.shards.machine import LEASE, ShardMachine
+from fennelwind.shards.plan import plan
+from fennelwind.shards.state import Bounds, Home
+from fennelwind.thrift import hiveserver2 as hs2
+from fennelwind.thrift.codec import Malformed
+
+SHARDS = "shards"  # the machine's name on the record
+TERM_MS = 30_000  # ms of the lease; the sending of a statement is an act of its own and has to fit in
+ASK_MS = 4_000.0  # ms for one command or look at the record
+WATCH_MS = 20_000.0  # ms of one watch for changes of the record
+NEWS_MS = 2_000.0  # ms between looks at which engines are there
+LIST_MS = 600_000.0  # ms from one list of what an engine holds to the next, where nothing calls for one
+LIST_SOON_MS = 5_000.0  # and to the second one, for an engine that is new or back
+LOOK_MS = 5_000.0  # ms for a mark or one table's list, and for a statement to be taken by its engine
+POLL_MS = 100.0  # ms between looks at engines that answer a status at once
+MARK_BYTES = 16  # no two disks get the same
+NO_TABLE = "42S02"  # SQLSTATE of a look at a table that is not there
+
+
+class _Long(Statement):
+    """A statement that may run for long: sent in one act, waited for without one."""
+
+    def send(self, statement: str, overlay: dict[str, str], within_ms: float) -> str:
+        """Let it begin; tell how that ended."""
+        return self._do(partial(self._begin, statement, overlay), within_ms)[0]
+
+    def wait(self, within_ms: float) -> tuple[str, list[tuple[str, ...]]]:
+        """Wait for its end; return how it ended, and its rows of texts."""
+        how, rows = self._do(self._finish, within_ms)
+        if how != LOST:
+            self._leave()
+        return how, rows
+
+    def _begin(self, statement: str, overlay: dict[str, str]) -> None:
+        self.link = self._open()
+        self.handle = self.link.call("ExecuteStatement", hs2.TExecuteStatementReq(
+            sessionHandle=self.link.session, statement=statement, confOverlay=overlay, runAsync=True,
+            queryTimeout=int(overlay[steps.TIMEOUT]))).operationHandle
+
+    def _finish(self) -> list[tuple[str, ...]]:
+        while True:
+            request = hs2.TGetOperationStatusReq(operationHandle=self.handle)
+            reply = self.link.call("GetOperationStatus", request)
+            if reply.operationState == hs2.FINISHED:
+                return self._rows(self.handle) if reply.hasResultSet else []
+            if reply.operationState not in (hs2.INITIALIZED, hs2.RUNNING, hs2.PENDING):
+                raise RemoteError(f"state {reply.operationState}: {reply.errorMessage}")
+            self.loop.sleep(POLL_MS)
+
+    def _do(self, call: Callable[[], object], within_ms: float) -> tuple[str, list[tuple[str, ...]]]:
+        try:
+            with self.loop.deadline(within_ms):
+                return OK, call() or []
+        except RemoteError as exc:
+            self.text = str(exc)
+            return FAILED, []
+        except (OSError, DeadlineExceeded, Malformed) as exc:
+            self.text = f"{type(exc).__name__}: {exc}"
+            self._drop()
+            return (LOST if self.link is not None else FAILED), []
+
+
+class Moves:
+    """This controller's part in the moves of shards."""
+
+    def __init__(self, loop: Loop, asker: Asker, tasks: Tasks, statements: Statements,
+                 homes: Callable[[], Iterable[Home]], staging: str, said: Callable[[str, dict], None],
+                 bounds: Bounds | None = None, timing: api.Timing | None = None,
+                 planner: api.Planner = plan) -> None:
+        """Make it. `homes` tells the engines that are known now, with their disks by the settings."""
+        self.loop, self.asker, self.tasks, self.statements = loop, asker, tasks, statements
+        self.homes, self.staging, self.said = homes, staging, said
+        self.bounds, self.timing, self.planner = bounds, timing, planner
+        self.counts: Counter[str] = Counter()
+
+    def start(self) -> None:
+        """Want the lease from now on."""
+        self.tasks.want(LEASE, self._run, TERM_MS, "moves of shards")
+
+    def close(self) -> None:
+        """Want it no more."""
+        self.tasks.unwant(LEASE)
+
+    def _run(self, held: Held) -> bool:
+        """Carry moves out until the lease goes; never over for the fleet."""
+        _Carrying(self, held).run()
+        return False
+
+
+class _Carrying:
+    """One time that the lease is held."""
+
+    def __init__(self, moves: Moves, held: Held) -> None:
+        self.moves, self.loop, self.held, self.asker = moves, moves.loop, held, moves.asker
+        self.carrier = api.Carrier(held.fence, 0, moves.planner, moves.staging, moves.bounds, moves.timing)
+        self.machine: ShardMachine | None = None
+        self.index = 0  # up to which the record is seen
+        self.lives: dict[str, str] = {}  # of engines, as they were told last
+        self.marks: dict[str, str] = {}  # of engines that are there, once they are known
+        self.list_at: dict[str, list[float]] = {}  # by engine: when its next lists are due
+        self._events: deque[api.Event] = deque()
+        self._bell = Bell(self.loop)
+        self._under_way: set[Task] = set()
+        self._statements: dict[int, Task] = {}
+        self._broken: TaskNotHeld | None = None
+
+    def run(self) -> None:
+        """Carry moves out. Raises `TaskNotHeld` where too little of the lease is left."""
+        try:
+            self._look()
+            for part in (self._watch, self._news, self._list):
+                self._spawn(part)
+            while not self.held.stop.ready:
+                events = list(self._events)
+                self._events.clear()
+                wake = self.loop.now() + NEWS_MS
+                for action in self.carrier.step(self.loop.now(), events):
+                    match action:
+                        case api.Propose():
+                            self._spawn(self._propose, action)
+                        case api.Run():
+                            self._statements[action.token] = self._spawn(self._statement, action)
+                        case api.Stop(token) if token in self._statements:
+                            self._statements[token].cancel()
+                        case api.Wake(at):
+                            wake = min(wake, at)
+                        case api.Over():
+                            raise TaskNotHeld(f"{self.held.name}: another holds it", task=self.held.name)
+                if self._broken is not None:
+                    raise self._broken
+                if not self._events:
+                    with suppress(DeadlineExceeded), self.loop.deadline_at(wake):
+                        self._bell.wait()
+        finally:
+            for task in list(self._under_way):
+                task.cancel()
+
+    def _post(self, event: api.Event) -> None:
+        self._events.append(event)
+        self._bell.ring()
+
+    def _spawn(self, call: Callable[..., None], *args: object) -> Task:
+        def run() -> None:
+            try:
+                call(*args)
+            except TaskNotHeld as exc:  # another may hold it by now: nothing is said of what came of it
+                self._broken = exc
+                self._bell.ring()
+            finally:
+                self._under_way.discard(task)
+
+        task = self.loop.spawn(run, name=f"{self.held.name}: {call.__name__}")
+        self._under_way.add(task)
+        return task
+
+    # The record.
+
+    def _look(self) -> int:
+        """See the record as it is now, all pieces of one revision; return the index."""
+        data, revision = b"", None
+        while True:
+            try:
+                query = pb.ShardQuery(skip=len(data)).SerializeToString()
+                seen = self.asker.read(SHARDS, query, within_ms=ASK_MS)
+                told = pb.ShardSeen.FromString(seen.state)
+                if revision is not None and told.revision != revision:
+                    data, revision = b"", None  # it changed between two pieces
+                    continue
+                data, revision = data + told.piece, told.revision
+                if len(data) >= told.size:
+                    break
+            except CouncilError as exc:  # the lease ends meanwhile, if it lasts
+                self.moves.counts[exc.code] += 1
+                self.loop.sleep(NEWS_MS)
+        if seen.index >= self.index:  # else a later look has come ahead of this one
+            if self.machine is None or self.machine.revision != revision:
+                self.machine = ShardMachine()
+                self.machine.restore(data)
+            self.index = seen.index
+            frozen = self._frozen()
+            self._post(api.Seen(self.index, self.machine, frozen))
+        return seen.index
+
+    def _frozen(self) -> frozenset[str]:
+        """Return the tables under change, by their names here; what can't be heard is left to the record."""
+        try:
+            told = gate_pb2.ChangeTold.FromString(self.asker.read(
+                CONTRACTS, gate_pb2.ChangeQuery(open=True).SerializeToString(), within_ms=ASK_MS).state)
+        except CouncilError as exc:
+            self.moves.counts[exc.code] += 1
+            return self.carrier.frozen
+        changing = {change.table for change in told.open}
+        return frozenset(s.table for s in self.machine.shards.values() if s.table.lower() in changing)
+
+    def _watch(self) -> None:
+        after = 0
+        beyond = pb.ShardQuery(skip=2**62).SerializeToString()  # the revision alone
+        while True:
+            try:
+                after = self.asker.watch(SHARDS, after, wait_ms=WATCH_MS, query=beyond).revision
+            except CouncilError as exc:
+                self.moves.counts[exc.code] += 1
+                self.loop.sleep(NEWS_MS)
+                continue
+            if self.machine is None or after > self.machine.revision:
+                self._look()
+
+    def _propose(self, action: api.Propose) -> None:
+        try:
+            raw = self.asker.propose(SHARDS, action.command, ASK_MS)
+        except CouncilError as exc:
+            self.moves.counts[exc.code] += 1
+            self._post(api.Proposed(action.token, None))
+            return
+        index = self._look()  # of this command, or later
+        self._post(api.Proposed(action.token, pb.Answer.FromString(raw), index))
+
+    # Engines.
+
+    def _statement(self, action: api.Run) -> None:
+        made = self.moves.statements
+        statement, rows = _Long(made.loop, made.links, made.tls, action.engine), []
+        try:
+            with self.held.act(LOOK_MS):
+                how = statement.send(action.statement, action.overlay, LOOK_MS)
+            if how == OK:
+                how, rows = statement.wait(action.timeout_ms)
+        except Cancelled:  # it took too long, or the lease has gone
+            self.loop.spawn(statement.stop, LOOK_MS, name=f"stop at {action.engine}")
+            raise
+        finally:
+            self._statements.pop(action.token, None)
+        if how != OK:
+            self.moves.said("move's statement " + how, {
+                "engine": action.engine, "statement": action.statement[:300], "text": statement.text[:300]})
+        outcome, figures = {OK: "ok", LOST: "unknown"}.get(how, "failed"), (0, 0)
+        if rows:  # of a check
+            try:
+                figures = int(rows[0][0]), int(rows[0][1])
+            except (IndexError, ValueError):
+                outcome = "failed"
+        self._post(api.Ended(action.token, outcome, *figures))
+
+    def _news(self) -> None:
+        """Tell of engines that come and go, each with its disk's mark once that is known."""
+        while True:
+            homes = {home.name: home for home in self.moves.homes()}
+            known = self.machine.homes
+            for name in [name for name in known if name not in homes]:
+                homes[name] = replace(known[name], life="gone", mark="")
+            for name, home in homes.items():
+                if home.life == "gone":
+                    self.marks.pop(name, None)
+                    self.list_at.pop(name, None)
+                elif self.lives.get(name, "gone") == "gone":
+                    self.list_at[name] = [self.loop.now(), self.loop.now() + LIST_SOON_MS]
+                self.lives[name] = home.life
+            told = [replace(home, mark=self.marks.get(name, "")) for name, home in sorted(homes.items())]
+            # One that is back is not told of before its mark is known: it may have another disk.
+            self._post(api.Heard(tuple(home for home in told if home.mark or home.life == "gone")))
+            self.loop.sleep(NEWS_MS)
+
+    def _list(self) -> None:
+        """Read marks, and what engines hold, one engine after the other."""
+        while True:
+            now = self.loop.now()
+            at, name = min(((at[0], name) for name, at in self.list_at.items()), default=(now + NEWS_MS, ""))
+            if at > now:
+                self.loop.sleep(min(at - now, NEWS_MS))
+                continue
+            mark = self._mark(name)
+            held = self._held(name) if mark else None
+            if name not in self.list_at:
+                continue  # it went meanwhile
+            later = self.list_at[name][1:] if held is not None else [now + LIST_SOON_MS, *self.list_at[name]]
+            self.list_at[name] = later or [self.loop.now() + LIST_MS]
+            if held is not None:
+                self.marks[name] = mark
+                self._post(api.Heard((), {name: held}))
+
+    def _mark(self, engine: str) -> str:
+        """Return the mark on an engine's disk; one without gets one. "": it can't be read."""
+        how, rows, state = self._asked(engine, steps.mark_read())
+        if how == OK and rows:
+            return rows[0][0]
+        if how != OK and state != NO_TABLE:
+            return ""
+        mark = self.loop.token(MARK_BYTES).hex()
+        for text in steps.mark_write(mark):
+            if self._asked(engine, text)[0] != OK:
+                return ""
+        return mark
+
+    def _held(self, engine: str) -> frozenset[str] | None:
+        """Return the declared shards whose partitions an engine lists; None: it can't be asked now."""
+        tables = sorted({(s.table, not steps.partition(s.name)) for s in self.machine.shards.values()})
+        held: set[str] = set()
+        for table, whole in tables:
+            how, rows, state = self._asked(engine, steps.listing(table, whole))
+            if how != OK and state != NO_TABLE:
+                return None
+            held |= {f"{table}/" if whole else f"{table}/{row[0]}" for row in rows}
+        return frozenset(held)
+
+    def _asked(self, engine: str, text: str) -> tuple[str, list[tuple[str, ...]], str]:
+        statement: Statement = self.moves.statements.to(engine)
+        with self.held.act(LOOK_MS):
+            how, rows = statement.run(text, steps.overlay(self.held.fence, LOOK_MS), LOOK_MS, rows=True)
+        return how, rows, statement.state
--- a/fennelwind/shards/carrier.py
+++ b/fennelwind/shards/carrier.py
@@ -164,6 +164,7 @@
     target: tuple[int, int] | None = None
     source_lost: bool = False
     own: bool = False  # its copying was begun by this holder
+    quiet: bool = False  # no query runs on the copy that leaves
 
 
 class Carrier:
@@ -186,7 +187,6 @@
         self._drops_end: dict[tuple[str, str], float] = {}  # when a drop without an answer has ended
         self._loads_end: dict[tuple[str, str], float] = {}  # the same of a load
         self._began = -1.0  # when it gained the lease: statements of the last holder may be on their way
-        self._quiet: set[tuple[str, str]] = set()
         self._listed: dict[str, frozenset[str]] = {}  # what engines said last that they hold
         self._strange: dict[str, frozenset[str]] = {}  # where that was not what the record knows
         self._news: dict[str, Home] = {}
@@ -213,8 +213,9 @@
                     self._heard(event)
                 case Quiet() if self.machine is not None:
                     move = self.machine.move_of(event.shard)
-                    if move is not None and move.rested:  # before, one may still be sent by an older view
-                        self._quiet.add((event.shard, event.engine))
+                    # Before it has rested, a query may still be sent there by an older view.
+                    if move is not None and move.rested and move.drops == event.engine:
+                        self._work.setdefault(move.number, _Work()).quiet = True
         for token in [token for token, asked in self._asked.items() if asked.until <= now]:
             if self._asked[token].pair is not None:
                 self._out.append(Stop(token))
@@ -443,9 +444,7 @@
     def _at_switched(self, move: Move, work: _Work) -> None:
         if not self._may_go(move):
             return self._take(move, Step.KEEP)
-        finished = (move.shard, move.drops) in self._quiet or self._now >= work.since + self.timing.finish_ms
-        if move.rested and finished:
-            self._quiet.discard((move.shard, move.drops))
+        if move.rested and (work.quiet or self._now >= work.since + self.timing.finish_ms):
             self._take(move, Step.DROP)
 
     def _may_go(self, move: Move) -> bool:
--- a/fennelwind/standin/shelves.py
+++ b/fennelwind/standin/shelves.py
@@ -16,7 +16,8 @@
     "drop": rf"ALTER TABLE {NAME} DROP IF EXISTS{SPEC} PURGE",
     "drop table": rf"DROP TABLE IF EXISTS {NAME} PURGE",
     "check": rf"SELECT {SUM} FROM {NAME}(?: WHERE (.*))?", "list": rf"SHOW PARTITIONS {NAME}",
-    "list whole": rf"SHOW TABLES(?: IN {NAME})? LIKE {TEXT}", "read mark": rf"SELECT mark FROM {NAME} LIMIT 1",
+    "list whole": rf"SHOW TABLES(?: IN {NAME})? LIKE {TEXT}",
+    "read mark": rf"SELECT mark FROM {NAME} LIMIT 1",
     "make mark": rf"CREATE TABLE IF NOT EXISTS {NAME} \(mark STRING\)",
     "write mark": rf"INSERT INTO TABLE {NAME} VALUES \({TEXT}\)"}.items()}
 PAIR = re.compile(rf"`((?:[^`]|``)+)`={TEXT}")
--- a/tests/move_defects.py
+++ b/tests/move_defects.py
@@ -93,7 +93,7 @@
 
 
 def no_wait_for_queries(self, move, work):
-    self._quiet.add((move.shard, move.drops))
+    work.quiet = True
     return Carrier._at_switched(self, move, work)
 
 
--- /dev/null
+++ b/tests/test_moves_whole.py
@@ -0,0 +1,135 @@
+"""Moves on the whole path in virtual time: members, leases, two controllers, statements, engines' disks."""
+
+from council_world import Council
+
+from fennelwind.config import settings_pb2
+from fennelwind.keeper.moves import SHARDS, Moves
+from fennelwind.keeper.statements import Statements
+from fennelwind.loop import Address
+from fennelwind.shards import shards_pb2 as pb
+from fennelwind.shards.carrier import Timing
+from fennelwind.shards.machine import ShardMachine
+from fennelwind.shards.state import Home
+from fennelwind.standin.engine import Engine
+from fennelwind.standin.model import Machine
+from fennelwind.standin.shelves import Content, Shelf
+
+NAMES = [f"sales/day={n}" for n in range(3)]
+LINKS = settings_pb2.EngineLinks(transport=settings_pb2.EngineLinks.SASL, max_links=10, connect_ms=300.0)
+TIMING = Timing(drop_ms=3_000.0, check_ms=5_000.0, copy_ms=20_000.0, slowest=1.0, slack_ms=1_000.0,
+                finish_ms=12_000.0, plan_ms=1_000.0)
+
+
+class Scene:
+    """Three members, two controllers that may hold the lease, four engines with disks."""
+
+    def __init__(self, seed):
+        self.council = Council(seed)
+        self.staging, self.engines, self.lives = {}, {}, {}
+
+    def play(self, call):
+        def main(council):
+            world = council.world
+            for name in council.names:
+                council.kill(name)  # they begin anew with the machine of shards
+                council.start(name, more=[ShardMachine()])
+            for n in range(4):
+                host = world.host(f"e{n}", f"10.0.1.{n + 1}")
+                engine = Engine(host, Address(host.address, 10_000), Machine(cores=8))
+                engine.shelf = Shelf(1_000, self.staging, ms_per_byte=20.0)
+                self.engines[f"10.0.1.{n + 1}:10000"] = engine
+                host.start(engine.start, False)
+            self.lives = dict.fromkeys(self.engines, "ready")
+            for n, name in enumerate(NAMES):
+                for engine in list(self.engines.values())[n % 2:n % 2 + 1]:
+                    engine.shelf.held[name] = Content(10 + n, 77 + n, 100)
+            for name in ("c0", "c1"):
+                self.begin(name)
+            council.on("c0", lambda: council.keepers["c0"].asker.propose(SHARDS, pb.Command(
+                declare=pb.Declare(shards=[pb.Shard(name=n, table="sales", size=100, copies=1, zones=1)
+                                           for n in NAMES])).SerializeToString(), 5_000.0))
+            council.until(lambda: all(self.machine().good(name) for name in NAMES), 120_000.0)
+            call()
+            council.until(self.settled, 300_000.0)
+
+        self.council.play(main)
+
+    def begin(self, name):
+        keeper = self.council.start(name, f"10.0.2.{name[1]}", more=[ShardMachine()])
+        host = self.council.hosts[name]
+        moves = Moves(host, keeper.asker, keeper.tasks, Statements(host, LINKS), self.homes, "/staging",
+                      lambda what, facts: self.council.said.append((what, facts)), timing=TIMING)
+        host.start(moves.start)
+
+    def homes(self):
+        return [Home(name, f"z{n % 2}", "", 1_000, 200, self.lives[name])
+                for n, name in enumerate(self.engines)]
+
+    def machine(self):
+        keeper = next(k for name, k in self.council.keepers.items()
+                      if name in self.council.names and not self.council.hosts[name].dead)
+        return keeper.member.state.record.machines[SHARDS]
+
+    def settled(self):
+        machine = self.machine()
+        for name in NAMES:  # at every instant that is looked at, a good copy is where the record says
+            truth = Content(10 + NAMES.index(name), 77 + NAMES.index(name), 100)
+            holders = [e for e, engine in self.engines.items() if engine.shelf.held.get(name) == truth]
+            assert set(machine.good(name)) <= set(holders) and holders, (name, machine.good(name), holders)
+        good = {name: machine.good(name) for name in NAMES}
+        return not machine.moves and all(len(g) == 1 and self.lives[g[0]] == "ready" for g in good.values()) \
+            and all(set(e.shelf.held) == {n for n in NAMES if name in good[n]}
+                    for name, e in self.engines.items())
+
+    def drain(self, number=0):
+        engine = list(self.engines)[number]
+        self.lives[engine] = "draining"
+        return self.engines[engine]
+
+    def holder(self):
+        """Return the controller that holds the lease."""
+        leases = next(k for n, k in self.council.keepers.items() if n in self.council.names).member
+        return leases.state.record.machines["leases"].view("moves").holder
+
+
+def test_copies_are_found_and_an_engine_that_drains_is_emptied():
+    scene = Scene(1)
+    drained = []
+    scene.play(lambda: drained.append(scene.drain()))
+    assert not drained[0].shelf.held and sum(e.shelf.loads for e in scene.engines.values()) >= 2
+
+
+def test_a_controller_that_dies_in_the_middle_of_a_copy_is_followed_by_the_other():
+    scene = Scene(2)
+
+    def call():
+        scene.drain()
+        scene.council.until(lambda: any(m.step == "copying" for m in scene.machine().moves.values()))
+        dead = scene.holder()
+        scene.council.kill(dead)
+        scene.council.until(lambda: scene.holder() not in ("", dead), 60_000.0)
+
+    scene.play(call)
+    assert sum(e.shelf.loads for e in scene.engines.values()) >= 2
+
+
+def test_an_engine_that_comes_back_with_an_empty_disk_counts_as_another():
+    scene = Scene(3)
+
+    def call():
+        name, engine = list(scene.engines.items())[0]
+        scene.drain()
+        scene.council.until(lambda: scene.settled(), 120_000.0)
+        target = next(e for e in scene.engines if scene.machine().good(NAMES[0]) == (e,))
+        scene.lives[name] = "ready"
+        scene.council.until(lambda: scene.machine().homes[name].life == "ready")
+        engine.crash()
+        engine.shelf = Shelf(1_000, scene.staging, ms_per_byte=20.0)
+        scene.lives[name] = "gone"
+        scene.council.until(lambda: scene.machine().homes[name].life == "gone")
+        engine.loop.start(engine.start, False)
+        scene.lives[name] = "ready"
+        scene.council.until(lambda: scene.machine().homes[name].generation == 1)
+        assert target
+
+    scene.play(call)
--- a/tests/test_shard_moves.py
+++ b/tests/test_shard_moves.py
@@ -371,6 +371,7 @@
     def __init__(self):
         super().__init__()
         self.desk = Desk(self.machine_type())
+        self.last_steps = {}  # by shard: the entry
         for n, name in enumerate(SHARDS):
             self.desk.declare(name, copies=1 + n % 2)
         for name in ENGINES:
@@ -416,10 +417,12 @@
             assert changed == f"m{number}"
 
     @rule(shard=st.sampled_from(SHARDS), engine=st.sampled_from(ENGINES), rows=st.sampled_from((5, 5, 6)),
-          present=st.booleans(), late=st.booleans())
-    def found(self, shard, engine, rows, present, late):
+          present=st.booleans(), late=st.booleans(), old=st.sampled_from((False, False, True)))
+    def found(self, shard, engine, rows, present, late, old):
         before, generation = self.see(), self.desk.machine.homes[engine].generation
-        refusal = self.desk.found(shard, engine, rows, present=present, generation=generation + late)
+        refusal = self.desk.found(shard, engine, rows, present=present, generation=generation + late,
+                                  seen=self.last_steps.get(shard, 1) - 1 if old else None)
+        assert refusal or not old or shard not in self.last_steps
         self.did("found", refusal, before, engine)
         assert refusal or not late
 
@@ -446,6 +449,8 @@
         refusal = desk.step(Step.Kind.Value(kind), move.number, desk.fence - (not old), source=move.source,
                             attempt=move.attempt + (kind == "COPY"), rows=rows, checksum=7, failed=failed)
         self.did(kind, refusal, before)
+        if not refusal:
+            self.last_steps[move.shard] = desk.index
         if not old:
             assert refusal == Answer.FENCE
         elif changing and kind in ("RESERVE", "COPY", "CHECK", "SWITCH", "DROP"):
@@ -650,7 +655,7 @@
 
 
 @pytest.mark.parametrize("title", [
-    "a check's answer from an earlier disk is taken", "fence not checked by the record"])
+    "a check's answer from an earlier disk is taken", "a check's answer from before a move is taken"])
 def test_planted_defects_are_found_by_the_model(title):
     with pytest.raises(Broken):
         by_model(DEFECTS[title])
