--- a/fennelwind/keeper/moves.py
+++ b/fennelwind/keeper/moves.py
@@ -36,7 +36,7 @@
 WATCH_MS = 20_000.0  # ms of one watch for changes of the record
 NEWS_MS = 2_000.0  # ms between looks at which engines are there
 LIST_MS = 600_000.0  # ms from one list of what an engine holds to the next, where nothing calls for one
-LIST_SOON_MS = 5_000.0  # and to the second one, for an engine that is new or back
+LIST_SOON_MS = 5_000.0  # and after one that failed, or differs from the record
 LOOK_MS = 5_000.0  # ms for a mark or one table's list, and for a statement to be taken by its engine
 POLL_MS = 100.0  # ms between looks at engines that answer a status at once
 MARK_BYTES = 16  # no two disks get the same
@@ -123,7 +123,8 @@
         self.index = 0  # up to which the record is seen
         self.lives: dict[str, str] = {}  # of engines, as they were told last
         self.marks: dict[str, str] = {}  # of engines that are there, once they are known
-        self.list_at: dict[str, list[float]] = {}  # by engine: when its next lists are due
+        self.list_at: dict[str, float] = {}  # by engine: when its next list is due
+        self.shards: frozenset[str] = frozenset()  # that lists were made of
         self._events: deque[api.Event] = deque()
         self._bell = Bell(self.loop)
         self._under_way: set[Task] = set()
@@ -271,16 +272,17 @@
         """Tell of engines that come and go, each with its disk's mark once that is known."""
         while True:
             homes = {home.name: home for home in self.moves.homes()}
-            known = self.machine.homes
+            known, shards = self.machine.homes, frozenset(self.machine.shards)
             for name in [name for name in known if name not in homes]:
                 homes[name] = replace(known[name], life="gone", mark="")
             for name, home in homes.items():
                 if home.life == "gone":
                     self.marks.pop(name, None)
                     self.list_at.pop(name, None)
-                elif self.lives.get(name, "gone") == "gone":
-                    self.list_at[name] = [self.loop.now(), self.loop.now() + LIST_SOON_MS]
+                elif self.lives.get(name, "gone") == "gone" or shards != self.shards:
+                    self.list_at[name] = self.loop.now()
                 self.lives[name] = home.life
+            self.shards = shards
             told = [replace(home, mark=self.marks.get(name, "")) for name, home in sorted(homes.items())]
             # One that is back is not told of before its mark is known: it may have another disk.
             self._post(api.Heard(tuple(home for home in told if home.mark or home.life == "gone")))
@@ -290,7 +292,7 @@
         """Read marks, and what engines hold, one engine after the other."""
         while True:
             now = self.loop.now()
-            at, name = min(((at[0], name) for name, at in self.list_at.items()), default=(now + NEWS_MS, ""))
+            at, name = min(((at, name) for name, at in self.list_at.items()), default=(now + NEWS_MS, ""))
             if at > now:
                 self.loop.sleep(min(at - now, NEWS_MS))
                 continue
@@ -298,8 +300,9 @@
             held = self._held(name) if mark else None
             if name not in self.list_at:
                 continue  # it went meanwhile
-            later = self.list_at[name][1:] if held is not None else [now + LIST_SOON_MS, *self.list_at[name]]
-            self.list_at[name] = later or [self.loop.now() + LIST_MS]
+            known = {shard for shard, copies in self.machine.copies.items() if name in copies}
+            # What is not as the record has it is believed when a second list says the same.
+            self.list_at[name] = self.loop.now() + (LIST_MS if held == known else LIST_SOON_MS)
             if held is not None:
                 self.marks[name] = mark
                 self._post(api.Heard((), {name: held}))
