Moves and routing by copies in the program, by a section of the settings

Need: the machine, the planner and the carrier of moves had no settings, and queries went to any engine, with or without a copy. Change: section moves (staging, shards, bounds) and disks of engine kinds; the holder of the lease tells the record of stated shards; the driver asks a router, where there is one, for the class and lists of a query that names shards, and ahead of each attempt; a view of the copies is read again as the record changes. Without the section the driver does as before.

--- a/fennelwind/cli/program.py
+++ b/fennelwind/cli/program.py
@@ -8,6 +8,7 @@
 from fennelwind.config.tls import TlsError, server_context
 from fennelwind.config.users import UsersError, load_users
 from fennelwind.core.driver import Driver, Observer
+from fennelwind.core.types import Router
 from fennelwind.engines.discovery import DiscoveryLink
 from fennelwind.engines.links import EngineLinks
 from fennelwind.fronts.hs2 import Front
@@ -29,10 +30,11 @@
         rules = settings.file.rules
         self.links = EngineLinks(loop, settings.file.links, settings.module.report_fields,
                                  settings.engines_tls)
+        module, router = self._routing()
         self.driver = Driver(
-            loop, settings.module, self.links, observer, seed=seed, max_open=settings.file.max_open,
+            loop, module, self.links, observer, seed=seed, max_open=settings.file.max_open,
             margin=AnswerMargin(rules.answer_margin_ms, rules.answer_margin_most_ms),
-            subscribe=self._subscribe)
+            subscribe=self._subscribe, router=router)
         self.discovery = None
         if settings.discovery is not None:
             self.discovery = DiscoveryLink(
@@ -95,8 +97,43 @@
         keeper = Keeper(self.loop, place, seed, self.observer.council)
         keeper.serve_engines(self.links, self._engines)
         self.service.gate = keeper.gate
+        if self.driver.router is not None:
+            self._serve_shards(keeper)
         return keeper
 
+    def _routing(self) -> tuple[api.Settings, Router | None]:
+        """Return the module's settings, split where queries go by copies of shards, and who splits them."""
+        module = self.settings.module
+        if not self.settings.file.HasField("moves"):
+            return module, None
+        from fennelwind.shards.routing import SLOTS_MOST, Routing, widen
+
+        return widen(module, SLOTS_MOST), Routing(module, SLOTS_MOST)
+
+    def _serve_shards(self, keeper: "Keeper") -> None:
+        from fennelwind.shards.shards_pb2 import Shard
+        from fennelwind.shards.state import Bounds, Home
+
+        told, kinds = self.settings.file.moves, self.settings.file.kinds
+        parts = 2 ** len(self.driver.router.slots)
+
+        def homes() -> list[Home]:
+            found = []
+            for name, engine in self.driver.gateway.engines.items():
+                entry = engine.entry
+                kind = kinds[entry.kind // parts]
+                found.append(Home(name, self.settings.zones[entry.zone], kind.name, kind.disk_bytes,
+                                  kind.headroom_bytes, entry.state))
+            return found
+
+        usual = Bounds()
+        bounds = Bounds(told.streams_per_engine or usual.streams_per_engine,
+                        told.streams_per_link or usual.streams_per_link,
+                        told.bytes_per_hour or usual.bytes_per_hour)
+        shards = [Shard(name=s.name, table=s.name.partition("/")[0], size=s.size_bytes, copies=s.copies or 1,
+                        zones=s.zones or 1, kinds=s.kinds) for s in told.shards]
+        keeper.serve_shards(self.links, homes, told.staging, bounds, shards, self.driver.copies)
+
     def _engines(self) -> list[str]:
         """Return the engines that are there now, as the module was told."""
         known = self.driver.gateway.engines
--- a/fennelwind/config/read.py
+++ b/fennelwind/config/read.py
@@ -223,6 +223,8 @@
         if discovery and not f.discovery.mode:
             self.wrong(("discovery",), "mode: has to be stated")
         council = self._council() if f.HasField("council") else None
+        if f.HasField("moves"):
+            self._moves(kinds)
         if self.problems:
             return None
         try:
@@ -234,6 +236,33 @@
             module, f, listen, selectors, by_user, engines, discovery, tuple(zones), tuple(kinds),
             metrics, http, self.folder, tls, engines_tls, users, metadata, council)
 
+    def _moves(self, kinds: list[str]) -> None:
+        """Check what is to be moved where."""
+        f, path = self.file, ("moves",)
+        if not f.HasField("council"):
+            self.wrong(path, "moves: needs the section council, whose record knows where copies are")
+        if not f.moves.staging:
+            self.wrong(path, "staging: a folder that all engines reach has to be stated")
+        for label in ("streams_per_engine", "streams_per_link", "bytes_per_hour"):
+            if not 0 <= getattr(f.moves, label) < float("inf"):
+                self.wrong((*path, label), f"{label}: {getattr(f.moves, label):g} is too small")
+        for i, kind in enumerate(f.kinds):
+            if not 0 <= kind.headroom_bytes <= kind.disk_bytes:
+                self.wrong(("kinds", i), f"headroom_bytes: {kind.headroom_bytes}, where disk_bytes are "
+                                         f"{kind.disk_bytes}")
+        for i, shard in enumerate(f.moves.shards):
+            place: FieldPath = (*path, "shards", i)
+            if not shard.name.partition("/")[0] or "/" not in shard.name:
+                self.wrong((*place, "name"), f"name: {shard.name!r} is no TABLE/PARTITION")
+            elif any(shard.name == other.name for other in f.moves.shards[:i]):
+                self.wrong((*place, "name"), f"name: {shard.name} stands twice")
+            if shard.size_bytes <= 0:
+                self.wrong(place, f"size_bytes: {shard.size_bytes} is too small")
+            if shard.copies < 0 or not 0 <= shard.zones <= max(shard.copies, 1):
+                self.wrong(place, f"zones: {shard.zones}, where {max(shard.copies, 1)} copies are wanted")
+            for j, kind in enumerate(shard.kinds):
+                self.find((*place, "kinds", j), "kind", kind, kinds)
+
     def _council(self) -> Council | None:
         """Check who keeps the record, and this controller's part in it."""
         c, path = self.file.council, ("council",)
--- a/fennelwind/core/driver.py
+++ b/fennelwind/core/driver.py
@@ -22,6 +22,7 @@
     AttemptEnd,
     Engines,
     Order,
+    Router,
     Submission,
 )
 from fennelwind.limits.margin import AnswerMargin
@@ -54,12 +55,13 @@
 
     def __init__(self, loop: Loop, settings: api.Settings, engines: Engines, observer: Observer, *, seed: int,
                  max_open: int, margin: AnswerMargin, subscribe: Callable[[], None] = lambda: None,
-                 advisor: Advisor | None = None) -> None:
+                 advisor: Advisor | None = None, router: Router | None = None) -> None:
         self.loop, self.settings, self.engines, self.observer = loop, settings, engines, observer
         self.max_open, self.margin, self.subscribe = max_open, margin, subscribe
         self.ledger = Ledger(len(settings.classes))
         self.gateway = Gateway(settings, seed)
         self.advisor = advisor  # who tells the module of whole loads, if anybody
+        self.router = router  # who knows where copies are, if queries go by them
         self.closing = False
         self.steps = 0
         self.step_errors = 0
@@ -128,8 +130,13 @@
         left = submission.deadline_ms - entry.due_ms
         last = max(submission.deadline_ms - LAST_MOMENT * left, entry.taken_ms)
         entry.watch = self.loop.at(last, lambda: self._last_moment(entry))
-        self.post(api.Arrival(
-            query=entry.query, cls=submission.cls, deadline_ms=entry.due_ms, tenant=submission.tenant,
+        cls = submission.cls
+        if self.router is not None and submission.shards:
+            cls, lists = self.router.arrives(entry.query, cls, submission.shards)
+            for event in lists:
+                self._push(event)
+        self._push(api.Arrival(
+            query=entry.query, cls=cls, deadline_ms=entry.due_ms, tenant=submission.tenant,
             key=submission.key, work_ms=submission.work_ms, memory_mb=submission.memory_mb,
             tables=submission.tables, repeat=submission.repeat))
 
@@ -161,6 +168,16 @@
 
     def post(self, event: api.Event) -> None:
         """Hand an event to the module in the next turn."""
+        if self.router is not None and isinstance(event, api.EngineList):
+            event = self.router.listed(event)
+        self._push(event)
+
+    def copies(self, places: Any) -> None:
+        """Take a newer view of where copies of shards are."""
+        for event in self.router.seen(places):
+            self._push(event)
+
+    def _push(self, event: api.Event) -> None:
         self._events.append(event)
         if not self._asked:
             self._asked = True
@@ -253,7 +270,10 @@
     def _attempt(self, entry: Entry, number: int, engine: str, order: Order) -> None:
         sent = self.loop.now()
         try:
-            end = self.engines.attempt(engine, order)
+            if self.router is not None and not self.router.may_send(entry.query, engine):
+                end = AttemptEnd("moot", "it holds no good copy any more")
+            else:
+                end = self.engines.attempt(engine, order)
         except Cancelled:
             end = AttemptEnd("cancelled", "called off")
         except Exception as exc:  # what broke may have been under way
@@ -287,6 +307,8 @@
     def _settle(self, entry: Entry, answer: Answer) -> bool:
         """Give a final answer; tell whether it is the first."""
         first = self.ledger.settle(entry, answer, self.loop.now())
+        if first and self.router is not None:
+            self.router.ended(entry.query)
         if first and not entry.hidden:
             self.observer.answered(entry)
         return first
--- a/fennelwind/core/types.py
+++ b/fennelwind/core/types.py
@@ -27,6 +27,7 @@
     request: str = ""  # its client's name for it, by which repeats are known; "": none
     method: str = "ExecuteStatement"  # or a metadata call, as the service names it
     arguments: Any = None  # a metadata call's request
+    shards: tuple[str, ...] = ()  # that it reads, where copies of them are known
     engine_id: str = ""  # the query's name and class as engines are told them, where they are told any
     engine_class: str = ""
 
@@ -84,6 +85,25 @@
     on_note: Callable[[int, float], None]
 
 
+class Router(Protocol):
+    """What the driver needs where queries go by copies of shards (`shards.routing`)."""
+
+    def listed(self, event: Any) -> Any:
+        """Return a list of engines as the module is to be told it."""
+
+    def arrives(self, query: int, cls: int, shards: tuple[str, ...]) -> tuple[int, list[Any]]:
+        """Return the class by which the module gets a query, and the lists that go ahead of it."""
+
+    def seen(self, places: Any) -> list[Any]:
+        """Take a newer view of the copies; return the lists that the module is to be told."""
+
+    def may_send(self, query: int, engine: str) -> bool:
+        """Tell whether an engine holds what the query reads."""
+
+    def ended(self, query: int) -> None:
+        """Forget a query."""
+
+
 class Engines(Protocol):
     """What the driver needs of the links to engines."""
 
--- a/fennelwind/fronts/hs2/service.py
+++ b/fennelwind/fronts/hs2/service.py
@@ -7,10 +7,10 @@
 CANCELED | HY008 | 1205 |
 
 A query's class is that of the first selector that matches; its tenant is its user's; its key, estimates and
-time-out come from `fennelwind.key`, `.work_ms`, `.memory_mb`, `.tables`, `.timeout_ms` and `.repeat` in the
-statement's overlay or else the session's configuration; `queryTimeout` (s) comes before all of them. Other
-configuration goes to the engine with the statement. Sessions and their operations end with the connection
-that opened them.
+time-out come from `fennelwind.key`, `.work_ms`, `.memory_mb`, `.tables`, `.shards`, `.timeout_ms` and
+`.repeat` in the statement's overlay or else the session's configuration; `queryTimeout` (s) comes before all
+of them. Other configuration goes to the engine with the statement. Sessions and their operations end with the
+connection that opened them.
 """
 
 import json
@@ -42,6 +42,7 @@
 SUBSCRIBED = "fennelwind.subscribed"  # setting in which OpenSession answers a subscriber
 SWEEPS = 4.0  # looks for idle sessions and forgotten operations within the time that makes them so
 NOT_BOUND: dict[bytes, None] = {}  # in place of a connection's sessions: they outlive it
+SHARDS_MOST = 64  # named by one statement; more sets than slots are left to a look ahead of each attempt
 METADATA = {"GetTypeInfo": 1, "GetCatalogs": 2, "GetSchemas": 3, "GetTables": 4, "GetTableTypes": 5,
             "GetColumns": 6, "GetFunctions": 7, "GetPrimaryKeys": 8, "GetCrossReference": 8}  # TOperationType
 STATES = {SERVED: hs2.FINISHED, REFUSED: hs2.FAILED, FAILED: hs2.FAILED, LEFT: hs2.CANCELED}
@@ -543,10 +544,18 @@
             key=said.get(OWN + "key") or None, work_ms=work or None,
             memory_mb=number(said, "memory_mb", 0.0), tables=int(tables) if tables >= 0 else None,
             repeat=said.get(OWN + "repeat") == "true", database=session.state.database,
-            request=said.get(OWN + "request", ""),
+            request=said.get(OWN + "request", ""), shards=shards(said),
             overlay={key: value for key, value in said.items() if not key.startswith(OWN)})
 
 
+def shards(said: dict[str, str]) -> tuple[str, ...]:
+    """Read the shards that a statement names, parted by commas. Raises `BadRequestError`."""
+    named = tuple(filter(None, (part.strip() for part in said.get(OWN + "shards", "").split(","))))
+    if len(named) > SHARDS_MOST:
+        raise BadRequestError(f"{OWN}shards: {len(named)} are named, where {SHARDS_MOST} may be", "22023")
+    return named
+
+
 def number(said: dict[str, str], name: str, absent: float) -> float:
     """Read a figure of the configuration. Raises `BadRequestError` for what is none."""
     text = said.get(OWN + name)
--- a/fennelwind/keeper/machines.py
+++ b/fennelwind/keeper/machines.py
@@ -8,13 +8,14 @@
 from fennelwind.keeper.state import whole_state
 from fennelwind.leases import leases_pb2
 from fennelwind.leases.machine import LeaseMachine, Life
+from fennelwind.shards.machine import ShardMachine
 
-LEASES, CONTRACTS = "leases", "contracts"
+LEASES, CONTRACTS, SHARDS = "leases", "contracts", "shards"
 
 
 def machines() -> list[Machine]:
     """Return the machines, empty."""
-    return [LeaseMachine(), ContractMachine()]
+    return [LeaseMachine(), ContractMachine(), ShardMachine()]
 
 
 def answer(machine: Machine, query: bytes) -> bytes:
--- a/fennelwind/keeper/moves.py
+++ b/fennelwind/keeper/moves.py
@@ -16,7 +16,7 @@
 from fennelwind.keeper.asker import Asker
 from fennelwind.keeper.bell import Bell
 from fennelwind.keeper.errors import CouncilError
-from fennelwind.keeper.machines import CONTRACTS
+from fennelwind.keeper.machines import CONTRACTS, SHARDS
 from fennelwind.keeper.statements import FAILED, LOST, OK, Statement, Statements
 from fennelwind.keeper.tasks import Held, Tasks
 from fennelwind.leases.errors import TaskNotHeld
@@ -24,13 +24,12 @@
 from fennelwind.shards import carrier as api
 from fennelwind.shards import shards_pb2 as pb
 from fennelwind.shards import steps
-from fennelwind.shards.machine import LEASE, ShardMachine
+from fennelwind.shards.machine import LEASE, PLAN_MOST, ShardMachine
 from fennelwind.shards.plan import plan
 from fennelwind.shards.state import Bounds, Home
 from fennelwind.thrift import hiveserver2 as hs2
 from fennelwind.thrift.codec import Malformed
 
-SHARDS = "shards"  # the machine's name on the record
 TERM_MS = 30_000  # ms of the lease; the sending of a statement is an act of its own and has to fit in
 ASK_MS = 4_000.0  # ms for one command or look at the record
 WATCH_MS = 20_000.0  # ms of one watch for changes of the record
@@ -92,11 +91,12 @@
     def __init__(self, loop: Loop, asker: Asker, tasks: Tasks, statements: Statements,
                  homes: Callable[[], Iterable[Home]], staging: str, said: Callable[[str, dict], None],
                  bounds: Bounds | None = None, timing: api.Timing | None = None,
-                 planner: api.Planner = plan) -> None:
-        """Make it. `homes` tells the engines that are known now, with their disks by the settings."""
+                 planner: api.Planner = plan, shards: Iterable[pb.Shard] = ()) -> None:
+        """Make it. `homes` tells the engines that are there now; `shards` are those that settings state."""
         self.loop, self.asker, self.tasks, self.statements = loop, asker, tasks, statements
         self.homes, self.staging, self.said = homes, staging, said
         self.bounds, self.timing, self.planner = bounds, timing, planner
+        self.shards = tuple(shards)
         self.counts: Counter[str] = Counter()
 
     def start(self) -> None:
@@ -135,6 +135,7 @@
         """Carry moves out. Raises `TaskNotHeld` where too little of the lease is left."""
         try:
             self._look()
+            self._declare()
             for part in (self._watch, self._news, self._list):
                 self._spawn(part)
             while not self.held.stop.ready:
@@ -182,6 +183,25 @@
 
     # The record.
 
+    def _declare(self) -> None:
+        """Tell the record of shards that the settings state and it does not know so."""
+        known, new = self.machine.shards, []
+        for told in self.moves.shards:
+            shard = known.get(told.name)
+            if shard is None or (shard.size, shard.copies, shard.zones, shard.kinds) != (
+                    told.size, told.copies, told.zones, tuple(told.kinds)):
+                new.append(told)
+        for start in range(0, len(new), PLAN_MOST):
+            command = pb.Command(declare=pb.Declare(shards=new[start:start + PLAN_MOST]))
+            try:
+                raw = self.asker.propose(SHARDS, command.SerializeToString(deterministic=True), ASK_MS)
+            except CouncilError as exc:  # whoever holds the lease next tells it
+                self.moves.counts[exc.code] += 1
+                return
+            refused = [pb.Answer.Refusal.Name(r) for r in pb.Answer.FromString(raw).refusals if r]
+            if refused:
+                self.moves.said("shards refused", {"refusals": refused[:20], "count": len(refused)})
+
     def _look(self) -> int:
         """See the record as it is now, all pieces of one revision; return the index."""
         data, revision = b"", None
--- a/fennelwind/keeper/whole.py
+++ b/fennelwind/keeper/whole.py
@@ -10,16 +10,20 @@
 from fennelwind.engines.links import EngineLinks
 from fennelwind.keeper.asker import Asker
 from fennelwind.keeper.changes import Changes
+from fennelwind.keeper.copies import Copies, Places
 from fennelwind.keeper.errors import CouncilError
 from fennelwind.keeper.folder import Folder
 from fennelwind.keeper.gate import Gate
 from fennelwind.keeper.machines import answer, machines
 from fennelwind.keeper.member import Member
+from fennelwind.keeper.moves import Moves
 from fennelwind.keeper.place import Place
 from fennelwind.keeper.statements import Statements
 from fennelwind.keeper.tasks import Tasks
 from fennelwind.loop import Loop
 from fennelwind.loop.disk import Disk
+from fennelwind.shards.shards_pb2 import Shard
+from fennelwind.shards.state import Bounds, Home
 from fennelwind.store.store import Limits
 
 LEAVE_PART = 0.5  # of the time to hand over: leases first, then the lead
@@ -38,6 +42,8 @@
         self.tasks = Tasks(loop, self.asker, place.me, seed, said)
         self.gate: Gate | None = None
         self.changes: Changes | None = None
+        self.moves: Moves | None = None
+        self.copies: Copies | None = None
         self._seed = seed
 
     def _member(self, seed: int, disk: Callable[[], Disk] | None, record: Record) -> Member:
@@ -65,12 +71,20 @@
         self.gate = Gate(self.loop, self.asker, engines, f"gate {self._seed}", self.said)
         self.changes = Changes(self.loop, self.asker, self.tasks, statements, engines, self.said)
 
+    def serve_shards(self, links: EngineLinks, homes: Callable[[], Iterable[Home]], staging: str,
+                     bounds: Bounds, shards: Iterable[Shard], told: Callable[[Places], None]) -> None:
+        """Move shards while the lease is held here; `told` gets each newer view of where copies are."""
+        statements = Statements(self.loop, links.settings, links.tls)
+        self.moves = Moves(self.loop, self.asker, self.tasks, statements, homes, staging, self.said, bounds,
+                           shards=shards)
+        self.copies = Copies(self.loop, self.asker, told)
+
     def start(self) -> None:
         """Take part; returns at once."""
         if self.member is not None:
             self.member.start()
         self.tasks.start()
-        for part in (self.gate, self.changes):
+        for part in (self.gate, self.changes, self.moves, self.copies):
             if part is not None:
                 part.start()
 
@@ -83,7 +97,7 @@
 
     def close(self) -> None:
         """Take part no more."""
-        for part in (self.gate, self.changes):
+        for part in (self.gate, self.changes, self.moves, self.copies):
             if part is not None:
                 part.close()
         self.tasks.close()
