--- a/fennelwind/council/core.py
+++ b/fennelwind/council/core.py
@@ -547,7 +547,8 @@
         self.snapshot_asked = False
         same = max(disk.base, self.log.base)
         if disk.term(same) is None or disk.term(same) != self.log.term(same):
-            same = self.log.base  # the folder's log doesn't reach this one: all goes there anew
+            self.log.compact(self.head.index)  # the folder's log doesn't reach this one: all goes there anew
+            same = self.log.base
             self.writes.durable = same
             self._write_snapshot(self.head, self.snapshot, same + 1, cut_after=same)
         else:
