A log that merely grows does not take the reserve

In full: A log that merely grows does not take the reserve; small tests of failures that plays found. Both tests failed before, or with the mending taken out.

--- a/fennelwind/store/store.py
+++ b/fennelwind/store/store.py
@@ -386,7 +386,7 @@
 
     def _write(self, group: kept.Group, writes: tuple[Write, ...]) -> None:
         if self.size >= self.limits.segment:
-            self._begin(self._head(self.segment + 1, self.group + 1, self._first(self.shape)))
+            self._begin(self._head(self.segment + 1, self.group + 1, self._first(self.shape)), may_take=False)
         for write in writes:
             if write.head is not None:
                 self.shape.snapshot(write.head, write.keep_from)
@@ -414,20 +414,23 @@
                          heads=[head.SerializeToString() for head in shape.heads], last_index=shape.last,
                          last_term=shape.last_term, first_segment=first, keep_from=shape.keep_from)
 
-    def _begin(self, head: kept.Head, body: bytes = b"") -> None:
+    def _begin(self, head: kept.Head, body: bytes = b"", may_take: bool = True) -> None:
         """Begin a segment, with records that are written again."""
         data = records.pack(records.HEAD, head.segment, head.SerializeToString()) + body
-        self._put(_log(head.segment), [data])
+        self._put(_log(head.segment), [data], may_take)
         self.segments[head.segment] = head.last_index
         self.segment, self.size = head.segment, len(data)
 
-    def _put(self, name: str, pieces: Iterable[bytes]) -> None:
-        """Write a file as a whole; give up as much of the reserve as it takes, if need be."""
+    def _put(self, name: str, pieces: Iterable[bytes], may_take: bool = True) -> None:
+        """Write a file as a whole; give up as much of the reserve as it takes, if need be.
+
+        A log that merely grows must not take it.
+        """
         pieces = list(pieces)
         try:
             self._put_once(name, pieces)
         except DiskFull:
-            if not self._give_reserve(sum(map(len, pieces)) + SPARE):
+            if not may_take or not self._give_reserve(sum(map(len, pieces)) + SPARE):
                 raise
             self._put_once(name, pieces)
 
--- a/tests/storedefects.py
+++ b/tests/storedefects.py
@@ -73,13 +73,13 @@
 
 
 class OldFirst(Store):
-    def _put(self, name, pieces):
+    def _put(self, name, pieces, may_take=True):
         if name.startswith(store_module.SNAPSHOT):
             for old in self.disk.names():
                 if old.startswith(store_module.SNAPSHOT) and old != name:
                     self.disk.remove(old)
             self.disk.sync_names()
-        super()._put(name, pieces)
+        super()._put(name, pieces, may_take)
 
 
 class SweepFirst(Store):
@@ -97,8 +97,8 @@
 class SnapshotAfter(Store):
     def _write(self, group, writes):
         late = []
-        with mock.patch.object(self, "_put", lambda name, pieces: late.append((name, list(pieces)))
-                               if name.startswith(store_module.SNAPSHOT) else Store._put(self, name, pieces)):
+        with mock.patch.object(self, "_put", lambda name, *more: late.append((name, list(more[0])))
+                               if name.startswith(store_module.SNAPSHOT) else Store._put(self, name, *more)):
             super()._write(group, writes)
         for name, pieces in late:
             self._put(name, pieces)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -300,6 +300,17 @@
     assert len({life for life, _ in openings}) == 1 and kept[-1] > 150 and not world.errors
 
 
+def test_reading_may_begin_in_a_segment_that_cuts_what_was_before_it():
+    play = Play(1, limits=Limits(segment=2000, reserve=0, low=0))
+    play.write(Write(1, entries=tuple(entry(index, 1, 300) for index in range(1, 11))))
+    play.write(Write(1, cut_after=8, entries=tuple(entry(index, 2, 20) for index in range(9, 12))))
+    for index in (10, 11):
+        play.write(Write(1, head=pb.SnapshotHead(index=index, term=2), snapshot=b"s"))
+    assert play.store.first == 2
+    play.kill()
+    assert play.start()
+
+
 def test_two_at_once_get_one_folder_once():
     play = Play(1)
     with pytest.raises(FolderTaken):
@@ -309,8 +320,10 @@
 # A full disk.
 
 def filled_up():
-    """Return a play that wrote until there was no room."""
+    """Return a play that has a snapshot and wrote until there was no room."""
     play = Play(1, room=12_000)
+    play.write(Write(1, entries=(entry(1, 1), entry(2, 1))))
+    play.write(Write(1, head=pb.SnapshotHead(index=1, term=1), snapshot=b"s"))
     while play.write(Write(1, entries=(entry(play.model.last + 1, 1, 200),))):
         assert play.model.last < 100
     return play
@@ -344,9 +357,11 @@
     assert durable.head == head and [e.index for e in durable.entries] == [last]
     assert play.platter.used() < used - 3000 and not play.store.short()
     play.models = [play.model.after(Write(1, head=head, snapshot=b"s" * 500))]
-    assert play.write(Write(1, entries=(entry(last + 1, 1),)))
-    play.crash()
+    for index in range(last + 1, last + 4):
+        assert play.write(Write(1, entries=(entry(index, 1),)))
+    play.kill()
     assert play.start()
+    assert [head.index for head in play.store.shape.heads] == [last - 1]  # what was dropped stays so
 
 
 def test_what_is_small_takes_a_part_of_the_reserve():
