--- a/fennelwind/store/store.py
+++ b/fennelwind/store/store.py
@@ -16,7 +16,8 @@
   says where the log stands, synced, renamed, names synced. Groups go to it from then on.
 - Opening: `meta` is written anew as it is, for the process that made it may have failed to sync its name.
   The last group in the last segment may have been written and not synced, even where it reads well. It is
-  written again into a new segment; all before it was synced before it was written.
+  written again into a new segment; all before it was synced before it was written. A small last segment is
+  written again as a whole and replaced.
 - A write that failed, in any of its calls: the store takes nothing more. `reopen` reads the folder anew,
   drops all groups that were not acknowledged, and goes on in a new segment; a file whose sync failed is
   never written or synced again.
@@ -71,6 +72,7 @@
     group: int = 160 << 20  # of one write at most; the council proposes nothing with 128 MB of log
     snapshot: int = SNAPSHOT_MOST  # at most; the council takes and sends no larger one
     reserve: int = 16 << 20  # held for a snapshot while the disk is full
+    again: int = 64 << 10  # a last segment of so much is written again at an opening: restarts add no files
     low: int = 32 << 20  # free: below it room is short, and a full store waits for as much
 
 
@@ -215,22 +217,23 @@
 
     def _load(self, acknowledged: int | None, generations: int = GENERATIONS) -> Durable:
         """Read the folder and begin a new segment; drop what is known not to be acknowledged."""
-        segments, doubtful = self._read_log(acknowledged)
+        segments, again = self._read_log(acknowledged, generations)
         last = segments[-1]
         sure = last.head.group - 1 + len(last.groups)
-        reached = sure + (doubtful is not None)
+        reached = sure + len(again)
         marked = self._marked() if acknowledged is None else acknowledged
         if reached < marked:
             raise LogDamaged(f"group {marked} was acknowledged, the log ends with {reached}", group=marked,
                              reached=reached)
         self.segments = {s.head.segment: s.head.last_index for s in segments}
         number = last.head.segment + bool(last.groups)  # one that says nothing of its own is replaced
-        replay, snapshot, head = self._replay(segments, doubtful, generations, number, sure + 1)
-        body = records.parts(reached, doubtful.SerializeToString()) if doubtful is not None else b""
-        head.whole = reached - sure
+        replay, snapshot, head = self._replay(segments, again, generations, number, sure + 1)
+        head.whole = len(again)
+        body = b"".join(records.parts(sure + 1 + place, group.SerializeToString())
+                        for place, group in enumerate(again))
         self.shape, self.group = replay.shape, reached
         self._begin(head, body)
-        self.first = max(head.first_segment, doubtful.first_segment if doubtful is not None else 0)
+        self.first = max([head.first_segment, *(group.first_segment for group in again)])
         self.shape.trim(generations)
         self._mark()
         self._sweep()
@@ -239,12 +242,13 @@
         self.failed = False
         return Durable(Life(self.name, self.life), hard, newest, snapshot, replay.wanted())
 
-    def _read_log(self, acknowledged: int | None) -> tuple[list[_Segment], kept.Group | None]:
-        """Return the segments needed, with the groups that count, and the last group if it is in doubt."""
+    def _read_log(self, acknowledged: int | None,
+                  generations: int) -> tuple[list[_Segment], list[kept.Group]]:
+        """Return the segments needed, with the groups that count, and those that are to be written again."""
         numbers = _numbers(self.disk.names(), LOG)
         if not numbers:
             raise SegmentMissing("there is no log", file=_log(1))
-        last, doubtful = self._read_segment(numbers[-1]), None
+        last, again = self._read_segment(numbers[-1]), []
         if acknowledged is not None:
             del last.groups[max(0, acknowledged + 1 - last.head.group):]
         else:
@@ -255,8 +259,10 @@
                 raise LogDamaged(f"{_log(numbers[-1])} is damaged at {offset}", file=_log(numbers[-1]),
                                  offset=offset)
         first = max([last.head.first_segment, *(group.first_segment for group in last.groups)])
-        if acknowledged is None and last.groups:
-            doubtful = last.groups.pop()
+        if len(last.data) <= self.limits.again and generations == GENERATIONS:
+            again, last.groups[:] = last.groups[:], []
+        elif acknowledged is None and last.groups:
+            again = [last.groups.pop()]  # the one in doubt
         segments = [last]
         for number in range(numbers[-1] - 1, first - 1, -1):
             if number not in numbers:
@@ -267,7 +273,7 @@
                                  offset=segment.rest or len(segment.data))
             del segment.groups[following - segment.head.group:]  # never acknowledged
             segments.insert(0, segment)
-        return segments, doubtful
+        return segments, again
 
     def _read_segment(self, number: int) -> _Segment:
         name = _log(number)
@@ -294,7 +300,7 @@
                 payloads, begin = [], at
         return _Segment(head, groups, data, at if begin < len(data) else None)
 
-    def _replay(self, segments: list[_Segment], doubtful: kept.Group | None, generations: int, number: int,
+    def _replay(self, segments: list[_Segment], again: list[kept.Group], generations: int, number: int,
                 group: int) -> tuple[Replay, bytes, kept.Head]:
         """Return what the groups make, the newest snapshot, and a new segment's first record."""
         bad: set[int] = set()
@@ -310,8 +316,9 @@
                         self._worked(one.ByteSize())
                 shape.trim(generations)
                 head = self._head(number, group, self._first(shape), shape)
-                if doubtful is not None:
-                    replay.take(doubtful, lambda head: head.index not in bad)
+                for one in again:
+                    replay.take(one, lambda head: head.index not in bad)
+                    self._worked(one.ByteSize())
             except (WriteRefused, DecodeError) as exc:
                 raise LogDamaged(f"the log does not fit together: {exc}") from None
             if not shape.heads:
--- a/tests/storedefects.py
+++ b/tests/storedefects.py
@@ -107,11 +107,10 @@
 class Trusting(Store):
     """Goes on behind what reads well, without writing the last group again."""
 
-    def _read_log(self, acknowledged):
-        segments, doubtful = super()._read_log(acknowledged)
-        if doubtful is not None:
-            segments[-1].groups.append(doubtful)
-        return segments, None
+    def _read_log(self, *more):
+        segments, again = super()._read_log(*more)
+        segments[-1].groups.extend(again)
+        return segments, []
 
 
 class FailedCounts(Store):
--- a/tests/storemodel.py
+++ b/tests/storemodel.py
@@ -9,8 +9,8 @@
 from fennelwind.store.errors import NoRoom, StoreError
 from fennelwind.store.store import Limits, Store
 
-SMALL = Limits(segment=400, group=1 << 16, snapshot=1 << 16, reserve=2000, low=1500)
-TINY = Limits(segment=300, group=1 << 16, snapshot=1 << 16, reserve=0, low=0)
+SMALL = Limits(segment=400, group=1 << 16, snapshot=1 << 16, reserve=2000, again=300, low=1500)
+TINY = Limits(segment=300, group=1 << 16, snapshot=1 << 16, reserve=0, again=0, low=0)
 LIFE = b"a life of sixteen"
 FAULTS = ("cut", "late", "full", "short", "error", "sync")
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -311,6 +311,17 @@
     assert play.start()
 
 
+def test_restarts_alone_do_not_pile_up_files():
+    play = Play(1, limits=Limits(reserve=0, low=0))
+    for index in range(1, 31):
+        play.write(Write(1, hard=pb.HardState(term=index)))
+        play.write(Write(1, entries=(entry(index, index, 4000),)))
+        (play.kill if index % 2 else play.crash)()
+        assert play.start()
+    logs = [name for name in play.platter.names if name.startswith("log-")]
+    assert len(logs) == 2  # one for each 64 KB
+
+
 def test_two_at_once_get_one_folder_once():
     play = Play(1)
     with pytest.raises(FolderTaken):
