Merge main into the work on store

Need: this part builds on what stood beside it by then. Change: what the merge brings; where both sides had altered a line, the newer interface holds.

--- a/fennelwind/contracts/machine.py
+++ b/fennelwind/contracts/machine.py
@@ -12,7 +12,7 @@
 One order for moves and changes: a change is refused while shards of its table are under way, a move while
 its table is changed. Both are checked where both are written, on the record, and neither waits for the other
 while it holds anything. So that moves without end can't keep a change out, a change that was refused for them
-is remembered for a while, and no new move of the table begins.
+is remembered for a while (the fact `wanted`), and no new move of the table begins; those under way go on.
 """
 
 import heapq
@@ -25,11 +25,14 @@
 from fennelwind.contracts.checker import Subscriptions, check
 from fennelwind.contracts.messages import (
     READS_MOST,
+    all_reads_message,
     found_messages,
+    read_all_reads,
     read_reads,
     read_schema,
     reads_message,
     schema_message,
+    shared,
     verdict_message,
 )
 from fennelwind.contracts.rules import FIRST, NEWEST, NUMBER, Finding, Form, Level, Read, Reads, judge, worst
@@ -86,6 +89,7 @@
     until_ms: int
     since_ms: int
     reads: tuple[Reads, ...]
+    raw: bytes  # its reads as they are kept
 
 
 @dataclass(slots=True)
@@ -113,7 +117,7 @@
     """Who reads what, and which change may pass."""
 
     name = "contracts"
-    kinds = ("changing",)
+    kinds = ("changing", "wanted")
 
     def __init__(self) -> None:
         self._clear()
@@ -179,11 +183,14 @@
         return min(times, default=None)
 
     def fact(self, kind: str, key: str) -> int:
-        """Return 1 for a table that is changed, or whose change waits for its moves to end."""
-        if kind != "changing":
-            return 0
+        """Tell of a table: `changing` 1 while it is changed, `wanted` 1 while a change waits for its moves.
+
+        No shard of a table that is changing takes a step; of one that is wanted none begins.
+        """
         key = key.lower()
-        return int(key in self.by_table or self.wanted.get(key, (0, 0))[0] > 0)
+        if kind == "changing":
+            return int(key in self.by_table)
+        return int(kind == "wanted" and self.wanted.get(key, (0, 0))[0] > 0)
 
     def quiet(self, table: str) -> frozenset[str]:
         """Return the engines to which no new query of a table is to go.
@@ -226,7 +233,8 @@
             return
         for number in self._lapsed_by_name.pop(name, []):
             del self.lapsed[number]
-        self._add(Subscription(at.index, name, told.version, term, at.clock_ms + term, at.clock_ms, reads))
+        self._add(Subscription(at.index, name, told.version, term, at.clock_ms + term, at.clock_ms, reads,
+                               all_reads_message(reads)))
         answer.number = at.index
 
     def _resolved(self, told: pb.Reads) -> Reads:
@@ -241,14 +249,15 @@
         form = table.form
         if reads.star:
             columns = tuple(
-                Read(c.name, c.type, c.nullable, place if reads.by_place else 0, c.number,
-                     c.name in form.partitions) for place, c in enumerate(form.row, 1))
+                shared(Read(c.name, c.type, c.nullable, place if reads.by_place else 0, c.number,
+                            c.name in form.partitions)) for place, c in enumerate(form.row, 1))
             return replace(reads, columns=columns)
         made = []
         for read in reads.columns:
             found = form.by_name.get(read.name)
-            made.append(replace(read, number=found.number if found else 0,
-                                partition=found is not None and found.name in form.partitions))
+            made.append(shared(replace(
+                read, number=found.number if found else 0,
+                partition=found is not None and found.name in form.partitions)))
         return replace(reads, columns=tuple(made))
 
     def _forms(self, reads: Reads) -> list[Form | None]:
@@ -326,6 +335,9 @@
         if len(self.changes) >= CHANGES_MOST or (table is None and len(self.tables) >= TABLES_MOST):
             answer.refusal, answer.again_ms = Refused.TOO_MANY, AGAIN_MS
             return
+        # Engines that missed a change would need that one first: they stay out, and behind.
+        behind = table.behind if table is not None else set()
+        engines = {engine: state for engine, state in engines.items() if engine not in behind} or engines
         self.next_column = following
         self.wanted.pop(name, None)
         change = Underway(at.index, name, publisher, answer.version, new, told.anew, engines,
@@ -460,6 +472,7 @@
                 subscription.reads = tuple(
                     self._resolved(reads_message(replace(r, columns=() if r.star else r.columns)))
                     if (r, subscription.version) in waiting else r for r in subscription.reads)
+                subscription.raw = all_reads_message(subscription.reads)
                 self._list(subscription)
 
     def _end(self, change: Underway, outcome: int) -> None:
@@ -579,9 +592,9 @@
     s = subscription
     return pb.ContractState.Subscription(
         number=s.number, name=s.name, version=s.version, term_ms=s.term_ms, until_ms=s.until_ms,
-        since_ms=s.since_ms, reads=map(reads_message, s.reads))
+        since_ms=s.since_ms, reads=s.raw)
 
 
 def _subscription(told: pb.ContractState.Subscription) -> Subscription:
     return Subscription(told.number, told.name, told.version, told.term_ms, told.until_ms, told.since_ms,
-                        tuple(map(read_reads, told.reads)))
+                        read_all_reads(told.reads), told.reads)
--- a/fennelwind/keeper/member.py
+++ b/fennelwind/keeper/member.py
@@ -126,7 +126,7 @@
         self.core = self.make_core(durable)
         self._listen()
         self._reach()
-        for call, name in ((self._write, "keeper: writes"), (self._apply, "keeper: applies"),
+        for call, name in ((self._write, "keeper: writes"), (self.state.run, "keeper: applies"),
                            (self._look_for_room, "keeper: room"), (self._raise_level, "keeper: level")):
             self._tasks.append(self.loop.spawn(call, name=name))
         self.said("member", {"name": self.me.name, "life": self.me.life.hex(),
@@ -204,6 +204,10 @@
         return pb.Hello(protocol=PROTOCOL, fleet=self.place.fleet, name=self.me.name, life=self.me.life,
                         level=self.state.record.known)
 
+    def greeted(self, sender: Life) -> None:
+        """Take note that a member has opened its way to this one."""
+        self.peers.heard(sender.name)
+
     def received(self, sender: Life, message: council_pb2.Message) -> None:
         """Take a message of a member."""
         if len(self._events) >= EVENTS_MOST:
@@ -305,6 +309,7 @@
                 self._set_timer(action.at)
             elif isinstance(action, Became):
                 self._become(action)
+        self._stop_if_too_new()
         if any(isinstance(action, Restore) or isinstance(action, Apply) and any(
                 entry.WhichOneof("what") == "members" for entry in action.entries) for action in actions):
             self._reach()
@@ -334,15 +339,18 @@
         addresses.pop(self.me.name, None)
         self.peers.reach(addresses)
 
-    def _apply(self) -> None:
-        try:
-            self.state.run()
-        except RecordTooNew as exc:
-            self.said("takes part no more", exc.told())
+    def _stop_if_too_new(self) -> None:
+        """Take part no more in a record that a later version goes on with; queries go on as without it."""
+        record = self.state.record
+        if self.state.too_new and self.part != "closed":
+            self.said("takes part no more", RecordTooNew(
+                f"the record is of level {record.level}, this version knows {record.known}",
+                level=record.level, known=record.known).told())
+            self.part = "closed"
             self.loop.spawn(self.close, name="keeper: close")
 
     def _raise_level(self) -> None:
-        """Have the record's level raised, while leading, once all members have said that they know the next."""
+        """Have the level raised, while leading, once all members have said that they know the next."""
         record = self.state.record
         while record.level < record.known:
             self.loop.sleep(LEVEL_MS)
--- a/tests/test_council_processes.py
+++ b/tests/test_council_processes.py
@@ -120,6 +120,9 @@
             rig.heal()
             term = rig.state(rig.leader(others))["term"]
             rig.until(lambda: rig.state(leader)["term"] >= term, "the cut one hears")  # noqa: B023
+        leader = rig.leader()
+        rig.end(leader)  # as by SIGTERM
+        rig.until(lambda: rig.leader() != leader, "another leader")
         rig.acts(3)
         answered(rig)
 
