--- a/fennelwind/leases/machine.py
+++ b/fennelwind/leases/machine.py
@@ -27,6 +27,7 @@
 TERM_LEAST_MS, TERM_MOST_MS = 300, 600_000  # ms; shorter can't be renewed over an election, longer idles
 OFFER_PART = 2  # an offer stands for the term over this: a dead one at the head costs half a term
 HEARD_MS = 30_000  # ms without a word after which one waits no longer
+QUIET_MS = HEARD_MS // 2  # ms without a word after which others come first; a word comes every 8 to 12 s
 ASIDE_MS, ASIDE_MOST_MS = 2000, 120_000  # ms for which one that failed is passed over: first, and at most
 ASIDE_DOUBLINGS = 6  # 2 s to 128 s, which the bound cuts to 120 s
 ASIDES_MOST = 64  # remembered for one task; the one that ends first goes first
@@ -345,13 +346,17 @@
         task.holder, task.fence, task.term_ms, task.until_ms, task.purpose = None, 0, 0, 0, ""
 
     def _offer(self, at: At, name: str, task: _Task, to: str = "") -> None:
-        """Offer a free lease to who is named, or holds fewest, or asked first; not to one who is aside."""
+        """Offer a free lease to who is named, or said a word lately, holds fewest and asked first.
+
+        Not to one who is passed over.
+        """
         able = [who for who in task.waiters if self._able(at, task, who)]
         if to:
             able = [who for who in task.waiters if who.name == to]
         if not able:
             return
-        who = min(able, key=lambda who: self._holds.get(who.name, 0))
+        who = min(able, key=lambda who: (
+            at.clock_ms - self._heard[who] > QUIET_MS, self._holds.get(who.name, 0)))
         wish = task.waiters[who]
         self._unqueue(at, name, task, who)
         task.holder, task.term_ms, task.purpose = who, wish.term_ms, wish.purpose
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -148,6 +148,14 @@
     assert desk.hand_over(A, fence).holder == "c"
 
 
+def test_a_lease_goes_to_one_who_was_heard_lately(desk):
+    fence = desk.gain(A, term_ms=60_000).fence
+    desk.gain(B)
+    desk.pass_ms(m.QUIET_MS + 1)
+    desk.gain(C)
+    assert desk.hand_over(A, fence).holder == "c"  # b may have died
+
+
 @pytest.mark.parametrize("ask, refusal", [
     (pb.LeaseAsk(task="t", gain=pb.Gain(term_ms=299)), pb.BAD_TERM),
     (pb.LeaseAsk(task="t" * 257, gain=pb.Gain(term_ms=1000)), pb.TOO_LARGE),
