Planned moves stay while their cause does: drops of copies that pass through

In full: Planned moves stay while their cause does: drops of copies that pass through, doubtful ones, keeps.

--- a/fennelwind/shards/needs.py
+++ b/fennelwind/shards/needs.py
@@ -50,6 +50,7 @@
     used: dict[str, int] = field(default_factory=dict)  # bytes by engine: all copies, whatever their state
     limit: dict[str, int] = field(default_factory=dict)  # bytes by engine that copies may take
     holds: dict[str, set[str]] = field(default_factory=dict)  # by shard: living engines with any copy
+    brought: dict[tuple[str, str], int] = field(default_factory=dict)  # copies that kept moves bring, by which
     clears: set[tuple[str, str]] = field(default_factory=set)  # copies that kept moves wait to have dropped
     going: set[tuple[str, str]] = field(
         default_factory=set
@@ -69,8 +70,11 @@
 
     def released(self, move: Move) -> int:
         """Return the bytes that leave the engine that a move drops from."""
-        on_disk = move.drops in self.used and move.drops in self.holds.get(move.shard, ())
-        return self.world.shards[move.shard].size if on_disk and move.number not in self.keeps else 0
+        if move.drops not in self.used or move.number in self.keeps:
+            return 0
+        pair = (move.shard, move.drops)
+        there = move.drops in self.holds.get(move.shard, ()) or self.brought.get(pair, move.number) < move.number
+        return self.world.shards[move.shard].size if there else 0
 
 
 def read(world: World, bounds: Bounds) -> View:
@@ -104,6 +108,8 @@
     for move in view.kept.values():
         if move.number not in view.keeps:
             view.doubtful[move.shard].discard(move.drops)  # it goes by that move
+        elif (copy := world.copies.get((move.shard, move.drops))) and copy.state == "leaving":
+            view.now[move.shard].add(move.drops)  # it stays, and is as good as it was
     view.replaced = {name: set(engines) for name, engines in view.doubtful.items()}
     for shard, engine in (*view.going, *view.orphans, *view.clears):
         view.replaced[shard].add(engine)
@@ -137,6 +143,7 @@
                 view.cancels[number] = why
             else:
                 view.kept[number] = move
+        view.brought = {(move.shard, move.target): number for number, move in view.kept.items()}
         _settle(view)
         _crowded(view)
         if len(view.cancels) == before:
@@ -199,7 +206,8 @@
         return False  # the older copy has gone, and the same shard has come there again
     if state in ("coming", "leaving"):
         return True
-    if shard.table in world.frozen or any((other.shard, other.source) == pair for other in view.kept.values()):
+    read = any((one.shard, one.source) == pair and one.step in READING for one in view.kept.values())
+    if shard.table in world.frozen or read:
         return False
     left = {other for other in view.now[name] if (name, other) not in view.clears} - {engine}
     comes = any(pair in other.cleared and other.number not in view.cancels for other in anew)
@@ -219,31 +227,28 @@
     view.keeps = set()
     came: dict[str, dict[str, int]] = {}  # by shard: target: the last move that brings it there
     for number, move in sorted(view.kept.items()):
+        if move.step == "switched" and move.target not in view.now[move.shard]:
+            continue  # the engine has gone since, or its copy is doubted
         view.good[move.shard].add(move.target)
         came.setdefault(move.shard, {})[move.target] = number
+    waited = {other for move in view.kept.values() for other in move.after}
     for number, move in sorted(view.kept.items()):
-        state = (
-            view.world.copies[move.shard, move.drops].state
-            if view.released(move) and ((move.shard, move.drops) in world.copies)
-            else ""
-        )
-        good, shard = view.good[move.shard], world.shards[move.shard]
-        if move.step == "switched" and move.target not in view.now[move.shard]:
-            good.discard(move.target)  # the engine has gone since, or its copy is doubted
+        pair, shard, good = (move.shard, move.drops), world.shards[move.shard], view.good[move.shard]
+        state = world.copies[pair].state if view.released(move) and pair in world.copies else ""
         if not (state == "good" or (state == "leaving" and move.step == "switched")):
-            if move.drops in came.get(move.shard, ()) and number > came[move.shard][move.drops]:
+            if number > came.get(move.shard, {}).get(move.drops, number):
                 good.discard(move.drops)  # by way of a third engine
             continue
         rest, now = good - {move.drops}, view.now[move.shard] | {move.drops}
-        if takes(world.homes[move.drops], shard):
-            both = rest | {move.drops}
-            fewer = len(rest) < wanted(shard) or view.span(rest) < min(span_wanted(shard), view.span(both))
-        else:
-            fewer = len(rest) < min(wanted(shard), len(now)) or view.span(rest) < min(
-                span_wanted(shard), view.span(now)
-            )
+        fewer = len(rest) < min(wanted(shard), len(now)) or view.span(rest) < min(
+            span_wanted(shard), view.span(now)
+        )
+        over = view.used[move.drops] > view.limit[move.drops]
+        if takes(world.homes[move.drops], shard) and number not in waited and not over:
+            both = view.span(rest | {move.drops})
+            fewer |= len(rest) < wanted(shard) or view.span(rest) < min(span_wanted(shard), both)
         if rest and not fewer:
-            if came[move.shard].get(move.drops, 0) < number:
+            if came.get(move.shard, {}).get(move.drops, 0) < number:
                 good.discard(move.drops)
             continue
         good.add(move.drops)
@@ -300,7 +305,7 @@
         drops = move.drops if view.released(move) and number not in view.keeps else ""
         if waited[number] or move.step not in READING or (move.step != "planned" and drops):
             continue
-        without = view.good[move.shard] - {move.target} | ({drops} - {""})
+        without = view.good[move.shard] - {move.target} | ({drops} & view.now[move.shard])
         if not view.enough(shard, without):
             continue
         if drops and (
