--- a/fennelwind/lab/shard_cases.py
+++ b/fennelwind/lab/shard_cases.py
@@ -11,7 +11,7 @@
 
 
 def small(seed: int, begun: bool = True) -> World:
-    """Return a world of 3 to 6 engines and 4 to 12 shards with trouble of many kinds; `begun`: and with moves."""
+    """Return a world of 3 to 6 engines and 4 to 12 shards with trouble; `begun`: and with moves."""
     chance = random.Random(seed)
     world = World()
     zones, mixed = chance.randint(1, 3), chance.random() < 0.3
@@ -184,7 +184,7 @@
 
 
 def adopt(world: World, planned: Planned) -> World:
-    """Return the world when a plan has been taken into the record, and nothing of it been carried out but cancels."""
+    """Return the world when a plan has been taken into the record and its cancels are carried out."""
     after = World(dict(world.shards), dict(world.homes), dict(world.copies), dict(world.moves), world.frozen)
     for number in planned.cancels:
         move = after.moves.pop(number)
@@ -194,7 +194,9 @@
     for number in planned.keeps:
         move = after.moves[number]
         after.moves[number] = replace(move, drops="")
-        if (move.shard, move.drops) in after.copies and after.copies[move.shard, move.drops].state == "leaving":
+        if (move.shard, move.drops) in after.copies and after.copies[
+            move.shard, move.drops
+        ].state == "leaving":
             after.copies[move.shard, move.drops] = Copy(move.shard, move.drops)
     after.moves.update((move.number, move) for move in planned.moves)
     return after
@@ -205,9 +207,13 @@
     lives = world.homes[move.target].life != "gone" and world.homes[move.source].life != "gone"
     if move.step == "planned":
         source = world.copies.get((move.shard, move.source))
-        return (lives and not any(number in world.moves for number in move.after)
-                and not any(pair in world.copies for pair in move.cleared)
-                and source is not None and source.state == "good")
+        return (
+            lives
+            and not any(number in world.moves for number in move.after)
+            and not any(pair in world.copies for pair in move.cleared)
+            and source is not None
+            and source.state == "good"
+        )
     return lives or move.step in ("checked", "switched")
 
 
--- a/fennelwind/shards/evenness.py
+++ b/fennelwind/shards/evenness.py
@@ -3,9 +3,10 @@
 from fennelwind.shards.board import Board
 from fennelwind.shards.needs import heats, mean, span_wanted, takes, wanted
 from fennelwind.shards.order import Sequence, Transfer
-from fennelwind.shards.state import Bounds, Shard
+from fennelwind.shards.state import Bounds, Move, Shard
 
 MOVES_MOST = 64  # that one plan makes for evenness alone; the next one goes on
+STILL = 0.5  # part of a tolerance below which a planned move for evenness is no longer worth it
 LOOKED_AT = 40  # shards of the engine that stands out, those with the most gain for their bytes
 
 
@@ -50,6 +51,20 @@
         return disk, warm
 
 
+def still(board: Board, moves: list[Move]) -> list[int]:
+    """Return the planned moves for evenness whose engine no longer stands out."""
+    view, bounds = board.view, board.bounds
+    share = {name: board.load[name] / max(1, view.limit[name]) for name in board.load}
+    disk, heat, idle = mean(share, view), mean(board.heat, view), []
+    for move in moves:
+        shard, name = view.world.shards[move.shard], move.drops
+        over = share[name] + shard.size / max(1, view.limit[name]) - disk
+        warm = board.heat[name] + shard.heat / wanted(shard) - heat
+        if over <= bounds.disk_tolerance * STILL and warm <= bounds.heat_tolerance * STILL * heat:
+            idle.append(move.number)
+    return idle
+
+
 def even(board: Board, sequence: Sequence, bounds: Bounds) -> None:
     """List moves for evenness behind the others."""
     scale = _Scale(board, sequence, bounds)
--- a/fennelwind/shards/exact.py
+++ b/fennelwind/shards/exact.py
@@ -1,14 +1,14 @@
 """Yardsticks for plans: the fewest bytes by an exact solver, and by a search over all orders; lower bounds.
 
-Only measurements and tests use this; nothing else loads the solver (HiGHS). All of it begins where the moves
-that a plan lets go on have ended and those that it cancels are undone.
-
-- `assigned`: the places of all copies with, first, the least unmet (copies, zones, engines over their headroom)
-  and then the fewest bytes, each engine within its headroom in the end. What happens on the way is left out,
-  so it is a lower bound of what a plan takes, and mostly the optimum. Mixed-integer program, gap 0.
-- `ordered`: the fewest bytes of any sequence of copies in and drops that keeps headroom, good copies and zones
-  at each step: the true optimum, by a search (A*) over all states. For tiny worlds.
-- `bound`: for large worlds: what each shard must be given, and what must leave engines that are over.
+Only measurements and tests use this; nothing else loads the solver (HiGHS). All of it begins where the
+moves that a plan lets go on have ended and those that it cancels are undone.
+
+- `assigned`: the places of all copies with, first, the least unmet (copies, zones, engines over their
+headroom) and then the fewest bytes, each engine within its headroom in the end. What happens on the way
+is left out, so it is a lower bound of what a plan takes, and mostly the optimum. Mixed-integer program,
+gap 0. - `ordered`: the fewest bytes of any sequence of copies in and drops that keeps headroom, good
+copies and zones at each step: the true optimum, by a search (A*) over all states. For tiny worlds. -
+`bound`: for large worlds: what each shard must be given, and what must leave engines that are over.
 """
 
 import heapq
@@ -37,7 +37,7 @@
 
 
 def unmet(world: World) -> int:
-    """Return the copies and zones that are lacking, and the engines that are over, of shards that may be moved."""
+    """Return the copies and zones that shards lack that may be moved, and the engines that are over."""
     lacking = 0
     good = _good(world)
     for name, shard in world.shards.items():
@@ -58,7 +58,9 @@
 
 
 def _load(world: World, engine: str) -> int:
-    return sum(world.shards[shard].size for shard, where in world.copies if where == engine and shard in world.shards)
+    return sum(
+        world.shards[shard].size for shard, where in world.copies if where == engine and shard in world.shards
+    )
 
 
 def _takes(world: World, engine: str, shard: Shard) -> bool:
@@ -125,15 +127,21 @@
         if _load(world, engine) > most:  # over from the start: may stay so, as full as it is at most
             over = solver.addBinary()
             lacks.append(over)
-            solver.addConstr(load <= (most - fixed[engine]) / unit + (_load(world, engine) - most) / unit * over)
+            solver.addConstr(
+                load <= (most - fixed[engine]) / unit + (_load(world, engine) - most) / unit * over
+            )
         else:
             solver.addConstr(load <= (most - fixed[engine]) / unit)
     if not chosen:
         return Optimum(unmet(world), 0)
     solver.minimize(sum(weight * lack for lack in lacks) + sum(size / unit * v for size, v in costs))
     values = {id(v): solver.val(v) for _, _, v in chosen}
-    taken = sum(shard.size for shard, engine, v in chosen if values[id(v)] > 0.5 and engine not in good[shard.name])
-    return Optimum(round(sum(solver.val(lack) for lack in lacks)) + _stuck(world, engines, fixed, placed), taken)
+    taken = sum(
+        shard.size for shard, engine, v in chosen if values[id(v)] > 0.5 and engine not in good[shard.name]
+    )
+    return Optimum(
+        round(sum(solver.val(lack) for lack in lacks)) + _stuck(world, engines, fixed, placed), taken
+    )
 
 
 def _stuck(world: World, engines: list[str], fixed: dict[str, int], placed: dict[str, list]) -> int:
@@ -157,12 +165,14 @@
 
 
 class _Search:
-    """States are the good copies of each movable shard and the copies that are not good, as bits by engine."""
+    """States are the good copies of each movable shard and its other copies, as bits by engine."""
 
     def __init__(self, world: World) -> None:
         self.world, self.engines, good = world, _living(world), _good(world)
         self.bit = {engine: 1 << number for number, engine in enumerate(self.engines)}
-        self.shards = [shard for name, shard in sorted(world.shards.items()) if not _fixed(world, shard, good)]
+        self.shards = [
+            shard for name, shard in sorted(world.shards.items()) if not _fixed(world, shard, good)
+        ]
         self.limits = [_limit(world, engine) for engine in self.engines]
         self.fixed = [0] * len(self.engines)
         movable = {shard.name for shard in self.shards}
@@ -174,11 +184,24 @@
                 self.fixed[self.engines.index(engine)] += world.shards[shard].size
         for shard in self.shards:
             self.start.append(sum(self.bit[engine] for engine in good[shard.name]))
-            self.other.append(sum(self.bit[engine] for (name, engine) in world.copies
-                                  if name == shard.name and engine in self.bit and engine not in good[name]))
-            self.doubtful.append(sum(self.bit[engine] for engine in self.engines if (shard.name, engine) in
-                                     world.copies and world.copies[shard.name, engine].state == "doubtful"))
-        self.fits = [sum(self.bit[e] for e in self.engines if _takes(world, e, shard)) for shard in self.shards]
+            self.other.append(
+                sum(
+                    self.bit[engine]
+                    for (name, engine) in world.copies
+                    if name == shard.name and engine in self.bit and engine not in good[name]
+                )
+            )
+            self.doubtful.append(
+                sum(
+                    self.bit[engine]
+                    for engine in self.engines
+                    if (shard.name, engine) in world.copies
+                    and world.copies[shard.name, engine].state == "doubtful"
+                )
+            )
+        self.fits = [
+            sum(self.bit[e] for e in self.engines if _takes(world, e, shard)) for shard in self.shards
+        ]
         self.goals = [self._goals(shard, fit) for shard, fit in zip(self.shards, self.fits, strict=True)]
         self.away: list[dict[int, int]] = [{} for _ in self.shards]
         self.lacks: dict[tuple[int, int], int] = {}
@@ -198,11 +221,14 @@
     def _unmet_goal(self, i: int) -> int:
         goal = max(self.goals[i])
         return max(0, max(1, self.shards[i].copies) - goal.bit_count()) + max(
-            0, _zones(self.shards[i]) - self._zone_count(goal))
+            0, _zones(self.shards[i]) - self._zone_count(goal)
+        )
 
     def _missing(self, i: int, mask: int) -> int:
         if mask not in self.away[i]:
-            self.away[i][mask] = self.shards[i].size * min((goal & ~mask).bit_count() for goal in self.goals[i])
+            self.away[i][mask] = self.shards[i].size * min(
+                (goal & ~mask).bit_count() for goal in self.goals[i]
+            )
         return self.away[i][mask]
 
     def _may_drop(self, i: int, mask: int, bit: int) -> bool:
@@ -216,8 +242,9 @@
     def _enough(self, i: int, mask: int) -> bool:
         """Return whether a doubtful copy may go: what is wanted is there without it."""
         fit = mask & self.fits[i]
-        return (fit.bit_count() >= max(1, self.shards[i].copies)
-                and self._zone_count(fit) >= _zones(self.shards[i]))
+        return fit.bit_count() >= max(1, self.shards[i].copies) and self._zone_count(fit) >= _zones(
+            self.shards[i]
+        )
 
     def run(self, allowed: int) -> int | None:
         """Return the fewest bytes of a way to a state with so much unmet at most; -1: there is none."""
@@ -249,13 +276,14 @@
         return -1
 
     def _unmet(self, masks: tuple[int, ...], loads: list[int]) -> int:
-        """Return what is unmet; a copy where none may be does not count as good, nor is it counted against."""
+        """Return what is unmet; a copy where none may be counts neither for nor against."""
         lacking = sum(load > limit for load, limit in zip(loads, self.limits, strict=True))
         for i, mask in enumerate(masks):
             if (i, mask) not in self.lacks:
                 fit = mask & self.fits[i]
                 self.lacks[i, mask] = max(0, max(1, self.shards[i].copies) - fit.bit_count()) + max(
-                    0, _zones(self.shards[i]) - self._zone_count(fit))
+                    0, _zones(self.shards[i]) - self._zone_count(fit)
+                )
             lacking += self.lacks[i, mask]
         return lacking
 
@@ -265,22 +293,27 @@
             for n in range(len(self.engines)):
                 bit = 1 << n
                 if others[i] & bit and masks[i] and self.fits[i] & bit and loads[n] <= self.limits[n]:
-                    yield shard.size, ((*masks[:i], masks[i] | bit, *masks[i + 1:]),
-                                       (*others[:i], others[i] & ~bit, *others[i + 1:]))
+                    yield (
+                        shard.size,
+                        (
+                            (*masks[:i], masks[i] | bit, *masks[i + 1 :]),
+                            (*others[:i], others[i] & ~bit, *others[i + 1 :]),
+                        ),
+                    )
                 if others[i] & bit and (not self.doubtful[i] & bit or self._enough(i, masks[i])):
-                    yield 0, (masks, (*others[:i], others[i] & ~bit, *others[i + 1:]))
+                    yield 0, (masks, (*others[:i], others[i] & ~bit, *others[i + 1 :]))
                 elif masks[i] & bit:
                     if self._may_drop(i, masks[i], bit):
-                        yield 0, ((*masks[:i], masks[i] & ~bit, *masks[i + 1:]), others)
+                        yield 0, ((*masks[:i], masks[i] & ~bit, *masks[i + 1 :]), others)
                 elif not others[i] & bit and self.fits[i] & bit and loads[n] + shard.size <= self.limits[n]:
-                    yield shard.size, ((*masks[:i], masks[i] | bit, *masks[i + 1:]), others)
+                    yield shard.size, ((*masks[:i], masks[i] | bit, *masks[i + 1 :]), others)
 
 
 def bound(world: World) -> int:
     """Return bytes below which no plan that meets what can be met can be, of a world without moves.
 
-    What each shard lacks of good copies that may stay, whatever the space; and what an engine that is over has to
-    give away beyond the copies that may not stay there or are too many.
+    What each shard lacks of good copies that may stay, whatever the space; and what an engine that is over
+    has to give away beyond the copies that may not stay there or are too many.
     """
     good, total, zones = _good(world), 0, {}
     moving: dict[str, int] = dict.fromkeys(_living(world), 0)
@@ -300,7 +333,12 @@
                 moving[engine] += shard.size
     loads = dict.fromkeys(moving, 0)
     for (shard, engine), copy in world.copies.items():
-        if engine in loads and shard in world.shards and (
-                copy.state == "good" or _fixed(world, world.shards[shard], good)):
+        if (
+            engine in loads
+            and shard in world.shards
+            and (copy.state == "good" or _fixed(world, world.shards[shard], good))
+        ):
             loads[engine] += world.shards[shard].size
-    return total + sum(max(0, load - moving[engine] - _limit(world, engine)) for engine, load in loads.items())
+    return total + sum(
+        max(0, load - moving[engine] - _limit(world, engine)) for engine, load in loads.items()
+    )
--- a/fennelwind/shards/needs.py
+++ b/fennelwind/shards/needs.py
@@ -10,14 +10,14 @@
 """
 
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from fennelwind.shards.state import Bounds, Home, Move, Shard, World
+from fennelwind.shards.state import Home, Move, Shard, World
 
 ENDED = ("done", "undone")  # steps of a move that is over
 HELD = ("reserved", "copying", "checked")  # steps with space taken and a copy that is not good yet
 READING = ("planned", "reserved", "copying")  # steps that still need the source
-STILL = 0.5  # part of a tolerance below which a planned move for evenness is no longer worth it
 
 
 def wanted(shard: Shard) -> int:
@@ -50,12 +50,17 @@
     used: dict[str, int] = field(default_factory=dict)  # bytes by engine: all copies, whatever their state
     limit: dict[str, int] = field(default_factory=dict)  # bytes by engine that copies may take
     holds: dict[str, set[str]] = field(default_factory=dict)  # by shard: living engines with any copy
-    brought: dict[tuple[str, str], int] = field(default_factory=dict)  # copies that kept moves bring, by which
+    brought: dict[tuple[str, str], int] = field(
+        default_factory=dict
+    )  # copies that kept moves bring, by which
     clears: set[tuple[str, str]] = field(default_factory=set)  # copies that kept moves wait to have dropped
+    idle: list[Move] = field(default_factory=list)  # planned ones that evenness alone can be the cause of
     going: set[tuple[str, str]] = field(
         default_factory=set
     )  # copies of cancelled moves, that go by themselves
-    replaced: dict[str, set[str]] = field(default_factory=dict)  # by shard: engines whose copy goes or is doubtful
+    replaced: dict[str, set[str]] = field(
+        default_factory=dict
+    )  # by shard: engines whose copy goes or is doubtful
     orphans: list[tuple[str, str]] = field(default_factory=list)  # coming or leaving, and no move knows of it
 
     def span(self, engines: set[str]) -> int:
@@ -73,13 +78,16 @@
         if move.drops not in self.used or move.number in self.keeps:
             return 0
         pair = (move.shard, move.drops)
-        there = move.drops in self.holds.get(move.shard, ()) or self.brought.get(pair, move.number) < move.number
+        there = (
+            move.drops in self.holds.get(move.shard, ()) or self.brought.get(pair, move.number) < move.number
+        )
         return self.world.shards[move.shard].size if there else 0
 
 
-def read(world: World, bounds: Bounds) -> View:
-    """Return the view of a world: what counts, what is used, which moves go on."""
+def read(world: World, idle: Iterable[int] = ()) -> View:
+    """Return the view of a world: what counts, what is used, which moves go on but for the `idle`."""
     view = View(world)
+    view.cancels = dict.fromkeys(idle, "needless")
     for name in sorted(world.shards):
         view.now[name], view.holds[name], view.doubtful[name] = set(), set(), set()
     for name, home in sorted(world.homes.items()):
@@ -103,7 +111,7 @@
             view.used[move.target] += world.shards[move.shard].size
             view.holds[move.shard].add(move.target)
     view.live = live
-    _judge(view, live, bounds)
+    _judge(view, live)
     _strays(view, live)
     for move in view.kept.values():
         if move.number not in view.keeps:
@@ -131,7 +139,7 @@
             view.orphans.append((shard, engine))
 
 
-def _judge(view: View, live: dict[int, Move], bounds: Bounds) -> None:
+def _judge(view: View, live: dict[int, Move]) -> None:
     """Sort the moves that are not over into those that go on and those that have become wrong."""
     while True:
         before = len(view.cancels)
@@ -147,7 +155,7 @@
         _settle(view)
         _crowded(view)
         if len(view.cancels) == before:
-            _needless(view, bounds)
+            _needless(view)
         if len(view.cancels) == before:
             return
 
@@ -289,7 +297,7 @@
             room[move.target] -= sizes[move.shard].size
 
 
-def _needless(view: View, bounds: Bounds) -> None:
+def _needless(view: View) -> None:
     """Cancel planned moves, and begun ones that drop nothing, whose cause has gone: the last first."""
     world = view.world
     waited = Counter(other for move in view.kept.values() for other in move.after)
@@ -299,7 +307,7 @@
             load[move.target] += world.shards[move.shard].size
         if move.drops in load:
             load[move.drops] -= view.released(move)
-    heat = heats(view)
+    view.idle = []
     for number, move in sorted(view.kept.items(), reverse=True):
         shard = world.shards[move.shard]
         drops = move.drops if view.released(move) and number not in view.keeps else ""
@@ -308,11 +316,10 @@
         without = view.good[move.shard] - {move.target} | ({drops} & view.now[move.shard])
         if not view.enough(shard, without):
             continue
-        if drops and (
-            not takes(world.homes[drops], shard)
-            or load[drops] + shard.size > view.limit[drops]
-            or _uneven(view, bounds, load, heat, drops, shard)
-        ):
+        if drops and (not takes(world.homes[drops], shard) or load[drops] + shard.size > view.limit[drops]):
+            continue
+        if drops in view.now[move.shard]:
+            view.idle.append(move)
             continue
         view.cancels[number] = "needless"
         view.good[move.shard] = without
@@ -340,16 +347,3 @@
         if view.world.homes[engine].life in ("ready", "cold")
     ]
     return sum(some) / len(some) if some else 0.0
-
-
-def _uneven(
-    view: View, bounds: Bounds, load: dict[str, int], heat: dict[str, float], engine: str, shard: Shard
-) -> bool:
-    """Return whether an engine would stand out if a planned move away from it were left out."""
-    shares = {name: load[name] / max(1, view.limit[name]) for name in load}
-    share = (load[engine] + shard.size) / max(1, view.limit[engine])
-    part, common = heat[engine] + shard.heat / wanted(shard), mean(heat, view)
-    return (
-        share - mean(shares, view) > bounds.disk_tolerance * STILL
-        or part - common > bounds.heat_tolerance * STILL * common
-    )
--- a/fennelwind/shards/plan.py
+++ b/fennelwind/shards/plan.py
@@ -7,10 +7,11 @@
 Evenness comes last.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from fennelwind.shards.board import Board
-from fennelwind.shards.evenness import even
+from fennelwind.shards.evenness import even, still
 from fennelwind.shards.needs import View, read, span_wanted, takes, wanted
 from fennelwind.shards.order import Sequence, Transfer, arrange
 from fennelwind.shards.search import choices, neighbours, spread
@@ -49,13 +50,19 @@
 
     def __init__(self, world: World, bounds: Bounds, first: int) -> None:
         self.world, self.bounds = world, bounds
-        self.view: View = read(world, bounds)
         self.first = max([first, *(number + 1 for number in world.moves)])
-        self.board = Board(self.view, bounds)
+        self.view, self.board = self._read(())
+        if idle := still(self.board, self.view.idle):
+            self.view, self.board = self._read(idle)
+
+    def _read(self, idle: Iterable[int]) -> tuple[View, Board]:
+        view = read(self.world, idle)
+        board = Board(view, self.bounds)
+        board.greedy()
+        return view, board
 
     def run(self) -> Planned:
         """Return the plan."""
-        self.board.greedy()
         best = self._attempt()
         if best.unmet > self._unmet_least() or best.bytes > self._bytes_least():
             best = self._search(best) if self._is_small() else self._repair(best)
