A member that holds the lease of moves reads the record in place

In full: A member that holds the lease of moves reads the record in place; streams counted once a step. Cause: to read 20,000 shards' state after each command took 300 ms and more of the holder's loop; a step of the carrier looked at all moves for each move.

--- a/fennelwind/keeper/moves.py
+++ b/fennelwind/keeper/moves.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 from functools import partial
 
+from fennelwind.council.record import Record
 from fennelwind.engines.links import RemoteError
 from fennelwind.keeper import gate_pb2
 from fennelwind.keeper.asker import Asker
@@ -40,6 +41,8 @@
 LOOK_MS = 5_000.0  # ms for a mark or one table's list, and for a statement to be taken by its engine
 POLL_MS = 100.0  # ms between looks at engines that answer a status at once
 MARK_BYTES = 16  # no two disks get the same
+BEHIND_MS = 2.0  # ms between looks at whether the record here has come up to what was read
+BEYOND = pb.ShardQuery(skip=2**62).SerializeToString()  # asks for the revision alone
 NO_TABLE = "42S02"  # SQLSTATE of a look at a table that is not there
 
 
@@ -92,11 +95,15 @@
     def __init__(self, loop: Loop, asker: Asker, tasks: Tasks, statements: Statements,
                  homes: Callable[[], Iterable[Home]], staging: str, said: Callable[[str, dict], None],
                  bounds: Bounds | None = None, timing: api.Timing | None = None,
-                 planner: api.Planner = plan) -> None:
-        """Make it. `homes` tells the engines that are known now, with their disks by the settings."""
+                 planner: api.Planner = plan, record: Record | None = None) -> None:
+        """Make it. `homes` tells the engines that are known now, with their disks by the settings.
+
+        With the record at hand, as a member has it, its state is read in place; else all of it is asked for
+        after each command, which is for small ones: 20,000 shards take some 300 ms to be read.
+        """
         self.loop, self.asker, self.tasks, self.statements = loop, asker, tasks, statements
         self.homes, self.staging, self.said = homes, staging, said
-        self.bounds, self.timing, self.planner = bounds, timing, planner
+        self.bounds, self.timing, self.planner, self.record = bounds, timing, planner, record
         self.counts: Counter[str] = Counter()
 
     def start(self) -> None:
@@ -183,7 +190,26 @@
     # The record.
 
     def _look(self) -> int:
-        """See the record as it is now, all pieces of one revision; return the index."""
+        """See the record as it is now; return the index."""
+        if self.moves.record is None:
+            return self._ask_for_all()
+        record, index = self.moves.record, 0
+        while not index:
+            try:
+                index = self.asker.read(SHARDS, BEYOND, within_ms=ASK_MS).index
+            except CouncilError as exc:  # the lease ends meanwhile, if it lasts
+                self.moves.counts[exc.code] += 1
+                self.loop.sleep(NEWS_MS)
+        while record.index < index:
+            self.loop.sleep(BEHIND_MS)
+        self.machine, self.index = record.machines[SHARDS], record.index
+        tables = {shard.table for shard in self.machine.shards.values()}
+        frozen = frozenset(table for table in tables if record.fact("changing", table))
+        self._post(api.Seen(self.index, self.machine, frozen))
+        return index
+
+    def _ask_for_all(self) -> int:
+        """Ask for the state, all pieces of one revision; return the index."""
         data, revision = b"", None
         while True:
             try:
@@ -221,16 +247,14 @@
 
     def _watch(self) -> None:
         after = 0
-        beyond = pb.ShardQuery(skip=2**62).SerializeToString()  # the revision alone
         while True:
             try:
-                after = self.asker.watch(SHARDS, after, wait_ms=WATCH_MS, query=beyond).revision
+                after = self.asker.watch(SHARDS, after, wait_ms=WATCH_MS, query=BEYOND).revision
             except CouncilError as exc:
                 self.moves.counts[exc.code] += 1
                 self.loop.sleep(NEWS_MS)
                 continue
-            if self.machine is None or after > self.machine.revision:
-                self._look()
+            self._look()
 
     def _propose(self, action: api.Propose) -> None:
         try:
--- a/fennelwind/shards/carrier.py
+++ b/fennelwind/shards/carrier.py
@@ -14,6 +14,7 @@
 - all of its statements carry the fence
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
@@ -184,6 +185,8 @@
         self._asked: dict[int, _Asked] = {}
         self._work: dict[int, _Work] = {}
         self._doubts: dict[tuple[str, str], tuple[int, float]] = {}  # pairs to check: tries, not before
+        self._doubts_of = -1  # changes up to which copies in doubt were looked for
+        self._streams: Counter[str | frozenset[str]] = Counter()  # by engine and by pair of zones
         self._drops_end: dict[tuple[str, str], float] = {}  # when a drop without an answer has ended
         self._loads_end: dict[tuple[str, str], float] = {}  # the same of a load
         self._began = -1.0  # when it gained the lease: statements of the last holder may be on their way
@@ -232,12 +235,14 @@
         for number in [number for number in self._work if number not in self.machine.moves]:
             del self._work[number]
         self._tell_news()
+        asked = {a.owner for a in self._asked.values()}
+        self._streams = self._count_streams()
         for number in sorted(self.machine.moves):
             move = self.machine.moves[number]
             work = self._work.setdefault(number, _Work())
             if work.step != move.step:
                 work.step, work.since, work.tries, work.wait_until = move.step, self._now, 0, 0.0
-            if work.wait_until <= self._now and not any(a.owner == number for a in self._asked.values()):
+            if work.wait_until <= self._now and number not in asked:
                 getattr(self, "_at_" + move.step)(move, work)
         self._check_doubtful()
         changed = (self.machine.changes, self.frozen) != self._plan_of
@@ -330,24 +335,26 @@
         if not move.target:
             return self._take(move, Step.SWITCH)
         if self._may_stream(move):
+            self._streams.update(self._takes(move))
             self._take(move, Step.RESERVE)
 
+    def _count_streams(self) -> Counter[str | frozenset[str]]:
+        """Return how many copies each engine reads or writes, and each pair of zones carries."""
+        asked = {a.owner for a in self._asked.values() if a.kind == "RESERVE"}
+        streams: Counter[str | frozenset[str]] = Counter()
+        for move in self.machine.moves.values():
+            if move.step in ("reserved", "copying") or move.number in asked:
+                streams.update(self._takes(move))
+        return streams
+
+    def _takes(self, move: Move) -> tuple[str | frozenset[str], ...]:
+        return move.source, move.target, self._link(move)
+
     def _may_stream(self, move: Move) -> bool:
         """Tell whether engines, links and the hour's bytes have room for a further copy."""
-        if self._paced_until > self._now:
-            return False
-        engines: dict[str, int] = {}
-        links: dict[frozenset[str], int] = {}
-        for other in self.machine.moves.values():
-            asked = any(a.owner == other.number and a.kind == "RESERVE" for a in self._asked.values())
-            if other.step in ("reserved", "copying") or asked:
-                for engine in (other.source, other.target):
-                    engines[engine] = engines.get(engine, 0) + 1
-                link = self._link(other)
-                links[link] = links.get(link, 0) + 1
-        if links.get(self._link(move), 0) >= self.bounds.streams_per_link:
+        if self._paced_until > self._now or self._streams[self._link(move)] >= self.bounds.streams_per_link:
             return False
-        return all(engines.get(e, 0) < self.bounds.streams_per_engine for e in (move.source, move.target))
+        return all(self._streams[e] < self.bounds.streams_per_engine for e in (move.source, move.target))
 
     def _link(self, move: Move) -> frozenset[str]:
         homes = self.machine.homes
@@ -540,10 +547,12 @@
     def _check_doubtful(self) -> None:
         """Check what came back with an engine, and what an engine lists that the record doesn't know."""
         machine = self.machine
-        for shard, held in machine.copies.items():
-            for engine, copy in held.items():
-                if copy.state == "doubtful" and not copy.wrong:
-                    self._doubts.setdefault((shard, engine), (0, 0.0))
+        if self._doubts_of != machine.changes:
+            self._doubts_of = machine.changes
+            for shard, held in machine.copies.items():
+                for engine, copy in held.items():
+                    if copy.state == "doubtful" and not copy.wrong:
+                        self._doubts.setdefault((shard, engine), (0, 0.0))
         running = sum(a.kind in ("doubt", "found") for a in self._asked.values())
         for pair in sorted(self._doubts):
             shard, engine = pair
