--- a/fennelwind/keeper/whole.py
+++ b/fennelwind/keeper/whole.py
@@ -75,8 +75,9 @@
                      bounds: Bounds, shards: Iterable[Shard], told: Callable[[Places], None]) -> None:
         """Move shards while the lease is held here; `told` gets each newer view of where copies are."""
         statements = Statements(self.loop, links.settings, links.tls)
+        record = self.member.state.record if self.member is not None else None
         self.moves = Moves(self.loop, self.asker, self.tasks, statements, homes, staging, self.said, bounds,
-                           shards=shards)
+                           shards=shards, record=record)
         self.copies = Copies(self.loop, self.asker, told)
 
     def start(self) -> None:
