--- a/fennelwind/contracts/carrying.py
+++ b/fennelwind/contracts/carrying.py
@@ -183,7 +183,8 @@
 class _Part:
     """One engine's part."""
 
-    __slots__ = ("name", "state", "phase", "until", "token", "tries", "next", "quiet", "there")
+    __slots__ = ("name", "state", "phase", "until", "token", "tries", "next", "quiet", "there",
+                 "unsure")
 
     def __init__(self, name: str, state: int) -> None:
         self.name, self.state = name, state
@@ -192,6 +193,7 @@
         self.tries = self.next = 0  # runs so far; statements of this run that have gone through
         self.quiet = False
         self.there = state != Change.GONE_AWAY
+        self.unsure = False  # it left with a statement of this holder under way, which may run on
 
 
 class Carrier:
@@ -253,15 +255,18 @@
     def _of_engine(self, now: float, part: _Part, event: Event, actions: list[Action]) -> None:
         if isinstance(event, Left | Returned):
             part.there = isinstance(event, Returned)
+            part.unsure = part.unsure or (not part.there and part.phase in ("run", "stop"))
         elif event.token != part.token:
             return
         elif isinstance(event, Drained) and part.phase in ("drain", "wait"):
             part.phase, part.tries = "", 0
             state = Change.ASKED if self.step_name == Change.FORWARD else Change.ASKED_BACK
-            if part.state == state:  # it was asked before, by this holder or another: the look comes first
-                self._look(now, part, actions)
-            else:
+            if part.state != state:
                 self._settle(now, part, state, actions, quiet=True)
+            elif part.unsure:
+                self._stop(now, part, actions)
+            else:  # it was asked before, by this holder or another: the look comes first
+                self._look(now, part, actions)
         elif isinstance(event, Ran) and part.phase == "run":
             self._ran(now, part, event.how, actions)
         elif isinstance(event, Stopped) and part.phase == "stop":
@@ -305,7 +310,9 @@
         elif not part.quiet:
             part.quiet = True
             self._drain(now, part, actions)
-        else:
+        elif part.there and part.unsure:
+            self._stop(now, part, actions)
+        elif part.there:
             part.next = 0
             self._run(now, part, actions)
 
@@ -343,10 +350,11 @@
                 self._settle(now, part, part.state, actions, quiet=True)
 
     def _ran(self, now: float, part: _Part, how: str, actions: list[Action]) -> None:
+        part.unsure = part.unsure and how == "lost"
         if how == "fenced":
             self._end(actions, "superseded", f"{part.name} has seen a newer fence")
         elif how == "lost":
-            actions.append(Stop(self._phase(now, part, "stop", self.patience.answer_ms), part.name))
+            self._stop(now, part, actions)
         elif self._turning:
             part.phase = ""
         elif how == "ok" and part.next + 1 < len(self._statements):
@@ -359,7 +367,11 @@
         else:
             self._again(now, part, actions, "a statement failed")
 
+    def _stop(self, now: float, part: _Part, actions: list[Action]) -> None:
+        actions.append(Stop(self._phase(now, part, "stop", self.patience.answer_ms), part.name))
+
     def _stopped(self, now: float, part: _Part, actions: list[Action]) -> None:
+        part.unsure = False
         if self._turning:
             part.phase = ""
         else:
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -14,6 +14,7 @@
 from test_descriptors import fill
 
 from fennelwind.client.cursor import Cursor
+from fennelwind.contracts import carrying as go
 from fennelwind.contracts import contracts_pb2 as pb
 from fennelwind.contracts.machine import (
     BEGIN_MS,
@@ -343,6 +344,31 @@
         assert forward == (step == pb.Change.FORWARD) and world.holders == 1
 
 
+def test_what_ran_on_an_engine_that_left_is_stopped_before_anything_else_runs_there():
+    world = World(1, engines=1, faults=0)
+    world.hire()
+
+    def step(*events):
+        return world.carrier.step(0.0, events)
+
+    def told(action):
+        return go.Recorded(action.token, world.apply(action.command))
+    mark, = step(told(*step()))
+    quiet, = step(told(mark))
+    mark, = step(go.Drained(quiet.token, "e0"))
+    run, = step(told(mark))
+    assert isinstance(run, go.Run)
+    mark, = step(go.Left("e0"))
+    step(go.Returned("e0"))
+    release, mark = step(told(mark))
+    mark, = step(told(mark))
+    quiet, = step(told(mark))
+    stop, = step(go.Drained(quiet.token, "e0"))
+    assert isinstance(stop, go.Stop)
+    look, = step(go.Stopped(stop.token, "e0"))
+    assert isinstance(look, go.Look)
+
+
 def test_an_engine_that_returns_half_way_is_not_taken_for_untouched(gate):
     number = gate.propose("t", "a int, b string, c int", engines=["e1"]).number
     gate.facts.fence["table:t"] = 7
