--- a/fennelwind/contracts/rules.py
+++ b/fennelwind/contracts/rules.py
@@ -260,6 +260,9 @@
     number: int = 0
     partition: bool = False  # it was a partition column when it registered
 
+    def __hash__(self) -> int:
+        return hash((self.name, self.place, self.number))
+
 
 @dataclass(frozen=True, slots=True)
 class Reads:
--- a/fennelwind/contracts/types.py
+++ b/fennelwind/contracts/types.py
@@ -31,6 +31,7 @@
 DECIMAL_MOST, CHAR_MOST, VARCHAR_MOST = 38, 255, 65535  # LanguageManual Types: the largest of each
 DECIMAL_PLAIN = (10, 0)  # what DECIMAL without sizes means since Hive 0.13
 
+_CONTROLS = re.compile(r"[\x00-\x1f]")
 _PLAIN_NAME = re.compile(r"\w+(\.\w+)?", re.A)
 
 
@@ -58,6 +59,9 @@
     names: tuple[str, ...] = ()  # of a struct's fields
     parts: tuple["Type", ...] = ()  # what is inside: of a map its key and value
 
+    def __hash__(self) -> int:
+        return hash((self.kind, self.size, len(self.parts)))  # types are looked up by the hundred thousand
+
     def __str__(self) -> str:
         if self.kind == "struct":
             pairs = zip(self.names, self.parts, strict=False)  # it may be none of Hive's, and be told so
@@ -118,10 +122,11 @@
     return text + (f" was {quoted(column.was)}" if column.was else "")
 
 
+@lru_cache(maxsize=65536)
 def fold(name: str) -> str:
     """Return a name as it is compared. Raises `SchemaError` for one that Hive could not hold."""
     name = name.strip().lower()
-    if not 0 < len(name) <= NAME_MOST or any(ord(letter) < 32 for letter in name):
+    if not 0 < len(name) <= NAME_MOST or _CONTROLS.search(name):
         raise SchemaError(f"a name of {len(name)} letters, where 1 to {NAME_MOST} can be held",
                           name=name[:NAME_MOST])
     return name
