Askers dial once for all that ask, with a rest when no member is there

Now one dial serves all; after a round of all members without an answer the next begins after a wait that grows to 5 s.

--- a/fennelwind/keeper/asker.py
+++ b/fennelwind/keeper/asker.py
@@ -5,6 +5,7 @@
 keeps of one client; who comes then waits for its turn until its deadline.
 """
 
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -32,6 +33,7 @@
 Result = council_pb2.Result
 DIAL_MS = 500.0  # ms to connect and hear a member's name; a member that runs needs few
 ATTEMPT_MS = 1000.0  # ms until another member is asked; three election time-outs of 300 ms
+DIAL_MOST_MS = 5000.0  # ms between two rounds of dials when no member is there at all
 AGAIN_MOST_MS = 800.0  # ms between two asks at most: a leader is there again within some 600
 AGAIN_MS = 2000  # ms; a time to come back when no member names one: an election and a growing wait
 LINED_MOST = 1024  # commands that wait for a number; one more is refused at once
@@ -129,6 +131,9 @@
         self._target = self._order[self.random.randrange(len(self._order))]
         self._line: Line | None = None
         self._dialing: Once | None = None
+        self._dial_waits = Waits(self.random, most_ms=DIAL_MOST_MS)
+        self._failed = 0  # dials, one after the other
+        self._rest_until = -math.inf  # no dial before
         self._client = 0
         self._opening: Once | None = None
         self._number = self._heard = 0  # given to the last command; all up to it are over
@@ -289,26 +294,27 @@
         self._last = Result.NONE
         while self.loop.now() < until:
             line = self._connected(until)
+            if line is None:
+                continue
             again_ms = 0.0
-            if line is not None:
-                self.asked += 1
-                told = line.ask(make(), min(until, self.loop.now() + ATTEMPT_MS + long_ms))
-                if told is None:
-                    self.lost += 1
-                    maybe[0] = True
-                    self._turn(line.name, "")
-                else:
-                    result = Result.FromString(told.result)
-                    if result.refusal not in LATER:
-                        return told, result
-                    self._last = result.refusal
-                    maybe[0] = maybe[0] or result.refusal == Result.UNKNOWN
-                    again_ms = float(result.again_ms)
-                    if result.refusal != Result.TOO_MANY and self._turn(line.name, result.leader) \
-                            and hops < len(self._order):
-                        hops += 1
-                        continue  # somebody said who leads: no need to wait
-                    hops = 0
+            self.asked += 1
+            told = line.ask(make(), min(until, self.loop.now() + ATTEMPT_MS + long_ms))
+            if told is None:
+                self.lost += 1
+                maybe[0] = True
+                self._turn(line.name, "")
+            else:
+                result = Result.FromString(told.result)
+                if result.refusal not in LATER:
+                    return told, result
+                self._last = result.refusal
+                maybe[0] = maybe[0] or result.refusal == Result.UNKNOWN
+                again_ms = float(result.again_ms)
+                if result.refusal != Result.TOO_MANY and self._turn(line.name, result.leader) \
+                        and hops < len(self._order):
+                    hops += 1
+                    continue  # somebody said who leads: no need to wait
+                hops = 0
             wait = max(waits.next(), again_ms)
             self.loop.sleep(max(0.0, min(wait, until - self.loop.now())))
         return None
@@ -331,8 +337,13 @@
         self.loop.after(ATTEMPT_MS, line.close)
 
     def _connected(self, until: float) -> Line | None:
+        """Return a line to some member; None: the dial that was waited for has failed, or the time is up."""
         if self._line is not None and self._line.up:
             return self._line
+        rest = min(self._rest_until, until) - self.loop.now()
+        if rest > 0.0:
+            self.loop.sleep(rest)
+            return None
         if self._dialing is None:
             self._dialing = Once(self.loop)
             self.loop.spawn(self._dial, self._dialing, name="asker: dial")
@@ -354,11 +365,22 @@
         except (OSError, TimeoutError):
             pass
         finally:
-            if line is None and self._target == name:
-                self._target = self._order[(self._order.index(name) + 1) % len(self._order)]
+            if line is None:
+                self._rest(name)
+            else:
+                self._failed = 0
+                self._dial_waits.reset()
             self._line, self._dialing = line, None
             dialing.set(line)
 
+    def _rest(self, name: str) -> None:
+        """Dial the next one; when all have failed, wait first, once for all who ask here."""
+        if self._target == name:
+            self._target = self._order[(self._order.index(name) + 1) % len(self._order)]
+        self._failed += 1
+        if self._failed % len(self._order) == 0:
+            self._rest_until = self.loop.now() + self._dial_waits.next()
+
     def _connect(self, name: str) -> Line:
         loop = self.loop
         with loop.deadline(DIAL_MS):
