--- a/fennelwind/fleet/councilrig.py
+++ b/fennelwind/fleet/councilrig.py
@@ -281,6 +281,12 @@
         for a, b in pairs + [(b, a) for a, b in pairs] * both:
             self.ways.now[a, b] = OPEN._replace(cut=True)
 
+    def slow(self, some: Iterable[str], others: Iterable[str], ms: float) -> None:
+        """Let all that passes between two groups take so much longer."""
+        for a, b in [(a, b) for a in some for b in others if a != b]:
+            for pair in ((a, b), (b, a)):
+                self.ways.now[pair] = OPEN._replace(delay_ms=ms, jitter=0.5)
+
     def heal(self) -> None:
         """Open all ways."""
         self.ways.now.clear()
--- a/fennelwind/keeper/whole.py
+++ b/fennelwind/keeper/whole.py
@@ -74,6 +74,35 @@
             if part is not None:
                 part.start()
 
+    def gauges(self) -> list[tuple[str, str, float]]:
+        """Return names, meanings and values of what is worth a graph."""
+        held = len(self.tasks.holder.held(self.loop.now()))
+        told = [("leases_held", "Leases of tasks held here.", held)]
+        member = self.member
+        if member is not None and member.core is not None:
+            record = member.state.record
+            told += [
+                ("leads", "1 where this member leads.", member.part == "leader"),
+                ("votes", "1 where this member has a vote and can write.",
+                 member.part in ("leader", "follower", "asking")),
+                ("term", "The member's term.", member.term),
+                ("index", "The last entry that was applied.", record.index),
+                ("level", "The record's level.", record.level),
+                ("members_reached", "Other members that can be sent to.",
+                 sum(peer.up for peer in member.peers.peers.values())),
+                ("watchers", "Watches that wait here.", member.state.watchers)]
+        return [(name, help_, float(value)) for name, help_, value in told]
+
+    def events(self) -> list[tuple[str, str, int]]:
+        """Return counts of what happened: where, what, how often."""
+        found = {"asker": {"asked": self.asker.asked, "lost": self.asker.lost}, "tasks": self.tasks.counts}
+        member = self.member
+        if member is not None:
+            found |= {"member": member.counts, "peers": member.peers.counts}
+            if member.door is not None:
+                found["door"] = member.door.counts
+        return [(where, event, count) for where, counts in found.items() for event, count in counts.items()]
+
     def hand_over(self) -> None:
         """Give leases and the lead to others, within the stated time."""
         within = self.place.handover_ms
--- a/fennelwind/observe/metrics.py
+++ b/fennelwind/observe/metrics.py
@@ -35,6 +35,7 @@
         yield from self._queries()
         yield from self._links()
         yield from self._fronts()
+        yield from self._council()
 
     def _queries(self) -> Iterator[Metric]:
         driver, names = self.program.driver, [c.name for c in self.program.settings.module.classes]
@@ -116,6 +117,19 @@
                     program.loop.delay_ms / 1000.0)
 
 
+    def _council(self) -> Iterator[Metric]:
+        keeper = getattr(self.program, "keeper", None)
+        if keeper is None:
+            return
+        for name, help_, value in keeper.gauges():
+            yield Gauge(f"fennelwind_council_{name}", help_, value)
+        events = Count("fennelwind_council_events", "What happened between this controller and the council.",
+                       labels=["where", "event"])
+        for where, event, count in keeper.events():
+            events.add_metric([where, event], count)
+        yield events
+
+
 def exposition(program: Any) -> bytes:
     """Return a program's metrics as text."""
     registry = CollectorRegistry(auto_describe=False)
