--- a/fennelwind/shards/needs.py
+++ b/fennelwind/shards/needs.py
@@ -10,14 +10,14 @@
 """
 
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from fennelwind.shards.state import Bounds, Home, Move, Shard, World
+from fennelwind.shards.state import Home, Move, Shard, World
 
 ENDED = ("done", "undone")  # steps of a move that is over
 HELD = ("reserved", "copying", "checked")  # steps with space taken and a copy that is not good yet
 READING = ("planned", "reserved", "copying")  # steps that still need the source
-STILL = 0.5  # part of a tolerance below which a planned move for evenness is no longer worth it
 
 
 def wanted(shard: Shard) -> int:
@@ -50,11 +50,17 @@
     used: dict[str, int] = field(default_factory=dict)  # bytes by engine: all copies, whatever their state
     limit: dict[str, int] = field(default_factory=dict)  # bytes by engine that copies may take
     holds: dict[str, set[str]] = field(default_factory=dict)  # by shard: living engines with any copy
+    brought: dict[tuple[str, str], int] = field(
+        default_factory=dict
+    )  # copies that kept moves bring, by which
     clears: set[tuple[str, str]] = field(default_factory=set)  # copies that kept moves wait to have dropped
+    idle: list[Move] = field(default_factory=list)  # planned ones that evenness alone can be the cause of
     going: set[tuple[str, str]] = field(
         default_factory=set
     )  # copies of cancelled moves, that go by themselves
-    replaced: dict[str, set[str]] = field(default_factory=dict)  # by shard: engines whose copy goes or is doubtful
+    replaced: dict[str, set[str]] = field(
+        default_factory=dict
+    )  # by shard: engines whose copy goes or is doubtful
     orphans: list[tuple[str, str]] = field(default_factory=list)  # coming or leaving, and no move knows of it
 
     def span(self, engines: set[str]) -> int:
@@ -69,13 +75,19 @@
 
     def released(self, move: Move) -> int:
         """Return the bytes that leave the engine that a move drops from."""
-        on_disk = move.drops in self.used and move.drops in self.holds.get(move.shard, ())
-        return self.world.shards[move.shard].size if on_disk and move.number not in self.keeps else 0
+        if move.drops not in self.used or move.number in self.keeps:
+            return 0
+        pair = (move.shard, move.drops)
+        there = (
+            move.drops in self.holds.get(move.shard, ()) or self.brought.get(pair, move.number) < move.number
+        )
+        return self.world.shards[move.shard].size if there else 0
 
 
-def read(world: World, bounds: Bounds) -> View:
-    """Return the view of a world: what counts, what is used, which moves go on."""
+def read(world: World, idle: Iterable[int] = ()) -> View:
+    """Return the view of a world: what counts, what is used, which moves go on but for the `idle`."""
     view = View(world)
+    view.cancels = dict.fromkeys(idle, "needless")
     for name in sorted(world.shards):
         view.now[name], view.holds[name], view.doubtful[name] = set(), set(), set()
     for name, home in sorted(world.homes.items()):
@@ -99,11 +111,13 @@
             view.used[move.target] += world.shards[move.shard].size
             view.holds[move.shard].add(move.target)
     view.live = live
-    _judge(view, live, bounds)
+    _judge(view, live)
     _strays(view, live)
     for move in view.kept.values():
         if move.number not in view.keeps:
             view.doubtful[move.shard].discard(move.drops)  # it goes by that move
+        elif (copy := world.copies.get((move.shard, move.drops))) and copy.state == "leaving":
+            view.now[move.shard].add(move.drops)  # it stays, and is as good as it was
     view.replaced = {name: set(engines) for name, engines in view.doubtful.items()}
     for shard, engine in (*view.going, *view.orphans, *view.clears):
         view.replaced[shard].add(engine)
@@ -125,7 +139,7 @@
             view.orphans.append((shard, engine))
 
 
-def _judge(view: View, live: dict[int, Move], bounds: Bounds) -> None:
+def _judge(view: View, live: dict[int, Move]) -> None:
     """Sort the moves that are not over into those that go on and those that have become wrong."""
     while True:
         before = len(view.cancels)
@@ -137,10 +151,11 @@
                 view.cancels[number] = why
             else:
                 view.kept[number] = move
+        view.brought = {(move.shard, move.target): number for number, move in view.kept.items()}
         _settle(view)
         _crowded(view)
         if len(view.cancels) == before:
-            _needless(view, bounds)
+            _needless(view)
         if len(view.cancels) == before:
             return
 
@@ -199,7 +214,8 @@
         return False  # the older copy has gone, and the same shard has come there again
     if state in ("coming", "leaving"):
         return True
-    if shard.table in world.frozen or any((other.shard, other.source) == pair for other in view.kept.values()):
+    read = any((one.shard, one.source) == pair and one.step in READING for one in view.kept.values())
+    if shard.table in world.frozen or read:
         return False
     left = {other for other in view.now[name] if (name, other) not in view.clears} - {engine}
     comes = any(pair in other.cleared and other.number not in view.cancels for other in anew)
@@ -219,31 +235,28 @@
     view.keeps = set()
     came: dict[str, dict[str, int]] = {}  # by shard: target: the last move that brings it there
     for number, move in sorted(view.kept.items()):
+        if move.step == "switched" and move.target not in view.now[move.shard]:
+            continue  # the engine has gone since, or its copy is doubted
         view.good[move.shard].add(move.target)
         came.setdefault(move.shard, {})[move.target] = number
+    waited = {other for move in view.kept.values() for other in move.after}
     for number, move in sorted(view.kept.items()):
-        state = (
-            view.world.copies[move.shard, move.drops].state
-            if view.released(move) and ((move.shard, move.drops) in world.copies)
-            else ""
-        )
-        good, shard = view.good[move.shard], world.shards[move.shard]
-        if move.step == "switched" and move.target not in view.now[move.shard]:
-            good.discard(move.target)  # the engine has gone since, or its copy is doubted
+        pair, shard, good = (move.shard, move.drops), world.shards[move.shard], view.good[move.shard]
+        state = world.copies[pair].state if view.released(move) and pair in world.copies else ""
         if not (state == "good" or (state == "leaving" and move.step == "switched")):
-            if move.drops in came.get(move.shard, ()) and number > came[move.shard][move.drops]:
+            if number > came.get(move.shard, {}).get(move.drops, number):
                 good.discard(move.drops)  # by way of a third engine
             continue
         rest, now = good - {move.drops}, view.now[move.shard] | {move.drops}
-        if takes(world.homes[move.drops], shard):
-            both = rest | {move.drops}
-            fewer = len(rest) < wanted(shard) or view.span(rest) < min(span_wanted(shard), view.span(both))
-        else:
-            fewer = len(rest) < min(wanted(shard), len(now)) or view.span(rest) < min(
-                span_wanted(shard), view.span(now)
-            )
+        fewer = len(rest) < min(wanted(shard), len(now)) or view.span(rest) < min(
+            span_wanted(shard), view.span(now)
+        )
+        over = view.used[move.drops] > view.limit[move.drops]
+        if takes(world.homes[move.drops], shard) and number not in waited and not over:
+            both = view.span(rest | {move.drops})
+            fewer |= len(rest) < wanted(shard) or view.span(rest) < min(span_wanted(shard), both)
         if rest and not fewer:
-            if came[move.shard].get(move.drops, 0) < number:
+            if came.get(move.shard, {}).get(move.drops, 0) < number:
                 good.discard(move.drops)
             continue
         good.add(move.drops)
@@ -284,7 +297,7 @@
             room[move.target] -= sizes[move.shard].size
 
 
-def _needless(view: View, bounds: Bounds) -> None:
+def _needless(view: View) -> None:
     """Cancel planned moves, and begun ones that drop nothing, whose cause has gone: the last first."""
     world = view.world
     waited = Counter(other for move in view.kept.values() for other in move.after)
@@ -294,20 +307,19 @@
             load[move.target] += world.shards[move.shard].size
         if move.drops in load:
             load[move.drops] -= view.released(move)
-    heat = heats(view)
+    view.idle = []
     for number, move in sorted(view.kept.items(), reverse=True):
         shard = world.shards[move.shard]
         drops = move.drops if view.released(move) and number not in view.keeps else ""
         if waited[number] or move.step not in READING or (move.step != "planned" and drops):
             continue
-        without = view.good[move.shard] - {move.target} | ({drops} - {""})
+        without = view.good[move.shard] - {move.target} | ({drops} & view.now[move.shard])
         if not view.enough(shard, without):
             continue
-        if drops and (
-            not takes(world.homes[drops], shard)
-            or load[drops] + shard.size > view.limit[drops]
-            or _uneven(view, bounds, load, heat, drops, shard)
-        ):
+        if drops and (not takes(world.homes[drops], shard) or load[drops] + shard.size > view.limit[drops]):
+            continue
+        if drops in view.now[move.shard]:
+            view.idle.append(move)
             continue
         view.cancels[number] = "needless"
         view.good[move.shard] = without
@@ -335,16 +347,3 @@
         if view.world.homes[engine].life in ("ready", "cold")
     ]
     return sum(some) / len(some) if some else 0.0
-
-
-def _uneven(
-    view: View, bounds: Bounds, load: dict[str, int], heat: dict[str, float], engine: str, shard: Shard
-) -> bool:
-    """Return whether an engine would stand out if a planned move away from it were left out."""
-    shares = {name: load[name] / max(1, view.limit[name]) for name in load}
-    share = (load[engine] + shard.size) / max(1, view.limit[engine])
-    part, common = heat[engine] + shard.heat / wanted(shard), mean(heat, view)
-    return (
-        share - mean(shares, view) > bounds.disk_tolerance * STILL
-        or part - common > bounds.heat_tolerance * STILL * common
-    )
