--- a/fennelwind/loop/realdisk.py
+++ b/fennelwind/loop/realdisk.py
@@ -231,17 +231,17 @@
     def _made(self, what: str, name: str, call: Callable[..., Any], *args: Any) -> Any:
         """Make a call in the folder's thread; raise its error as one of `Disk`'s."""
         try:
-            return self._worker.make(self._checked, name, call, args)
-        except _Late as exc:
-            raise self._error(exc.error, "append", name) from None
+            late, value = self._worker.make(self._checked, name, call, args)
         except OSError as exc:
             raise self._error(exc, what, name) from None
+        if late is not None:
+            raise self._error(late, "append", name)
+        return value
 
-    def _checked(self, name: str, call: Callable[..., Any], args: tuple) -> Any:
+    def _checked(self, name: str, call: Callable[..., Any], args: tuple) -> tuple[OSError | None, Any]:
+        """Make a call unless an append to the file has failed unseen; return that error, and its value."""
         late = self._late.pop(name, None) if call != self._remove else None
-        if late is not None:
-            raise _Late(late)
-        return call(*args)
+        return late, call(*args) if late is None else None
 
     def _error(self, exc: OSError, what: str, name: str) -> DiskError:
         if isinstance(exc, FileNotFoundError) and name:
@@ -256,14 +256,6 @@
         return kind(text, folder=self.folder, file=name, call=what, errno=exc.errno or 0)
 
 
-class _Late(Exception):
-    """An append that was not waited for has failed."""
-
-    def __init__(self, error: OSError) -> None:
-        super().__init__()
-        self.error = error
-
-
 def _open_folder(folder: str) -> int:
     """Open a folder. One that is made is there for good: the names of all that are made are synced."""
     made, above = [], folder
