--- a/tests/lease_play.py
+++ b/tests/lease_play.py
@@ -25,7 +25,7 @@
 
 TERM_MS, PAUSE_MS, ACT_MS = 2000, 150.0, 400.0  # ms: of the played tasks
 PLAYED_MS, CALM_MS = 25_000.0, 16_000.0  # ms with faults, and without them after it
-CLOCK_MS = (20.0, 500.0)  # ms after which a leader without entries writes time alone; the first is sharp
+CLOCK_MS = (20.0, 500.0)  # ms after which a leader looks whether something lapses; the first is sharp
 TASKS = ("moves", "vacuum")
 
 
@@ -198,7 +198,8 @@
     def tick(self) -> None:
         """Time alone, while something is due, by who leads."""
         self.at(self.now + self.clock_ms / self.leader.pace, self.tick)
-        if self.now >= self.no_leader_until and self.leader.record.due() is not None:
+        due = self.leader.record.due()
+        if self.now >= self.no_leader_until and due is not None and due <= self.leader.clock():
             self.leader.write()
 
     def delay(self) -> float:
