--- a/fennelwind/shards/carrier.py
+++ b/fennelwind/shards/carrier.py
@@ -14,6 +14,7 @@
 - all of its statements carry the fence
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
@@ -147,6 +148,7 @@
     kind: str
     until: float
     pair: tuple[str, str] | None = None  # shard and engine of a statement
+    seen: int = 0  # entry up to which the record was seen when it was sent
 
 
 @dataclass(slots=True)
@@ -163,6 +165,7 @@
     target: tuple[int, int] | None = None
     source_lost: bool = False
     own: bool = False  # its copying was begun by this holder
+    quiet: bool = False  # no query runs on the copy that leaves
 
 
 class Carrier:
@@ -182,10 +185,11 @@
         self._asked: dict[int, _Asked] = {}
         self._work: dict[int, _Work] = {}
         self._doubts: dict[tuple[str, str], tuple[int, float]] = {}  # pairs to check: tries, not before
+        self._doubts_of = -1  # changes up to which copies in doubt were looked for
+        self._streams: Counter[str | frozenset[str]] = Counter()  # by engine and by pair of zones
         self._drops_end: dict[tuple[str, str], float] = {}  # when a drop without an answer has ended
         self._loads_end: dict[tuple[str, str], float] = {}  # the same of a load
         self._began = -1.0  # when it gained the lease: statements of the last holder may be on their way
-        self._quiet: set[tuple[str, str]] = set()
         self._listed: dict[str, frozenset[str]] = {}  # what engines said last that they hold
         self._strange: dict[str, frozenset[str]] = {}  # where that was not what the record knows
         self._news: dict[str, Home] = {}
@@ -212,8 +216,9 @@
                     self._heard(event)
                 case Quiet() if self.machine is not None:
                     move = self.machine.move_of(event.shard)
-                    if move is not None and move.rested:  # before, one may still be sent by an older view
-                        self._quiet.add((event.shard, event.engine))
+                    # Before it has rested, a query may still be sent there by an older view.
+                    if move is not None and move.rested and move.drops == event.engine:
+                        self._work.setdefault(move.number, _Work()).quiet = True
         for token in [token for token, asked in self._asked.items() if asked.until <= now]:
             if self._asked[token].pair is not None:
                 self._out.append(Stop(token))
@@ -230,12 +235,14 @@
         for number in [number for number in self._work if number not in self.machine.moves]:
             del self._work[number]
         self._tell_news()
+        asked = {a.owner for a in self._asked.values()}
+        self._streams = self._count_streams()
         for number in sorted(self.machine.moves):
             move = self.machine.moves[number]
             work = self._work.setdefault(number, _Work())
             if work.step != move.step:
                 work.step, work.since, work.tries, work.wait_until = move.step, self._now, 0, 0.0
-            if work.wait_until <= self._now and not any(a.owner == number for a in self._asked.values()):
+            if work.wait_until <= self._now and number not in asked:
                 getattr(self, "_at_" + move.step)(move, work)
         self._check_doubtful()
         changed = (self.machine.changes, self.frozen) != self._plan_of
@@ -270,7 +277,7 @@
              within: float) -> None:
         self._token += 1
         self._asked[self._token] = _Asked(
-            owner, kind, self._now + within + self.timing.slack_ms, (shard, engine))
+            owner, kind, self._now + within + self.timing.slack_ms, (shard, engine), self._index)
         self._out.append(Run(self._token, engine, statement, steps.overlay(self.fence, within), within))
 
     def _proposed(self, event: Proposed) -> None:
@@ -293,7 +300,10 @@
                     for engine in self.machine.good(asked.owner[0]):
                         self._doubts.setdefault((asked.owner[0], engine), (0, 0.0))
             if asked.kind == "news":
-                self._news = {n: home for n, home in self._news.items() if home not in asked.owner}
+                later = {home.name for home, refusal in zip(asked.owner, answer.refusals, strict=False)
+                         if refusal == Answer.WAITS}
+                self._news = {name: home for name, home in self._news.items()
+                              if home not in asked.owner or name in later}
             return
         if not answer.refusal:
             if asked.kind == "COPY":
@@ -325,24 +335,26 @@
         if not move.target:
             return self._take(move, Step.SWITCH)
         if self._may_stream(move):
+            self._streams.update(self._takes(move))
             self._take(move, Step.RESERVE)
 
+    def _count_streams(self) -> Counter[str | frozenset[str]]:
+        """Return how many copies each engine reads or writes, and each pair of zones carries."""
+        asked = {a.owner for a in self._asked.values() if a.kind == "RESERVE"}
+        streams: Counter[str | frozenset[str]] = Counter()
+        for move in self.machine.moves.values():
+            if move.step in ("reserved", "copying") or move.number in asked:
+                streams.update(self._takes(move))
+        return streams
+
+    def _takes(self, move: Move) -> tuple[str | frozenset[str], ...]:
+        return move.source, move.target, self._link(move)
+
     def _may_stream(self, move: Move) -> bool:
         """Tell whether engines, links and the hour's bytes have room for a further copy."""
-        if self._paced_until > self._now:
-            return False
-        engines: dict[str, int] = {}
-        links: dict[frozenset[str], int] = {}
-        for other in self.machine.moves.values():
-            asked = any(a.owner == other.number and a.kind == "RESERVE" for a in self._asked.values())
-            if other.step in ("reserved", "copying") or asked:
-                for engine in (other.source, other.target):
-                    engines[engine] = engines.get(engine, 0) + 1
-                link = self._link(other)
-                links[link] = links.get(link, 0) + 1
-        if links.get(self._link(move), 0) >= self.bounds.streams_per_link:
+        if self._paced_until > self._now or self._streams[self._link(move)] >= self.bounds.streams_per_link:
             return False
-        return all(engines.get(e, 0) < self.bounds.streams_per_engine for e in (move.source, move.target))
+        return all(self._streams[e] < self.bounds.streams_per_engine for e in (move.source, move.target))
 
     def _link(self, move: Move) -> frozenset[str]:
         homes = self.machine.homes
@@ -439,9 +451,7 @@
     def _at_switched(self, move: Move, work: _Work) -> None:
         if not self._may_go(move):
             return self._take(move, Step.KEEP)
-        finished = (move.shard, move.drops) in self._quiet or self._now >= work.since + self.timing.finish_ms
-        if move.rested and finished:
-            self._quiet.discard((move.shard, move.drops))
+        if move.rested and (work.quiet or self._now >= work.since + self.timing.finish_ms):
             self._take(move, Step.DROP)
 
     def _may_go(self, move: Move) -> bool:
@@ -532,15 +542,17 @@
         if news:
             told = [pb.Home(name=h.name, zone=h.zone, kind=h.kind, disk=h.disk, headroom=h.headroom,
                             life=h.life, mark=h.mark, spilled=h.spilled) for h in news]
-            self._propose(news, "news", news=pb.News(homes=told))
+            self._propose(news, "news", news=pb.News(homes=told, seen=self._index))
 
     def _check_doubtful(self) -> None:
         """Check what came back with an engine, and what an engine lists that the record doesn't know."""
         machine = self.machine
-        for shard, held in machine.copies.items():
-            for engine, copy in held.items():
-                if copy.state == "doubtful" and not copy.wrong:
-                    self._doubts.setdefault((shard, engine), (0, 0.0))
+        if self._doubts_of != machine.changes:
+            self._doubts_of = machine.changes
+            for shard, held in machine.copies.items():
+                for engine, copy in held.items():
+                    if copy.state == "doubtful" and not copy.wrong:
+                        self._doubts.setdefault((shard, engine), (0, 0.0))
         running = sum(a.kind in ("doubt", "found") for a in self._asked.values())
         for pair in sorted(self._doubts):
             shard, engine = pair
@@ -566,6 +578,7 @@
         self._doubts.pop(asked.pair, None)
         self._propose(asked.pair, "found", found=pb.Found(
             shard=shard, engine=engine, generation=home.generation, rows=event.rows, checksum=event.checksum,
+            seen=asked.seen,
             present=event.rows > 0 or known.rows == 0 or shard in self._listed.get(engine, ())))
 
     def _again_doubt(self, pair: tuple[str, str]) -> None:
--- a/tests/council_world.py
+++ b/tests/council_world.py
@@ -35,11 +35,11 @@
 class Council:
     """So many members, each on a host and a platter of its own."""
 
-    def __init__(self, seed, members=3, timing=None):
+    def __init__(self, seed, members=3, timing=None, costs=None):
         self.ways = Ways()
         self.world = World(seed, self.ways)
         self.random = Random(f"council {seed}")
-        self.timing = timing or Timing()
+        self.timing, self.costs = timing or Timing(), costs
         self.names = [f"m{n}" for n in range(members)]
         self.addresses = {name: Address(f"10.0.0.{n + 1}", 7000) for n, name in enumerate(self.names)}
         self.platters = {name: Platter() for name in self.names}
@@ -55,8 +55,14 @@
         """Start a member, or a follower at an address."""
         self.lives += 1
         host = self.world.host(name, address or self.addresses[name].host)
-        keeper = Keeper(host, self.place(name), self.lives, lambda what, facts: self.said.append(
-            (self.world.time, name, what, facts)), lambda: SimDisk(host, self.platters[name]), more, level)
+
+        def said(what, facts):
+            self.said.append((self.world.time, name, what, facts))
+
+        def disk():
+            return SimDisk(host, self.platters[name], costs=self.costs)
+
+        keeper = Keeper(host, self.place(name), self.lives, said, disk, more, level)
         host.start(keeper.start)
         self.hosts[name], self.keepers[name] = host, keeper
         return keeper
