Leases' commands of any bytes: read or refused, never an exception

A test mutates commands (names of all lengths, largest numbers, flipped bytes) and restores after each step.

--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,7 +1,7 @@
 """Leases: the machine, the holder, the guard, and both together in virtual time."""
 
 import pytest
-from hypothesis import settings
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from lease_council import CouncilPlay
@@ -477,3 +477,44 @@
 
 def test_the_search_finds_a_drift_that_is_ignored():
     assert search(400, holder=without_drift)[3]
+
+
+text = st.sampled_from(["t", "u", "", "é" * 200, "t\0"])
+asks = st.builds(
+    lambda task, what, fence, term, more: pb.LeaseAsk(task=task, **{what: {
+        "gain": lambda: pb.Gain(term_ms=term, purpose=more), "renew": lambda: pb.Renew(
+            fence=fence, checkpoint=more.encode()), "hand_over": lambda: pb.HandOver(fence=fence, to=more),
+        "give_up": lambda: pb.GiveUp(fence=fence, reason=fence % 2), "forget": lambda: pb.Forget(fence=fence),
+    }[what]()}), text, st.sampled_from(["gain", "renew", "hand_over", "give_up", "forget"]),
+    st.integers(0, 12) | st.just(2**64 - 1), st.sampled_from([0, 300, 5000, 2**64 - 1]), text)
+commands = st.builds(
+    lambda name, life, asks, leave: pb.LeaseCommand(
+        by=pb.Who(name=name, life=life), asks=asks, leave=leave).SerializeToString(),
+    st.sampled_from(["a", "b", "", "x" * 300]), st.sampled_from([b"1", b"2", b"x" * 33]),
+    st.lists(asks, max_size=3), st.booleans())
+
+
+@settings(max_examples=80, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(commands, st.integers(0, 40_000), st.none() | st.tuples(
+    st.integers(0, 60), st.integers(0, 255))), max_size=12))
+def test_no_command_breaks_the_machine_or_gives_it_what_a_snapshot_does_not_keep(steps):
+    machine, clock = LeaseMachine(), 0
+    for index, (command, ms, flip) in enumerate(steps, start=1):
+        clock += ms
+        if flip is not None and command:
+            at, byte = flip[0] % len(command), flip[1]
+            command = command[:at] + bytes([byte]) + command[at + 1:]
+        due = machine.due()
+        if due is not None and due <= clock:
+            machine.pass_time(At(index, clock))
+        before = machine.snapshot()
+        try:
+            answer = pb.LeaseAnswer.FromString(machine.apply(At(index, clock), command, None))
+            assert not answer.refusal or machine.snapshot() == before
+        except UnreadableCommand:
+            assert machine.snapshot() == before
+        again = LeaseMachine()
+        again.restore(machine.snapshot())
+        assert again.snapshot() == machine.snapshot() and again.due() == machine.due()
+        assert all(again.offers(who) == machine.offers(who) for who in (A, B, Life("a", b"2")))
+        assert (again._kept, again._waits, again._holds) == (machine._kept, machine._waits, machine._holds)
