A drop that would lose a zone until the next move falls away

Change: fennelwind/shards/needs.py, tests/test_shard_plan.py (2 files changed, 15 insertions(+), 1 deletion(-)).

--- a/fennelwind/shards/needs.py
+++ b/fennelwind/shards/needs.py
@@ -251,6 +251,11 @@
         fewer = len(rest) < min(wanted(shard), len(now)) or view.span(rest) < min(
             span_wanted(shard), view.span(now)
         )
+        then = set(now)  # when it is done and of the others only those that it waits for
+        for other in (*move.after, number):
+            if other in view.kept and view.kept[other].shard == move.shard:
+                then = then - {view.kept[other].drops} | {view.kept[other].target}
+        fewer |= view.span(then) < min(span_wanted(shard), view.span(now))
         over = view.used[move.drops] > view.limit[move.drops]
         if takes(world.homes[move.drops], shard) and number not in waited and not over:
             both = view.span(rest | {move.drops})
--- a/tests/test_shard_plan.py
+++ b/tests/test_shard_plan.py
@@ -22,7 +22,7 @@
 
 
 def world(disks: dict[str, int], shards: dict[str, tuple], copies: str, **lives: str) -> World:
-    """Return a world of engines "a", "b" .. each in a zone of its own, of shards (size, copies, zones, kinds).
+    """Return a world of engines "a", "b" .. each in its own zone, shards (size, copies, zones, kinds).
 
     Copies: "t/1ab?" has a good one of t/1 on a and a doubtful one on b.
     """
@@ -333,3 +333,12 @@
     assert {finding.rule for finding in check(one, Planned(moves, bytes=10))} == {"order"}
     both = tuple(replace(move, after=()) for move in moves)
     assert "headroom" in {finding.rule for finding in check(one, Planned(both, bytes=10))}
+
+
+def test_a_planned_drop_falls_away_when_a_zone_would_be_lost_until_the_next_move():
+    one = world(dict.fromkeys("abcd", 9), {"t/1": (5, 2, 2)}, "t/1ab", a="draining", b="draining")
+    one.homes["c"] = replace(one.homes["c"], zone="za")
+    one.homes["d"] = replace(one.homes["d"], zone="zb")
+    one.moves[3] = Move(3, "t/1", "b", "c", "b")
+    one.moves[4] = Move(4, "t/1", "a", "d", "", after=(3,))
+    assert clean(one).keeps == (3,)
