--- a/fennelwind/shards/carrier.py
+++ b/fennelwind/shards/carrier.py
@@ -334,10 +334,18 @@
             return self._take(move, Step.UNDO)
         if not move.target:
             return self._take(move, Step.SWITCH)
+        if not self._is_known(move.target):
+            return self._again(work)
         if self._may_stream(move):
             self._streams.update(self._takes(move))
             self._take(move, Step.RESERVE)
 
+    def _is_known(self, engine: str) -> bool:
+        """Tell whether an engine was listed and holds nothing that the record doesn't count."""
+        held, shards = self.machine.copies, self.machine.shards
+        return engine in self._listed and not any(
+            engine not in held.get(shard, ()) for shard in self._listed[engine] if shard in shards)
+
     def _count_streams(self) -> Counter[str | frozenset[str]]:
         """Return how many copies each engine reads or writes, and each pair of zones carries."""
         asked = {a.owner for a in self._asked.values() if a.kind == "RESERVE"}
@@ -563,7 +571,7 @@
             tries, not_before = self._doubts[pair]
             if not_before > self._now or running >= CHECKS_AT_ONCE or not self._drops_ended(shard, engine):
                 continue
-            busy = move is not None and engine in (move.target, move.drops)
+            busy = move is not None and move.step != "planned" and engine in (move.target, move.drops)
             if busy or any(a.owner == pair for a in self._asked.values()):
                 continue
             running += 1
