Loads of the last holder are waited for, whatever this one has begun since

Change: fennelwind/shards/carrier.py, tests/move_defects.py (2 files changed, 15 insertions(+), 9 deletions(-)).

--- a/fennelwind/shards/carrier.py
+++ b/fennelwind/shards/carrier.py
@@ -164,7 +164,6 @@
     source: tuple[int, int] | None = None  # what checks found
     target: tuple[int, int] | None = None
     source_lost: bool = False
-    own: bool = False  # its copying was begun by this holder
     quiet: bool = False  # no query runs on the copy that leaves
 
 
@@ -218,7 +217,8 @@
                     move = self.machine.move_of(event.shard)
                     # Before it has rested, a query may still be sent there by an older view.
                     if move is not None and move.rested and move.drops == event.engine:
-                        self._work.setdefault(move.number, _Work()).quiet = True
+                        work = self._work.get(move.number) or self._first_sight(move)
+                        work.quiet = True
         for token in [token for token, asked in self._asked.items() if asked.until <= now]:
             if self._asked[token].pair is not None:
                 self._out.append(Stop(token))
@@ -239,7 +239,7 @@
         self._streams = self._count_streams()
         for number in sorted(self.machine.moves):
             move = self.machine.moves[number]
-            work = self._work.setdefault(number, _Work())
+            work = self._work.get(number) or self._first_sight(move)
             if work.step != move.step:
                 work.step, work.since, work.tries, work.wait_until = move.step, self._now, 0, 0.0
             if work.wait_until <= self._now and number not in asked:
@@ -252,6 +252,14 @@
             self._plan_of = self.machine.changes, self.frozen
             self._replan()
 
+    def _first_sight(self, move: Move) -> _Work:
+        """Take up a move. One that is under way is the last holder's, who may have sent a load just now."""
+        if move.step in ("copying", "checked", "undoing"):
+            pair, until = (move.shard, move.target), self._began + self._copy_ms(move.shard)
+            self._loads_end[pair] = max(self._loads_end.get(pair, 0.0), until + self.timing.slack_ms)
+        work = self._work[move.number] = _Work()
+        return work
+
     def _next(self) -> float:
         times = [asked.until for asked in self._asked.values()]
         times += [work.wait_until for work in self._work.values()]
@@ -307,7 +315,7 @@
             return
         if not answer.refusal:
             if asked.kind == "COPY":
-                work.phase, work.attempt, work.own = "clear", work.attempt + 1, True
+                work.phase, work.attempt = "clear", work.attempt + 1
                 work.tries, work.wait_until = 0, 0.0
             return
         if answer.refusal == Answer.STEP:
@@ -424,11 +432,9 @@
         """Return when the last holder's drops have ended."""
         return self._began + self.timing.drop_ms + self.timing.slack_ms
 
-    def _loads_ended(self, move: Move, work: _Work) -> bool:
+    def _loads_ended(self, move: Move) -> bool:
         """Tell whether no load can still put anything where a half copy is dropped."""
         pair = move.shard, move.target
-        if not work.own:  # begun by the last holder, which may have sent a load just before its end
-            self._loads_end.setdefault(pair, self._began + self._copy_ms(move.shard) + self.timing.slack_ms)
         return (self._loads_end.get(pair, 0.0) <= self._now
                 and not any(a.pair == pair and a.kind == "import" for a in self._asked.values()))
 
@@ -481,7 +487,7 @@
             return self._take(move, Step.UNDONE)
         if work.tries >= self.timing.tries:
             return self._take(move, Step.UNDONE, failed=True)
-        if not self._loads_ended(move, work):
+        if not self._loads_ended(move):
             return
         self._run(move.number, "drop", move.shard, move.target, steps.drop(move.shard), self.timing.drop_ms)
 
--- a/tests/move_defects.py
+++ b/tests/move_defects.py
@@ -127,7 +127,7 @@
         "fennelwind.shards.machine.effective", lambda home: home.disk)},
     "fence not checked by the record": machine(_fenced=lambda self, fence, facts: True),
     "drops on their way not waited for": carrier(_drops_ended=lambda self, shard, engine: True),
-    "loads on their way not waited for": carrier(_loads_ended=lambda self, move, work: True),
+    "loads on their way not waited for": carrier(_loads_ended=lambda self, move: True),
     "resumed move copies again": carrier(_at_copying=resume_anew),
     "generation ignored: an empty disk passes for the old one": machine(_heard=same_disk),
     "generation ignored by steps": {
