--- a/tests/storedefects.py
+++ b/tests/storedefects.py
@@ -26,6 +26,35 @@
         return getattr(self._disk, name)
 
 
+class Late(Through):
+    """Tells the errors of appends with the next call on the file, as the real disk may."""
+
+    def __init__(self, disk):
+        super().__init__(disk)
+        self._late = {}
+
+    def _tell(self, name):
+        if name in self._late:
+            raise self._late.pop(name)
+
+    def append(self, name, data):
+        self._tell(name)
+        try:
+            self._disk.append(name, data)
+        except DiskError as exc:
+            self._late[name] = exc
+
+    def remove(self, name):
+        self._late.pop(name, None)
+        self._disk.remove(name)
+
+    def __getattr__(self, call):
+        made = getattr(self._disk, call)
+        if call not in ("sync", "size", "read", "rename", "truncate"):
+            return made
+        return lambda name, *more: (self._tell(name), made(name, *more))[1]
+
+
 def on(disk_kind):
     """Return a store that works on a disk of this kind."""
     class Wrapped(Store):
@@ -73,13 +102,13 @@
 
 
 class OldFirst(Store):
-    def _put(self, name, pieces):
+    def _put(self, name, pieces, may_take=True):
         if name.startswith(store_module.SNAPSHOT):
             for old in self.disk.names():
                 if old.startswith(store_module.SNAPSHOT) and old != name:
                     self.disk.remove(old)
             self.disk.sync_names()
-        super()._put(name, pieces)
+        super()._put(name, pieces, may_take)
 
 
 class SweepFirst(Store):
@@ -97,8 +126,8 @@
 class SnapshotAfter(Store):
     def _write(self, group, writes):
         late = []
-        with mock.patch.object(self, "_put", lambda name, pieces: late.append((name, list(pieces)))
-                               if name.startswith(store_module.SNAPSHOT) else Store._put(self, name, pieces)):
+        with mock.patch.object(self, "_put", lambda name, *more: late.append((name, list(more[0])))
+                               if name.startswith(store_module.SNAPSHOT) else Store._put(self, name, *more)):
             super()._write(group, writes)
         for name, pieces in late:
             self._put(name, pieces)
@@ -107,11 +136,10 @@
 class Trusting(Store):
     """Goes on behind what reads well, without writing the last group again."""
 
-    def _read_log(self, acknowledged):
-        segments, doubtful = super()._read_log(acknowledged)
-        if doubtful is not None:
-            segments[-1].groups.append(doubtful)
-        return segments, None
+    def _read_log(self, *more):
+        segments, again = super()._read_log(*more)
+        segments[-1].groups.extend(again)
+        return segments, []
 
 
 class FailedCounts(Store):
