--- a/fennelwind/keeper/door.py
+++ b/fennelwind/keeper/door.py
@@ -22,6 +22,7 @@
 STRANGERS_MOST = 128  # connections without a hello; one more is broken at once
 ASKERS_MOST = 1024  # connections that ask: five for each of two hundred controllers
 MEMBERS_MOST = 16  # connections of members: seven, and their lives that are not known to be over
+IDLE_MS = 120_000.0  # ms without an ask, twice the longest wait of one; who asks again connects anew
 ASKED_MOST = 128  # asks of one connection that wait; twice what one client may have under way
 
 
@@ -31,6 +32,9 @@
     def hello(self) -> pb.Hello:
         """Return what this member says first."""
 
+    def greeted(self, sender: Life) -> None:
+        """Take note that a member has opened its way to this one."""
+
     def received(self, sender: Life, message: council_pb2.Message) -> None:
         """Take a message of a member."""
 
@@ -43,6 +47,7 @@
 
     def __init__(self, loop: Loop, name: str) -> None:
         self.name, self.waiting, self.gone = name, 0, False
+        self.heard_ms = loop.now()
         self.outbox = Outbox(loop)
 
     def tell(self, told: pb.Told) -> None:
@@ -141,6 +146,7 @@
         self.members[sender] = stream
         if before is not None:
             before.abort()
+        self.taker.greeted(sender)
         pulse = self.loop.spawn(self._pulse, stream, name="keeper: pulse")
         try:
             while (frame := reader.frame()) is not None:
@@ -169,11 +175,13 @@
         caller = Caller(self.loop, hello.name)
         self.callers.add(caller)
         writer = self.loop.spawn(self._answer, stream, caller, name="keeper: answers")
+        idle = self.loop.spawn(self._look, stream, caller, name="keeper: idle")
         try:
             while not caller.gone and (frame := reader.frame()) is not None:
                 if frame.WhichOneof("what") != "ask":
                     raise FrameRefused(f"{hello.name} says what it may not", peer=hello.name)
                 caller.waiting += 1
+                caller.heard_ms = self.loop.now()
                 if caller.waiting > ASKED_MOST:
                     self.counts["asked too much"] += 1
                     result = council_pb2.Result(refusal=council_pb2.Result.TOO_MANY, again_ms=100)
@@ -183,8 +191,16 @@
         finally:
             caller.gone = True
             writer.cancel()
+            idle.cancel()
             self.callers.discard(caller)
 
+    def _look(self, stream: Stream, caller: Caller) -> None:
+        """Let go who asks nothing any more: its machine may be lost, and its place is another's."""
+        while caller.waiting or self.loop.now() - caller.heard_ms < IDLE_MS:
+            self.loop.sleep(IDLE_MS)
+        self.counts["idle"] += 1
+        stream.abort()
+
     def _answer(self, stream: Stream, caller: Caller) -> None:
         try:
             caller.outbox.run(stream)
--- a/fennelwind/shards/plan.py
+++ b/fennelwind/shards/plan.py
@@ -7,18 +7,19 @@
 Evenness comes last.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from fennelwind.shards.board import Board
-from fennelwind.shards.evenness import even
+from fennelwind.shards.evenness import even, still
 from fennelwind.shards.needs import View, read, span_wanted, takes, wanted
 from fennelwind.shards.order import Sequence, Transfer, arrange
 from fennelwind.shards.search import choices, neighbours, spread
 from fennelwind.shards.state import Bounds, Planned, Shard, Short, World
 
 SMALL_SHARDS, SMALL_ENGINES = 14, 8  # up to which all places are searched at once
-NODES = 3000  # choices that a search of a small world extends, about 0.3 s
-LEAVES = 60  # whole choices of a small world that are put in order
+NODES = 10000  # choices that a search of a small world extends, about 0.3 s
+LEAVES = 200  # whole choices of a small world that are put in order
 NODES_NEAR = 200  # choices that one search around a trouble extends
 TROUBLES = 200  # that are searched around in one plan; the rest is said to be short
 NEAR = 6  # shards and engines that are looked at around one trouble
@@ -49,13 +50,19 @@
 
     def __init__(self, world: World, bounds: Bounds, first: int) -> None:
         self.world, self.bounds = world, bounds
-        self.view: View = read(world, bounds)
         self.first = max([first, *(number + 1 for number in world.moves)])
-        self.board = Board(self.view, bounds)
+        self.view, self.board = self._read(())
+        if idle := still(self.board, self.view.idle):
+            self.view, self.board = self._read(idle)
+
+    def _read(self, idle: Iterable[int]) -> tuple[View, Board]:
+        view = read(self.world, idle)
+        board = Board(view, self.bounds)
+        board.greedy()
+        return view, board
 
     def run(self) -> Planned:
         """Return the plan."""
-        self.board.greedy()
         best = self._attempt()
         if best.unmet > self._unmet_least() or best.bytes > self._bytes_least():
             best = self._search(best) if self._is_small() else self._repair(best)
@@ -64,7 +71,7 @@
         cancels = sorted(self.view.cancels)
         return Planned(
             moves,
-            tuple(sorted({*best.drops, *self.view.orphans})),
+            tuple(sorted({*best.drops, *self.view.orphans, *self.view.clears})),
             tuple(cancels),
             tuple(self._short(best)),
             sum(self.world.shards[move.shard].size for move in moves),
@@ -97,7 +104,7 @@
             transfers += outcome.transfers
             drops += [(name, engine) for engine in outcome.drops]
             unmet += outcome.unmet
-        sequence = Sequence(self.view, self.first, (*drops, *self.view.orphans))
+        sequence = Sequence(self.view, self.first, (*drops, *self.view.orphans, *self.view.clears))
         rest = arrange(sequence, transfers)
         over = sum(sequence.left(engine) < 0 for engine in sequence.room)
         size = sum(self.world.shards[move.shard].size for move in sequence.moves)
