--- a/tests/contracts_search.py
+++ b/tests/contracts_search.py
@@ -39,25 +39,21 @@
 class Search:
     """Goes through all states that can be reached from the first one."""
 
-    def __init__(self, shards=1, engines=("e1",), publishers=("p",), wishes_keep_out=True):
+    def __init__(self, shards=1, engines=("e1",), publishers=("p",)):
         self.contracts, self.shards = ContractMachine(), ShardMachine()
         self.engines, self.publishers, self.names = engines, publishers, [f"t/{n}" for n in range(shards)]
-        self.wishes_keep_out, self.reserving, self.fence = wishes_keep_out, False, 0
-        self.index = self.clock = 0
+        self.index = self.clock = self.fence = 0
         self.edges, self.nodes, self.admissions = {}, {}, set()
 
     # The record.
 
     def fact(self, kind, key):
-        """Answer for the record. A wish keeps a move from beginning, as `changing` does from going on."""
+        """Answer for the record."""
         if kind == "fence":
             return MOVER if key == "moves" else self.fence if key == LEASE else 0
         if kind == "moving":
             return self.shards.fact(kind, key)
-        told = self.contracts.fact(kind, key)
-        if kind == "changing" and self.reserving and self.wishes_keep_out:
-            told |= self.contracts.fact("wanted", key)
-        return told
+        return self.contracts.fact(kind, key)
 
     def load(self, node):
         """Stand where a node stands."""
@@ -86,11 +82,7 @@
 
     def shard(self, **what):
         """Ask the shards' machine as its lease's holder."""
-        step = what.get("step")
-        self.reserving = "plan" in what or (step is not None and step.kind == Step.RESERVE)
-        answer = moves.Answer.FromString(self.do(self.shards, moves.Command(fence=MOVER, **what)))
-        self.reserving = False
-        return answer
+        return moves.Answer.FromString(self.do(self.shards, moves.Command(fence=MOVER, **what)))
 
     # What can happen.
 
@@ -212,7 +204,7 @@
                 if there == here:
                     continue
                 self.check()
-                if wished and self.wishes_keep_out and self.shards.fact("moving", TABLE) > moved:
+                if wished and self.shards.fact("moving", TABLE) > moved:
                     raise Broken("a move begins while a change of its table waits for moves")
                 if name.startswith("propose") and len(self.contracts.changes) > changed:
                     self.admissions.add((here, there))
