--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -9,7 +9,8 @@
 from contracts_model import GateModel
 from contracts_search import Broken, Search
 from contracts_world import BACK, FORWARD, World, standing
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 from hypothesis.stateful import run_state_machine_as_test
 from test_descriptors import fill
 
@@ -24,10 +25,24 @@
     WANTED_MS,
     ContractMachine,
 )
-from fennelwind.contracts.messages import reads_message, schema_message, type_message
-from fennelwind.contracts.rules import NUMBER, RULES, Level, type_rules
+from fennelwind.contracts.messages import (
+    read_reads,
+    read_schema,
+    reads_message,
+    schema_message,
+    type_message,
+)
+from fennelwind.contracts.rules import NUMBER, RULES, Level, Read, Reads, type_rules
 from fennelwind.contracts.said import SaidError, parse_reads, publication, reads_text, subscription
-from fennelwind.contracts.types import SchemaError, SchemaTextError, parse_schema, parse_type
+from fennelwind.contracts.types import (
+    Column,
+    Schema,
+    SchemaError,
+    SchemaTextError,
+    fold,
+    parse_schema,
+    parse_type,
+)
 from fennelwind.council.machine import At, UnreadableCommand
 from fennelwind.lab import contract_rows
 from fennelwind.shards.machine import ShardMachine
@@ -284,10 +299,10 @@
 
 def test_types_against_the_written_cases():
     wrong = []
-    for expected, given, verdict, rule in cases("contract_types.txt"):
-        met = type_rules(parse_type(expected), parse_type(given))
+    for expected, comes, verdict, rule in cases("contract_types.txt"):
+        met = type_rules(parse_type(expected), parse_type(comes))
         if (RULES[met[0]].level.name.lower(), rule) != (verdict, met[0]):
-            wrong.append((expected, given, verdict, rule, met))
+            wrong.append((expected, comes, verdict, rule, met))
     assert not wrong
 
 
@@ -563,3 +578,23 @@
         data, other = gate.machine.snapshot(), ContractMachine()
     other.restore(data)
     assert other.snapshot() == data
+
+
+# Texts that are written are read back as what they were.
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.randoms(use_true_random=False), st.lists(st.text(
+    st.characters(min_codepoint=32, max_codepoint=0x17F), min_size=1, max_size=12), min_size=1, max_size=5))
+def test_schemas_and_reads_are_written_so_that_they_are_read_back(random, names):
+    names = list(dict.fromkeys(fold(name) for name in names if name.strip()))
+    columns = tuple(Column(name, contract_rows.any_type(random), random.random() < 0.5,
+                           random.choice((None, "0", "'it'", "null")))
+                    for name in names)
+    if not columns:
+        return
+    schema = Schema(columns)
+    assert parse_schema(str(schema)) == schema and read_schema(schema_message(schema)) == schema
+    by_place = random.random() < 0.5
+    reads = Reads("t", tuple(Read(c.name, c.type, c.nullable, 2 * n if by_place else 0)
+                             for n, c in enumerate(columns, 1)), False, by_place)
+    assert parse_reads("t", reads_text(reads)) == reads == read_reads(reads_message(reads))
