--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -257,6 +257,21 @@
     assert gate.propose("t", "a int, b string").refusal == pb.BROKEN  # not said to be x: it is another
 
 
+def test_a_table_dropped_and_made_anew_has_other_columns_under_the_same_names(gate):
+    gate.register("report", t="a int")
+    assert rules(gate.propose("t", "").readers[0].found) == ["table-dropped"]
+    gate.clock += TERM_LEAST_MS
+    assert not gate.propose("t", "").refusal
+    gone = gate.register("report", u="a int")
+    assert rules(gone.since) == ["table-dropped"] and not gone.refusal
+    gate.register("other", v="a int")
+    assert not gate.propose("v", "a int").refusal
+    gate.clock += TERM_LEAST_MS
+    assert not gate.propose("v", "").refusal and not gate.propose("v", "a int").refusal
+    back = gate.register("other", v="a int")
+    assert rules(back.since) == ["column-other"] and not back.refusal
+
+
 def test_a_subscriber_ahead_of_the_table_is_held_against_its_first_schema(gate):
     gate.register("early", new="a int by name")
     gate.register("whole", new="* by place")
