An engine that missed a change is looked at before the next one

In full: An engine that missed a change is looked at before the next one, and taken along where it fits. It would have stayed out for ever: nobody said Caught. Now the next change looks at it first: with the old schema it goes along, with the new one it is done, with any other it stays behind, and nothing turns back for it.

--- a/fennelwind/contracts/carrying.py
+++ b/fennelwind/contracts/carrying.py
@@ -184,7 +184,7 @@
     """One engine's part."""
 
     __slots__ = ("name", "state", "phase", "until", "token", "tries", "next", "quiet", "there",
-                 "unsure")
+                 "unsure", "out")
 
     def __init__(self, name: str, state: int) -> None:
         self.name, self.state = name, state
@@ -193,6 +193,7 @@
         self.tries = self.next = 0  # runs so far; statements of this run that have gone through
         self.quiet = False
         self.there = state != Change.GONE_AWAY
+        self.out = False  # it missed an earlier change, and has neither schema: it stays behind
         self.unsure = False  # it left with a statement of this holder under way, which may run on
 
 
@@ -333,9 +334,12 @@
         if self._asked:
             return
         left = [part for part in self._parts.values() if part.state in open_states]
+        if forward:
+            left += [part for part in self._parts.values()
+                     if part.state == Change.BEHIND and part.there and not part.out]
         if not left:
-            if forward and all(part.state == Change.GONE_AWAY for part in self._parts.values()):
-                self._turn(now, actions, "all engines have left")
+            if forward and all(part.state != Change.DONE for part in self._parts.values()):
+                self._turn(now, actions, "no engine is there to be changed")
             else:
                 self._tell(now, actions, finish=pb.Finish(number=self.number, fence=self.fence))
             return
@@ -344,7 +348,9 @@
             return
         idle = [part for part in left if not part.phase]
         for part in idle if self.at_once else idle[:1]:
-            if part.quiet:  # since before the change turned back
+            if part.state == Change.BEHIND:
+                self._look(now, part, actions)
+            elif part.quiet:  # since before the change turned back
                 self._drain(now, part, actions)
             else:
                 self._settle(now, part, part.state, actions, quiet=True)
@@ -388,7 +394,13 @@
     def _looked(self, now: float, part: _Part, seen: tuple[tuple[str, str], ...] | None,
                 actions: list[Action]) -> None:
         wanted = self._new if self.step_name == Change.FORWARD else self._old
-        if seen == wanted and self._old != self._new:
+        if part.state == Change.BEHIND and seen != wanted:
+            part.phase, part.out = "", seen != self._old
+            if not part.out:
+                self._settle(now, part, Change.WAITING, actions)
+        elif part.state == Change.BEHIND and self._old == self._new:
+            self._settle(now, part, Change.WAITING, actions)
+        elif seen == wanted and self._old != self._new:
             self._settle(now, part, self._aim, actions)
         else:
             self._again(now, part, actions, "its columns are not as they should be")
@@ -407,6 +419,8 @@
         if part.tries < self.patience.tries and not self._turning:
             part.tries += 1
             self._look(now, part, actions)
+        elif part.state == Change.BEHIND:
+            part.phase, part.out = "", True
         else:
             part.phase = ""
             self._turn(now, actions, f"{part.name}: it does not show its columns")
--- a/fennelwind/contracts/machine.py
+++ b/fennelwind/contracts/machine.py
@@ -60,7 +60,8 @@
 _FORWARD = {
     (Change.WAITING, Change.ASKED), (Change.WAITING, Change.DONE), (Change.ASKED, Change.DONE),
     (Change.WAITING, Change.GONE_AWAY), (Change.ASKED, Change.GONE_AWAY), (Change.DONE, Change.GONE_AWAY),
-    (Change.GONE_AWAY, Change.ASKED)}  # what it was asked before it left may have been done
+    (Change.GONE_AWAY, Change.ASKED),  # what it was asked before it left may have been done
+    (Change.BEHIND, Change.WAITING), (Change.BEHIND, Change.DONE)}  # it has the old schema, or the new
 _BACK = {
     (Change.ASKED, Change.ASKED_BACK), (Change.DONE, Change.ASKED_BACK), (Change.ASKED_BACK, Change.UNDONE),
     (Change.ASKED, Change.UNDONE), (Change.DONE, Change.UNDONE), (Change.ASKED, Change.GONE_AWAY),
@@ -335,9 +336,9 @@
         if len(self.changes) >= CHANGES_MOST or (table is None and len(self.tables) >= TABLES_MOST):
             answer.refusal, answer.again_ms = Refused.TOO_MANY, AGAIN_MS
             return
-        # Engines that missed a change would need that one first: they stay out, and behind.
-        behind = table.behind if table is not None else set()
-        engines = {engine: state for engine, state in engines.items() if engine not in behind} or engines
+        for engine in table.behind if table is not None else ():
+            if engine in engines:  # it would need the change that it missed first
+                engines[engine] = Change.BEHIND
         self.next_column = following
         self.wanted.pop(name, None)
         change = Underway(at.index, name, publisher, answer.version, new, told.anew, engines,
@@ -406,6 +407,8 @@
             answer.refusal = Refused.STEP
         else:
             change.engines[told.engine] = told.state
+            if was == Change.BEHIND != told.state:
+                self.tables[change.table].behind.discard(told.engine)
             (change.quiet.add if told.quiet else change.quiet.discard)(told.engine)
 
     def _turn(self, at: At, told: pb.Turn, facts: Facts, answer: pb.ContractAnswer) -> None:
@@ -424,22 +427,14 @@
         if change is None:
             return
         states = set(change.engines.values())
-        if change.step == Change.FORWARD and Change.DONE in states <= {Change.DONE, Change.GONE_AWAY}:
+        rest = {Change.GONE_AWAY, Change.BEHIND}
+        if change.step == Change.FORWARD and Change.DONE in states <= {Change.DONE, *rest}:
             self._finished(at, change, answer)
-        elif change.step == Change.BACK and states <= {Change.WAITING, Change.UNDONE, Change.GONE_AWAY}:
+        elif change.step == Change.BACK and states <= {Change.WAITING, Change.UNDONE, *rest}:
             self._end(change, UNDONE)
         else:
             answer.refusal = Refused.STEP
 
-    def _caught(self, at: At, told: pb.Caught, facts: Facts, answer: pb.ContractAnswer) -> None:
-        table = self.tables.get(told.table)
-        if table is None or told.engine not in table.behind:
-            answer.refusal = Refused.GONE
-        elif not told.fence or facts.fact("fence", "table:" + told.table) != told.fence:
-            answer.refusal = Refused.FENCE
-        else:
-            table.behind.discard(told.engine)
-
     def _finished(self, at: At, change: Underway, answer: pb.ContractAnswer) -> None:
         """Let a change's schema stand; what its publisher itself read, and can't any more, ends."""
         if change.schema is None:
