--- a/fennelwind/keeper/member.py
+++ b/fennelwind/keeper/member.py
@@ -52,6 +52,7 @@
 from fennelwind.loop.disk import DiskFull
 
 EVENTS_MOST = 8192  # messages that wait for the core; more are lost, as on any network
+STEP_MOST = 256  # events of one step; some 20 ms at the worst
 TOGETHER_MOST = 256  # writes made with one sync
 OPEN_FIRST_MS, OPEN_MOST_MS = 200.0, 5000.0  # ms between two tries to open the folder, or to write again
 ROOM_MS = 1000.0  # ms between two looks at the disk's room
@@ -287,9 +288,10 @@
         while True:
             while not self._events:
                 self._bell.wait()
-            events = list(self._events)
-            self._events.clear()
+            events = [self._events.popleft() for _ in range(min(len(self._events), STEP_MOST))]
             self._carry(self.core.step(self.loop.now(), events))
+            if self._events:
+                self.loop.sleep(0.0)  # the loop's other tasks come first, queries above all
 
     def _carry(self, actions: list[Action]) -> None:
         for action in actions:  # who waits for an entry has to be known before it is applied
