--- a/tests/council_cluster.py
+++ b/tests/council_cluster.py
@@ -219,6 +219,15 @@
         node.failing = node.broken = False
         self.step(node, [])
 
+    def begin_founded(self) -> None:
+        """Begin where all are members already and nothing else has happened."""
+        members = pb.Members(members=[pb.Member(name=n, life=node.me.life, votes=True)
+                                      for n, node in sorted(self.nodes.items())])
+        for node in self.nodes.values():
+            node.image.hard = pb.HardState(term=1)
+            node.image.entries = [pb.Entry(term=1, index=1, members=members)]
+        self.start_all()
+
     def start_all(self) -> None:
         """Begin everywhere."""
         for name in sorted(self.nodes):
@@ -519,7 +528,8 @@
                 if self.nodes[life.name].applied < index and self.nodes[life.name].me == life]
 
 
-TROUBLES = ("crash", "all", "cut", "one-way", "half", "fail", "slow", "hand over", "room", "member", "wipe")
+TROUBLES = ("crash", "all", "cut", "one-way", "half", "minority", "fail", "slow", "hand over", "room",
+            "member", "wipe")
 
 
 def play(seed: int, core: type[Core] = Core, part: float = 1.0) -> Cluster:
@@ -528,13 +538,17 @@
     size = random.choice((1, 2, 3, 3, 3, 3, 4, 5, 5))
     cluster = Cluster(seed, size, core=core)
     cluster.due_every = random.choice((None, None, 100, 1000))
-    cluster.start_all()
+    short = random.random() < 0.8
+    if short:
+        cluster.begin_founded()
+    else:
+        cluster.start_all()
     cluster.loss, cluster.double = random.choice(((0, 0), (0.05, 0.05), (0.2, 0.2)))
     cluster.delay = random.choice(((0.5, 3.0), (1.0, 40.0)))
     cluster.sync = random.choice(((0.2, 2.0), (1.0, 60.0)))
     troubles = random.sample(TROUBLES, random.randint(1, 7))
     names = sorted(cluster.nodes)
-    cluster.run(random.choice((300.0, 3000.0)))
+    cluster.run(random.choice((300.0, 700.0 if short else 3000.0)))
     end = cluster.now + random.choice((2000.0, 5000.0)) * part
     wiped = False
     while cluster.now < end:
@@ -575,6 +589,24 @@
             for a in half:
                 for b in set(names) - half:
                     cluster.cut(a, b)
+        case "minority":
+            leader = cluster.leader()
+            if leader is None or len(names) < 3:
+                return False
+            others = [n for n in names if n != leader.name]
+            near = {leader.name, *random.sample(others, random.randint(0, (len(names) - 1) // 2))}
+            for a in near:
+                for b in set(names) - near:
+                    cluster.cut(a, b)
+            if not wiped and leader.core.founded() and random.random() < 0.5:
+                for each in random.sample(sorted(set(names) - near), min(2, len(names) - len(near))):
+                    if leader.core is not None:
+                        cluster.change(leader.name, remove=cluster.nodes[each].me)
+            for _ in range(random.choice((0, 40))):  # the old leader is asked until it steps down
+                cluster.run(cluster.now + 10.0)
+                for each in sorted(cluster.leading(), key=lambda n: -n.core.term):
+                    cluster.propose(each.name)
+                    cluster.read(each.name)
         case "fail":
             cluster.nodes[name].failing = True
         case "slow":
