--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -1,5 +1,8 @@
 """What carries the council out, in virtual time: frames, askers, members with a core that is alone."""
 
+from contextlib import suppress
+from random import Random
+
 import pytest
 
 from fennelwind.council import council_pb2 as cpb
@@ -323,6 +326,48 @@
     play(main)
 
 
+@pytest.mark.parametrize("life", [b"", b"x"])
+def test_whatever_bytes_come_the_member_goes_on(life):
+    """Sessions with flipped, cut, doubled and drawn bytes: each ends or is answered, and breaks nothing."""
+    random = Random(11)
+    message = cpb.Message(term=1, append=cpb.Append(entries=[cpb.Entry(term=1, index=1, nothing=True)]))
+    frames = [pb.Frame(council=message.SerializeToString())] * 3 if life else [
+        pb.Frame(ask=pb.Ask(token=1, command=cpb.Command(machine="sum", body=b"1").SerializeToString())),
+        pb.Frame(ask=pb.Ask(token=2, view=pb.View(machine="sum", fresh=True))),
+        pb.Frame(ask=pb.Ask(token=3, view=pb.View(machine="sum", after=9, wait_ms=50)))]
+    hello = framed(pb.Hello(protocol=PROTOCOL, fleet="f", name="s", life=life))
+    good = hello + b"".join(map(framed, frames))
+
+    def main(loop):
+        there = member(loop)
+        for _ in range(150):
+            data = bytearray(good)
+            for _ in range(random.randrange(1, 4)):
+                at = random.randrange(len(data))
+                match random.randrange(4):
+                    case 0:
+                        data[at] ^= 1 << random.randrange(8)
+                    case 1:
+                        del data[at:at + random.randrange(1, 9)]
+                    case 2:
+                        data[at:at] = data[at:at + random.randrange(1, 40)]
+                    case 3:
+                        data[at:at] = random.randbytes(random.randrange(1, 20))
+                data = data or bytearray(b"x")
+            stream = loop.connect(HERE["a"])
+            with suppress(StreamReset):
+                stream.write(bytes(data))
+            loop.sleep(5.0)
+            stream.close()
+        loop.sleep(3000.0)
+        counts = there.door.counts
+        assert counts["dropped"] > 20 and counts["taken"] > 20 and not there.door.strangers
+        assert not there.door.callers and not there.door.members
+        assert asker(loop).propose("sum", b"5", 1000)
+
+    play(main)
+
+
 def test_asks_that_cannot_be_read_are_refused_one_by_one():
     def main(loop):
         member(loop)
