A member that breaks is gone, not half there

Where the core's turns, the applying or the writing ended by a defect, the door still took messages and asks for ever. The member now closes, says so, and the loop reports the defect.

--- a/fennelwind/keeper/member.py
+++ b/fennelwind/keeper/member.py
@@ -119,7 +119,16 @@
 
     def start(self) -> None:
         """Open the folder and take part."""
-        self._tasks.append(self.loop.spawn(self._live, name="keeper: member"))
+        self._tasks.append(self.loop.spawn(self._guarded, self._live, name="keeper: member"))
+
+    def _guarded(self, call: Callable[[], None]) -> None:
+        """Make a call that is not to end; where it breaks, a member that is gone is better than half of one."""
+        try:
+            call()
+        except Exception as exc:  # a defect; the loop reports all of it
+            self.said("broke", {"text": f"{type(exc).__name__}: {exc}"[:300]})
+            self.loop.spawn(self.close, name="keeper: close")
+            raise
 
     def _live(self) -> None:
         durable = self._opened()
@@ -129,7 +138,7 @@
         self._reach()
         for call, name in ((self._write, "keeper: writes"), (self.state.run, "keeper: applies"),
                            (self._look_for_room, "keeper: room"), (self._raise_level, "keeper: level")):
-            self._tasks.append(self.loop.spawn(call, name=name))
+            self._tasks.append(self.loop.spawn(self._guarded, call, name=name))
         self.said("member", {"name": self.me.name, "life": self.me.life.hex(),
                              "index": self.state.record.index, "entries": len(durable.entries)})
         self._turns()
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -437,6 +437,23 @@
     play(main)
 
 
+def test_a_member_that_broke_is_gone_and_the_loop_goes_on():
+    loop, broke, said = SimLoop(1), [], []
+    loop.on_error = lambda task, exc: broke.append((task.name, type(exc).__name__))
+
+    def main():
+        there = member(loop, said=lambda what, facts: said.append(what))
+        ours = asker(loop)
+        ours.propose("sum", b"1", 1000)
+        there.state.record.machines["sum"].apply = lambda *_: 1 / 0
+        with pytest.raises(OutcomeUnknown):
+            ours.propose("sum", b"1", 3000)
+        assert there.part == "closed" and not loop.listeners
+
+    loop.run(main)
+    assert broke == [("keeper: member", "ZeroDivisionError")] and "broke" in said
+
+
 def test_a_door_that_closes_lets_all_go():
     def main(loop):
         there = member(loop)
