--- a/fennelwind/fleet/councilbench.py
+++ b/fennelwind/fleet/councilbench.py
@@ -257,17 +257,18 @@
 
 
 def memory(commands: int) -> None:
-    """Print members' most memory after so many commands, in ten steps."""
+    """Print members' memory after so many commands, in ten steps."""
     with folder() as place:
         def script(rig: CouncilRig) -> None:
             askers = [asker(rig, n) for n in range(ASKERS)]
-            print("| commands | most memory of each member (MB) | log of the leader (MB) | files (MB) |")
-            print("| --- | --- | --- | --- |")
+            print("| commands | memory of each member (MB) | at most | longest log in memory (MB) | files (MB) |")
+            print("| --- | --- | --- | --- | --- |")
             for step in range(1, 11):
                 fill(rig, commands // 10, askers)
                 told = [rig.state(name) for name in rig.members]
                 files = sum(f.stat().st_size for n in rig.members for f in (place / n).glob("*")) / len(told)
-                kept = ", ".join(str(t["memory_kb"] // 1024) for t in told)
+                kept = " | ".join(", ".join(str(t[key] // 1024) for t in told)
+                                  for key in ("now_kb", "memory_kb"))
                 log = max(t["log_bytes"] for t in told) / 1e6
                 print(f"| {step * commands // 10} | {kept} | {log:.1f} | {files / 1e6:.1f} |", flush=True)
 
--- a/fennelwind/fleet/councilwork.py
+++ b/fennelwind/fleet/councilwork.py
@@ -5,8 +5,10 @@
 """
 
 import json
+import re
 import resource
 import sys
+from contextlib import suppress
 from itertools import count
 from pathlib import Path
 from random import Random
@@ -166,10 +168,19 @@
         say(state=[token, {"part": view.part, "term": view.term, "leader": view.leader, "commit": view.commit,
                            "applied": member.state.record.index, "members": len(view.members.members),
                            "memory_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
+                           "now_kb": _memory_kb(),
                            "log_bytes": view.log_bytes, "base": view.base,
                            "votes": sum(m.votes for m in view.members.members)}])
 
 
+def _memory_kb() -> int:
+    """Return what this process has in memory now; 0 where the system doesn't say."""
+    with suppress(OSError):
+        found = re.search(r"VmRSS:\s+(\d+) kB", Path("/proc/self/status").read_text("ascii"))
+        return int(found[1]) if found else 0
+    return 0
+
+
 def main() -> int:
     """Be one controller of the rig."""
     spec = json.loads(sys.stdin.readline())
--- a/fennelwind/keeper/member.py
+++ b/fennelwind/keeper/member.py
@@ -122,7 +122,7 @@
         self._tasks.append(self.loop.spawn(self._guarded, self._live, name="keeper: member"))
 
     def _guarded(self, call: Callable[[], None]) -> None:
-        """Make a call that is not to end; where it breaks, a member that is gone is better than half of one."""
+        """Make a call that is not to end; where it breaks, a member that is gone beats half of one."""
         try:
             call()
         except Exception as exc:  # a defect; the loop reports all of it
