--- a/fennelwind/fleet/councilbench.py
+++ b/fennelwind/fleet/councilbench.py
@@ -261,7 +261,7 @@
     with folder() as place:
         def script(rig: CouncilRig) -> None:
             askers = [asker(rig, n) for n in range(ASKERS)]
-            print("| commands | memory of each member (MB) | at most | longest log in memory (MB) | files (MB) |")
+            print("| commands | memory of each member (MB) | at most | longest log (MB) | files (MB) |")
             print("| --- | --- | --- | --- | --- |")
             for step in range(1, 11):
                 fill(rig, commands // 10, askers)
