A member that reads a long log lets the loop's other tasks run

Cause: a log of 100,000 entries takes 0.3 to 0.5 s to open, in which the controller's queries stood still.

--- a/fennelwind/keeper/folder.py
+++ b/fennelwind/keeper/folder.py
@@ -14,15 +14,18 @@
     """What `Member` keeps. A life is drawn for a folder that is made anew."""
 
     def __init__(self, disk: Callable[[], Disk], fleet: str, name: str, token: Callable[[int], bytes],
-                 limits: Limits) -> None:
+                 limits: Limits, pause: Callable[[], None] = lambda: None) -> None:
+        """Make it; `pause` lets other tasks run while a long log is read."""
         self.make_disk, self.fleet, self.name, self.token, self.limits = disk, fleet, name, token, limits
+        self.pause = pause
         self.store: Store | None = None
 
     def open(self) -> Durable:
         """Read what is kept. Raises `StoreError` and `DiskError`; it may be tried again."""
         disk = self.make_disk()
         try:
-            self.store, durable = Store.open(disk, self.fleet, self.name, self.token(LIFE), self.limits)
+            self.store, durable = Store.open(disk, self.fleet, self.name, self.token(LIFE), self.limits,
+                                             self.pause)
         except BaseException:
             disk.close()
             raise
--- a/fennelwind/keeper/whole.py
+++ b/fennelwind/keeper/whole.py
@@ -54,7 +54,8 @@
         def core(durable: Durable) -> Core:
             return Core(place.timing, durable, seed, stated)
 
-        folder = Folder(disk or self._disk, place.fleet, place.me, loop.token, limits)
+        folder = Folder(disk or self._disk, place.fleet, place.me, loop.token, limits,
+                        lambda: loop.sleep(0.0))
         return Member(loop, place, record, folder, core, f"member {seed}", self.said, answer)
 
     def _disk(self) -> Disk:
