An offer that overtakes the answer about the queue is confirmed, and not left to lapse

Cause: a watch and an ask go by different ways; an offer that came while the holder still asked for its place was dropped, and the lease idled for half a term. Now it is kept in mind until the answer.

--- a/fennelwind/leases/holder.py
+++ b/fennelwind/leases/holder.py
@@ -182,6 +182,7 @@
     checkpoint: bytes | None = None  # to go along with what is asked next
     ending: str = ""  # how: "hand", "spare", "fail", "forget"; "queue": it waits no longer
     wanted: bool = True
+    offered: bool = False  # while its place in the queue was being asked for
     refusals: int = 0
 
 
@@ -279,6 +280,8 @@
         task = self._tasks.get(name)
         if task is not None and task.phase == WAITING:
             task.phase, task.ask_at = WANTING, -math.inf
+        elif task is not None and task.phase == WANTING:
+            task.offered = True  # the answer under way may be older than the offer
 
     def _unwant(self, name: str) -> None:
         task = self._tasks[name]
@@ -363,8 +366,10 @@
             else:
                 task.phase, task.ask_at = WANTING, -math.inf
         elif told.state == pb.Told.WAITING:
-            task.phase, task.refusals = WAITING, 0
-            task.ask_at = math.inf
+            task.phase, task.refusals, task.ask_at = WAITING, 0, math.inf
+            if task.offered:
+                self._confirm(name)
+            task.offered = False
 
     def _holds(self, now: float, sent: _Sent, name: str, task: _Task, told: pb.Told) -> None:
         usable = usable_ms(told.term_ms, self.drift)
@@ -378,7 +383,7 @@
         if now >= until and not task.fence:  # the answer came too late to count on
             task.phase, task.ask_at = WANTING, -math.inf
             return
-        fresh = not task.fence
+        fresh, task.offered = not task.fence, False
         task.fence, task.refusals = told.fence, 0
         task.renew_at = sent.at + told.term_ms / RENEW_PART
         if task.checkpoint is sent.checkpoints.get(name):
--- a/tests/lease_search.py
+++ b/tests/lease_search.py
@@ -17,6 +17,7 @@
 import sys
 from collections import Counter, deque
 from collections.abc import Iterator
+from functools import lru_cache
 
 from fennelwind.council.machine import At
 from fennelwind.leases import holder as h
@@ -204,8 +205,8 @@
                           None if holder._out is None else now - holder._sent[holder._out].at))
             for name, task in sorted(holder._tasks.items()):
                 found.append((
-                    name, task.phase, task.ending, task.wanted, rank[task.fence], _left(task.ask_at, now),
-                    _left(task.renew_at, now), _left(task.guard.until, now), task.guard.usable > 0,
+                    name, task.phase, task.ending, task.wanted, task.offered, rank[task.fence],
+                    _left(task.ask_at, now), _left(task.renew_at, now), _left(task.guard.until, now), task.guard.usable > 0,
                     sorted(act.ends_by - now for act in task.guard.acts.values()), task.refusals))
         for who, (task, act) in sorted(self.acts.items()):
             found.append((who, task, rank[act.fence], act.ends_by - self.clock(who), act.number in (
@@ -237,6 +238,7 @@
     return max(0.0, at - now)
 
 
+@lru_cache(100_000)
 def _body(kind: str, body: bytes) -> tuple[list, tuple]:
     """Return what a message says of each task: name, what, fence and the rest; and what it says besides."""
     if kind == "ask":
@@ -257,8 +259,9 @@
     moved = depth = 0
     while waiting and len(seen) < states_most:
         data, depth, path = waiting.popleft()
-        for move in list(pickle.loads(data).moves()):
-            world = pickle.loads(data)
+        world = pickle.loads(data)
+        for move in list(world.moves())[::-1]:
+            world = world or pickle.loads(data)
             world.do(move)
             moved += 1
             wrong = world.wrong()
@@ -268,6 +271,7 @@
             if key not in seen:
                 seen.add(key)
                 waiting.append((pickle.dumps(world), depth + 1, (path, move)))
+            world = None
     return len(seen), moved, depth, "", []
 
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -411,6 +411,18 @@
     assert len(side.holder._sent) <= h.COMMANDS_MOST
 
 
+def test_an_offer_that_overtakes_the_answer_about_the_queue_is_confirmed(desk):
+    fence = desk.gain(B).fence
+    side = Side(desk, A)
+    ask, = side.step(0.0, h.Want("t", 3000))
+    waiting = side.answer(ask)
+    desk.hand_over(B, fence)
+    assert side.step(5.0, h.Offered(("t",))) == []
+    confirm, = side.step(6.0, waiting)
+    side.step(7.0, side.answer(confirm))
+    assert side.holder.held(8.0) == ["t"]
+
+
 def test_a_place_that_was_lost_is_asked_for_again(desk):
     desk.gain(B)
     side = Side(desk, A)
