--- a/tests/lease_search.py
+++ b/tests/lease_search.py
@@ -206,8 +206,9 @@
             for name, task in sorted(holder._tasks.items()):
                 found.append((
                     name, task.phase, task.ending, task.wanted, task.offered, rank[task.fence],
-                    _left(task.ask_at, now), _left(task.renew_at, now), _left(task.guard.until, now), task.guard.usable > 0,
-                    sorted(act.ends_by - now for act in task.guard.acts.values()), task.refusals))
+                    _left(task.ask_at, now), _left(task.renew_at, now), _left(task.guard.until, now),
+                    task.guard.usable > 0, task.refusals,
+                    sorted(act.ends_by - now for act in task.guard.acts.values())))
         for who, (task, act) in sorted(self.acts.items()):
             found.append((who, task, rank[act.fence], act.ends_by - self.clock(who), act.number in (
                 self.holders[who]._tasks[task].guard.acts if task in self.holders[who]._tasks else ())))
