Old copies rest a minute after a switch

In full: Old copies rest a minute after a switch: a controller cut off for less sends to none that is gone. Cause: ten seconds were less than the cuts that are to be met, and who is cut off goes on by its last view.

--- a/fennelwind/shards/carrier.py
+++ b/fennelwind/shards/carrier.py
@@ -40,7 +40,7 @@
     copy_ms: float = 60_000.0  # for an export or import, and
     slowest: float = 10_000.0  # bytes per ms that it may count on besides
     slack_ms: float = 5_000.0  # from an engine's time-out until the statement is taken to have ended
-    finish_ms: float = 60_000.0  # for queries on a copy that leaves
+    finish_ms: float = 60_000.0  # for queries on a copy that leaves, behind its rest
     again_ms: float = 1_000.0  # until a failed statement is repeated; it doubles
     again_most_ms: float = 60_000.0
     tries: int = 5  # of one statement or one attempt at a copy, then the move is undone
@@ -165,6 +165,7 @@
     target: tuple[int, int] | None = None
     source_lost: bool = False
     quiet: bool = False  # no query runs on the copy that leaves
+    rested_at: float = -1.0  # when it was seen to have rested
 
 
 class Carrier:
@@ -265,7 +266,7 @@
         times += [work.wait_until for work in self._work.values()]
         times += [*self._loads_end.values(), self._sure_of_drops(), self._plan_at]
         times.append(self._plan_at + self.timing.plan_most_ms - self.timing.plan_ms)
-        times += [w.since + self.timing.finish_ms for w in self._work.values() if w.step == "switched"]
+        times += [w.rested_at + self.timing.finish_ms for w in self._work.values() if w.step == "switched"]
         times += [until for _, until in self._doubts.values()] + list(self._drops_end.values())
         return min((at for at in times if at > self._now), default=self._now + self.timing.plan_ms)
 
@@ -465,7 +466,11 @@
     def _at_switched(self, move: Move, work: _Work) -> None:
         if not self._may_go(move):
             return self._take(move, Step.KEEP)
-        if move.rested and (work.quiet or self._now >= work.since + self.timing.finish_ms):
+        if not move.rested:
+            return
+        if work.rested_at < 0.0:
+            work.rested_at = self._now
+        if work.quiet or self._now >= work.rested_at + self.timing.finish_ms:
             self._take(move, Step.DROP)
 
     def _may_go(self, move: Move) -> bool:
--- a/fennelwind/shards/machine.py
+++ b/fennelwind/shards/machine.py
@@ -28,7 +28,7 @@
 NAME_MOST = 512  # characters of a name
 SIZE_MOST = 2**60  # bytes of a shard or a disk; sums of them stay far from 2**64
 PIECE_MOST = 1024 * 1024  # bytes of its state in one answer, half of what a frame holds
-REST_MS = 10_000  # ms from a switch until the old copy may go: views are used for 5 s, twice for clocks' sake
+REST_MS = 60_000  # ms from a switch until the old copy may go: who is cut off for less may still send to it
 ASIDE_FIRST_MS, ASIDE_MOST_MS = 30_000, 3_600_000  # ms that a shard rests after a failed move; it doubles
 
 Step, Answer = pb.Step, pb.Answer
@@ -40,6 +40,7 @@
     """The machine `shards` of the record; also what planner, carrier and routing read."""
 
     name, kinds = "shards", ("moving",)
+    rest_ms = REST_MS  # the same on all controllers, so no setting; plays have a shorter one
 
     def __init__(self) -> None:
         self.shards: dict[str, Shard] = {}
@@ -148,7 +149,7 @@
     def pass_time(self, at: At) -> None:
         """Let rests after switches end, and shards come back that were set aside."""
         for number, move in self.moves.items():
-            if _rests(move) and move.at_ms + REST_MS <= at.clock_ms:
+            if _rests(move) and move.at_ms + self.rest_ms <= at.clock_ms:
                 self.moves[number] = replace(move, rested=True)
         self.revision = at.index
         for shard, (until, times) in self.asides.items():
@@ -163,7 +164,7 @@
 
     def _look_ahead(self) -> None:
         ends = [until for until, _ in self.asides.values() if until]
-        ends += [move.at_ms + REST_MS for move in self.moves.values() if _rests(move)]
+        ends += [move.at_ms + self.rest_ms for move in self.moves.values() if _rests(move)]
         self._due = min(ends, default=None)
 
     # Operators and news.
--- a/fennelwind/shards/routing.py
+++ b/fennelwind/shards/routing.py
@@ -15,7 +15,6 @@
 from fennelwind import interface as api
 
 SLOTS_MOST = 6  # kinds are split by every set of slots, 64 ways then; a look at a class's kinds stays short
-VIEW_MS = 5_000.0  # how old a view of the record may be to send by it; rests after switches count on that
 
 Places = Mapping[str, tuple[str, ...]]  # by shard: the engines with good copies
 
