The machine of shards tells where copies are as far as it changed behind a revision

Cause: controllers read the whole state again with each change, 1.8 MB with 20,000 shards. Pages are bounded; a view from before a removal or a restored state gets all.

--- a/fennelwind/shards/machine.py
+++ b/fennelwind/shards/machine.py
@@ -10,6 +10,7 @@
 """
 
 import math
+from bisect import bisect_right
 from collections.abc import Iterable
 from dataclasses import replace
 
@@ -27,6 +28,7 @@
 PLAN_MOST = 1_024  # moves in one command, far within the record's bound on a command
 NAME_MOST = 512  # characters of a name
 SIZE_MOST = 2**60  # bytes of a shard or a disk; sums of them stay far from 2**64
+PLACES_MOST = 4_096  # shards in one answer of where copies are; with the longest names it fills a frame
 PIECE_MOST = 1024 * 1024  # bytes of its state in one answer, half of what a frame holds
 REST_MS = 60_000  # ms from a switch until the old copy may go: who is cut off for less may still send to it
 ASIDE_FIRST_MS, ASIDE_MOST_MS = 30_000, 3_600_000  # ms that a shard rests after a failed move; it doubles
@@ -55,6 +57,9 @@
         self._touched: dict[str, int] = {}  # by shard: the entry of its last step, or of its last figures
         self._heard_at: dict[str, int] = {}  # by engine: the entry of the last news
         self._told: tuple[int, bytes] | None = None  # the state as it was asked for last
+        self._placed: dict[str, int] = {}  # by shard: the entry behind which its good copies are as they are
+        self._whole_before = 0  # the entry behind which changes are known here; older views get all
+        self._entry = 0  # that is applied
         self._of_table: dict[str, dict[str, None]] = {}  # shards by table
         self._of_shard: dict[str, int] = {}  # the one move of a shard
         self._due: int | None = None
@@ -110,17 +115,32 @@
             aside=frozenset(shard for shard, (until, _) in self.asides.items() if until))
 
     def asked(self, query: bytes) -> bytes:
-        """Answer a `ShardQuery` with a `ShardSeen`; nothing changes. b"": it can't be read."""
+        """Answer a `ShardQuery` with a `ShardSeen` or `Places`; nothing changes. b"": it can't be read."""
         try:
-            skip = pb.ShardQuery.FromString(query).skip
+            told = pb.ShardQuery.FromString(query)
         except DecodeError:
             return b""
+        if told.HasField("places"):
+            return self._changed_places(told.places).SerializeToString()
+        skip = told.skip
         if self._told is None or self._told[0] != self.revision:
             self._told = self.revision, self.snapshot()
         revision, state = self._told
         return pb.ShardSeen(revision=revision, size=len(state),
                             piece=state[skip:skip + PIECE_MOST]).SerializeToString()
 
+    def _changed_places(self, asked: pb.PlacesQuery) -> pb.Places:
+        whole = asked.after < self._whole_before
+        names = sorted(self.shards) if whole else sorted(
+            shard for shard, at in self._placed.items() if at > asked.after and shard in self.shards)
+        names = names[bisect_right(names, asked.name):]
+        answer, numbers = pb.Places(revision=self.revision, whole=whole, more=len(names) > PLACES_MOST), {}
+        for shard in names[:PLACES_MOST]:
+            engines = [numbers.setdefault(engine, len(numbers)) for engine in self.good(shard)]
+            answer.places.add(shard=shard, engines=engines)
+        answer.engines.extend(numbers)
+        return answer
+
     # The record's side.
 
     def apply(self, at: At, command: bytes, facts: Facts) -> bytes:
@@ -129,6 +149,7 @@
             asked = pb.Command.FromString(command)
         except DecodeError as exc:
             raise UnreadableCommand(str(exc)) from exc
+        self._entry = at.index
         what = asked.WhichOneof("what")
         if what is None:
             raise UnreadableCommand("a command of no kind")
@@ -196,6 +217,8 @@
             self._touched[shard.name] = at.index
         self.shards[told.name] = shard
         self.changes += 1
+        if known is None:
+            self._placed[shard.name] = at.index
         self._of_table.setdefault(shard.table, {})[shard.name] = None
         return Answer.NONE
 
@@ -211,6 +234,8 @@
             return Answer(refusal=Answer.HELD)
         del self.shards[shard.name]
         self.asides.pop(shard.name, None)
+        self._placed.pop(shard.name, None)
+        self._whole_before = at.index  # what was told of it can be taken back by telling all alone
         self._touched.pop(shard.name, None)
         of_table = self._of_table[shard.table]
         del of_table[shard.name]
@@ -266,10 +291,10 @@
 
     def _doubted(self, engine: str) -> None:
         """What an engine held is not read until it was checked again; it may come back with old copies."""
-        for held in self.copies.values():
+        for shard, held in self.copies.items():
             copy = held.get(engine)
             if copy is not None and copy.state in ("good", "leaving"):
-                held[engine] = replace(copy, state="doubtful")
+                self._hold(shard, replace(copy, state="doubtful"))
 
     def _heat(self, asked: pb.Heat, at: At, facts: Facts) -> pb.Answer:
         if not all(map(_sane, asked.heat.values())):
@@ -447,11 +472,11 @@
         elif not self._coming(move):
             return Answer.TARGET
         else:
-            held[move.target] = replace(held[move.target], state="good")
+            self._hold(move.shard, replace(held[move.target], state="good"))
         if old is None or not self.spared(move.shard, move.drops):
             self._end(move, well=True)  # nothing to drop, or what goes is needed still
             return Answer.NONE
-        held[move.drops] = replace(old, state="leaving", wrong=old.state != "good")
+        self._hold(move.shard, replace(old, state="leaving", wrong=old.state != "good"))
         self._at(move, "switched", at)
         return Answer.NONE
 
@@ -498,7 +523,7 @@
             return Answer.STEP  # there is no reason to
         if leaves:  # once its drop may have been sent, only a check can say whether it is there
             sure = move.step == "switched" and not copy.wrong
-            held[move.drops] = replace(copy, state="good" if sure else "doubtful", wrong=False)
+            self._hold(move.shard, replace(copy, state="good" if sure else "doubtful", wrong=False))
         self._end(move, well=not asked.failed)
         if asked.failed:
             self._set_aside(move.shard, at)
@@ -542,6 +567,7 @@
 
     def _hold(self, shard: str, copy: Copy) -> None:
         self.changes += 1
+        self._placed[shard] = self._entry
         held = self.copies.setdefault(shard, {})
         if copy.engine not in held:
             self.used[copy.engine] = self.used.get(copy.engine, 0) + self.shards[shard].size
@@ -552,6 +578,7 @@
         if held.pop(engine, None) is None:
             return
         self.changes += 1
+        self._placed[shard] = self._entry
         self.used[engine] -= self.shards[shard].size
         if not self.used[engine]:
             del self.used[engine]
@@ -606,6 +633,7 @@
             self._of_shard[m.shard] = m.number
         self.asides = {a.shard: (a.until_ms, a.times) for a in state.asides}
         self.changes, self.revision = state.changes, state.revision
+        self._placed, self._whole_before = {}, state.revision
         self._look_ahead()
 
 
--- a/tests/test_shard_moves.py
+++ b/tests/test_shard_moves.py
@@ -307,6 +307,50 @@
     assert pb.ShardSeen.FromString(desk.machine.asked(b"")).revision > seen.revision
 
 
+def test_where_copies_are_is_told_as_far_as_it_changed(monkeypatch):
+    monkeypatch.setattr(machine_module, "PLACES_MOST", 2)
+    desk, known, asks = desk_with_copy(), {}, []
+
+    def look(after):
+        name, first, heard = "", None, {}
+        while True:
+            query = pb.ShardQuery(places=pb.PlacesQuery(after=after, name=name))
+            told = pb.Places.FromString(desk.machine.asked(query.SerializeToString()))
+            heard |= {p.shard: tuple(told.engines[n] for n in p.engines) for p in told.places}
+            first = first or told
+            asks.append(len(told.places))
+            if not told.more:
+                break
+            name = told.places[-1].shard
+        if first.whole:
+            known.clear()
+        known.update(heard)
+        assert known == {shard: desk.machine.good(shard) for shard in desk.machine.shards}
+        return first.revision
+
+    for n in range(2, 7):
+        desk.declare(f"t/d={n}")
+        desk.found(f"t/d={n}", "e3")
+    seen = look(0)
+    assert asks == [2, 2, 2]
+    seen = look(seen)
+    assert asks[3:] == [0]
+    to_step(desk, "switched")
+    seen = look(seen)
+    assert asks[4:] == [1] and known["t/d=1"] == ("e2",)
+    desk.home("e2", life="gone", mark="")
+    assert look(seen) and known["t/d=1"] == ()
+    desk.found("t/d=6", "e3", present=False)
+    desk.ask(remove=pb.Remove(shard="t/d=6"))
+    seen = look(seen)
+    assert "t/d=6" not in known
+    other = ShardMachine()
+    other.restore(desk.machine.snapshot())
+    desk.machine = other
+    desk.found("t/d=5", "e3", present=False)
+    assert look(seen) and known["t/d=5"] == ()
+
+
 def test_a_failed_move_sets_its_shard_aside_for_growing_times():
     desk, rests = desk_with_copy(), []
     for number in range(1, 12):
