--- a/tests/contracts_defects.py
+++ b/tests/contracts_defects.py
@@ -294,6 +294,12 @@
     return settle
 
 
+def behind_is_not_looked_at(real):
+    def looked(self, now, part, seen, actions):
+        return real(self, now, part, self._old if part.state == pb.Change.BEHIND else seen, actions)
+    return looked
+
+
 RETURNS = (pb.Change.GONE_AWAY, pb.Change.WAITING)
 DEFECTS = (
     Defect("admission from an old copy of the record", ContractMachine, "_barred", old_copy, "model",
@@ -329,6 +335,8 @@
     Defect("the statement runs before the record knows", Carrier, "_of_engine", run_before_note, "world"),
     Defect("an engine that returns is taken for untouched", Carrier, "_settle", untouched_on_return, "world",
            "test_an_engine_that_returns_half_way_is_not_taken_for_untouched"),
+    Defect("an engine that missed a change is taken for one with the old schema", Carrier, "_looked",
+           behind_is_not_looked_at, "world"),
 )
 
 
