--- a/fennelwind/keeper/member.py
+++ b/fennelwind/keeper/member.py
@@ -52,6 +52,7 @@
 from fennelwind.loop.disk import DiskFull
 
 EVENTS_MOST = 8192  # messages that wait for the core; more are lost, as on any network
+STEP_MOST = 256  # events of one step; some 20 ms at the worst
 TOGETHER_MOST = 256  # writes made with one sync
 OPEN_FIRST_MS, OPEN_MOST_MS = 200.0, 5000.0  # ms between two tries to open the folder, or to write again
 ROOM_MS = 1000.0  # ms between two looks at the disk's room
@@ -118,7 +119,16 @@
 
     def start(self) -> None:
         """Open the folder and take part."""
-        self._tasks.append(self.loop.spawn(self._live, name="keeper: member"))
+        self._tasks.append(self.loop.spawn(self._guarded, self._live, name="keeper: member"))
+
+    def _guarded(self, call: Callable[[], None]) -> None:
+        """Make a call that is not to end; where it breaks, a member that is gone beats half of one."""
+        try:
+            call()
+        except Exception as exc:  # a defect; the loop reports all of it
+            self.said("broke", {"text": f"{type(exc).__name__}: {exc}"[:300]})
+            self.loop.spawn(self.close, name="keeper: close")
+            raise
 
     def _live(self) -> None:
         durable = self._opened()
@@ -128,7 +138,7 @@
         self._reach()
         for call, name in ((self._write, "keeper: writes"), (self.state.run, "keeper: applies"),
                            (self._look_for_room, "keeper: room"), (self._raise_level, "keeper: level")):
-            self._tasks.append(self.loop.spawn(call, name=name))
+            self._tasks.append(self.loop.spawn(self._guarded, call, name=name))
         self.said("member", {"name": self.me.name, "life": self.me.life.hex(),
                              "index": self.state.record.index, "entries": len(durable.entries)})
         self._turns()
@@ -165,7 +175,8 @@
         """Let another lead, if this one does; tell whether it doesn't any more."""
         if self.part == "leader":
             self.post(HandOver())
-            self.wait_for(lambda: self.part != "leader", within_ms)
+            # Until another leads: its election may need this one's vote, which has to reach the disk first.
+            self.wait_for(lambda: self.part != "leader" and self.leader != "", within_ms)
         return self.part != "leader"
 
     def wait_for(self, true: Callable[[], bool], within_ms: float) -> bool:
@@ -287,9 +298,10 @@
         while True:
             while not self._events:
                 self._bell.wait()
-            events = list(self._events)
-            self._events.clear()
+            events = [self._events.popleft() for _ in range(min(len(self._events), STEP_MOST))]
             self._carry(self.core.step(self.loop.now(), events))
+            if self._events:
+                self.loop.sleep(0.0)  # the loop's other tasks come first, queries above all
 
     def _carry(self, actions: list[Action]) -> None:
         for action in actions:  # who waits for an entry has to be known before it is applied
--- a/fennelwind/shards/carrier.py
+++ b/fennelwind/shards/carrier.py
@@ -40,7 +40,7 @@
     copy_ms: float = 60_000.0  # for an export or import, and
     slowest: float = 10_000.0  # bytes per ms that it may count on besides
     slack_ms: float = 5_000.0  # from an engine's time-out until the statement is taken to have ended
-    finish_ms: float = 60_000.0  # for queries on a copy that leaves
+    finish_ms: float = 60_000.0  # for queries on a copy that leaves, behind its rest
     again_ms: float = 1_000.0  # until a failed statement is repeated; it doubles
     again_most_ms: float = 60_000.0
     tries: int = 5  # of one statement or one attempt at a copy, then the move is undone
@@ -164,8 +164,8 @@
     source: tuple[int, int] | None = None  # what checks found
     target: tuple[int, int] | None = None
     source_lost: bool = False
-    own: bool = False  # its copying was begun by this holder
     quiet: bool = False  # no query runs on the copy that leaves
+    rested_at: float = -1.0  # when it was seen to have rested
 
 
 class Carrier:
@@ -218,7 +218,8 @@
                     move = self.machine.move_of(event.shard)
                     # Before it has rested, a query may still be sent there by an older view.
                     if move is not None and move.rested and move.drops == event.engine:
-                        self._work.setdefault(move.number, _Work()).quiet = True
+                        work = self._work.get(move.number) or self._first_sight(move)
+                        work.quiet = True
         for token in [token for token, asked in self._asked.items() if asked.until <= now]:
             if self._asked[token].pair is not None:
                 self._out.append(Stop(token))
@@ -239,7 +240,7 @@
         self._streams = self._count_streams()
         for number in sorted(self.machine.moves):
             move = self.machine.moves[number]
-            work = self._work.setdefault(number, _Work())
+            work = self._work.get(number) or self._first_sight(move)
             if work.step != move.step:
                 work.step, work.since, work.tries, work.wait_until = move.step, self._now, 0, 0.0
             if work.wait_until <= self._now and number not in asked:
@@ -252,12 +253,20 @@
             self._plan_of = self.machine.changes, self.frozen
             self._replan()
 
+    def _first_sight(self, move: Move) -> _Work:
+        """Take up a move. One that is under way is the last holder's, who may have sent a load just now."""
+        if move.step in ("copying", "checked", "undoing"):
+            pair, until = (move.shard, move.target), self._began + self._copy_ms(move.shard)
+            self._loads_end[pair] = max(self._loads_end.get(pair, 0.0), until + self.timing.slack_ms)
+        work = self._work[move.number] = _Work()
+        return work
+
     def _next(self) -> float:
         times = [asked.until for asked in self._asked.values()]
         times += [work.wait_until for work in self._work.values()]
         times += [*self._loads_end.values(), self._sure_of_drops(), self._plan_at]
         times.append(self._plan_at + self.timing.plan_most_ms - self.timing.plan_ms)
-        times += [w.since + self.timing.finish_ms for w in self._work.values() if w.step == "switched"]
+        times += [w.rested_at + self.timing.finish_ms for w in self._work.values() if w.step == "switched"]
         times += [until for _, until in self._doubts.values()] + list(self._drops_end.values())
         return min((at for at in times if at > self._now), default=self._now + self.timing.plan_ms)
 
@@ -307,7 +316,7 @@
             return
         if not answer.refusal:
             if asked.kind == "COPY":
-                work.phase, work.attempt, work.own = "clear", work.attempt + 1, True
+                work.phase, work.attempt = "clear", work.attempt + 1
                 work.tries, work.wait_until = 0, 0.0
             return
         if answer.refusal == Answer.STEP:
@@ -334,10 +343,18 @@
             return self._take(move, Step.UNDO)
         if not move.target:
             return self._take(move, Step.SWITCH)
+        if not self._is_known(move.target):
+            return self._again(work)
         if self._may_stream(move):
             self._streams.update(self._takes(move))
             self._take(move, Step.RESERVE)
 
+    def _is_known(self, engine: str) -> bool:
+        """Tell whether an engine was listed and holds nothing that the record doesn't count."""
+        held, shards = self.machine.copies, self.machine.shards
+        return engine in self._listed and not any(
+            engine not in held.get(shard, ()) for shard in self._listed[engine] if shard in shards)
+
     def _count_streams(self) -> Counter[str | frozenset[str]]:
         """Return how many copies each engine reads or writes, and each pair of zones carries."""
         asked = {a.owner for a in self._asked.values() if a.kind == "RESERVE"}
@@ -416,11 +433,9 @@
         """Return when the last holder's drops have ended."""
         return self._began + self.timing.drop_ms + self.timing.slack_ms
 
-    def _loads_ended(self, move: Move, work: _Work) -> bool:
+    def _loads_ended(self, move: Move) -> bool:
         """Tell whether no load can still put anything where a half copy is dropped."""
         pair = move.shard, move.target
-        if not work.own:  # begun by the last holder, which may have sent a load just before its end
-            self._loads_end.setdefault(pair, self._began + self._copy_ms(move.shard) + self.timing.slack_ms)
         return (self._loads_end.get(pair, 0.0) <= self._now
                 and not any(a.pair == pair and a.kind == "import" for a in self._asked.values()))
 
@@ -451,7 +466,11 @@
     def _at_switched(self, move: Move, work: _Work) -> None:
         if not self._may_go(move):
             return self._take(move, Step.KEEP)
-        if move.rested and (work.quiet or self._now >= work.since + self.timing.finish_ms):
+        if not move.rested:
+            return
+        if work.rested_at < 0.0:
+            work.rested_at = self._now
+        if work.quiet or self._now >= work.rested_at + self.timing.finish_ms:
             self._take(move, Step.DROP)
 
     def _may_go(self, move: Move) -> bool:
@@ -473,7 +492,7 @@
             return self._take(move, Step.UNDONE)
         if work.tries >= self.timing.tries:
             return self._take(move, Step.UNDONE, failed=True)
-        if not self._loads_ended(move, work):
+        if not self._loads_ended(move):
             return
         self._run(move.number, "drop", move.shard, move.target, steps.drop(move.shard), self.timing.drop_ms)
 
@@ -563,7 +582,7 @@
             tries, not_before = self._doubts[pair]
             if not_before > self._now or running >= CHECKS_AT_ONCE or not self._drops_ended(shard, engine):
                 continue
-            busy = move is not None and engine in (move.target, move.drops)
+            busy = move is not None and move.step != "planned" and engine in (move.target, move.drops)
             if busy or any(a.owner == pair for a in self._asked.values()):
                 continue
             running += 1
--- a/tests/move_defects.py
+++ b/tests/move_defects.py
@@ -7,7 +7,7 @@
 
 from hypothesis import Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
-from move_play import ONE_FAULT, Broken, play, play_careless, play_one_fault
+from move_play import ONE_FAULT, Broken, QuickMachine, play, play_careless, play_one_fault
 
 from fennelwind.shards import carrier as carrier_module
 from fennelwind.shards import shards_pb2 as pb
@@ -20,7 +20,7 @@
 
 
 def machine(**methods):
-    return {"machine": type("Defect", (ShardMachine,), methods)}
+    return {"machine": type("Defect", (QuickMachine,), methods)}
 
 
 def carrier(**methods):
@@ -113,7 +113,7 @@
 
 @contextmanager
 def rest_none():
-    with mock.patch("fennelwind.shards.machine.REST_MS", 0):
+    with mock.patch.object(QuickMachine, "rest_ms", 0):
         yield
 
 
@@ -127,7 +127,7 @@
         "fennelwind.shards.machine.effective", lambda home: home.disk)},
     "fence not checked by the record": machine(_fenced=lambda self, fence, facts: True),
     "drops on their way not waited for": carrier(_drops_ended=lambda self, shard, engine: True),
-    "loads on their way not waited for": carrier(_loads_ended=lambda self, move, work: True),
+    "loads on their way not waited for": carrier(_loads_ended=lambda self, move: True),
     "resumed move copies again": carrier(_at_copying=resume_anew),
     "generation ignored: an empty disk passes for the old one": machine(_heard=same_disk),
     "generation ignored by steps": {
