--- a/tests/contracts_search.py
+++ b/tests/contracts_search.py
@@ -15,8 +15,9 @@
 from fennelwind.contracts.types import parse_schema
 from fennelwind.council.machine import At
 from fennelwind.shards import shards_pb2 as moves
-from fennelwind.shards.machine import REST_MS, UNDER_WAY, ShardMachine
+from fennelwind.shards.machine import UNDER_WAY, ShardMachine
 
+REST_MS = 10_000  # ms of a rest after a switch: another time than the gate's, so that either ends first
 TABLE, LEASE, MOVER = "t", "table:t", 1
 SCHEMAS = ("a int", "a int, b int")
 Change, Step = pb.Change, moves.Step
@@ -41,6 +42,7 @@
 
     def __init__(self, shards=1, engines=("e1",), publishers=("p",)):
         self.contracts, self.shards = ContractMachine(), ShardMachine()
+        self.shards.rest_ms = REST_MS
         self.engines, self.publishers, self.names = engines, publishers, [f"t/{n}" for n in range(shards)]
         self.index = self.clock = self.fence = 0
         self.edges, self.nodes, self.admissions = {}, {}, set()
