Tests: the checker shares nothing with the planner, the solver stays with the yardstick

Need: it came up in the work on the fleet's record and what stands on it. Change: tests/test_shard_plan.py (1 file changed, 21 insertions(+)).

--- a/tests/test_shard_plan.py
+++ b/tests/test_shard_plan.py
@@ -2,8 +2,10 @@
 defects.
 """
 
+import ast
 import random
 from dataclasses import replace
+from pathlib import Path
 
 import pytest
 from hypothesis import given, settings
@@ -15,9 +17,11 @@
 from fennelwind.shards import exact
 from fennelwind.shards.check import check, finished
 from fennelwind.shards.pace import begin
+from fennelwind.shards.plan import __file__ as plan_file
 from fennelwind.shards.plan import plan
 from fennelwind.shards.state import Bounds, Copy, Home, Move, Planned, Shard, World
 
+SHARDS = Path(plan_file).parent
 STATES = {"?": "doubtful", "+": "coming", "-": "leaving"}
 
 
@@ -342,3 +346,20 @@
     one.moves[3] = Move(3, "t/1", "b", "c", "b")
     one.moves[4] = Move(4, "t/1", "a", "d", "", after=(3,))
     assert clean(one).keeps == (3,)
+
+
+def imported(name: str) -> set[str]:
+    """Return the modules that a file of the planner's folder imports."""
+    tree = ast.parse((SHARDS / name).read_text(encoding="utf-8"))
+    return {node.module for node in ast.walk(tree) if isinstance(node, ast.ImportFrom)} | {
+        alias.name for node in ast.walk(tree) if isinstance(node, ast.Import) for alias in node.names
+    }
+
+
+def test_the_checker_shares_nothing_with_the_planner_and_the_solver_stays_with_the_yardstick():
+    ours = {name for name in imported("check.py") if name.startswith("fennelwind")}
+    assert ours == {"fennelwind.shards.state"}
+    files = {path.name for path in SHARDS.glob("*.py")}
+    assert "highspy" in imported("exact.py")
+    for name in sorted(files - {"exact.py"}):
+        assert not imported(name) & {"highspy", "fennelwind.shards.exact", "random", "time", "os"}, name
