Merge the later state of the parts beside

Need: this part builds on what stood beside it by then. Change: what the merge brings; where both sides had altered a line, the newer interface holds.

--- a/fennelwind/cli/program.py
+++ b/fennelwind/cli/program.py
@@ -1,11 +1,14 @@
 """A controller put together: front, core, links and discovery on one loop."""
 
+from typing import TYPE_CHECKING
+
 from fennelwind import interface as api
 from fennelwind.config import Controller
 from fennelwind.config import settings_pb2 as pb
 from fennelwind.config.tls import TlsError, server_context
 from fennelwind.config.users import UsersError, load_users
 from fennelwind.core.driver import Driver, Observer
+from fennelwind.core.types import Router
 from fennelwind.engines.discovery import DiscoveryLink
 from fennelwind.engines.links import EngineLinks
 from fennelwind.fronts.hs2 import Front
@@ -15,6 +18,9 @@
 from fennelwind.loop import Address, Loop
 from fennelwind.observe.metrics import MetricsFront
 
+if TYPE_CHECKING:
+    from fennelwind.keeper.whole import Keeper
+
 
 class Program:
     """A running controller. `start` listens; `close` gives all that is open its final answer."""
@@ -24,10 +30,11 @@
         rules = settings.file.rules
         self.links = EngineLinks(loop, settings.file.links, settings.module.report_fields,
                                  settings.engines_tls)
+        module, router = self._routing()
         self.driver = Driver(
-            loop, settings.module, self.links, observer, seed=seed, max_open=settings.file.max_open,
+            loop, module, self.links, observer, seed=seed, max_open=settings.file.max_open,
             margin=AnswerMargin(rules.answer_margin_ms, rules.answer_margin_most_ms),
-            subscribe=self._subscribe)
+            subscribe=self._subscribe, router=router)
         self.discovery = None
         if settings.discovery is not None:
             self.discovery = DiscoveryLink(
@@ -35,6 +42,7 @@
                 zones=settings.zones, kinds=settings.kinds, post=self.driver.post, seed=seed,
                 said=observer.said)
         self.service = Service(loop, settings, self.driver)
+        self.keeper = self._keeper(seed) if settings.council is not None else None
         self.front: Front | None = None
         self.http: HttpFront | None = None
         self.metrics: MetricsFront | None = None
@@ -59,14 +67,78 @@
             self.metrics.start()
         self.service.start()
         self.front.start()
+        if self.keeper is not None:
+            self.keeper.start()
+
+    def hand_over(self) -> None:
+        """Give the fleet's tasks and the council's lead to others, within the time that the settings say."""
+        if self.keeper is not None:
+            self.keeper.hand_over()
 
     def close(self) -> None:
         """Take nothing more, answer what is open, let the answers out."""
+        if self.keeper is not None:
+            self.keeper.close()
         self.driver.close()
         for front in (self.front, self.http, self.metrics):
             if front is not None:
                 front.close()
 
+    def _keeper(self, seed: int) -> "Keeper":
+        """Return the controller's part in the council; only here is anything of it loaded."""
+        from fennelwind.council.interface import Timing
+        from fennelwind.keeper.place import Place
+        from fennelwind.keeper.whole import Keeper
+
+        c = self.settings.council
+        place = Place(c.fleet, c.me, c.members, c.folder, c.listen,
+                      Timing(heartbeat_ms=c.heartbeat_ms, election_ms=c.election_ms),
+                      c.reserve_bytes, c.handover_ms)
+        keeper = Keeper(self.loop, place, seed, self.observer.council)
+        keeper.serve_engines(self.links, self._engines)
+        self.service.gate = keeper.gate
+        if self.driver.router is not None:
+            self._serve_shards(keeper)
+        return keeper
+
+    def _routing(self) -> tuple[api.Settings, Router | None]:
+        """Return the module's settings, split where queries go by copies of shards, and who splits them."""
+        module = self.settings.module
+        if not self.settings.file.HasField("moves"):
+            return module, None
+        from fennelwind.shards.routing import SLOTS_MOST, Routing, widen
+
+        return widen(module, SLOTS_MOST), Routing(module, SLOTS_MOST)
+
+    def _serve_shards(self, keeper: "Keeper") -> None:
+        from fennelwind.shards.shards_pb2 import Shard
+        from fennelwind.shards.state import Bounds, Home
+
+        told, kinds = self.settings.file.moves, self.settings.file.kinds
+        parts = 2 ** len(self.driver.router.slots)
+
+        def homes() -> list[Home]:
+            found = []
+            for name, engine in self.driver.gateway.engines.items():
+                entry = engine.entry
+                kind = kinds[entry.kind // parts]
+                found.append(Home(name, self.settings.zones[entry.zone], kind.name, kind.disk_bytes,
+                                  kind.headroom_bytes, entry.state))
+            return found
+
+        usual = Bounds()
+        bounds = Bounds(told.streams_per_engine or usual.streams_per_engine,
+                        told.streams_per_link or usual.streams_per_link,
+                        told.bytes_per_hour or usual.bytes_per_hour)
+        shards = [Shard(name=s.name, table=s.name.partition("/")[0], size=s.size_bytes, copies=s.copies or 1,
+                        zones=s.zones or 1, kinds=s.kinds) for s in told.shards]
+        keeper.serve_shards(self.links, homes, told.staging, bounds, shards, self.driver.copies)
+
+    def _engines(self) -> list[str]:
+        """Return the engines that are there now, as the module was told."""
+        known = self.driver.gateway.engines
+        return [name for name, engine in known.items() if engine.entry.state != "gone"]
+
     def reload_certificates(self) -> str:
         """Read certificate and key anew, for new connections; return what became of it."""
         listener, folder = self.settings.file.listener, self.settings.folder
@@ -75,7 +147,7 @@
         try:
             context = server_context(folder / listener.tls_certificate, folder / listener.tls_key)
         except TlsError as exc:
-            return f"the certificate is as before: {exc}"
+            return f"the certificate is as before: {exc} ({exc.code}: {exc.advice})"
         for front in (self.front, self.http):
             if front is not None:
                 front.tls = context
@@ -89,7 +161,9 @@
         names = [c.name for c in self.settings.module.classes]
         try:
             door.users = load_users(self.settings.folder / listener.users_file, names)
-        except (UsersError, OSError) as exc:
+        except UsersError as exc:
+            return f"users are as before: {exc} ({exc.code}: {exc.advice})"
+        except OSError as exc:
             return f"users are as before: {exc}"
         door.logins.forget()
         return f"{len(door.users)} users"
--- a/fennelwind/fleet/processes.py
+++ b/fennelwind/fleet/processes.py
@@ -24,6 +24,7 @@
 import msgpack
 
 from fennelwind.audit.sightings import Process, Sighting, Usage, read
+from fennelwind.errors import FennelwindError
 from fennelwind.fleet.addresses import PORTS, Addresses
 from fennelwind.fleet.plan import FOREVER, Plan, Step
 from fennelwind.fleet.settings import Book, config_text
@@ -46,9 +47,13 @@
                    r"step errors (\d+)")
 
 
-class RigFailed(Exception):
+class RigFailed(FennelwindError):
     """The rig itself could not do its part; the text says why."""
 
+    code = "rig-failed"
+    advice = ("The play says nothing of the controllers. Read the logs in its folder, give it more of "
+              "the machine.")
+
 
 def run_command(root: Path | None = None) -> tuple[str, Path]:
     """Return the command of `run` and the folder it starts from.
@@ -74,14 +79,16 @@
 class Part:
     """A worker's process, which is talked to in lines of JSON."""
 
-    def __init__(self, loop: Loop, spec: dict[str, Any], log: Path) -> None:
+    def __init__(self, loop: Loop, spec: dict[str, Any], log: Path,
+                 module: str = "fennelwind.fleet.worker") -> None:
         self.loop, self.spec = loop, spec
-        self.done = self.ready = False
+        self.done = self.ready = self.ended = self.silent = False
+        self.killed = False  # by its rig
         self.told: dict[str, Any] = {}
         self.log = log.open("wb")
         root = Path(__file__).parent.parent.parent
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "fennelwind.fleet.worker"], stdin=subprocess.PIPE, stdout=subprocess.PIPE,
+            [sys.executable, "-m", module], stdin=subprocess.PIPE, stdout=subprocess.PIPE,
             stderr=self.log, preexec_fn=_with_parent,  # noqa: PLW1509 - one thread here
             env=os.environ | {"PYTHONPATH": f"{root}{os.pathsep}{os.environ.get('PYTHONPATH', '')}"})
         os.set_blocking(self.process.stdout.fileno(), False)
@@ -96,16 +103,31 @@
 
     def look(self) -> None:
         """Take what it has said. Raises `RigFailed` if it has failed or ended."""
+        for told in self.hear():
+            self.told |= told
+        if "failed" in self.told:
+            raise RigFailed(f"{self.spec['name']}: {self.told['failed']}")
+
+    def hear(self) -> list[dict[str, Any]]:
+        """Return what it has said since, line by line. Raises `RigFailed` if it has ended unsaid."""
         with suppress(BlockingIOError):
             data = os.read(self.process.stdout.fileno(), 65536)
-            if not data and "ended" not in self.told:
-                raise RigFailed(f"{self.spec['name']} has ended with status {self.process.wait()}")
+            self.silent = not data
             self._rest += data
         *lines, self._rest = self._rest.split(b"\n")
-        for line in lines:
-            self.told |= json.loads(line)
-        if "failed" in self.told:
-            raise RigFailed(f"{self.spec['name']}: {self.told['failed']}")
+        heard = [json.loads(line) for line in lines]
+        self.ended = self.ended or any("ended" in told for told in heard)
+        if self.silent and not self.ended and not self.killed:
+            raise RigFailed(f"{self.spec['name']} has ended with status {self.process.wait()}")
+        return heard
+
+    def stop(self) -> None:
+        """Stop it where it stands."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def go_on(self) -> None:
+        """Let it go on."""
+        self.process.send_signal(signal.SIGCONT)
 
     def close(self) -> None:
         """End it, whatever it is doing."""
--- /dev/null
+++ b/fennelwind/keeper/state.py
@@ -0,0 +1,207 @@
+"""The record as a member or one that asks sees it: applied in slices, with revisions, reads and watches.
+
+Entries are applied between turns of the loop, so many at a time, so that a long catch-up delays no query.
+"""
+
+import heapq
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from fennelwind.council import council_pb2
+from fennelwind.council.interface import Applied, Apply, Event, Restore, Snapshot, TakeSnapshot
+from fennelwind.council.machine import Machine
+from fennelwind.council.record import Record
+from fennelwind.keeper import keeper_pb2 as pb
+from fennelwind.keeper.bell import Bell
+from fennelwind.keeper.frames import FRAME_MOST
+from fennelwind.loop import Loop
+
+AT_ONCE = 8  # entries that are applied in the turn that agreed on them: a command's answer waits for it
+SLICE = 64  # entries applied in one turn of the loop; some 2 ms
+WATCHERS_MOST = 4096  # watches that wait here: two hundred controllers with twenty tables each
+VIEW_MOST = FRAME_MOST - 4096  # bytes of a state that is told in one frame
+WATCH_MOST = 4096  # bytes of what one watch compares with; a longer one is answered at once
+WAIT_MOST_MS = 60_000  # ms that one watch waits; longer ones ask again
+
+Result = council_pb2.Result
+
+
+@dataclass(slots=True)
+class _Watch:
+    holds: Callable[[], bool]
+    call: Callable[[], None]
+    timer: Any = None
+
+
+class State:
+    """Applies what is agreed; tells who waits for an entry, a state of at least an index, or a change."""
+
+    def __init__(self, loop: Loop, record: Record, post: Callable[[Event], None],
+                 ask: Callable[[Machine, bytes], bytes]) -> None:
+        self.loop, self.record, self.post, self.ask = loop, record, post, ask
+        self.revisions = dict.fromkeys(record.every, 0)
+        self.applied = 0  # entries since the start
+        self._work: deque[Apply | Restore | TakeSnapshot] = deque()
+        self._bell, self._busy = Bell(loop), False
+        self._due: int | None = None  # as it was told last
+        self._results: dict[int, Callable[[Result], None]] = {}  # who waits for an entry's result
+        self._reads: list[tuple[int, int, Callable[[], None]]] = []  # heap: index, order, what is to be done
+        self._order = 0
+        self._watches: dict[str, list[_Watch]] = {name: [] for name in record.every}
+        self.watchers = 0
+
+    def take(self, action: Apply | Restore | TakeSnapshot) -> None:
+        """Take what is to be done, in order; few entries are applied at once, if nothing is ahead of them."""
+        small = isinstance(action, Apply) and len(action.entries) <= AT_ONCE
+        if small and not self._work and not self._busy:
+            self._do(action)
+            return
+        self._work.append(action)
+        self._bell.ring()
+
+    def result_of(self, index: int, call: Callable[[Result], None]) -> None:
+        """Make the call with what the entry brings; UNKNOWN if it was applied already: ask again."""
+        if index <= self.record.index:
+            call(Result(refusal=Result.UNKNOWN, index=index))
+        else:
+            self._results[index] = call
+
+    def when(self, index: int, call: Callable[[], None]) -> None:
+        """Make the call when the state is of this index or a later one."""
+        if index <= self.record.index:
+            call()
+        else:
+            self._order += 1
+            heapq.heappush(self._reads, (index, self._order, call))
+
+    def watch(self, view: pb.View, call: Callable[[], None]) -> bool:
+        """Make the call once what is watched has changed, or after its time; False: too many wait."""
+        machine = self.record.machines.get(view.machine)
+        if machine is None or view.ByteSize() > WATCH_MOST:
+            call()
+            return True
+
+        def holds() -> bool:
+            if view.HasField("unlike"):
+                return self.ask(machine, view.query) != view.unlike
+            return self.revisions[view.machine] > view.after
+
+        if holds():
+            call()
+            return True
+        if self.watchers >= WATCHERS_MOST:
+            return False
+        watch = _Watch(holds, call)
+
+        def late() -> None:
+            self._watches[view.machine].remove(watch)
+            self.watchers -= 1
+            call()
+
+        watch.timer = self.loop.after(min(view.wait_ms, WAIT_MOST_MS), late)
+        self._watches[view.machine].append(watch)
+        self.watchers += 1
+        return True
+
+    def run(self) -> None:
+        """Apply what comes, for ever."""
+        while True:
+            while not self._work:
+                self._busy = False
+                self._bell.wait()
+            self._busy = True
+            self._do(self._work.popleft())
+            self.loop.sleep(0.0)
+
+    def _do(self, action: Apply | Restore | TakeSnapshot) -> None:
+        record = self.record
+        if self.too_new:
+            return
+        if isinstance(action, TakeSnapshot):
+            self.post(Snapshot(record.index, record.clock_ms, record.snapshot()))
+            return
+        if isinstance(action, Restore):
+            record.restore(action.data)
+            self._changed(list(record.machines))
+        else:
+            for start in range(0, len(action.entries), SLICE):
+                if start:
+                    self.loop.sleep(0.0)
+                self._apply(action.entries[start:start + SLICE])
+        self._settle()
+        due = record.due()
+        if due != self._due:  # all that the core wants to know of what was applied
+            self._due = due
+            self.post(Applied(record.index, due))
+
+    def _apply(self, entries: tuple[council_pb2.Entry, ...]) -> None:
+        record = self.record
+        for entry in entries:
+            if self.too_new:
+                return
+            if entry.index <= record.index:
+                continue  # a folder that was read anew gives again what was agreed
+            clock_ms = max(record.clock_ms, entry.clock_ms)
+            changed = [name for name, machine in record.machines.items()
+                       if (due := machine.due()) is not None and due <= clock_ms]
+            result = record.apply(entry)
+            self.applied += 1
+            if entry.WhichOneof("what") == "command" and entry.command.machine in record.machines \
+                    and entry.command.machine not in changed:
+                changed.append(entry.command.machine)
+            if changed:
+                self._changed(changed)
+            call = self._results.pop(entry.index, None)
+            if call is not None:
+                call(result)
+
+    def _changed(self, machines: list[str]) -> None:
+        for name in machines:
+            # A machine may tell when its state has really changed; else every command counts as a change.
+            revision = getattr(self.record.machines[name], "revision", self.record.index)
+            if revision == self.revisions[name]:
+                continue
+            self.revisions[name] = revision
+            ripe = [watch for watch in self._watches[name] if watch.holds()]
+            for watch in ripe:
+                self._watches[name].remove(watch)
+                watch.timer.cancel()
+                self.watchers -= 1
+                watch.call()
+
+    @property
+    def too_new(self) -> bool:
+        """Tell whether the record uses what this version does not know: nothing more is applied then."""
+        return self.record.level > self.record.known
+
+    def _settle(self) -> None:
+        """Answer the reads whose index has come, and those whose entry a snapshot has swallowed."""
+        while self._reads and self._reads[0][0] <= self.record.index:
+            heapq.heappop(self._reads)[2]()
+        for index in [i for i in self._results if i <= self.record.index]:
+            self._results.pop(index)(Result(refusal=Result.UNKNOWN, index=index))
+
+    def view(self, view: pb.View) -> pb.Told:
+        """Return what is asked for as it is here now."""
+        told = pb.Told(revision=self.revisions.get(view.machine, 0), clock_ms=self.record.clock_ms)
+        result = Result(index=self.record.index)
+        machine = self.record.machines.get(view.machine)
+        if view.kind:
+            told.fact = self.record.fact(view.kind, view.key)
+        elif machine is None:
+            result.refusal = Result.NO_MACHINE
+        else:
+            result.body = self.ask(machine, view.query)
+            if len(result.body) > VIEW_MOST:
+                result.ClearField("body")
+                result.refusal = Result.TOO_LARGE
+        told.result = result.SerializeToString()
+        return told
+
+
+
+def whole_state(machine: Machine, query: bytes) -> bytes:
+    """Answer any query by all that a machine keeps."""
+    return machine.snapshot()
--- /dev/null
+++ b/fennelwind/keeper/whole.py
@@ -0,0 +1,137 @@
+"""The controller's part in the council put together: its member, if it is one, its asker, its tasks."""
+
+from collections.abc import Callable, Iterable
+
+from fennelwind.council.core import Core
+from fennelwind.council.council_pb2 import Member as Stated
+from fennelwind.council.interface import Durable
+from fennelwind.council.machine import Machine
+from fennelwind.council.record import LEVEL, Record
+from fennelwind.engines.links import EngineLinks
+from fennelwind.keeper.asker import Asker
+from fennelwind.keeper.changes import Changes
+from fennelwind.keeper.copies import Copies, Places
+from fennelwind.keeper.errors import CouncilError
+from fennelwind.keeper.folder import Folder
+from fennelwind.keeper.gate import Gate
+from fennelwind.keeper.machines import answer, machines
+from fennelwind.keeper.member import Member
+from fennelwind.keeper.moves import Moves
+from fennelwind.keeper.place import Place
+from fennelwind.keeper.statements import Statements
+from fennelwind.keeper.tasks import Tasks
+from fennelwind.loop import Loop
+from fennelwind.loop.disk import Disk
+from fennelwind.shards.shards_pb2 import Shard
+from fennelwind.shards.state import Bounds, Home
+from fennelwind.store.store import Limits
+
+LEAVE_PART = 0.5  # of the time to hand over: leases first, then the lead
+
+
+class Keeper:
+    """What a controller with a section `council` runs. Nothing on a query's way waits for it."""
+
+    def __init__(self, loop: Loop, place: Place, seed: int, said: Callable[[str, dict], None],
+                 disk: Callable[[], Disk] | None = None, more: Iterable[Machine] = (),
+                 level: int = LEVEL) -> None:
+        """Make it. `disk`, `more` machines and another `level` that is known are for rigs."""
+        self.loop, self.place, self.said = loop, place, said
+        self.member = self._member(seed, disk, Record([*machines(), *more], level)) if place.member else None
+        self.asker = Asker(loop, place.fleet, place.me, place.members, f"asker {seed}", self._wrong)
+        self.tasks = Tasks(loop, self.asker, place.me, seed, said)
+        self.gate: Gate | None = None
+        self.changes: Changes | None = None
+        self.moves: Moves | None = None
+        self.copies: Copies | None = None
+        self._seed = seed
+
+    def _member(self, seed: int, disk: Callable[[], Disk] | None, record: Record) -> Member:
+        place, loop = self.place, self.loop
+        limits = Limits(reserve=place.reserve_bytes, low=2 * place.reserve_bytes)
+        stated = [Stated(name=name, address=str(address)) for name, address in sorted(place.members.items())]
+
+        def core(durable: Durable) -> Core:
+            return Core(place.timing, durable, seed, stated)
+
+        folder = Folder(disk or self._disk, place.fleet, place.me, loop.token, limits,
+                        lambda: loop.sleep(0.0))
+        return Member(loop, place, record, folder, core, f"member {seed}", self.said, answer)
+
+    def _disk(self) -> Disk:
+        from fennelwind.loop.realdisk import RealDisk  # in virtual time the disk is handed in
+
+        return RealDisk(self.loop, str(self.place.folder))
+
+    def _wrong(self, exc: CouncilError) -> None:
+        self.said("asking", exc.told())
+
+    def serve_engines(self, links: EngineLinks, engines: Callable[[], Iterable[str]]) -> None:
+        """Guard the schemas of the engines' tables; `engines` tells those that are there now."""
+        statements = Statements(self.loop, links.settings, links.tls)
+        self.gate = Gate(self.loop, self.asker, engines, f"gate {self._seed}", self.said)
+        self.changes = Changes(self.loop, self.asker, self.tasks, statements, engines, self.said)
+
+    def serve_shards(self, links: EngineLinks, homes: Callable[[], Iterable[Home]], staging: str,
+                     bounds: Bounds, shards: Iterable[Shard], told: Callable[[Places], None]) -> None:
+        """Move shards while the lease is held here; `told` gets each newer view of where copies are."""
+        statements = Statements(self.loop, links.settings, links.tls)
+        record = self.member.state.record if self.member is not None else None
+        self.moves = Moves(self.loop, self.asker, self.tasks, statements, homes, staging, self.said, bounds,
+                           shards=shards, record=record)
+        self.copies = Copies(self.loop, self.asker, told)
+
+    def start(self) -> None:
+        """Take part; returns at once."""
+        if self.member is not None:
+            self.member.start()
+        self.tasks.start()
+        for part in (self.gate, self.changes, self.moves, self.copies):
+            if part is not None:
+                part.start()
+
+    def gauges(self) -> list[tuple[str, str, float]]:
+        """Return names, meanings and values of what is worth a graph."""
+        held = len(self.tasks.holder.held(self.loop.now()))
+        told = [("leases_held", "Leases of tasks held here.", held)]
+        member = self.member
+        if member is not None and member.core is not None:
+            record = member.state.record
+            told += [
+                ("leads", "1 where this member leads.", member.part == "leader"),
+                ("votes", "1 where this member has a vote and can write.",
+                 member.part in ("leader", "follower", "asking")),
+                ("term", "The member's term.", member.term),
+                ("index", "The last entry that was applied.", record.index),
+                ("level", "The record's level.", record.level),
+                ("members_reached", "Other members that can be sent to.",
+                 sum(peer.up for peer in member.peers.peers.values())),
+                ("watchers", "Watches that wait here.", member.state.watchers)]
+        return [(name, help_, float(value)) for name, help_, value in told]
+
+    def events(self) -> list[tuple[str, str, int]]:
+        """Return counts of what happened: where, what, how often."""
+        found = {"asker": {"asked": self.asker.asked, "lost": self.asker.lost}, "tasks": self.tasks.counts}
+        member = self.member
+        if member is not None:
+            found |= {"member": member.counts, "peers": member.peers.counts}
+            if member.door is not None:
+                found["door"] = member.door.counts
+        return [(where, event, count) for where, counts in found.items() for event, count in counts.items()]
+
+    def hand_over(self) -> None:
+        """Give leases and the lead to others, within the stated time."""
+        within = self.place.handover_ms
+        self.tasks.leave(within * LEAVE_PART)
+        if self.member is not None:
+            self.member.hand_over(within * (1.0 - LEAVE_PART))
+
+    def close(self) -> None:
+        """Take part no more."""
+        for part in (self.gate, self.changes, self.moves, self.copies):
+            if part is not None:
+                part.close()
+        self.tasks.close()
+        self.asker.close()
+        if self.member is not None:
+            self.member.close()
