The planner leaves shards alone that are aside, and says so

In full: The planner leaves shards alone that are aside, and says so; an engine without copies is no finding. Cause: the record sets shards aside whose moves failed, and the planner went on planning for them. Change: such shards are fixed like frozen ones, told as short with the reason 'aside'; the checker refuses their moves; a fault of the checker on an empty engine whose headroom is larger than its disk.

--- a/fennelwind/lab/shard_cases.py
+++ b/fennelwind/lab/shard_cases.py
@@ -85,6 +85,8 @@
             world.shards[shard.name] = replace(shard, copies=min(len(names), chance.randint(1, 3)), zones=1)
     if chance.random() < 0.2:
         world.frozen = frozenset({f"t{chance.randint(0, 3)}"})
+    if chance.random() < 0.1:
+        world.aside = frozenset({chance.choice(sorted(world.shards))})
 
 
 def free(world: World, engine: str) -> int:
@@ -185,7 +187,14 @@
 
 def adopt(world: World, planned: Planned) -> World:
     """Return the world when a plan has been taken into the record and its cancels are carried out."""
-    after = World(dict(world.shards), dict(world.homes), dict(world.copies), dict(world.moves), world.frozen)
+    after = World(
+        dict(world.shards),
+        dict(world.homes),
+        dict(world.copies),
+        dict(world.moves),
+        world.frozen,
+        world.aside,
+    )
     for number in planned.cancels:
         move = after.moves.pop(number)
         copy = after.copies.get((move.shard, move.target))
--- a/fennelwind/lab/shard_defects.py
+++ b/fennelwind/lab/shard_defects.py
@@ -15,8 +15,16 @@
 
 def _seen(**changes: Callable[[World], object]) -> Planner:
     """Return a planner that sees a world of which something is another way."""
+
     def planner(world: World) -> Planned:
-        seen = World(dict(world.shards), dict(world.homes), dict(world.copies), dict(world.moves), world.frozen)
+        seen = World(
+            dict(world.shards),
+            dict(world.homes),
+            dict(world.copies),
+            dict(world.moves),
+            world.frozen,
+            world.aside,
+        )
         for name, makes in changes.items():
             setattr(seen, name, makes(world))
         return plan(seen, first=1 + max(world.moves, default=0))
@@ -31,6 +39,7 @@
 
 def _broken(place: type, name: str, makes: Callable) -> Planner:
     """Return a planner of which one function is another."""
+
     def planner(world: World) -> Planned:
         right = getattr(place, name)
         setattr(place, name, makes(right))
@@ -49,8 +58,11 @@
 def _last_copy(world: World, planned: Planned) -> Planned:
     """Drop a good copy of the first shard that has only one."""
     for name in sorted(world.shards):
-        good = [copy.engine for copy in world.copies.values() if copy.shard == name and copy.state == "good"
-                and world.homes[copy.engine].life != "gone"]
+        good = [
+            copy.engine
+            for copy in world.copies.values()
+            if copy.shard == name and copy.state == "good" and world.homes[copy.engine].life != "gone"
+        ]
         if len(good) == 1 and world.shards[name].table not in world.frozen:
             return replace(planned, drops=(*planned.drops, (name, good[0])))
     return planned
@@ -65,8 +77,9 @@
 
 
 def _lives(life: str, now: str) -> Callable[[World], dict]:
-    return lambda world: {name: replace(home, life=now) if home.life == life else home
-                          for name, home in world.homes.items()}
+    return lambda world: {
+        name: replace(home, life=now) if home.life == life else home for name, home in world.homes.items()
+    }
 
 
 def _shards(**values: object) -> Callable[[World], dict]:
@@ -78,33 +91,50 @@
 
 
 DEFECTS: dict[str, Planner] = {
-    "headroom without the incoming copy": _broken(Sequence, "left", lambda right: lambda self, engine: 1 << 60),
+    "headroom without the incoming copy": _broken(
+        Sequence, "left", lambda right: lambda self, engine: 1 << 60
+    ),
     "the going copy's space counted free at once": _told(lambda world, planned: _each(after=())(planned)),
     "dropped copies' space counted free at once": _told(lambda world, planned: _each(cleared=())(planned)),
-    "headroom left out of the disk": _seen(homes=lambda world: {
-        name: replace(home, headroom=0) for name, home in world.homes.items()}),
+    "headroom left out of the disk": _seen(
+        homes=lambda world: {name: replace(home, headroom=0) for name, home in world.homes.items()}
+    ),
     "copies that come in not counted on the disk": _seen(copies=_without("coming"), moves=lambda world: {}),
     "copies that leave not counted on the disk": _seen(copies=_without("leaving")),
     "doubtful copies not counted on the disk": _seen(copies=_without("doubtful")),
-    "doubtful counted as good": _seen(copies=lambda world: {
-        pair: Copy(*pair) if copy.state == "doubtful" else copy for pair, copy in world.copies.items()}),
-    "coming counted as good": _broken(View, "enough", lambda right: lambda self, shard, engines: right(
-        self, shard, engines | self.holds[shard.name])),
+    "doubtful counted as good": _seen(
+        copies=lambda world: {
+            pair: Copy(*pair) if copy.state == "doubtful" else copy for pair, copy in world.copies.items()
+        }
+    ),
+    "coming counted as good": _broken(
+        View,
+        "enough",
+        lambda right: lambda self, shard, engines: right(self, shard, engines | self.holds[shard.name]),
+    ),
     "last good copy dropped": _told(_last_copy),
     "a copy dropped before the one for it is checked": _told(_one_less),
     "frozen table moved": _seen(frozen=lambda world: frozenset()),
+    "shards aside moved": _seen(aside=lambda world: frozenset()),
     "kinds ignored": _seen(shards=_shards(kinds=())),
     "zones ignored": _seen(shards=_shards(zones=1)),
-    "one copy fewer than wanted": _seen(shards=lambda world: {
-        name: replace(shard, copies=max(1, shard.copies - 1)) for name, shard in world.shards.items()}),
+    "one copy fewer than wanted": _seen(
+        shards=lambda world: {
+            name: replace(shard, copies=max(1, shard.copies - 1)) for name, shard in world.shards.items()
+        }
+    ),
     "draining engines take copies": _seen(homes=_lives("draining", "ready")),
     "gone engines counted as there": _seen(homes=_lives("gone", "ready")),
     "moves under way forgotten": _seen(moves=lambda world: {}),
-    "moves that have become wrong go on": _told(lambda world, planned: replace(
-        planned, cancels=(), reasons=())),
+    "moves that have become wrong go on": _told(
+        lambda world, planned: replace(planned, cancels=(), reasons=())
+    ),
     "a drop that became wrong is done": _told(lambda world, planned: replace(planned, keeps=())),
-    "read from an engine without a good copy": _told(lambda world, planned: replace(planned, moves=tuple(
-        replace(move, source=move.target) for move in planned.moves))),
+    "read from an engine without a good copy": _told(
+        lambda world, planned: replace(
+            planned, moves=tuple(replace(move, source=move.target) for move in planned.moves)
+        )
+    ),
     "short told as met": _told(lambda world, planned: replace(planned, short=())),
 }
 
--- a/fennelwind/shards/board.py
+++ b/fennelwind/shards/board.py
@@ -82,8 +82,9 @@
         return self.view.limit[engine] - self.view.used[engine]
 
     def fixed(self, shard: Shard) -> bool:
-        """Return whether nothing of a shard may be moved: its table's schema changes, or nobody has it."""
-        return shard.table in self.world.frozen or not self.view.good[shard.name]
+        """Return whether nothing of a shard may be moved: it is frozen, aside, or nobody has it."""
+        held = shard.table in self.world.frozen or shard.name in self.world.aside
+        return held or not self.view.good[shard.name]
 
     def least(self, shard: Shard) -> set[str]:
         """Return the good copies that stay where they are if space is no matter: as many as may."""
--- a/fennelwind/shards/check.py
+++ b/fennelwind/shards/check.py
@@ -179,6 +179,8 @@
             shard, home = world.shards[move.shard], world.homes[move.target]
             if shard.table in world.frozen:
                 self._bad("frozen", move.number, shard.name)
+            if shard.name in world.aside:
+                self._bad("aside", move.number, shard.name)
             if home.life not in ("ready", "cold"):
                 self._bad("life", move.number, f"{home.name} is {home.life}")
             if shard.kinds and home.kind not in shard.kinds:
@@ -195,6 +197,8 @@
         for shard, engine in self.planned.drops:
             if world.shards[shard].table in world.frozen:
                 self._bad("frozen", shard, f"drop on {engine}")
+            if shard in world.aside and self.copies.get((shard, engine)) == "good":
+                self._bad("aside", shard, f"drop on {engine}")
             if (shard, engine) not in self.copies:
                 self._bad("shape", shard, f"drops what is not on {engine}")
 
@@ -360,6 +364,7 @@
             elif (
                 len(fit) < len(homes)
                 and shard.table not in self.world.frozen
+                and name not in self.world.aside
                 and len(
                     {home.name for home in fit}
                     & {engine for engine, state in self.lying[name] if state == "good"}
@@ -369,7 +374,7 @@
                 self._bad("unmet", name, "a copy where none may be")
         for engine in sorted(self.living - crowded):
             home = end.homes[engine]
-            if held.get(engine, 0) > home.disk - home.headroom:
+            if held.get(engine, 0) > max(0, home.disk - home.headroom):
                 self._bad("unmet", engine, f"{held[engine]} held in the end")
 
 
@@ -393,7 +398,7 @@
             copies.pop((move.shard, move.drops), None)
         elif move.drops and (move.shard, move.drops) in copies:
             copies[move.shard, move.drops] = Copy(move.shard, move.drops)
-    return World(dict(world.shards), dict(world.homes), copies, {}, world.frozen)
+    return World(dict(world.shards), dict(world.homes), copies, {}, world.frozen, world.aside)
 
 
 def _flow(pipes: dict[Event, dict[Event, int]], source: Event, sink: Event) -> int:
--- a/fennelwind/shards/exact.py
+++ b/fennelwind/shards/exact.py
@@ -83,7 +83,7 @@
 
 
 def _fixed(world: World, shard: Shard, good: dict[str, set[str]]) -> bool:
-    return shard.table in world.frozen or not good[shard.name]
+    return shard.table in world.frozen or shard.name in world.aside or not good[shard.name]
 
 
 def assigned(world: World) -> Optimum:
--- a/fennelwind/shards/needs.py
+++ b/fennelwind/shards/needs.py
@@ -216,7 +216,7 @@
     if state in ("coming", "leaving"):
         return True
     read = any((one.shard, one.source) == pair and one.step in READING for one in view.kept.values())
-    if shard.table in world.frozen or read:
+    if shard.table in world.frozen or name in world.aside or read:
         return False
     left = {other for other in view.now[name] if (name, other) not in view.clears} - {engine}
     comes = any(pair in other.cleared and other.number not in view.cancels for other in anew)
--- a/fennelwind/shards/plan.py
+++ b/fennelwind/shards/plan.py
@@ -200,23 +200,17 @@
         blocked: dict[str, list[Transfer]] = {}
         for one in best.rest:
             blocked.setdefault(one.shard, []).append(one)
+        lying: dict[str, list[str]] = {}
+        for name, engine in sorted(self.world.copies):
+            lying.setdefault(name, []).append(engine)
         for name, shard in sorted(self.world.shards.items()):
             good, count, zones = self.view.good[name], wanted(shard), span_wanted(shard)
             if board.fixed(shard):
-                if good and (len(good) < count or not self.view.enough(shard, good)):
-                    found.append(Short(name, "frozen", tuple(sorted(good))))
-                elif not good:
-                    found.append(
-                        Short(
-                            name,
-                            "source",
-                            tuple(
-                                sorted(
-                                    copy.engine for copy in self.world.copies.values() if copy.shard == name
-                                )
-                            ),
-                        )
-                    )
+                if not good:
+                    found.append(Short(name, "source", tuple(lying.get(name, ()))))
+                elif len(good) < count or not self.view.enough(shard, good):
+                    reason = "frozen" if shard.table in self.world.frozen else "aside"
+                    found.append(Short(name, reason, tuple(sorted(good))))
                 continue
             places, fit = board.where(name), board.fit(shard)
             if len(fit) < count:
--- a/fennelwind/shards/state.py
+++ b/fennelwind/shards/state.py
@@ -101,7 +101,7 @@
     """A need that can't be met, said plainly."""
 
     shard: str
-    reason: str  # "space", "zones", "kinds", "source", "frozen"
+    reason: str  # "space", "zones", "kinds", "source", "frozen", "aside"
     engines: tuple[str, ...] = ()  # that were looked at
     bytes_short: int = 0
 
--- a/tests/test_shard_plan.py
+++ b/tests/test_shard_plan.py
@@ -246,7 +246,7 @@
 def test_the_same_world_gives_the_same_plan_in_whatever_order_it_is_written():
     for seed in range(40):
         one, chance = small(seed), random.Random(seed)
-        other = World(frozen=one.frozen)
+        other = World(frozen=one.frozen, aside=one.aside)
         for name in ("shards", "homes", "copies", "moves"):
             items = list(getattr(one, name).items())
             chance.shuffle(items)
