--- a/fennelwind/shards/machine.py
+++ b/fennelwind/shards/machine.py
@@ -55,6 +55,7 @@
         self.changes = 0  # counts what may call for another plan
         self.revision = 0  # the entry that last changed anything
         self._touched: dict[str, int] = {}  # by shard: the entry of its last step, or of its last figures
+        self._doubted_at: dict[str, int] = {}  # by shard: when a good copy came in doubt, for a rest
         self._heard_at: dict[str, int] = {}  # by engine: the entry of the last news
         self._told: tuple[int, bytes] | None = None  # the state as it was asked for last
         self._placed: dict[str, int] = {}  # by shard: the entry behind which its good copies are as they are
@@ -67,9 +68,13 @@
     # What others read.
 
     def fact(self, kind: str, key: str) -> int:
-        """Return how many shards of a table, whose name's case says nothing, are under way."""
-        return sum(m.step in UNDER_WAY and self.shards[m.shard].table.lower() == key.lower()
-                   for m in self.moves.values())
+        """Return how many shards of a table, whose name's case says nothing, are under way.
+
+        A shard is so too while a copy that just came in doubt may still be read by an older view: were the
+        table changed now, that copy would miss it.
+        """
+        shards = {m.shard for m in self.moves.values() if m.step in UNDER_WAY}.union(self._doubted_at)
+        return sum(self.shards[shard].table.lower() == key.lower() for shard in shards)
 
     def good(self, shard: str) -> tuple[str, ...]:
         """Return the engines whose copy of a shard may be read, in order of their names."""
@@ -173,6 +178,8 @@
             if _rests(move) and move.at_ms + self.rest_ms <= at.clock_ms:
                 self.moves[number] = replace(move, rested=True)
         self.revision = at.index
+        for shard in [s for s, since in self._doubted_at.items() if since + self.rest_ms <= at.clock_ms]:
+            del self._doubted_at[shard]
         for shard, (until, times) in self.asides.items():
             if until and until <= at.clock_ms:
                 self.changes += 1
@@ -186,6 +193,7 @@
     def _look_ahead(self) -> None:
         ends = [until for until, _ in self.asides.values() if until]
         ends += [move.at_ms + self.rest_ms for move in self.moves.values() if _rests(move)]
+        ends += [since + self.rest_ms for since in self._doubted_at.values()]
         self._due = min(ends, default=None)
 
     # Operators and news.
@@ -235,6 +243,7 @@
         del self.shards[shard.name]
         self.asides.pop(shard.name, None)
         self._placed.pop(shard.name, None)
+        self._doubted_at.pop(shard.name, None)
         self._whole_before = at.index  # what was told of it can be taken back by telling all alone
         self._touched.pop(shard.name, None)
         of_table = self._of_table[shard.table]
@@ -281,7 +290,7 @@
         self.changes += home != known
         self.homes[home.name], self._heard_at[home.name] = home, at.index
         if home.life == "gone" and known is not None and known.life != "gone":
-            self._doubted(home.name)
+            self._doubted(home.name, at)
         return Answer.NONE
 
     def _emptied(self, engine: str) -> None:
@@ -289,12 +298,13 @@
         for shard in [shard for shard, held in self.copies.items() if engine in held]:
             self._forget(shard, engine)
 
-    def _doubted(self, engine: str) -> None:
+    def _doubted(self, engine: str, at: At) -> None:
         """What an engine held is not read until it was checked again; it may come back with old copies."""
         for shard, held in self.copies.items():
             copy = held.get(engine)
             if copy is not None and copy.state in ("good", "leaving"):
                 self._hold(shard, replace(copy, state="doubtful"))
+                self._doubted_at[shard] = at.clock_ms
 
     def _heat(self, asked: pb.Heat, at: At, facts: Facts) -> pb.Answer:
         if not all(map(_sane, asked.heat.values())):
@@ -593,7 +603,8 @@
         for _, s in sorted(self.shards.items()):
             state.shards.add(name=s.name, table=s.table, size=s.size, copies=s.copies, zones=s.zones,
                              kinds=s.kinds, heat=s.heat, checked=s.rows >= 0, rows=max(s.rows, 0),
-                             checksum=s.checksum, touched=self._touched.get(s.name, 0))
+                             checksum=s.checksum, touched=self._touched.get(s.name, 0),
+                             doubted_ms=self._doubted_at.get(s.name, -1) + 1)
         for _, h in sorted(self.homes.items()):
             state.homes.add(name=h.name, zone=h.zone, kind=h.kind, disk=h.disk, headroom=h.headroom,
                             life=h.life, generation=h.generation, mark=h.mark, spilled=h.spilled,
@@ -620,6 +631,8 @@
             self._of_table.setdefault(s.table, {})[s.name] = None
             if s.touched:
                 self._touched[s.name] = s.touched
+            if s.doubted_ms:
+                self._doubted_at[s.name] = s.doubted_ms - 1
         for h in state.homes:
             self._heard_at[h.name] = h.heard
             self.homes[h.name] = Home(h.name, h.zone, h.kind, h.disk, h.headroom, h.life, h.generation,
