Plays of moves by sort from the command line

Need: it came up in the work on the fleet's record and what stands on it. Change: tests/move_play.py (1 file changed, 22 insertions(+), 9 deletions(-)).

--- a/tests/move_play.py
+++ b/tests/move_play.py
@@ -1,7 +1,7 @@
 """A play of moves in virtual time: the record, one holder after another, engines' disks, queries, and faults.
 
 Everything goes by one heap of times and one seed. Invariants are looked at after every event; `Broken` tells
-the one that failed. `python tests/move_play.py SEEDS` plays many.
+the one that failed. `python tests/move_play.py mixed|careless|one [FIRST LAST]` plays many.
 """
 
 import heapq
@@ -9,6 +9,7 @@
 import sys
 from collections import Counter
 from dataclasses import replace
+from functools import partial
 
 from fennelwind.council.machine import At
 from fennelwind.shards import shards_pb2 as pb
@@ -587,15 +588,27 @@
     return one
 
 
+def sorts(kind, first, last):
+    """Yield plays of a sort by name: `mixed` and `careless` by seed, `one` of each fault at each action."""
+    if kind == "one":
+        for fault in ONE_FAULT:
+            for number in range(1, 17):
+                for quick in (False, True):
+                    yield f"{fault}, {number}", partial(play_one_fault, number, fault, quick=quick)
+    for seed in range(first, last) if kind != "one" else ():
+        yield f"seed {seed}", partial(play_careless, seed) if kind == "careless" else partial(
+            play, seed, planner=planned if seed % 4 else plan)
+
+
 if __name__ == "__main__":
-    total, broken = Counter(), 0
-    seeds = range(int(sys.argv[1]), int(sys.argv[2])) if len(sys.argv) > 2 else range(int(sys.argv[1]))
-    for seed in seeds:
+    total, broken, plays = Counter(), 0, 0
+    for title, run in sorts(sys.argv[1], *map(int, sys.argv[2:] or (0, 0))):
+        plays += 1
         try:
-            planner = planned if seed % 4 else plan
-            counts = play(seed, planner=planner).counts
-            total.update({k: v for k, v in counts.items() if not k.startswith("import ")})
+            one = run()
+            total.update({k: v for k, v in one.counts.items() if not k.startswith("import ")})
+            total["headroom refusals"] += one.headroom_refusals
         except Broken as exc:
             broken += 1
-            print(f"seed {seed}: {exc}", flush=True)
-    print(f"{len(seeds)} plays, {broken} broken", dict(sorted(total.items())))
+            print(f"{title}: {exc}", flush=True)
+    print(f"{plays} plays, {broken} broken", dict(sorted(total.items())))
