--- a/fennelwind/keeper/copies.py
+++ b/fennelwind/keeper/copies.py
@@ -15,21 +15,40 @@
 from fennelwind.shards import shards_pb2 as pb
 
 WATCH_MS = 20_000.0  # ms of one watch
-READ_MS = 4000.0  # ms for one page
+READ_MS = 4000.0  # ms for one piece of the state
 PACE_MS = 500.0  # ms between two readings, however much changes; a view may be 5 s old
 AGAIN_MS = 1000.0  # ms until a watch that failed is tried again
 
 Places = dict[str, tuple[str, ...]]
 
 
+def read_places(asker: Asker, known: Places, after: int) -> tuple[Places, int]:
+    """Return where good copies are now, and the revision, from what was known of an earlier one.
+
+    Raises `CouncilError`.
+    """
+    heard: Places = {}
+    name, whole, revision = "", False, 0
+    while True:
+        query = pb.ShardQuery(places=pb.PlacesQuery(after=after, name=name))
+        told = pb.Places.FromString(asker.read(SHARDS, query.SerializeToString(), within_ms=READ_MS).state)
+        if not name:  # what changes between two pages is told behind the first one's revision
+            whole, revision = told.whole, told.revision
+        elif told.whole and not whole:
+            heard, name, after = {}, "", 0  # another member, which knows no changes of so early
+            continue
+        heard.update((place.shard, tuple(told.engines[n] for n in place.engines)) for place in told.places)
+        if not told.more:
+            return heard if whole else {**known, **heard}, revision
+        name = told.places[-1].shard
+
+
 class Copies:
     """Watches the record for one controller."""
 
     def __init__(self, loop: Loop, asker: Asker, told: Callable[[Places], None]) -> None:
         self.loop, self.asker, self.told = loop, asker, told
         self.counts: Counter[str] = Counter()
-        self.places: Places = {}
-        self.revision = 0
         self._task: Task | None = None
 
     def start(self) -> None:
@@ -42,37 +61,16 @@
             self._task.cancel()
 
     def _watch(self) -> None:
+        after, beyond = 0, pb.ShardQuery(skip=2**62).SerializeToString()  # the revision alone
+        places: Places = {}
+        seen = 0  # the revision that they are of
         while True:
             try:
-                seen = self.asker.watch(SHARDS, self.revision, wait_ms=WATCH_MS, query=self._query(""))
-                pages = self._pages(pb.Places.FromString(seen.state))
+                after = self.asker.watch(SHARDS, after, wait_ms=WATCH_MS, query=beyond).revision
+                places, seen = read_places(self.asker, places, seen)
             except CouncilError as exc:
                 self.counts[exc.code] += 1
                 self.loop.sleep(AGAIN_MS)
                 continue
-            if pages is not None and pages[0].revision != self.revision:
-                self._take(pages)
-                self.told(dict(self.places))
+            self.told(places)
             self.loop.sleep(PACE_MS)
-
-    def _query(self, behind: str) -> bytes:
-        return pb.ShardQuery(places=pb.PlacesQuery(after=self.revision, name=behind)).SerializeToString()
-
-    def _pages(self, first: pb.Places) -> list[pb.Places] | None:
-        """Return all pages of what has changed; None: it changed between two of them."""
-        pages = [first]
-        while pages[-1].more:
-            query = self._query(pages[-1].places[-1].shard)
-            page = pb.Places.FromString(self.asker.read(SHARDS, query, within_ms=READ_MS).state)
-            if page.revision != first.revision:
-                return None
-            pages.append(page)
-        return pages
-
-    def _take(self, pages: list[pb.Places]) -> None:
-        if pages[0].whole:
-            self.places = {}
-        for page in pages:
-            for place in page.places:
-                self.places[place.shard] = tuple(page.engines[number] for number in place.engines)
-        self.revision = pages[0].revision
