An engine noted as gone, and back when another holds the table, is changed as well

Seen by reading: the next holder of a table took all engines of a change to be there, so one that the record had as gone was never told of as returned, and was left behind. Line at fault: _there in keeper/changes.py. Change: it begins with those not noted as gone. Result: a test with two controllers that failed before.

--- a/fennelwind/keeper/changes.py
+++ b/fennelwind/keeper/changes.py
@@ -146,7 +146,8 @@
         self._bell = Bell(self.loop)
         self._under_way: set[Task] = set()
         self._running: dict[str, Statement] = {}  # the last statement for each engine
-        self._there = set(change.engines)
+        # One that the last holder noted as gone may be back: then it is told of as returned.
+        self._there = {name for name, state in change.engines.items() if state != pb.Change.GONE_AWAY}
 
     def run(self) -> carrying.Over:
         """Carry it out to its end here. Raises `TaskNotHeld` where too little of the lease is left."""
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -5,7 +5,9 @@
 from fleet import Fleet, Seen, execute
 
 from fennelwind import config
+from fennelwind import interface as api
 from fennelwind.cli.program import Program
+from fennelwind.contracts import contracts_pb2 as pb
 from fennelwind.engines.links import Link, RemoteError
 from fennelwind.keeper import gate as gate_module
 from fennelwind.keeper.changes import shape
@@ -179,6 +181,33 @@
     scene.play(call)
 
 
+def test_an_engine_that_the_last_holder_noted_as_gone_and_is_back_is_changed_as_well():
+    scene = Scene(8, controllers=2)
+
+    def call():
+        scene.change(scene.session()[0], OLD, statement=alter(OLD))
+        version, keeper = scene.version(), scene.fleet.program.keeper
+        scene.engines[0].faults.hang = True
+        scene.host.spawn(lambda: scene.change(scene.session()[0], WIDER, version, statement=alter(WIDER)))
+        record = next(k.member.state.record for k in scene.council.keepers.values())
+        changes = record.machines["contracts"].changes
+        while not changes or not next(iter(changes.values())).fence:
+            scene.host.sleep(20.0)
+        scene.fleet.program.driver.post(api.EngineList("delta", (
+            api.EngineEntry(scene.engines[1].name, "gone"),)))
+        while pb.Change.GONE_AWAY not in next(iter(changes.values())).engines.values():
+            scene.host.sleep(20.0)
+        for task in list(keeper.tasks._tasks):
+            task.cancel()
+        keeper.close()
+        scene.engines[0].faults.hang = False
+        while record.machines["contracts"].changes:
+            scene.host.sleep(500.0)
+        assert scene.columns() == [["id", "total", "note"]] * 2
+
+    scene.play(call)
+
+
 def test_an_engine_that_refuses_has_the_change_taken_back():
     scene = Scene(4)
 
