--- a/fennelwind/leases/holder.py
+++ b/fennelwind/leases/holder.py
@@ -286,7 +286,7 @@
     def _unwant(self, name: str) -> None:
         task = self._tasks[name]
         task.wanted = False
-        if task.phase == HELD:
+        if task.fence and task.phase != ENDING:
             self._end(name, task, "hand")
         elif task.phase == ENDING and task.ending == "spare":
             task.ending = "hand"
@@ -349,6 +349,10 @@
                 self._confirm(name)
 
     def _told(self, now: float, sent: _Sent, name: str, task: _Task, told: pb.Told) -> None:
+        is_of_a_queue = told.state == pb.Told.WAITING or told.state == pb.Told.FREE and told.refusal not in (
+            pb.NONE, pb.NOT_HOLDER)
+        if task.fence and is_of_a_queue:
+            return  # a late answer to an ask from before it was gained
         if told.refusal and told.refusal != pb.NOT_HOLDER and not (task.fence and told.state == pb.Told.HELD):
             self._refused(now, name, task, told.refusal)
         elif told.state == pb.Told.HELD and told.term_ms:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -365,6 +365,21 @@
     assert side.holder.guard("t").until > 2900.0
 
 
+def test_a_late_word_of_a_queue_does_not_hide_what_is_held_since(desk):
+    fence = desk.gain(B).fence
+    side = Side(desk, A)
+    ask, = side.step(0.0, h.Want("t", 3000))
+    late = side.answer(ask)
+    desk.hand_over(B, fence)
+    side.step(400.0, h.Offered(("t",)))
+    confirm, = side.step(450.0, h.Woken())
+    side.step(460.0, side.answer(confirm))
+    assert side.holder.held(460.0) == ["t"]
+    side.step(470.0, late)
+    leave, = side.step(480.0, h.Terminate())
+    assert pb.LeaseCommand.FromString(leave.body).leave and not side.holder.guard("t").usable
+
+
 def test_sigterm_hands_over_in_one_command_when_acts_have_ended(desk):
     side = Side(desk, A)
     side.settle(0.0, h.Want("t", 3000), h.Want("u", 3000))
