Planted defects of shard plans by a command

Need: it came up in the work on the fleet's record and what stands on it. Change: fennelwind/lab/shards.py (1 file changed, 10 insertions(+), 2 deletions(-)).

--- a/fennelwind/lab/shards.py
+++ b/fennelwind/lab/shards.py
@@ -1,6 +1,6 @@
 """Plans of shard moves against the optimum, lower bounds and two plain yardsticks, over worlds by a seed.
 
-`python -m fennelwind.lab.shards small|large|loops [--first N] [--count N]`
+`python -m fennelwind.lab.shards small|large|loops|defects [--first N] [--count N]`
 """
 
 import argparse
@@ -13,6 +13,8 @@
 from dataclasses import dataclass
 
 from fennelwind.lab.shard_cases import adopt, change, large, may_step, small, step
+from fennelwind.lab.shard_defects import DEFECTS
+from fennelwind.lab.shard_defects import found as found_defect
 from fennelwind.shards import exact
 from fennelwind.shards.check import check, finished
 from fennelwind.shards.plan import plan
@@ -234,7 +236,7 @@
 def main() -> None:
     """Print the tables that docs/results/shards.md holds."""
     parser = argparse.ArgumentParser(prog="python -m fennelwind.lab.shards")
-    parser.add_argument("what", choices=("small", "large", "loops"))
+    parser.add_argument("what", choices=("small", "large", "loops", "defects"))
     parser.add_argument("--first", type=int, default=100_000, help="first seed")
     parser.add_argument("--count", type=int, default=500, help="worlds")
     asked = parser.parse_args()
@@ -266,6 +268,12 @@
                         "{} findings".format(*row),
                         flush=True,
                     )
+    elif asked.what == "defects":
+        for name, planner in DEFECTS.items():
+            first = found_defect(planner, asked.first, asked.count)
+            print(
+                f"{name}: " + (f"world {first[0]}, {first[1]}" if first else f"not in {asked.count} worlds")
+            )
     else:
         total = Counter()
         for seed in range(asked.first, asked.first + asked.count):
