The checker counts no copy that a switched move has lost again

Change: fennelwind/shards/check.py, tests/test_shard_plan.py (2 files changed, 6 insertions(+), 2 deletions(-)).

--- a/fennelwind/shards/check.py
+++ b/fennelwind/shards/check.py
@@ -271,7 +271,6 @@
             self._bad("shape", name, "too many events to be tried")
             return
         start = {engine for engine, state in self.lying.get(name, ()) if state == "good"}
-        start |= {move.target for move in moves if move.step == "switched"}
         start |= {
             move.drops
             for move in moves
@@ -303,7 +302,8 @@
         good = start - {event[2] for event in events if event[0] == "gone"}  # before one comes there anew
         for move in moves:  # in order of numbers, which later moves of the same shard follow
             if ("done", move.number) in events:
-                good.add(move.target)
+                if move.step != "switched":  # such a copy is there already, or has been lost since
+                    good.add(move.target)
                 if move.drops and move.number not in self.planned.keeps:
                     good.discard(move.drops)
         return good
--- a/tests/test_shard_plan.py
+++ b/tests/test_shard_plan.py
@@ -218,6 +218,10 @@
     one.homes["c"] = replace(one.homes["c"], life="gone")  # the target too: the old copy is the last one
     planned = clean(one)
     assert planned.keeps == (7,) and not planned.drops
+    one.homes["c"] = replace(one.homes["c"], life="ready", generation=1)  # it is back, and empty
+    del one.copies["t/1", "c"]
+    planned = clean(one)
+    assert planned.keeps == (7,) and ("t/1", "a", "c", "") in moved(planned)
 
 
 def test_a_name_that_comes_back_empty_is_filled_again():
