--- a/tests/council_cluster.py
+++ b/tests/council_cluster.py
@@ -655,13 +655,70 @@
         node.slow = 1.0
 
 
+def speed(members: int, batch: int, commands: int, size: int = 100) -> tuple[float, float]:
+    """Return commands and steps per second of processor time of all cores together, in steps of a batch each.
+
+    Messages and writes come at once, and time passes for the leader alone, so that nobody else asks:
+    what is counted is the cores' own work.
+    """
+    lives = [Life(chr(ord("a") + i), b"x") for i in range(members)]
+    first = pb.Entry(term=1, index=1, members=pb.Members(
+        members=[pb.Member(name=life.name, life=life.life, votes=True) for life in lives]))
+    cores = {life: Core(Timing(), Durable(life, pb.HardState(term=1), entries=[first]), 1) for life in lives}
+    boxes: dict[Life, list[api.Event]] = {life: [] for life in lives}
+    counts, now, leader = Counter(), 0.0, lives[0]
+
+    def step(life: Life, events: list[api.Event]) -> None:
+        counts["steps"] += 1
+        for action in cores[life].step(now if life == leader else 0.0, events):
+            match action:
+                case api.Send(to, message):
+                    boxes[to].append(api.Received(life, message))
+                case api.Write(number):
+                    boxes[life].append(api.Written(number))
+                case api.Answer(_, refusal):
+                    counts["done" if not refusal else "refused"] += 1
+                case api.TakeSnapshot():
+                    boxes[life].append(api.Snapshot(cores[life].given, 0, bytes(1000)))
+
+    def quiet() -> None:
+        while any(boxes.values()):
+            for life in lives:
+                events, boxes[life] = boxes[life], []
+                if events:
+                    step(life, events)
+
+    for life in lives:
+        step(life, [])
+    while cores[leader].leading is None:
+        now += Timing().election_ms
+        step(leader, [api.TimerFired()])
+        quiet()
+    counts.clear()
+    body, began = bytes(size), time.process_time()
+    while counts["done"] < commands:
+        now += 1.0
+        command = pb.Command(client=1, number=1, machine="m", body=body)
+        step(leader, [api.Propose(token, command) for token in range(batch)])
+        quiet()
+    took = time.process_time() - began
+    return counts["done"] / took, counts["steps"] / took
+
+
 def main() -> int:
     """Play seeds and tell what came of it."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=1000)
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--keep-on", action="store_true", help="go on behind a seed that fails")
+    parser.add_argument("--speed", type=int, default=0, help="commands to have done, in place of seeds")
     args = parser.parse_args()
+    if args.speed:
+        for members in (3, 5):
+            for batch in (1, 10, 100):
+                done, steps = speed(members, batch, args.speed)
+                print(f"{members} members, {batch} at once: {done:.0f} commands/s, {steps:.0f} steps/s")
+        return 0
     began, counts, failed = time.perf_counter(), Counter(), []
     for seed in range(args.first, args.first + args.seeds):
         try:
