--- a/tests/council_cluster.py
+++ b/tests/council_cluster.py
@@ -631,6 +631,8 @@
                 return False
             cluster.run(cluster.now + 500.0)
             leader = cluster.leader()
+            if not cluster.checks.agreed:
+                return False
             voters, last = cluster.voters(), cluster.checks.agreed[-1]
             fresh = [n for n in voters if cluster.nodes[n].image.holds(last.index, last.term)]
             if leader is None or leader.name == name or 2 * len(fresh) <= len(voters) or len(voters) < 3 \
