--- a/tests/lease_search.py
+++ b/tests/lease_search.py
@@ -32,7 +32,7 @@
 assert TICKS["a"] == (1 - DRIFT) * TICKS["b"] and TICKS["record"] == (1 + DRIFT) * TICKS["b"]
 UNDER_WAY = 4  # messages on their way; of more, the oldest is lost
 MENUS = {  # tasks, doubled asks and events in one history, events
-    "late": (1, 1, 0, ()), "crash": (1, 0, 2, ("crash",)), "fail": (1, 1, 1, ("fail", "unwant")),
+    "late": (1, 1, 0, ()), "crash": (1, 0, 2, ("crash", "leave")), "fail": (1, 1, 1, ("fail", "unwant")),
     "spare": (2, 0, 0, ())}
 
 
@@ -154,10 +154,8 @@
             case (event, who):
                 self.events -= 1
                 task = self.tasks[0]
-                if event == "fail":
-                    self.step(who, h.Failed(task))
-                else:
-                    self.step(who, h.Unwant(task), h.Want(task, TERM_MS))
+                self.step(who, *{"fail": (h.Failed(task),), "leave": (h.Terminate(),), "unwant": (
+                    h.Unwant(task), h.Want(task, TERM_MS))}[event])
 
     # What is checked.
 
@@ -170,6 +168,7 @@
             if len(believe) > 1:
                 return f"{task} is held by {' and by '.join(believe)}"
             acting = [who for who, (name, act) in self.acts.items() if name == task
+                      and task in self.holders[who]._tasks
                       and self.holders[who].guard(task).may_go_on(self.clock(who), act)]
             if acting and believe and acting != believe:
                 return f"{acting[0]} acts on {task}, which {believe[0]} holds"
@@ -201,7 +200,8 @@
                 [(one.name, one.failures, max(0, one.until_ms - clock)) for one in task.asides]))
         for who, holder in self.holders.items():
             now = self.clock(who)
-            found.append((who, _left(holder._not_before, now), holder._tries, _left(self.timers[who], now),
+            found.append((who, holder._leaving, holder._left, holder._leaves,
+                          _left(holder._not_before, now), holder._tries, _left(self.timers[who], now),
                           None if holder._out is None else now - holder._sent[holder._out].at))
             for name, task in sorted(holder._tasks.items()):
                 found.append((
--- a/tests/test_lease_defects.py
+++ b/tests/test_lease_defects.py
@@ -92,6 +92,21 @@
         super()._confirm(name)
 
 
+class HiddenByItsQueue(Holder):
+    """Takes a late word of a queue for what holds now."""
+
+    def _told(self, now, sent, name, task, told):
+        if task.fence and told.state == pb.Told.WAITING:
+            task.phase = h.WAITING
+        super()._told(now, sent, name, task, told)
+
+    def _unwant(self, name):
+        task = self._tasks[name]
+        if task.phase == h.WAITING:
+            task.wanted, task.phase, task.ending = False, h.ENDING, "queue"
+        super()._unwant(name)
+
+
 class NeverAsksAgain(Holder):
     """Takes no notice that its place in a queue was lost."""
 
@@ -277,6 +292,9 @@
     "lost place in a queue not asked for again": (
         "fennelwind.leases.holder.Holder", NeverAsksAgain,
         test_leases.test_a_place_that_was_lost_is_asked_for_again),
+    "late word of a queue hides what is held": (
+        "fennelwind.leases.holder.Holder", HiddenByItsQueue,
+        test_leases.test_a_late_word_of_a_queue_does_not_hide_what_is_held_since),
     "hand-over on its way taken back": (
         "fennelwind.leases.holder.Holder", TakesBack,
         test_leases.test_a_spare_lease_that_was_offered_without_an_answer_is_handed_over_for_good),
