--- a/tests/test_lease_defects.py
+++ b/tests/test_lease_defects.py
@@ -22,9 +22,9 @@
 
 SEEDS_MOST = 40  # played for one defect in the tests
 NEAR = {  # where the tests begin to play, as most seeds don't meet the defect; the table counts from 1
-    "lease counted from the answer": 19, "drift ignored": 39, "late answer gives what was handed over": 71,
+    "lease counted from the answer": 19, "drift ignored": 60, "late answer gives what was handed over": 71,
     "no room for a pause between check and effect": 8, "guard not asked after a pause": 25,
-    "fence counted by task, anew when forgotten": 10, "restart taken for the same holder": 57,
+    "fence counted by task, anew when forgotten": 37, "restart taken for the same holder": 57,
     "command about an older fence done": 8, "lapse ahead of time": 84}
 PLAYED_MS = 10_000.0  # ms of each play with faults
 
