Copies too many go first where their space can be used

Cause: of a shard with one copy too many and one on a draining engine the latter was dropped at once and the useful space waited for a copy.

--- a/fennelwind/shards/board.py
+++ b/fennelwind/shards/board.py
@@ -122,7 +122,16 @@
         for target in adds:
             most = min(zones, view.span(have))
             some = [out for out in outs if view.span(have - {out} | {target}) >= most]
-            out = min(some, key=lambda e: (homes[e].zone != homes[target].zone, outs.index(e)), default="")
+            spared = len(outs) > len(adds)  # then some go at once: rather those whose space can be used
+            out = min(
+                some,
+                key=lambda e: (
+                    spared and homes[e].life in ("ready", "cold"),
+                    homes[e].zone != homes[target].zone,
+                    outs.index(e),
+                ),
+                default="",
+            )
             have.add(target)
             if out:
                 have.discard(out)
