--- a/fennelwind/shards/check.py
+++ b/fennelwind/shards/check.py
@@ -217,11 +217,19 @@
         for event in self.needs:
             if event[0] == "gone" and event[2] == engine and (event[1], engine) in self.copies:
                 weights[event] = -self.world.shards[event[1]].size
-        for move in self.planned.moves:  # by way of a third engine: it goes again by a later move
-            if move.drops == engine and (move.shard, engine) not in self.copies:
-                weights["done", move.number] = -self.world.shards[move.shard].size
+        for number, move in (self.moves | self.new).items():  # by way of a third engine: it goes again
+            if move.drops == engine and (move.shard, engine) not in self.copies and (
+                number in self.new or self._brought(move)
+            ):
+                weights["done", number] = -self.world.shards[move.shard].size
         return weights
 
+    def _brought(self, move: Move) -> bool:
+        """Return whether an earlier move brings the copy that this one drops."""
+        return move.number not in self.planned.keeps and any(
+            other.target == move.drops and other.number < move.number for other in self.moved[move.shard]
+        )
+
     def _held(self, engine: str) -> int:
         return sum(self.world.shards[shard].size for shard, where in self.copies if where == engine)
 
