A load may land on the disk that took its target's place

In full: A load may land on the disk that took its target's place: its space is given back after a drop there as well.

--- a/fennelwind/shards/carrier.py
+++ b/fennelwind/shards/carrier.py
@@ -488,7 +488,8 @@
         self._run(move.number, "drop", move.shard, move.drops, steps.drop(move.shard), self.timing.drop_ms)
 
     def _at_undoing(self, move: Move, work: _Work) -> None:
-        if work.phase == "dropped" or not self._target_there(move):
+        there = move.target in self.machine.copies.get(move.shard, {})  # on whatever disk it has by now
+        if work.phase == "dropped" or not there or self.machine.homes[move.target].life == "gone":
             return self._take(move, Step.UNDONE)
         if work.tries >= self.timing.tries:
             return self._take(move, Step.UNDONE, failed=True)
--- a/fennelwind/shards/machine.py
+++ b/fennelwind/shards/machine.py
@@ -294,9 +294,11 @@
         return Answer.NONE
 
     def _emptied(self, engine: str) -> None:
-        """An engine's disk is another: nothing is on it."""
+        """An engine's disk is another: nothing is on it, but what a move's statements may still put there."""
         for shard in [shard for shard, held in self.copies.items() if engine in held]:
-            self._forget(shard, engine)
+            move = self.move_of(shard)
+            if move is None or move.target != engine or move.step not in ("copying", "checked", "undoing"):
+                self._forget(shard, engine)
 
     def _doubted(self, engine: str, at: At) -> None:
         """What an engine held is not read until it was checked again; it may come back with old copies."""
--- a/tests/move_play.py
+++ b/tests/move_play.py
@@ -184,6 +184,7 @@
         asked = pb.Command.FromString(command)
         move = self.machine.moves.get(asked.step.move)
         self.undoing = (move.shard, move.target) if move is not None else ("", "")
+        self.undoing_step = move.step if move is not None else ""
         answer = pb.Answer.FromString(self.machine.apply(At(self.index, self.clock), command, self))
         self.headroom_refusals += answer.refusal == pb.Answer.HEADROOM
         if not answer.refusal:
@@ -207,6 +208,11 @@
                 (shard, e.name) == self.undoing and e.up and e.life_number == life and until > self.now
                 for shard, e, life, until in self.flying.values()):
             raise Broken(f"space for {self.undoing} given back while a load of it may land")
+        engine = self.engines.get(self.undoing[1])
+        if given_back and self.undoing_step in ("copying", "checked", "undoing") and engine is not None and (
+                engine.up and self.machine.homes[engine.name].mark == engine.mark
+                and self.undoing[0] in engine.shelf.held):
+            raise Broken(f"space for {self.undoing} given back while something of it is there")
         if asked.step.kind == pb.Step.RESERVE:
             for name, home in machine.homes.items():
                 used = sum(machine.shards[s].size for s, held in machine.copies.items() if name in held)
--- a/tests/test_shard_moves.py
+++ b/tests/test_shard_moves.py
@@ -261,7 +261,8 @@
     desk = to_step(desk_with_copy(), "checked")
     desk.home("e2", mark="another")
     assert desk.step(Step.SWITCH) == Answer.TARGET and desk.machine.homes["e2"].generation == 1
-    assert desk.step(Step.UNDO) == 0 and not desk.machine.moves  # nothing there to be dropped
+    assert desk.step(Step.UNDO) == 0 and desk.machine.used["e2"] == 100  # a load may still land there
+    assert desk.step(Step.UNDONE) == 0 and not desk.machine.moves and "e2" not in desk.machine.used
     desk.home("e1", life="gone", mark="")
     assert desk.machine.good("t/d=1") == ()
     desk.home("e1")
