A half copy on a target that is away is left in doubt by the command's own word

In full: A half copy on a target that is away is left in doubt by the command's own word, as it may be back when that is agreed.

--- a/fennelwind/shards/carrier.py
+++ b/fennelwind/shards/carrier.py
@@ -489,10 +489,10 @@
 
     def _at_undoing(self, move: Move, work: _Work) -> None:
         there = move.target in self.machine.copies.get(move.shard, {})  # on whatever disk it has by now
-        if work.phase == "dropped" or not there or self.machine.homes[move.target].life == "gone":
+        if work.phase == "dropped" or not there:
             return self._take(move, Step.UNDONE)
-        if work.tries >= self.timing.tries:
-            return self._take(move, Step.UNDONE, failed=True)
+        if work.tries >= self.timing.tries or self.machine.homes[move.target].life == "gone":
+            return self._take(move, Step.UNDONE, failed=True)  # it may be back when the record hears of this
         if not self._loads_ended(move):
             return
         self._run(move.number, "drop", move.shard, move.target, steps.drop(move.shard), self.timing.drop_ms)
