--- a/tests/keeper_defects.py
+++ b/tests/keeper_defects.py
@@ -167,6 +167,7 @@
 acknowledged_before_sync.faults = ("all", "all", "power")  # it shows where a majority loses power together
 a_lost_folder_votes_as_who_it_was.faults = lives_are_not_told_apart.faults = ("lost", "cut", "stop", "power")
 answers_are_not_kept.faults = ("stop", "cut", "kill")
+resource_takes_any_fence.faults = acts_are_not_guarded.faults = ("stop",)
 failed_writes_count.faults = ("sync", "full", "sync", "full", "all")
 
 DEFECTS = [acknowledged_before_sync, syncs_do_nothing, failed_writes_count, reads_are_not_confirmed,
