A change that waits for moves keeps new ones out for three minutes

Cause: a copy rests a minute after its switch, so a move ends later than the minute for which a wish held, and the wish was gone by then. Change: 180 s (60). Result: tests of contracts pass (255), the search of changes and moves among them.

--- a/fennelwind/contracts/machine.py
+++ b/fennelwind/contracts/machine.py
@@ -50,7 +50,7 @@
 ENDED_MOST = 4096  # changes whose outcome is remembered
 TERM_LEAST_MS, TERM_MOST_MS = 10_000, 30 * 24 * 3600 * 1000  # ms of a subscription's term
 BEGIN_MS = 60_000  # ms within which an admitted change has to be begun, else it lapses
-WANTED_MS = 60_000  # ms for which a change that was refused for moves keeps new moves out
+WANTED_MS = 180_000  # ms for which a change refused for moves keeps new ones out: a move and its rest
 REST_MS = 120_000  # ms after that in which a further refusal does not: moves have their turn
 AGAIN_MS = 5000  # ms after which who was refused may ask again
 
