An act whose last call brought no answer is not over with that

Cause: a lease could be handed over while the last call of an act was still on its way: the keeper ended the act as soon as its code had left it, also by a time-out or a broken stream. Lines at fault: the finally of Held.act (keeper/tasks.py). Change: such an act is ended by its time and the pause behind it, as the guard means it; statements that nobody knows of say so; a refused lease is logged with its code and advice.

--- a/fennelwind/keeper/changes.py
+++ b/fennelwind/keeper/changes.py
@@ -24,7 +24,7 @@
 from fennelwind.keeper.bell import Bell
 from fennelwind.keeper.errors import CouncilError
 from fennelwind.keeper.machines import CONTRACTS
-from fennelwind.keeper.statements import FENCED, OK, Statement, Statements
+from fennelwind.keeper.statements import FENCED, LOST, OK, Statement, Statements
 from fennelwind.keeper.tasks import Held, Tasks
 from fennelwind.leases.errors import TaskNotHeld
 from fennelwind.loop import DeadlineExceeded, Loop, Task
@@ -230,9 +230,10 @@
             self._post(carrying.Recorded(action.token, pb.ContractAnswer.FromString(raw)))
 
     def _statement(self, action: carrying.Run) -> None:
-        with self.held.act(STATEMENT_MS):
+        with self.held.act(STATEMENT_MS) as act:
             statement = self._running[action.engine] = self.changes.statements.to(action.engine)
             how, _ = statement.run(action.statement, dict(action.overlay), STATEMENT_MS)
+            act.open = how == LOST
         if how != OK:
             self.changes.said("statement " + how, {"engine": action.engine, "table": self.change.table,
                                                    "text": statement.text[:300]})
--- a/fennelwind/keeper/moves.py
+++ b/fennelwind/keeper/moves.py
@@ -293,8 +293,9 @@
         made = self.moves.statements
         statement, rows = _Long(made.loop, made.links, made.tls, action.engine), []
         try:
-            with self.held.act(LOOK_MS):
+            with self.held.act(LOOK_MS) as act:
                 how = statement.send(action.statement, action.overlay, LOOK_MS)
+                act.open = how == LOST
             if how == OK:
                 how, rows = statement.wait(action.timeout_ms)
         except Cancelled:  # it took too long, or the lease has gone
--- a/fennelwind/keeper/tasks.py
+++ b/fennelwind/keeper/tasks.py
@@ -35,6 +35,7 @@
 
     def __init__(self, held: "Held", act: Act) -> None:
         self.held, self.act, self.fence = held, act, act.fence
+        self.open = False  # its last call brought no answer, and may still take effect
 
     @property
     def shown(self) -> str:
@@ -57,12 +58,20 @@
 
     @contextmanager
     def act(self, act_ms: float) -> Iterator[Acting]:
-        """Do something to others, within so long. Raises `TaskNotHeld`, `ActTooLong`."""
+        """Do something to others, within so long. Raises `TaskNotHeld`, `ActTooLong`.
+
+        An act whose last call timed out, or whose stream broke, is not over with that: its time ends it.
+        """
         act = self.guard.begin(self.loop.now(), act_ms)
+        acting = Acting(self, act)
         try:
-            yield Acting(self, act)
+            yield acting
+        except (OSError, TimeoutError):
+            acting.open = True
+            raise
         finally:
-            self.guard.end(act)
+            if not acting.open:
+                self.guard.end(act)
             self.tasks.post(api.Woken())
 
     def progress(self, checkpoint: bytes) -> None:
@@ -168,8 +177,8 @@
                 if running is not None:
                     running.held.stop.set()
                     running.task.cancel()
-            case api.Refused(name, refusal):
-                self.said("lease refused", {"task": name, "refusal": refusal})
+            case api.Refused():
+                self.said("lease refused", action.error.told())
             case api.Left(answered):
                 self.left.set(answered)
 
