Where queries wait for memory, grants are 1.6 times the told need again

Line at fault: GRANT in rules.py, raised to 2.5 for deployments whose engines shrink memory; where they wait, what is granted too much keeps others waiting. Change: WAITED = 1.6 there, a test that failed before.

--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -33,6 +33,7 @@
 GUESS = 0.25  # of the aim: span of a class that nothing tells of; with half, LIKELY would never let it start
 LIKELY = 2.0  # times best; a query with less time left than this is unlikely to be served in time
 GRANT = 2.5  # times the told memory; estimates scatter, and a spill costs far more than what lies idle
+WAITED = 1.6  # the same where queries wait for memory: what is granted too much keeps others waiting
 PAGED = 3.0  # the same where only memory in use counts, so that what is granted too much costs nothing
 ERRORS = 3  # errors in a row; a bad query errs once anywhere, an engine that errs quickly would draw all in
 RESCUE_LAG = 3.0  # times what an attempt should take; beyond it another engine is tried
@@ -444,7 +445,7 @@
 
     def _terms(self, query: Query) -> None:
         """Name the memory and the priority of a query, where they are heeded and differ from before."""
-        times = PAGED if self.set.memory_pages else GRANT
+        times = PAGED if self.set.memory_pages else WAITED if self.set.memory_waits else GRANT
         memory = times * query.told.memory_mb if self.set.grants else 0.0
         terms = memory, self._priority(query) if self.set.priorities else USUAL_PRIORITY
         if terms != query.terms:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -562,3 +562,11 @@
     assert d.gateway.queries[2].held
     actions = d.step(api.Outcome(1, 0, first, "cancelled", 1500.0, False))
     assert not sends(actions) and [action.query for action in of(actions, api.Refuse)] == [1]
+
+
+def test_where_queries_wait_for_memory_grants_keep_fewer_of_them_waiting():
+    told = {}
+    for waits in (False, True):
+        drive = Drive(grants=True, memory_waits=waits)
+        told[waits] = next(a.memory_mb for a in drive.ask(1, memory_mb=100.0) if isinstance(a, api.Terms))
+    assert told == {False: 250.0, True: 160.0}
