A log line that can't be written is lost and counted; it stopped the controller

Cause: structlog's print to standard error raised OSError where its file lay on a full disk or its reader had gone, and waited where a reader stood still. In a task of the council it broke the member; in the loop's report of errors it ended the process. LogObserver's lines now pass a writer that asks first whether they fit in (as the node's log does), loses what does not, and tells with the next line how many were lost. Seen: a council's line with standard error on /dev/full raised ENOSPC; the new test fails without the writer.

--- a/fennelwind/fleet/councilwork.py
+++ b/fennelwind/fleet/councilwork.py
@@ -170,7 +170,11 @@
                            "memory_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
                            "now_kb": _memory_kb(),
                            "log_bytes": view.log_bytes, "base": view.base,
-                           "votes": sum(m.votes for m in view.members.members)}])
+                           "votes": sum(m.votes for m in view.members.members),
+                           "lives": {m.name: m.life.hex() for m in view.members.members},
+                           "counts": view.counts | member.counts | member.peers.counts,
+                           "ways": {name: peer.life.hex() if peer.up else ""
+                                    for name, peer in member.peers.peers.items()}}])
 
 
 def _memory_kb() -> int:
--- a/fennelwind/observe/logs.py
+++ b/fennelwind/observe/logs.py
@@ -1,7 +1,10 @@
 """Logs by structlog, as JSON or for a terminal; rate-limited where clients or engines could flood them."""
 
+import os
+import select
 import sys
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any, TextIO
 
 import structlog
@@ -13,15 +16,58 @@
 TEXT_MOST = 300  # letters of a reason in a log
 
 
+class Lines:
+    """Writes lines, or loses them: a full disk or a reader that stands still must not stop the controller.
+
+    How many were lost is told with the next line that is written.
+    """
+
+    def __init__(self, stream: TextIO) -> None:
+        self.stream, self.lost, self._text = stream, 0, ""
+        self._fd, self._poll = -1, select.poll()
+        with suppress(OSError, ValueError):  # no descriptor beneath: nothing that could stand still
+            self._fd = stream.fileno()
+            self._poll.register(self._fd, select.POLLOUT)
+
+    def write(self, text: str) -> None:
+        """Take a part of a line."""
+        self._text += text
+
+    def flush(self) -> None:
+        """Write the line, as far as that is possible at once."""
+        text, self._text = self._text, ""
+        try:
+            if self._fd < 0:
+                self.stream.write(text)
+                self.stream.flush()
+            else:
+                self._write(text.encode("utf-8", "replace"))
+            self.lost = 0
+        except (OSError, ValueError):  # no room, nobody reads, closed
+            self.lost += 1
+
+    def _write(self, rest: bytes) -> None:
+        """Write so much at once that a pipe which is ready takes it without waiting."""
+        while rest:
+            if not self._poll.poll(0):
+                raise BlockingIOError
+            rest = rest[os.write(self._fd, rest[:select.PIPE_BUF]):]
+
+    def tell(self, logger: object, method: str, line: dict[str, Any]) -> dict[str, Any]:
+        """Say in a line how many before it were lost; one of structlog's processors."""
+        return line | {"lost": self.lost} if self.lost else line
+
+
 def configure(form: str = "console", stream: TextIO | None = None) -> None:
     """Set logging up for the process; `form` is json or console. Logs go to standard error."""
     stream = stream or sys.stderr
+    lines = Lines(stream)
     last = structlog.processors.JSONRenderer() if form == "json" else structlog.dev.ConsoleRenderer(
         colors=stream.isatty())
     structlog.configure(
         processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso"),
-                    structlog.processors.format_exc_info, last],
-        logger_factory=structlog.PrintLoggerFactory(stream), cache_logger_on_first_use=True)
+                    structlog.processors.format_exc_info, lines.tell, last],
+        logger_factory=structlog.PrintLoggerFactory(lines), cache_logger_on_first_use=True)
 
 
 class LogObserver:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,6 +1,7 @@
 """The command line, run as commands."""
 
 import json
+import os
 import signal
 import subprocess
 import sys
@@ -146,6 +147,23 @@
     assert len([line for line in lines if line["event"] == "attempt"]) == 21
 
 
+def test_lines_that_cannot_be_written_are_lost_and_told_later():
+    read, write = os.pipe()
+    os.set_blocking(write, False)  # where somebody waited, this is an error in place of a test without end
+    with open(write, "w", encoding="utf-8") as pipe, open("/dev/full", "w", encoding="utf-8") as full:
+        configure("json", full)
+        LogObserver(lambda: 0.0, ("a",)).council("no room", {})
+        configure("json", pipe)
+        observer = LogObserver(lambda: 0.0, ("a",))
+        for _ in range(200):
+            observer.log.info("line", text="x" * 1000)
+        lines = os.read(read, 1 << 20).splitlines()
+        observer.log.info("later")
+        assert json.loads(os.read(read, 1 << 20))["lost"] == 200 - len(lines) and 10 < len(lines) < 200
+        os.close(read)
+        observer.log.info("nobody reads")
+
+
 @pytest.mark.parametrize("structure", [timers.TimerWheel, timers.TimerHeap])
 def test_the_timer_measurement_lets_every_live_timer_come_due(structure, monkeypatch):
     monkeypatch.setattr(timers, "PENDING", 300)
