A wait that is interrupted before it begins no longer swallows another task's wake-up

Found: a member whose folder was lost stayed outside for good. The leader had let its new life in and both had met, but the leader's way to it carried nothing: the task that writes there waited for a bell that nobody could ring. In Peers it takes a message put in the turn in which the connection ends: the old writer is woken, cancelled, finds the box emptied and waits again. It can meet each Channel and Bell: answers to askers, tasks, the relay. Mended: such a waiter counts as done. Ruled out before: timers lost by the wheel, the join's refusals, lives_still, may_change, aside's threads.

--- a/fennelwind/loop/scheduler.py
+++ b/fennelwind/loop/scheduler.py
@@ -72,7 +72,9 @@
             raise RuntimeError("only the task that made a waiter may wait by it")
         if not self.done:
             if task.interrupted:
+                self.done = True  # if the wait never begins, whoever wakes has to wake another
                 task.check()
+                self.done = False
             task.waiter = self
             self.loop.hub.switch()
             task.waiter = None
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -167,6 +167,24 @@
     assert got == [0, 1, 2, 3, 4, 5]
 
 
+def test_a_wait_that_is_interrupted_before_it_begins_takes_no_others_wake():
+    def main():
+        channel = Channel(loop, 1)
+        first = loop.spawn(lambda: (channel.get(), channel.get()))
+        loop.sleep(1.0)
+        channel.offer("first's")
+        first.cancel()  # after its wake: it takes the item, and is stopped as it would wait again
+        loop.sleep(1.0)
+        second = loop.spawn(channel.get)
+        loop.sleep(1.0)
+        channel.offer("second's")
+        loop.sleep(1.0)
+        assert first.done and second.done and second.value == "second's"
+
+    loop = SimLoop(1)
+    loop.run(main)
+
+
 def test_a_getter_cancelled_after_its_wake_leaves_the_item_to_the_next():
     loop, got = SimLoop(1), []
 
