A wait that is interrupted before it begins takes no wake from those behind it

Ruled out: joining (the leader had let it in and sent), the door, the disk, full boxes. At fault: Waiter.wait in loop/scheduler.py. A task that is woken and then cancelled in the same turn (the writer of a connection that ends just as a frame is put in) takes its item, waits again, and is interrupted there before it waits; its waiter stayed in the channel's line as not done, and the next ring woke it in place of the new connection's writer. As a bell is rung once until heard, that writer was never woken again. Change: such a waiter is done. Test on the virtual loop: failed before (['a'] where ['a', 'b'] was wanted). Channels are the loop's own, so any task that was cancelled so could have left its successor waiting.

--- a/fennelwind/loop/scheduler.py
+++ b/fennelwind/loop/scheduler.py
@@ -72,7 +72,11 @@
             raise RuntimeError("only the task that made a waiter may wait by it")
         if not self.done:
             if task.interrupted:
-                task.check()
+                try:
+                    task.check()
+                except BaseException:
+                    self.done = True  # nobody waits by it: whoever has it in line must wake the next one
+                    raise
             task.waiter = self
             self.loop.hub.switch()
             task.waiter = None
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -183,6 +183,32 @@
     assert got in (["a"], ["a", "b"])
 
 
+def test_a_getter_cancelled_between_its_wake_and_its_next_wait_takes_no_other_ones_wake():
+    """As a connection's writer that was rung in the very turn in which its connection ended."""
+    loop, got = SimLoop(1), []
+
+    def main():
+        channel = Channel(loop, 1)
+
+        def take():
+            while True:
+                got.append(channel.get())
+
+        first = loop.spawn(take)
+        loop.sleep(1)
+        channel.offer("a")
+        first.cancel()
+        loop.sleep(1)
+        assert first.done
+        loop.spawn(take)
+        loop.sleep(1)
+        channel.offer("b")
+        loop.sleep(1)
+
+    loop.run(main)
+    assert got == ["a", "b"]
+
+
 def test_virtual_time_that_can_never_move_says_who_waits():
     loop = SimLoop(1)
     with pytest.raises(Deadlock, match="main"):
