One piece of code for what a holder of a lease has under way

The carriers of changes and of moves spawned tasks, posted outcomes, noticed a lease that is too short and waited by the same lines.

--- a/fennelwind/keeper/changes.py
+++ b/fennelwind/keeper/changes.py
@@ -8,7 +8,7 @@
 what controllers send there meanwhile is not kept away from it yet.
 """
 
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable, Iterable
 from functools import partial
 from math import inf
@@ -21,13 +21,13 @@
 from fennelwind.errors import FennelwindError
 from fennelwind.keeper import gate_pb2
 from fennelwind.keeper.asker import Asker
-from fennelwind.keeper.bell import Bell
 from fennelwind.keeper.errors import CouncilError
+from fennelwind.keeper.hands import Hands
 from fennelwind.keeper.machines import CONTRACTS
 from fennelwind.keeper.statements import FENCED, LOST, OK, Statement, Statements
 from fennelwind.keeper.tasks import Held, Tasks
 from fennelwind.leases.errors import TaskNotHeld
-from fennelwind.loop import DeadlineExceeded, Loop, Task
+from fennelwind.loop import Loop, Task
 
 TASK = "table:"  # and the table's name: the lease under which its changes are carried out
 TERM_MS = 60_000  # ms of that lease; some 26 s of it are left at the least while renewals go well
@@ -141,10 +141,7 @@
         self.changes, self.loop, self.held, self.change = changes, changes.loop, held, change
         patience = carrying.Patience(answer_ms=STATEMENT_MS + STOP_MS, record_ms=ASK_MS + AGAIN_MS)
         self.carrier = Carrier(change, old, held.fence, patience)
-        self._events: deque[carrying.Event] = deque()
-        self._broken: TaskNotHeld | None = None
-        self._bell = Bell(self.loop)
-        self._under_way: set[Task] = set()
+        self.hands: Hands[carrying.Event] = Hands(self.loop, held.name)
         self._running: dict[str, Statement] = {}  # the last statement for each engine
         # One that the last holder noted as gone may be back: then it is told of as returned.
         self._there = {name for name, state in change.engines.items() if state != pb.Change.GONE_AWAY}
@@ -154,29 +151,14 @@
         try:
             while True:
                 self._look_around()
-                events = list(self._events)
-                self._events.clear()
-                for action in self.carrier.step(self.loop.now(), events):
+                for action in self.carrier.step(self.loop.now(), self.hands.events()):
                     self._carry(action)
                 if self.carrier.over is not None:
                     return self.carrier.over
-                if self._broken is not None:
-                    raise self._broken
-                self._wait()
+                due = self.carrier.due
+                self.hands.wait(min(inf if due is None else due, self.loop.now() + AGAIN_MS))
         finally:
-            for task in list(self._under_way):
-                task.cancel()
-
-    def _wait(self) -> None:
-        if self._events:
-            return
-        due = self.carrier.due
-        until = min(inf if due is None else due, self.loop.now() + AGAIN_MS)
-        try:
-            with self.loop.deadline_at(until):
-                self._bell.wait()
-        except DeadlineExceeded:
-            pass
+            self.hands.close()
 
     def _look_around(self) -> None:
         """Tell the carrier which engines have left, and which are back."""
@@ -184,40 +166,23 @@
         for engine in sorted(self.change.engines):
             if engine in self._there and engine not in known:
                 self._there.discard(engine)
-                self._events.append(carrying.Left(engine))
+                self.hands.post(carrying.Left(engine))
             elif engine not in self._there and engine in known:
                 self._there.add(engine)
-                self._events.append(carrying.Returned(engine))
-
-    def _post(self, event: carrying.Event) -> None:
-        self._events.append(event)
-        self._bell.ring()
-
-    def _spawn(self, call: Callable[..., None], *args: object) -> None:
-        def run() -> None:
-            try:
-                call(*args)
-            except TaskNotHeld as exc:  # another may hold it by now: nothing is said of what came of it
-                self._broken = exc
-                self._bell.ring()
-            finally:
-                self._under_way.discard(task)
-
-        task = self.loop.spawn(run, name=f"{self.held.name}: act")
-        self._under_way.add(task)
+                self.hands.post(carrying.Returned(engine))
 
     def _carry(self, action: carrying.Action) -> None:
         match action:
             case carrying.Tell():
-                self._spawn(self._tell, action)
+                self.hands.spawn(self._tell, action)
             case carrying.Quiet(token, engine):
-                self._post(carrying.Drained(token, engine))  # the engine's own lock keeps them apart
+                self.hands.post(carrying.Drained(token, engine))  # the engine's own lock keeps them apart
             case carrying.Run():
-                self._spawn(self._statement, action)
+                self.hands.spawn(self._statement, action)
             case carrying.Stop():
-                self._spawn(self._stop, action)
+                self.hands.spawn(self._stop, action)
             case carrying.Look():
-                self._spawn(self._look, action)
+                self.hands.spawn(self._look, action)
 
     def _tell(self, action: carrying.Tell) -> None:
         try:
@@ -225,9 +190,9 @@
                 CONTRACTS, action.command.SerializeToString(deterministic=True), ASK_MS)
         except CouncilError as exc:
             self.changes.counts[exc.code] += 1
-            self._post(carrying.Recorded(action.token, None))
+            self.hands.post(carrying.Recorded(action.token, None))
         else:
-            self._post(carrying.Recorded(action.token, pb.ContractAnswer.FromString(raw)))
+            self.hands.post(carrying.Recorded(action.token, pb.ContractAnswer.FromString(raw)))
 
     def _statement(self, action: carrying.Run) -> None:
         with self.held.act(STATEMENT_MS) as act:
@@ -237,13 +202,13 @@
         if how != OK:
             self.changes.said("statement " + how, {"engine": action.engine, "table": self.change.table,
                                                    "text": statement.text[:300]})
-        self._post(carrying.Ran(action.token, action.engine, how))
+        self.hands.post(carrying.Ran(action.token, action.engine, how))
 
     def _stop(self, action: carrying.Stop) -> None:
         statement = self._running[action.engine]
         while not statement.stop(STOP_MS):
             self.loop.sleep(AGAIN_MS)  # until the carrier's own time is up
-        self._post(carrying.Stopped(action.token, action.engine))
+        self.hands.post(carrying.Stopped(action.token, action.engine))
 
     def _look(self, action: carrying.Look) -> None:
         parts = ".".join(quoted(part) for part in self.change.table.split("."))
@@ -252,13 +217,13 @@
             how, rows = statement.run(f"DESCRIBE {parts}", dict(action.overlay), STATEMENT_MS, rows=True)
         if how == OK:
             try:
-                self._post(carrying.Looked(action.token, action.engine, shape(rows)))
+                self.hands.post(carrying.Looked(action.token, action.engine, shape(rows)))
                 return
             except (SchemaTextError, SchemaError) as exc:
                 statement.text = f"a description that can't be read: {exc}"
         elif statement.state == NO_TABLE:
-            self._post(carrying.Looked(action.token, action.engine, None))
+            self.hands.post(carrying.Looked(action.token, action.engine, None))
             return
         self.changes.said("look " + how, {"engine": action.engine, "table": self.change.table,
                                           "text": statement.text[:300]})
-        self._post(carrying.LookFailed(action.token, action.engine, how == FENCED))
+        self.hands.post(carrying.LookFailed(action.token, action.engine, how == FENCED))
--- a/fennelwind/keeper/moves.py
+++ b/fennelwind/keeper/moves.py
@@ -5,9 +5,8 @@
 under the lease's guard; what runs at an engine then is ended by its time-out, or when its session is closed.
 """
 
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable, Iterable
-from contextlib import suppress
 from dataclasses import replace
 from functools import partial
 
@@ -15,8 +14,8 @@
 from fennelwind.engines.links import RemoteError
 from fennelwind.keeper import gate_pb2
 from fennelwind.keeper.asker import Asker
-from fennelwind.keeper.bell import Bell
 from fennelwind.keeper.errors import CouncilError
+from fennelwind.keeper.hands import Hands
 from fennelwind.keeper.machines import CONTRACTS, SHARDS
 from fennelwind.keeper.statements import FAILED, LOST, OK, Statement, Statements
 from fennelwind.keeper.tasks import Held, Tasks
@@ -133,11 +132,8 @@
         self.marks: dict[str, str] = {}  # of engines that are there, once they are known
         self.list_at: dict[str, float] = {}  # by engine: when its next list is due
         self.shards: frozenset[str] = frozenset()  # that lists were made of
-        self._events: deque[api.Event] = deque()
-        self._bell = Bell(self.loop)
-        self._under_way: set[Task] = set()
+        self.hands: Hands[api.Event] = Hands(self.loop, held.name)
         self._statements: dict[int, Task] = {}
-        self._broken: TaskNotHeld | None = None
 
     def run(self) -> None:
         """Carry moves out. Raises `TaskNotHeld` where too little of the lease is left."""
@@ -145,49 +141,24 @@
             self._look()
             self._declare()
             for part in (self._watch, self._news, self._list):
-                self._spawn(part)
+                self.hands.spawn(part)
             while not self.held.stop.ready:
-                events = list(self._events)
-                self._events.clear()
                 wake = self.loop.now() + NEWS_MS
-                for action in self.carrier.step(self.loop.now(), events):
+                for action in self.carrier.step(self.loop.now(), self.hands.events()):
                     match action:
                         case api.Propose():
-                            self._spawn(self._propose, action)
+                            self.hands.spawn(self._propose, action)
                         case api.Run():
-                            self._statements[action.token] = self._spawn(self._statement, action)
+                            self._statements[action.token] = self.hands.spawn(self._statement, action)
                         case api.Stop(token) if token in self._statements:
                             self._statements[token].cancel()
                         case api.Wake(at):
                             wake = min(wake, at)
                         case api.Over():
                             raise TaskNotHeld(f"{self.held.name}: another holds it", task=self.held.name)
-                if self._broken is not None:
-                    raise self._broken
-                if not self._events:
-                    with suppress(DeadlineExceeded), self.loop.deadline_at(wake):
-                        self._bell.wait()
+                self.hands.wait(wake)
         finally:
-            for task in list(self._under_way):
-                task.cancel()
-
-    def _post(self, event: api.Event) -> None:
-        self._events.append(event)
-        self._bell.ring()
-
-    def _spawn(self, call: Callable[..., None], *args: object) -> Task:
-        def run() -> None:
-            try:
-                call(*args)
-            except TaskNotHeld as exc:  # another may hold it by now: nothing is said of what came of it
-                self._broken = exc
-                self._bell.ring()
-            finally:
-                self._under_way.discard(task)
-
-        task = self.loop.spawn(run, name=f"{self.held.name}: {call.__name__}")
-        self._under_way.add(task)
-        return task
+            self.hands.close()
 
     # The record.
 
@@ -226,7 +197,7 @@
         self.machine, self.index = record.machines[SHARDS], record.index
         tables = {shard.table for shard in self.machine.shards.values()}
         frozen = frozenset(table for table in tables if record.fact("changing", table))
-        self._post(api.Seen(self.index, self.machine, frozen))
+        self.hands.post(api.Seen(self.index, self.machine, frozen))
         return index
 
     def _ask_for_all(self) -> int:
@@ -252,7 +223,7 @@
                 self.machine.restore(data)
             self.index = seen.index
             frozen = self._frozen()
-            self._post(api.Seen(self.index, self.machine, frozen))
+            self.hands.post(api.Seen(self.index, self.machine, frozen))
         return seen.index
 
     def _frozen(self) -> frozenset[str]:
@@ -282,10 +253,10 @@
             raw = self.asker.propose(SHARDS, action.command, ASK_MS)
         except CouncilError as exc:
             self.moves.counts[exc.code] += 1
-            self._post(api.Proposed(action.token, None))
+            self.hands.post(api.Proposed(action.token, None))
             return
         index = self._look()  # of this command, or later
-        self._post(api.Proposed(action.token, pb.Answer.FromString(raw), index))
+        self.hands.post(api.Proposed(action.token, pb.Answer.FromString(raw), index))
 
     # Engines.
 
@@ -312,7 +283,7 @@
                 figures = int(rows[0][0]), int(rows[0][1])
             except (IndexError, ValueError):
                 outcome = "failed"
-        self._post(api.Ended(action.token, outcome, *figures))
+        self.hands.post(api.Ended(action.token, outcome, *figures))
 
     def _news(self) -> None:
         """Tell of engines that come and go, each with its disk's mark once that is known."""
@@ -331,7 +302,7 @@
             self.shards = shards
             told = [replace(home, mark=self.marks.get(name, "")) for name, home in sorted(homes.items())]
             # One that is back is not told of before its mark is known: it may have another disk.
-            self._post(api.Heard(tuple(home for home in told if home.mark or home.life == "gone")))
+            self.hands.post(api.Heard(tuple(home for home in told if home.mark or home.life == "gone")))
             self.loop.sleep(NEWS_MS)
 
     def _list(self) -> None:
@@ -351,7 +322,7 @@
             self.list_at[name] = self.loop.now() + (LIST_MS if held == known else LIST_SOON_MS)
             if held is not None:
                 self.marks[name] = mark
-                self._post(api.Heard((), {name: held}))
+                self.hands.post(api.Heard((), {name: held}))
 
     def _mark(self, engine: str) -> str:
         """Return the mark on an engine's disk; one without gets one. "": it can't be read."""
