A disk without a thread or descriptors is tried again; a listener outlives network errors

Two ways to lose half of a member for good while a machine is short of something: - RealDisk made its thread outside of what turns errors into a disk's. EMFILE at its pipe (loop/realdisk.py, _Worker) or 'can't start new thread' came out as OSError and RuntimeError; Member._opened tries FennelwindErrors again and nothing else, so the member broke at its start and never came back. Now DiskFailed. - SocketListener.accept (loop/real.py) took each errno but four for the listener's end. accept(2) tells errors of the network there too (ENETDOWN, EPROTO, EHOSTUNREACH, EPERM of a filter); the door's task then returned in silence: a member that sends and never hears. Now only EBADF, EINVAL and ENOTSOCK end it.

--- a/fennelwind/loop/real.py
+++ b/fennelwind/loop/real.py
@@ -30,6 +30,7 @@
 BACK_OFF_MS = 100.0  # ms without accepting when descriptors are used up; what waits is taken then
 ASIDE_THREADS = 2  # what runs beside the loop must leave it a core
 SHORT_OF = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+NO_LISTENER = {errno.EBADF, errno.EINVAL, errno.ENOTSOCK}  # of accept: it will never take a connection again
 HANGUP, TERMINATE, INTERRUPT = signal.SIGHUP, signal.SIGTERM, signal.SIGINT
 AGAIN = (BlockingIOError, InterruptedError)
 
@@ -321,7 +322,10 @@
         self.sock.listen(most)
 
     def accept(self) -> SocketStream:
-        """Return the next connection; with no descriptors left, rest and leave it to wait."""
+        """Return the next connection; where none can be had, rest and leave it to wait.
+
+        accept(2) tells errors of the network too, which are over by themselves.
+        """
         while self.sock.fileno() >= 0:
             try:
                 sock, peer = self.sock.accept()
@@ -330,10 +334,10 @@
             except ConnectionAbortedError:
                 continue
             except OSError as exc:
-                if exc.errno not in SHORT_OF:
+                if exc.errno in NO_LISTENER:
                     raise StreamReset(exc.errno, f"{self.address}: {exc.strerror}") from None
-                self.loop.short_of_descriptors += 1
-                self.loop.sleep(BACK_OFF_MS)
+                self.loop.short_of_descriptors += exc.errno in SHORT_OF
+                self.loop.sleep(BACK_OFF_MS)  # else it was one connection, or is the network
             else:
                 sock.setblocking(False)
                 return SocketStream(self.loop, sock, Address(*peer[:2]))
--- a/fennelwind/loop/realdisk.py
+++ b/fennelwind/loop/realdisk.py
@@ -92,7 +92,11 @@
         self._files: dict[str, int] = {}  # open for appending
         self._late: dict[str, OSError] = {}  # of appends that were not waited for, until they are told
         self._folder = -1
-        self._worker = _Worker(loop)
+        try:
+            self._worker = _Worker(loop)
+        except (OSError, RuntimeError) as exc:  # no descriptor left, or no thread: both may come back
+            raise DiskFailed(f"{self.folder}: no thread for it: {exc}", folder=self.folder, call="start",
+                             errno=getattr(exc, "errno", 0) or 0) from None
         try:
             self._folder = self._made("open", "", _open_folder, self.folder)
         except BaseException:
--- a/tests/test_disks.py
+++ b/tests/test_disks.py
@@ -160,6 +160,30 @@
     loop.run(main)
 
 
+@pytest.mark.parametrize("what", [resource.RLIMIT_NOFILE, None])
+def test_neither_descriptors_nor_threads_left_is_a_failed_disk(tmp_path, monkeypatch, what):
+    def no_thread(thread):
+        raise RuntimeError("can't start new thread")
+
+    def main():
+        if what is None:
+            monkeypatch.setattr("threading.Thread.start", no_thread)
+        else:
+            soft, hard = resource.getrlimit(what)
+            resource.setrlimit(what, (3, hard))
+        try:
+            with pytest.raises(DiskFailed):
+                RealDisk(loop, str(tmp_path))
+        finally:
+            if what is not None:
+                resource.setrlimit(what, (soft, hard))
+        monkeypatch.undo()
+        RealDisk(loop, str(tmp_path)).lock()
+
+    loop = RealLoop()
+    loop.run(main)
+
+
 def test_a_sync_that_fails_closes_the_file(tmp_path, monkeypatch):
     loop = RealLoop()
     monkeypatch.setattr("fennelwind.loop.realdisk._sync", lambda fd: os.fsync(1 << 20))
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -1,5 +1,6 @@
 """The scheduler: verdicts in virtual time; the same calls once more on real sockets."""
 
+import errno
 import random
 import signal
 
@@ -416,3 +417,28 @@
         listener.close()
 
     loop.run(main)
+
+
+def test_a_listener_goes_on_behind_errors_that_are_the_networks():
+    def main():
+        class Flaky:
+            def __init__(self, sock):
+                self.sock, self.told = sock, [errno.ENETDOWN, errno.EPROTO, errno.EPERM]
+
+            def accept(self):
+                if self.told:
+                    raise OSError(self.told.pop(), "of the network")
+                return self.sock.accept()
+
+            def __getattr__(self, name):
+                return getattr(self.sock, name)
+
+        listener = loop.listen(HERE)
+        listener.sock = Flaky(listener.sock)
+        loop.connect(listener.address)
+        listener.accept().abort()
+        assert not listener.sock.told and not loop.short_of_descriptors
+        listener.close()
+
+    loop = RealLoop()
+    loop.run(main)
