Names of hosts are looked up beside the loop, and what was found once counts on

Need: members, engines and discovery may be stated by name, and RealLoop.connect handed names to the system's connect, which resolves them on the loop: with the name servers out of reach each dial of a peer stood for 5 s and more, and with it every query. A name with letters that none may have raised UnicodeError, which ended the task that keeps the way to that member for good. Change: addresses in digits go on as before; a name is looked up by one daemon thread, and its last answer is used while it is asked for anew. Only the first look-up of a name is waited for, within the caller's deadline. Seen: with a resolver that stands, connections to a known name and other tasks go on (test); before, the loop stood.

--- a/fennelwind/loop/real.py
+++ b/fennelwind/loop/real.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
+from functools import lru_cache
 from typing import TYPE_CHECKING, Any
 
 from fennelwind.loop.scheduler import Loop, Waiter
@@ -26,15 +27,28 @@
 if TYPE_CHECKING:
     from concurrent.futures import Future, ThreadPoolExecutor
 
+    from fennelwind.loop.names import Names
+
 READ, WRITE = select.POLLIN | select.POLLRDHUP, select.POLLOUT
 BACK_OFF_MS = 100.0  # ms without accepting when descriptors are used up; what waits is taken then
 ASIDE_THREADS = 2  # what runs beside the loop must leave it a core
 SHORT_OF = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 NO_LISTENER = {errno.EBADF, errno.EINVAL, errno.ENOTSOCK}  # of accept: it will never take a connection again
 HANGUP, TERMINATE, INTERRUPT = signal.SIGHUP, signal.SIGTERM, signal.SIGINT
+NAMES_MOST = 4096  # hosts of which it is known whether they are names
 AGAIN = (BlockingIOError, InterruptedError)
 
 
+@lru_cache(NAMES_MOST)
+def in_digits(host: str) -> bool:
+    """Tell whether a host is an address already, which nobody needs to look up."""
+    for family in (socket.AF_INET, socket.AF_INET6):
+        with suppress(OSError, ValueError):
+            socket.inet_pton(family, host.partition("%")[0])
+            return True
+    return False
+
+
 class _Watch:
     """Who waits for a descriptor, and what the poll object was told."""
 
@@ -56,6 +70,7 @@
         self._signals: dict[int, Callable[[], None]] = {}
         self._wake_in = self._wake_out = -1
         self._aside: ThreadPoolExecutor | None = None
+        self._names: Names | None = None
         self._came: deque[Callable[[], None]] = deque()  # from threads, to be called in a turn of the loop
         self.short_of_descriptors = 0  # times that accepting had to rest
 
@@ -101,8 +116,9 @@
 
         `ConnectFailed` proves that nothing was sent.
         """
+        host = address.host if in_digits(address.host) else self._found(address.host)
         try:
-            sock = socket.socket(socket.AF_INET6 if ":" in address.host else socket.AF_INET)
+            sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
         except OSError as exc:
             kind = ShortOfDescriptors if exc.errno in SHORT_OF else ConnectFailed
             raise kind(exc.errno, f"{address}: {exc.strerror}") from None
@@ -110,7 +126,7 @@
         try:
             if source:
                 sock.bind((source, 0))
-            code = sock.connect_ex((address.host, address.port))
+            code = sock.connect_ex((host, address.port))
             if code == errno.EINPROGRESS:
                 self.watch(sock.fileno(), WRITE).wait()
                 code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -124,6 +140,18 @@
             raise
         return SocketStream(self, sock, address)
 
+    def _found(self, name: str) -> str:
+        """Return the address of a host's name. Raises `ConnectFailed`."""
+        if self._names is None:
+            from fennelwind.loop.names import Names  # most programs' addresses are in digits
+
+            try:
+                self.open_wake()
+            except OSError as exc:
+                raise ShortOfDescriptors(exc.errno, f"{name}: {exc.strerror}") from None
+            self._names = Names(self, self.from_thread)
+        return self._names.find(name)
+
     def on_signal(self, number: int, call: Callable[[], None]) -> None:
         """Make the call in a turn of the loop when the process gets the signal."""
         self.open_wake()
--- a/tests/council_storm.py
+++ b/tests/council_storm.py
@@ -120,6 +120,8 @@
             return
         if files:
             pid = part.process.pid
+            if len(os.listdir(f"/proc/{pid}/task")) < 3:  # it has not begun: a program can't be read without
+                return
             most = max(map(int, os.listdir(f"/proc/{pid}/fd")), default=0) + 1
             _, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
             resource.prlimit(pid, resource.RLIMIT_NOFILE, (most, hard))
@@ -212,6 +214,9 @@
                 print(f"seed {seed}: {type(exc).__name__}: {str(exc)[:1500]}")
                 for who, what, facts in storm.rig.said[-60:]:
                     print("   ", who, what, facts)
+                for log in sorted(Path(folder).glob("*.log")):
+                    if log.stat().st_size:
+                        print("   ", log.name, log.read_text("utf-8", "replace")[-2000:])
             rig = storm.rig
             taken, lines = rig.resource.taken(), Counter(line[3] for line in rig.history)
             acts, refused = sum(seen.what == "end" for seen in taken), len(rig.resource.seen) - len(taken)
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -1,8 +1,10 @@
 """The scheduler: verdicts in virtual time; the same calls once more on real sockets."""
 
 import errno
+import os
 import random
 import signal
+import socket
 
 import pytest
 
@@ -442,3 +444,35 @@
 
     loop = RealLoop()
     loop.run(main)
+
+
+def test_a_resolver_that_stands_holds_up_nobody_and_what_it_said_once_is_used(monkeypatch):
+    hold, let_go = os.pipe()
+    system, stands = socket.getaddrinfo, []
+
+    def slow(host, *more, **named):
+        if stands:
+            os.read(hold, 1)
+        if host == "nowhere":
+            raise socket.gaierror(socket.EAI_NONAME, "no such name")
+        return system("127.0.0.1", *more, **named)
+
+    def main():
+        listener = loop.listen(HERE)
+        there = Address("somewhere.example", listener.address.port)
+        loop.connect(there).close()
+        for wrong in ("nowhere", "a" * 300 + "."):
+            with pytest.raises(ConnectFailed):
+                loop.connect(Address(wrong, 1))
+        stands.append(True)
+        loop.connect(there).close()
+        with pytest.raises(DeadlineExceeded), loop.deadline(20.0):  # its first time, while others go on
+            loop.connect(Address("elsewhere.example", 1))
+        monkeypatch.setattr("fennelwind.loop.names.FRESH_MS", 0.0)
+        loop.connect(there).close()  # asked for anew, but nobody waits for that
+        os.write(let_go, b"!!")
+        listener.close()
+
+    monkeypatch.setattr("socket.getaddrinfo", slow)
+    loop = RealLoop()
+    loop.run(main)
