--- a/fennelwind/council/core.py
+++ b/fennelwind/council/core.py
@@ -21,6 +21,7 @@
 from fennelwind.council.writes import Writes
 
 APPLY_MOST = 1024  # entries in one `Apply`, so that the carrier can look up between two
+STUCK_TIMEOUTS = 10  # election time-outs for which a leader's disk may stand while others agree without it
 SHY_TIMEOUTS = 3  # election time-outs for which a member that handed over does not ask for votes
 HELD_MOST = 1024  # messages that wait for a term's write; what is more is lost, as on a bad link
 REMOVED_TIMEOUTS = 40  # election time-outs for which one that was told of its removal asks nobody
@@ -69,6 +70,7 @@
         self.joining = Joining(self.me, self.stated)
         self.mute = False
         self.now = self.heard = self.shy_until = -math.inf
+        self.wrote = -math.inf  # when a write came back last, or none was under way
         self.patience = 0.0  # ms without a word from a leader, after which votes are asked for
         self.ask_at: float | None = None  # when to look whether that is so
         self.round = 0  # the leader's last
@@ -121,9 +123,7 @@
                 else:
                     self._refuse(token)
             case api.HandOver() | api.RoomShort():
-                self.shy_until = self.now + SHY_TIMEOUTS * self.timing.election_ms
-                if self.leading is not None:
-                    self.leading.hand_over(self.now)
+                self._hand_over()
             case api.WriteFailed():
                 self._fall_mute()
             case api.CanWrite(durable):
@@ -133,7 +133,13 @@
 
     def _tick(self) -> None:
         now = self.now
+        if self.writes.done == self.writes.number:
+            self.wrote = now
         if self.leading is not None:
+            if self._stuck():
+                self.wrote = now  # where nobody takes over, as much later again
+                self.counts["stuck disk"] += 1
+                self._hand_over()
             if not self.leading.tick(now):
                 self.counts["stepped down unheard"] += 1
                 self.follow(self.term, None)
@@ -153,6 +159,19 @@
             if self.empty and joining.founds():
                 self._found()
 
+    def _hand_over(self) -> None:
+        self.shy_until = self.now + SHY_TIMEOUTS * self.timing.election_ms
+        if self.leading is not None:
+            self.leading.hand_over(self.now)
+
+    def _stuck(self) -> bool:
+        """Whether the disk stands while the others agree: then one of them leads better.
+
+        The log can't be shortened without it, and at its bound a leader takes nothing more.
+        """
+        return self.writes.durable < self.commit \
+            and self.now - self.wrote >= STUCK_TIMEOUTS * self.timing.election_ms
+
     def _settle(self) -> None:
         """Do what follows from all that came in this step."""
         if self.leading is not None and not self.leading.settle(self.now):
@@ -453,6 +472,7 @@
         if self.mute:
             return
         self.out += self.writes.written(number)
+        self.wrote = self.now
         if self.ballot is not None and not self.ballot.before and self.ballot.write <= number:
             self.ballot.granted.add(self.me)
         self.snapshots.written(number)
--- a/fennelwind/council/snapshots.py
+++ b/fennelwind/council/snapshots.py
@@ -24,6 +24,7 @@
         self.installing: tuple[int, pb.SnapshotHead, bytes] | None = None  # by the number of its write
         self.compacting: tuple[int, pb.SnapshotHead, bytes, int] | None = None
         self.asked = False
+        self.refused = 0  # the last index at which one was too large
         if self.head is not None:
             core.out.append(Restore(self.head, self.data))
 
@@ -36,6 +37,8 @@
         """Ask for a snapshot when the log is long."""
         core, timing = self.core, self.core.timing
         behind = core.given - self.index
+        if self.refused and core.given - self.refused < timing.kept_entries:
+            return  # a state that was too large is so for a while, and each taking of it costs seconds
         large = core.log.size > timing.log_most or behind > ENTRIES_TIMES * timing.kept_entries
         busy = self.asked or self.compacting is not None or self.installing is not None
         if large and behind and not busy and not core.mute and core.part != "outside":
@@ -62,6 +65,7 @@
             return
         if len(event.data) > SNAPSHOT_MOST:
             core.counts["snapshot too large"] += 1
+            self.refused = event.index
             return
         members = log.config_at(event.index).members
         head = head_of(event.index, term, event.clock_ms, members, event.data)
--- a/fennelwind/fleet/councilrig.py
+++ b/fennelwind/fleet/councilrig.py
@@ -8,6 +8,7 @@
 import json
 import os
 import shutil
+import signal
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -275,7 +276,17 @@
         """Let a process hand over and end, as on SIGTERM."""
         part = self.parts.pop(name)
         part.say({"end": True})
-        self.until(lambda: part.process.poll() is not None, f"{name} ends", END_S)
+
+        def ended() -> bool:
+            self._hear(name, part)  # it says more than a pipe holds while it hands over
+            return part.process.poll() is not None
+
+        try:
+            self.until(ended, f"{name} ends", END_S)
+        except RigFailed:
+            part.process.send_signal(signal.SIGUSR1)  # its log tells where it stands
+            self.loop.sleep(500.0)
+            raise
         self._drain(name, part)
 
     def lose(self, name: str) -> None:
--- a/fennelwind/fleet/councilwork.py
+++ b/fennelwind/fleet/councilwork.py
@@ -4,9 +4,11 @@
 line by line, so that a kill loses nothing of it; what the task does goes to the rig's resource.
 """
 
+import faulthandler
 import json
 import re
 import resource
+import signal
 import sys
 from contextlib import suppress
 from itertools import count
@@ -187,6 +189,7 @@
 
 def main() -> int:
     """Be one controller of the rig."""
+    faulthandler.register(signal.SIGUSR1)  # a rig that waits in vain has it write down where it stands
     spec = json.loads(sys.stdin.readline())
     loop = SkewedLoop(spec.get("pace", 1.0))
 
--- a/tests/council_storm.py
+++ b/tests/council_storm.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 from collections import Counter
+from contextlib import suppress
 from pathlib import Path
 from random import Random
 
@@ -119,19 +120,21 @@
         if part is None:
             return
         if files:
-            pid = part.process.pid
-            if len(os.listdir(f"/proc/{pid}/task")) < 3:  # it has not begun: a program can't be read without
-                return
-            most = max(map(int, os.listdir(f"/proc/{pid}/fd")), default=0) + 1
-            _, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
-            resource.prlimit(pid, resource.RLIMIT_NOFILE, (most, hard))
+            with suppress(OSError):  # it has just ended
+                pid = part.process.pid
+                if len(os.listdir(f"/proc/{pid}/task")) < 3:  # it has not begun: no program starts without
+                    return
+                most = max(map(int, os.listdir(f"/proc/{pid}/fd")), default=0) + 1
+                _, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+                resource.prlimit(pid, resource.RLIMIT_NOFILE, (most, hard))
         else:
             part.say({"fsize": 1})
         self.rig.loop.after(self.random.uniform(200.0, 4000.0), lambda: self._free(part))
 
-    def _free(self, part):
+    @staticmethod
+    def _free(part):
         part.say({"fsize": None})
-        if part.process.poll() is None:
+        with suppress(OSError):
             _, hard = resource.prlimit(part.process.pid, resource.RLIMIT_NOFILE)
             resource.prlimit(part.process.pid, resource.RLIMIT_NOFILE, (hard, hard))
 
--- a/tests/test_council.py
+++ b/tests/test_council.py
@@ -298,6 +298,19 @@
     assert one.core.log.size < 1000 and not one.propose(50)
 
 
+def test_a_state_too_large_for_a_snapshot_is_not_asked_for_at_each_step(monkeypatch):
+    monkeypatch.setattr("fennelwind.council.snapshots.SNAPSHOT_MOST", 4)
+    one = One(timing=Timing(log_most=1000, kept_entries=10)).lead().agree()
+    one.propose(1, 800)
+    one.propose(2, 400)
+    assert one.of(api.TakeSnapshot)
+    one.do(api.Snapshot(one.core.given, 0, b"state"))
+    assert one.core.counts["snapshot too large"] == 1 and not one.of(api.TakeSnapshot)
+    one.propose(3, 100)
+    one.agree()
+    assert not one.of(api.TakeSnapshot)
+
+
 def test_a_command_that_is_too_large_is_refused_at_the_door():
     assert One().lead().agree().propose(1, COMMAND_MOST + 2000)[0].refusal == pb.Result.TOO_LARGE
 
@@ -334,6 +347,21 @@
     assert one.of(api.Answer)[0].refusal == pb.Result.UNKNOWN and one.core.part == "mute"
 
 
+def test_a_leader_whose_disk_stands_while_others_agree_hands_over():
+    one = One().lead().agree()
+    took = one.propose(1) or pb.AppendAnswer(took=True, index=one.core.log.last)
+    for life in (B, C):
+        one.hear(life, one.core.term, append_answer=took)
+    assert one.core.commit == one.core.log.last and not one.of(api.Answer)[0].refusal
+    for _ in range(59):  # ten election time-outs are over with the 60th
+        one.do(wait=50.0)
+        took.round = one.core.leading.round
+        one.hear(B, one.core.term, append_answer=took)
+        assert not one.sent("take_over")
+    one.do(wait=50.0)
+    assert one.sent("take_over") and [s.to for s in one.of(api.Send)][-1] == B
+
+
 def test_it_comes_back_with_what_was_read_and_writes_what_it_promised():
     one = One()
     one.hear(B, 2, append=pb.Append(before_index=1, before_term=1, entries=[entry(2, 2), entry(3, 2)]))
