--- a/tests/council_storm.py
+++ b/tests/council_storm.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 from collections import Counter
+from contextlib import suppress
 from pathlib import Path
 from random import Random
 
@@ -119,17 +120,21 @@
         if part is None:
             return
         if files:
-            pid = part.process.pid
-            most = max(map(int, os.listdir(f"/proc/{pid}/fd")), default=0) + 1
-            _, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
-            resource.prlimit(pid, resource.RLIMIT_NOFILE, (most, hard))
+            with suppress(OSError):  # it has just ended
+                pid = part.process.pid
+                if len(os.listdir(f"/proc/{pid}/task")) < 3:  # it has not begun: no program starts without
+                    return
+                most = max(map(int, os.listdir(f"/proc/{pid}/fd")), default=0) + 1
+                _, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+                resource.prlimit(pid, resource.RLIMIT_NOFILE, (most, hard))
         else:
             part.say({"fsize": 1})
         self.rig.loop.after(self.random.uniform(200.0, 4000.0), lambda: self._free(part))
 
-    def _free(self, part):
+    @staticmethod
+    def _free(part):
         part.say({"fsize": None})
-        if part.process.poll() is None:
+        with suppress(OSError):
             _, hard = resource.prlimit(part.process.pid, resource.RLIMIT_NOFILE)
             resource.prlimit(part.process.pid, resource.RLIMIT_NOFILE, (hard, hard))
 
@@ -212,6 +217,9 @@
                 print(f"seed {seed}: {type(exc).__name__}: {str(exc)[:1500]}")
                 for who, what, facts in storm.rig.said[-60:]:
                     print("   ", who, what, facts)
+                for log in sorted(Path(folder).glob("*.log")):
+                    if log.stat().st_size:
+                        print("   ", log.name, log.read_text("utf-8", "replace")[-2000:])
             rig = storm.rig
             taken, lines = rig.resource.taken(), Counter(line[3] for line in rig.history)
             acts, refused = sum(seen.what == "end" for seen in taken), len(rig.resource.seen) - len(taken)
