A name that has addresses of both kinds is reached by IPv4 first, as before

Seen in reading: the system's first answer for a name may be an IPv6 address (localhost is), where the connect before it asked for IPv4 alone. A listener on 127.0.0.1 would not be found by name any more. Change: IPv4 first, else what there is (loop/names.py). The test's resolver gives ::1 first; it fails without the change.

--- a/fennelwind/loop/names.py
+++ b/fennelwind/loop/names.py
@@ -61,7 +61,10 @@
         while True:
             host = self._calls.get()
             try:
-                told: str | OSError = str(socket.getaddrinfo(host, None, type=socket.SOCK_STREAM)[0][4][0])
+                found = socket.getaddrinfo(host, None, type=socket.SOCK_STREAM)
+                # IPv4 first: a host that listens there alone is often named with an IPv6 address ahead of it.
+                found.sort(key=lambda one: one[0] != socket.AF_INET)
+                told: str | OSError = str(found[0][4][0])
             except OSError as exc:
                 told = exc
             except ValueError as exc:  # letters that no name may have
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -455,10 +455,10 @@
             os.read(hold, 1)
         if host == "nowhere":
             raise socket.gaierror(socket.EAI_NONAME, "no such name")
-        return system("127.0.0.1", *more, **named)
+        return system("::1", *more, **named) + system("127.0.0.1", *more, **named)
 
     def main():
-        listener = loop.listen(HERE)
+        listener = loop.listen(HERE)  # by IPv4 alone
         there = Address("somewhere.example", listener.address.port)
         loop.connect(there).close()
         for wrong in ("nowhere", "a" * 300 + "."):
