Defects of the council's core planted as changed lines; one harness for planted defects

Each defect was a copy of the method it breaks, written again with one line different. tests/planted.py now changes that line in the function itself, for a while, and refuses a text that is not there exactly once.

--- /dev/null
+++ b/tests/planted.py
@@ -0,0 +1,84 @@
+"""Defects planted on purpose, and how soon plays find them: a proof that can't fail proves nothing.
+
+A defect is a list of changes to the program that hold for a while: `Line`, or `mock.patch.object`.
+"""
+
+import inspect
+import textwrap
+from collections.abc import Callable, Iterable
+from contextlib import AbstractContextManager, ExitStack, contextmanager
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
+
+
+class Line(AbstractContextManager):
+    """Lines of a function are others for a while. One that is not there exactly once is an error.
+
+    The function stays the same object, so the change holds wherever it was imported to.
+    """
+
+    def __init__(self, function: Callable, *texts: str) -> None:
+        """Take the function, then each text that goes and the one that comes in its place."""
+        self.function = function = inspect.unwrap(function)
+        self.before = function.__code__
+        source = textwrap.dedent(inspect.getsource(function))
+        for old, new in zip(texts[::2], texts[1::2], strict=True):
+            assert source.count(old) == 1, f"{old!r} is not one place of {function.__qualname__}"
+            source = source.replace(old, new)
+        free = ", ".join(self.before.co_freevars)
+        found: dict[str, Callable] = {}
+        whole = f"def around({free}):\n{textwrap.indent(source, ' ')}\n return {function.__name__}"
+        exec(whole, dict(function.__globals__), found)  # noqa: S102 - a line of our own
+        made = found["around"](*[None] * len(self.before.co_freevars))
+        self.after = inspect.unwrap(made).__code__
+
+    def __enter__(self) -> None:
+        self.function.__code__ = self.after
+
+    def __exit__(self, *_: object) -> None:
+        self.function.__code__ = self.before
+
+
+@contextmanager
+def planted(changes: Iterable[AbstractContextManager]):
+    """Have changes in the program for a while."""
+    with ExitStack() as stack:
+        for change in changes:
+            stack.enter_context(change)
+        yield
+
+
+def broken(plays: Iterable[Callable[[], object]],
+           kinds: type[Exception] = Exception) -> tuple[int, str] | None:
+    """Return how many plays it took until one broke, and by what; None: none did."""
+    for number, play in enumerate(plays, 1):
+        try:
+            play()
+        except kinds as exc:  # a program that falls over itself was found as well
+            return number, f"{type(exc).__name__}: {exc}"
+    return None
+
+
+def by_model(model: type[RuleBasedStateMachine], most: int, steps: int = 40) -> tuple[int, str] | None:
+    """Return how many examples it took until a model disagreed with what is under test, and how."""
+    examples = [0]
+
+    class Counted(model):
+        def __init__(self) -> None:
+            examples[0] += 1
+            super().__init__()
+
+    def play() -> None:
+        run_state_machine_as_test(Counted, settings=settings(
+            max_examples=most, stateful_step_count=steps, deadline=None, derandomize=True, database=None,
+            phases=(Phase.generate,), suppress_health_check=list(HealthCheck), report_multiple_bugs=False))
+
+    found = broken([play])
+    return found and (examples[0], found[1])
+
+
+def row(*cells: object) -> None:
+    """Print a row of a table."""
+    print("| " + " | ".join((str(cell).splitlines() or [""])[0].replace("|", " ") for cell in cells) + " |",
+          flush=True)
