--- a/tests/storedefects.py
+++ b/tests/storedefects.py
@@ -3,14 +3,15 @@
 Prints, for each, what finds it and after how many plays: `python tests/storedefects.py`.
 """
 
-from contextlib import contextmanager, suppress
-from unittest import mock
+from functools import partial
+from unittest.mock import patch
 
+from planted import Line, broken, planted, row
 from storemodel import random_play
 
 from fennelwind.loop.disk import DiskError, SyncFailed
+from fennelwind.loop.simdisk import SimDisk
 from fennelwind.store import records
-from fennelwind.store import store as store_module
 from fennelwind.store.store import LOG, NEW, Store
 
 PLAYS_MOST = 3000  # that a defect may take to be found
@@ -65,188 +66,100 @@
     return Wrapped
 
 
-class NoSync(Through):
-    def sync(self, name):
-        if not name.startswith(LOG) or name.endswith(NEW):
-            self._disk.sync(name)
-
-
-class NoSyncOfNew(Through):
-    def sync(self, name):
-        if not name.endswith(NEW):
-            self._disk.sync(name)
-
-
-class NoNames(Through):
-    def sync_names(self):
-        pass
-
-
-class SyncAgain(Through):
-    def sync(self, name):
+def sync_again(sync):
+    """Have a sync that failed tried again."""
+    def again(self, name):
         try:
-            self._disk.sync(name)
+            sync(self, name)
         except SyncFailed:
-            self._disk.sync(name)
-
+            sync(self, name)
+    return patch.object(SimDisk, "sync", again)
 
-class RenameFirst(Store):
-    def _put_once(self, name, pieces):
-        with suppress(store_module.NameMissing):
-            self.disk.remove(name + NEW)
-        for piece in pieces:
-            self.disk.append(name + NEW, piece)
-        self.disk.rename(name + NEW, name)
-        self.disk.sync(name)
-        self.disk.sync_names()
-
-
-class OldFirst(Store):
-    def _put(self, name, pieces, may_take=True):
-        if name.startswith(store_module.SNAPSHOT):
-            for old in self.disk.names():
-                if old.startswith(store_module.SNAPSHOT) and old != name:
-                    self.disk.remove(old)
-            self.disk.sync_names()
-        super()._put(name, pieces, may_take)
-
-
-class SweepFirst(Store):
-    def _write(self, group, writes):
-        if any(write.head is not None for write in writes):
-            heads, newest = list(self.shape.heads), [w.head for w in writes if w.head is not None][-1]
-            self.shape.heads = heads[-1:] + [newest]
-            names = [n for n in self.disk.names() if n.startswith(LOG) and not n.endswith(NEW)]
-            for name in names[:-1] if heads else []:
-                self.disk.remove(name)
-            self.shape.heads = heads
-        super()._write(group, writes)
-
-
-class SnapshotAfter(Store):
-    def _write(self, group, writes):
-        late = []
-        with mock.patch.object(self, "_put", lambda name, *more: late.append((name, list(more[0])))
-                               if name.startswith(store_module.SNAPSHOT) else Store._put(self, name, *more)):
-            super()._write(group, writes)
-        for name, pieces in late:
-            self._put(name, pieces)
-
-
-class Trusting(Store):
-    """Goes on behind what reads well, without writing the last group again."""
-
-    def _read_log(self, *more):
-        segments, again = super()._read_log(*more)
-        segments[-1].groups.extend(again)
-        return segments, []
 
+def same_file(write):
+    """Go on in the file whose sync failed."""
+    def written(self, *writes):
+        before = self.group, self.size
+        try:
+            write(self, *writes)
+        except SyncFailed:
+            if (self.group, self.size) != before or any(one.head for one in writes):
+                raise
+            self.group += 1
+            self.failed = False
+    return patch.object(Store, "write", written)
 
-class FailedCounts(Store):
-    """Takes what a failed write left as if it were acknowledged."""
 
-    def reopen(self, *more):
+def failed_counts(reopen):
+    """Take what a failed write left as if it were acknowledged."""
+    def reopened(self, *more):
         if not (self.full and not more[0]):
             data = self.disk.read(f"{LOG}{self.segment:010d}", 0, 1 << 20)
             at, number = 0, self.group
             while (record := records.read(data, at)) is not None:
                 at, number = record.end, max(number, record.number if record.kind == records.LAST else 0)
             self.group = max(self.group, min(number, self.group + 1))
-        return super().reopen(*more)
+        return reopen(self, *more)
+    return patch.object(Store, "reopen", reopened)
 
 
-class SameFile(Store):
-    """Goes on in the file whose sync failed."""
-
-    def write(self, *writes):
-        before = (self.group, self.size)
-        try:
-            super().write(*writes)
-        except SyncFailed:
-            if (self.group, self.size) == before and not any(write.head for write in writes):
-                self.group += 1
-                self.failed = False
-                return
-            raise
-
-
-class MarkFirst(Store):
-    def _write(self, group, writes):
-        self.group += 1
-        self._mark()
-        with suppress(DiskError):
-            self.disk.sync(store_module._marks(self.segment))
-        self.group -= 1
-        super()._write(group, writes)
-
-
-class MetaKept(Store):
-    def _put_meta(self):
-        if store_module.META not in self.disk.names():
-            super()._put_meta()
-
-
-class SwallowsFull(Store):
-    """Answers a write that found no room as if it were done."""
-
-    def write(self, *writes):
-        with suppress(store_module.DiskFull):
-            super().write(*writes)
-        self.failed = False
-
-
-def no_checksums():
-    """Return what reads records without looking at their CRCs."""
-    return mock.patch.object(records, "crc32c", lambda data: 0)
-
-
-def all_torn():
-    """Return what takes each damage at the end for a torn tail."""
-    return mock.patch.object(records, "torn", lambda data, at, number: True)
-
-
-def none_torn():
-    """Return what takes no damage at the end for a torn tail."""
-    return mock.patch.object(records, "torn", lambda data, at, number: False)
-
-
-@contextmanager
-def nothing():
-    yield
-
-
-# Name, the store with the defect, what else is changed.
-DEFECTS = [
-    ("a write is acknowledged without a sync", on(NoSync), nothing),
-    ("files are renamed without a sync", on(NoSyncOfNew), nothing),
-    ("names are not synced", on(NoNames), nothing),
-    ("rename before sync", RenameFirst, nothing),
-    ("a failed sync is tried again", on(SyncAgain), nothing),
-    ("the log goes on in a file whose sync failed", SameFile, nothing),
-    ("what a failed write left counts", FailedCounts, nothing),
-    ("what reads well at opening is trusted", Trusting, nothing),
-    ("old segments are removed before the new snapshot counts", SweepFirst, nothing),
-    ("the old snapshot is removed first", OldFirst, nothing),
-    ("a snapshot is written behind the group that names it", SnapshotAfter, nothing),
-    ("a mark is written before the sync", MarkFirst, nothing),
-    ("meta is not written anew", MetaKept, nothing),
-    ("a full disk is not told", SwallowsFull, nothing),
-    ("no torn tail is cut", Store, none_torn),
-]
-
-
-def found_after(kind, change, most=PLAYS_MOST):
-    """Return (plays until one failed, how); (0, "") if none did."""
-    for seed in range(most):
-        try:
-            with change():
-                random_play(seed, kind)
-        except Exception as exc:
-            return seed + 1, type(exc).__name__
-    return 0, ""
+def sweep_first(write):
+    """Remove old segments before the new snapshot counts."""
+    def written(self, group, writes):
+        if any(one.head is not None for one in writes):
+            heads, newest = list(self.shape.heads), [w.head for w in writes if w.head is not None][-1]
+            self.shape.heads = heads[-1:] + [newest]
+            names = [n for n in self.disk.names() if n.startswith(LOG) and not n.endswith(NEW)]
+            for name in names[:-1] if heads else []:
+                self.disk.remove(name)
+            self.shape.heads = heads
+        write(self, group, writes)
+    return patch.object(Store, "_write", written)
+
+
+NO_CHECKSUMS = [patch.object(records, "crc32c", lambda data: 0)]
+ALL_TORN = [patch.object(records, "torn", lambda data, at, number: True)]  # damage at the end is a torn tail
+DEFECTS = {
+    "a write is acknowledged without a sync": [Line(
+        Store._write, "self.disk.sync(_log(self.segment))", "pass")],
+    "files are renamed without a sync": [Line(Store._put_once, "self.disk.sync(new)", "pass")],
+    "names are not synced": [patch.object(SimDisk, "sync_names", lambda self: None)],
+    "rename before sync": [Line(
+        Store._put_once, "self.disk.sync(new)\n    self.disk.rename(new, name)",
+        "self.disk.rename(new, name)\n    self.disk.sync(name)")],
+    "a failed sync is tried again": [sync_again(SimDisk.sync)],
+    "the log goes on in a file whose sync failed": [same_file(Store.write)],
+    "what a failed write left counts": [failed_counts(Store.reopen)],
+    "what reads well at opening is trusted": [Line(  # the last group is not written again
+        Store._read_log, "return segments, again",
+        "segments[-1].groups.extend(again)\n    return segments, []")],
+    "old segments are removed before the new snapshot counts": [sweep_first(Store._write)],
+    "the old snapshot is removed first": [Line(
+        Store._put, "pieces = list(pieces)",
+        "pieces = list(pieces)\n    if name.startswith(SNAPSHOT):\n"
+        "        for old in [o for o in self.disk.names() if o.startswith(SNAPSHOT) and o != name]:\n"
+        "            self.disk.remove(old)\n        self.disk.sync_names()")],
+    "a snapshot is written behind the group that names it": [Line(
+        Store._write, "self._put(_snapshot(write.head), _pieces(write.head, write.snapshot))", "pass",
+        "self.group += 1", "self.group += 1\n    for one in [w for w in writes if w.head is not None]:\n"
+        "        self._put(_snapshot(one.head), _pieces(one.head, one.snapshot))")],
+    "a mark is written before the sync": [Line(
+        Store._write, "data = records.parts(",
+        "self.group += 1\n    self._mark()\n    with suppress(DiskError):\n"
+        "        self.disk.sync(_marks(self.segment))\n    self.group -= 1\n    data = records.parts(")],
+    "meta is not written anew": [Line(
+        Store.open.__func__, "store._check_meta()\n        store._put_meta()", "store._check_meta()")],
+    "a full disk is not told": [Line(Store.write, "self.full = True\n        raise", "self.full = True")],
+    "no torn tail is cut": [patch.object(records, "torn", lambda data, at, number: False)],
+}
+
+
+def found_after(changes, most=PLAYS_MOST, store=Store):
+    """Return how many plays it took until one failed, and how; None: none did."""
+    with planted(changes):
+        return broken(partial(random_play, seed, store) for seed in range(most))
 
 
 if __name__ == "__main__":
-    for name, kind, change in DEFECTS:
-        plays, how = found_after(kind, change)
-        print(f"| {name} | {plays or 'not found'} | {how} |")
+    for name, changes in DEFECTS.items():
+        row(name, *(found_after(changes) or ("not found", "")))
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -8,7 +8,8 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
-from storedefects import DEFECTS, Late, Through, all_torn, found_after, no_checksums, nothing, on
+from planted import planted
+from storedefects import ALL_TORN, DEFECTS, NO_CHECKSUMS, Late, Through, found_after, on
 from storemodel import (
     FAULTS,
     LIFE,
@@ -515,18 +516,18 @@
 
 
 def test_no_defect_is_found_where_none_is_planted():
-    assert found_after(on(Through), nothing, 30) == (0, "")
-    assert found_after(on(Late), nothing, 60) == (0, "")
+    assert found_after((), 30, on(Through)) is None
+    assert found_after((), 60, on(Late)) is None
 
 
-@pytest.mark.parametrize("name, kind, change", DEFECTS, ids=[name for name, _, _ in DEFECTS])
-def test_planted_defects_are_found_by_plays(name, kind, change):
-    assert found_after(kind, change, 300)[0]
+@pytest.mark.parametrize("name", DEFECTS)
+def test_planted_defects_are_found_by_plays(name):
+    assert found_after(DEFECTS[name], 300)
 
 
-@pytest.mark.parametrize("change, marks", [(no_checksums, True), (all_torn, False)])
-def test_planted_defects_are_found_by_damage(change, marks):
-    with change():
+@pytest.mark.parametrize("changes, marks", [(NO_CHECKSUMS, True), (ALL_TORN, False)])
+def test_planted_defects_are_found_by_damage(changes, marks):
+    with planted(changes):
         play = built(marks=marks)
         with pytest.raises((AssertionError, DecodeError)):
             check_harms(play, marks)
