Messages of entries follow what the way bears; a slow way no longer deposes the leader

Time-outs that did not fit: up to 4 messages of 512 KB were out to a member that is behind, and a probe with entries was sent anew with each heartbeat (50 ms) until answered. Over 0.5 MB/s that is seconds of bytes ahead of each word: the member heard no leader, and where it was needed for a majority the leader heard none and stepped down, with all that waited. Now the size follows how long a round takes (an answer to a round waits for no disk): halved down to 16 KB where that is more than a quarter of an election time-out, else doubled up to append_most; fewer are out while it is small; entries of a probe are sent anew after a time-out, as a heartbeat's answer tells of a loss earlier. At 0.1 MB/s it still steps down again and again (54 s for 40 s of bytes).

--- a/fennelwind/council/leading.py
+++ b/fennelwind/council/leading.py
@@ -19,6 +19,8 @@
 NEAR = 64  # entries that a joiner may lack when it gets its vote: a step or two of traffic
 VOTERS_MOST = 7  # more only make each commit wait for more disks
 MEMBERS_MOST = 9  # with those who catch up
+LATE_PART = 4.0  # of an election time-out: a round that takes longer came over a slow way
+ROUNDS_MOST = 64  # rounds of which it is known when they began; a way that is later than that is cut
 LEAVE_TIMEOUTS = 10  # election time-outs for which a removed member is told so
 
 
@@ -34,6 +36,7 @@
         self.waiting: deque[tuple[int, int]] = deque()  # index of the entry, token
         self.reads = Reads(core.timing.reads_most)
         self.round = 0
+        self.rounds: deque[tuple[int, float]] = deque(maxlen=ROUNDS_MOST)  # when each began
         self.next_beat = now
         self.hand_over_by: float | None = None  # ms: until then nothing is proposed
         self.asked_over: Life | None = None
@@ -149,7 +152,7 @@
     def answered(self, sender: Life, answer: pb.AppendAnswer, now: float) -> None:
         """Take a member's word on entries."""
         peer = self.peers[sender]
-        peer.heard, peer.round = now, max(peer.round, min(answer.round, self.round))
+        self._heard(peer, answer.round, now)
         peer.cannot_write = answer.cannot_write
         if answer.index > self.core.log.last and answer.took:
             self.core.counts["beyond the log"] += 1
@@ -164,10 +167,21 @@
         else:
             peer.back(answer.index)
 
+    def _heard(self, peer: Progress, number: int, now: float) -> None:
+        """Take note of a word; how long a round took tells what the way bears, as it waits for no disk."""
+        number = min(number, self.round)
+        if number > peer.round:
+            peer.round = number
+            began = next((at for one, at in self.rounds if one == number), None)
+            if began is not None:
+                timing = self.core.timing
+                peer.pace(now - began > timing.election_ms / LATE_PART, timing.append_most)
+        peer.heard = now
+
     def piece_answered(self, sender: Life, answer: pb.PieceAnswer, now: float) -> None:
         """Take a member's word on a snapshot's pieces."""
         peer = self.peers[sender]
-        peer.heard, peer.round = now, max(peer.round, min(answer.round, self.round))
+        self._heard(peer, answer.round, now)
         if peer.way == PIECES and peer.head is not None and answer.index == peer.head.index:
             peer.offset, peer.waits = min(answer.offset, len(peer.data)), False
 
@@ -180,8 +194,8 @@
             self.next_beat, self.asked_over = now + timing.heartbeat_ms, None
             if not self.has_majority(now):
                 return False
-            for peer in self.peers.values():  # a probe is asked anew with each heartbeat, a large piece later
-                peer.waits &= peer.way == PIECES and now < peer.asked + timing.election_ms
+            for peer in self.peers.values():  # lost ones are sent anew; a heartbeat.s answer tells earlier
+                peer.waits &= now < peer.asked + timing.election_ms
             self.start_round()
             for life in [life for life, p in self.peers.items() if p.leaves_at and (
                     now >= p.leaves_by or (p.match >= p.leaves_at and p.commit >= p.leaves_at))]:
@@ -230,6 +244,7 @@
     def start_round(self) -> None:
         """Ask all members for their word anew."""
         self.round += 1
+        self.rounds.append((self.round, self.core.now))
         for life, peer in self.peers.items():
             self._send_entries(life, peer, True)
 
@@ -302,11 +317,13 @@
                 self._send_piece(life, peer, beat)
                 return
             entries: list[pb.Entry] = []
-            free = not peer.waits if peer.way == PROBE else len(peer.under_way) < timing.under_way_most
+            most = min(peer.most, timing.append_most)
+            free = not peer.waits if peer.way == PROBE else len(peer.under_way) < max(
+                1, timing.under_way_most * most // timing.append_most)
             if peer.cannot_write and not beat:
                 free = False
             if free and peer.next <= core.log.last:
-                entries = core.log.batch(peer.next, core.log.last, timing.append_most)
+                entries = core.log.batch(peer.next, core.log.last, most)
             if not entries and not beat:
                 return
             before = peer.next - 1
@@ -315,7 +332,8 @@
                 round=self.round, entries=entries)))
             peer.commit, beat = core.commit, False
             if peer.way == PROBE:
-                peer.waits, peer.asked = True, core.now
+                if entries:
+                    peer.waits, peer.asked = True, core.now
                 return
             if entries:
                 peer.next = entries[-1].index + 1
@@ -328,7 +346,7 @@
             self.core.send(life, pb.Message(term=self.term, append=pb.Append(round=self.round)))
         if peer.waits or peer.cannot_write:
             return
-        data = peer.data[peer.offset:peer.offset + self.core.timing.piece_most]
+        data = peer.data[peer.offset:peer.offset + min(self.core.timing.piece_most, peer.most)]
         peer.waits, peer.asked = True, self.core.now
         self.core.send(life, pb.Message(term=self.term, piece=pb.Piece(
             head=peer.head, offset=peer.offset, data=data, round=self.round)))
--- a/fennelwind/council/progress.py
+++ b/fennelwind/council/progress.py
@@ -5,6 +5,8 @@
 
 from fennelwind.council import council_pb2 as pb
 
+FIRST_MOST, LEAST_MOST = 64 * 1024, 16 * 1024  # bytes of one message: until a way is known, and at the least
+
 PROBE, STREAM, PIECES = "probe", "stream", "pieces"  # one message at a time, several, a snapshot first
 
 
@@ -25,9 +27,14 @@
     head: pb.SnapshotHead | None = None  # the snapshot that is being sent
     data: bytes = b""
     offset: int = 0  # all before it has come
+    most: int = FIRST_MOST  # bytes of one message, so that it is no cause to miss a heartbeat
     leaves_at: int = 0  # the index that removes it; 0: it is a member
     leaves_by: float = 0.0  # ms, when it is no longer told that it was removed
 
+    def pace(self, late: bool, most: int) -> None:
+        """A round came back: late ones halve what is sent at once, others double it."""
+        self.most = max(self.most // 2, LEAST_MOST) if late else min(self.most * 2, max(most, LEAST_MOST))
+
     def took(self, index: int) -> None:
         """It agrees and has all on its disk up to here."""
         self.match = max(self.match, index)
--- a/tests/council_search.py
+++ b/tests/council_search.py
@@ -30,7 +30,8 @@
          "asked", "leaves_by")
 LONG_AGO = -1000.0  # ms; all times before are alike
 HIDDEN = ("counts", "random", "core", "timing", "stated", "out", "clock_base", "data", "_shown", "_timer",
-          "began", "clock_at", "asked", "wrote", "joining", "incoming")  # no rule rests on them
+          "began", "clock_at", "asked", "wrote", "joining", "incoming", "most",
+          "rounds")  # no rule rests on them
 
 
 ATOMS = (int, float, str, bytes, bool, type(None), Life)
--- a/tests/test_council_world.py
+++ b/tests/test_council_world.py
@@ -208,3 +208,29 @@
 
     Council(5, 5).play(main)
     assert fences[0][1] - fences[0][0] >= 2000
+
+
+def test_a_member_that_is_needed_catches_up_over_a_slow_way_and_hears_its_leader_meanwhile():
+    def main(council):
+        follower = council.start("f0", "10.0.1.1", (Registers(),))
+        council.until(lambda: council.leader() and len(
+            council.keepers[council.leader()].member.core.log.config.voters) == 3)
+        leader = council.leader()
+        behind, other = (name for name in council.names if name != leader)
+        council.kill(behind)
+        for _ in range(150):
+            with pytest.raises(CommandRefused):  # nobody of that name: it is in the log all the same
+                council.on("f0", lambda: follower.asker.propose("none", bytes(10_000), 5000))
+        council.kill(other)  # from here on the one that is behind is needed for each majority
+        path = council.ways.path
+        council.ways.path = lambda *way: path(*way)._replace(bytes_per_ms=500.0)
+        began = council.world.time
+        council.start(behind)
+        last = council.keepers[leader].member.core.log.last
+        council.until(lambda: (core := council.keepers[behind].member.core) and core.commit >= last)
+        assert council.world.time - began < 6000.0  # the bytes alone take 3 s
+        asked = [name for at, name, what, facts in council.said
+                 if at > began and what == "part" and facts["part"] == "asking"]
+        assert len(asked) < 8, asked
+
+    Council(5).play(main)
