--- a/tests/council_chaos.py
+++ b/tests/council_chaos.py
@@ -1,6 +1,7 @@
 """Whole members, followers, clients and a leased task in a virtual world in which all sorts of things break.
 
-`python tests/council_chaos.py 1000 0` plays seeds 0 to 999 and tells which broke, how, and what was met.
+`python tests/council_chaos.py 1000 0` plays seeds 0 to 999 and tells which broke, how, and what was met; with
+`hard` behind it with more faults, and several at once.
 """
 
 import json
@@ -25,6 +26,7 @@
 TERM_MS = 2000  # of the task's lease
 KEYS = "ab"
 FAULTS = ("kill", "power", "stop", "cut", "full", "sync", "all", "lost")
+HARD = (*FAULTS, "all full", "hang", "slow way", "together", "again", "leave")
 COSTS = Costs(sync_ms=8.0)  # slow, so that many commands are met between a write and its sync
 TIMING = Timing(heartbeat_ms=100.0, election_ms=500.0, kept_entries=200, log_most=64 * 1024)
 
@@ -134,8 +136,10 @@
             self._fault(random.choice(self.faults))
         council.until(lambda: not any(host.dead for host in council.hosts.values()))
         council.ways.cut.clear()
+        council.ways.slow.clear()
         for name in council.names:
-            council.platters[name].room, council.platters[name].sync_fails = 1 << 30, False
+            platter = council.platters[name]
+            platter.room, platter.sync_fails, platter.slow = 1 << 30, False, 1.0
         for name in [*council.names, *self.followers]:
             council.hosts[name].go_on()
         answered, acts = self.counts["answered"], len(self.seen)
@@ -165,21 +169,51 @@
                 council.hosts[random.choice([*council.names, *self.followers])].stop(
                     rig.now() + random.uniform(100.0, 5000.0))
             case "cut":
-                others = [n for n in [*council.names, *self.followers] if n != name]
-                some = random.sample(others, random.randint(1, len(others)))
-                before = set(council.ways.cut)
-                council.ways.part([name], some, random.random() < 0.5)
-                mine = council.ways.cut - before
-                rig.at(rig.now() + random.uniform(200.0, 6000.0), lambda: council.ways.cut.__isub__(mine))
+                self._cut(name)
             case "full":
+                self._fill(name)
+            case "all full":
+                for each in council.names:
+                    self._fill(each)
+            case "together":
+                self._cut(name)
+                for each in random.sample(council.names, random.randint(1, len(council.names))):
+                    self._fill(each)
+                self._kill(random.choice(council.names), random.choice((None, "pick")))
+            case "again":
+                self._kill(name, None, random.randint(2, 6))
+            case "leave":
+                if not council.hosts[name].dead:
+                    council.hosts[name].start(council.keepers[name].hand_over)
+                    life = council.hosts[name]
+                    rig.at(rig.now() + random.uniform(0.0, 2500.0),
+                           lambda: council.hosts[name] is life and self._kill(name, None))
+            case "hang":
                 platter = council.platters[name]
-                platter.room = platter.used() + random.randrange(2000)
-                rig.at(rig.now() + random.uniform(200.0, 5000.0), lambda: setattr(platter, "room", 1 << 30))
+                platter.slow = random.choice((20.0, 500.0))
+                rig.at(rig.now() + random.uniform(200.0, 6000.0), lambda: setattr(platter, "slow", 1.0))
+            case "slow way":
+                council.ways.slow[name] = random.choice((20.0, 200.0, 2000.0))
+                rig.at(rig.now() + random.uniform(200.0, 6000.0), lambda: council.ways.slow.pop(name, None))
             case "sync":
                 platter = council.platters[name]
                 platter.sync_fails = True
                 rig.at(rig.now() + random.uniform(1.0, 300.0), lambda: setattr(platter, "sync_fails", False))
 
+    def _cut(self, name):
+        council, random, rig = self.council, self.random, self.council.world.rig
+        others = [n for n in [*council.names, *self.followers] if n != name]
+        some = random.sample(others, random.randint(1, len(others)))
+        before = set(council.ways.cut)
+        council.ways.part([name], some, random.random() < 0.5)
+        mine = council.ways.cut - before
+        rig.at(rig.now() + random.uniform(200.0, 6000.0), lambda: council.ways.cut.__isub__(mine))
+
+    def _fill(self, name):
+        platter, rig = self.council.platters[name], self.council.world.rig
+        platter.room = platter.used() + self.random.randrange(2000)
+        rig.at(rig.now() + self.random.uniform(200.0, 5000.0), lambda: setattr(platter, "room", 1 << 30))
+
     def _lose(self, name):
         """Let a folder be gone, once the one lost before has all again: one loss at a time is stood."""
         council = self.council
@@ -198,21 +232,27 @@
         self._kill(name, None)
         council.platters[name] = type(council.platters[name])()
 
-    def _kill(self, name, loss):
+    def _kill(self, name, loss, again=0):
         council, rig = self.council, self.council.world.rig
         if council.hosts[name].dead:
             return
         council.kill(name, loss)
-        rig.at(rig.now() + self.random.uniform(10.0, 3000.0),
-               lambda: rig.spawn(self._start, name, name="rig: back"))
+
+        def back():
+            rig.spawn(self._start, name, name="rig: back")
+            if again:
+                rig.at(rig.now() + self.random.uniform(1.0, 400.0), lambda: self._kill(name, loss, again - 1))
+
+        rig.at(rig.now() + self.random.uniform(10.0, 300.0 if again else 3000.0), back)
 
 
 def main():
     """Play seeds; print what broke."""
     count, first = int(sys.argv[1]), int(sys.argv[2]) if len(sys.argv) > 2 else 0
+    faults = HARD if "hard" in sys.argv else FAULTS
     total, began, broke = Counter(), time.monotonic(), []
     for seed in range(first, first + count):
-        chaos = Chaos(seed, members=3 if seed % 4 else 5)
+        chaos = Chaos(seed, members=3 if seed % 4 else 5, faults=faults)
         wrong = chaos.play()
         total += chaos.counts
         if wrong:
--- a/tests/council_world.py
+++ b/tests/council_world.py
@@ -18,9 +18,12 @@
 
     def __init__(self):
         self.cut = set()
+        self.slow = {}  # bytes per ms, of the ways to and from a member
 
     def path(self, now, source, target):
-        return OPEN._replace(cut=True) if (source, target) in self.cut else OPEN
+        rate = min(self.slow.get(source, 0.0) or 1e9, self.slow.get(target, 0.0) or 1e9) if self.slow else 1e9
+        path = OPEN._replace(bytes_per_ms=rate) if rate < 1e9 else OPEN
+        return path._replace(cut=True) if (source, target) in self.cut else path
 
     def next_change(self, now):
         return now + 50.0 if self.cut else FOREVER
