A member that was removed and let in again asks for votes at once

A member was told of its removal, which keeps it from asking for votes for forty election time-outs; it was let in again, got its vote, and the leader removed itself: the only voter kept silent for the rest of its 12 s, and took no hand-over either. Its silence now ends with the first change of members that it learns of after the word; should that be an older one, it asks once and is told again.

--- a/fennelwind/council/core.py
+++ b/fennelwind/council/core.py
@@ -69,7 +69,8 @@
         self.ballot: Ballot | None = None
         self.joining = Joining(self.me, self.stated)
         self.mute = False
-        self.now = self.heard = self.shy_until = -math.inf
+        self.now = self.heard = self.shy_until = self.removed_until = -math.inf
+        self.removed_as_of = 0  # the members that it knew when it was told of its removal
         self.wrote = -math.inf  # when a write came back last, or none was under way
         self.patience = 0.0  # ms without a word from a leader, after which votes are asked for
         self.ask_at: float | None = None  # when to look whether that is so
@@ -148,7 +149,7 @@
                 self.ask_at = self.heard + self.patience
             else:
                 self.draw()
-                if self._may_lead() and now >= self.shy_until and self.writes.hard_done:
+                if self._may_lead() and not self._shy() and self.writes.hard_done:
                     votes.ask_before(self)
         if self._wants_in():
             joining = self.joining
@@ -159,6 +160,11 @@
             if self.empty and joining.founds():
                 self._found()
 
+    def _shy(self) -> bool:
+        """Whether it asks for no votes: it handed over, or was removed and not let in again since."""
+        removed = self.now < self.removed_until and self.log.config.index <= self.removed_as_of
+        return removed or self.now < self.shy_until
+
     def _hand_over(self) -> None:
         self.shy_until = self.now + SHY_TIMEOUTS * self.timing.election_ms
         if self.leading is not None:
@@ -373,7 +379,7 @@
                     leading.piece_answered(sender, message.piece_answer, self.now)
             case "take_over":
                 if term == self.term and sender == self.leader and self._may_lead() \
-                        and self.snapshots.installing is None and self.now >= self.shy_until:
+                        and self.snapshots.installing is None and not self._shy():
                     votes.ask(self, handed_over=True)
             case "join":
                 self._join(sender, message.join)
@@ -383,7 +389,8 @@
                     self.joining.answered(sender, word)
                 elif word.word == pb.JoinAnswer.REFUSED and word.leader == sender.name and not self.hears():
                     self.ballot = None  # it was removed, as a leader says; should that be late, it asks again
-                    self.shy_until = self.now + REMOVED_TIMEOUTS * self.timing.election_ms
+                    self.removed_until = self.now + REMOVED_TIMEOUTS * self.timing.election_ms
+                    self.removed_as_of = self.log.config.index
 
     def _leads(self, sender: Life, term: int, append: bool) -> bool:
         """Take a leader's message as one; False: it is late, or a stranger's while another is heard."""
--- a/tests/council_search.py
+++ b/tests/council_search.py
@@ -26,8 +26,8 @@
 NAMES = ("a", "b", "c")
 LIVES = tuple(Life(name, name.encode()) for name in NAMES)
 TIMING = Timing(heartbeat_ms=100, election_ms=200, append_most=1, under_way_most=2, clock_ms=1e12)
-TIMES = ("now", "heard", "wrote", "shy_until", "ask_at", "_timer", "next_beat", "clock_at", "hand_over_by",
-         "asked", "leaves_by")
+TIMES = ("now", "heard", "wrote", "shy_until", "removed_until", "ask_at", "_timer", "next_beat", "clock_at",
+         "hand_over_by", "asked", "leaves_by")
 LONG_AGO = -1000.0  # ms; all times before are alike
 HIDDEN = ("counts", "random", "core", "timing", "stated", "out", "clock_base", "data", "_shown", "_timer",
           "began", "clock_at", "asked", "wrote", "joining", "incoming", "most",
--- a/tests/test_council.py
+++ b/tests/test_council.py
@@ -516,6 +516,18 @@
     assert (cluster.leader().core.term, cluster.counts["vote"]) == (term, votes)
 
 
+def test_who_was_told_of_its_removal_asks_again_once_it_is_let_in_again():
+    one = One()
+    one.hear(B, 1, join_answer=pb.JoinAnswer(word=pb.JoinAnswer.REFUSED, leader="b", life=b"b"))
+    one.do(wait=2000.0)
+    assert not one.sent("vote")
+    again = entry(2, 2, members=members(A, C))
+    one.hear(C, 2, append=pb.Append(before_index=1, before_term=1, entries=[again]))
+    one.written()
+    one.do(wait=2000.0)
+    assert one.sent("vote")
+
+
 def test_a_leader_that_removes_itself_leads_until_it_is_agreed():
     cluster = founded()
     leader = cluster.leader()
