--- a/fennelwind/council/leading.py
+++ b/fennelwind/council/leading.py
@@ -194,7 +194,7 @@
             self.next_beat, self.asked_over = now + timing.heartbeat_ms, None
             if not self.has_majority(now):
                 return False
-            for peer in self.peers.values():  # lost ones are sent anew; a heartbeat.s answer tells earlier
+            for peer in self.peers.values():  # lost ones are sent anew; a heartbeat's answer tells earlier
                 peer.waits &= now < peer.asked + timing.election_ms
             self.start_round()
             for life in [life for life, p in self.peers.items() if p.leaves_at and (
