Copies that leave go once all controllers say that no query is left there

After a switch the old copy rested a minute of the record's clock, and then up to another, as nobody heard whether queries ran there; and queries went on to engines that were quiet for a table. Controllers now are on a roll on the record (machine roll, level 2) and tell the leader, in one word for all, up to which view they keep queries away and what is still open. The holder of the moves asks it and may drop earlier (Step.cleared, from level 2 on); the holder of a change waits for it before the statements. Without a word the waits are as before. Queries that name a table keep away from engines that are quiet for it, by the same slots and may_send.

--- a/fennelwind/cli/program.py
+++ b/fennelwind/cli/program.py
@@ -106,9 +106,10 @@
         module = self.settings.module
         if not self.settings.file.HasField("moves"):
             return module, None
+        from fennelwind.clearance.book import Book
         from fennelwind.shards.routing import SLOTS_MOST, Routing, widen
 
-        return widen(module, SLOTS_MOST), Routing(module, SLOTS_MOST)
+        return widen(module, SLOTS_MOST), Routing(module, SLOTS_MOST, Book())
 
     def _serve_shards(self, keeper: "Keeper") -> None:
         from fennelwind.shards.shards_pb2 import Shard
@@ -132,7 +133,9 @@
                         told.bytes_per_hour or usual.bytes_per_hour)
         shards = [Shard(name=s.name, table=s.name.partition("/")[0], size=s.size_bytes, copies=s.copies or 1,
                         zones=s.zones or 1, kinds=s.kinds) for s in told.shards]
-        keeper.serve_shards(self.links, homes, told.staging, bounds, shards, self.driver.copies)
+        router = self.driver.router
+        keeper.serve_shards(self.links, homes, told.staging, bounds, shards, self.driver.copies,
+                            book=router.opened, quiet=self.driver.quiet, cleared=told.clearances)
 
     def _engines(self) -> list[str]:
         """Return the engines that are there now, as the module was told."""
--- a/fennelwind/contracts/machine.py
+++ b/fennelwind/contracts/machine.py
@@ -128,6 +128,7 @@
         self.subscriptions: dict[int, Subscription] = {}
         self.changes: dict[int, Underway] = {}
         self.by_table: dict[str, int] = {}  # table -> its change
+        self.lagging: set[str] = set()  # tables with engines that are behind
         self.lapsed: OrderedDict[int, Subscription] = OrderedDict()
         self.wanted: dict[str, tuple[int, int]] = {}  # table -> until, rest until
         self.ended: OrderedDict[int, int] = OrderedDict()
@@ -409,6 +410,7 @@
             change.engines[told.engine] = told.state
             if was == Change.BEHIND != told.state:
                 self.tables[change.table].behind.discard(told.engine)
+                self._note_lagging(change.table)
             (change.quiet.add if told.quiet else change.quiet.discard)(told.engine)
 
     def _turn(self, at: At, told: pb.Turn, facts: Facts, answer: pb.ContractAnswer) -> None:
@@ -480,10 +482,15 @@
                     table.behind.add(engine)
                 elif state == Change.DONE:
                     table.behind.discard(engine)
+        self._note_lagging(change.table)
         self.ended[change.number] = outcome
         while len(self.ended) > ENDED_MOST:
             self.ended.popitem(last=False)
 
+    def _note_lagging(self, name: str) -> None:
+        table = self.tables.get(name)
+        (self.lagging.add if table is not None and table.behind else self.lagging.discard)(name)
+
     # Keeping the subscriptions.
 
     def _list(self, subscription: Subscription) -> None:
@@ -550,6 +557,7 @@
         for told in state.tables:
             schema = read_schema(told.schema)
             self.tables[told.name] = Table(told.version, schema, Form(schema), set(told.behind))
+            self._note_lagging(told.name)
         for told in state.subscriptions:
             self._add(_subscription(told))
         for told in state.lapsed:
--- a/fennelwind/core/driver.py
+++ b/fennelwind/core/driver.py
@@ -31,6 +31,8 @@
 from fennelwind.rules import Gateway
 from fennelwind.spread.advisor import Advisor
 
+UNSURE = ("reset", "timeout", "cancelled")  # ends of attempts whose statement may go on at its engine
+LEFT_MS = 10_000.0  # ms behind an attempt's time in which its engine ends it: by its own time-out, or reaped
 LAST_MOMENT = 0.5  # part of the margin before a client gives up: the module has had its say until then
 
 
@@ -177,6 +179,11 @@
         for event in self.router.seen(places):
             self._push(event)
 
+    def quiet(self, quiet: Any) -> None:
+        """Take a newer view of engines that get no query of some tables."""
+        for event in self.router.quieted(quiet):
+            self._push(event)
+
     def _push(self, event: api.Event) -> None:
         self._events.append(event)
         if not self._asked:
@@ -273,14 +280,27 @@
             if self.router is not None and not self.router.may_send(entry.query, engine):
                 end = AttemptEnd("moot", "it holds no good copy any more")
             else:
+                if self.router is not None:
+                    self.router.begins(entry.query, number, engine)
                 end = self.engines.attempt(engine, order)
         except Cancelled:
             end = AttemptEnd("cancelled", "called off")
         except Exception as exc:  # what broke may have been under way
             self.observer.failed(f"attempt at {engine}", exc)
             end = AttemptEnd("error", f"{type(exc).__name__}: {exc}")
+        if self.router is not None:
+            self._left(entry, number, end, order.deadline_ms)
         self._ended(entry, number, engine, sent, end)
 
+    def _left(self, entry: Entry, number: int, end: AttemptEnd, deadline: float) -> None:
+        """Tell the router of an attempt's end, once nothing of it can be left at its engine."""
+        stream = end.result.stream if end.result is not None else None
+        if stream is not None:
+            stream.on_end = lambda: self.router.over(entry.query, number)
+        else:
+            doubt = end.status in UNSURE
+            self.router.over(entry.query, number, deadline + LEFT_MS if doubt else 0.0)
+
     def _ended(self, entry: Entry, number: int, engine: str, sent: float, end: AttemptEnd) -> None:
         self._tasks.pop((entry.query, number), None)
         if not self.ledger.ended(entry, number):
--- a/fennelwind/core/types.py
+++ b/fennelwind/core/types.py
@@ -97,9 +97,18 @@
     def seen(self, places: Any) -> list[Any]:
         """Take a newer view of the copies; return the lists that the module is to be told."""
 
+    def quieted(self, quiet: Any) -> list[Any]:
+        """Take a newer view of engines that get no query of some tables."""
+
     def may_send(self, query: int, engine: str) -> bool:
         """Tell whether an engine holds what the query reads."""
 
+    def begins(self, query: int, number: int, engine: str) -> None:
+        """An attempt is about to be sent, in the turn in which it was found that it may."""
+
+    def over(self, query: int, number: int, until: float = 0.0) -> None:
+        """An attempt has ended; with `until`, its engine may run it on until then at the longest."""
+
     def ended(self, query: int) -> None:
         """Forget a query."""
 
--- a/fennelwind/engines/rowstream.py
+++ b/fennelwind/engines/rowstream.py
@@ -9,6 +9,7 @@
 and a client that reads slowly slows the engine and not the controller.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 from fennelwind.errors import FennelwindError
@@ -36,6 +37,7 @@
     def __init__(self, links: Any, pool: Any, link: Any, handle: Structure, page_rows: int) -> None:
         self.links, self.pool, self.link, self.handle = links, pool, link, handle
         self.loop, self.page_rows = links.loop, page_rows
+        self.on_end: Callable[[], None] = lambda: None  # called once, when nothing is left at the engine
         self.lost = ""  # why no more can be had
         self.over = False
         self._sent = self._ask()  # the page asked for ahead; if that fails, nothing has flowed yet
@@ -97,6 +99,7 @@
     def _leave(self) -> None:
         self.pool.streams -= 1
         self._timer.cancel()
+        self.on_end()
 
     def _look(self) -> None:
         since = self.loop.now() if self._waiting else self._asked
--- a/fennelwind/keeper/asker.py
+++ b/fennelwind/keeper/asker.py
@@ -145,7 +145,11 @@
     # Commands.
 
     def propose(self, machine: str, body: bytes, within_ms: float) -> bytes:
-        """Have a command done once; return the machine's answer.
+        """Have a command done once; return the machine's answer. Raises as `propose_at` does."""
+        return self.propose_at(machine, body, within_ms)[0]
+
+    def propose_at(self, machine: str, body: bytes, within_ms: float) -> tuple[bytes, int]:
+        """Have a command done once; return the machine's answer, and the entry that did it.
 
         Raises `CommandRefused` and `AskerFull`, where nothing was done, `OutcomeUnknown`, where it may be,
         and `CouncilLost` and its like, where it was never sent or refused by all that were asked.
@@ -167,7 +171,7 @@
             if result is None:
                 raise self._unknown(machine, number) if maybe else self._nobody()
             if result.refusal == Result.NONE:
-                return result.body
+                return result.body, result.index
             if result.refusal == Result.CLIENT_GONE:
                 if client == self._client:
                     self._forget_client()
@@ -270,6 +274,16 @@
         finally:
             self._watches -= 1
 
+    def leader(self, make: Callable[[], pb.Ask], within_ms: float) -> bytes:
+        """Return what the leader alone answers to an ask. Raises `CouncilLost` and its like."""
+        found = self._ask(make, self.loop.now() + within_ms, [False])
+        if found is None:
+            raise self._nobody()
+        if found[1].refusal != Result.NONE:
+            name = Result.Refusal.Name(found[1].refusal)
+            raise CommandRefused(f"the leader: {name} {found[1].text[:200]}".strip(), refusal=name)
+        return found[1].body
+
     def _view(self, view: pb.View, within_ms: float, long_ms: float = 0.0) -> Seen:
         until = self.loop.now() + within_ms
         found = self._ask(lambda: pb.Ask(view=view), until, [False], long_ms)
--- a/fennelwind/keeper/changes.py
+++ b/fennelwind/keeper/changes.py
@@ -4,8 +4,9 @@
 gives it to one. That one's carrier (`contracts.carrying`) decides; this makes its statements and its looks. A
 controller that dies half-way is followed by the next in line, which goes on from what the record says.
 
-That queries which have begun on an engine finish on the old version is the engine's own lock on its table;
-what controllers send there meanwhile is not kept away from it yet.
+Every controller learns by the same watch which engines are quiet for which tables. Where clearances are on,
+the holder waits until all controllers have said that no query of theirs is left on an engine; where one is
+silent for `SILENT_MS`, or keeps no queries away at all, the engine's own lock on its table is what is left.
 """
 
 from collections import Counter, deque
@@ -13,6 +14,7 @@
 from functools import partial
 from math import inf
 
+from fennelwind.clearance import clearance_pb2 as clear
 from fennelwind.contracts import carrying
 from fennelwind.contracts import contracts_pb2 as pb
 from fennelwind.contracts.machine import Underway, read_change
@@ -22,6 +24,7 @@
 from fennelwind.keeper import gate_pb2
 from fennelwind.keeper.asker import Asker
 from fennelwind.keeper.bell import Bell
+from fennelwind.keeper.clearances import Clearances
 from fennelwind.keeper.errors import CouncilError
 from fennelwind.keeper.machines import CONTRACTS
 from fennelwind.keeper.statements import FENCED, LOST, OK, Statement, Statements
@@ -37,9 +40,15 @@
 WATCH_MS = 20_000.0  # ms of one watch for changes under way
 PACE_MS = 200.0  # ms between two watches: a long list is answered at once
 AGAIN_MS = 1000.0  # ms until a watch that failed is tried again
+SHORT_MS = 2000.0  # ms of one while engines are quiet: the age of the view is part of what is said of it
+SILENT_MS = 60_000.0  # ms that a silent controller is waited for: as long as a copy rests that leaves
+HEAR_MS = 500.0  # ms between two questions whether an engine is cleared
 NO_TABLE = "42S02"  # SQLSTATE of a look at a table that is not there
 
 Carrier = carrying.Carrier
+Kept = dict[str, frozenset[str]]  # by table: engines to which no new query of it is to go
+# Takes the entry that a view is of, what is kept away, the pairs that are asked for, whether these are all.
+Quieted = Callable[[int, Kept, list[tuple[str, str]], bool], None]
 
 
 class ChangeGivenUp(FennelwindError):
@@ -71,6 +80,8 @@
     def __init__(self, loop: Loop, asker: Asker, tasks: Tasks, statements: Statements,
                  engines: Callable[[], Iterable[str]], said: Callable[[str, dict], None]) -> None:
         self.loop, self.asker, self.tasks, self.statements = loop, asker, tasks, statements
+        self.quieted: Quieted | None = None  # who keeps queries away here
+        self.clearances: Clearances | None = None  # whom a holder asks here; None: nobody
         self.engines, self.said = engines, said
         self.counts: Counter[str] = Counter()
         self._wanted: dict[str, int] = {}  # tables and the change of each
@@ -86,17 +97,30 @@
             self._task.cancel()
 
     def _watch(self) -> None:
-        query, seen = gate_pb2.ChangeQuery(open=True).SerializeToString(), None
+        query = gate_pb2.ChangeQuery(open=True, behind=self.quieted is not None).SerializeToString()
+        seen, wait = None, WATCH_MS
         while True:
             try:
-                seen = self.asker.watch(CONTRACTS, wait_ms=WATCH_MS, query=query, unlike=seen).state
+                view = self.asker.watch(CONTRACTS, wait_ms=wait, query=query, unlike=seen)
             except CouncilError as exc:
                 self.counts[exc.code] += 1
                 self.loop.sleep(AGAIN_MS)
                 continue
-            self._open(gate_pb2.ChangeTold.FromString(seen))
+            seen, told = view.state, gate_pb2.ChangeTold.FromString(view.state)
+            self._open(told)
+            wait = SHORT_MS if self._tell_quiet(view.index, told) else WATCH_MS
             self.loop.sleep(PACE_MS)
 
+    def _tell_quiet(self, index: int, told: gate_pb2.ChangeTold) -> bool:
+        """Let queries be kept away; tell whether anybody waits for that."""
+        asked = [(change.table, engine) for change in told.open for engine in change.quiet]
+        if self.quieted is not None:
+            kept: dict[str, set[str]] = {each.table: set(each.engines) for each in told.behind}
+            for table, engine in asked:
+                kept.setdefault(table, set()).add(engine)
+            self.quieted(index, {table: frozenset(of) for table, of in kept.items()}, asked, not told.cut)
+        return bool(asked) and self.quieted is not None
+
     def _open(self, told: gate_pb2.ChangeTold) -> None:
         now = {change.table: change.number for change in told.open}
         for table in sorted(set(self._wanted) - set(now)):
@@ -116,17 +140,17 @@
         return True
 
     def _carry_out(self, table: str, number: int, held: Held) -> None:
+        query = gate_pb2.ChangeQuery(number=number, whole=True).SerializeToString()
         try:
-            told = gate_pb2.ChangeTold.FromString(self.asker.read(
-                CONTRACTS, gate_pb2.ChangeQuery(number=number, whole=True).SerializeToString(),
-                within_ms=ASK_MS).state)
+            seen = self.asker.read(CONTRACTS, query, within_ms=ASK_MS)
         except CouncilError as exc:  # called again while the lease is held
             raise TaskNotHeld(f"{held.name}: {exc}", task=held.name) from None
+        told = gate_pb2.ChangeTold.FromString(seen.state)
         if not told.under_way:
             return
         change = read_change(pb.Change.FromString(told.change))
         old = read_schema(pb.Schema.FromString(told.old)) if told.HasField("old") else None
-        over = _Carrying(self, held, change, old).run()
+        over = _Carrying(self, held, change, old, seen.index).run()
         self.said("change " + over.how, {"table": table, "number": number, "reason": over.reason})
         self.counts[over.how] += 1
         if over.how not in ("finished", "undone"):
@@ -137,7 +161,12 @@
 class _Carrying:
     """One change, under one fence."""
 
-    def __init__(self, changes: Changes, held: Held, change: Underway, old: Schema | None) -> None:
+    def __init__(self, changes: Changes, held: Held, change: Underway, old: Schema | None,
+                 seen: int) -> None:
+        # By engine: an entry at which it was quiet, and has been since. What was so at `seen` is, as only
+        # the holder of the lease can let queries go there again.
+        self._quiet_since = dict.fromkeys(change.quiet, seen)
+        self._drains: dict[str, int] = {}  # by engine: the token of what it is to be cleared for
         self.changes, self.loop, self.held, self.change = changes, changes.loop, held, change
         patience = carrying.Patience(answer_ms=STATEMENT_MS + STOP_MS, record_ms=ASK_MS + AGAIN_MS)
         self.carrier = Carrier(change, old, held.fence, patience)
@@ -210,8 +239,11 @@
         match action:
             case carrying.Tell():
                 self._spawn(self._tell, action)
-            case carrying.Quiet(token, engine):
+            case carrying.Quiet(token, engine) if self.changes.clearances is None:
                 self._post(carrying.Drained(token, engine))  # the engine's own lock keeps them apart
+            case carrying.Quiet(token, engine):
+                self._drains[engine] = token
+                self._spawn(self._drain, token, engine)
             case carrying.Run():
                 self._spawn(self._statement, action)
             case carrying.Stop():
@@ -221,13 +253,34 @@
 
     def _tell(self, action: carrying.Tell) -> None:
         try:
-            raw = self.changes.asker.propose(
+            raw, index = self.changes.asker.propose_at(
                 CONTRACTS, action.command.SerializeToString(deterministic=True), ASK_MS)
         except CouncilError as exc:
             self.changes.counts[exc.code] += 1
             self._post(carrying.Recorded(action.token, None))
         else:
-            self._post(carrying.Recorded(action.token, pb.ContractAnswer.FromString(raw)))
+            answer, mark = pb.ContractAnswer.FromString(raw), action.command.mark
+            if action.command.HasField("mark") and not mark.quiet:
+                self._quiet_since.pop(mark.engine, None)
+            elif action.command.HasField("mark") and not answer.refusal:
+                self._quiet_since.setdefault(mark.engine, index)
+            self._post(carrying.Recorded(action.token, answer))
+
+    def _drain(self, token: int, engine: str) -> None:
+        """Wait until no controller has a query of the table on an engine, for as long as it is asked for."""
+        silent_since: float | None = None
+        wish = clear.Wish(table=True, name=self.change.table, engine=engine)
+        while self._drains.get(engine) == token:
+            wish.since = self._quiet_since.get(engine, 2**62)
+            state, = self.changes.clearances.hear([wish])
+            now = self.loop.now()
+            silent_since = None if state != clear.Heard.SILENT else silent_since or now
+            late = silent_since is not None and now - silent_since >= SILENT_MS
+            if late or state in (clear.Heard.CLEARED, clear.Heard.BLIND):
+                self.changes.counts["engines cleared" if not late else "engines not cleared"] += 1
+                self._post(carrying.Drained(token, engine))
+                return
+            self.loop.sleep(HEAR_MS)
 
     def _statement(self, action: carrying.Run) -> None:
         with self.held.act(STATEMENT_MS) as act:
--- a/fennelwind/keeper/copies.py
+++ b/fennelwind/keeper/copies.py
@@ -22,32 +22,39 @@
 Places = dict[str, tuple[str, ...]]
 
 
-def read_places(asker: Asker, known: Places, after: int) -> tuple[Places, int]:
-    """Return where good copies are now, and the revision, from what was known of an earlier one.
+Leaving = Callable[[int, list[tuple[str, str]], bool], None]
+
+
+def read_places(asker: Asker, known: Places, after: int) -> tuple[Places, pb.Places]:
+    """Return where good copies are now, from what was known of an earlier revision, and the first page.
+
+    That one tells the revision of it all, and the copies that wait for their drop.
 
     Raises `CouncilError`.
     """
     heard: Places = {}
-    name, whole, revision = "", False, 0
+    name, first = "", pb.Places()
     while True:
         query = pb.ShardQuery(places=pb.PlacesQuery(after=after, name=name))
         told = pb.Places.FromString(asker.read(SHARDS, query.SerializeToString(), within_ms=READ_MS).state)
         if not name:  # what changes between two pages is told behind the first one's revision
-            whole, revision = told.whole, told.revision
-        elif told.whole and not whole:
+            first = told
+        elif told.whole and not first.whole:
             heard, name, after = {}, "", 0  # another member, which knows no changes of so early
             continue
         heard.update((place.shard, tuple(told.engines[n] for n in place.engines)) for place in told.places)
         if not told.more:
-            return heard if whole else {**known, **heard}, revision
+            return heard if first.whole else {**known, **heard}, first
         name = told.places[-1].shard
 
 
 class Copies:
     """Watches the record for one controller."""
 
-    def __init__(self, loop: Loop, asker: Asker, told: Callable[[Places], None]) -> None:
-        self.loop, self.asker, self.told = loop, asker, told
+    def __init__(self, loop: Loop, asker: Asker, told: Callable[[Places], None],
+                 leaving: Leaving = lambda revision, pairs, whole: None) -> None:
+        """Make it. `told` gets each view; `leaving`, once queries go by it, the copies that leave in it."""
+        self.loop, self.asker, self.told, self.leaving = loop, asker, told, leaving
         self.counts: Counter[str] = Counter()
         self._task: Task | None = None
 
@@ -67,10 +74,12 @@
         while True:
             try:
                 after = self.asker.watch(SHARDS, after, wait_ms=WATCH_MS, query=beyond).revision
-                places, seen = read_places(self.asker, places, seen)
+                places, first = read_places(self.asker, places, seen)
             except CouncilError as exc:
                 self.counts[exc.code] += 1
                 self.loop.sleep(AGAIN_MS)
                 continue
+            seen = first.revision
             self.told(places)
+            self.leaving(seen, [(copy.shard, copy.engine) for copy in first.leaving], not first.cut)
             self.loop.sleep(PACE_MS)
--- a/fennelwind/keeper/machines.py
+++ b/fennelwind/keeper/machines.py
@@ -2,6 +2,7 @@
 
 from google.protobuf.message import DecodeError
 
+from fennelwind.clearance.roll import RollMachine
 from fennelwind.contracts.machine import ContractMachine
 from fennelwind.council.machine import Machine
 from fennelwind.keeper.asking import asked
@@ -10,12 +11,12 @@
 from fennelwind.leases.machine import LeaseMachine, Life
 from fennelwind.shards.machine import ShardMachine
 
-LEASES, CONTRACTS, SHARDS = "leases", "contracts", "shards"
+LEASES, CONTRACTS, SHARDS, ROLL = "leases", "contracts", "shards", RollMachine.name
 
 
 def machines() -> list[Machine]:
     """Return the machines, empty."""
-    return [LeaseMachine(), ContractMachine(), ShardMachine()]
+    return [LeaseMachine(), ContractMachine(), ShardMachine(), RollMachine()]
 
 
 def answer(machine: Machine, query: bytes) -> bytes:
--- a/fennelwind/keeper/member.py
+++ b/fennelwind/keeper/member.py
@@ -10,6 +10,9 @@
 
 from google.protobuf.message import DecodeError
 
+from fennelwind.clearance import clearance_pb2
+from fennelwind.clearance.roll import RollMachine
+from fennelwind.clearance.words import WISHES_MOST, Words
 from fennelwind.council import council_pb2
 from fennelwind.council.interface import (
     Action,
@@ -57,6 +60,7 @@
 OPEN_FIRST_MS, OPEN_MOST_MS = 200.0, 5000.0  # ms between two tries to open the folder, or to write again
 ROOM_MS = 1000.0  # ms between two looks at the disk's room
 LEVEL_MS = 2000.0  # ms between two looks whether all members know a later level; upgrades take minutes
+ROLL = RollMachine.name
 BUSY_MS = 200  # ms after which one who found too many waiting may ask again
 
 Result = council_pb2.Result
@@ -105,6 +109,7 @@
         self.peers = Peers(loop, place.fleet, self.hello, seed, self._wrong, self._met)
         self.door: Door | None = None
         self.counts: Counter[str] = Counter()
+        self.words = Words()
         self.random = self.peers.random
         self._events: deque[Event] = deque()
         self._bell, self._ink = Bell(loop), Bell(loop)
@@ -240,6 +245,8 @@
             self._propose(command, lambda result: self._refuse(caller, ask.token, result))
         elif what == "view":
             self._look(caller, ask.token, ask.view)
+        elif what in ("word", "cleared"):
+            caller.tell(pb.Told(token=ask.token, result=self._cleared(ask).SerializeToString()))
         else:
             self._refuse(caller, ask.token, Result(refusal=Result.UNREADABLE))
 
@@ -247,6 +254,30 @@
     def _refuse(caller: Caller, token: int, result: Result) -> None:
         caller.tell(pb.Told(token=token, result=result.SerializeToString()))
 
+    def _cleared(self, ask: pb.Ask) -> Result:
+        """Take a controller's word, or tell how wishes stand by all words; the leader's alone.
+
+        One that does not know yet that another leads may answer as well: words stay true.
+        """
+        roll = self.state.record.machines.get(ROLL)
+        if roll is None:
+            return Result(refusal=Result.NO_MACHINE)
+        if self.part != "leader":
+            return Result(refusal=Result.NOT_LEADER, leader=self.leader)
+        try:
+            if ask.HasField("word"):
+                self.counts["words"] += 1
+                self.words.take(clearance_pb2.Word.FromString(ask.word), roll)
+                return Result(index=self.state.record.index)
+            wishes = clearance_pb2.Asked.FromString(ask.cleared).wishes
+        except DecodeError:
+            return Result(refusal=Result.UNREADABLE)
+        if len(wishes) > WISHES_MOST:
+            return Result(refusal=Result.TOO_LARGE)
+        record = self.state.record
+        heard = self.words.hears(wishes, roll, record.index, record.clock_ms)
+        return Result(body=heard.SerializeToString(), index=record.index)
+
     def _propose(self, command: council_pb2.Command, tell: Callable[[Result], None]) -> None:
         def answered(answer: Answer) -> None:
             if answer.refusal:
--- a/fennelwind/keeper/moves.py
+++ b/fennelwind/keeper/moves.py
@@ -11,11 +11,14 @@
 from dataclasses import replace
 from functools import partial
 
+from fennelwind.clearance import clearance_pb2 as clear
+from fennelwind.clearance.words import WISHES_MOST
 from fennelwind.council.record import Record
 from fennelwind.engines.links import RemoteError
 from fennelwind.keeper import gate_pb2
 from fennelwind.keeper.asker import Asker
 from fennelwind.keeper.bell import Bell
+from fennelwind.keeper.clearances import Clearances
 from fennelwind.keeper.errors import CouncilError
 from fennelwind.keeper.machines import CONTRACTS, SHARDS
 from fennelwind.keeper.statements import FAILED, LOST, OK, Statement, Statements
@@ -38,6 +41,7 @@
 LIST_MS = 600_000.0  # ms from one list of what an engine holds to the next, where nothing calls for one
 LIST_SOON_MS = 5_000.0  # and after one that failed, or differs from the record
 LOOK_MS = 5_000.0  # ms for a mark or one table's list, and for a statement to be taken by its engine
+HEAR_MS = 500.0  # ms between two questions which copies that leave are cleared
 POLL_MS = 100.0  # ms between looks at engines that answer a status at once
 MARK_BYTES = 16  # no two disks get the same
 BEHIND_MS = 2.0  # ms between looks at whether the record here has come up to what was read
@@ -105,6 +109,7 @@
         self.homes, self.staging, self.said = homes, staging, said
         self.bounds, self.timing, self.planner, self.record = bounds, timing, planner, record
         self.shards = tuple(shards)
+        self.clearances: Clearances | None = None  # whom a holder asks; None: copies go after their rest
         self.counts: Counter[str] = Counter()
 
     def start(self) -> None:
@@ -144,7 +149,7 @@
         try:
             self._look()
             self._declare()
-            for part in (self._watch, self._news, self._list):
+            for part in (self._watch, self._news, self._list, self._hear):
                 self._spawn(part)
             while not self.held.stop.ready:
                 events = list(self._events)
@@ -287,6 +292,20 @@
         index = self._look()  # of this command, or later
         self._post(api.Proposed(action.token, pb.Answer.FromString(raw), index))
 
+    def _hear(self) -> None:
+        """Ask which copies that leave have been cleared by all."""
+        while self.moves.clearances is not None:
+            self.loop.sleep(HEAR_MS)
+            machine = self.machine
+            waiting = machine.waiting()[:WISHES_MOST]
+            moves = [machine.move_of(shard).number for shard, _ in waiting]
+            wishes = [clear.Wish(name=shard, engine=engine, since=machine.touched(shard))
+                      for shard, engine in waiting]
+            for wish, move, state in zip(wishes, moves, self.moves.clearances.hear(wishes) if wishes else (),
+                                         strict=True):
+                if state == clear.Heard.CLEARED:
+                    self._post(api.Quiet(wish.name, wish.engine, move))
+
     # Engines.
 
     def _statement(self, action: api.Run) -> None:
--- a/fennelwind/keeper/whole.py
+++ b/fennelwind/keeper/whole.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
+from fennelwind.clearance.book import Book
 from fennelwind.council.core import Core
 from fennelwind.council.council_pb2 import Member as Stated
 from fennelwind.council.interface import Durable
@@ -9,7 +10,8 @@
 from fennelwind.council.record import LEVEL, Record
 from fennelwind.engines.links import EngineLinks
 from fennelwind.keeper.asker import Asker
-from fennelwind.keeper.changes import Changes
+from fennelwind.keeper.changes import Changes, Kept
+from fennelwind.keeper.clearances import Clearances
 from fennelwind.keeper.copies import Copies, Places
 from fennelwind.keeper.errors import CouncilError
 from fennelwind.keeper.folder import Folder
@@ -44,6 +46,7 @@
         self.changes: Changes | None = None
         self.moves: Moves | None = None
         self.copies: Copies | None = None
+        self.clearances: Clearances | None = None
         self._seed = seed
 
     def _member(self, seed: int, disk: Callable[[], Disk] | None, record: Record) -> Member:
@@ -73,20 +76,49 @@
         self.changes = Changes(self.loop, self.asker, self.tasks, statements, engines, self.said)
 
     def serve_shards(self, links: EngineLinks, homes: Callable[[], Iterable[Home]], staging: str,
-                     bounds: Bounds, shards: Iterable[Shard], told: Callable[[Places], None]) -> None:
-        """Move shards while the lease is held here; `told` gets each newer view of where copies are."""
+                     bounds: Bounds, shards: Iterable[Shard], told: Callable[[Places], None], *,
+                     book: Book | None = None, quiet: Callable[[Kept], None] = lambda kept: None,
+                     cleared: bool = False) -> None:
+        """Move shards while the lease is held here; `told` gets each newer view of where copies are.
+
+        `book` counts the queries that are open here, and `quiet` gets each newer view of the engines that
+        are quiet for tables; with `cleared`, a holder here goes by what all controllers said.
+        """
         statements = Statements(self.loop, links.settings, links.tls)
         record = self.member.state.record if self.member is not None else None
         self.moves = Moves(self.loop, self.asker, self.tasks, statements, homes, staging, self.said, bounds,
                            shards=shards, record=record)
         self.copies = Copies(self.loop, self.asker, told)
+        if book is not None:
+            self._serve_clearances(book, quiet, cleared)
+
+    def _serve_clearances(self, book: Book, quiet: Callable[[Kept], None], cleared: bool) -> None:
+        self.clearances = clearances = Clearances(self.loop, self.asker, self.place.me, book)
+
+        def leaving(revision: int, pairs: list[tuple[str, str]], whole: bool) -> None:
+            book.see_copies(revision, pairs, whole)
+            clearances.changed()
+
+        def quieted(index: int, kept: Kept, asked: list[tuple[str, str]], whole: bool) -> None:
+            quiet(kept)  # the word rests on it, so routing comes first
+            book.see_tables(index, asked, whole)
+            clearances.changed()
+
+        self.copies.leaving = leaving
+        if self.changes is not None:
+            self.changes.quieted = quieted
+            self.changes.clearances = clearances if cleared else None
+        self.moves.clearances = clearances if cleared else None
 
     def start(self) -> None:
         """Take part; returns at once."""
         if self.member is not None:
             self.member.start()
         self.tasks.start()
-        for part in (self.gate, self.changes, self.moves, self.copies):
+        if self.clearances is None and self.changes is not None:
+            # It sends queries, and keeps none away: whoever holds a lease is to know so.
+            self.clearances = Clearances(self.loop, self.asker, self.place.me, None)
+        for part in (self.clearances, self.gate, self.changes, self.moves, self.copies):
             if part is not None:
                 part.start()
 
@@ -128,7 +160,7 @@
 
     def close(self) -> None:
         """Take part no more."""
-        for part in (self.gate, self.changes, self.moves, self.copies):
+        for part in (self.clearances, self.gate, self.changes, self.moves, self.copies):
             if part is not None:
                 part.close()
         self.tasks.close()
--- a/fennelwind/shards/carrier.py
+++ b/fennelwind/shards/carrier.py
@@ -88,10 +88,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Quiet:
-    """No query runs on a copy that is leaving."""
+    """All who may send queries keep them away from a copy that is leaving, and none runs there."""
 
     shard: str
     engine: str
+    move: int
 
 
 Event = Seen | Proposed | Ended | Heard | Quiet
@@ -216,8 +217,7 @@
                     self._heard(event)
                 case Quiet() if self.machine is not None:
                     move = self.machine.move_of(event.shard)
-                    # Before it has rested, a query may still be sent there by an older view.
-                    if move is not None and move.rested and move.drops == event.engine:
+                    if move is not None and (move.number, move.step) == (event.move, "switched"):
                         work = self._work.get(move.number) or self._first_sight(move)
                         work.quiet = True
         for token in [token for token, asked in self._asked.items() if asked.until <= now]:
@@ -466,6 +466,8 @@
     def _at_switched(self, move: Move, work: _Work) -> None:
         if not self._may_go(move):
             return self._take(move, Step.KEEP)
+        if work.quiet and not move.rested:
+            return self._take(move, Step.DROP, cleared=True)
         if not move.rested:
             return
         if work.rested_at < 0.0:
--- a/fennelwind/shards/machine.py
+++ b/fennelwind/shards/machine.py
@@ -28,8 +28,10 @@
 PLAN_MOST = 1_024  # moves in one command, far within the record's bound on a command
 NAME_MOST = 512  # characters of a name
 SIZE_MOST = 2**60  # bytes of a shard or a disk; sums of them stay far from 2**64
-PLACES_MOST = 4_096  # shards in one answer of where copies are; with the longest names it fills a frame
+PLACES_MOST = 3_072  # shards in one answer of where copies are; with the longest names and
+LEAVING_MOST = 512  # copies that wait for their drop beside them, it fills a frame
 PIECE_MOST = 1024 * 1024  # bytes of its state in one answer, half of what a frame holds
+CLEARED_LEVEL = 2  # the record's level from which on a copy may go once its holder heard that it is cleared
 REST_MS = 60_000  # ms from a switch until the old copy may go: who is cut off for less may still send to it
 ASIDE_FIRST_MS, ASIDE_MOST_MS = 30_000, 3_600_000  # ms that a shard rests after a failed move; it doubles
 
@@ -90,6 +92,15 @@
         held = self.copies.get(shard, {})
         return next((engine for engine, copy in sorted(held.items()) if copy.state == "leaving"), "")
 
+    def waiting(self) -> list[tuple[str, str]]:
+        """Return the copies that get no further queries and wait for their drop, by shard and engine."""
+        moves = (move for _, move in sorted(self.moves.items()) if move.step == "switched")
+        return [(m.shard, m.drops) for m in moves if self.leaving(m.shard) == m.drops]
+
+    def touched(self, shard: str) -> int:
+        """Return the entry of a shard's last step, or of a later word on what it holds; 0: there was none."""
+        return self._touched.get(shard, 0)
+
     def room(self, engine: str) -> int:
         """Return the bytes that further copies may take on an engine; below 0 where it holds too much."""
         home = self.homes[engine]
@@ -140,6 +151,10 @@
             shard for shard, at in self._placed.items() if at > asked.after and shard in self.shards)
         names = names[bisect_right(names, asked.name):]
         answer, numbers = pb.Places(revision=self.revision, whole=whole, more=len(names) > PLACES_MOST), {}
+        if not asked.name:
+            waiting = self.waiting()
+            answer.cut = len(waiting) > LEAVING_MOST
+            answer.leaving.extend(pb.Places.Leaving(shard=s, engine=e) for s, e in waiting[:LEAVING_MOST])
         for shard in names[:PLACES_MOST]:
             engines = [numbers.setdefault(engine, len(numbers)) for engine in self.good(shard)]
             answer.places.add(shard=shard, engines=engines)
@@ -413,6 +428,9 @@
         forth = asked.kind in (Step.RESERVE, Step.COPY, Step.CHECK, Step.SWITCH, Step.DROP)
         if forth and _barred(self.shards[move.shard], facts, begins=move.step == "planned"):
             return Answer(refusal=Answer.CHANGING)
+        if move.step == "switched" and asked.kind == Step.DROP and not (move.rested or (
+                asked.cleared and facts.fact("level", "") >= CLEARED_LEVEL)):
+            return Answer(refusal=Answer.WAITS)  # an older view may still send queries there
         refusal = take(move, asked, at)
         if not refusal:
             self._touched[move.shard] = at.index
@@ -508,8 +526,6 @@
     def _drop(self, move: Move, asked: pb.Step, at: At) -> int:
         if move.step != "switched":
             return Answer.STEP
-        if not move.rested:
-            return Answer.WAITS
         copy = self.copies.get(move.shard, {}).get(move.drops)
         if copy is None or copy.state != "leaving":
             return Answer.SOURCE  # it went with its engine, or is in doubt since
--- a/fennelwind/shards/routing.py
+++ b/fennelwind/shards/routing.py
@@ -11,12 +11,27 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import replace
+from typing import Protocol
 
 from fennelwind import interface as api
 
 SLOTS_MOST = 6  # kinds are split by every set of slots, 64 ways then; a look at a class's kinds stays short
 
 Places = Mapping[str, tuple[str, ...]]  # by shard: the engines with good copies
+Quiet = Mapping[str, frozenset[str]]  # by table, in lower case: engines that get no new query of it
+
+
+class Opened(Protocol):
+    """Who counts the attempts that are out (`clearance.book`)."""
+
+    def began(self, attempt: tuple[int, int], shards: Iterable[str], engine: str) -> None:
+        """An attempt is about to be sent."""
+
+    def ended(self, attempt: tuple[int, int]) -> None:
+        """Nothing of it is left at its engine."""
+
+    def unsure(self, attempt: tuple[int, int], until: float) -> None:
+        """Its engine may run it on, until then at the longest."""
 
 
 def widen(settings: api.Settings, slots: int) -> api.Settings:
@@ -53,23 +68,49 @@
 class Routing:
     """One controller's part: which slot a query needs, and what the module is told of engines."""
 
-    def __init__(self, settings: api.Settings, slots: int) -> None:
+    def __init__(self, settings: api.Settings, slots: int, opened: Opened | None = None) -> None:
         self.classes = len(settings.classes)
         self.slots = [_Slot() for _ in range(min(slots, SLOTS_MOST))]
         self.entries: dict[str, api.EngineEntry] = {}  # as discovery told them
         self.places: Places = {}
+        self.quiet: Quiet = {}
+        self.opened = opened
         self.overflows = 0  # queries for which no slot was left
-        self._of_query: dict[int, tuple[_Slot | None, tuple[str, ...]]] = {}
+        self._of_query: dict[int, tuple[_Slot | None, tuple[str, ...]]] = {}  # what is told of has a place
+        self._named: dict[int, tuple[str, ...]] = {}  # all that a query named
         self._uses = 0
 
     def seen(self, places: Places) -> list[api.EngineList]:
         """Take a newer view of the record; return what the module is to be told."""
-        before = self._masks()
         self.places = places
+        return self._turned()
+
+    def quieted(self, quiet: Quiet) -> list[api.EngineList]:
+        """Take a newer view of engines that get no query of some tables; return what the module is told."""
+        if quiet == self.quiet:
+            return []
+        self.quiet = quiet
+        return self._turned()
+
+    def _turned(self) -> list[api.EngineList]:
+        before = self._masks()
         for slot in self.slots:
-            slot.engines = self.holders(slot.shards) or frozenset()
+            slot.engines = self._allowed(slot.shards)
         return self._told(before)
 
+    def _allowed(self, shards: tuple[str, ...]) -> frozenset[str]:
+        """Return the engines for queries that name these; all, less quiet ones, where no shard is known."""
+        if not shards:
+            return frozenset()
+        holders = self.holders(shards)
+        return (frozenset(self.entries) if holders is None else holders) - self._kept_away(shards)
+
+    def _kept_away(self, shards: Iterable[str]) -> frozenset[str]:
+        """Return the engines that are quiet for a table of these shards."""
+        if not self.quiet:
+            return frozenset()
+        return frozenset().union(*(self.quiet.get(s.partition("/")[0].lower(), ()) for s in shards))
+
     def listed(self, event: api.EngineList) -> api.EngineList:
         """Return a list of engines as the module is to be told it."""
         if not self.slots:
@@ -78,6 +119,8 @@
             if event.form != "delta":
                 self.entries = {}
             self.entries.update((entry.engine, entry) for entry in event.engines)
+            for slot in self.slots:  # of tables alone, which any of them may serve
+                slot.engines = self._allowed(slot.shards)
         return replace(event, engines=tuple(self._split(entry) for entry in event.engines))
 
     def holders(self, shards: Iterable[str]) -> frozenset[str] | None:
@@ -87,7 +130,10 @@
 
     def arrives(self, query: int, cls: int, shards: Iterable[str]) -> tuple[int, list[api.EngineList]]:
         """Return the class by which a query is handed to the module, and what it is told ahead of it."""
-        named = tuple(sorted(shard for shard in set(shards) if shard in self.places))
+        if self.opened is not None and shards:
+            self._named[query] = tuple(shards)
+        named = tuple(sorted(shard for shard in set(shards)
+                             if shard in self.places or self._kept_away((shard,))))
         if not self.slots or not named:
             return cls, []
         self._uses += 1
@@ -97,7 +143,7 @@
             slot = min((s for s in self.slots if not s.open), key=lambda s: s.used, default=None)
             if slot is not None:
                 before = self._masks()
-                slot.shards, slot.engines = named, self.holders(named) or frozenset()
+                slot.shards, slot.engines = named, self._allowed(named)
                 told = self._told(before)
         self._of_query[query] = slot, named
         if slot is None:
@@ -110,10 +156,25 @@
         """Tell whether a query may be sent to an engine now; where not, the attempt is `moot`: never sent."""
         _, shards = self._of_query.get(query, (None, ()))
         holders = self.holders(shards)
+        if self.quiet and engine in self._kept_away(self._named.get(query, shards)):
+            return False
         return holders is None or engine in holders
 
+    def begins(self, query: int, number: int, engine: str) -> None:
+        """An attempt that may be sent is about to be; asked for in the same turn as `may_send`."""
+        if self.opened is not None and query in self._named:
+            self.opened.began((query, number), self._named[query], engine)
+
+    def over(self, query: int, number: int, until: float = 0.0) -> None:
+        """An attempt has ended; with `until`, its engine may run it on until then at the longest."""
+        if self.opened is not None and until:
+            self.opened.unsure((query, number), until)
+        elif self.opened is not None:
+            self.opened.ended((query, number))
+
     def ended(self, query: int) -> None:
         """Forget a query that has its answer."""
+        self._named.pop(query, None)
         slot, _ = self._of_query.pop(query, (None, ()))
         if slot is not None:
             slot.open -= 1
--- a/tests/move_play.py
+++ b/tests/move_play.py
@@ -369,9 +369,9 @@
         if self.index % 3 == 0 or self.machine.due() is not None:
             self.pass_time()
         for shard in self.machine.shards:
-            engine = self.machine.leaving(shard)
-            if engine and not self.running[shard, engine]:
-                self.later(5.0, self.step_holder, self.holder, [Quiet(shard, engine)])
+            engine, move = self.machine.leaving(shard), self.machine.move_of(shard)
+            if engine and move.rested and not self.running[shard, engine]:
+                self.later(5.0, self.step_holder, self.holder, [Quiet(shard, engine, move.number)])
 
     # Queries.
 
