--- a/tests/council_chaos.py
+++ b/tests/council_chaos.py
@@ -41,7 +41,8 @@
         self.faults = faults
         self.seen, self.operations, self.counts = [], [], Counter()
         self.fenced = Fenced()
-        self.over, self.lost = False, ""
+        self.over, self.lost, self.end = False, "", 0.0
+        self.ends = False  # the time with faults is over
 
     def play(self):
         """Play; return what is wrong, nothing at best."""
@@ -130,10 +131,11 @@
         for name in self.followers:
             self._start(name)
         council.until(lambda: self.counts["answered"] > 5)
-        end = rig.now() + PLAY_MS
-        while rig.now() < end:
+        self.end = rig.now() + PLAY_MS
+        while rig.now() < self.end:
             rig.sleep(random.expovariate(1 / 1200.0))
             self._fault(random.choice(self.faults))
+        self.ends = True
         council.until(lambda: not any(host.dead for host in council.hosts.values()))
         council.ways.cut.clear()
         council.ways.slow.clear()
@@ -186,7 +188,7 @@
                 if not council.hosts[name].dead:
                     council.hosts[name].start(council.keepers[name].hand_over)
                     life = council.hosts[name]
-                    rig.at(rig.now() + random.uniform(0.0, 2500.0),
+                    rig.at(min(rig.now() + random.uniform(0.0, 2500.0), self.end - 1.0),
                            lambda: council.hosts[name] is life and self._kill(name, None))
             case "hang":
                 platter = council.platters[name]
@@ -234,7 +236,7 @@
 
     def _kill(self, name, loss, again=0):
         council, rig = self.council, self.council.world.rig
-        if council.hosts[name].dead:
+        if council.hosts[name].dead or self.ends:
             return
         council.kill(name, loss)
 
--- a/tests/council_storm.py
+++ b/tests/council_storm.py
@@ -33,6 +33,7 @@
         self.rig = CouncilRig(folder, members, 2, seed=seed + 1, more=paces, task=ACT, clients=1,
                               disk={"loses": True})
         self.lost, self.lost_at = "", 0
+        self.over = False
 
     def play(self):
         """Play and judge. Raises `AssertionError` and `RigFailed`."""
@@ -46,6 +47,7 @@
         while loop.now() < end:
             loop.sleep(random.expovariate(1.0 / EACH_MS))
             self._fault(random.choice(FAULTS))
+        self.over = True
         rig.until(lambda: len(rig.parts) == len(rig.names), "all are back")
         rig.heal()
         for name in rig.names:
@@ -182,7 +184,7 @@
     def _end(self, name):
         """As by SIGTERM, in the middle of whatever there is."""
         def end():
-            if name in rig.parts:
+            if name in rig.parts and not self.over:
                 rig.end(name)
                 rig.loop.after(self.random.uniform(10.0, 3000.0), lambda: self._start(name))
 
@@ -190,7 +192,7 @@
         rig.loop.spawn(end, name="storm: end")
 
     def _kill(self, name, within_ms=3000.0, again=0):
-        if name not in self.rig.parts:
+        if name not in self.rig.parts or self.over:
             return
         self.rig.kill(name)
 
