A lease is not kept where nobody acts: a broken task, a holder whose own record stands

Two ways, by reading, to hold a task of the fleet and do nothing for as long as the controller runs: - Tasks._run gave a lease up for failures that are told (FennelwindError, OSError, TimeoutError); any other exception ended the function, and the holder went on renewing. Now it counts as failed as well, and is reported as before. - Moves._look waited without an end for its own member's record to come up to what a majority says. A member whose folder can't be opened, whose disk stands, or that is closed never does, while the controller's asker renews the lease over the others. After 3 s it now asks for the whole state, as a controller without a member does.

--- a/fennelwind/keeper/moves.py
+++ b/fennelwind/keeper/moves.py
@@ -40,6 +40,7 @@
 POLL_MS = 100.0  # ms between looks at engines that answer a status at once
 MARK_BYTES = 16  # no two disks get the same
 BEHIND_MS = 2.0  # ms between looks at whether the record here has come up to what was read
+BEHIND_MOST_MS = 3000.0  # ms until all is asked for in its place; some 100 are usual
 BEYOND = pb.ShardQuery(skip=2**62).SerializeToString()  # asks for the revision alone
 NO_TABLE = "42S02"  # SQLSTATE of a look at a table that is not there
 
@@ -128,6 +129,7 @@
         self.carrier = api.Carrier(held.fence, 0, moves.planner, moves.staging, moves.bounds, moves.timing)
         self.machine: ShardMachine | None = None
         self.index = 0  # up to which the record is seen
+        self.stood_at = -1  # where the record here stands while others go on; -1: it does not
         self.lives: dict[str, str] = {}  # of engines, as they were told last
         self.marks: dict[str, str] = {}  # of engines that are there, once they are known
         self.list_at: dict[str, float] = {}  # by engine: when its next list is due
@@ -192,8 +194,14 @@
             except CouncilError as exc:  # the lease ends meanwhile, if it lasts
                 self.moves.counts[exc.code] += 1
                 self.loop.sleep(NEWS_MS)
-        while record.index < index:
+        until = self.loop.now() + BEHIND_MOST_MS
+        while record.index < index:  # its folder may not open, its disk stand, its member be closed
+            if self.loop.now() >= until or record.index == self.stood_at:
+                self.stood_at = record.index
+                self.moves.counts["record here stands"] += 1
+                return self._ask_for_all()
             self.loop.sleep(BEHIND_MS)
+        self.stood_at = -1
         self.machine, self.index = record.machines[SHARDS], record.index
         tables = {shard.table for shard in self.machine.shards.values()}
         frozen = frozenset(table for table in tables if record.fact("changing", table))
--- a/fennelwind/keeper/tasks.py
+++ b/fennelwind/keeper/tasks.py
@@ -217,6 +217,10 @@
                 self.said("task failed", {"task": name} | told)
                 self.post(api.Failed(name))
                 return
+            except Exception:  # a defect, which the loop reports: with the lease kept here nobody would act
+                self.counts["broke"] += 1
+                self.post(api.Failed(name))
+                raise
         if not held.stop.ready:
             self.post(api.Finished(name) if over else api.Unwant(name))
 
--- a/tests/test_council_world.py
+++ b/tests/test_council_world.py
@@ -234,3 +234,25 @@
         assert len(asked) < 8, asked
 
     Council(5).play(main)
+
+
+def test_a_task_whose_function_breaks_goes_to_another_controller():
+    acts = []
+
+    def sweep(name):
+        def run(held):
+            acts.append(name)
+            if name == acts[0]:
+                raise KeyError("a defect")
+            held.stop.wait()
+            return False
+        return run
+
+    def main(council):
+        for name in council.names:
+            council.keepers[name].tasks.want("sweep", sweep(name), term_ms=2000)
+        council.until(lambda: len(set(acts)) > 1)
+        assert "a defect" in str(council.world.errors)
+        council.world.errors.clear()
+
+    Council(3).play(main)
--- a/tests/test_moves_whole.py
+++ b/tests/test_moves_whole.py
@@ -125,6 +125,24 @@
     assert sum(e.shelf.loads for e in scene.engines.values()) >= 2
 
 
+def test_a_holder_whose_own_record_stands_goes_on_by_what_the_others_say():
+    scene = Scene(2, True)
+
+    def call():
+        holder = scene.holder()
+        platter = scene.council.platters[holder]
+        platter.fails = True
+        scene.council.until(lambda: scene.council.keepers[holder].member.part == "mute")
+        scene.council.keepers[holder].member.door.close()  # and it hears nothing any more
+        stands = scene.council.keepers[holder].member.state.record.index
+        scene.drain()
+        scene.council.until(lambda: scene.settled(), 120_000.0)
+        assert scene.holder() == holder
+        assert scene.council.keepers[holder].member.state.record.index <= stands + 5
+
+    scene.play(call)
+
+
 def test_an_engine_that_comes_back_with_an_empty_disk_counts_as_another():
     scene = Scene(3)
 
