--- a/fennelwind/observe/logs.py
+++ b/fennelwind/observe/logs.py
@@ -22,10 +22,10 @@
     How many were lost is told with the next line that is written.
     """
 
-    def __init__(self, stream: TextIO) -> None:
+    def __init__(self, stream: TextIO | None) -> None:
         self.stream, self.lost, self._text = stream, 0, ""
         self._fd, self._poll = -1, select.poll()
-        with suppress(OSError, ValueError):  # no descriptor beneath: nothing that could stand still
+        with suppress(OSError, ValueError, AttributeError):  # no descriptor: nothing that could stand still
             self._fd = stream.fileno()
             self._poll.register(self._fd, select.POLLOUT)
 
@@ -37,6 +37,8 @@
         """Write the line, as far as that is possible at once."""
         text, self._text = self._text, ""
         try:
+            if self.stream is None:
+                raise ValueError("standard error was closed by who started this")
             if self._fd < 0:
                 self.stream.write(text)
                 self.stream.flush()
@@ -63,7 +65,7 @@
     stream = stream or sys.stderr
     lines = Lines(stream)
     last = structlog.processors.JSONRenderer() if form == "json" else structlog.dev.ConsoleRenderer(
-        colors=stream.isatty())
+        colors=stream is not None and stream.isatty())
     structlog.configure(
         processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso"),
                     structlog.processors.format_exc_info, lines.tell, last],
