--- a/fennelwind/clearance/book.py
+++ b/fennelwind/clearance/book.py
@@ -2,12 +2,13 @@
 
 No I/O and no clock. Attempts at engines are counted by what their queries name: shards, and the tables ahead
 of their `/`. What is asked for comes with two views, of copies that leave and of engines that are quiet for
-tables; routing goes by a view before this is told of it. The word is made of both at one moment, so that
-whatever began before the view counts as open in it, and nothing begins behind it.
+tables; routing is told a view first, and of an older one nothing. The word is made of both at one moment, so
+that whatever began before the view counts as open in it, and nothing begins behind it.
 """
 
 from collections import Counter
-from collections.abc import Hashable, Iterable
+from collections.abc import Callable, Hashable, Iterable
+from typing import Any
 
 from fennelwind.clearance import clearance_pb2 as pb
 from fennelwind.clearance.words import OPEN_MOST
@@ -27,6 +28,8 @@
     """What is open, what is asked for, and what was said."""
 
     def __init__(self) -> None:
+        self.route_copies: Callable[[Any], None] = lambda places: None  # how routing is told a view
+        self.route_tables: Callable[[Any], None] = lambda kept: None
         self.number = 0  # as which the controller is on the roll; 0: not on it
         self.copies = self.tables = 0  # what its views are of
         self.leaving: frozenset[Pair] = frozenset()
@@ -66,16 +69,18 @@
         """Tell whether an attempt is open that may read it."""
         return pair in self._count
 
-    # Views, which routing goes by already.
+    # Views. An older one, as a member that lags behind may tell it, is passed over by routing as well.
 
-    def see_copies(self, revision: int, leaving: Iterable[Pair], whole: bool = True) -> None:
-        """Take a view of the copies that leave. An older one is passed over."""
+    def see_copies(self, revision: int, places: Any, leaving: Iterable[Pair], whole: bool = True) -> None:
+        """Take a view of where copies are and which ones leave; `whole`: these are all of them."""
         if revision >= self.copies:
+            self.route_copies(places)
             self.copies, self.leaving, self._whole[0] = revision, frozenset(leaving), whole
 
-    def see_tables(self, index: int, quiet: Iterable[Pair], whole: bool = True) -> None:
-        """Take a view of the engines that are quiet for tables. An older one is passed over."""
+    def see_tables(self, index: int, kept: Any, quiet: Iterable[Pair], whole: bool = True) -> None:
+        """Take a view of the engines that get no query of some tables, and of those that are asked for."""
         if index >= self.tables:
+            self.route_tables(kept)
             self.tables, self.quiet, self._whole[1] = index, frozenset(quiet), whole
 
     # Words.
--- a/fennelwind/cli/program.py
+++ b/fennelwind/cli/program.py
@@ -133,9 +133,9 @@
                         told.bytes_per_hour or usual.bytes_per_hour)
         shards = [Shard(name=s.name, table=s.name.partition("/")[0], size=s.size_bytes, copies=s.copies or 1,
                         zones=s.zones or 1, kinds=s.kinds) for s in told.shards]
-        router = self.driver.router
-        keeper.serve_shards(self.links, homes, told.staging, bounds, shards, self.driver.copies,
-                            book=router.opened, quiet=self.driver.quiet, cleared=told.clearances)
+        book = self.driver.router.opened
+        book.route_copies, book.route_tables = self.driver.copies, self.driver.quiet
+        keeper.serve_shards(self.links, homes, told.staging, bounds, shards, book, cleared=told.clearances)
 
     def _engines(self) -> list[str]:
         """Return the engines that are there now, as the module was told."""
--- a/fennelwind/keeper/clearances.py
+++ b/fennelwind/keeper/clearances.py
@@ -8,11 +8,12 @@
 from collections.abc import Iterable
 
 from fennelwind.clearance import clearance_pb2 as pb
-from fennelwind.clearance.book import Book
+from fennelwind.clearance.book import Book, Pair
 from fennelwind.clearance.roll import FORGET_MS
 from fennelwind.keeper import keeper_pb2
 from fennelwind.keeper.asker import Asker
 from fennelwind.keeper.bell import Bell
+from fennelwind.keeper.copies import Places
 from fennelwind.keeper.errors import CommandRefused, CouncilError
 from fennelwind.keeper.machines import ROLL
 from fennelwind.loop import DeadlineExceeded, Loop, Task
@@ -45,8 +46,14 @@
         for task in self._tasks:
             task.cancel()
 
-    def changed(self) -> None:
-        """There may be something to be said."""
+    def copies(self, revision: int, places: Places, leaving: list[Pair], whole: bool) -> None:
+        """Take a view of copies."""
+        self.book.see_copies(revision, places, leaving, whole)
+        self._bell.ring()
+
+    def tables(self, index: int, kept: dict[str, frozenset[str]], quiet: list[Pair], whole: bool) -> None:
+        """Take a view of the engines that get no query of some tables."""
+        self.book.see_tables(index, kept, quiet, whole)
         self._bell.ring()
 
     def _stay(self) -> None:
@@ -66,7 +73,7 @@
                 continue
             if self.book is not None:
                 self.book.number = number
-                self.changed()
+                self._bell.ring()
             self.loop.sleep(RENEW_MS if number else AGAIN_MS)
 
     def _tell(self) -> None:
--- a/fennelwind/keeper/copies.py
+++ b/fennelwind/keeper/copies.py
@@ -22,7 +22,8 @@
 Places = dict[str, tuple[str, ...]]
 
 
-Leaving = Callable[[int, list[tuple[str, str]], bool], None]
+# Takes a revision, where good copies are, which copies wait for their drop, and whether these are all.
+Told = Callable[[int, Places, list[tuple[str, str]], bool], None]
 
 
 def read_places(asker: Asker, known: Places, after: int) -> tuple[Places, pb.Places]:
@@ -51,10 +52,9 @@
 class Copies:
     """Watches the record for one controller."""
 
-    def __init__(self, loop: Loop, asker: Asker, told: Callable[[Places], None],
-                 leaving: Leaving = lambda revision, pairs, whole: None) -> None:
-        """Make it. `told` gets each view; `leaving`, once queries go by it, the copies that leave in it."""
-        self.loop, self.asker, self.told, self.leaving = loop, asker, told, leaving
+    def __init__(self, loop: Loop, asker: Asker, told: Told) -> None:
+        """Make it. `told` gets each view."""
+        self.loop, self.asker, self.told = loop, asker, told
         self.counts: Counter[str] = Counter()
         self._task: Task | None = None
 
@@ -80,6 +80,5 @@
                 self.loop.sleep(AGAIN_MS)
                 continue
             seen = first.revision
-            self.told(places)
-            self.leaving(seen, [(copy.shard, copy.engine) for copy in first.leaving], not first.cut)
+            self.told(seen, places, [(copy.shard, copy.engine) for copy in first.leaving], not first.cut)
             self.loop.sleep(PACE_MS)
--- a/fennelwind/keeper/whole.py
+++ b/fennelwind/keeper/whole.py
@@ -10,9 +10,9 @@
 from fennelwind.council.record import LEVEL, Record
 from fennelwind.engines.links import EngineLinks
 from fennelwind.keeper.asker import Asker
-from fennelwind.keeper.changes import Changes, Kept
+from fennelwind.keeper.changes import Changes
 from fennelwind.keeper.clearances import Clearances
-from fennelwind.keeper.copies import Copies, Places
+from fennelwind.keeper.copies import Copies
 from fennelwind.keeper.errors import CouncilError
 from fennelwind.keeper.folder import Folder
 from fennelwind.keeper.gate import Gate
@@ -76,39 +76,22 @@
         self.changes = Changes(self.loop, self.asker, self.tasks, statements, engines, self.said)
 
     def serve_shards(self, links: EngineLinks, homes: Callable[[], Iterable[Home]], staging: str,
-                     bounds: Bounds, shards: Iterable[Shard], told: Callable[[Places], None], *,
-                     book: Book | None = None, quiet: Callable[[Kept], None] = lambda kept: None,
-                     cleared: bool = False) -> None:
-        """Move shards while the lease is held here; `told` gets each newer view of where copies are.
+                     bounds: Bounds, shards: Iterable[Shard], book: Book, *, cleared: bool = False) -> None:
+        """Move shards while the lease is held here.
 
-        `book` counts the queries that are open here, and `quiet` gets each newer view of the engines that
-        are quiet for tables; with `cleared`, a holder here goes by what all controllers said.
+        `book` counts the queries that are open here, and tells routing each newer view of the record; with
+        `cleared`, a holder here goes by what all controllers have said of theirs.
         """
         statements = Statements(self.loop, links.settings, links.tls)
         record = self.member.state.record if self.member is not None else None
         self.moves = Moves(self.loop, self.asker, self.tasks, statements, homes, staging, self.said, bounds,
                            shards=shards, record=record)
-        self.copies = Copies(self.loop, self.asker, told)
-        if book is not None:
-            self._serve_clearances(book, quiet, cleared)
-
-    def _serve_clearances(self, book: Book, quiet: Callable[[Kept], None], cleared: bool) -> None:
         self.clearances = clearances = Clearances(self.loop, self.asker, self.place.me, book)
-
-        def leaving(revision: int, pairs: list[tuple[str, str]], whole: bool) -> None:
-            book.see_copies(revision, pairs, whole)
-            clearances.changed()
-
-        def quieted(index: int, kept: Kept, asked: list[tuple[str, str]], whole: bool) -> None:
-            quiet(kept)  # the word rests on it, so routing comes first
-            book.see_tables(index, asked, whole)
-            clearances.changed()
-
-        self.copies.leaving = leaving
-        if self.changes is not None:
-            self.changes.quieted = quieted
-            self.changes.clearances = clearances if cleared else None
+        self.copies = Copies(self.loop, self.asker, clearances.copies)
         self.moves.clearances = clearances if cleared else None
+        if self.changes is not None:
+            self.changes.quieted = clearances.tables
+            self.changes.clearances = self.moves.clearances
 
     def start(self) -> None:
         """Take part; returns at once."""
--- /dev/null
+++ b/tests/test_clearance.py
@@ -0,0 +1,51 @@
+"""Clearances without I/O: days of faults against an oracle, defects that they find, the record's rule."""
+
+import pytest
+from clearance_defects import found
+from clearance_play import Play
+
+from fennelwind.council.machine import At
+from fennelwind.shards import shards_pb2 as pb
+from fennelwind.shards.machine import ShardMachine
+
+DAYS = 4  # of some 0.4 s each; `clearance_defects.py` and results/clearance.md have more
+
+
+def test_no_query_is_open_or_begins_where_it_was_said_to_be_clear():
+    counts = {}
+    for seed in range(DAYS):
+        for what, count in Play(seed).play().items():
+            counts[what] = counts.get(what, 0) + count
+    assert min(counts[what] for what in ("cleared", "kept away", "open", "silent")) >= 50, counts
+
+
+@pytest.mark.parametrize("title", ["a word counts for wishes that are younger than its view",
+                                   "a query whose answer nobody waits for is over",
+                                   "the roll counts from its first entry on"])
+def test_a_planted_defect_is_found(title):
+    assert found(title, 20) is not None
+
+
+class Facts:
+    def __init__(self, level):
+        self.level = level
+
+    def fact(self, kind, key):
+        return {"fence": 7, "level": self.level}.get(kind, 0)
+
+
+@pytest.mark.parametrize(("level", "cleared", "refusal"), [
+    (1, True, pb.Answer.WAITS), (2, False, pb.Answer.WAITS), (2, True, pb.Answer.NONE)])
+def test_a_copy_goes_ahead_of_its_rest_by_the_second_level_alone(level, cleared, refusal):
+    state = pb.State(last_move=1)
+    state.shards.add(name="t/", table="t", size=1, copies=1, zones=1)
+    for engine, of in (("e0", "leaving"), ("e1", "good")):
+        state.homes.add(name=engine, life="ready")
+        state.copies.add(shard="t/", engine=engine, state=of)
+    state.moves.add(number=1, shard="t/", target="e1", drops="e0", step="switched")
+    machine = ShardMachine()
+    machine.restore(state.SerializeToString())
+    command = pb.Command(fence=7, step=pb.Step(move=1, kind=pb.Step.DROP, cleared=cleared))
+    answer = pb.Answer.FromString(machine.apply(At(9, 100), command.SerializeToString(), Facts(level)))
+    assert answer.refusal == refusal
+    assert machine.waiting() == ([] if refusal == pb.Answer.NONE else [("t/", "e0")])
--- a/tests/test_clearance_program.py
+++ b/tests/test_clearance_program.py
@@ -2,14 +2,15 @@
 
 import pytest
 import test_moves_program as moves
-from fleet import Fleet, Seen
-from test_gate import FOLLOWER
+from fleet import Fleet, Seen, execute, outcome, status
+from test_gate import FOLLOWER, OLD, WIDER, alter, class_of_alter  # noqa: F401 - a fixture
 
 from fennelwind import config
 from fennelwind import interface as api
 from fennelwind.clearance.roll import RollMachine
 from fennelwind.cli.program import Program
 from fennelwind.keeper import clearances
+from fennelwind.thrift import hiveserver2 as hs2
 
 NAMES = moves.NAMES
 
@@ -51,8 +52,8 @@
         for program in [self.fleet.program, *self.programs.values()]:
             program.driver.post(event)
 
-    def gone_after(self, name):
-        """Wait until the copy of a shard that leaves has gone; return the ms since the switch."""
+    def gone_after(self):
+        """Wait until a copy that leaves has gone; return the ms since the switch."""
         machine = self.record().machines["shards"]
         self.until(lambda: machine.waiting())
         began = self.host.now()
@@ -60,6 +61,13 @@
         return self.host.now() - began
 
 
+def publish(link, columns, version=0):
+    overlay = {"fennelwind.publisher": "load", "fennelwind.schema.sales.orders": columns,
+               "fennelwind.schema_version.sales.orders": str(version), "fennelwind.back": alter(OLD)}
+    return link.call("ExecuteStatement", hs2.TExecuteStatementReq(
+        sessionHandle=link.session, statement=alter(columns), confOverlay=overlay, queryTimeout=120))
+
+
 MOVES = moves.MOVES.replace("moves {", "moves { clearances: true")
 
 
@@ -70,12 +78,51 @@
     monkeypatch.setattr(clearances, "RENEW_MS", 10_000.0)
 
 
-def test_a_copy_goes_when_all_have_said_that_no_query_is_left_there():
+def test_copies_go_as_soon_as_all_have_said_so_and_not_while_one_has_a_query_there_or_is_silent():
     scene = Scene(1)
 
     def call():
-        scene.drain(scene.fleet.engines[0])
-        assert scene.gone_after(NAMES[0]) < 5_000.0
+        first, second = scene.fleet.engines[:2]
+        handle = execute(scene.link, "load x", 9_000.0, asynchronous=True, timeout=60,
+                         **{"fennelwind.shards": NAMES[0], "fennelwind.work_ms": "10"})
+        scene.host.sleep(100.0)
+        scene.drain(first)
+        took = scene.gone_after()
+        assert status(scene.link, handle).operationState == hs2.FINISHED and 2_000.0 < took < 15_000.0
+        scene.link = scene.fleet.client()
+        assert outcome(lambda: scene.ran_at(NAMES[0])) == "served"
+        scene.others["c1"].kill()  # it stays on the roll until it is forgotten
+        scene.drain(second)
+        assert 15_000.0 < scene.gone_after() < 50_000.0
         assert scene.fleet.seen.failures == []
 
     scene.play(call)
+
+
+def test_an_engine_is_changed_once_the_queries_of_its_table_have_ended_and_new_ones_go_elsewhere():
+    scene = Scene(2)
+
+    def call():
+        engines = scene.fleet.engines
+        for engine in engines:
+            engine.schemas.run(f"CREATE TABLE IF NOT EXISTS sales.orders ({OLD})")
+        named = {"fennelwind.shards": "Sales.orders/day=9"}
+        publish(scene.fleet.client(), OLD)
+        handle = execute(scene.link, "load x", 12_000.0, asynchronous=True, timeout=60,
+                         **named, **{"fennelwind.work_ms": "10"})
+        scene.host.sleep(100.0)
+        busy = next(e for e in engines if e._running)
+        columns = lambda engine: len(engine.schemas.tables["sales.orders"])  # noqa: E731
+        version = scene.record().machines["contracts"].tables["sales.orders"].version
+        task = scene.host.spawn(publish, scene.fleet.client(), WIDER, version)
+        scene.until(lambda: scene.record().machines["contracts"].quiet("sales.orders") == {busy.name})
+        scene.until(lambda: scene.fleet.program.driver.router.quiet)
+        for _ in range(5):
+            execute(scene.link, "select 1", **named)
+            assert scene.fleet.seen.attempts[-1][2] != busy.name and columns(busy) == 2
+        scene.until(lambda: columns(busy) == 3)
+        assert status(scene.link, handle).operationState == hs2.FINISHED
+        scene.until(lambda: task.done)
+        assert task.error is None and scene.fleet.seen.failures == []
+
+    scene.play(call)
