Rooms know the clearances; workers' signal is the loop's

Seen: the tests of the shape failed on the merged state: the room clearance was in no table, a method named open passed for a file's, and two files of the rig imported signals. Change: the table, is_open, TELL_WHERE in loop/real.py.

--- a/fennelwind/clearance/book.py
+++ b/fennelwind/clearance/book.py
@@ -65,7 +65,7 @@
         if attempt in self._open:
             self._unsure[attempt] = until
 
-    def open(self, pair: Pair) -> bool:
+    def is_open(self, pair: Pair) -> bool:
         """Tell whether an attempt is open that may read it."""
         return pair in self._count
 
--- a/fennelwind/fleet/councilrig.py
+++ b/fennelwind/fleet/councilrig.py
@@ -8,7 +8,6 @@
 import json
 import os
 import shutil
-import signal
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -284,7 +283,7 @@
         try:
             self.until(ended, f"{name} ends", END_S)
         except RigFailed:
-            part.process.send_signal(signal.SIGUSR1)  # its log tells where it stands
+            part.tell_where()
             self.loop.sleep(500.0)
             raise
         self._drain(name, part)
--- a/fennelwind/fleet/councilwork.py
+++ b/fennelwind/fleet/councilwork.py
@@ -8,7 +8,6 @@
 import json
 import re
 import resource
-import signal
 import sys
 from contextlib import suppress
 from itertools import count
@@ -25,6 +24,7 @@
 from fennelwind.keeper.tasks import Held
 from fennelwind.keeper.whole import Keeper
 from fennelwind.loop import RealLoop, Stream, parse_address
+from fennelwind.loop.real import TELL_WHERE
 
 KEYS = ("a", "b", "c")  # registers that all clients use: few, so that they meet
 PAUSE_MS = 10.0  # ms between two asks of a client, at most
@@ -189,7 +189,7 @@
 
 def main() -> int:
     """Be one controller of the rig."""
-    faulthandler.register(signal.SIGUSR1)  # a rig that waits in vain has it write down where it stands
+    faulthandler.register(TELL_WHERE)  # a rig that waits in vain has it write down where it stands
     spec = json.loads(sys.stdin.readline())
     loop = SkewedLoop(spec.get("pace", 1.0))
 
--- a/fennelwind/fleet/processes.py
+++ b/fennelwind/fleet/processes.py
@@ -30,6 +30,7 @@
 from fennelwind.fleet.settings import Book, config_text
 from fennelwind.fleet.virtual import Outcome
 from fennelwind.loop import Address, ConnectFailed, DeadlineExceeded, Loop, RealLoop, StreamReset
+from fennelwind.loop.real import TELL_WHERE
 
 PORT_FIRST, PORT_LAST = 20_000, 32_000  # base ports; below what the system gives to connections
 LOCK_HOST = "127.19.0.1"  # whoever listens there at a base port has that port's rig
@@ -129,6 +130,10 @@
         """Let it go on."""
         self.process.send_signal(signal.SIGCONT)
 
+    def tell_where(self) -> None:
+        """Have it write down in its log where its tasks stand, if its program does so."""
+        self.process.send_signal(TELL_WHERE)
+
     def close(self) -> None:
         """End it, whatever it is doing."""
         with suppress(BrokenPipeError):
--- a/fennelwind/loop/real.py
+++ b/fennelwind/loop/real.py
@@ -35,6 +35,7 @@
 SHORT_OF = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 NO_LISTENER = {errno.EBADF, errno.EINVAL, errno.ENOTSOCK}  # of accept: it will never take a connection again
 HANGUP, TERMINATE, INTERRUPT = signal.SIGHUP, signal.SIGTERM, signal.SIGINT
+TELL_WHERE = signal.SIGUSR1  # a rig has its workers write down where they stand
 NAMES_MOST = 4096  # hosts of which it is known whether they are names
 AGAIN = (BlockingIOError, InterruptedError)
 
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -71,8 +71,8 @@
     """Return how many examples it took until a model disagreed with what is under test, and how.
 
     They are drawn in rounds, each from its number, so that more examples are the same ones and others.
-    Hypothesis draws constants that it finds in the modules which happen to be loaded, so examples would differ
-    with what ran before: it gets none here, and the same examples come each time.
+    Hypothesis draws constants that it finds in the modules which happen to be loaded, so examples would
+    differ with what ran before: it gets none here, and the same examples come each time.
     """
     examples = [0]
 
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -129,7 +129,7 @@
 # The shape of the program.
 
 LAYERS = ["errors", "interface", "state", "rules", "adapter", "loop", "thrift", "config", "limits",
-          "recovery", "council", "store", "leases", "shards", "contracts",
+          "recovery", "council", "store", "leases", "clearance", "shards", "contracts",
           "spread", "core", "engines", "node", "keeper", "fronts", "client",
           "observe", "standin", "audit", "lab", "fleet", "cli"]
 MAY = {
@@ -137,9 +137,10 @@
     "adapter": {"interface", "rules"},
     "errors": set(), "loop": {"errors"}, "thrift": set(), "config": {"errors", "interface", "loop"},
     "council": {"errors"}, "store": {"errors", "loop", "council"}, "leases": {"errors", "council"},
+    "clearance": {"council"},
     "shards": {"errors", "council", "interface"}, "contracts": {"errors", "council"},
-    "keeper": {"errors", "config", "thrift", "loop", "council", "store", "leases", "shards", "contracts",
-               "core", "engines"},
+    "keeper": {"errors", "config", "thrift", "loop", "council", "store", "leases", "clearance", "shards",
+               "contracts", "core", "engines"},
     "core": {"interface", "rules", "loop", "limits", "recovery", "spread"},
     "limits": set(), "recovery": set(), "spread": {"interface"},
     "engines": {"errors", "interface", "loop", "thrift", "config", "core"},
@@ -185,7 +186,8 @@
                  "limits/lines.py", "limits/places.py", "node/msgrpc.py", "node/http1.py",
                  "node/statement.py", "node/requests.py", "node/view.py", "fleet/plan.py", "fleet/links.py",
                  "fleet/yardsticks.py", "spread/estimate.py", "spread/subset.py", "spread/advisor.py",
-                 *(str(p.relative_to(ROOT)) for room in ("council", "leases", "shards", "contracts")
+                 *(str(p.relative_to(ROOT)) for room in (
+                     "council", "leases", "clearance", "shards", "contracts")
                    for p in (ROOT / room).glob("*.py"))):
         assert not re.findall(pattern, (ROOT / name).read_text("utf-8"), re.M), name
 
