A log's descriptor is written by the loop's own room

Seen: the test that only the loop touches poll failed on the merged logs. Change: Outlet in loop/outlet.py, used by observe/logs.py.

--- a/fennelwind/observe/logs.py
+++ b/fennelwind/observe/logs.py
@@ -1,7 +1,5 @@
 """Logs by structlog, as JSON or for a terminal; rate-limited where clients or engines could flood them."""
 
-import os
-import select
 import sys
 from collections.abc import Callable
 from contextlib import suppress
@@ -12,6 +10,7 @@
 from fennelwind.core.ledger import Entry
 from fennelwind.core.types import SERVED, AttemptEnd
 from fennelwind.limits.lines import RateLimit
+from fennelwind.loop.outlet import Outlet
 
 TEXT_MOST = 300  # letters of a reason in a log
 
@@ -24,10 +23,9 @@
 
     def __init__(self, stream: TextIO | None) -> None:
         self.stream, self.lost, self._text = stream, 0, ""
-        self._fd, self._poll = -1, select.poll()
+        self._outlet: Outlet | None = None
         with suppress(OSError, ValueError, AttributeError):  # no descriptor: nothing that could stand still
-            self._fd = stream.fileno()
-            self._poll.register(self._fd, select.POLLOUT)
+            self._outlet = Outlet(stream.fileno())
 
     def write(self, text: str) -> None:
         """Take a part of a line."""
@@ -39,22 +37,15 @@
         try:
             if self.stream is None:
                 raise ValueError("standard error was closed by who started this")
-            if self._fd < 0:
+            if self._outlet is None:
                 self.stream.write(text)
                 self.stream.flush()
             else:
-                self._write(text.encode("utf-8", "replace"))
+                self._outlet.write(text.encode("utf-8", "replace"))
             self.lost = 0
         except (OSError, ValueError):  # no room, nobody reads, closed
             self.lost += 1
 
-    def _write(self, rest: bytes) -> None:
-        """Write so much at once that a pipe which is ready takes it without waiting."""
-        while rest:
-            if not self._poll.poll(0):
-                raise BlockingIOError
-            rest = rest[os.write(self._fd, rest[:select.PIPE_BUF]):]
-
     def tell(self, logger: object, method: str, line: dict[str, Any]) -> dict[str, Any]:
         """Say in a line how many before it were lost; one of structlog's processors."""
         return line | {"lost": self.lost} if self.lost else line
