The carrier begins copies by the planner's bounds; plans are made beside the loop; counted heat

Bounds on streams and on bytes an hour had code of their own in the carrier: a retry from another source took a stream that was not free, retries and a new holder's copies were not counted. Now shards/pace.py decides both, and the record keeps what began within the hour (from its level 2 on), so the bound holds over a change of holder.

Plans are made in a thread beside the loop from a world that nobody changes; one that moves came in between is left.

Queries that name shards are counted by each controller and told in a batch every ten minutes; the record fades them by whole numbers, by its own clock. Evenness takes four standard deviations of such counts for chance.

--- a/fennelwind/cli/program.py
+++ b/fennelwind/cli/program.py
@@ -132,7 +132,8 @@
                         told.bytes_per_hour or usual.bytes_per_hour)
         shards = [Shard(name=s.name, table=s.name.partition("/")[0], size=s.size_bytes, copies=s.copies or 1,
                         zones=s.zones or 1, kinds=s.kinds) for s in told.shards]
-        keeper.serve_shards(self.links, homes, told.staging, bounds, shards, self.driver.copies)
+        keeper.serve_shards(self.links, homes, told.staging, bounds, shards, self.driver.copies,
+                            self.driver.router.named)
 
     def _engines(self) -> list[str]:
         """Return the engines that are there now, as the module was told."""
--- a/fennelwind/council/record.py
+++ b/fennelwind/council/record.py
@@ -15,7 +15,7 @@
 
 CLIENTS_MOST = 4096  # clients remembered; the one that was quiet for longest goes first
 KEPT_MOST = 64  # answers kept for one client; it may have as many commands under way
-LEVEL = 1  # that this version knows; a new machine, or command of an old one, comes with the next
+LEVEL = 2  # that this version knows; a new machine, or command of an old one, comes with the next
 ITSELF = "record"  # the machine that a command to raise the level names
 COMMAND_MOST = 256 * 1024  # bytes of one command's body; what is larger is cut into several by who asks
 
--- a/fennelwind/keeper/moves.py
+++ b/fennelwind/keeper/moves.py
@@ -20,13 +20,13 @@
 from fennelwind.keeper.statements import FAILED, LOST, OK, Statement, Statements
 from fennelwind.keeper.tasks import Held, Tasks
 from fennelwind.leases.errors import TaskNotHeld
-from fennelwind.loop import Cancelled, DeadlineExceeded, Loop, Task
+from fennelwind.loop import Cancelled, Channel, DeadlineExceeded, Loop, Task
 from fennelwind.shards import carrier as api
 from fennelwind.shards import shards_pb2 as pb
 from fennelwind.shards import steps
 from fennelwind.shards.machine import LEASE, PLAN_MOST, ShardMachine
 from fennelwind.shards.plan import plan
-from fennelwind.shards.state import Bounds, Home
+from fennelwind.shards.state import Bounds, Home, Planned, World
 from fennelwind.thrift import hiveserver2 as hs2
 from fennelwind.thrift.codec import Malformed
 
@@ -38,6 +38,8 @@
 LIST_SOON_MS = 5_000.0  # and after one that failed, or differs from the record
 LOOK_MS = 5_000.0  # ms for a mark or one table's list, and for a statement to be taken by its engine
 POLL_MS = 100.0  # ms between looks at engines that answer a status at once
+LISTS_AT_ONCE = 16  # engines that are listed side by side; 200 engines of 1,000 tables take a minute then
+STARTS_AT_ONCE = 32  # statements that are being sent; with the lists, far within the guard's bound on acts
 MARK_BYTES = 16  # no two disks get the same
 BEHIND_MS = 2.0  # ms between looks at whether the record here has come up to what was read
 BEYOND = pb.ShardQuery(skip=2**62).SerializeToString()  # asks for the revision alone
@@ -93,7 +95,7 @@
     def __init__(self, loop: Loop, asker: Asker, tasks: Tasks, statements: Statements,
                  homes: Callable[[], Iterable[Home]], staging: str, said: Callable[[str, dict], None],
                  bounds: Bounds | None = None, timing: api.Timing | None = None,
-                 planner: api.Planner = plan, shards: Iterable[pb.Shard] = (),
+                 planner: Callable[[World, Bounds], Planned] = plan, shards: Iterable[pb.Shard] = (),
                  record: Record | None = None) -> None:
         """Make it. `homes` tells the engines that are there now; `shards` are those that settings state.
 
@@ -105,6 +107,7 @@
         self.bounds, self.timing, self.planner, self.record = bounds, timing, planner, record
         self.shards = tuple(shards)
         self.counts: Counter[str] = Counter()
+        self.planning = False  # a plan is being made, for this or an earlier time that the lease was held
 
     def start(self) -> None:
         """Want the lease from now on."""
@@ -125,12 +128,14 @@
 
     def __init__(self, moves: Moves, held: Held) -> None:
         self.moves, self.loop, self.held, self.asker = moves, moves.loop, held, moves.asker
-        self.carrier = api.Carrier(held.fence, 0, moves.planner, moves.staging, moves.bounds, moves.timing)
+        self.carrier = api.Carrier(held.fence, 0, moves.staging, moves.bounds, moves.timing)
         self.machine: ShardMachine | None = None
         self.index = 0  # up to which the record is seen
         self.lives: dict[str, str] = {}  # of engines, as they were told last
         self.marks: dict[str, str] = {}  # of engines that are there, once they are known
         self.list_at: dict[str, float] = {}  # by engine: when its next list is due
+        self.listing: set[str] = set()  # engines that are being listed
+        self.starts = Channel(self.loop, STARTS_AT_ONCE)  # holds one for each statement that is being sent
         self.shards: frozenset[str] = frozenset()  # that lists were made of
         self.hands: Hands[api.Event] = Hands(self.loop, held.name)
         self._statements: dict[int, Task] = {}
@@ -140,7 +145,7 @@
         try:
             self._look()
             self._declare()
-            for part in (self._watch, self._news, self._list):
+            for part in (self._watch, self._news, *[self._list] * LISTS_AT_ONCE):
                 self.hands.spawn(part)
             while not self.held.stop.ready:
                 wake = self.loop.now() + NEWS_MS
@@ -150,6 +155,8 @@
                             self.hands.spawn(self._propose, action)
                         case api.Run():
                             self._statements[action.token] = self.hands.spawn(self._statement, action)
+                        case api.Plan():
+                            self.hands.spawn(self._plan, action)
                         case api.Stop(token) if token in self._statements:
                             self._statements[token].cancel()
                         case api.Wake(at):
@@ -218,7 +225,7 @@
                 self.moves.counts[exc.code] += 1
                 self.loop.sleep(NEWS_MS)
         if seen.index >= self.index:  # else a later look has come ahead of this one
-            if self.machine is None or self.machine.revision != revision:
+            if self.machine is None or self.machine.state_at != revision:
                 self.machine = ShardMachine()
                 self.machine.restore(data)
             self.index = seen.index
@@ -258,15 +265,26 @@
         index = self._look()  # of this command, or later
         self.hands.post(api.Proposed(action.token, pb.Answer.FromString(raw), index))
 
+    def _plan(self, action: api.Plan) -> None:
+        """Have a plan made beside the loop, one at a time; the carrier asks anew for one left out."""
+        if not self.moves.planning:
+            self.moves.planning = True
+            self.loop.spawn(self._make, action, name="plan of moves")  # it ends, lease or not
+
+    def _make(self, action: api.Plan) -> None:
+        try:
+            planned = self.loop.aside(self.moves.planner, action.world, action.bounds)
+        finally:
+            self.moves.planning = False
+        self.hands.post(api.Made(action.token, planned))
+
     # Engines.
 
     def _statement(self, action: api.Run) -> None:
         made = self.moves.statements
         statement, rows = _Long(made.loop, made.links, made.tls, action.engine), []
         try:
-            with self.held.act(LOOK_MS) as act:
-                how = statement.send(action.statement, action.overlay, LOOK_MS)
-                act.open = how == LOST
+            how = self._send(statement, action)
             if how == OK:
                 how, rows = statement.wait(action.timeout_ms)
         except Cancelled:  # it took too long, or the lease has gone
@@ -285,6 +303,19 @@
                 outcome = "failed"
         self.hands.post(api.Ended(action.token, outcome, *figures))
 
+    def _send(self, statement: _Long, action: api.Run) -> str:
+        """Send a statement once there is a place; one without an answer keeps it as long as its act."""
+        self.starts.put(None)
+        after = 0.0
+        try:
+            with self.held.act(LOOK_MS) as act:
+                how = statement.send(action.statement, action.overlay, LOOK_MS)
+                act.open = how == LOST
+                after = LOOK_MS if act.open else 0.0
+        finally:
+            self.loop.after(after, self.starts.get)
+        return how
+
     def _news(self) -> None:
         """Tell of engines that come and go, each with its disk's mark once that is known."""
         while True:
@@ -306,15 +337,20 @@
             self.loop.sleep(NEWS_MS)
 
     def _list(self) -> None:
-        """Read marks, and what engines hold, one engine after the other."""
+        """Read marks, and what engines hold: of each engine for itself, of some of them side by side."""
         while True:
             now = self.loop.now()
-            at, name = min(((at, name) for name, at in self.list_at.items()), default=(now + NEWS_MS, ""))
+            due = ((at, name) for name, at in self.list_at.items() if name not in self.listing)
+            at, name = min(due, default=(now + NEWS_MS, ""))
             if at > now:
                 self.loop.sleep(min(at - now, NEWS_MS))
                 continue
-            mark = self._mark(name)
-            held = self._held(name) if mark else None
+            self.listing.add(name)
+            try:
+                mark = self._mark(name)
+                held = self._held(name) if mark else None
+            finally:
+                self.listing.discard(name)
             if name not in self.list_at:
                 continue  # it went meanwhile
             known = {shard for shard, copies in self.machine.copies.items() if name in copies}
--- a/fennelwind/keeper/whole.py
+++ b/fennelwind/keeper/whole.py
@@ -14,6 +14,7 @@
 from fennelwind.keeper.errors import CouncilError
 from fennelwind.keeper.folder import Folder
 from fennelwind.keeper.gate import Gate
+from fennelwind.keeper.heat import Heat
 from fennelwind.keeper.machines import answer, machines
 from fennelwind.keeper.member import Member
 from fennelwind.keeper.moves import Moves
@@ -22,6 +23,7 @@
 from fennelwind.keeper.tasks import Tasks
 from fennelwind.loop import Loop
 from fennelwind.loop.disk import Disk
+from fennelwind.shards.heat import Named
 from fennelwind.shards.shards_pb2 import Shard
 from fennelwind.shards.state import Bounds, Home
 from fennelwind.store.store import Limits
@@ -44,6 +46,7 @@
         self.changes: Changes | None = None
         self.moves: Moves | None = None
         self.copies: Copies | None = None
+        self.heat: Heat | None = None
         self._seed = seed
 
     def _member(self, seed: int, disk: Callable[[], Disk] | None, record: Record) -> Member:
@@ -73,20 +76,25 @@
         self.changes = Changes(self.loop, self.asker, self.tasks, statements, engines, self.said)
 
     def serve_shards(self, links: EngineLinks, homes: Callable[[], Iterable[Home]], staging: str,
-                     bounds: Bounds, shards: Iterable[Shard], told: Callable[[Places], None]) -> None:
-        """Move shards while the lease is held here; `told` gets each newer view of where copies are."""
+                     bounds: Bounds, shards: Iterable[Shard], told: Callable[[Places], None],
+                     named: Named) -> None:
+        """Move shards while the lease is held here, and tell what queries named.
+
+        `told` gets each newer view of where copies are.
+        """
         statements = Statements(self.loop, links.settings, links.tls)
         record = self.member.state.record if self.member is not None else None
         self.moves = Moves(self.loop, self.asker, self.tasks, statements, homes, staging, self.said, bounds,
                            shards=shards, record=record)
         self.copies = Copies(self.loop, self.asker, told)
+        self.heat = Heat(self.loop, self.asker, named, self._seed)
 
     def start(self) -> None:
         """Take part; returns at once."""
         if self.member is not None:
             self.member.start()
         self.tasks.start()
-        for part in (self.gate, self.changes, self.moves, self.copies):
+        for part in (self.gate, self.changes, self.moves, self.copies, self.heat):
             if part is not None:
                 part.start()
 
@@ -128,7 +136,7 @@
 
     def close(self) -> None:
         """Take part no more."""
-        for part in (self.gate, self.changes, self.moves, self.copies):
+        for part in (self.gate, self.changes, self.moves, self.copies, self.heat):
             if part is not None:
                 part.close()
         self.tasks.close()
--- a/fennelwind/lab/shard_cases.py
+++ b/fennelwind/lab/shard_cases.py
@@ -194,6 +194,7 @@
         dict(world.moves),
         world.frozen,
         world.aside,
+        world.heat_unit,
     )
     for number in planned.cancels:
         move = after.moves.pop(number)
--- a/fennelwind/shards/carrier.py
+++ b/fennelwind/shards/carrier.py
@@ -14,16 +14,15 @@
 - all of its statements carry the fence
 """
 
-from collections import Counter
-from collections.abc import Callable, Iterable
+from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
+from fennelwind.shards import pace, steps
 from fennelwind.shards import shards_pb2 as pb
-from fennelwind.shards import steps
-from fennelwind.shards.machine import MOVES_MOST, PLAN_MOST, ShardMachine
+from fennelwind.shards.machine import HOUR_MS, MOVES_MOST, PLAN_MOST, ShardMachine
 from fennelwind.shards.state import Bounds, Home, Move, Planned, Shard, World
 
-Planner = Callable[[World, Bounds], Planned]
 Step, Answer = pb.Step, pb.Answer
 NEW = 2**62  # numbers of moves in a plan from here on, apart from the record's
 CHECKS_AT_ONCE = 8  # checks of copies in doubt that are under way
@@ -46,6 +45,7 @@
     tries: int = 5  # of one statement or one attempt at a copy, then the move is undone
     plan_ms: float = 5_000.0  # between plans, when something has changed
     plan_most_ms: float = 60_000.0  # and when nothing has but heat
+    planning_ms: float = 60_000.0  # for a plan to be made; 20,000 shards take 2 s of a processor
 
 
 # What happens.
@@ -94,7 +94,15 @@
     engine: str
 
 
-Event = Seen | Proposed | Ended | Heard | Quiet
+@dataclass(slots=True, frozen=True)
+class Made:
+    """A plan was made."""
+
+    token: int
+    planned: Planned
+
+
+Event = Seen | Proposed | Ended | Heard | Quiet | Made
 
 
 # What is to be done.
@@ -125,6 +133,15 @@
     token: int
 
 
+@dataclass(slots=True, frozen=True)
+class Plan:
+    """A world to be planned beside all else, which nobody changes. `Made` with this token follows."""
+
+    token: int
+    world: World
+    bounds: Bounds
+
+
 @dataclass(slots=True, frozen=True)
 class Wake:
     """A step is wanted at this time."""
@@ -137,7 +154,7 @@
     """Another holds the lease: nothing more comes from here."""
 
 
-Action = Propose | Run | Stop | Wake | Over
+Action = Propose | Run | Stop | Plan | Wake | Over
 
 
 @dataclass(slots=True)
@@ -149,6 +166,7 @@
     until: float
     pair: tuple[str, str] | None = None  # shard and engine of a statement
     seen: int = 0  # entry up to which the record was seen when it was sent
+    source: str = ""  # that a copy is to be read from, where it is to begin
 
 
 @dataclass(slots=True)
@@ -171,9 +189,9 @@
 class Carrier:
     """The holder's part; one for each time that the lease is gained."""
 
-    def __init__(self, fence: int, since_index: int, planner: Planner, staging: str,
-                 bounds: Bounds | None = None, timing: Timing | None = None) -> None:
-        self.fence, self.since_index, self.planner, self.staging = fence, since_index, planner, staging
+    def __init__(self, fence: int, since_index: int, staging: str, bounds: Bounds | None = None,
+                 timing: Timing | None = None) -> None:
+        self.fence, self.since_index, self.staging = fence, since_index, staging
         self.bounds, self.timing = bounds or Bounds(), timing or Timing()
         self.machine: ShardMachine | None = None
         self.frozen: frozenset[str] = frozenset()
@@ -186,7 +204,8 @@
         self._work: dict[int, _Work] = {}
         self._doubts: dict[tuple[str, str], tuple[int, float]] = {}  # pairs to check: tries, not before
         self._doubts_of = -1  # changes up to which copies in doubt were looked for
-        self._streams: Counter[str | frozenset[str]] = Counter()  # by engine and by pair of zones
+        self._begins: tuple[int, ...] | None = None  # planned moves that may begin in this step
+        self._begun: deque[tuple[float, int]] = deque()  # when copies were begun here, and their bytes
         self._drops_end: dict[tuple[str, str], float] = {}  # when a drop without an answer has ended
         self._loads_end: dict[tuple[str, str], float] = {}  # the same of a load
         self._began = -1.0  # when it gained the lease: statements of the last holder may be on their way
@@ -195,7 +214,8 @@
         self._news: dict[str, Home] = {}
         self._plan_at = 0.0
         self._plan_of: tuple[int, frozenset[str]] | None = None  # changes and frozen tables of the last one
-        self._paced_until = 0.0
+        self._plan_behind = 0  # the record's last move when it was asked for
+        self._fresh: Planned | None = None  # a plan that was made and is not looked at yet
         self._now = 0.0
         self._out: list[Action] = []
 
@@ -214,6 +234,8 @@
                     self._ended(event)
                 case Heard():
                     self._heard(event)
+                case Made():
+                    self._made(event)
                 case Quiet() if self.machine is not None:
                     move = self.machine.move_of(event.shard)
                     # Before it has rested, a query may still be sent there by an older view.
@@ -237,7 +259,7 @@
             del self._work[number]
         self._tell_news()
         asked = {a.owner for a in self._asked.values()}
-        self._streams = self._count_streams()
+        self._begins = None
         for number in sorted(self.machine.moves):
             move = self.machine.moves[number]
             work = self._work.get(number) or self._first_sight(move)
@@ -246,12 +268,21 @@
             if work.wait_until <= self._now and number not in asked:
                 getattr(self, "_at_" + move.step)(move, work)
         self._check_doubtful()
+        if self._fresh is not None:
+            fresh, self._fresh = self._fresh, None
+            if self._plan_behind == self.machine.last_move:
+                self.planned = fresh
+                self._replan()
+            else:  # moves came that it did not know; its numbers are theirs
+                self._plan_of, self._plan_at = None, self._now
         changed = (self.machine.changes, self.frozen) != self._plan_of
         due = self._plan_at if changed else self._plan_at + self.timing.plan_most_ms - self.timing.plan_ms
-        if due <= self._now and not any(a.kind == "plan" for a in self._asked.values()):
+        if due <= self._now and not any(a.kind in ("plan", "planning") for a in self._asked.values()):
             self._plan_at = self._now + self.timing.plan_ms
-            self._plan_of = self.machine.changes, self.frozen
-            self._replan()
+            self._plan_of, self._plan_behind = (self.machine.changes, self.frozen), self.machine.last_move
+            self._token += 1
+            self._asked[self._token] = _Asked(None, "planning", self._now + self.timing.planning_ms)
+            self._out.append(Plan(self._token, self.machine.world(self.frozen), self.bounds))
 
     def _first_sight(self, move: Move) -> _Work:
         """Take up a move. One that is under way is the last holder's, who may have sent a load just now."""
@@ -281,6 +312,7 @@
     def _take(self, move: Move, kind: int, **more: object) -> None:
         """Ask for a move's step."""
         self._propose(move.number, Step.Kind.Name(kind), step=Step(move=move.number, kind=kind, **more))
+        self._asked[self._token].source = more.get("source", move.source)
 
     def _run(self, owner: object, kind: str, shard: str, engine: str, statement: str,
              within: float) -> None:
@@ -294,7 +326,7 @@
         if asked is None:
             return
         answer = event.answer
-        if asked.kind == "plan" and (answer is None or answer.refusal or any(answer.refusals)):
+        if asked.kind in ("plan", "planning") and (answer is None or answer.refusal or any(answer.refusals)):
             self._plan_of = None
         if answer is None:
             return  # the record tells, once more of it is seen; a step asked twice is refused
@@ -345,38 +377,38 @@
             return self._take(move, Step.SWITCH)
         if not self._is_known(move.target):
             return self._again(work)
-        if self._may_stream(move):
-            self._streams.update(self._takes(move))
+        if self._begins is None:
+            self._begins = pace.begin(
+                self.machine, self.bounds, self._spent(), self._copies_asked(), self._may_take)
+        if move.number in self._begins:
             self._take(move, Step.RESERVE)
 
+    def _may_take(self, move: Move) -> bool:
+        """Tell whether nothing here keeps a planned copy back, streams and space aside."""
+        work = self._work.get(move.number) or self._first_sight(move)
+        busy = any(a.owner == move.number for a in self._asked.values())
+        return (bool(move.target) and not busy and work.wait_until <= self._now
+                and work.tries < self.timing.tries and self._is_known(move.target))
+
+    def _copies_asked(self) -> dict[int, str]:
+        """Return the moves whose copying was asked to begin, or begin anew, and from which engine."""
+        return {a.owner: a.source for a in self._asked.values() if a.kind in ("RESERVE", "COPY")}
+
+    def _spent(self) -> int:
+        """Return the bytes that copies have begun to transfer within the hour, those of earlier holders too.
+
+        A record whose level is too low keeps none; then what was begun here has to do.
+        """
+        while self._begun and self._begun[0][0] + HOUR_MS <= self._now:
+            self._begun.popleft()
+        return max(self.machine.spent(), sum(size for _, size in self._begun))
+
     def _is_known(self, engine: str) -> bool:
         """Tell whether an engine was listed and holds nothing that the record doesn't count."""
         held, shards = self.machine.copies, self.machine.shards
         return engine in self._listed and not any(
             engine not in held.get(shard, ()) for shard in self._listed[engine] if shard in shards)
 
-    def _count_streams(self) -> Counter[str | frozenset[str]]:
-        """Return how many copies each engine reads or writes, and each pair of zones carries."""
-        asked = {a.owner for a in self._asked.values() if a.kind == "RESERVE"}
-        streams: Counter[str | frozenset[str]] = Counter()
-        for move in self.machine.moves.values():
-            if move.step in ("reserved", "copying") or move.number in asked:
-                streams.update(self._takes(move))
-        return streams
-
-    def _takes(self, move: Move) -> tuple[str | frozenset[str], ...]:
-        return move.source, move.target, self._link(move)
-
-    def _may_stream(self, move: Move) -> bool:
-        """Tell whether engines, links and the hour's bytes have room for a further copy."""
-        if self._paced_until > self._now or self._streams[self._link(move)] >= self.bounds.streams_per_link:
-            return False
-        return all(self._streams[e] < self.bounds.streams_per_engine for e in (move.source, move.target))
-
-    def _link(self, move: Move) -> frozenset[str]:
-        homes = self.machine.homes
-        return frozenset(homes[e].zone for e in (move.source, move.target) if e in homes)
-
     def _at_reserved(self, move: Move, work: _Work) -> None:
         self._begin_copy(move, work)
 
@@ -385,14 +417,17 @@
         good = [e for e in self.machine.good(move.shard) if self.machine.homes[e].life != "gone"]
         if not good or move.attempt >= self.timing.tries or not self._target_there(move):
             return self._take(move, Step.UNDO, failed=True)
-        if move.attempt and len(good) > 1:  # another one each time
-            source = good[move.attempt % len(good)]
-        else:
-            source = move.source if move.source in good else good[0]
-        if not move.attempt:
-            shard = self.machine.shards[move.shard]
-            self._paced_until = max(self._now, self._paced_until) + (
-                shard.size / self.bounds.bytes_per_hour * 3_600_000.0)
+        first = move.attempt % len(good)  # another one each time
+        if not move.attempt and move.source in good:
+            first = good.index(move.source)
+        size, asked = self.machine.shards[move.shard].size, self._copies_asked()
+        source = pace.source(self.machine, self.bounds, move, good[first:] + good[:first], asked)
+        paid = not move.attempt or pace.affords(  # the first was paid for when it was reserved
+            self.bounds, self._spent() + pace.soon(self.machine, asked), size)
+        if not source or not paid:
+            work.tries, work.wait_until = self.timing.tries, self._now + self.timing.again_ms
+            return  # for a stream, or bytes of the hour; what has come so far is used up
+        self._begun.append((self._now, size))
         work.attempt, work.source, work.target, work.source_lost = move.attempt, None, None, False
         self._take(move, Step.COPY, source=source, attempt=move.attempt + 1)
 
@@ -605,11 +640,16 @@
         tries = self._doubts.get(pair, (0, 0.0))[0] + 1
         self._doubts[pair] = tries, self._now + self._pause(tries)
 
-    # Plans.
+    # Plans. The record may have gone on since the world that one is for: it judges each step, as does this.
+
+    def _made(self, event: Made) -> None:
+        asked = self._asked.get(event.token)
+        if asked is not None and asked.kind == "planning":
+            del self._asked[event.token]
+            self._fresh = event.planned
 
     def _replan(self) -> None:
         machine = self.machine
-        self.planned = self.planner(machine.world(self.frozen), self.bounds)
         for number in self.planned.cancels:
             move = machine.moves.get(number)
             if move is not None and move.step in ("planned", "reserved", "copying", "checked") and not any(
@@ -632,8 +672,6 @@
                 wanted.append(pb.Move(number=NEW + len(wanted), shard=shard, drops=engine))
         left: set[int] = set()
         for move in self.planned.moves:
-            if move.number in machine.moves:
-                continue
             if move.shard in begun or not self._may_begin(move.shard) or left.intersection(move.after):
                 left.add(move.number)  # nor what waits for it
                 continue
--- a/fennelwind/shards/evenness.py
+++ b/fennelwind/shards/evenness.py
@@ -1,5 +1,7 @@
 """Evenness of disk and heat, where it is out of tolerance and a move takes away enough of it, without I/O."""
 
+import math
+
 from fennelwind.shards.board import Board
 from fennelwind.shards.needs import heats, mean, span_wanted, takes, wanted
 from fennelwind.shards.order import Sequence, Transfer
@@ -7,6 +9,7 @@
 
 MOVES_MOST = 64  # that one plan makes for evenness alone; the next one goes on
 STILL = 0.5  # part of a tolerance below which a planned move for evenness is no longer worth it
+CHANCE = 4.0  # standard deviations that heat which was counted may be off by chance: once in 30,000 looks
 LOOKED_AT = 40  # shards of the engine that stands out, those with the most gain for their bytes
 
 
@@ -40,10 +43,18 @@
         """Return how far an engine is above the mean in disk and heat, in tolerances."""
         disk = (self.share(engine, size) - self.disk_mean) / max(self.bounds.disk_tolerance, 1e-9)
         warm = (self.heat[engine] + heat - self.heat_mean) / max(
-            self.bounds.heat_tolerance * self.heat_mean, 1e-9
+            self.bounds.heat_tolerance * self.heat_mean + self.chance(engine), 1e-9
         )
         return disk, warm
 
+    def chance(self, engine: str) -> float:
+        """Return how far an engine's heat may lie off by chance alone.
+
+        A count that fades has half the variance of its mean, in queries; of shards with several copies less.
+        """
+        unit = self.view.world.heat_unit
+        return CHANCE * math.sqrt(unit * max(self.heat[engine], self.heat_mean) / 2.0)
+
 
 def still(board: Board, moves: list[Move]) -> list[int]:
     """Return the planned moves for evenness whose engine no longer stands out."""
--- a/fennelwind/shards/machine.py
+++ b/fennelwind/shards/machine.py
@@ -17,6 +17,7 @@
 from google.protobuf.message import DecodeError
 
 from fennelwind.council.machine import At, Facts, UnreadableCommand
+from fennelwind.shards import heat
 from fennelwind.shards import shards_pb2 as pb
 from fennelwind.shards.state import LIVES, Copy, Home, Move, Shard, World
 
@@ -31,6 +32,9 @@
 PLACES_MOST = 4_096  # shards in one answer of where copies are; with the longest names it fills a frame
 PIECE_MOST = 1024 * 1024  # bytes of its state in one answer, half of what a frame holds
 REST_MS = 60_000  # ms from a switch until the old copy may go: who is cut off for less may still send to it
+HOUR_MS = 3_600_000  # ms over which bytes are bounded
+BEGUN_MS = 300_000  # ms of one part of it: what began in a part counts until an hour after the part's end
+COUNTED_SINCE = 2  # level of the record from which on it keeps bytes of the hour, and heat that was counted
 ASIDE_FIRST_MS, ASIDE_MOST_MS = 30_000, 3_600_000  # ms that a shard rests after a failed move; it doubles
 
 Step, Answer = pb.Step, pb.Answer
@@ -53,7 +57,10 @@
         self.used: dict[str, int] = {}  # bytes of copies by engine, whatever their state
         self.last_move = 0
         self.changes = 0  # counts what may call for another plan
-        self.revision = 0  # the entry that last changed anything
+        self.revision = 0  # the entry that last changed anything but heat, which calls for no look
+        self._begun: dict[int, int] = {}  # bytes that copies began to transfer, by part of time
+        self._faded: dict[str, tuple[int, int]] = {}  # by shard: queries that named it, as of a part of time
+        self._faded_part = self._faded_entry = 0  # when heat was told last, and the entry that told it
         self._touched: dict[str, int] = {}  # by shard: the entry of its last step, or of its last figures
         self._doubted_at: dict[str, int] = {}  # by shard: when a good copy came in doubt, for a rest
         self._heard_at: dict[str, int] = {}  # by engine: the entry of the last news
@@ -95,6 +102,25 @@
         home = self.homes[engine]
         return effective(home) - home.headroom - self.used.get(engine, 0)
 
+    def spent(self) -> int:
+        """Return the bytes that copies began to transfer within the last hour, and some minutes before."""
+        return sum(self._begun.values())
+
+    @property
+    def state_at(self) -> int:
+        """The entry that last changed anything at all."""
+        return max(self.revision, self._faded_entry)
+
+    def heats(self) -> dict[str, float]:
+        """Return the queries that named each shard, faded up to when they were told last; {}: too few.
+
+        Too few are chance, and what was declared is better.
+        """
+        found = {shard: heat.faded(count, self._faded_part - part)
+                 for shard, (count, part) in self._faded.items() if shard in self.shards}
+        enough = sum(found.values()) >= heat.ENOUGH
+        return {shard: count / heat.UNIT for shard, count in found.items()} if enough else {}
+
     def move_of(self, shard: str) -> Move | None:
         """Return the move of a shard that has not ended."""
         return self.moves.get(self._of_shard.get(shard, 0))
@@ -113,8 +139,11 @@
                 copies[pair] = replace(copies[pair], state="leaving")
             elif move.target and move.step != "undoing":
                 moves[number] = replace(move, step="switched") if move.step == "dropping" else move
+        counted, shards = self.heats(), dict(self.shards)
+        if counted:
+            shards = {name: replace(s, heat=counted.get(name, 0.0)) for name, s in shards.items()}
         return World(
-            shards=dict(self.shards),
+            shards=shards, heat_unit=1.0 if counted else 0.0,
             homes={name: replace(home, disk=effective(home)) for name, home in self.homes.items()},
             copies=copies, moves=moves, frozen=frozenset(frozen),
             aside=frozenset(shard for shard, (until, _) in self.asides.items() if until))
@@ -128,8 +157,8 @@
         if told.HasField("places"):
             return self._changed_places(told.places).SerializeToString()
         skip = told.skip
-        if self._told is None or self._told[0] != self.revision:
-            self._told = self.revision, self.snapshot()
+        if self._told is None or self._told[0] != self.state_at:
+            self._told = self.state_at, self.snapshot()
         revision, state = self._told
         return pb.ShardSeen(revision=revision, size=len(state),
                             piece=state[skip:skip + PIECE_MOST]).SerializeToString()
@@ -156,8 +185,10 @@
             raise UnreadableCommand(str(exc)) from exc
         self._entry = at.index
         what = asked.WhichOneof("what")
-        if what is None:
+        if what is None or what == "counted" and facts.fact("level", "") < COUNTED_SINCE:
             raise UnreadableCommand("a command of no kind")
+        if what == "counted":  # nobody who waits for where copies are is woken for it
+            return self._counted(asked.counted, at).SerializeToString(deterministic=True)
         if what in ("declare", "remove"):
             answer = getattr(self, "_" + what)(getattr(asked, what), at)
         elif not self._fenced(asked.fence, facts):
@@ -180,6 +211,8 @@
         self.revision = at.index
         for shard in [s for s, since in self._doubted_at.items() if since + self.rest_ms <= at.clock_ms]:
             del self._doubted_at[shard]
+        for part in [part for part in self._begun if _part_ends(part) <= at.clock_ms]:
+            del self._begun[part]
         for shard, (until, times) in self.asides.items():
             if until and until <= at.clock_ms:
                 self.changes += 1
@@ -194,6 +227,7 @@
         ends = [until for until, _ in self.asides.values() if until]
         ends += [move.at_ms + self.rest_ms for move in self.moves.values() if _rests(move)]
         ends += [since + self.rest_ms for since in self._doubted_at.values()]
+        ends += map(_part_ends, self._begun)
         self._due = min(ends, default=None)
 
     # Operators and news.
@@ -242,6 +276,7 @@
             return Answer(refusal=Answer.HELD)
         del self.shards[shard.name]
         self.asides.pop(shard.name, None)
+        self._faded.pop(shard.name, None)
         self._placed.pop(shard.name, None)
         self._doubted_at.pop(shard.name, None)
         self._whole_before = at.index  # what was told of it can be taken back by telling all alone
@@ -316,6 +351,20 @@
                 self.shards[shard] = replace(self.shards[shard], heat=asked.heat[shard])
         return Answer()
 
+    def _counted(self, asked: pb.Counted, at: At) -> pb.Answer:
+        """Take what a controller counted; the clock is the record's, so all fades alike whoever tells it."""
+        if len(asked.queries) > heat.TOLD_MOST:
+            return Answer(refusal=Answer.TOO_MANY)
+        if any(told.count > heat.COUNT_MOST for told in asked.queries):
+            return Answer(refusal=Answer.BAD)
+        self._faded_part, self._faded_entry = at.clock_ms // heat.PART_MS, at.index
+        for told in asked.queries:
+            if told.shard in self.shards:
+                count, part = self._faded.get(told.shard, (0, self._faded_part))
+                count = heat.faded(count, self._faded_part - part) + told.count
+                self._faded[told.shard] = min(count, SIZE_MOST), self._faded_part
+        return Answer()
+
     def _found(self, asked: pb.Found, at: At, facts: Facts) -> pb.Answer:
         shard = self.shards.get(asked.shard)
         if shard is not None and _barred(shard, facts, begins=False):
@@ -416,6 +465,9 @@
         refusal = take(move, asked, at)
         if not refusal:
             self._touched[move.shard] = at.index
+            if asked.kind == Step.COPY and facts.fact("level", "") >= COUNTED_SINCE:
+                part = at.clock_ms // BEGUN_MS
+                self._begun[part] = self._begun.get(part, 0) + self.shards[move.shard].size
         return Answer(refusal=refusal)
 
     def _at(self, move: Move, step: str, at: At, **more: object) -> None:
@@ -620,6 +672,11 @@
                             at_ms=m.at_ms, rested=m.rested)
         for shard, (until, times) in sorted(self.asides.items()):
             state.asides.add(shard=shard, until_ms=until, times=times)
+        for part, size in sorted(self._begun.items()):
+            state.begun.add(part=part, bytes=size)
+        for shard, (count, part) in sorted(self._faded.items()):
+            state.faded.add(shard=shard, count=count, part=part)
+        state.faded_part, state.faded_entry = self._faded_part, self._faded_entry
         return state.SerializeToString(deterministic=True)
 
     def restore(self, data: bytes) -> None:
@@ -648,6 +705,9 @@
             self._of_shard[m.shard] = m.number
         self.asides = {a.shard: (a.until_ms, a.times) for a in state.asides}
         self.changes, self.revision = state.changes, state.revision
+        self._begun = {b.part: b.bytes for b in state.begun}
+        self._faded = {f.shard: (f.count, f.part) for f in state.faded}
+        self._faded_part, self._faded_entry = state.faded_part, state.faded_entry
         self._placed, self._whole_before = {}, state.revision
         self._look_ahead()
 
@@ -665,6 +725,11 @@
     return bool(facts.fact("changing", shard.table) or begins and facts.fact("wanted", shard.table))
 
 
+def _part_ends(part: int) -> int:
+    """Return when what began in a part of time is an hour old for certain, in ms of the record's clock."""
+    return (part + 1) * BEGUN_MS + HOUR_MS
+
+
 def _rests(move: Move) -> bool:
     return move.step == "switched" and not move.rested
 
--- a/fennelwind/shards/pace.py
+++ b/fennelwind/shards/pace.py
@@ -1,68 +1,83 @@
-"""Which planned moves may begin now, within the bounds on streams, links, bytes an hour and headroom,
-without I/O.
-"""
+"""Which copies may begin now: streams of engines and links, and bytes an hour, are bounded. No I/O."""
 
 from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from types import MappingProxyType
+from typing import Protocol
 
-from fennelwind.shards.needs import HELD
-from fennelwind.shards.state import Bounds, Move, World
+from fennelwind.shards.state import Bounds, Home, Move, Shard
 
 STREAMING = ("reserved", "copying")  # steps that take a stream at the source and at the target
+Asked = Mapping[int, str]  # moves whose copy was asked to begin, or to begin anew, and from which engine
+NONE: Asked = MappingProxyType({})
+Takes = tuple[str, str, tuple[str, ...]]  # what a stream counts for: two engines, and the zones of both
 
 
-def link(world: World, move: Move) -> tuple[str, str]:
-    """Return the two zones between which a move copies, in the order of their names."""
-    one, other = sorted((world.homes[move.source].zone, world.homes[move.target].zone))
-    return one, other
+class Known(Protocol):
+    """What the record says, as far as it is read here."""
 
+    shards: Mapping[str, Shard]
+    homes: Mapping[str, Home]
+    moves: Mapping[int, Move]
 
-def begin(world: World, bounds: Bounds, spent: int) -> tuple[int, ...]:
-    """Return the planned moves that may begin together now, the first planned first.
 
-    `spent`: bytes that moves have begun to transfer within the last hour. A move larger than the bytes of an
-    hour begins when nothing has been spent, as it never could otherwise.
+def begin(known: Known, bounds: Bounds, spent: int, asked: Asked = NONE,
+          may: Callable[[Move], bool] = lambda move: True) -> tuple[int, ...]:
+    """Return the planned moves that may be asked to begin together now, the first planned first.
+
+    `spent`: bytes that copies have begun to transfer within the last hour, as the record knows them. `asked`:
+    what was asked to begin and is not seen on the record yet. `may`: what else keeps a move back. A move
+    larger than the bytes of an hour begins when nothing has been spent, as it never could otherwise. Space,
+    source and target are judged by the record: one that it refuses is tried again, and undone in the end.
     """
-    engines, links, begun = Counter(), Counter(), []
-    room = {name: home.disk - home.headroom for name, home in world.homes.items() if home.life != "gone"}
-    for (shard, engine), _ in world.copies.items():
-        if engine in room and shard in world.shards:
-            room[engine] -= world.shards[shard].size
-    for move in world.moves.values():
-        if move.step in HELD and (move.shard, move.target) not in world.copies and move.target in room:
-            room[move.target] -= world.shards[move.shard].size
-        if move.step in STREAMING and move.source in world.homes and move.target in world.homes:
-            engines.update((move.source, move.target))
-            links[link(world, move)] += 1
-    for number, move in sorted(world.moves.items()):
-        if move.step != "planned" or not _ready(world, move) or move.target not in room:
-            continue
-        size, between = world.shards[move.shard].size, link(world, move)
-        if (
-            room[move.target] < size
-            or links[between] >= bounds.streams_per_link
-            or max(engines[move.source], engines[move.target]) >= bounds.streams_per_engine
-            or (spent and spent + size > bounds.bytes_per_hour)
-        ):
+    streams, begun = _streams(known, asked), []
+    spent += soon(known, asked)
+    for number, move in sorted(known.moves.items()):
+        if (move.step != "planned" or number in asked or any(ahead in known.moves for ahead in move.after)
+                or not may(move)):
             continue
-        begun.append(number)
-        engines.update((move.source, move.target))
-        links[between] += 1
-        room[move.target] -= size
-        spent += size
+        size, takes = known.shards[move.shard].size, _takes(known, move.source, move.target)
+        if _free(streams, takes, bounds) and affords(bounds, spent, size):
+            begun.append(number)
+            streams.update(takes)
+            spent += size
     return tuple(begun)
 
 
-def _ready(world: World, move: Move) -> bool:
-    """Return whether all that a move waits for is done and its source and target are there."""
-    source = world.copies.get((move.shard, move.source))
-    return (
-        move.shard in world.shards
-        and all(number not in world.moves or world.moves[number].step == "done" for number in move.after)
-        and not any(pair in world.copies for pair in move.cleared)
-        and (move.shard, move.target) not in world.copies
-        and source is not None
-        and source.state == "good"
-        and move.source in world.homes
-        and world.homes[move.source].life != "gone"
-        and world.shards[move.shard].table not in world.frozen
-    )
+def soon(known: Known, asked: Asked = NONE) -> int:
+    """Return the bytes of copies that are certain to begin and that the record does not count yet."""
+    return sum(known.shards[move.shard].size for number, move in known.moves.items()
+               if move.step == "reserved" or number in asked)
+
+
+def affords(bounds: Bounds, spent: int, size: int) -> bool:
+    """Tell whether the hour has room for so many bytes more."""
+    return not spent or spent + size <= bounds.bytes_per_hour
+
+
+def source(known: Known, bounds: Bounds, move: Move, engines: Iterable[str],
+           asked: Asked = NONE) -> str:
+    """Return the first of some engines that a copy under way may be read from; "": none has a stream free."""
+    streams = _streams(known, asked)
+    streams.subtract(_takes(known, asked.get(move.number) or move.source, move.target))
+    return next((e for e in engines if _free(streams, _takes(known, e, move.target), bounds)), "")
+
+
+def _streams(known: Known, asked: Asked) -> Counter:
+    """Return how many copies each engine reads or writes, and each pair of zones carries."""
+    streams = Counter()
+    for number, move in known.moves.items():
+        if move.step in STREAMING or number in asked:
+            streams.update(_takes(known, asked.get(number) or move.source, move.target))
+    return streams
+
+
+def _takes(known: Known, reads: str, writes: str) -> Takes:
+    """Return what a stream counts for; one that reads from an engine that was removed counts for the rest."""
+    return reads, writes, tuple(sorted(known.homes[e].zone for e in (reads, writes) if e in known.homes))
+
+
+def _free(streams: Counter, takes: Takes, bounds: Bounds) -> bool:
+    reads, writes, link = takes
+    return (streams[link] < bounds.streams_per_link
+            and max(streams[reads], streams[writes]) < bounds.streams_per_engine)
--- a/fennelwind/shards/routing.py
+++ b/fennelwind/shards/routing.py
@@ -13,6 +13,7 @@
 from dataclasses import replace
 
 from fennelwind import interface as api
+from fennelwind.shards.heat import Named
 
 SLOTS_MOST = 6  # kinds are split by every set of slots, 64 ways then; a look at a class's kinds stays short
 
@@ -59,6 +60,7 @@
         self.entries: dict[str, api.EngineEntry] = {}  # as discovery told them
         self.places: Places = {}
         self.overflows = 0  # queries for which no slot was left
+        self.named = Named()  # how often queries named each shard that the record knows
         self._of_query: dict[int, tuple[_Slot | None, tuple[str, ...]]] = {}
         self._uses = 0
 
@@ -88,6 +90,7 @@
     def arrives(self, query: int, cls: int, shards: Iterable[str]) -> tuple[int, list[api.EngineList]]:
         """Return the class by which a query is handed to the module, and what it is told ahead of it."""
         named = tuple(sorted(shard for shard in set(shards) if shard in self.places))
+        self.named.count(named)
         if not self.slots or not named:
             return cls, []
         self._uses += 1
--- a/fennelwind/shards/state.py
+++ b/fennelwind/shards/state.py
@@ -24,7 +24,7 @@
     copies: int = 1  # wanted
     zones: int = 1  # that the copies have to span at least
     kinds: tuple[str, ...] = ()  # engine kinds allowed; none: all
-    heat: float = 0.0  # share of the queries' work that names it, any unit, the same for all
+    heat: float = 0.0  # queries that name it, or what was declared; any unit, the same for all
     rows: int = -1  # what its good copies hold, as last agreed by a check; -1: none was made yet
     checksum: int = 0  # of the same check
 
@@ -94,6 +94,7 @@
     moves: dict[int, Move] = field(default_factory=dict)
     frozen: frozenset[str] = frozenset()  # tables whose schema changes: none of their shards is moved
     aside: frozenset[str] = frozenset()  # shards whose last move failed: none is begun for some time
+    heat_unit: float = 0.0  # heat of a query, where it was counted and so has chance in it; 0: stated
 
 
 @dataclass(slots=True, frozen=True)
