--- a/fennelwind/keeper/moves.py
+++ b/fennelwind/keeper/moves.py
@@ -10,10 +10,13 @@
 from dataclasses import replace
 from functools import partial
 
+from fennelwind.clearance import clearance_pb2 as clear
+from fennelwind.clearance.words import WISHES_MOST
 from fennelwind.council.record import Record
 from fennelwind.engines.links import RemoteError
 from fennelwind.keeper import gate_pb2
 from fennelwind.keeper.asker import Asker
+from fennelwind.keeper.clearances import Clearances
 from fennelwind.keeper.errors import CouncilError
 from fennelwind.keeper.hands import Hands
 from fennelwind.keeper.machines import CONTRACTS, SHARDS
@@ -37,6 +40,7 @@
 LIST_MS = 600_000.0  # ms from one list of what an engine holds to the next, where nothing calls for one
 LIST_SOON_MS = 5_000.0  # and after one that failed, or differs from the record
 LOOK_MS = 5_000.0  # ms for a mark or one table's list, and for a statement to be taken by its engine
+HEAR_MS = 500.0  # ms between two questions which copies that leave are cleared
 POLL_MS = 100.0  # ms between looks at engines that answer a status at once
 LISTS_AT_ONCE = 16  # engines that are listed side by side; 200 engines of 1,000 tables take a minute then
 STARTS_AT_ONCE = 32  # statements that are being sent; with the lists, far within the guard's bound on acts
@@ -106,6 +110,7 @@
         self.homes, self.staging, self.said = homes, staging, said
         self.bounds, self.timing, self.planner, self.record = bounds, timing, planner, record
         self.shards = tuple(shards)
+        self.clearances: Clearances | None = None  # whom a holder asks; None: copies go after their rest
         self.counts: Counter[str] = Counter()
         self.planning = False  # a plan is being made, for this or an earlier time that the lease was held
 
@@ -145,7 +150,7 @@
         try:
             self._look()
             self._declare()
-            for part in (self._watch, self._news, *[self._list] * LISTS_AT_ONCE):
+            for part in (self._watch, self._news, self._hear, *[self._list] * LISTS_AT_ONCE):
                 self.hands.spawn(part)
             while not self.held.stop.ready:
                 wake = self.loop.now() + NEWS_MS
@@ -278,6 +283,20 @@
             self.moves.planning = False
         self.hands.post(api.Made(action.token, planned))
 
+    def _hear(self) -> None:
+        """Ask which copies that leave have been cleared by all."""
+        while self.moves.clearances is not None:
+            self.loop.sleep(HEAR_MS)
+            machine = self.machine
+            waiting = machine.waiting()[:WISHES_MOST]
+            moves = [machine.move_of(shard).number for shard, _ in waiting]
+            wishes = [clear.Wish(name=shard, engine=engine, since=machine.touched(shard))
+                      for shard, engine in waiting]
+            for wish, move, state in zip(wishes, moves, self.moves.clearances.hear(wishes) if wishes else (),
+                                         strict=True):
+                if state == clear.Heard.CLEARED:
+                    self.hands.post(api.Quiet(wish.name, wish.engine, move))
+
     # Engines.
 
     def _statement(self, action: api.Run) -> None:
