--- a/fennelwind/lab/shard_cases.py
+++ b/fennelwind/lab/shard_cases.py
@@ -195,6 +195,7 @@
         world.frozen,
         world.aside,
         world.heat_unit,
+        world.counted,
     )
     for number in planned.cancels:
         move = after.moves.pop(number)
--- a/fennelwind/shards/machine.py
+++ b/fennelwind/shards/machine.py
@@ -150,11 +150,9 @@
                 copies[pair] = replace(copies[pair], state="leaving")
             elif move.target and move.step != "undoing":
                 moves[number] = replace(move, step="switched") if move.step == "dropping" else move
-        counted, shards = self.heats(), dict(self.shards)
-        if counted:
-            shards = {name: replace(s, heat=counted.get(name, 0.0)) for name, s in shards.items()}
+        counted = self.heats()
         return World(
-            shards=shards, heat_unit=1.0 if counted else 0.0,
+            shards=dict(self.shards), counted=counted, heat_unit=1.0 if counted else 0.0,
             homes={name: replace(home, disk=effective(home)) for name, home in self.homes.items()},
             copies=copies, moves=moves, frozen=frozenset(frozen),
             aside=frozenset(shard for shard, (until, _) in self.asides.items() if until))
--- a/fennelwind/shards/plan.py
+++ b/fennelwind/shards/plan.py
@@ -33,7 +33,7 @@
     New moves are numbered from above those of the world, from `first` at least. They wait for moves of the
     world and for one another by `after`, and for copies that go without a move by `cleared`.
     """
-    return _Planner(world, bounds or Bounds(), first).run()
+    return _Planner(world.heated(), bounds or Bounds(), first).run()
 
 
 @dataclass(slots=True)
--- a/fennelwind/shards/state.py
+++ b/fennelwind/shards/state.py
@@ -4,7 +4,7 @@
 its address, a move's the record's number.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 LIVES = ("ready", "cold", "draining", "gone")
 # From `planned` on to `done`, or by `undoing` (a half copy is being dropped) to `undone`. What is done or
@@ -95,6 +95,14 @@
     frozen: frozenset[str] = frozenset()  # tables whose schema changes: none of their shards is moved
     aside: frozenset[str] = frozenset()  # shards whose last move failed: none is begun for some time
     heat_unit: float = 0.0  # heat of a query, where it was counted and so has chance in it; 0: stated
+    counted: dict[str, float] = field(default_factory=dict)  # heat by shard, in place of what was declared
+
+    def heated(self) -> "World":
+        """Return the world whose shards have the heat that was counted, if any was."""
+        if not self.counted:
+            return self
+        shards = {name: replace(s, heat=self.counted.get(name, 0.0)) for name, s in self.shards.items()}
+        return replace(self, shards=shards, counted={})
 
 
 @dataclass(slots=True, frozen=True)
