--- a/fennelwind/keeper/whole.py
+++ b/fennelwind/keeper/whole.py
@@ -16,6 +16,7 @@
 from fennelwind.keeper.errors import CouncilError
 from fennelwind.keeper.folder import Folder
 from fennelwind.keeper.gate import Gate
+from fennelwind.keeper.heat import Heat
 from fennelwind.keeper.machines import answer, machines
 from fennelwind.keeper.member import Member
 from fennelwind.keeper.moves import Moves
@@ -24,6 +25,7 @@
 from fennelwind.keeper.tasks import Tasks
 from fennelwind.loop import Loop
 from fennelwind.loop.disk import Disk
+from fennelwind.shards.heat import Named
 from fennelwind.shards.shards_pb2 import Shard
 from fennelwind.shards.state import Bounds, Home
 from fennelwind.store.store import Limits
@@ -46,6 +48,7 @@
         self.changes: Changes | None = None
         self.moves: Moves | None = None
         self.copies: Copies | None = None
+        self.heat: Heat | None = None
         self.clearances: Clearances | None = None
         self._seed = seed
 
@@ -76,16 +79,19 @@
         self.changes = Changes(self.loop, self.asker, self.tasks, statements, engines, self.said)
 
     def serve_shards(self, links: EngineLinks, homes: Callable[[], Iterable[Home]], staging: str,
-                     bounds: Bounds, shards: Iterable[Shard], book: Book, *, cleared: bool = False) -> None:
+                     bounds: Bounds, shards: Iterable[Shard], book: Book, named: Named, *,
+                     cleared: bool = False) -> None:
         """Move shards while the lease is held here.
 
-        `book` counts the queries that are open here, and tells routing each newer view of the record; with
-        `cleared`, a holder here goes by what all controllers have said of theirs.
+        `book` counts the queries that are open here, and tells routing each newer view of the record; `named`
+        counts what queries name, to be told; with `cleared`, a holder here goes by what all controllers have
+        said of theirs.
         """
         statements = Statements(self.loop, links.settings, links.tls)
         record = self.member.state.record if self.member is not None else None
         self.moves = Moves(self.loop, self.asker, self.tasks, statements, homes, staging, self.said, bounds,
                            shards=shards, record=record)
+        self.heat = Heat(self.loop, self.asker, named, self._seed)
         self.clearances = clearances = Clearances(self.loop, self.asker, self.place.me, book)
         self.copies = Copies(self.loop, self.asker, clearances.copies)
         self.moves.clearances = clearances if cleared else None
@@ -101,7 +107,7 @@
         if self.clearances is None and self.changes is not None:
             # It sends queries, and keeps none away: whoever holds a lease is to know so.
             self.clearances = Clearances(self.loop, self.asker, self.place.me, None)
-        for part in (self.clearances, self.gate, self.changes, self.moves, self.copies):
+        for part in (self.clearances, self.gate, self.changes, self.moves, self.copies, self.heat):
             if part is not None:
                 part.start()
 
@@ -143,7 +149,7 @@
 
     def close(self) -> None:
         """Take part no more."""
-        for part in (self.clearances, self.gate, self.changes, self.moves, self.copies):
+        for part in (self.clearances, self.gate, self.changes, self.moves, self.copies, self.heat):
             if part is not None:
                 part.close()
         self.tasks.close()
--- a/fennelwind/lab/shard_cases.py
+++ b/fennelwind/lab/shard_cases.py
@@ -194,6 +194,8 @@
         dict(world.moves),
         world.frozen,
         world.aside,
+        world.heat_unit,
+        world.counted,
     )
     for number in planned.cancels:
         move = after.moves.pop(number)
