Starting controllers take no engine for gone, know the copies first, answer /metrics with moves

Seen by whole programs as processes with faults between them (the rig follows): - /metrics failed with a section moves: the ledger had a row for each of the module's split classes (driver.py, Ledger); - a controller that gained the lease of moves or of a table before it knew one engine told the record that all were gone: every copy came in doubt and queries that name shards were refused everywhere (whole.py, _carry waits for an engine); - one that had just started sent queries that name shards to any engine until its first view came, and 42S02 was their answer (program.py, copies.py: it takes clients with a view, or after 4 s); - an engine that has lost a copy which the view says it has: its 42S02 went to the client; the attempt is moot now, the engine's word counts until the next view, and 42S02 is the answer where nobody else has the copy (driver.py, routing.py); - log lines of the council wrote the log's own field over the fact level (member.py). New gauge shards_readable. Ruled out: a hold of queries until the first view - no query waits for the council.

--- a/fennelwind/cli/program.py
+++ b/fennelwind/cli/program.py
@@ -53,12 +53,14 @@
         return self.front.listener.address
 
     def start(self) -> None:
-        """Listen for clients, and learn of the engines. Raises `OSError` if the address can't be had."""
-        self.front = Front(self.loop, self.loop.listen(self.settings.listen), self.service)
+        """Learn of the engines and where copies are, and listen for clients. Raises `OSError` if it can't."""
         self.driver.post(api.EngineList("cached", self.settings.engines))
         self.links.start()
         if self.discovery is not None:
             self.discovery.start()
+        if self.keeper is not None:
+            self.keeper.start()
+        self.front = Front(self.loop, self.loop.listen(self.settings.listen), self.service)
         if self.settings.http is not None:
             self.http = HttpFront(self.loop, self.loop.listen(self.settings.http), self.service)
             self.http.start()
@@ -67,8 +69,6 @@
             self.metrics.start()
         self.service.start()
         self.front.start()
-        if self.keeper is not None:
-            self.keeper.start()
 
     def hand_over(self) -> None:
         """Give the fleet's tasks and the council's lead to others, within the time that the settings say."""
--- a/fennelwind/core/driver.py
+++ b/fennelwind/core/driver.py
@@ -31,6 +31,7 @@
 from fennelwind.rules import Gateway
 from fennelwind.spread.advisor import Advisor
 
+NO_TABLE = "42S02"  # SQLSTATE of a table or partition that is not there, as Hive tells it
 LAST_MOMENT = 0.5  # part of the margin before a client gives up: the module has had its say until then
 
 
@@ -58,7 +59,7 @@
                  advisor: Advisor | None = None, router: Router | None = None) -> None:
         self.loop, self.settings, self.engines, self.observer = loop, settings, engines, observer
         self.max_open, self.margin, self.subscribe = max_open, margin, subscribe
-        self.ledger = Ledger(len(settings.classes))
+        self.ledger = Ledger(len(settings.classes) if router is None else router.classes)
         self.gateway = Gateway(settings, seed)
         self.advisor = advisor  # who tells the module of whole loads, if anybody
         self.router = router  # who knows where copies are, if queries go by them
@@ -273,7 +274,7 @@
             if self.router is not None and not self.router.may_send(entry.query, engine):
                 end = AttemptEnd("moot", "it holds no good copy any more")
             else:
-                end = self.engines.attempt(engine, order)
+                end = self._elsewhere(entry, number, engine, self.engines.attempt(engine, order))
         except Cancelled:
             end = AttemptEnd("cancelled", "called off")
         except Exception as exc:  # what broke may have been under way
@@ -281,6 +282,20 @@
             end = AttemptEnd("error", f"{type(exc).__name__}: {exc}")
         self._ended(entry, number, engine, sent, end)
 
+    def _elsewhere(self, entry: Entry, number: int, engine: str, end: AttemptEnd) -> AttemptEnd:
+        """Return how an attempt ended: moot, where the engine lacks what others are known to have."""
+        error = end.result.error if end.result is not None else None
+        if error is None or error.sqlState != NO_TABLE or self.router is None:
+            return end
+        if number + 1 >= self.settings.max_attempts:
+            return end  # nobody else would be asked
+        told = self.router.missed(entry.query, engine)
+        if told is None:
+            return end
+        for event in told:
+            self._push(event)
+        return AttemptEnd("moot", "it has no copy, whatever the record says")
+
     def _ended(self, entry: Entry, number: int, engine: str, sent: float, end: AttemptEnd) -> None:
         self._tasks.pop((entry.query, number), None)
         if not self.ledger.ended(entry, number):
--- a/fennelwind/core/types.py
+++ b/fennelwind/core/types.py
@@ -88,6 +88,8 @@
 class Router(Protocol):
     """What the driver needs where queries go by copies of shards (`shards.routing`)."""
 
+    classes: int  # of the settings; the module has more of them
+
     def listed(self, event: Any) -> Any:
         """Return a list of engines as the module is to be told it."""
 
@@ -100,6 +102,9 @@
     def may_send(self, query: int, engine: str) -> bool:
         """Tell whether an engine holds what the query reads."""
 
+    def missed(self, query: int, engine: str) -> list[Any] | None:
+        """Take an engine's word that it lacks what a query reads; None: that is the query's answer."""
+
     def ended(self, query: int) -> None:
         """Forget a query."""
 
--- a/fennelwind/keeper/copies.py
+++ b/fennelwind/keeper/copies.py
@@ -2,22 +2,25 @@
 
 Without the council the last view stands, and queries go on by it: the record takes no step of a move then
 either. A controller that alone can't reach the council goes on as well; what it sends to a copy that went
-meanwhile is refused there, and another attempt follows.
+meanwhile is refused there, and another attempt follows. A controller that starts takes clients once it has
+a view, or has waited `FIRST_MS` for one: without any, queries go to engines that may not have what they read.
 """
 
 from collections import Counter
 from collections.abc import Callable
+from contextlib import suppress
 
 from fennelwind.keeper.asker import Asker
 from fennelwind.keeper.errors import CouncilError
 from fennelwind.keeper.machines import SHARDS
-from fennelwind.loop import Loop, Task
+from fennelwind.loop import DeadlineExceeded, Loop, Once, Task
 from fennelwind.shards import shards_pb2 as pb
 
 WATCH_MS = 20_000.0  # ms of one watch
 READ_MS = 4000.0  # ms for one piece of the state
 PACE_MS = 500.0  # ms between two readings, however much changes; a view may be 5 s old
 AGAIN_MS = 1000.0  # ms until a watch that failed is tried again
+FIRST_MS = 4000.0  # ms that a controller which starts waits for its first view: an election and a few dials
 
 Places = dict[str, tuple[str, ...]]
 
@@ -49,12 +52,20 @@
     def __init__(self, loop: Loop, asker: Asker, told: Callable[[Places], None]) -> None:
         self.loop, self.asker, self.told = loop, asker, told
         self.counts: Counter[str] = Counter()
+        self.places: Places = {}  # as they were told last
+        self.first = Once(loop)  # the first view was told
         self._task: Task | None = None
 
     def start(self) -> None:
         """Watch from now on."""
         self._task = self.loop.spawn(self._watch, name="copies: watch")
 
+    def wait(self) -> bool:
+        """Wait for the first view, for so long at most; tell whether it is there."""
+        with suppress(DeadlineExceeded), self.loop.deadline(FIRST_MS):
+            self.first.wait()
+        return self.first.ready
+
     def close(self) -> None:
         """Watch no more."""
         if self._task is not None:
@@ -62,15 +73,15 @@
 
     def _watch(self) -> None:
         after, beyond = 0, pb.ShardQuery(skip=2**62).SerializeToString()  # the revision alone
-        places: Places = {}
         seen = 0  # the revision that they are of
         while True:
             try:
                 after = self.asker.watch(SHARDS, after, wait_ms=WATCH_MS, query=beyond).revision
-                places, seen = read_places(self.asker, places, seen)
+                self.places, seen = read_places(self.asker, self.places, seen)
             except CouncilError as exc:
                 self.counts[exc.code] += 1
                 self.loop.sleep(AGAIN_MS)
                 continue
-            self.told(places)
+            self.told(self.places)
+            self.first.set()
             self.loop.sleep(PACE_MS)
--- a/fennelwind/keeper/member.py
+++ b/fennelwind/keeper/member.py
@@ -285,7 +285,7 @@
         return self._token
 
     def _met(self, peer: Peer) -> None:
-        self.said("met", {"peer": peer.name, "life": peer.life.hex(), "level": peer.level})
+        self.said("met", {"peer": peer.name, "life": peer.life.hex(), "knows_level": peer.level})
 
     def _wrong(self, exc: CouncilError) -> None:
         if exc.code != "council-frame-refused":  # strangers may not fill the log; they are counted
@@ -357,7 +357,7 @@
         if self.state.too_new and self.part != "closed":
             self.said("takes part no more", RecordTooNew(
                 f"the record is of level {record.level}, this version knows {record.known}",
-                level=record.level, known=record.known).told())
+                record_level=record.level, known=record.known).told())
             self.part = "closed"
             self.loop.spawn(self.close, name="keeper: close")
 
@@ -371,7 +371,7 @@
                      and peer.life == m.life else 0 for m in others]
             if self.part == "leader" and min(known, default=0) > record.level:
                 self._propose(council_pb2.Command(machine=ITSELF, body=b"%d" % (record.level + 1)),
-                              lambda result: self.said("level", {"level": result.body.decode()}))
+                              lambda result: self.said("level", {"record_level": result.body.decode()}))
 
     # The folder.
 
--- a/fennelwind/keeper/whole.py
+++ b/fennelwind/keeper/whole.py
@@ -20,12 +20,13 @@
 from fennelwind.keeper.place import Place
 from fennelwind.keeper.statements import Statements
 from fennelwind.keeper.tasks import Tasks
-from fennelwind.loop import Loop
+from fennelwind.loop import Loop, Task
 from fennelwind.loop.disk import Disk
 from fennelwind.shards.shards_pb2 import Shard
 from fennelwind.shards.state import Bounds, Home
 from fennelwind.store.store import Limits
 
+ENGINES_MS = 100.0  # ms between looks at whether any engine is known here
 LEAVE_PART = 0.5  # of the time to hand over: leases first, then the lead
 
 
@@ -43,6 +44,8 @@
         self.gate: Gate | None = None
         self.changes: Changes | None = None
         self.moves: Moves | None = None
+        self._engines: Callable[[], Iterable[str]] = tuple
+        self._carriers: Task | None = None
         self.copies: Copies | None = None
         self._seed = seed
 
@@ -68,7 +71,7 @@
 
     def serve_engines(self, links: EngineLinks, engines: Callable[[], Iterable[str]]) -> None:
         """Guard the schemas of the engines' tables; `engines` tells those that are there now."""
-        statements = Statements(self.loop, links.settings, links.tls)
+        statements, self._engines = Statements(self.loop, links.settings, links.tls), engines
         self.gate = Gate(self.loop, self.asker, engines, f"gate {self._seed}", self.said)
         self.changes = Changes(self.loop, self.asker, self.tasks, statements, engines, self.said)
 
@@ -82,11 +85,22 @@
         self.copies = Copies(self.loop, self.asker, told)
 
     def start(self) -> None:
-        """Take part; returns at once."""
+        """Take part; returns at once, or once it is known where copies are (`copies.FIRST_MS` at most)."""
         if self.member is not None:
             self.member.start()
         self.tasks.start()
-        for part in (self.gate, self.changes, self.moves, self.copies):
+        for part in (self.gate, self.copies):
+            if part is not None:
+                part.start()
+        self._carriers = self.loop.spawn(self._carry, name="keeper: carriers")
+        if self.copies is not None and not self.copies.wait():
+            self.said("copies not known", {"advice": "Queries go to any engine until the council answers."})
+
+    def _carry(self) -> None:
+        """Take the fleet's tasks on engines once an engine is known: to who knows none, all seem gone."""
+        while not list(self._engines()):
+            self.loop.sleep(ENGINES_MS)
+        for part in (self.changes, self.moves):
             if part is not None:
                 part.start()
 
@@ -94,6 +108,9 @@
         """Return names, meanings and values of what is worth a graph."""
         held = len(self.tasks.holder.held(self.loop.now()))
         told = [("leases_held", "Leases of tasks held here.", held)]
+        if self.copies is not None:
+            told.append(("shards_readable", "Shards with a good copy, by the view that queries go by here.",
+                         sum(map(bool, self.copies.places.values()))))
         member = self.member
         if member is not None and member.core is not None:
             record = member.state.record
@@ -128,6 +145,8 @@
 
     def close(self) -> None:
         """Take part no more."""
+        if self._carriers is not None:
+            self._carriers.cancel()
         for part in (self.gate, self.changes, self.moves, self.copies):
             if part is not None:
                 part.close()
--- a/fennelwind/shards/routing.py
+++ b/fennelwind/shards/routing.py
@@ -112,6 +112,19 @@
         holders = self.holders(shards)
         return holders is None or engine in holders
 
+    def missed(self, query: int, engine: str) -> list[api.EngineList] | None:
+        """Take an engine's word that it has not what a query reads; return what the module is to be told.
+
+        The engine knows better than the view, until that is told anew. None: the view does not say otherwise,
+        or nobody else has it; then the engine's word is the query's answer.
+        """
+        _, shards = self._of_query.get(query, (None, ()))
+        left = {shard: tuple(name for name in self.places[shard] if name != engine)
+                for shard in shards if engine in self.places.get(shard, ())}
+        if not left or not all(left.values()):
+            return None
+        return self.seen({**self.places, **left})
+
     def ended(self, query: int) -> None:
         """Forget a query that has its answer."""
         slot, _ = self._of_query.pop(query, (None, ()))
--- a/tests/test_council_world.py
+++ b/tests/test_council_world.py
@@ -149,6 +149,8 @@
         records = [k.member.state.record for k in council.keepers.values() if k.member]
         council.until(lambda: len({r.index for r in records}) == 1)
         assert len({r.snapshot() for r in records}) == 1
+        # What the log's own fields are called is no fact's name: it would be written over.
+        assert not [facts for *_, facts in council.said if {"event", "level", "timestamp"} & set(facts)]
 
     Council(3).play(main)
 
--- a/tests/test_moves_program.py
+++ b/tests/test_moves_program.py
@@ -2,11 +2,13 @@
 
 import pytest
 from council_world import Council
-from fleet import Fleet, execute, outcome
+from fleet import Fleet, Seen, execute, outcome
 from test_gate import FOLLOWER
 
 from fennelwind import config
 from fennelwind import interface as api
+from fennelwind.cli.program import Program
+from fennelwind.observe.metrics import exposition
 from fennelwind.standin.shelves import Content, Shelf
 
 NAMES = ["sales/day=0", "sales/day=1"]
@@ -86,6 +88,9 @@
         assert {scene.ran_at(NAMES[0]) for _ in range(4)} == set(scene.good(NAMES[0]))
         scene.until(lambda: not engines[0].shelf.held)
         assert scene.fleet.seen.failures == []
+        told = exposition(scene.fleet.program).decode()  # by the classes of the settings, not the module's
+        assert 'queries_total{class="lookup",end="served"}' in told
+        assert "council_shards_readable 2.0" in told
         assert {kind for _, kind in scene.fleet.seen.answers} == {"served"}
 
     scene.play(call)
@@ -104,6 +109,25 @@
     scene.play(call)
 
 
+def test_a_controller_that_knows_no_engine_yet_takes_no_task_and_one_that_starts_knows_the_copies():
+    scene = Scene(4)
+
+    def call():
+        host = scene.council.world.host("c1", "127.0.0.2")
+        text = settings(Fleet.text('discovery { address: "127.0.0.9:1" mode: PUSHED }'))
+        blind = Program(host, config.read(text.replace('me: "c0"', 'me: "c1"')), Seen(), 2)
+        started = host.start(blind.start)
+        scene.until(lambda: started.done)
+        assert blind.driver.router.places == scene.fleet.program.driver.router.places  # ahead of any client
+        scene.fleet.program.keeper.close()  # its leases lapse
+        scene.host.sleep(90_000.0)
+        machine = next(iter(scene.council.keepers.values())).member.state.record.machines["shards"]
+        assert {home.life for home in machine.homes.values()} == {"ready"}
+        assert all(machine.good(name) for name in NAMES)
+
+    scene.play(call)
+
+
 def test_too_many_shards_are_refused_by_name():
     scene = Scene(3)
     named = {"fennelwind.shards": ",".join(f"sales/day={n}" for n in range(65))}
--- a/tests/test_shard_routing.py
+++ b/tests/test_shard_routing.py
@@ -93,6 +93,18 @@
     assert not rig.routing.may_send(1, chosen)
 
 
+def test_an_engine_that_lacks_a_copy_is_believed_until_the_next_view():
+    rig = Rig(6, {"a": ("e1", "e2")})
+    rig.arrive(0.0, 1, shards=("a",))
+    first = rig.out[1][1]
+    rig.step(1.0, *rig.routing.missed(1, first))
+    rig.end(1.0, 1, "moot")
+    assert sorted(rig.sent[1]) == ["e1", "e2"] and not rig.routing.may_send(1, first)
+    assert rig.routing.missed(1, rig.out[1][1]) is None  # nobody else has it: that is the answer
+    rig.routing.seen({"a": ("e1", "e2")})
+    assert rig.routing.may_send(1, first)
+
+
 def test_slots_are_given_anew_when_no_query_needs_them_and_overflow_is_guarded():
     rig = Rig(2, {f"t/d={n}": (f"e{n}",) for n in range(4)})
     for query in range(3):
