--- a/fennelwind/audit/trace.py
+++ b/fennelwind/audit/trace.py
@@ -1,6 +1,7 @@
 """Turns recorded bytes into what clients asked and were told, what reached engines, and what lists said.
 
-A statement is followed by the tag that its client put into its configuration as `standin.tag`.
+A statement is followed by the tag that its client put into its configuration as `standin.tag`. One with a
+fence is an act of the fleet's own, and nobody's query.
 """
 
 import json
@@ -13,6 +14,7 @@
 from fennelwind.thrift.transport import BUFFERED, ClientSide, Login, ServerSide
 
 SERVED, REFUSED, FAILED, CANCELLED, REJECTED = "served", "refused", "failed", "cancelled", "rejected"
+FENCE = "fennelwind.fence"
 OK, ERROR, NOT_RUN, CUT = "ok", "error", "not_run", "cut"
 ARRIVES_MS = 50.0  # ms after which what was written has come, if its connection still stands
 FINAL = {hs2.FINISHED: SERVED, hs2.FAILED: FAILED, hs2.CANCELED: CANCELLED, hs2.CLOSED: CANCELLED}
@@ -246,6 +248,8 @@
     def called(self, at: float, method: str, request) -> Attempt | None:
         if method == "ExecuteStatement" and not request.statement.startswith("USE "):  # no query's own
             said = request.confOverlay or {}
+            if FENCE in said:
+                return None
             work = float(said.get("standin.work_ms", 0))
             attempt = Attempt(said.get("standin.tag", ""), self.name, at, work)
             self.trace.attempts.append(attempt)
--- a/fennelwind/fleet/councilrig.py
+++ b/fennelwind/fleet/councilrig.py
@@ -134,6 +134,8 @@
 class CouncilRig:
     """So many members and followers; `play` runs a test's script with all of them up."""
 
+    WORK = "fennelwind.fleet.councilwork"  # what its processes run
+
     def __init__(self, folder: Path, members: int = 3, followers: int = 0, *, seed: int = 1,
                  more: dict[str, dict[str, Any]] | None = None, direct: bool = False, **every: Any) -> None:
         self.folder, self.seed, self.direct = folder, seed, direct  # direct: without relays, nothing is cut
@@ -186,19 +188,21 @@
             break
         else:
             raise RigFailed("no ports are free for a rig")
+        rows = self._surround()
+        if not self.direct:
+            started = self.loop.now()
+            relay = Relay(self.loop, self.ways, rows, lambda: self.loop.now() - started, str(self.seed))
+            relay.prepare()
+            self.loop.spawn(relay.play, name="relay")
+        self.loop.spawn(self._look, name="look")
+
+    def _surround(self) -> list[Row]:
+        """Start what is around the processes; return the rows of the relay."""
         self.resource = Resource(self.loop, Address(f"127.{RESOURCE}.0.1", self.port))
         self.loop.spawn(self.resource.serve, name="resource")
-        if self.direct:
-            self.loop.spawn(self._look, name="look")
-            return
         rows = [Row(self.way(a, b), a, b, self.home(b)) for a in self.names for b in self.members if a != b]
-        rows += [Row(self.way(a, "resource"), a, "resource", self.resource.listener.address)
-                 for a in self.names]
-        started = self.loop.now()
-        relay = Relay(self.loop, self.ways, rows, lambda: self.loop.now() - started, str(self.seed))
-        relay.prepare()
-        self.loop.spawn(relay.play, name="relay")
-        self.loop.spawn(self._look, name="look")
+        return rows + [Row(self.way(a, "resource"), a, "resource", self.resource.listener.address)
+                       for a in self.names]
 
     def home(self, name: str) -> Address:
         """Where a member listens."""
@@ -227,7 +231,7 @@
         """Start a life of a process."""
         self.lives[name] += 1
         part = Part(self.loop, self.spec(name), self.folder / f"{name}.{self.lives[name]}.log",
-                    "fennelwind.fleet.councilwork")
+                    self.WORK)
         self.parts[name] = part
         self._all.append(part)
 
--- a/fennelwind/standin/engine.py
+++ b/fennelwind/standin/engine.py
@@ -2,7 +2,8 @@
 
 A statement's true needs come with it, as configuration: `standin.work_ms`, `.threads`, `.memory_mb`,
 `.tables`, `.rows`; `.types` gives a column of every type; `.sqlstate` makes it fail as a statement at fault
-does, after its work. It answers with that many rows of (id BIGINT, name STRING). As a real server does, it
+does, after its work; `.shards` names the partitions that it reads, which have to be whole on its disk. It
+answers with that many rows of (id BIGINT, name STRING). As a real server does, it
 serves each connection's calls in turn; an operation may be named from any connection; `USE` changes its
 session alone. A statement of a task carries its fence, `fennelwind.fence` as `TASK:NUMBER`: an older one than
 was seen is refused, and a newer one stops what runs under an older. Fences outlast a life, as on a disk.
@@ -16,7 +17,7 @@
 from fennelwind.loop import Address, DeadlineExceeded, Listener, Loop, Once, Stream, StreamReset
 from fennelwind.standin.model import Job, Machine, Model
 from fennelwind.standin.runner import Runner
-from fennelwind.standin.schemas import COLUMNS, Schemas
+from fennelwind.standin.schemas import COLUMNS, NO_TABLE, Schemas
 from fennelwind.standin.shelves import Refused, Shelf, Task
 from fennelwind.thrift import hints, messages
 from fennelwind.thrift import hiveserver2 as hs2
@@ -68,6 +69,7 @@
     task: str = ""  # of the fleet, that it is an act of
     cells: tuple[tuple[str, ...], ...] = ()  # rows of text, where `columns` name them
     shelved: Task | None = None  # what it does to the disk
+    shards: tuple[str, ...] = ()  # partitions that it reads
 
 
 @dataclass(slots=True)
@@ -80,6 +82,8 @@
     refused: int = 0
     fenced: int = 0  # refused for an older fence, and stopped for a newer one
     metadata: int = 0
+    absent: int = 0  # statements whose partition was not whole here
+    pulled: int = 0  # statements whose partition was dropped while they ran
     lives: int = 0
     falls: int = 0
     most_out: int = 0
@@ -301,7 +305,10 @@
             rows = min(int(said.get("standin.rows", 1)), ROWS_MOST)
         except ValueError as exc:
             return reply(status=self._error(str(exc), "22023", hints.write(hints.NOT_RUN)))
-        shelved = None
+        shelved, shards = None, tuple(filter(None, said.get("standin.shards", "").split(",")))
+        if self.shelf is not None and not all(map(self.shelf.whole, shards)):
+            self.counts.absent += 1
+            return reply(status=self._error(f"no such partition: {', '.join(shards)}", NO_TABLE))
         if self.shelf is not None and self.shelf.knows(request.statement):
             try:
                 shelved = self.shelf.begin(request.statement, {})
@@ -314,7 +321,7 @@
         operation = _Operation(
             handle, job, rows, Once(self.loop), session=session,
             statement=request.statement, types="standin.types" in said,
-            sql_state=said.get("standin.sqlstate", ""), task=task, shelved=shelved)
+            sql_state=said.get("standin.sqlstate", ""), task=task, shelved=shelved, shards=shards)
         self.counts.databases[self._sessions[session]] += 1
         self.counts.statements += 1
         self._operations[handle.operationId.guid] = operation
@@ -487,6 +494,8 @@
         if operation is not None:
             if operation.shelved is not None and not self.faults.error:
                 operation.sql_state, operation.cells = self.shelf.run(operation.shelved)
+                self.counts.pulled += sum(not all(map(self.shelf.whole, o.shards))
+                                          for o in self._running.values())
                 operation.rows, operation.columns = len(operation.cells), COLUMNS
             elif self.schemas.knows(operation.statement) and not self.faults.error:
                 operation.sql_state, operation.cells = self.schemas.run(operation.statement)
--- a/fennelwind/standin/shelves.py
+++ b/fennelwind/standin/shelves.py
@@ -131,6 +131,10 @@
             return "", ((task.path,),) if whole in self.held else ()
         return "", ((str(content.rows), str(content.checksum)),) if content is not None else ()
 
+    def whole(self, shard: str) -> bool:
+        """Tell whether a copy of the shard is here, and not a part of one."""
+        return shard in self.held and self.held[shard].rows > 0
+
     def knows(self, statement: str) -> bool:
         """Tell whether it is a statement of these."""
         return any(form.fullmatch(statement) for form in FORMS.values())
