--- a/fennelwind/fleet/wholeday.py
+++ b/fennelwind/fleet/wholeday.py
@@ -72,6 +72,38 @@
         yield Query(number, at, random.randrange(1 << 30), cls, shard, ask)
 
 
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """Something that a storm does, and undoes after a while."""
+
+    at_ms: float
+    for_ms: float
+    kind: str
+    target: str
+    other: str = ""
+
+
+MEMBER_FAULTS = ("kill", "stop", "full disk", "slow disk", "folder lost", "cut off", "cut one way", "late")
+ENGINE_FAULTS = ("engine killed", "engine empty", "engine full", "engine cut off")
+ENGINE_REST_MS = 25_000.0  # ms between two faults of engines: a copy that was lost has to be made anew
+
+
+def storm(seed: int, members: Sequence[str], followers: Sequence[str], engines: Sequence[str],
+          length_ms: float) -> list[Fault]:
+    """Draw faults: of one member at a time, so that the others agree, of one engine, of one follower."""
+    random, faults = Random(f"storm {seed}"), []
+    for targets, kinds, rest in ((members, MEMBER_FAULTS, 2_000.0), (engines, ENGINE_FAULTS, ENGINE_REST_MS),
+                                 (followers, ("kill", "stop", "cut off"), 8_000.0)):
+        at = random.uniform(0.0, 4_000.0)
+        while at < length_ms and targets:
+            kind, target = random.choice(kinds), random.choice(targets)
+            other = random.choice([name for name in members if name != target])
+            lasts = random.uniform(1_000.0, 6_000.0)
+            faults.append(Fault(at, lasts, kind, target, other))
+            at += lasts + random.uniform(0.5, 1.5) * rest
+    return sorted(faults, key=lambda fault: fault.at_ms)
+
+
 def verdict(wires: Mapping[str, Sequence[Wire]], settings: pb.Settings,
             stops: Spans, cuts: Spans) -> tuple[list[str], int, int]:
     """Return what broke, how often something was checked, and the asks that met a stopped controller.
--- a/fennelwind/fleet/wholerig.py
+++ b/fennelwind/fleet/wholerig.py
@@ -78,8 +78,9 @@
                          constants=QUICK if constants is None else constants,
                          timing=TIMING if timing is None else timing)
         self.engine_names = [f"e{n}" for n in range(engines)]
+        self.layout: list[list[str]] | None = None  # by shard, the engines with copies; None: all evenly
         self.shards = [f"sales/day={n}" for n in range(shards)]
-        self.copies = copies
+        self.copies, self.council = copies, dict(COUNCIL)
         self.ms_per_byte, self.change = ms_per_byte, change
         self.settings = text_format.Parse(TEMPLATE.read_text("utf-8"), pb.Settings())
         self.staging: dict[str, Content] = {}
@@ -131,9 +132,11 @@
             self.engines[name] = engine
             self._start_engine(name, cold=False)
             self.tell(name, zone=("hall-a", "hall-b")[number % 2])
+        engines = len(self.engine_names)
         for number, shard in enumerate(self.shards):
-            for copy in range(self.copies):
-                home = self.engine_names[(number + copy) % len(self.engine_names)]
+            homes = self.layout[number] if self.layout is not None else [
+                self.engine_names[(number + copy) % engines] for copy in range(self.copies)]
+            for home in homes:
                 self.engines[home].shelf.held[shard] = self.content(shard)
         self.discovery.start()
         self.loop.spawn(self._count_copies, name="rig: copies")
@@ -202,7 +205,7 @@
             council.members.add(name=member, address=str(self.home(member)))
         if name in self.members:
             council.folder = str(self.folder / name)
-        for key, value in COUNCIL.items():
+        for key, value in self.council.items():
             setattr(council, key, value)
         settings.moves.staging = "/staging"
         for shard in self.shards:
@@ -273,10 +276,20 @@
     def heal(self) -> None:
         """Open all ways."""
         super().heal()
-        for (name, engine), began in self._cut.items():
-            key = f"{name} {self.engine_at(engine)}"
-            self.cuts.setdefault(key, []).append((began, self.loop.now()))
-        self._cut.clear()
+        for name, engine in list(self._cut):
+            self._whole(name, engine)
+
+    def open(self, some: Iterable[str], others: Iterable[str]) -> None:
+        """Open the ways between two groups."""
+        for a, b in [(a, b) for a in some for b in others]:
+            self.ways.now.pop((a, b), None)
+            self.ways.now.pop((b, a), None)
+            self._whole(a, b)
+
+    def _whole(self, name: str, engine: str) -> None:
+        began = self._cut.pop((name, engine), None)
+        if began is not None:
+            self.cuts.setdefault(f"{name} {self.engine_at(engine)}", []).append((began, self.loop.now()))
 
     def limit_files(self, name: str, size: int | None) -> None:
         """Let no file of a process grow beyond a size; None: let them again."""
--- a/fennelwind/fronts/hs2/door.py
+++ b/fennelwind/fronts/hs2/door.py
@@ -51,7 +51,8 @@
         if delay:
             self.loop.sleep(delay)
         there = self.users.get(user)
-        right = self._check(proof, self._nobody if there is None else there.hash, password) and there is not None
+        hashed = self._nobody if there is None else there.hash
+        right = self._check(proof, hashed, password) and there is not None
         if right:
             self.logins.passed(user, address, proof, self.loop.now())
         else:
--- a/fennelwind/keeper/whole.py
+++ b/fennelwind/keeper/whole.py
@@ -109,6 +109,8 @@
         held = len(self.tasks.holder.held(self.loop.now()))
         told = [("leases_held", "Leases of tasks held here.", held)]
         if self.copies is not None:
+            told.append(("shards_known", "Shards of the record, by the view that queries go by here.",
+                         len(self.copies.places)))
             told.append(("shards_readable", "Shards with a good copy, by the view that queries go by here.",
                          sum(map(bool, self.copies.places.values()))))
         member = self.member
