--- a/fennelwind/fleet/councilrig.py
+++ b/fennelwind/fleet/councilrig.py
@@ -8,6 +8,7 @@
 import json
 import os
 import shutil
+import signal
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -22,7 +23,7 @@
 MEMBER, TO_MEMBER, RESOURCE = 21, 103, 22  # second octets of hosts
 LOOK_MS = 20.0  # ms between two looks at what has happened
 WITHIN_S = 60.0  # s; a wait for an event that is over much sooner, but for a machine that stands still
-END_S = 20.0  # s in which a process has to end when it is told to
+END_S = 60.0  # s in which a process has to end when it is told to; it may just have been started
 ACT = {"name": "sweep", "term_ms": 1500, "act_ms": 120.0, "steps": 3, "gap_ms": 20.0}
 TIMING = {"heartbeat_ms": 50.0, "election_ms": 300.0}
 
@@ -279,7 +280,17 @@
         """Let a process hand over and end, as on SIGTERM."""
         part = self.parts.pop(name)
         part.say({"end": True})
-        self.until(lambda: part.process.poll() is not None, f"{name} ends", END_S)
+
+        def ended() -> bool:
+            self._hear(name, part)  # it says more than a pipe holds while it hands over
+            return part.process.poll() is not None
+
+        try:
+            self.until(ended, f"{name} ends", END_S)
+        except RigFailed:
+            part.process.send_signal(signal.SIGUSR1)  # its log tells where it stands
+            self.loop.sleep(500.0)
+            raise
         self._drain(name, part)
 
     def lose(self, name: str) -> None:
