The rig's keeper takes what clearances need

Need: serve_shards had taken on the book of clearances and the rig's own keeper not. Change: its arguments go through. Result: tests/test_whole.py passes.

--- a/fennelwind/fleet/wholerig.py
+++ b/fennelwind/fleet/wholerig.py
@@ -80,7 +80,7 @@
         self.engine_names = [f"e{n}" for n in range(engines)]
         self.layout: list[list[str]] | None = None  # by shard, the engines with copies; None: all evenly
         self.shards = [f"sales/day={n}" for n in range(shards)]
-        self.copies, self.council = copies, dict(COUNCIL)
+        self.copies, self.council, self.clearances = copies, dict(COUNCIL), False
         self.ms_per_byte, self.change = ms_per_byte, change
         self.settings = text_format.Parse(TEMPLATE.read_text("utf-8"), pb.Settings())
         self.staging: dict[str, Content] = {}
@@ -207,7 +207,7 @@
             council.folder = str(self.folder / name)
         for key, value in self.council.items():
             setattr(council, key, value)
-        settings.moves.staging = "/staging"
+        settings.moves.staging, settings.moves.clearances = "/staging", self.clearances
         for shard in self.shards:
             settings.moves.shards.add(name=shard, size_bytes=SIZE, copies=self.copies)
         self.change(settings)
--- a/fennelwind/fleet/wholework.py
+++ b/fennelwind/fleet/wholework.py
@@ -61,8 +61,8 @@
             super().__init__(loop, place, seed, said, lambda: RigDisk(loop, str(place.folder), faults), more,
                              known)
 
-        def serve_shards(self, *args: Any) -> None:
-            super().serve_shards(*args)
+        def serve_shards(self, *args: Any, **more: Any) -> None:
+            super().serve_shards(*args, **more)
             self.moves.timing = replace(Timing(), **spec.get("timing", {}))
 
     importlib.import_module(PROGRAM).RealLoop, whole.Keeper = RigLoop, RigKeeper
