--- a/fennelwind/fleet/wholeplays.py
+++ b/fennelwind/fleet/wholeplays.py
@@ -14,12 +14,13 @@
 from fennelwind.config import settings_pb2 as pb
 from fennelwind.fleet.processes import RigFailed
 from fennelwind.fleet.wholeday import Fault, figures, storm
-from fennelwind.fleet.wholerig import DISK, WholeRig
+from fennelwind.fleet.wholerig import DISK, KIND, TIMING, WholeRig
 from fennelwind.keeper.errors import CouncilError
 from fennelwind.shards.shards_pb2 import Command, Declare, Shard
 
 STORM_MS, PER_S = 45_000.0, 15.0  # a storm's length, and queries a second
 PAIR_MS, PAIR_PER_S = 40_000.0, 25.0
+TWIN = "node-8b"  # the same machine under another name
 SETTLE_S = 180.0  # s for all that is left when faults have stopped
 BATCH = 8  # controllers that start side by side
 LOOK_S = 20.0  # s over which a leader's work is counted
@@ -121,10 +122,17 @@
     order = ("moves", "none") if seed % 2 else ("none", "moves")
     for which in order:
         def change(settings: pb.Settings, which: str = which) -> None:
-            settings.moves.bytes_per_hour = 0.0 if which == "moves" else 1e-6
-
-        rig = WholeRig(folder(), members=3, followers=1, shards=8, seed=seed, ms_per_byte=20.0, change=change)
-        rig.layout = [["e0", "e1"]] * 8  # uneven: half of the copies go to the other two
+            twin = settings.kinds.add()
+            twin.CopyFrom(settings.kinds[0])
+            twin.name = TWIN
+            if which == "none":
+                for shard in settings.moves.shards:
+                    shard.kinds.append(KIND)
+
+        rig = WholeRig(folder(), members=3, followers=1, shards=8, seed=seed, ms_per_byte=100.0, change=change,
+                       timing=TIMING | {"copy_ms": 60_000.0})
+        rig.layout = [["e0", "e1"]] * 8  # uneven: half of the copies go to the other two, where they may
+        rig.kinds = {"e2": TWIN, "e3": TWIN}
 
         def script(rig: WholeRig) -> None:
             rig.ready()
--- a/fennelwind/fleet/wholerig.py
+++ b/fennelwind/fleet/wholerig.py
@@ -40,6 +40,7 @@
 ENGINES, CLIENTS, DISCOVERY = 23, 24, 25  # second octets of hosts
 ENGINE_WAY = 200  # and the engine's number: the last octet of a controller's way to it
 COUNCIL = {"heartbeat_ms": 100.0, "election_ms": 800.0, "handover_ms": 3000.0, "reserve_bytes": 1 << 20}
+KIND = "node-8"  # of the template
 SIZE, DISK = 100, 1000  # bytes of a shard and of an engine's disk, as good as any
 ASK_MS = 5000.0  # ms for one look at the record
 AGAIN_MS = 100.0  # ms until a client asks another controller
@@ -78,6 +79,7 @@
                          constants=QUICK if constants is None else constants,
                          timing=TIMING if timing is None else timing)
         self.engine_names = [f"e{n}" for n in range(engines)]
+        self.kinds: dict[str, str] = {}  # of engines that are not of the template's
         self.layout: list[list[str]] | None = None  # by shard, the engines with copies; None: all evenly
         self.shards = [f"sales/day={n}" for n in range(shards)]
         self.copies, self.council, self.clearances = copies, dict(COUNCIL), False
@@ -131,7 +133,7 @@
             engine.schemas.run("CREATE TABLE IF NOT EXISTS sales.orders (id bigint, total decimal(10,2))")
             self.engines[name] = engine
             self._start_engine(name, cold=False)
-            self.tell(name, zone=("hall-a", "hall-b")[number % 2])
+            self.tell(name, zone=("hall-a", "hall-b")[number % 2], kind=self.kinds.get(name, KIND))
         engines = len(self.engine_names)
         for number, shard in enumerate(self.shards):
             homes = self.layout[number] if self.layout is not None else [
@@ -168,7 +170,7 @@
     def tell(self, name: str, **changes: Any) -> None:
         """Let discovery tell of an engine as it is now."""
         address = str(self.engine_at(name))
-        old = self._listed.get(name, Listed(address, kind="node-8"))
+        old = self._listed.get(name, Listed(address, kind=KIND))
         told = {field: getattr(old, field) for field in Listed.__slots__} | changes
         self._listed[name] = Listed(**told)
         self.discovery.change(self._listed[name])
--- a/fennelwind/fleet/wholework.py
+++ b/fennelwind/fleet/wholework.py
@@ -25,9 +25,9 @@
 
 
 class Later(Registers):
-    """A machine that came with the second level of the record."""
+    """A machine that comes with the level behind this version's."""
 
-    name, since = "later", 2
+    name, since = "later", LEVEL + 1
 
 
 def build(spec: dict[str, Any], faults: Faults) -> None:
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -4,6 +4,7 @@
 never be: a query lost, one sent to a copy that is not there, a copy too few, a rule broken.
 """
 
+from fennelwind.council.record import LEVEL
 from fennelwind.fleet.wholerig import DISK, WholeRig
 from fennelwind.keeper.errors import CommandRefused
 
@@ -88,7 +89,7 @@
     rig = WholeRig(tmp_path, members=3, followers=0, engines=3, shards=2)
 
     def ask(registers):
-        """Ask for what came with the second level; return its answer, or why there was none."""
+        """Ask for what comes with the next level; return its answer, or why there was none."""
         try:
             return rig.asker.propose("later", registers, 30_000.0)
         except CommandRefused as exc:
@@ -104,21 +105,21 @@
         rig.ready()
         traffic = rig.traffic(15.0)
         rig.tell("e0", state="draining")  # moves go on through it all
-        renew("m0", 2)
-        renew("m1", 2)
+        renew("m0", LEVEL + 1)
+        renew("m1", LEVEL + 1)
         assert "NO_MACHINE" in ask(b'["put", "a", 1]')  # one of three does not know it yet
-        assert {rig.gauges(name)["council_level"] for name in rig.members} == {1.0}
-        renew("m1", 1)  # half-way back
-        renew("m1", 2)
-        renew("m2", 2)
-        rig.until(lambda: all(rig.gauges(n).get("council_level") == 2.0 for n in rig.members), "level 2")
+        assert {rig.gauges(name)["council_level"] for name in rig.members} == {LEVEL}
+        renew("m1", LEVEL)  # half-way back
+        renew("m1", LEVEL + 1)
+        renew("m2", LEVEL + 1)
+        rig.until(lambda: all(rig.gauges(n).get("council_level") == LEVEL + 1 for n in rig.members), "level")
         assert ask(b'["put", "a", 1]') == b"true"
-        rig.more["m0"] = {"level": 1}
+        rig.more["m0"] = {"level": LEVEL}
         rig.end("m0")
         rig.start("m0")  # it must not go on with the record, and serves queries
         told = rig.until(lambda: [facts for who, what, facts in rig.said
                                   if (who, what) == ("m0", "takes part no more")], "m0 says so")
-        assert told[0]["code"] == "council-record-too-new" and told[0]["record_level"] == 2
+        assert told[0]["code"] == "council-record-too-new" and told[0]["record_level"] == LEVEL + 1
         rig.until(lambda: rig.gauges("m0"), "m0 takes clients")
         key = 'queries_total{class="lookup",end="served"}'
         rig.until(lambda: rig.gauges("m0").get(key, 0.0) > 5, "queries at m0")
