An engine that restarts before anybody missed it has its disk's mark read at once

Seen: an engine that came back empty under its name, ready in every list, passed for one with its copies until the next list of what it holds, up to ten minutes later: its copies counted as good, and a drop of another copy could have left none. Ruled out: the machine (it knows disks by marks), the list's own check. Cause: keeper/moves.py read marks only of engines that had been told as gone. Change: the time of launch that lists tell goes along (program.py); another one has the mark read before the engine is told of. Result: a test on the whole program, which waited 120 s in vain before.

--- a/fennelwind/cli/program.py
+++ b/fennelwind/cli/program.py
@@ -134,8 +134,13 @@
         shards = [Shard(name=s.name, table=s.name.partition("/")[0], size=s.size_bytes, copies=s.copies or 1,
                         zones=s.zones or 1, kinds=s.kinds) for s in told.shards]
         router = self.driver.router
+
+        def launched() -> dict[str, float]:
+            return {name: engine.entry.launched_ms for name, engine in self.driver.gateway.engines.items()}
+
         keeper.serve_shards(self.links, homes, told.staging, bounds, shards, self.driver.copies,
                             book=router.opened, quiet=self.driver.quiet, cleared=told.clearances)
+        keeper.moves.launched = launched
 
     def _engines(self) -> list[str]:
         """Return the engines that are there now, as the module was told."""
--- a/fennelwind/fleet/wholeplays.py
+++ b/fennelwind/fleet/wholeplays.py
@@ -129,8 +129,8 @@
                 for shard in settings.moves.shards:
                     shard.kinds.append(KIND)
 
-        rig = WholeRig(folder(), members=3, followers=1, shards=8, seed=seed, ms_per_byte=100.0, change=change,
-                       timing=TIMING | {"copy_ms": 60_000.0})
+        rig = WholeRig(folder(), members=3, followers=1, shards=8, seed=seed, ms_per_byte=100.0,
+                       change=change, timing=TIMING | {"copy_ms": 60_000.0})
         rig.layout = [["e0", "e1"]] * 8  # uneven: half of the copies go to the other two, where they may
         rig.kinds = {"e2": TWIN, "e3": TWIN}
 
--- a/fennelwind/keeper/moves.py
+++ b/fennelwind/keeper/moves.py
@@ -108,6 +108,7 @@
         self.homes, self.staging, self.said = homes, staging, said
         self.bounds, self.timing, self.planner, self.record = bounds, timing, planner, record
         self.shards = tuple(shards)
+        self.launched: Callable[[], dict[str, float]] = dict  # when engines were started, as lists tell it
         self.clearances: Clearances | None = None  # whom a holder asks; None: copies go after their rest
         self.counts: Counter[str] = Counter()
 
@@ -136,6 +137,7 @@
         self.lives: dict[str, str] = {}  # of engines, as they were told last
         self.marks: dict[str, str] = {}  # of engines that are there, once they are known
         self.list_at: dict[str, float] = {}  # by engine: when its next list is due
+        self.launched: dict[str, float] = {}  # as it was told last
         self.shards: frozenset[str] = frozenset()  # that lists were made of
         self.hands: Hands[api.Event] = Hands(self.loop, held.name)
         self._statements: dict[int, Task] = {}
@@ -318,6 +320,12 @@
                 elif self.lives.get(name, "gone") == "gone" or shards != self.shards:
                     self.list_at[name] = self.loop.now()
                 self.lives[name] = home.life
+            launched = self.moves.launched()
+            for name in self.list_at:
+                if launched.get(name) != self.launched.get(name):  # it may have come back with another disk
+                    self.list_at[name] = self.loop.now()
+                    self.marks.pop(name, None)
+            self.launched = launched
             self.shards = shards
             told = [replace(home, mark=self.marks.get(name, "")) for name, home in sorted(homes.items())]
             # One that is back is not told of before its mark is known: it may have another disk.
--- a/tests/test_moves_program.py
+++ b/tests/test_moves_program.py
@@ -31,7 +31,8 @@
 class Scene:
     """Three members, and a controller with three engines that have disks."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, change=settings):
+        self.change = change
         self.council = Council(seed)
         self.host = self.council.world.host("c0", "127.0.0.1")
 
@@ -48,7 +49,7 @@
         self.council.world.run(main)
 
     def _main(self, call):
-        self.fleet = Fleet(self.host, engines=3, change=settings)
+        self.fleet = Fleet(self.host, engines=3, change=self.change)
         staging = {}
         for engine in self.fleet.engines:
             engine.shelf = Shelf(1000, staging, ms_per_byte=20.0)
@@ -109,6 +110,24 @@
     scene.play(call)
 
 
+def test_an_engine_that_restarts_with_an_empty_disk_before_anybody_missed_it_counts_as_another():
+    scene = Scene(5, lambda text: settings(text).replace("size_bytes: 100", "size_bytes: 100 copies: 2", 1))
+
+    def call():
+        engine = scene.fleet.engines[0]
+        scene.until(lambda: len(scene.good(NAMES[0])) == 2)
+        engine.crash()
+        engine.shelf = Shelf(1000, engine.shelf.staging, ms_per_byte=20.0)
+        engine.start(cold=True)
+        scene.fleet.program.driver.post(api.EngineList("delta", (
+            api.EngineEntry(engine.name, "ready", launched_ms=scene.host.now()),)))
+        scene.until(lambda: engine.name not in scene.good(NAMES[0]), 120_000.0)
+        assert scene.good(NAMES[0])
+        scene.until(lambda: len(scene.good(NAMES[0])) == 2)  # copied anew
+
+    scene.play(call)
+
+
 def test_a_controller_that_knows_no_engine_yet_takes_no_task_and_one_that_starts_knows_the_copies():
     scene = Scene(4)
 
