A command's hops are handed on within the turn of the loop in which they came

A frame that was to leave, and an event for the core, each woke a task by a channel for the next turn: a look at the sockets and a switch of stacks for each. Calls may now be made at the end of the present turn (Loop.last); members step there, and boxes push there what the stream takes, so that a task is woken only for what it does not. Nothing about write, sync and acknowledgement is in another order.

--- a/fennelwind/keeper/frames.py
+++ b/fennelwind/keeper/frames.py
@@ -9,6 +9,7 @@
 from fennelwind.keeper.bell import Bell
 from fennelwind.keeper.errors import FrameRefused
 from fennelwind.loop import Loop, Stream
+from fennelwind.loop.streams import PushStream
 
 HELLO_MOST = 1024  # bytes of a first frame: names are short, and who sends it is a stranger
 FRAME_MOST = 2 * 1024 * 1024  # bytes; an append holds 512 KiB and at least one command of 256 KiB
@@ -81,6 +82,9 @@
         self.loop, self.most, self.held, self.dropped = loop, most, 0, 0
         self._frames: deque[tuple[bytes, bool]] = deque()
         self._bell = Bell(loop)
+        self._stream: PushStream | None = None  # while `run` waits for what the stream did not take at once
+        self._rest = b""
+        self._due = False  # what waits is handed on at the end of this turn
 
     def __len__(self) -> int:
         return len(self._frames)
@@ -94,7 +98,11 @@
             return False
         self._frames.append((frame, may_be_lost))
         self.held += len(frame)
-        self._bell.ring()
+        if self._stream is None:
+            self._bell.ring()
+        elif not self._due:
+            self._due = True
+            self.loop.last(self._push)
         return True
 
     def _drop_oldest(self) -> bool:
@@ -111,16 +119,43 @@
         self._frames.clear()
         self.held = 0
 
-    def run(self, stream: Stream) -> None:
-        """Write what comes until the stream breaks. Raises `StreamReset` and `DeadlineExceeded`."""
-        while True:
-            while not self._frames:
+    def run(self, stream: PushStream) -> None:
+        """Write what comes until the stream breaks. Raises `StreamReset` and `DeadlineExceeded`.
+
+        While the stream takes all, no task is woken for it.
+        """
+        self._rest = b""
+        try:
+            while True:
+                while self._rest or self._frames:
+                    data, self._rest = self._rest or self._together(), b""
+                    stream.write(data, WRITE_MS)
+                self._stream = stream
                 self._bell.wait()
-            together = []
-            size = 0
-            while self._frames and (not together or size + len(self._frames[0][0]) <= TOGETHER_MOST):
-                frame, _ = self._frames.popleft()
-                self.held -= len(frame)
-                size += len(frame)
-                together.append(frame)
-            stream.write(b"".join(together) if len(together) > 1 else together[0], WRITE_MS)
+                self._stream = None
+        finally:
+            self._stream = None
+
+    def _push(self) -> None:
+        """Hand on what has come in this turn; leave to the task what the stream does not take at once."""
+        self._due = False
+        if self._stream is None or not self._frames:
+            return
+        data = self._together()
+        try:
+            sent = self._stream.push(data)
+        except OSError:  # the task's own write meets it as well, and tells
+            sent = 0
+        if sent < len(data) or self._frames:
+            self._rest, self._stream = data[sent:], None
+            self._bell.ring()
+
+    def _together(self) -> bytes:
+        """Take out as much as is written at once."""
+        together, size = [], 0
+        while self._frames and (not together or size + len(self._frames[0][0]) <= TOGETHER_MOST):
+            frame, _ = self._frames.popleft()
+            self.held -= len(frame)
+            size += len(frame)
+            together.append(frame)
+        return b"".join(together) if len(together) > 1 else together[0]
--- a/fennelwind/keeper/member.py
+++ b/fennelwind/keeper/member.py
@@ -6,6 +6,7 @@
 
 from collections import Counter, deque
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 from google.protobuf.message import DecodeError
@@ -107,7 +108,8 @@
         self.counts: Counter[str] = Counter()
         self.random = self.peers.random
         self._events: deque[Event] = deque()
-        self._bell, self._ink = Bell(loop), Bell(loop)
+        self._ink = Bell(loop)
+        self._turn_due, self._over = True, False  # no turn ahead of the first step, none after the end
         self._writes: deque[Write] = deque()
         self._timer = None
         self._token = 0
@@ -141,7 +143,7 @@
             self._tasks.append(self.loop.spawn(self._guarded, call, name=name))
         self.said("member", {"name": self.me.name, "life": self.me.life.hex(),
                              "index": self.state.record.index, "entries": len(durable.entries)})
-        self._turns()
+        self._turn()
 
     def _opened(self) -> Durable:
         """Open the folder, sooner or later."""
@@ -193,7 +195,7 @@
 
     def close(self) -> None:
         """Take part no more; what is agreed stays."""
-        self.part = "closed"
+        self.part, self._over = "closed", True
         if self._timer is not None:
             self._timer.cancel()
         for task in self._tasks:
@@ -208,7 +210,9 @@
     def post(self, event: Event) -> None:
         """Hand the core an event, in its next turn."""
         self._events.append(event)
-        self._bell.ring()
+        if not self._turn_due:
+            self._turn_due = True
+            self.loop.last(self._turn)
 
     def hello(self) -> pb.Hello:
         """Return what this member says first."""
@@ -293,15 +297,24 @@
 
     # The core's turns.
 
-    def _turns(self) -> None:
-        self._carry(self.core.step(self.loop.now(), []))
-        while True:
-            while not self._events:
-                self._bell.wait()
-            events = [self._events.popleft() for _ in range(min(len(self._events), STEP_MOST))]
+    def _turn(self) -> None:
+        """Have a step made of what has come in this turn of the loop; what comes of that is for the next."""
+        if self._over:
+            return
+        events = [self._events.popleft() for _ in range(min(len(self._events), STEP_MOST))]
+        try:
             self._carry(self.core.step(self.loop.now(), events))
-            if self._events:
-                self.loop.sleep(0.0)  # the loop's other tasks come first, queries above all
+        except Exception as exc:  # told by a task of the member's, as whatever else breaks in it
+            self._over = True
+            self.loop.spawn(self._guarded, partial(self._raise, exc), name="keeper: member")
+            return
+        self._turn_due = bool(self._events)
+        if self._events:
+            self.loop.soon(self._turn)  # the loop's other tasks come first, queries above all
+
+    @staticmethod
+    def _raise(exc: Exception) -> None:
+        raise exc
 
     def _carry(self, actions: list[Action]) -> None:
         for action in actions:  # who waits for an entry has to be known before it is applied
--- a/fennelwind/loop/scheduler.py
+++ b/fennelwind/loop/scheduler.py
@@ -16,6 +16,7 @@
 from fennelwind.loop.streams import Address, Datagrams, Listener, Stream
 from fennelwind.loop.timers import Timer, TimerWheel
 
+LAST_MOST = 1024  # calls at the end of one turn; the rest is for the next, so that no turn lasts for ever
 DELAY_PART = 0.1  # part of a new sample in the loop's delay: the last ten timers or so count
 
 
@@ -286,6 +287,8 @@
         self.hub: greenlet | None = None
         self.current: Task | None = None
         self.ready: deque[Callable[[], None]] = deque()
+        self._last: deque[Callable[[], None]] = deque()  # behind all that is ready in this turn
+        self._calling = False
         self.timers = TimerWheel()
         self.tasks: set[Task] = set()
         self.delay_ms = 0.0  # how late timers are called, a fading mean
@@ -337,6 +340,13 @@
         """Make the call in the next turn; it must not wait."""
         self.ready.append(call)
 
+    def last(self, call: Callable[[], None]) -> None:
+        """Make the call at the end of this turn, behind all else, or in the next one; it must not wait.
+
+        What gathers while a turn lasts is handed on by it as one, without a look at the sockets in between.
+        """
+        (self._last if self._calling else self.ready).append(call)
+
     def at(self, due: float, call: Callable[[], None]) -> Timer:
         """Make the call at the time (ms); it must not wait."""
         return self.timers.add(due, call)
@@ -393,12 +403,19 @@
             yield turn
 
     def _call_ready(self) -> None:
-        for _ in range(len(self.ready)):
-            call = self.ready.popleft()
-            try:
-                call()
-            except Exception as exc:  # one call's failure must not end the program
-                self.on_error(self.callbacks, exc)
+        self._calling = True
+        for calls, most in ((self.ready, len(self.ready)), (self._last, LAST_MOST)):
+            while most and calls:
+                most -= 1
+                call = calls.popleft()
+                try:
+                    call()
+                except Exception as exc:  # one call's failure must not end the program
+                    self.on_error(self.callbacks, exc)
+        self._calling = False
+        if self._last:
+            self.ready.extend(self._last)
+            self._last.clear()
 
     def _call_timers(self) -> None:
         now = self.now()
--- a/fennelwind/loop/world.py
+++ b/fennelwind/loop/world.py
@@ -280,6 +280,7 @@
         """End a killed host's tasks; from the world's own turn, to which an ended greenlet returns."""
         for _ in range(KILL_ROUNDS):
             self.ready.clear()
+            self._last.clear()
             for task in sorted(self.tasks, key=lambda t: t.name):
                 if not task.greenlet.dead:
                     task.greenlet.throw(GreenletExit)
