--- a/tests/test_council_world.py
+++ b/tests/test_council_world.py
@@ -5,6 +5,7 @@
 import pytest
 from council_chaos import Chaos
 from council_world import Council
+from sums import Sum
 
 from fennelwind.fleet.registers import Registers
 from fennelwind.keeper import rescue
@@ -89,33 +90,11 @@
     Council(2, members).play(main)
 
 
-class Tally:
-    """A machine that a later version brings: it counts its commands."""
+class Tally(Sum):
+    """A machine that a later version brings."""
 
     name, kinds, since = "tally", (), 2
 
-    def __init__(self):
-        self.count = 0
-
-    def apply(self, at, command, facts):
-        self.count += 1
-        return b"%d" % self.count
-
-    def pass_time(self, at):
-        pass
-
-    def due(self):
-        return None
-
-    def fact(self, kind, key):
-        return 0
-
-    def snapshot(self):
-        return b"%d" % self.count
-
-    def restore(self, data):
-        self.count = int(data or 0)
-
 
 def test_a_fleet_of_two_versions_takes_up_the_new_only_when_all_members_know_it():
     def main(council):
@@ -123,7 +102,7 @@
         asker = council.start("f0", "10.0.1.1").asker
 
         def ask():
-            return asker.propose("tally", b"x", 10_000)
+            return asker.propose("tally", b"1", 10_000)
 
         for name in council.names[:2]:  # a rolling upgrade: two of three
             council.kill(name)
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import pytest
+from sums import Sum
 
 from fennelwind.council import council_pb2 as cpb
 from fennelwind.council.interface import (
@@ -19,7 +20,6 @@
     Timing,
 )
 from fennelwind.council.log import Log
-from fennelwind.council.machine import UnreadableCommand
 from fennelwind.council.record import Record
 from fennelwind.keeper import keeper_pb2 as pb
 from fennelwind.keeper.asker import Asker
@@ -42,36 +42,6 @@
 HERE = {name: Address("127.0.0.1", 7000 + n) for n, name in enumerate("abc")}
 
 
-class Counter:
-    """A machine: adds up numbers, tells the sum."""
-
-    name, kinds = "sum", ("sum",)
-
-    def __init__(self):
-        self.sum = 0
-
-    def apply(self, at, command, facts):
-        if not command.isdigit():
-            raise UnreadableCommand("no number")
-        self.sum += int(command)
-        return b"%d" % self.sum
-
-    def pass_time(self, at):
-        pass
-
-    def due(self):
-        return None
-
-    def fact(self, kind, key):
-        return self.sum
-
-    def snapshot(self):
-        return b"%d" % self.sum
-
-    def restore(self, data):
-        self.sum = int(data or 0)
-
-
 class Alone:
     """A core that agrees with itself at once; `way` makes it refuse, forget to answer, or send elsewhere."""
 
@@ -126,7 +96,7 @@
     place = Place(fleet, name, HERE, listen=HERE[name], timing=Timing())
     core = Alone([] if log is None else log)
     folder = Folder(Life(name, name.encode()))
-    made = Member(loop, place, Record([Counter()]), folder, lambda _: core, "1", said)
+    made = Member(loop, place, Record([Sum()]), folder, lambda _: core, "1", said)
     made.start()
     loop.sleep(5.0)
     return made
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -3,43 +3,17 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from sums import Sum
 
 from fennelwind.council import council_pb2 as pb
 from fennelwind.council import record as record_module
-from fennelwind.council.machine import UnreadableCommand
 from fennelwind.council.record import COMMAND_MOST, Record
 
 
-class Sum:
-    """Adds what it is given; lets everything lapse 100 ms after the first."""
+class Lapsing(Sum):
+    """Lets everything lapse 100 ms after the first."""
 
-    name, kinds = "sum", ("total",)
-
-    def __init__(self):
-        self.total, self.until = 0, None
-
-    def apply(self, at, command, facts):
-        if not command.isdigit():
-            raise UnreadableCommand("no digits")
-        self.total += int(command)
-        if self.until is None:
-            self.until = at.clock_ms + 100
-        return b"%d" % self.total
-
-    def pass_time(self, at):
-        self.total, self.until = 0, None
-
-    def due(self):
-        return self.until
-
-    def fact(self, kind, key):
-        return self.total
-
-    def snapshot(self):
-        return b"" if self.until is None else b"%d %d" % (self.total, self.until)
-
-    def restore(self, data):
-        self.total, self.until = map(int, data.split()) if data else (0, None)
+    lapse_ms = 100
 
 
 def entry(index, clock_ms=0, **command):
@@ -47,7 +21,7 @@
 
 
 def opened(record=None):
-    record = record or Record([Sum()])
+    record = record or Record([Lapsing()])
     return record, record.apply(pb.Entry(term=1, index=record.index + 1, command=pb.Command())).index
 
 
@@ -55,7 +29,7 @@
     record, client = opened()
     first = record.apply(entry(2, client=client, number=1, body=b"5"))
     again = record.apply(entry(3, client=client, number=1, body=b"5"))
-    assert first == again and first.body == b"5" and record.fact("total", "") == 5
+    assert first == again and first.body == b"5" and record.fact("sum", "") == 5
 
 
 def test_what_was_heard_is_not_kept_and_never_done_anew():
@@ -63,7 +37,7 @@
     record.apply(entry(2, client=client, number=1, body=b"5"))
     record.apply(entry(3, client=client, number=2, heard=1, body=b"5"))
     assert record.apply(entry(4, client=client, number=1, body=b"5")).refusal == pb.Result.NUMBER_GONE
-    assert record.fact("total", "") == 10
+    assert record.fact("sum", "") == 10
 
 
 def test_a_forgotten_client_is_refused_not_done_anew(monkeypatch):
@@ -86,14 +60,14 @@
     record, command.client = opened()
     command.number = 1
     assert record.apply(pb.Entry(term=1, index=2, command=command)).refusal == refusal
-    assert record.fact("total", "") == 0
+    assert record.fact("sum", "") == 0
 
 
 def test_answers_kept_for_one_client_are_bounded():
     record, client = opened()
     for number in range(1, 70):
         last = record.apply(entry(1 + number, client=client, number=number, body=b"1"))
-    assert last.refusal == pb.Result.TOO_MANY and record.fact("total", "") == 64
+    assert last.refusal == pb.Result.TOO_MANY and record.fact("sum", "") == 64
     last = record.apply(entry(80, client=client, number=69, heard=64, body=b"1"))
     assert last.body == b"65"  # asked again with room, it is done
 
@@ -103,7 +77,7 @@
     record.apply(entry(2, 50, client=client, number=1, body=b"5"))
     assert record.due() == 150
     record.apply(pb.Entry(term=1, index=3, clock_ms=200, nothing=True))
-    assert (record.fact("total", ""), record.due()) == (0, None)
+    assert (record.fact("sum", ""), record.due()) == (0, None)
     record.apply(entry(4, 100, client=client, number=2, body=b"5"))
     assert record.due() == 300
 
@@ -115,7 +89,7 @@
     entries = [entry(i + 1, sum(s[3] for s in steps[:i + 1]), client=c, number=n, heard=h, body=b"%d" % n)
                if c else pb.Entry(index=i + 1, command=pb.Command())
                for i, (c, n, h, _) in enumerate(steps)]
-    whole, first, second = Record([Sum()]), Record([Sum()]), Record([Sum()])
+    whole, first, second = Record([Lapsing()]), Record([Lapsing()]), Record([Lapsing()])
     told = [whole.apply(e) for e in entries]
     for e in entries[:cut]:
         first.apply(e)
@@ -124,7 +98,7 @@
     assert second.snapshot() == whole.snapshot()
 
 
-class Later(Sum):
+class Later(Lapsing):
     """A machine that came with the second level."""
 
     name, kinds, since = "later", ("later",), 2
@@ -136,7 +110,7 @@
 
 
 def test_members_of_two_versions_make_the_same_state_until_all_know_the_next_level():
-    older, newer = Record([Sum()], known=1), Record([Later(), Sum()], known=2)
+    older, newer = Record([Lapsing()], known=1), Record([Later(), Lapsing()], known=2)
     entries = [pb.Entry(term=1, index=1, command=pb.Command()), command(2, "later", b"4", 1, 1),
                command(3, "sum", b"4", 1, 2), command(4, "record", b"3"), command(5, "record", b"x")]
     for one in entries:
@@ -146,7 +120,7 @@
     for _ in range(2):  # asked twice, raised once
         assert newer.apply(command(newer.index + 1, "record", b"2")).body == b"2"
     assert newer.apply(command(8, "later", b"4", 1, 3)).body == b"4"
-    again = Record([Later(), Sum()], known=2)
+    again = Record([Later(), Lapsing()], known=2)
     again.restore(newer.snapshot())
     assert again.snapshot() == newer.snapshot() and again.fact("later", "") == 4
     older.restore(newer.snapshot())
