Council bench: a command's hops with nothing decided on the way, as the floor

Two processes on the loop pass 120 bytes on, one of them writes and syncs in its disk's thread: what of a single command's time is the ways and the threads alone.

--- a/fennelwind/fleet/councilbench.py
+++ b/fennelwind/fleet/councilbench.py
@@ -1,13 +1,14 @@
 """What the council costs on this machine: `python -m fennelwind.fleet.councilbench PART` prints a table.
 
-Parts: `commits` (time and rate, 3 and 5 members, with and without sync, beside one sync and one message there
-and back in the same run), `leaders` (time without a leader after kill, stop, cut and full disk), `catch-up`,
-`memory`. Members are processes on loopback; only `leaders` has relays between them. Times are this machine's,
-and say something only beside one another.
+Parts: `commits` (time and rate, 3 and 5 members, with and without sync, beside one sync, one message there
+and back, and a command's hops with nothing decided on the way, in the same run), `leaders` (time without a
+leader after kill, stop, cut and full disk), `catch-up`, `memory`. Members are processes on loopback; only
+`leaders` has relays between them. Times are this machine's, and say something only beside one another.
 """
 
 import json
 import os
+import subprocess
 import sys
 import tempfile
 from collections.abc import Callable, Iterator
@@ -20,7 +21,8 @@
 from fennelwind.keeper.asker import Asker
 from fennelwind.keeper.errors import CouncilError
 from fennelwind.leases import leases_pb2 as pb
-from fennelwind.loop import RealLoop
+from fennelwind.loop import Address, RealLoop, parse_address
+from fennelwind.loop.realdisk import RealDisk
 
 SINGLE = 400  # commands, one after the other
 BARE = 400  # syncs, and messages there and back
@@ -78,6 +80,52 @@
     return times
 
 
+def hop(ahead: str, folder: str) -> None:
+    """Be one process on the way: pass on what comes, or write and sync it in a disk's thread, and answer."""
+    loop = RealLoop()
+
+    def run() -> None:
+        disk = RealDisk(loop, folder) if folder else None
+        onward = loop.connect(parse_address(ahead)) if ahead else None
+        listener = loop.listen(Address("127.0.0.1", 0))
+        print(listener.address, flush=True)
+        stream = listener.accept()
+        while data := stream.read():
+            if onward is not None:
+                onward.write(data)
+                onward.read()
+            if disk is not None:
+                disk.append("bare", data)
+                disk.sync("bare")
+            stream.write(data)
+
+    loop.run(run)
+
+
+def bare_hops(rig: CouncilRig, folder: str) -> list[float]:
+    """Return the times of 120 bytes by way of one process to another, its disk if there is one, and back."""
+    children: list[subprocess.Popen] = []
+    try:
+        ahead = ""
+        for kept in (folder, ""):
+            child = subprocess.Popen([sys.executable, "-m", "fennelwind.fleet.councilbench", "hop", ahead,
+                                      kept], stdout=subprocess.PIPE, text=True)
+            children.append(child)
+            ahead = child.stdout.readline().strip()
+        stream, times = rig.loop.connect(parse_address(ahead)), []
+        for _ in range(BARE):
+            began = rig.loop.now()
+            stream.write(b"x" * 120)
+            stream.read()
+            times.append(rig.loop.now() - began)
+        stream.close()
+    finally:
+        for child in children:
+            child.kill()
+            child.wait()
+    return times
+
+
 def many(rig: CouncilRig, call: Callable[[Asker, int], Any], askers: int = ASKERS, each: int = EACH_ASKER,
          ) -> float:
     """Return how many calls a second end while so many are under way."""
@@ -123,9 +171,9 @@
 
 def commits() -> None:
     """Print the time and the rate of commands."""
-    print("| members | sync | one sync (ms, median / 99th) | one message there and back | one command "
-          "| of one sync and one round | commands/s | renewals/s |")
-    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    print("| members | sync | one sync (ms, median / 99th) | one message there and back "
+          "| a command's hops, bare | one command | of one sync and one round | commands/s | renewals/s |")
+    print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     for members in (3, 5):
         for no_sync in (False, True):
             with folder() as place:
@@ -135,13 +183,14 @@
                     ours = asker(rig, 0)
                     put(ours, "x", 0)
                     bare, rounds, times = bare_syncs(place), bare_rounds(rig), []
+                    hops = bare_hops(rig, "" if no_sync else str(place / "hop"))
                     for number in range(SINGLE):
                         began = rig.loop.now()
                         put(ours, "x", number)
                         times.append(rig.loop.now() - began)
                     rate = many(rig, lambda ours, n: put(ours, f"k{n % 100}", n))
                     floor = (0.0 if no_sync else median(bare)) + median(rounds)
-                    return [figures(bare), figures(rounds), figures(times), f"{median(times) / floor:.2f}",
+                    return [*map(figures, (bare, rounds, hops, times)), f"{median(times) / floor:.2f}",
                             f"{rate:.0f}", f"{renewals(rig):.0f}"]
 
                 rig = CouncilRig(place, members, direct=True, disk={"no_sync": no_sync})
@@ -284,6 +333,8 @@
             leaders(faults)
         case ["catch-up"]:
             catch_up()
+        case ["hop", ahead, folder]:  # a process of `commits`
+            hop(ahead, folder)
         case ["memory", commands]:
             memory(int(commands))
         case _:
