--- a/fennelwind/loop/realdisk.py
+++ b/fennelwind/loop/realdisk.py
@@ -27,10 +27,8 @@
 )
 from fennelwind.loop.real import RealLoop
 from fennelwind.loop.scheduler import DeadlineExceeded, Waiter
-from fennelwind.loop.timers import Timer
 
 SMALL = 65536  # bytes of an append that is not waited for; a copy into the kernel's memory of some 10 us
-LEFT_MS = 5.0  # ms at most that such an append waits for a call that is waited for, to wake the thread once
 NO_ROOM = {errno.ENOSPC, errno.EDQUOT, errno.EFBIG}  # EFBIG: the process's own limit of a file's size
 CLOSE_MS = 1000.0  # ms that the end of a program waits for a disk that hangs
 FILES_MOST = 16  # files kept open; the store appends to three at a time
@@ -47,20 +45,18 @@
         self.loop = loop
         self.asked = self.done = 0  # calls; the first is counted by the loop, the second by the thread
         self._calls: SimpleQueue = SimpleQueue()
-        self._left: list[tuple] = []  # go along with the next call that is waited for, or soon by themselves
-        self._later: Timer | None = None
         threading.Thread(target=self._serve, name="fennelwind-disk", daemon=True).start()
 
     def _serve(self) -> None:
-        while (jobs := self._calls.get()) is not None:
-            for call, args, outcome, ended in jobs:
-                try:
-                    outcome.append((call(*args), None))
-                except BaseException as exc:  # raised where the call was asked for
-                    outcome.append((None, exc))
-                self.done += 1
-                if ended is not None:
-                    self.loop.from_thread(ended)
+        while (job := self._calls.get()) is not None:
+            call, args, outcome, ended = job
+            try:
+                outcome.append((call(*args), None))
+            except BaseException as exc:  # raised where the call was asked for
+                outcome.append((None, exc))
+            self.done += 1
+            if ended is not None:
+                self.loop.from_thread(ended)
 
     @property
     def under_way(self) -> int:
@@ -70,25 +66,13 @@
     def leave(self, call: Callable[..., Any], *args: Any) -> None:
         """Have the call made in the thread, without waiting for it; it must not raise."""
         self.asked += 1
-        self._left.append((call, args, [], None))
-        if self._later is None:
-            self._later = self.loop.after(LEFT_MS, self._hand_on)
-
-    def _hand_on(self) -> None:
-        """Give the thread all that was left for it; it is woken once."""
-        if self._later is not None:
-            self._later.cancel()
-            self._later = None
-        jobs, self._left = self._left, []
-        if jobs:
-            self._calls.put(jobs)
+        self._calls.put((call, args, [], None))
 
     def make(self, call: Callable[..., Any], *args: Any) -> Any:
         """Make the call in the thread; wait for it. A task that is cancelled does not stop the call."""
         waiter, outcome = Waiter(self.loop), []
         self.asked += 1
-        self._left.append((call, args, outcome, waiter.wake))
-        self._hand_on()
+        self._calls.put((call, args, outcome, waiter.wake))
         waiter.wait()
         value, error = outcome[0]
         if error is not None:
@@ -97,7 +81,6 @@
 
     def close(self) -> None:
         """Let the thread end behind what was asked for."""
-        self._hand_on()
         self._calls.put(None)
 
 
