--- a/fennelwind/fleet/wholeplays.py
+++ b/fennelwind/fleet/wholeplays.py
@@ -187,7 +187,7 @@
         know(rig, len(rig.shards) + 1)
         told["all know after s"] = (rig.loop.now() - killed) / 1000.0
 
-    rig.play(script)
+    rig.play(script, up=False)
     return told
 
 
