The rig ends its processes at once, as a fleet is ended

Need: each of four waited for a hand-over that nobody could take. Change: wholerig.end takes names, handover_ms 1000. Tried: leases of 4 s: looks of 1.5 s under a lease never fit in, nothing was listed.

--- a/fennelwind/fleet/wholeplays.py
+++ b/fennelwind/fleet/wholeplays.py
@@ -56,8 +56,7 @@
                 rig.start(name)
         rig.until(rig.settled, "all needs met", SETTLE_S)
         rig.finish(traffic)
-        for name in list(rig.parts):
-            rig.end(name)
+        rig.end()
 
     try:
         rig.play(script)
--- a/fennelwind/fleet/wholerig.py
+++ b/fennelwind/fleet/wholerig.py
@@ -39,7 +39,7 @@
 TEMPLATE = Path(__file__).parent / "templates" / "whole.settings.txtpb"
 ENGINES, CLIENTS, DISCOVERY = 23, 24, 25  # second octets of hosts
 ENGINE_WAY = 200  # and the engine's number: the last octet of a controller's way to it
-COUNCIL = {"heartbeat_ms": 100.0, "election_ms": 800.0, "handover_ms": 3000.0, "reserve_bytes": 1 << 20}
+COUNCIL = {"heartbeat_ms": 100.0, "election_ms": 800.0, "handover_ms": 1000.0, "reserve_bytes": 1 << 20}
 KIND = "node-8"  # of the template
 SIZE, DISK = 100, 1000  # bytes of a shard and of an engine's disk, as good as any
 ASK_MS = 5000.0  # ms for one look at the record
@@ -244,12 +244,14 @@
             else:
                 self.logged.append((name, told))
 
-    def end(self, name: str) -> None:
-        """End a process by SIGTERM, as an operator does."""
-        part = self.parts.pop(name)
-        part.process.terminate()
-        self.until(lambda: self._heard_end(name, part), f"{name} ends")
-        part.close()
+    def end(self, *names: str) -> None:
+        """End processes by SIGTERM, as an operator does, all of them at once; none named: all there are."""
+        ending = {name: self.parts.pop(name) for name in names or list(self.parts)}
+        for part in ending.values():
+            part.process.terminate()
+        for name, part in ending.items():
+            self.until(lambda name=name, part=part: self._heard_end(name, part), f"{name} ends")
+            part.close()
 
     def _heard_end(self, name: str, part: Any) -> bool:
         self._hear(name, part)
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -22,11 +22,6 @@
     assert set(rig.closed) == set(rig.names)
 
 
-def end_all(rig):
-    for name in list(rig.parts):
-        rig.end(name)
-
-
 def test_moves_a_change_and_a_council_that_goes_under_traffic(tmp_path):
     rig = WholeRig(tmp_path, members=3, followers=1)
 
@@ -79,7 +74,7 @@
                   == "", "a change is taken again")
         assert rig.schemas() == [["id", "total"]] * 4
         rig.finish(traffic)
-        end_all(rig)
+        rig.end()
 
     rig.play(script)
     judge(rig, asks=100)
@@ -127,7 +122,7 @@
         rig.until(rig.settled, "all needs met")
         assert ask(b'["swap", "a", 1, 2]') == b"true"
         rig.finish(traffic)
-        end_all(rig)
+        rig.end()
 
     rig.play(script)
     judge(rig, asks=50)
