Watches of askers that have gone give up their places at the bound

A member keeps a watch for up to 60 s, also when its asker's connection has ended. Two hundred controllers with four watches each that change their member a few times within that time (a flapping link, a leader that changes) filled the 4096 places with watches of nobody; those that came then were refused and asked again up to five times a second. At the bound, once a second at most, watches whose askers have gone are let go.

--- a/fennelwind/keeper/member.py
+++ b/fennelwind/keeper/member.py
@@ -296,7 +296,7 @@
         def watch() -> None:
             if not view.wait_ms:
                 tell()
-            elif not self.state.watch(view, tell):
+            elif not self.state.watch(view, tell, lambda: caller.gone):
                 self._refuse(caller, token, Result(refusal=Result.TOO_MANY, again_ms=BUSY_MS))
 
         def readable(answer: Readable) -> None:
--- a/fennelwind/keeper/state.py
+++ b/fennelwind/keeper/state.py
@@ -21,6 +21,7 @@
 AT_ONCE = 8  # entries that are applied in the turn that agreed on them: a command's answer waits for it
 SLICE = 64  # entries applied in one turn of the loop; some 2 ms
 WATCHERS_MOST = 4096  # watches that wait here: two hundred controllers with twenty tables each
+SWEEP_MS = 1000.0  # ms between two searches for watches of askers that have gone; one costs some ms
 VIEW_MOST = FRAME_MOST - 4096  # bytes of a state that is told in one frame
 WATCH_MOST = 4096  # bytes of what one watch compares with; a longer one is answered at once
 WAIT_MOST_MS = 60_000  # ms that one watch waits; longer ones ask again
@@ -32,6 +33,7 @@
 class _Watch:
     holds: Callable[[], bool]
     call: Callable[[], None]
+    gone: Callable[[], bool]  # whether nobody waits for the answer any more
     timer: Any = None
 
 
@@ -51,6 +53,7 @@
         self._order = 0
         self._watches: dict[str, list[_Watch]] = {name: [] for name in record.every}
         self.watchers = 0
+        self._sweep_at = 0.0
 
     def take(self, action: Apply | Restore | TakeSnapshot) -> None:
         """Take what is to be done, in order; few entries are applied at once, if nothing is ahead of them."""
@@ -76,7 +79,7 @@
             self._order += 1
             heapq.heappush(self._reads, (index, self._order, call))
 
-    def watch(self, view: pb.View, call: Callable[[], None]) -> bool:
+    def watch(self, view: pb.View, call: Callable[[], None], gone: Callable[[], bool]) -> bool:
         """Make the call once what is watched has changed, or after its time; False: too many wait."""
         machine = self.record.machines.get(view.machine)
         if machine is None or view.ByteSize() > WATCH_MOST:
@@ -91,9 +94,9 @@
         if holds():
             call()
             return True
-        if self.watchers >= WATCHERS_MOST:
+        if self.watchers >= WATCHERS_MOST and not self._drop_gone():
             return False
-        watch = _Watch(holds, call)
+        watch = _Watch(holds, call, gone)
 
         def late() -> None:
             self._watches[view.machine].remove(watch)
@@ -105,6 +108,18 @@
         self.watchers += 1
         return True
 
+    def _drop_gone(self) -> bool:
+        """Forget watches whose askers have gone; tell whether there were any. Looked for once a second."""
+        if self.loop.now() < self._sweep_at:
+            return False
+        self._sweep_at, before = self.loop.now() + SWEEP_MS, self.watchers
+        for watches in self._watches.values():
+            for watch in [watch for watch in watches if watch.gone()]:
+                watches.remove(watch)
+                watch.timer.cancel()
+                self.watchers -= 1
+        return self.watchers < before
+
     def run(self) -> None:
         """Apply what comes, for ever."""
         while True:
