--- a/tests/test_council_program.py
+++ b/tests/test_council_program.py
@@ -82,7 +82,8 @@
 SHIM = """import atexit, os, sys
 atexit.register(lambda: open(os.environ["MODULES"], "w").write(" ".join(sys.modules)))
 """
-COUNCILS = re.compile(r"fennelwind\.(council|store|leases|shards|contracts|keeper)\b|^(crc32c|highspy)\b")
+COUNCILS = re.compile(
+    r"fennelwind\.(clearance|council|store|leases|shards|contracts|keeper)\b|^(crc32c|highspy)\b")
 
 
 @pytest.fixture
