--- a/fennelwind/fleet/councilbench.py
+++ b/fennelwind/fleet/councilbench.py
@@ -1,9 +1,10 @@
 """What the council costs on this machine: `python -m fennelwind.fleet.councilbench PART` prints a table.
 
-Parts: `commits` (time and rate, 3 and 5 members, with and without sync, beside one sync, one message there
-and back, and a command's hops with nothing decided on the way, in the same run), `leaders` (time without a
-leader after kill, stop, cut and full disk), `catch-up`, `memory`. Members are processes on loopback; only
-`leaders` has relays between them. Times are this machine's, and say something only beside one another.
+Parts: `commits` (time and rate, 3 and 5 members, with and without sync, beside one sync, as many at once as
+there are members, one message there and back, and a command's hops, bare), `leaders`
+(time without a leader after kill, stop, cut and full disk), `catch-up`, `memory`. Members are processes on
+loopback; only `leaders` has relays between them. Times are this machine's, and say something only beside what
+was measured in the same run.
 """
 
 import json
@@ -11,6 +12,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -56,16 +58,24 @@
     return ours.propose("registers", json.dumps(["put", key, value]).encode(), WITHIN_MS)
 
 
-def bare_syncs(folder: Path) -> list[float]:
-    """Return the times of a small write and its sync, in ms."""
+def bare_syncs(folder: Path, at_once: int = 1) -> list[float]:
+    """Return the times of a small write and its sync, in ms; so many threads make them, each on its file."""
     loop, times = RealLoop(), []
-    fd = os.open(folder / "bare", os.O_CREAT | os.O_WRONLY | os.O_APPEND)
-    for _ in range(BARE):
-        began = loop.now()
-        os.write(fd, b"x" * 120)
-        os.fdatasync(fd)
-        times.append(loop.now() - began)
-    os.close(fd)
+
+    def make(number: int) -> None:
+        fd = os.open(folder / f"bare{number}", os.O_CREAT | os.O_WRONLY | os.O_APPEND)
+        for _ in range(BARE):
+            began = loop.now()
+            os.write(fd, b"x" * 120)
+            os.fdatasync(fd)
+            times.append(loop.now() - began)
+        os.close(fd)
+
+    threads = [threading.Thread(target=make, args=(number,)) for number in range(at_once)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
     return times
 
 
@@ -171,9 +181,9 @@
 
 def commits() -> None:
     """Print the time and the rate of commands."""
-    print("| members | sync | one sync (ms, median / 99th) | one message there and back "
+    print("| members | sync | one sync (ms, median / 99th) | as many at once as members | there and back "
           "| a command's hops, bare | one command | of one sync and one round | commands/s | renewals/s |")
-    print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+    print("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     for members in (3, 5):
         for no_sync in (False, True):
             with folder() as place:
@@ -183,6 +193,7 @@
                     ours = asker(rig, 0)
                     put(ours, "x", 0)
                     bare, rounds, times = bare_syncs(place), bare_rounds(rig), []
+                    crowd = bare_syncs(place, len(rig.members))
                     hops = bare_hops(rig, "" if no_sync else str(place / "hop"))
                     for number in range(SINGLE):
                         began = rig.loop.now()
@@ -190,7 +201,7 @@
                         times.append(rig.loop.now() - began)
                     rate = many(rig, lambda ours, n: put(ours, f"k{n % 100}", n))
                     floor = (0.0 if no_sync else median(bare)) + median(rounds)
-                    return [*map(figures, (bare, rounds, hops, times)), f"{median(times) / floor:.2f}",
+                    return [*map(figures, (bare, crowd, rounds, hops, times)), f"{median(times) / floor:.2f}",
                             f"{rate:.0f}", f"{renewals(rig):.0f}"]
 
                 rig = CouncilRig(place, members, direct=True, disk={"no_sync": no_sync})
