--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -168,7 +168,7 @@
 
 
 def test_only_the_loop_touches_sockets_clocks_and_signals():
-    # The command line starts processes; the lab and benches take times; the client blocks in its user's process.
+    # The command line starts processes; lab and benches take times; the client blocks in its user's process.
     allowed = {"loop", "cli", "lab", "client"}
     pattern = r"^\s*(?:import|from) (socket|select|time|signal|secrets|threading|asyncio|selectors)\b"
     for path in sources():
