--- a/fennelwind/clearance/book.py
+++ b/fennelwind/clearance/book.py
@@ -6,7 +6,6 @@
 that whatever began before the view counts as open in it, and nothing begins behind it.
 """
 
-from collections import Counter
 from collections.abc import Callable, Hashable, Iterable
 from typing import Any
 
@@ -36,7 +35,7 @@
         self.quiet: frozenset[Pair] = frozenset()
         self._whole = [True, True]  # the views name all that is asked for
         self._open: dict[Hashable, tuple[Pair, ...]] = {}  # by attempt: what it may read
-        self._count: Counter[Pair] = Counter()
+        self._count: dict[Pair, int] = {}  # attempts by what they may read
         self._unsure: dict[Hashable, float] = {}  # attempts that may run on at their engine, until then
         self._order = 0
         self._said: tuple[object, ...] = ()  # what the last word was made of, but the views' ages
@@ -46,18 +45,22 @@
 
     def began(self, attempt: Hashable, shards: Iterable[str], engine: str) -> None:
         """An attempt is about to be sent; told in the turn in which it was found that it may."""
-        names = dict.fromkeys(shards)
-        pairs = tuple((name, engine) for name in (*names, *dict.fromkeys(map(table_of, names))))
+        pairs = tuple({(name, engine): None for shard in shards for name in (shard, table_of(shard))})
         if pairs:
             self._open[attempt] = pairs
-            self._count.update(pairs)
+            for pair in pairs:
+                self._count[pair] = self._count.get(pair, 0) + 1
 
     def ended(self, attempt: Hashable) -> None:
         """Nothing of an attempt is left at its engine."""
+        pairs = self._open.pop(attempt, None)
+        if pairs is None:
+            return
         self._unsure.pop(attempt, None)
-        for pair in self._open.pop(attempt, ()):
-            self._count[pair] -= 1
-            if not self._count[pair]:
+        for pair in pairs:
+            if self._count[pair] > 1:
+                self._count[pair] -= 1
+            else:
                 del self._count[pair]
 
     def unsure(self, attempt: Hashable, until: float) -> None:
--- a/tests/test_clearance_processes.py
+++ b/tests/test_clearance_processes.py
@@ -32,6 +32,7 @@
 from fennelwind.standin.engine import Engine
 from fennelwind.standin.model import Machine
 from fennelwind.standin.shelves import Content, Shelf
+from fennelwind.thrift import hiveserver2 as hs2
 
 ROOT = Path(__file__).parent.parent
 MEMBERS, PROGRAMS = ("m0", "m1", "m2"), ("m0", "m1", "m2", "c0")
@@ -72,7 +73,7 @@
     def __init__(self, folder):
         self.folder, self.loop, self.running, self.seen = Path(folder), RealLoop(), {}, []
         self.answers = dict.fromkeys(PROGRAMS, 0)
-        self.stopped, self.ways = set(), Ways()
+        self.stopped, self.asleep, self.ways = set(), set(), Ways()
 
     def address(self, last, port):
         pid = os.getpid()  # an address of its own, where no other test's sockets are
@@ -147,7 +148,8 @@
                         link = Link(self.loop, self.listens(name), "sasl", "ann")
                         link.open()
                     shard = next(shards)
-                    execute(link, f"select {name} reads {shard}", **{"fennelwind.shards": shard})
+                    handle = execute(link, f"select {name} reads {shard}", **{"fennelwind.shards": shard})
+                    link.call("CloseOperation", hs2.TCloseOperationReq(handle))
                 self.answers[name] += 1
             except RemoteError:
                 pass  # refused: no copy can be had just now
@@ -194,12 +196,14 @@
             return len(self.drops()) > before
 
         self.until(dropped, "a copy goes")
+        served, awake = dict(self.answers), set(self.running) - self.asleep
+        self.until(lambda: all(self.answers[n] > served[n] + 10 for n in awake), "queries go on")
         return bool(rested)
 
     def stop(self, name, how):
         self.running[name].send_signal(how)
-        if how == signal.SIGSTOP:
-            self.stopped.add(name)
+        self.stopped.add(name)
+        (self.asleep.add if how == signal.SIGSTOP else self.asleep.discard)(name)
 
     def judge(self):
         assert all(not left for _, left, _ in self.drops()), self.drops()
