An attempt whose query has ended is not sent where queries are routed, nor left uncounted

An attempt begins in a task of its own; its query may have been answered meanwhile, and routing had forgotten what it reads: it would have gone anywhere, on no book. What broke inside an attempt counts as open until its time is up.

--- a/fennelwind/core/driver.py
+++ b/fennelwind/core/driver.py
@@ -275,9 +275,11 @@
         self.post(api.Note(entry.query, number, sort, value))
 
     def _attempt(self, entry: Entry, number: int, engine: str, order: Order) -> None:
-        sent = self.loop.now()
+        sent, doubt = self.loop.now(), False
         try:
-            if self.router is not None and not self.router.may_send(entry.query, engine):
+            if self.router is not None and entry.answer is not None:  # the router has forgotten what it reads
+                end = AttemptEnd("moot", "the query had ended")
+            elif self.router is not None and not self.router.may_send(entry.query, engine):
                 end = AttemptEnd("moot", "it holds no good copy any more")
             else:
                 if self.router is not None:
@@ -287,19 +289,18 @@
             end = AttemptEnd("cancelled", "called off")
         except Exception as exc:  # what broke may have been under way
             self.observer.failed(f"attempt at {engine}", exc)
-            end = AttemptEnd("error", f"{type(exc).__name__}: {exc}")
+            end, doubt = AttemptEnd("error", f"{type(exc).__name__}: {exc}"), True
         if self.router is not None:
-            self._left(entry, number, end, order.deadline_ms)
+            self._left(entry, number, end, order.deadline_ms if doubt or end.status in UNSURE else 0.0)
         self._ended(entry, number, engine, sent, end)
 
-    def _left(self, entry: Entry, number: int, end: AttemptEnd, deadline: float) -> None:
-        """Tell the router of an attempt's end, once nothing of it can be left at its engine."""
+    def _left(self, entry: Entry, number: int, end: AttemptEnd, until: float) -> None:
+        """Tell the router of an attempt's end; `until`: when its time is up, where its engine may go on."""
         stream = end.result.stream if end.result is not None else None
         if stream is not None:
             stream.on_end = lambda: self.router.over(entry.query, number)
         else:
-            doubt = end.status in UNSURE
-            self.router.over(entry.query, number, deadline + LEFT_MS if doubt else 0.0)
+            self.router.over(entry.query, number, until + LEFT_MS if until else 0.0)
 
     def _ended(self, entry: Entry, number: int, engine: str, sent: float, end: AttemptEnd) -> None:
         self._tasks.pop((entry.query, number), None)
--- a/fennelwind/keeper/clearances.py
+++ b/fennelwind/keeper/clearances.py
@@ -105,4 +105,5 @@
         except CouncilError as exc:
             self.counts[exc.code] += 1
             return [Heard.SILENT] * len(asked.wishes)
-        return [each.state for each in told.states]
+        states = [each.state for each in told.states]
+        return states if len(states) == len(asked.wishes) else [Heard.SILENT] * len(asked.wishes)
--- a/fennelwind/keeper/whole.py
+++ b/fennelwind/keeper/whole.py
@@ -127,6 +127,8 @@
     def events(self) -> list[tuple[str, str, int]]:
         """Return counts of what happened: where, what, how often."""
         found = {"asker": {"asked": self.asker.asked, "lost": self.asker.lost}, "tasks": self.tasks.counts}
+        if self.clearances is not None:
+            found["clearances"] = self.clearances.counts
         member = self.member
         if member is not None:
             found |= {"member": member.counts, "peers": member.peers.counts}
