A founder counts only what the others said of late

Suspicion by reading: the first by name kept each member's word that it has no record for as long as it ran. One that was let in since by others, while the way between the two was cut, still counted as empty; were then the rest to lose their folders, a second record would have been founded beside its.

--- a/fennelwind/council/core.py
+++ b/fennelwind/council/core.py
@@ -157,7 +157,7 @@
                 joining.next_at = now + self.timing.election_ms
                 for to, message in joining.messages():
                     self.send(to, message)
-            if self.empty and joining.founds():
+            if self.empty and joining.founds(now, self.timing.election_ms):
                 self._found()
 
     def _shy(self) -> bool:
@@ -386,7 +386,7 @@
             case "join_answer":
                 word = message.join_answer
                 if self._wants_in():
-                    self.joining.answered(sender, word)
+                    self.joining.answered(sender, word, self.now)
                 elif word.word == pb.JoinAnswer.REFUSED and word.leader == sender.name and not self.hears():
                     self.ballot = None  # it was removed, as a leader says; should that be late, it asks again
                     self.removed_until = self.now + REMOVED_TIMEOUTS * self.timing.election_ms
--- a/fennelwind/council/joining.py
+++ b/fennelwind/council/joining.py
@@ -3,13 +3,15 @@
 from fennelwind.council import council_pb2 as pb
 from fennelwind.council.interface import Life
 
+FRESH_TIMEOUTS = 4  # election time-outs for which a word counts; it is asked for anew with each one
+
 
 class Joining:
     """What a member knows of the others while it has no record."""
 
     def __init__(self, me: Life, stated: dict[str, pb.Member]) -> None:
         self.me, self.stated = me, stated
-        self.empty: set[str] = set()  # who said in its present life that it has no record either
+        self.empty: dict[str, float] = {}  # ms, when who said that it has no record either
         self.lives: dict[str, bytes] = {}
         self.next_at: float | None = None  # ms, when it asks again
 
@@ -20,16 +22,20 @@
         return [(Life(name, b""), pb.Message(join=pb.Join(member=member)))
                 for name in sorted(self.stated) if name != self.me.name]
 
-    def answered(self, sender: Life, answer: pb.JoinAnswer) -> None:
+    def answered(self, sender: Life, answer: pb.JoinAnswer, now: float) -> None:
         """Take another's word."""
         if sender.name not in self.stated or answer.life != sender.life:
             return
         if answer.word == pb.JoinAnswer.EMPTY:
-            self.empty.add(sender.name)
+            self.empty[sender.name] = now
         else:
-            self.empty.discard(sender.name)
+            self.empty.pop(sender.name, None)
+
+    def founds(self, now: float, election_ms: float) -> bool:
+        """Whether this member is to found the record: the first by name, and all others have none.
 
-    def founds(self) -> bool:
-        """Whether this member is to found the record: the first by name, and all others have none."""
+        All have said so of late: one that was let in since is another's member, though nothing tells us.
+        """
         others = set(self.stated) - {self.me.name}
-        return self.me.name in self.stated and self.me.name == min(self.stated) and others <= self.empty
+        said = {name for name, at in self.empty.items() if now - at <= FRESH_TIMEOUTS * election_ms}
+        return self.me.name in self.stated and self.me.name == min(self.stated) and others <= said
--- a/tests/test_council.py
+++ b/tests/test_council.py
@@ -460,6 +460,18 @@
     cluster.await_leader()
 
 
+def test_a_word_of_long_ago_that_there_is_no_record_founds_none():
+    stated = [pb.Member(name=name, address=name) for name in "abc"]
+    core = Core(Timing(), Durable(A), 1, stated)
+    empty = {life: api.Received(life, pb.Message(join_answer=pb.JoinAnswer(
+        word=pb.JoinAnswer.EMPTY, life=life.life))) for life in (B, C)}
+    core.step(0.0, [empty[B]])
+    core.step(60_000.0, [empty[C]])  # b may have been let in by others meanwhile
+    assert core.empty
+    core.step(60_100.0, [empty[B]])
+    assert not core.empty
+
+
 def test_a_founder_alone_takes_no_command():
     cluster = Cluster(1, 3)
     cluster.start_all()
