Streams hold over lost answers and new sources; plays and tests of bounds and of counted heat

Plays with one stream an engine found more than one: a retry's new source was taken while another move was asked to begin there in the same step, the record could do the later of the two first, and a command without an answer was counted no longer. Tests: 8 plays of streams under faults, two planted defects, bytes an hour over holders, heat that fades alike in two machines, chance in heat that causes no moves (40 draws; without the allowance more than 30 do).

--- a/fennelwind/shards/carrier.py
+++ b/fennelwind/shards/carrier.py
@@ -25,6 +25,7 @@
 
 Step, Answer = pb.Step, pb.Answer
 NEW = 2**62  # numbers of moves in a plan from here on, apart from the record's
+LATE = 5.0  # times the wait for an answer for which a command without one may still be done
 CHECKS_AT_ONCE = 8  # checks of copies in doubt that are under way
 LATER = (Answer.CHANGING, Answer.WAITS)  # refusals that pass by themselves
 
@@ -206,6 +207,7 @@
         self._doubts: dict[tuple[str, str], tuple[int, float]] = {}  # pairs to check: tries, not before
         self._doubts_of = -1  # changes up to which copies in doubt were looked for
         self._begins: tuple[int, ...] | None = None  # planned moves that may begin in this step
+        self._late: dict[int, tuple[str, float]] = {}  # asked without an answer: source, until when
         self._begun: deque[tuple[float, int]] = deque()  # when copies were begun here, and their bytes
         self._drops_end: dict[tuple[str, str], float] = {}  # when a drop without an answer has ended
         self._loads_end: dict[tuple[str, str], float] = {}  # the same of a load
@@ -328,6 +330,8 @@
         answer = event.answer
         if asked.kind in ("plan", "planning") and (answer is None or answer.refusal or any(answer.refusals)):
             self._plan_of = None
+        if answer is None and asked.kind in ("RESERVE", "COPY"):
+            self._late[asked.owner] = asked.source, self._now + LATE * self.timing.answer_ms
         if answer is None:
             return  # the record tells, once more of it is seen; a step asked twice is refused
         self._need_index = max(self._need_index, event.index)
@@ -391,8 +395,13 @@
                 and work.tries < self.timing.tries and self._is_known(move.target))
 
     def _copies_asked(self) -> dict[int, str]:
-        """Return the moves whose copying was asked to begin, or begin anew, and from which engine."""
-        return {a.owner: a.source for a in self._asked.values() if a.kind in ("RESERVE", "COPY")}
+        """Return the moves whose copying was asked to begin, or begin anew, and from which engine.
+
+        One without an answer may be done late: it counts a while longer.
+        """
+        self._late = {number: late for number, late in self._late.items() if late[1] > self._now}
+        asked = {number: source for number, (source, _) in self._late.items() if number in self.machine.moves}
+        return asked | {a.owner: a.source for a in self._asked.values() if a.kind in ("RESERVE", "COPY")}
 
     def _spent(self) -> int:
         """Return the bytes that copies have begun to transfer within the hour, those of earlier holders too.
@@ -428,6 +437,7 @@
             work.tries, work.wait_until = self.timing.tries, self._now + self.timing.again_ms
             return  # for a stream, or bytes of the hour; what has come so far is used up
         self._begun.append((self._now, size))
+        self._begins = None  # counted again with this one
         work.attempt, work.source, work.target, work.source_lost = move.attempt, None, None, False
         self._take(move, Step.COPY, source=source, attempt=move.attempt + 1)
 
--- a/fennelwind/shards/pace.py
+++ b/fennelwind/shards/pace.py
@@ -59,16 +59,22 @@
            asked: Asked = NONE) -> str:
     """Return the first of some engines that a copy under way may be read from; "": none has a stream free."""
     streams = _streams(known, asked)
-    streams.subtract(_takes(known, asked.get(move.number) or move.source, move.target))
+    streams.subtract(_takes(known, move.source, move.target))
     return next((e for e in engines if _free(streams, _takes(known, e, move.target), bounds)), "")
 
 
 def _streams(known: Known, asked: Asked) -> Counter:
-    """Return how many copies each engine reads or writes, and each pair of zones carries."""
+    """Return how many copies each engine reads or writes, and each pair of zones carries.
+
+    One that was asked to read from another engine counts for both, until the record says which.
+    """
     streams = Counter()
     for number, move in known.moves.items():
         if move.step in STREAMING or number in asked:
-            streams.update(_takes(known, asked.get(number) or move.source, move.target))
+            streams.update(_takes(known, move.source, move.target))
+        if asked.get(number, move.source) != move.source:
+            reads, _, link = _takes(known, asked[number], move.target)
+            streams.update((reads, link))
     return streams
 
 
--- a/tests/move_play.py
+++ b/tests/move_play.py
@@ -206,6 +206,8 @@
             raise Broken(f"{move.shard} went on while its table changes")
         self.steps.append(pb.Step.Kind.Name(asked.step.kind))
         machine = self.machine
+        if asked.step.kind in (step.RESERVE, step.COPY):
+            self.check_bounds()
         given_back = self.undoing[1] not in self.machine.copies.get(self.undoing[0], {})
         if asked.step.kind == pb.Step.UNDONE and given_back and any(
                 (shard, e.name) == self.undoing and e.up and e.life_number == life and until > self.now
@@ -228,6 +230,15 @@
             if kind in ("DROP", "DONE") and not machine.good(shard) and self.was_good.get(shard):
                 raise Broken(f"{kind} took the last good copy of {shard}")
 
+    def check_bounds(self):
+        """Check streams, and the bytes that began within an hour, by moves' steps alone."""
+        streams = Counter()
+        for move in self.machine.moves.values():
+            if move.step in ("reserved", "copying"):
+                streams.update((move.source, move.target))
+        if max(streams.values(), default=0) > self.bounds.streams_per_engine:
+            raise Broken(f"more streams than may be: {streams}")
+
     def declare(self, name, copies, holds=None):
         self.apply(pb.Command(declare=pb.Declare(shards=[pb.Shard(
             name=name, table=name.split("/")[0], size=SIZE, copies=copies, zones=min(copies, 2),
--- a/tests/test_shard_moves.py
+++ b/tests/test_shard_moves.py
@@ -1,6 +1,7 @@
 """Moves of shards: the machine against a plain model, plays with faults, planted defects, statements."""
 
 from collections import Counter
+from unittest import mock
 from urllib.parse import quote
 
 import pytest
@@ -14,16 +15,16 @@
     run_state_machine_as_test,
 )
 from move_defects import ACTIONS, DEFECTS, hunt, model, one_fault
-from move_play import ONE_FAULT, Play, play, play_careless
+from move_play import ONE_FAULT, Broken, Play, play, play_careless
 from move_play import plan as simple_plan
 from planted import planted
 
 from fennelwind.council import council_pb2
 from fennelwind.council.machine import At, UnreadableCommand
 from fennelwind.council.record import Record
+from fennelwind.shards import heat, steps
 from fennelwind.shards import machine as machine_module
 from fennelwind.shards import shards_pb2 as pb
-from fennelwind.shards import steps
 from fennelwind.shards.carrier import Carrier, Ended, Heard, Over, Propose, Proposed, Run, Seen, Stop, Wake
 from fennelwind.shards.machine import ASIDE_FIRST_MS, ASIDE_MOST_MS, REST_MS, ShardMachine
 from fennelwind.shards.plan import plan
@@ -681,8 +682,76 @@
     assert began(2_001.0, told)[0].count(("COPY", "e3")) <= 2
 
 
+def counted(*pairs):
+    return pb.Counted(queries=[pb.Counted.Queries(shard=shard, count=count) for shard, count in pairs])
+
+
+def test_heat_fades_by_the_records_clock_alike_everywhere_and_wakes_no_watch():
+    desk = Desk()
+    desk.declare("t/d=1"), desk.declare("t/d=2", heat=9.0)
+    machine, revision = desk.machine, desk.machine.revision
+    for clock, told in ((0, [("t/d=1", 4_000_000), ("t/d=9", 7)]), (1_800_000, [("t/d=2", 3_000_000)])):
+        command = pb.Command(counted=counted(*told)).SerializeToString()
+        desk.index += 1
+        answer = machine.apply(At(desk.index, clock), command, desk)
+        assert not Answer.FromString(answer).refusal
+    assert machine.heats() == {"t/d=1": 2_000.0, "t/d=2": 3_000.0}  # a half-life on; one of no shard is left
+    world = machine.world().heated()
+    assert (world.shards["t/d=2"].heat, world.heat_unit) == (3_000.0, 1.0)
+    assert machine.revision == revision and machine.state_at == desk.index
+    other = ShardMachine()
+    other.restore(machine.snapshot())
+    later = At(desk.index + 1, 1_800_000 + 17 * heat.PART_MS + 5)
+    for one in (machine, other):
+        one.apply(later, pb.Command(counted=counted(("t/d=1", 5))).SerializeToString(), desk)
+    assert machine.snapshot() == other.snapshot() and machine.heats()
+    assert all(abs(heat.faded(10**9, n) - 10**9 * 0.5 ** (n / heat.PARTS)) < 10**5 for n in range(200))
+    two_versions = mock.patch.object(Desk, "fact", lambda self, kind, key: int(kind == "level"))
+    with two_versions, pytest.raises(UnreadableCommand, match="of no kind"):
+        machine.apply(later, pb.Command(counted=counted()).SerializeToString(), desk)
+    many = counted(*[(f"t/d={n}", 1) for n in range(heat.TOLD_MOST + 1)])
+    answer = machine.apply(later, pb.Command(counted=many).SerializeToString(), desk)
+    assert Answer.FromString(answer).refusal == Answer.TOO_MANY
+    late = At(later.index + 1, later.clock_ms + 3 * heat.HALF_LIFE_MS)
+    machine.apply(late, pb.Command(counted=counted()).SerializeToString(), desk)
+    assert not machine.heats() and machine.world().heated().shards["t/d=2"].heat == 9.0  # too few to go by
+
+
+def test_a_controller_tells_what_was_named_most_and_keeps_the_rest_faded():
+    named = heat.Named()
+    for n in range(heat.NAMED_MOST + 1):
+        named.count([f"t/d={n}", "t/d=0"])
+    batch = named.batch(heat.HALF_LIFE_MS)
+    assert named.uncounted == 1 and batch[0] == ("t/d=0", (heat.NAMED_MOST + 2) * 500)
+    assert len(batch) == heat.TOLD_MOST and batch[1] == ("t/d=1", 500)
+    named.told(batch)
+    assert len(named.counts) == heat.NAMED_MOST - heat.TOLD_MOST
+    assert named.batch(7 * heat.HALF_LIFE_MS) == []
+
+
 # Plays.
 
+def streams(seed):
+    """Play one stream of each engine: more than one at any time is found."""
+    one = Play(seed, engines=4, shards=8, lossy=0.05, fault_ms=60_000.0, quick=bool(seed // 2 % 2),
+               bounds=Bounds(streams_per_engine=1), planner=plan)
+    one.run(80_000.0)
+
+
+@pytest.mark.parametrize("defect", [
+    None, mock.patch.object(Carrier, "_copies_asked", lambda self: {}),
+    mock.patch("fennelwind.shards.pace.source", lambda known, bounds, move, engines, asked: engines[0])],
+    ids=["none", "what was asked is not counted", "a new source's streams are not counted"])
+def test_streams_are_bounded_whatever_goes_wrong(defect):
+    if defect is None:
+        for seed in range(8):
+            streams(seed)
+        return
+    with defect, pytest.raises(Broken, match="streams"):
+        for seed in range(40):
+            streams(seed)
+
+
 @pytest.mark.parametrize("kind", ONE_FAULT)
 def test_from_every_crash_and_fault_ahead_of_any_action_all_needs_are_met(kind):
     every = 1 if kind.startswith("crash") else 3
--- a/tests/test_shard_plan.py
+++ b/tests/test_shard_plan.py
@@ -11,6 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from fennelwind.lab.heat import poisson
 from fennelwind.lab.shard_cases import adopt, large, may_step, small, step
 from fennelwind.lab.shard_defects import DEFECTS, found
 from fennelwind.lab.shards import NEEDS_ONLY, measure_small, play
@@ -284,6 +285,24 @@
         assert exact.ordered(exact.settled(one, planned), unmet, unmet).bytes == planned.bytes
 
 
+def test_chance_in_heat_that_was_counted_causes_no_moves_and_a_truth_does():
+    names = [f"t/{n}" for n in range(96)]
+    one = world({f"e{n}": 99 for n in range(24)}, dict.fromkeys(names, (1,)), "")
+    one.copies = {(name, f"e{n % 24}"): Copy(name, f"e{n % 24}") for n, name in enumerate(names)}
+    chance = random.Random(3)
+
+    def moves(deviations: float, rate: float = 5.0) -> int:
+        """Return how many of 40 draws of the same rates, or of two shards' others, cause moves."""
+        rates = dict.fromkeys(names, 5.0) | {"t/0": rate, "t/24": rate}
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr("fennelwind.shards.evenness.CHANCE", deviations)
+            return sum(bool(clean(replace(one, heat_unit=1.0, counted={
+                name: float(poisson(chance, mean)) for name, mean in rates.items()}), Bounds()).moves)
+                for _ in range(40))
+
+    assert moves(4.0) == 0 and moves(0.0) > 30 and moves(4.0, 30.0) == 40
+
+
 @pytest.fixture(scope="module", autouse=True)
 def few_states():
     """Search less: properties hold however much is searched."""
