Without a router nobody looks into an attempt's result

Seen in reading: the look for a missing copy read the result's error ahead of asking whether queries go by copies; the platform's results are of another kind. Change: the question first (core/driver.py). Result: tests of the node and of the controller pass.

--- a/fennelwind/core/driver.py
+++ b/fennelwind/core/driver.py
@@ -297,8 +297,8 @@
 
     def _elsewhere(self, entry: Entry, number: int, engine: str, end: AttemptEnd) -> AttemptEnd:
         """Return how an attempt ended: moot, where the engine lacks what others are known to have."""
-        error = end.result.error if end.result is not None else None
-        if error is None or error.sqlState != NO_TABLE or self.router is None:
+        error = end.result.error if self.router is not None and end.result is not None else None
+        if error is None or error.sqlState != NO_TABLE:
             return end
         if number + 1 >= self.settings.max_attempts:
             return end  # nobody else would be asked
