--- a/fennelwind/audit/rules.py
+++ b/fennelwind/audit/rules.py
@@ -4,6 +4,7 @@
 attempts.
 """
 
+import math
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -82,7 +83,7 @@
             earlier = attempts[:i]
             if not settings.rules.parallel:
                 out = [a for a in earlier if a.ended is None or a.ended > attempt.began + SLACK_MS]
-                verdict.check(not out, f"{tag}: two attempts out at once")
+                verdict.check(not out, f"{tag}: two attempts out at once: {_spans(*out, attempt)}")
             ran = [a for a in earlier if a.end != NOT_RUN]
             if cls.effect == pb.QueryClass.UNSAFE:
                 verdict.check(not ran, f"{tag}: sent again after it may have run")
@@ -100,6 +101,11 @@
             verdict.check(all(a.end == NOT_RUN for a in attempts), f"{tag}: refused after it may have run")
 
 
+def _spans(*attempts: Attempt) -> str:
+    """Return where attempts were, from when until when, and how they ended."""
+    return ", ".join(f"{a.engine} from {a.began:.0f} to {a.ended or math.inf:.0f} {a.end}" for a in attempts)
+
+
 def drains(trace: Trace, settings: pb.Settings, verdict: Verdict) -> None:
     """Nothing new goes to an engine that the controller was told to be draining or gone a while ago."""
     since: dict[str, float] = {}
