SIGTERM is heard while a controller still starts

Seen in a storm: a member that was told to end within its first seconds ended by the signal, without books (status -15). Cause: handlers were set behind Program.start, which may now wait 4 s for a view of the copies. Change: cli/main.py sets them ahead; the controller ends in order once it has started.

--- a/fennelwind/cli/main.py
+++ b/fennelwind/cli/main.py
@@ -89,14 +89,14 @@
         seed = int.from_bytes(loop.token(6), "big")
 
     def run() -> None:
+        stop = Once(loop)
+        for number in (signal.SIGTERM, signal.SIGINT):  # a start may wait for a view of the copies
+            loop.on_signal(number, stop.set)
         program = Program(loop, settings, observer, seed)
         try:
             program.start()
         except OSError as exc:
             raise click.ClickException(f"{settings.listen}: {exc.strerror or exc}") from None
-        stop = Once(loop)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.on_signal(number, stop.set)
         loop.on_signal(signal.SIGHUP, lambda: observer.log.info(
             "reload", users=program.reload_users(), certificates=program.reload_certificates()))
         click.echo(json.dumps({"ready": True, "listen": str(program.address)}))
