--- a/tests/test_moves_whole.py
+++ b/tests/test_moves_whole.py
@@ -1,15 +1,19 @@
 """Moves on the whole path in virtual time: members, leases, two controllers, statements, engines' disks."""
 
+from unittest import mock
+
 import pytest
 from council_world import Council
 from move_play import QuickMachine
 
 from fennelwind.config import settings_pb2
+from fennelwind.keeper.heat import Heat
 from fennelwind.keeper.moves import SHARDS, Moves
 from fennelwind.keeper.statements import Statements
 from fennelwind.loop import Address
 from fennelwind.shards import shards_pb2 as pb
 from fennelwind.shards.carrier import Timing
+from fennelwind.shards.heat import UNIT, Named
 from fennelwind.shards.state import Home
 from fennelwind.standin.engine import Engine
 from fennelwind.standin.model import Machine
@@ -145,3 +149,24 @@
         assert target
 
     scene.play(call)
+
+
+def test_controllers_tell_what_queries_named_and_nothing_twice():
+    scene, named = Scene(4), [Named(), Named()]
+
+    def told(shard):
+        return scene.machine()._faded.get(shard, (0, 0))[0]
+
+    def call():
+        for number, name in enumerate(("c0", "c1")):
+            asker = scene.council.keepers[name].asker
+            told_by = Heat(scene.council.hosts[name], asker, named[number], number)
+            scene.council.hosts[name].start(told_by.start)
+            named[number].count(NAMES[:2])
+        scene.council.until(lambda: told(NAMES[0]) > 1.9 * UNIT)
+        named[0].count(NAMES[2:])
+        scene.council.until(lambda: told(NAMES[2]))
+        assert told(NAMES[1]) <= 2 * UNIT and not named[0].counts and not named[1].counts
+
+    with mock.patch("fennelwind.keeper.heat.TELL_MS", 2_000.0):
+        scene.play(call)
