--- a/fennelwind/keeper/moves.py
+++ b/fennelwind/keeper/moves.py
@@ -46,6 +46,7 @@
 STARTS_AT_ONCE = 32  # statements that are being sent; with the lists, far within the guard's bound on acts
 MARK_BYTES = 16  # no two disks get the same
 BEHIND_MS = 2.0  # ms between looks at whether the record here has come up to what was read
+BEHIND_MOST_MS = 3000.0  # ms until all is asked for in its place; some 100 are usual
 BEYOND = pb.ShardQuery(skip=2**62).SerializeToString()  # asks for the revision alone
 NO_TABLE = "42S02"  # SQLSTATE of a look at a table that is not there
 
@@ -110,6 +111,7 @@
         self.homes, self.staging, self.said = homes, staging, said
         self.bounds, self.timing, self.planner, self.record = bounds, timing, planner, record
         self.shards = tuple(shards)
+        self.launched: Callable[[], dict[str, float]] = dict  # when engines were started, as lists tell it
         self.clearances: Clearances | None = None  # whom a holder asks; None: copies go after their rest
         self.counts: Counter[str] = Counter()
         self.planning = False  # a plan is being made, for this or an earlier time that the lease was held
@@ -136,11 +138,13 @@
         self.carrier = api.Carrier(held.fence, 0, moves.staging, moves.bounds, moves.timing)
         self.machine: ShardMachine | None = None
         self.index = 0  # up to which the record is seen
+        self.stood_at = -1  # where the record here stands while others go on; -1: it does not
         self.lives: dict[str, str] = {}  # of engines, as they were told last
         self.marks: dict[str, str] = {}  # of engines that are there, once they are known
         self.list_at: dict[str, float] = {}  # by engine: when its next list is due
         self.listing: set[str] = set()  # engines that are being listed
         self.starts = Channel(self.loop, STARTS_AT_ONCE)  # holds one for each statement that is being sent
+        self.launched: dict[str, float] = {}  # as it was told last
         self.shards: frozenset[str] = frozenset()  # that lists were made of
         self.hands: Hands[api.Event] = Hands(self.loop, held.name)
         self._statements: dict[int, Task] = {}
@@ -204,8 +208,14 @@
             except CouncilError as exc:  # the lease ends meanwhile, if it lasts
                 self.moves.counts[exc.code] += 1
                 self.loop.sleep(NEWS_MS)
-        while record.index < index:
+        until = self.loop.now() + BEHIND_MOST_MS
+        while record.index < index:  # its folder may not open, its disk stand, its member be closed
+            if self.loop.now() >= until or record.index == self.stood_at:
+                self.stood_at = record.index
+                self.moves.counts["record here stands"] += 1
+                return self._ask_for_all()
             self.loop.sleep(BEHIND_MS)
+        self.stood_at = -1
         self.machine, self.index = record.machines[SHARDS], record.index
         tables = {shard.table for shard in self.machine.shards.values()}
         frozen = frozenset(table for table in tables if record.fact("changing", table))
@@ -349,6 +359,12 @@
                 elif self.lives.get(name, "gone") == "gone" or shards != self.shards:
                     self.list_at[name] = self.loop.now()
                 self.lives[name] = home.life
+            launched = self.moves.launched()
+            for name in self.list_at:
+                if launched.get(name) != self.launched.get(name):  # it may have come back with another disk
+                    self.list_at[name] = self.loop.now()
+                    self.marks.pop(name, None)
+            self.launched = launched
             self.shards = shards
             told = [replace(home, mark=self.marks.get(name, "")) for name, home in sorted(homes.items())]
             # One that is back is not told of before its mark is known: it may have another disk.
--- a/fennelwind/observe/logs.py
+++ b/fennelwind/observe/logs.py
@@ -1,7 +1,5 @@
 """Logs by structlog, as JSON or for a terminal; rate-limited where clients or engines could flood them."""
 
-import os
-import select
 import sys
 from collections.abc import Callable
 from contextlib import suppress
@@ -12,6 +10,7 @@
 from fennelwind.core.ledger import Entry
 from fennelwind.core.types import SERVED, AttemptEnd
 from fennelwind.limits.lines import RateLimit
+from fennelwind.loop.outlet import Outlet
 
 TEXT_MOST = 300  # letters of a reason in a log
 
@@ -22,12 +21,11 @@
     How many were lost is told with the next line that is written.
     """
 
-    def __init__(self, stream: TextIO) -> None:
+    def __init__(self, stream: TextIO | None) -> None:
         self.stream, self.lost, self._text = stream, 0, ""
-        self._fd, self._poll = -1, select.poll()
-        with suppress(OSError, ValueError):  # no descriptor beneath: nothing that could stand still
-            self._fd = stream.fileno()
-            self._poll.register(self._fd, select.POLLOUT)
+        self._outlet: Outlet | None = None
+        with suppress(OSError, ValueError, AttributeError):  # no descriptor: nothing that could stand still
+            self._outlet = Outlet(stream.fileno())
 
     def write(self, text: str) -> None:
         """Take a part of a line."""
@@ -37,22 +35,17 @@
         """Write the line, as far as that is possible at once."""
         text, self._text = self._text, ""
         try:
-            if self._fd < 0:
+            if self.stream is None:
+                raise ValueError("standard error was closed by who started this")
+            if self._outlet is None:
                 self.stream.write(text)
                 self.stream.flush()
             else:
-                self._write(text.encode("utf-8", "replace"))
+                self._outlet.write(text.encode("utf-8", "replace"))
             self.lost = 0
         except (OSError, ValueError):  # no room, nobody reads, closed
             self.lost += 1
 
-    def _write(self, rest: bytes) -> None:
-        """Write so much at once that a pipe which is ready takes it without waiting."""
-        while rest:
-            if not self._poll.poll(0):
-                raise BlockingIOError
-            rest = rest[os.write(self._fd, rest[:select.PIPE_BUF]):]
-
     def tell(self, logger: object, method: str, line: dict[str, Any]) -> dict[str, Any]:
         """Say in a line how many before it were lost; one of structlog's processors."""
         return line | {"lost": self.lost} if self.lost else line
@@ -63,7 +56,7 @@
     stream = stream or sys.stderr
     lines = Lines(stream)
     last = structlog.processors.JSONRenderer() if form == "json" else structlog.dev.ConsoleRenderer(
-        colors=stream.isatty())
+        colors=stream is not None and stream.isatty())
     structlog.configure(
         processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso"),
                     structlog.processors.format_exc_info, lines.tell, last],
--- a/fennelwind/shards/routing.py
+++ b/fennelwind/shards/routing.py
@@ -163,6 +163,19 @@
             return False
         return holders is None or engine in holders
 
+    def missed(self, query: int, engine: str) -> list[api.EngineList] | None:
+        """Take an engine's word that it has not what a query reads; return what the module is to be told.
+
+        The engine knows better than the view, until that is told anew. None: the view does not say otherwise,
+        or nobody else has it; then the engine's word is the query's answer.
+        """
+        _, shards = self._of_query.get(query, (None, ()))
+        left = {shard: tuple(name for name in self.places[shard] if name != engine)
+                for shard in shards if engine in self.places.get(shard, ())}
+        if not left or not all(left.values()):
+            return None
+        return self.seen({**self.places, **left})
+
     def begins(self, query: int, number: int, engine: str) -> None:
         """An attempt that may be sent is about to be; asked for in the same turn as `may_send`."""
         if self.opened is not None and query in self._named:
