--- a/fennelwind/keeper/heat.py
+++ b/fennelwind/keeper/heat.py
@@ -1,7 +1,7 @@
 """Tells the record what this controller's queries named, in rare batches.
 
 A batch every ten minutes, if there is anything to tell, the first after a part of that by chance: two
-hundred controllers make twenty commands a minute, each of some 20 kB at the most, and no watch is woken.
+hundred controllers make twenty commands a minute, each of some 70 kB at the most, and no watch is woken.
 """
 
 from collections import Counter
--- a/fennelwind/shards/needs.py
+++ b/fennelwind/shards/needs.py
@@ -14,7 +14,7 @@
 from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 
-from fennelwind.shards.state import Home, Move, Shard, World
+from fennelwind.shards.state import Copy, Home, Move, Shard, World
 
 ENDED = ("done", "undone")  # steps of a move that is over
 HELD = ("reserved", "copying", "checked")  # steps with space taken and a copy that is not good yet
@@ -117,7 +117,7 @@
     for move in view.kept.values():
         if move.number not in view.keeps:
             view.doubtful[move.shard].discard(move.drops)  # it goes by that move
-        elif (copy := world.copies.get((move.shard, move.drops))) and copy.state == "leaving":
+        elif _is_good(world.copies.get((move.shard, move.drops)), "leaving"):
             view.now[move.shard].add(move.drops)  # it stays, and is as good as it was
     view.replaced = {name: set(engines) for name, engines in view.doubtful.items()}
     for shard, engine in (*view.going, *view.orphans, *view.clears):
@@ -204,6 +204,11 @@
     return ""
 
 
+def _is_good(copy: Copy | None, state: str) -> bool:
+    """Tell whether a copy is in this state and was known to be good."""
+    return copy is not None and copy.state == state and not copy.wrong
+
+
 def _clears(view: View, move: Move, pair: tuple[str, str]) -> bool:
     """Return whether a copy that a planned move waits to have dropped is gone, going or may go."""
     world, (name, engine) = view.world, pair
@@ -248,8 +253,8 @@
     waited = {other for move in view.kept.values() for other in move.after}
     for number, move in sorted(view.kept.items()):
         pair, shard, good = (move.shard, move.drops), world.shards[move.shard], view.good[move.shard]
-        state = world.copies[pair].state if view.released(move) and pair in world.copies else ""
-        if not (state == "good" or (state == "leaving" and move.step == "switched")):
+        copy = world.copies.get(pair) if view.released(move) else None
+        if not (_is_good(copy, "good") or (_is_good(copy, "leaving") and move.step == "switched")):
             if number > came.get(move.shard, {}).get(move.drops, number):
                 good.discard(move.drops)  # by way of a third engine
             continue
--- a/tests/move_play.py
+++ b/tests/move_play.py
@@ -239,6 +239,12 @@
         if max(streams.values(), default=0) > self.bounds.streams_per_engine:
             raise Broken(f"more streams than may be: {streams}")
 
+    def check_keeps(self, keeps):
+        """Check that the record keeps what a plan made now says is to be kept: it is not asked to."""
+        for move in (self.machine.moves[number] for number in keeps):
+            if move.step in ("switched", "dropping") and self.machine.spared(move.shard, move.drops):
+                raise Broken(f"the planner keeps a copy of {move.shard} that the record lets go")
+
     def declare(self, name, copies, holds=None):
         self.apply(pb.Command(declare=pb.Declare(shards=[pb.Shard(
             name=name, table=name.split("/")[0], size=SIZE, copies=copies, zones=min(copies, 2),
@@ -285,6 +291,8 @@
                     self.send_statement(action)
                 case Plan(token, world, bounds):
                     made = [Made(token, self.planner(world, bounds))]  # told when much may differ
+                    if not self.lag:
+                        self.check_keeps(made[0].planned.keeps)
                     self.later(self.random.choice((1.0, 100.0, 3_000.0)), self.step_holder, holder, made)
                 case Stop():
                     self.later(2.0, self.stop, action.token, holder)
