The programs' test of clearances runs after the others that start processes

Need: tests that start processes run one at a time, so that their verdict is the same on a small machine. Change: tests/conftest.py.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,8 +6,8 @@
 from fennelwind.rules import Gateway
 
 # Files whose tests start processes or take times: one of them at a time, whatever else runs beside.
-PROCESSES = {"test_cli", "test_council_processes", "test_council_program", "test_disks", "test_node_run",
-             "test_rig", "test_rig_processes", "test_spread", "test_whole"}
+PROCESSES = {"test_clearance_processes", "test_cli", "test_council_processes", "test_council_program",
+             "test_disks", "test_node_run", "test_rig", "test_rig_processes", "test_spread", "test_whole"}
 
 
 def pytest_collection_modifyitems(items):
