--- a/fennelwind/keeper/whole.py
+++ b/fennelwind/keeper/whole.py
@@ -153,6 +153,8 @@
         found = {"asker": {"asked": self.asker.asked, "lost": self.asker.lost}, "tasks": self.tasks.counts}
         if self.clearances is not None:
             found["clearances"] = self.clearances.counts
+        if self.heat is not None:
+            found["heat"] = self.heat.counts
         member = self.member
         if member is not None:
             found |= {"member": member.counts, "peers": member.peers.counts}
