A log without a standard error counts its lost lines without an error of its own

Seen: the check of the change named a ValueError that was raised only to be caught four lines below. Change: the case is asked for first (observe/logs.py).

--- a/fennelwind/observe/logs.py
+++ b/fennelwind/observe/logs.py
@@ -34,9 +34,10 @@
     def flush(self) -> None:
         """Write the line, as far as that is possible at once."""
         text, self._text = self._text, ""
+        if self.stream is None:  # closed by who started this
+            self.lost += 1
+            return
         try:
-            if self.stream is None:
-                raise ValueError("standard error was closed by who started this")
             if self._outlet is None:
                 self.stream.write(text)
                 self.stream.flush()
