One question right before an attempt's first byte: may it still begin, now

Cause, from reading and then forced by tests: what the module decides holds for its moment, while a connection to an executor comes up later (up to 250 ms, or after a wait for room). Between the two the links looked at the list alone (executors._Attempt._run). So - a query whose client had left was still sent where the settings allow no cancel: the module has no word for it, and nobody else looked (with cancel the task is called off in time: ruled out); - a keyed query was sent again after its window, judged at the decision (rules._may_go_on); - after a long turn an attempt in line ahead of the client's reader was sent although the client's leaving lay in the socket. And where two attempts may not be out, an attempt counted as given up 1.2 s after a DELETE that nobody answered, or at once when its connection failed (_call_off, _delete_one: "it is not there, and so is not at work" also for a time-out or a want of descriptors), or when it could not be reached (`reset`), though the protocol keeps it running until it was not asked for in 2 s.

Change: Order.barred, answered by the driver from ledger, windows and clock, asked with the list's state right before the first byte; what is barred then is `moot`. The loop tells how old unheard news may be; beyond 25 ms it is heard first (Loop.catch_up). Given up means: ended over there, refused connection, or unasked for 2.35 s. The HiveServer2 links ask the same question.

--- a/fennelwind/core/driver.py
+++ b/fennelwind/core/driver.py
@@ -16,6 +16,7 @@
     DONE,
     FAILED,
     LEFT,
+    NEVER_RAN,
     REFUSED,
     SERVED,
     Answer,
@@ -264,7 +265,8 @@
         deadline = min(entry.due_ms, now + timeout) if timeout else entry.due_ms
         entry.tries.append(Try(now))
         order = Order(query, number, entry.submission, deadline, entry.memory_mb, entry.priority,
-                      lambda sort, value: self._note(entry, number, sort, value))
+                      lambda sort, value: self._note(entry, number, sort, value),
+                      lambda: self._barred(entry, number, deadline))
         self._tasks[query, number] = self.loop.spawn(
             self._attempt, entry, number, engine, order, name=f"query {query} attempt {number}")
         if self.advisor is not None:
@@ -295,6 +297,27 @@
             self._left(entry, number, end, order.deadline_ms if doubt or end.status in UNSURE else 0.0)
         self._ended(entry, number, engine, sent, end)
 
+    def _barred(self, entry: Entry, number: int, deadline: float) -> str:
+        """Tell why an attempt may not begin now, "" if it may.
+
+        The module's decision holds for its moment; the connection may come up much later. So whoever makes
+        the attempt asks right before its first byte leaves, and what is barred then never ran.
+        """
+        cls, now = self.settings.classes[entry.submission.cls], self.loop.now()
+        if entry.answer is not None:
+            return "the query had ended"
+        if now >= deadline:
+            return "its time was up"
+        if len(entry.out) > 1 and (cls.effect == "unsafe" or not self.settings.parallel):
+            return "another attempt is out"
+        doubt = next((one for one in entry.tries[:number] if one.status not in NEVER_RAN), None)
+        if doubt is not None and cls.effect == "unsafe":
+            return "an earlier attempt may have run"
+        if doubt is not None and cls.effect == "keyed" \
+                and now + self.settings.tick_ms >= doubt.began_ms + cls.memory_ms:
+            return "its repeats are not dropped any more"
+        return ""
+
     def _elsewhere(self, entry: Entry, number: int, engine: str, end: AttemptEnd) -> AttemptEnd:
         """Return how an attempt ended: moot, where the engine lacks what others are known to have."""
         error = end.result.error if self.router is not None and end.result is not None else None
--- a/fennelwind/core/types.py
+++ b/fennelwind/core/types.py
@@ -5,6 +5,7 @@
 from typing import Any, Protocol
 
 DONE, SPILLS, WAITS = 1, 2, 3  # sorts of notes: share done, MB spilled, it waits
+NEVER_RAN = frozenset(("full", "connect_failed", "moot"))  # outcomes that prove an attempt did nothing
 SERVED, REFUSED, FAILED, LEFT = "served", "refused", "failed", "left"
 
 
@@ -83,6 +84,7 @@
     memory_mb: float  # grant; 0 leaves it to the engine
     priority: int
     on_note: Callable[[int, float], None]
+    barred: Callable[[], str] = lambda: ""  # why it may not begin now; asked right before its first byte
 
 
 class Router(Protocol):
--- a/fennelwind/engines/links.py
+++ b/fennelwind/engines/links.py
@@ -438,6 +438,10 @@
                 self.link = self.pool.take(self.order.submission.database)
                 self.links.waits.record_value(max(1, int((self.loop.now() - began) * 1000.0)))
                 self._go_to_database()
+                barred = self.order.barred()
+                if barred:
+                    self.pool.put(self.link)
+                    return self._end("moot", barred)
                 return self._end("ok", result=self._execute())
         except DeadlineExceeded as exc:
             if not self.sent:
--- a/fennelwind/loop/scheduler.py
+++ b/fennelwind/loop/scheduler.py
@@ -295,6 +295,8 @@
         self._calling = False
         self.timers = TimerWheel()
         self.tasks: set[Task] = set()
+        self.looked_ms = 0.0  # when the loop last looked for news
+        self.turn_ms = 0.0  # how long the turn before that took
         self.delay_ms = 0.0  # how late timers are called, a fading mean
         self.worst_delay_ms = 0.0
         self.errors = 0  # tasks that ended by an exception
@@ -368,6 +370,14 @@
         finally:
             timer.cancel()
 
+    def catch_up(self, ms: float) -> None:
+        """Let the tasks that wait for news go ahead, if some may have been there for longer than that.
+
+        News of the turn before is told in this one, but maybe behind the task that calls.
+        """
+        if self.now() - self.looked_ms + self.turn_ms > ms:
+            self.sleep(0.0)
+
     def deadline(self, ms: float) -> Deadline:
         """Return a block that has to end within so long, else it raises `DeadlineExceeded`."""
         return Deadline(self, self.now() + ms)
@@ -380,14 +390,14 @@
         """Run a task to its end; cancel whatever else is left then. Return its value or raise its error."""
         if self.hub is not None:
             raise RuntimeError("the loop runs already")
-        self.hub = getcurrent()
+        self.hub, self.looked_ms = getcurrent(), self.now()
         try:
             main = self.spawn(call, *args, name="main")
             while True:
                 self._call_ready()
                 if main.done:
                     break
-                self._pause(self.now() if self.ready else self.timers.next_due())
+                self._look()
                 self._call_timers()
             for _ in self._left():
                 self._call_ready()
@@ -397,6 +407,12 @@
         finally:
             self.hub = None
 
+    def _look(self) -> None:
+        began = self.now()
+        self.turn_ms = began - self.looked_ms
+        self._pause(began if self.ready else self.timers.next_due())
+        self.looked_ms = self.now()
+
     def _left(self) -> Iterator[int]:
         """Cancel all tasks that are left, in order of their names, for as many turns as they take to end."""
         for turn in range(100):
--- a/fennelwind/node/executors.py
+++ b/fennelwind/node/executors.py
@@ -43,6 +43,9 @@
 DELETES_MOST = 500  # queries waiting to be ended at one executor; what is over it is left to its own time
 TELLERS = 8  # new priorities under way at a time; what is over it is dropped, as it changes no answer
 TELL_MS = 400.0  # ms for telling a priority
+# An executor drops what it is not asked for in 2 s; it may have been this long at the last question.
+UNASKED_MS = 2000.0 + NEWS_MS + SILENCE_MS
+HEARD_MS = 25.0  # ms; a loop that has not looked for so long hears first who has left: 100 ms are allowed
 PROBE_MS = 250.0  # ms for a probe
 # Load reports may use the platform's words or the wire's.
 REPORT_WORDS = {"inflight": "active", "queue": "waiting", "util": "cpu", "latency_ms": "avg_ms",
@@ -314,11 +317,11 @@
     # Ending what was posted and is not wanted any more.
 
     def end(self, host: Host, name: str, waiter: Waiter | None = None) -> None:
-        """End a query over there; the waiter is woken once it counts as given up, or can't be reached."""
+        """End a query over there; the waiter is woken with whether it is known to be ended."""
         if host.lost or len(host.deletes) >= DELETES_MOST:
             self.counts["undeleted"] += 1
             if waiter is not None:
-                waiter.wake()
+                waiter.wake(False)
             return
         host.deletes.append((name, waiter))
         self._deleting[host.name, name] += 1
@@ -330,29 +333,34 @@
         try:
             while host.deletes:
                 name, waiter = host.deletes.popleft()
+                ended = False
                 try:
-                    self._delete_one(host, name)
+                    ended = self._delete_one(host, name)
                 finally:
                     self._deleting[host.name, name] -= 1
                     if not self._deleting[host.name, name]:
                         del self._deleting[host.name, name]
                     if waiter is not None:
-                        waiter.wake()
+                        waiter.wake(ended)
         finally:
             host.deleters -= 1
 
-    def _delete_one(self, host: Host, name: str) -> None:
+    def _delete_one(self, host: Host, name: str) -> bool:
+        """End a query over there; tell whether it is known to be ended."""
         for number in range(DELETE_TRIES):
             try:
                 response = self.once(host, request(b"DELETE", name), DELETE_MS, fresh=number > 0)
-            except ConnectFailed:
-                break  # it is not there, and so is not at work
+            except ConnectFailed as exc:
+                if exc.errno == errno.ECONNREFUSED and not host.lost:
+                    return True  # its process is not there, and so is not at work
+                break  # cut off, late, or no descriptor here: it may well go on
             except (OSError, Malformed):
                 continue
             if response.status in (204, 500):  # ended now, or not known any more
                 self.counts["deleted"] += 1
-                return
+                return True
         self.counts["undeleted"] += 1
+        return False
 
     def being_ended(self, host: Host, name: str) -> bool:
         """Tell whether an earlier attempt under the same name is still to be ended there."""
@@ -400,6 +408,7 @@
         self.told = order.priority
         self.telling = False
         self.spoilt = self.unreached = 0
+        self.asked = float("-inf")  # when it was last asked for
         self._use: _Use | None = None
 
     def run(self) -> AttemptEnd:
@@ -423,19 +432,27 @@
         if self.links.parallel or not self.posted:
             self._abandon(None)
             return
-        # A further attempt may only start when this one is known to be given up.
         self.loop.current.absolve()
+        self._give_up()
+
+    def _give_up(self) -> None:
+        """Give it up; where two attempts may not be out, wait until it is: a further one may start then.
+
+        It is out no longer once its executor has ended it, or was not asked for it for long enough.
+        """
         self._release()
+        if self.links.parallel:
+            self._abandon(None)
+            return
         waiter = Waiter(self.loop)
         self._abandon(waiter)
-        with suppress(DeadlineExceeded), self.loop.deadline(DELETE_TRIES * DELETE_MS):
-            waiter.wait()
+        with suppress(DeadlineExceeded), self.loop.deadline_at(self.asked + UNASKED_MS):
+            if not waiter.wait():
+                self.loop.sleep(UNASKED_MS)
 
     def _abandon(self, waiter: Waiter | None) -> None:
         if self.posted:
             self.links.end(self.host, self.name, waiter)
-        elif waiter is not None:
-            waiter.wake()
 
     def _release(self) -> None:
         use, self._use = self._use, None
@@ -451,17 +468,28 @@
             return AttemptEnd("moot", str(exc))
         except ConnectFailed as exc:
             return AttemptEnd("connect_failed", str(exc))
-        if self.host.lost or self.host.draining:  # told while there was no connection yet
-            return AttemptEnd("moot", "nothing new is to be sent to the executor any more")
+        self.loop.catch_up(HEARD_MS)
+        barred = self._barred()
+        if barred:
+            return AttemptEnd("moot", barred)
         self.posted = True
         try:
             return self._news(self._ask(self._post(), NEWS_MS + SILENCE_MS))
         except ConnectFailed as exc:
+            refused = exc.errno == errno.ECONNREFUSED and not self.host.lost
+            if not refused and not self.links.parallel:  # else its process has ended, and it with it
+                self._give_up()
             return AttemptEnd("reset", f"it can't be reached any more: {exc}")
         except _Useless as exc:
-            self._abandon(None)
+            self._give_up()
             return AttemptEnd("error", str(exc))
 
+    def _barred(self) -> str:
+        """Tell why nothing may be sent now, "" if it may; nothing waits from here to the first byte."""
+        if self.host.lost or self.host.draining:  # told while there was no connection yet
+            return "nothing new is to be sent to the executor any more"
+        return self.order.barred()
+
     def _post(self) -> bytes:
         order, submission = self.order, self.order.submission
         body = submission.statement
@@ -490,7 +518,7 @@
                     raise
                 return self._wrong("unreached")
         use = self._use
-        began = self.loop.now()
+        began = self.asked = self.loop.now()
         try:
             with self.loop.deadline(within_ms):
                 response = use.call(raw)
--- /dev/null
+++ b/tests/test_crossings_attempt.py
@@ -0,0 +1,254 @@
+"""What comes between the decision on an attempt and its first byte, or between two attempts.
+
+Each crossing is forced by the order of events, on the virtual loop and on loopback sockets: a connection
+comes up when the script lets it, and time is moved on where the rule is one of time.
+"""
+
+import errno
+import json
+import socket
+
+import pytest
+from nodes import LISTEN, SETTINGS, Client, Executor, Quiet, config_text, instance, name, nodes_event
+
+from fennelwind.loop import Address, ConnectFailed, Once, RealLoop, SimLoop
+from fennelwind.node.config import read_config
+from fennelwind.node.executors import UNASKED_MS
+from fennelwind.node.lifecycle import Node
+
+GRADES = SETTINGS["Grades"]
+KEYED = {"Name": "tally", "AimMs": 9000.0, "Effect": "by_key", "Group": "all", "GiveUpMs": 60000.0,
+         "MemorySpanMs": 20000.0, "Points": 5.0}
+
+
+def free_address(host):
+    with socket.create_server((host, 0)) as sock:
+        return Address(host, sock.getsockname()[1])
+
+
+class Stage:
+    """A controller whose connections to executors come up when the script says."""
+
+    def __init__(self, loop, executors=2, ceilings=None, grades=(), work_ms=5.0, scripts=()):
+        self.loop, self.skew, self.opened, self.dials = loop, 0.0, Once(loop), []
+        self.failing = set()  # executors to which no connection comes up in time
+        real = isinstance(loop, RealLoop)
+        self.executors = [
+            Executor(loop, k, port=0 if real else 9090, work_ms=work_ms,
+                     script=scripts[k] if k < len(scripts) else None) for k in range(executors)]
+        ports = [one.listener.address.port for one in self.executors]
+        told = json.loads(config_text(
+            [instance(f"s-{k}", k, port=port) for k, port in enumerate(ports)],
+            Ceilings=SETTINGS["Ceilings"] | {"DialTimeoutMs": 50000.0} | (ceilings or {}),
+            Grades=[*GRADES, *grades]))
+        self.listen = free_address("127.0.0.1") if real else LISTEN
+        told["listen"] = str(self.listen)
+        if real:
+            told["channel"] = str(free_address("127.0.0.1"))
+        self.places = {Address(f"127.0.1.{k}", port): k for k, port in enumerate(ports)}
+        self.plain_now, self.plain_connect = loop.now, loop.connect
+        loop.now, loop.connect = lambda: self.plain_now() + self.skew, self.connect
+        self.log = Quiet()
+        loop.on_error = lambda task, exc: self.log.failed(task.name, exc)
+        self.node = Node(loop, read_config(json.dumps(told)), self.log)
+        self.node.start()
+
+    def connect(self, address):
+        if address in self.places:
+            self.dials.append(self.places[address])
+            if self.places[address] in self.failing:
+                raise ConnectFailed(errno.ETIMEDOUT, f"{address}: no connection in time")
+            self.opened.wait()
+        return self.plain_connect(address)
+
+    def client(self):
+        return Client(self.loop, self.listen)
+
+    def until(self, what):
+        """Wait for a state."""
+        with self.loop.deadline(60000.0):
+            while not what():
+                self.loop.sleep(1.0)
+
+    def let(self):
+        """Let all connections come up from now on."""
+        self.opened.set()
+
+    def end(self):
+        """Wait until nothing is open or under way, and look whether anything broke."""
+        self.until(lambda: not self.node.driver.ledger.open and not self.node.links._out)
+        assert not self.log.broke
+
+    @property
+    def ran(self):
+        return [one for executor in self.executors for one in executor.ran]
+
+
+@pytest.fixture(params=["virtual", "sockets"])
+def play(request):
+    def played(main):
+        loop = SimLoop(7) if request.param == "virtual" else RealLoop()
+        loop.run(main, loop)
+    return played
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+@pytest.mark.parametrize("leave", ["forget", "close", "reset"])
+def test_nothing_is_sent_for_a_client_that_left_while_the_connection_came_up(play, leave, cancel):
+    def main(loop):
+        stage = Stage(loop, ceilings={"Cancel": cancel})
+        client = stage.client()
+        number = client.ask(name(1), "scene-build", 5000)
+        stage.until(lambda: stage.dials)
+        go_away(client, leave, number)
+        stage.until(lambda: not stage.node.driver.ledger.open)
+        stage.let()
+        stage.end()
+        assert not stage.ran and stage.log.ends == ["cancelled" if cancel else "moot"]
+
+    play(main)
+
+
+def go_away(client, how, number):
+    if how == "forget":
+        client.stream.write(b"\x93\x02\xa6forget\x91" + bytes([number]))
+    elif how == "close":
+        client.stream.close()
+    else:
+        client.stream.abort()
+
+
+def test_who_left_in_a_long_turn_is_heard_before_anything_is_sent():
+    # On sockets alone: what is written is there for the controller at once, but read in its next turn.
+    def main(loop):
+        stage = Stage(loop, ceilings={"Cancel": False})
+        client = stage.client()
+        number = client.ask(name(1), "scene-build", 5000)
+        stage.until(lambda: stage.dials)
+        go_away(client, "forget", number)
+        stage.skew += 150.0  # the turn took that long, and in it the connection came up
+        stage.let()
+        stage.end()
+        assert not stage.ran and stage.log.ends == ["moot"]
+
+    loop = RealLoop()
+    loop.run(main, loop)
+
+
+def test_a_keyed_query_is_not_sent_again_once_its_repeats_are_forgotten(play):
+    def main(loop):
+        def errs(verb, path, number):
+            return b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n" if verb == "POST" else None
+
+        stage = Stage(loop, grades=[KEYED], scripts=[errs, errs])
+        stage.let()
+        client = stage.client()
+        held = Once(loop)
+        first = []
+
+        def connect(address):
+            if address in stage.places:
+                if first and first[0] != stage.places[address]:
+                    stage.dials.append("second")
+                    held.wait()
+                first.append(stage.places[address])
+            return stage.plain_connect(address)
+
+        loop.connect = connect
+        number = client.ask(name(1), "tally", 59000)
+        stage.until(lambda: "second" in stage.dials)
+        assert stage.ran == [name(1)]
+        stage.skew += 21000.0
+        held.set()
+        error, _ = client.answer(number, 60000.0)
+        stage.end()
+        assert error[0] == "Shed" and stage.ran == [name(1)] and stage.log.ends[:2] == ["error", "moot"]
+
+    play(main)
+
+
+@pytest.mark.parametrize("how", ["delete is not answered", "cut off"])
+def test_no_second_attempt_goes_out_while_the_first_may_not_be_given_up(how):
+    # On the virtual loop alone: what counts are seconds.
+    def main(loop):
+        asked = []
+
+        def silent(verb, path, number):
+            if verb in ("POST", "GET"):
+                asked.append(loop.now())
+            if verb == "POST" and how == "cut off":
+                stage.failing.add(0)
+            return "silent"
+
+        stage = Stage(loop, ceilings={"ParallelTries": False, "DialTimeoutMs": 250.0}, scripts=[silent])
+        stage.failing.add(1)  # so that the first attempt goes to the other one
+        stage.let()
+        client = stage.client()
+        client.ask(name(1), "scene-build", 5900, h="10.0")
+        stage.until(lambda: asked)
+        stage.failing.discard(1)
+        stage.node.driver.gateway.engines["s-1"].shut_until = 0.0
+        stage.until(lambda: stage.executors[1].ran)
+        assert loop.now() >= max(asked) + 2000.0
+        assert loop.now() < max(asked) + UNASKED_MS + 100.0
+        stage.end()
+
+    loop = SimLoop(7)
+    loop.run(main, loop)
+
+
+def test_a_further_attempt_goes_out_at_once_where_the_first_ones_process_has_ended(play):
+    def main(loop):
+        def dies(verb, path, number):
+            stage.executors[0].stop()
+            return "cut"
+
+        stage = Stage(loop, ceilings={"ParallelTries": False}, scripts=[dies])
+        stage.failing.add(1)
+        stage.let()
+        client = stage.client()
+        began = []
+        number = client.ask(name(1), "scene-build", 5900, h="10.0")
+        stage.until(lambda: stage.executors[0].ran)
+        began.append(loop.now())
+        stage.failing.discard(1)
+        stage.node.driver.gateway.engines["s-1"].shut_until = 0.0
+        assert client.answer(number)[0] is None
+        assert "reset" in stage.log.ends and stage.executors[1].ran == [name(1)]
+        assert isinstance(stage.loop, RealLoop) or loop.now() < began[0] + 500.0
+        stage.end()
+
+    play(main)
+
+
+def test_an_engine_that_is_told_to_drain_while_the_connection_comes_up_gets_nothing(play):
+    def main(loop):
+        stage = Stage(loop, executors=1)
+        client = stage.client()
+        number = client.ask(name(1), "lookup", 1900)
+        stage.until(lambda: stage.dials)
+        port = stage.executors[0].listener.address.port
+        stage.node.channel._take(nodes_event(2, [instance("s-0", 0, "terminating", port=port)]), "full")
+        stage.let()
+        error, _ = client.answer(number)
+        stage.end()
+        assert error[0] == "Shed" and not stage.ran and "moot" in stage.log.ends
+
+    play(main)
+
+
+def test_an_engine_that_was_replaced_at_its_address_while_the_connection_came_up_gets_nothing(play):
+    def main(loop):
+        stage = Stage(loop, executors=1, grades=[KEYED])
+        client = stage.client()
+        client.ask(name(1), "scene-build", 5000)
+        stage.until(lambda: stage.dials)
+        port = stage.executors[0].listener.address.port
+        stage.node.channel._take(nodes_event(2, [instance("s-9", 0, port=port)]), "full")
+        stage.let()
+        stage.until(lambda: stage.log.ends)
+        assert stage.log.ends[0] == "moot"
+        stage.end()
+        assert stage.ran in ([], [name(1)])  # sent to the new one by a decision of its own, or to nobody
+
+    play(main)
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -205,9 +205,12 @@
 
 
 def test_an_effect_that_runs_twice_is_found(monkeypatch):
+    errors = day("faults { kind: ERROR at_ms: 0 for_ms: 5000 who { share: 1 } share: 0.4 }", seconds=6.0)
     monkeypatch.setattr(Gateway, "_may_go_on", lambda self, query: len(query.attempts) < 3)
-    _, _, _, verdicts = played(day(
-        "faults { kind: ERROR at_ms: 0 for_ms: 5000 who { share: 1 } share: 0.4 }", seconds=6.0))
+    _, _, _, verdicts = played(errors)
+    assert verdicts["effects"].checks and not verdicts["effects"].breaks  # the driver lets none of them begin
+    monkeypatch.setattr(Driver, "_barred", lambda self, entry, number, deadline: "")
+    _, _, _, verdicts = played(errors)
     assert any("sent again after it may have run" in text for text in verdicts["effects"].breaks)
 
 
