Connections to executors rest 60 ms after an answer: a late second copy is not the next one's

Cause: nothing in an answer tells whose it is, so what lies between one query's answer and the next is time alone (executors.REST_MS, 15 ms, and a look whether something came). A second copy that is 20 or 50 ms late was taken for the answer of the query that was sent meanwhile: the client got another's rows (test_a_second_answer_that_comes_late_is_not_the_next_querys, which failed at 20 and 50 ms).

Change: 60 ms. The looks whether an earlier attempt has been ended keep their 15 ms (LOOK_MS).

--- a/fennelwind/node/executors.py
+++ b/fennelwind/node/executors.py
@@ -27,7 +27,9 @@
 SILENCE_MS = 100.0  # ms beyond that without an answer; then a connection is given up as cut or stalled
 EARLY_MS = 150.0  # ms; "goes on" sooner than this answers an earlier call: a second copy of something
 PAGE_MS = 400.0  # ms for a page, which is there at once; beyond them as above
-REST_MS = 15.0  # ms that a connection rests after an answer; what follows a spoilt one shows by then
+REST_MS = 60.0  # ms that a connection rests after an answer: a second copy of it, which nothing in it tells
+# from the next call's answer, is some milliseconds late, and an executor that is short of a core some more
+LOOK_MS = 15.0  # ms between two looks whether an earlier attempt of a query has been ended
 IDLE_PART = 0.8  # of the time after which executors close idle connections; ours go before
 SPOILT_MOST = 8  # spoilt or broken answers to one attempt; beyond it, asking again has proven useless
 UNREACHED_MOST = 3  # fresh connections in vain; then the machine is taken to have vanished
@@ -461,7 +463,7 @@
 
     def _run(self) -> AttemptEnd:
         while self.links.being_ended(self.host, self.name):
-            self.loop.sleep(REST_MS)
+            self.loop.sleep(LOOK_MS)
         try:
             self._connect(fresh=False)
         except ShortOfDescriptors as exc:
--- a/tests/test_crossings_attempt.py
+++ b/tests/test_crossings_attempt.py
@@ -7,11 +7,25 @@
 import errno
 import json
 import socket
+from contextlib import suppress
 
 import pytest
-from nodes import LISTEN, SETTINGS, Client, Executor, Quiet, config_text, instance, name, nodes_event
-
-from fennelwind.loop import Address, ConnectFailed, Once, RealLoop, SimLoop
+from nodes import (
+    LISTEN,
+    ROWS,
+    SETTINGS,
+    Client,
+    Executor,
+    Quiet,
+    config_text,
+    first_page,
+    instance,
+    name,
+    nodes_event,
+    start,
+)
+
+from fennelwind.loop import Address, ConnectFailed, Once, RealLoop, SimLoop, StreamReset
 from fennelwind.node.config import read_config
 from fennelwind.node.executors import UNASKED_MS
 from fennelwind.node.lifecycle import Node
@@ -252,3 +266,41 @@
         assert stage.ran in ([], [name(1)])  # sent to the new one by a decision of its own, or to nobody
 
     play(main)
+
+
+@pytest.mark.parametrize("late_ms", [1.0, 20.0, 50.0])
+def test_a_second_answer_that_comes_late_is_not_the_next_querys(late_ms):
+    # On the virtual loop alone: what counts are milliseconds.
+    def main(loop):
+        other = b"x\ty\tz\n"
+
+        def serve(stream):
+            with suppress(StreamReset):
+                while head := stream.read():
+                    first = name(1).encode() in head
+                    loop.sleep(5.0 if first else 300.0)
+                    stream.write(first_page(body=other if first else ROWS))
+                    if first:
+                        loop.spawn(write_again, stream)
+
+        def write_again(stream):
+            loop.sleep(late_ms)
+            with suppress(StreamReset):
+                stream.write(first_page(body=other))
+
+        listener = loop.listen(Address("127.0.1.1", 9090))
+
+        def accept():
+            while True:
+                loop.spawn(serve, listener.accept())
+
+        loop.spawn(accept)
+        node = start(loop, [instance("s-1", 1)])
+        client = Client(loop)
+        assert client.answer(client.ask(name(1))) == (None, [other, {}])
+        loop.sleep(late_ms - 4.0 if late_ms > 4.0 else 0.0)
+        assert client.answer(client.ask(name(2))) == (None, [ROWS, {}])
+        assert not node.log.broke
+
+    loop = SimLoop(7)
+    loop.run(main, loop)
