Clients' connections close by a half-close first, and are read on while answers wait unread

Cause, from the code, each shown by a test on the sources as they were: - Connection.close closed the socket over unread bytes, which the kernel makes a reset: after three unusable requests, an unreadable message or numbers that do not rise, with more behind, the client read its answers and then ECONNRESET (and where the reset overtakes them, not even those). - Connection.run slept while more than UNREAD_MOST of answers waited: `forget` for a request under way was seen after 2938 ms of virtual time, when its writer gave up; a request read in that pause was sent on. - A connection was closed for room, as idle or as silent although a request had come that was not read yet. - SocketStream.read never waits while reads come full, so that a client that sends without end kept the turn: its 13 995 messages were all answered before the one message of another. - The third unusable request closed a connection whose answers were not all taken. Ruled out: a request with its `forget` in the same bytes is not sent on.

Now Connection.close ends the sending side, and its task reads and drops what still comes until the client's end; bounded by 500 ms, 256 KB and 3 % of the descriptors, the oldest making room. Reading goes on while answers wait: requests are then refused, and 1024 answers unread close the connection. Who is closed for room or time is looked at for bytes that wait. A full read lets others have their turn.

--- a/fennelwind/limits/places.py
+++ b/fennelwind/limits/places.py
@@ -6,14 +6,16 @@
 
 The order for room: first who has said nothing for `MUTE_MS`; then who was answered longest ago, as his
 client sends again what crosses the close; last who has just come, since a first request that crosses the
-close is lost to its client. Busy ones are never closed.
+close is lost to its client. Busy ones are never closed, nor are those of whom the caller knows better.
 """
 
-from collections.abc import Hashable, Iterator
+from collections.abc import Callable, Hashable, Iterator
+from itertools import islice
 
 MUTE_MS = 400.0  # ms; a usual client's first request follows its connecting by a few ms
 SILENT_MS = 1800.0  # ms without a first message, or with one half sent; 3 s are what the platform allows
 IDLE_MS = 8000.0  # ms without anything owed; usual clients close after 4 s
+SPARED_MOST = 8  # clients looked at in one search for room
 
 
 class Places:
@@ -29,6 +31,9 @@
     def __len__(self) -> int:
         return len(self.busy) + len(self.unheard) + len(self.idle)
 
+    def __iter__(self) -> Iterator[Hashable]:
+        return iter([*self.busy, *self.unheard, *self.idle])
+
     def came(self, who: Hashable, now: float) -> None:
         """Note a new client."""
         self.unheard[who] = now
@@ -65,15 +70,28 @@
         for table in (self.unheard, self.idle, self.half):
             table.pop(who, None)
 
-    def for_room(self, now: float) -> tuple[Hashable, str] | None:
-        """Return whom to close so that another has a place, and why; None if all are busy."""
-        oldest = next(iter(self.unheard.items()), None)
-        if oldest is not None and now - oldest[1] > MUTE_MS:
-            return oldest[0], "mute"
+    def for_room(self, now: float,
+                 spared: Callable[[Hashable], bool] = lambda _: False) -> tuple[Hashable, str] | None:
+        """Return whom to close so that another has a place, and why; None if there is nobody.
+
+        `spared` tells who is not as idle as it seems here; it is asked of few.
+        """
+        for who, why in islice(self._by_need(now), SPARED_MOST):
+            if not spared(who):
+                return who, why
+        return None
+
+    def _by_need(self, now: float) -> Iterator[tuple[Hashable, str]]:
+        for who, since in self.unheard.items():
+            if now - since <= MUTE_MS:
+                break
+            yield who, "mute"
         for who in self.idle:
             if who not in self.half:
-                return who, "idle"
-        return (oldest[0], "new") if oldest is not None else None
+                yield who, "idle"
+        for who, since in self.unheard.items():
+            if now - since <= MUTE_MS:
+                yield who, "new"
 
     def overdue(self, now: float) -> Iterator[tuple[Hashable, str]]:
         """Yield who is to be closed by now, and why; the caller may close them as they come."""
--- a/fennelwind/loop/real.py
+++ b/fennelwind/loop/real.py
@@ -327,6 +327,18 @@
             pass
         return True
 
+    def waiting(self) -> bool:
+        """Tell whether bytes have come that are not read yet; an end is none."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
+    def half_close(self) -> None:
+        """Send nothing more, behind what was written; what the peer still sends can be read."""
+        with suppress(OSError):  # it is closed or reset already
+            self.sock.shutdown(socket.SHUT_WR)
+
     def close(self) -> None:
         """Close in order."""
         if self.sock.fileno() >= 0:
--- a/fennelwind/loop/sim.py
+++ b/fennelwind/loop/sim.py
@@ -135,9 +135,13 @@
         self.held += len(data)
         self.later(lambda: self.arrived.append(data))
 
+    def finish(self) -> None:
+        """Put the end under way, behind what was sent; the writer's end may still read."""
+        self.later(self._end)
+
     def end(self) -> None:
         """Put the end under way, behind what was sent."""
-        self.later(self._end)
+        self.finish()
 
     def _end(self) -> None:
         self.ended = True
@@ -192,11 +196,11 @@
 class SimStream:
     """One end of a connection in memory."""
 
-    __slots__ = ("loop", "peer", "inward", "outward", "closed")
+    __slots__ = ("loop", "peer", "inward", "outward", "closed", "finished")
 
     def __init__(self, loop: Loop, peer: Address, inward: Pipe, outward: Pipe) -> None:
         self.loop, self.peer, self.inward, self.outward = loop, peer, inward, outward
-        self.closed = False
+        self.closed = self.finished = False
 
     def read(self, most: int = READ_MOST) -> bytes:
         """Return some bytes, b"" at the end; wait for them."""
@@ -224,7 +228,7 @@
             return
         pipe, rest = self.outward, memoryview(data)
         while rest:
-            if self.closed or pipe.reset:
+            if self.finished or pipe.reset:
                 raise StreamReset(errno.EPIPE, f"{self.peer}: broken pipe")
             room = PIPE_BYTES - pipe.held
             if room <= 0:
@@ -236,7 +240,7 @@
 
     def push(self, data: bytes) -> int:
         """Hand on what is taken without waiting; return how many bytes."""
-        if self.closed or self.outward.reset:
+        if self.finished or self.outward.reset:
             raise StreamReset(errno.EPIPE, f"{self.peer}: broken pipe")
         room = max(0, PIPE_BYTES - self.outward.held)
         if room:
@@ -248,10 +252,21 @@
         pipe = self.inward
         return self.closed or pipe.reset or pipe.ended or bool(pipe.arrived)
 
+    def waiting(self) -> bool:
+        """Tell whether bytes have come that are not read yet; an end is none."""
+        return not self.closed and bool(self.inward.arrived)
+
+    def half_close(self) -> None:
+        """Send nothing more, behind what was written; what the peer still sends can be read."""
+        if not self.finished:
+            self.finished = True
+            self.outward.finish()
+            self.outward.wake_writer()
+
     def close(self) -> None:
         """Close in order; a peer that still writes is told by a reset, as a kernel does."""
         if not self.closed:
-            self.closed = True
+            self.closed = self.finished = True
             self.outward.end()
             self.inward.refuse_later()
             self.inward.wake_reader()
@@ -260,7 +275,7 @@
     def abort(self) -> None:
         """Close at once, so that the peer sees a reset."""
         if not self.closed:
-            self.closed = True
+            self.closed = self.finished = True
             self.inward.drop()
             self.outward.cut_later()
 
@@ -289,6 +304,13 @@
             self._waiter.wait()
         return self.waiting.popleft()
 
+    def finish(self) -> list[SimStream]:
+        """Take no more connections; return those that wait."""
+        streams = list(self.waiting)
+        self.waiting.clear()
+        self.close()
+        return streams
+
     def close(self) -> None:
         """Take no more connections; those in line are broken."""
         if not self.closed:
--- a/fennelwind/loop/streams.py
+++ b/fennelwind/loop/streams.py
@@ -67,6 +67,15 @@
     def push(self, data: bytes) -> int:
         """Hand on what is taken without waiting; return how many bytes. Raises `StreamReset`."""
 
+    def waiting(self) -> bool:
+        """Tell, without waiting, whether bytes have come that are not read yet; an end is none."""
+
+    def half_close(self) -> None:
+        """Send nothing more, behind what was written; what the peer still sends can be read.
+
+        A close over unread bytes becomes a reset, which may destroy at the peer what was written before.
+        """
+
 
 class Datagrams(Protocol):
     """A socket for datagrams, which may be late, lost, doubled or out of order. One task may receive."""
@@ -91,5 +100,8 @@
     def accept(self) -> Stream:
         """Return the next connection; wait for it. Raises `StreamReset` when closed."""
 
+    def finish(self) -> list[Stream]:
+        """Take no more connections; return those that have come up and wait."""
+
     def close(self) -> None:
         """Take no more connections."""
--- a/fennelwind/node/front.py
+++ b/fennelwind/node/front.py
@@ -2,6 +2,10 @@
 
 A connection costs a task and a few hundred bytes. One sweep four times a second closes those that say
 nothing, leave a message half sent, or are idle for long; none with an open request is closed by it.
+
+Every close of ours is a lingering one: first only the sending side, then what the client still sends is
+read and dropped until its end, for some time, since a close over unread bytes becomes a reset, which may
+destroy answers that the client has yet to take. Those that linger are few; the oldest make room.
 """
 
 from collections import Counter, deque
@@ -18,12 +22,15 @@
 
 SWEEP_MS = 250.0  # ms between two looks at all connections
 OPEN_MOST = 32  # open requests on a connection, as the protocol states
-UNREAD_MOST = 262_144  # bytes of answers that a client leaves unread before no more of it is read
+UNREAD_MOST = 262_144  # bytes of answers that a client leaves unread; beyond them its requests are refused
+UNREAD_ANSWERS_MOST = 1024  # answers left unread; beyond them it is closed. No usual client has 32 open
 WRITE_MS = 3000.0  # ms that a client may leave its answers unread; the longest that one is owed anything
 UNUSABLE_MOST = 3  # unusable requests on a connection; then it is closed
 READ_BYTES = 65536  # bytes of one read
 PARTIAL_MOST = 4_000_000  # bytes of messages half sent, over all connections
 ACCEPTED_AT_ONCE = 64  # connections taken in one turn; then what is open gets its turn
+LINGER_MS = 500.0  # ms between our end and the close outright; a silent client's is then still within 3 s
+LINGER_BYTES = 262_144  # bytes that are read and dropped meanwhile; who sends more will not stop
 
 
 class Connection:
@@ -44,25 +51,33 @@
         self.closed = False
 
     def run(self) -> None:
-        """Read until the end."""
-        front = self.front
+        """Read until the client's end; behind a close of ours what comes is dropped."""
+        dropped = 0
         try:
-            while not self.closed:
-                data = self.stream.read(READ_BYTES)
-                if not data:
-                    break
-                for message in self.reader.feed(data):
-                    self._message(message)
-                    if self.closed:
-                        return
-                self._count_partial()
-                while self.unread_bytes > UNREAD_MOST and not self.closed:
-                    front.loop.sleep(SWEEP_MS)
-        except msgrpc.Malformed as exc:
-            front.unreadable(str(exc))
+            while data := self.stream.read(READ_BYTES):
+                if self.closed:
+                    dropped += len(data)
+                    if dropped > LINGER_BYTES:
+                        break
+                else:
+                    self._take(data)
+                if len(data) == READ_BYTES:  # more waits; others get their turn before it
+                    self.front.loop.sleep(0.0)
         except StreamReset:
             pass
         finally:
+            self._leave()
+            self.front.let_go(self)
+
+    def _take(self, data: bytes) -> None:
+        try:
+            for message in self.reader.feed(data):
+                self._message(message)
+                if self.closed:
+                    return
+            self._count_partial()
+        except msgrpc.Malformed as exc:
+            self.front.unreadable(str(exc))
             self.close()
 
     def _count_partial(self) -> None:
@@ -83,7 +98,7 @@
         self.front.places.heard(self, self.front.loop.now())
         if message.method == "isWell":
             self.send(msgrpc.result(message.number, [self.front.well, {}]), None)
-        elif len(self.open) >= OPEN_MOST:
+        elif len(self.open) >= OPEN_MOST or self.unread_bytes > UNREAD_MOST:
             self.refuse(message.number, self.front.driver.settings.max_retry_after_ms)
         else:
             self._request(message)
@@ -109,7 +124,7 @@
             front.unusable(str(exc))
             self.unusable += 1
             self.send(msgrpc.error(message.number, "Unusable", {"m": str(exc)}), None)
-            if self.unusable >= UNUSABLE_MOST and not self.open:
+            if self.unusable >= UNUSABLE_MOST and not self.owed():
                 self.close()
             return
         submission = Submission(
@@ -133,8 +148,12 @@
         self.front.names.discard(entry.submission.engine_id)
         self._rest()
 
+    def owed(self) -> bool:
+        """Tell whether an answer is owed, or not yet taken."""
+        return bool(self.open or self.unread)
+
     def _rest(self) -> None:
-        if not self.open and not self.unread:
+        if not self.owed():
             self.front.places.owes_nothing(self, self.front.loop.now())
 
     def answer(self, number: int, entry: Entry) -> None:
@@ -169,6 +188,10 @@
                     self.front.driver.delivered(entry)
                 return
             raw = raw[taken:]
+        if len(self.unread) >= UNREAD_ANSWERS_MOST:
+            self.front.counts["unread"] += 1
+            self.close()
+            return
         self.unread.append((raw, entry))
         self.front.places.owes(self)
         self.unread_bytes += len(raw)
@@ -189,13 +212,19 @@
                     self.front.driver.delivered(entry)
             self._rest()
         except (StreamReset, DeadlineExceeded):
-            self.front.counts["unread"] += 1
+            self.front.counts["unread"] += not self.closed
             self.close()
         finally:
             self.writing = False
 
     def close(self) -> None:
-        """Close it; what is open on it is nobody's any more."""
+        """Close it in order; what is open on it is nobody's any more."""
+        if not self.closed:
+            self._leave()
+            self.stream.half_close()
+            self.front.linger(self)
+
+    def _leave(self) -> None:
         if self.closed:
             return
         self.closed = True
@@ -206,15 +235,17 @@
             self.front.driver.leave(entry, "its client has closed the connection")
         self.open.clear()
         self.unread.clear()
-        self.stream.close()
 
 
 class Front:
-    """Takes clients in; `most` connections at a time."""
+    """Takes clients in; `most` connections at a time, and `lingering_most` more that are being closed."""
 
-    def __init__(self, loop: Loop, listener: Listener, driver: Driver, config: NodeConfig, most: int) -> None:
+    def __init__(self, loop: Loop, listener: Listener, driver: Driver, config: NodeConfig, most: int,
+                 lingering_most: int) -> None:
         self.loop, self.listener, self.driver, self.config = loop, listener, driver, config
         self.places = Places(most)
+        self.lingering: dict[Connection, float] = {}  # closed by us, since when
+        self.lingering_most = lingering_most
         self.names: set[str] = set()  # ids of open requests
         self.well = True
         self.partial = 0
@@ -229,35 +260,64 @@
     def _accept(self) -> None:
         taken = 0
         while True:
-            stream = self.listener.accept()
-            self.counts["accepted"] += 1
-            if len(self.places) >= self.places.most and not self._make_room():
-                self.counts["turned_away"] += 1
-                stream.close()
-            else:
-                connection = Connection(self, stream)
-                self.places.came(connection, self.loop.now())
-                self.loop.spawn(connection.run, name="client")
+            self._admit(self.listener.accept())
             taken += 1
             if taken >= ACCEPTED_AT_ONCE:
                 taken = 0
                 self.loop.sleep(0.0)
 
+    def _admit(self, stream: PushStream) -> None:
+        self.counts["accepted"] += 1
+        if len(self.places) >= self.places.most and not self._make_room():
+            self.counts["turned_away"] += 1
+            stream.close()
+            return
+        connection = Connection(self, stream)
+        self.places.came(connection, self.loop.now())
+        self.loop.spawn(connection.run, name="client")
+
     def _make_room(self) -> bool:
         """Close who needs his place least; False if none may be closed."""
-        chosen = self.places.for_room(self.loop.now())
+        chosen = self.places.for_room(self.loop.now(), self._about_to_be_heard)
         if chosen is None:
             return False
         self.counts[f"closed_for_room_{chosen[1]}"] += 1
         chosen[0].close()
         return True
 
+    def _about_to_be_heard(self, connection: Connection) -> bool:
+        """Tell whether the beginning of a message has come that is not read yet."""
+        return connection not in self.places.half and connection.stream.waiting()
+
     def _sweep(self) -> None:
         while True:
             self.loop.sleep(SWEEP_MS)
-            for connection, why in self.places.overdue(self.loop.now()):
+            self.close_overdue()
+
+    def close_overdue(self) -> None:
+        """Close who has had his place for too long, and outright who has lingered for too long."""
+        now = self.loop.now()
+        for connection, why in self.places.overdue(now):
+            if not self._about_to_be_heard(connection):
                 self.counts[f"closed_{why}"] += 1
                 connection.close()
+        for connection, since in list(self.lingering.items()):
+            if now - since <= LINGER_MS:
+                break  # those behind came later
+            self.let_go(connection)
+
+    # The close of a connection.
+
+    def linger(self, connection: Connection) -> None:
+        """Let a connection whose end was sent wait for its client's end; the oldest make room for it."""
+        self.lingering[connection] = self.loop.now()
+        while len(self.lingering) > self.lingering_most:
+            self.let_go(next(iter(self.lingering)))
+
+    def let_go(self, connection: Connection) -> None:
+        """Close a connection outright."""
+        self.lingering.pop(connection, None)
+        connection.stream.close()
 
     def unreadable(self, why: str) -> None:
         """Count a connection that can't be read any further."""
--- a/fennelwind/node/lifecycle.py
+++ b/fennelwind/node/lifecycle.py
@@ -23,7 +23,8 @@
 from fennelwind.spread.advisor import Advisor, acts
 
 MARGIN_LEAST_MS, MARGIN_MOST_MS = 15.0, 200.0  # bounds of the measured time of answers on their way
-CLIENTS_PART, EXECUTORS_PART = 0.55, 0.36  # of the descriptors; the rest is for files, channel and deletes
+CLIENTS_PART, EXECUTORS_PART = 0.55, 0.36  # of the descriptors: clients', and links to executors
+LINGERING_PART = 0.03  # for connections being closed; the rest, 17 of 256, is for files, pipe, channel
 STAY_MS = 1000.0  # ms after SIGTERM in which new connections and requests are still served
 LINGER_MS = 150.0  # ms for the last answers to leave
 GC_STEP = 20_000  # new objects between two collections; nearly all garbage here is freed by counts
@@ -99,7 +100,8 @@
         listener = self.loop.listen(self.config.listen, 1024)
         self.channel.take_known(self.config.cursor, self.config.events)
         self.front = Front(self.loop, listener, self.driver, self.config,
-                           int(self.config.sockets * CLIENTS_PART))
+                           int(self.config.sockets * CLIENTS_PART),
+                           int(self.config.sockets * LINGERING_PART))
         self.front.said = self.log.said
         self.links.start()
         self.channel.start()
