SIGTERM ends in order: refuse what is new, wait for slow readers, half-close, linger, exit

Cause: Node.leave ended when no query was open, plus 150 ms, and left the rest to the end of the process. Seen on the sources as they were, with but the new constants added: it had ended while a slow reader's answers still waited; requests that came while it waited for the last query were sent on; what was open at its bound, which lay STAY_MS and the longest deadline after SIGTERM and so could lie behind SIGKILL, got its answer at 11 987 ms of virtual time, or none; clients got no end of ours at all, resting ones neither. Ruled out: a second SIGTERM, SIGINT and SIGHUP (spoilt file and moved channel) during the end, and SIGTERM before it listens; tests of the whole program hold with the old sources as well.

Now, after the second in which it serves on: all that is read is refused, the listener is closed once those in its backlog are taken in, what is open is waited for up to 250 ms before SIGKILL may come and then gets its answer. Each connection is closed in order once nothing is owed, half sent or unread on it, all others 150 ms before; those that linger go 50 ms before.

Tests: five of the end of service in tests/test_crossings_front.py failed before (the one of the backlog for want of `Front.finish`), the two of signals and the one of descriptors (256 of them, 341 idle and silent clients, a channel that is down and comes back, executors that close each call) did not.

--- a/fennelwind/loop/real.py
+++ b/fennelwind/loop/real.py
@@ -384,6 +384,21 @@
                 return SocketStream(self.loop, sock, Address(*peer[:2]))
         raise StreamReset(errno.EBADF, f"{self.address}: closed here")
 
+    def finish(self) -> list[SocketStream]:
+        """Take no more connections; return those that have come up and wait."""
+        streams = []
+        while self.sock.fileno() >= 0:
+            try:
+                sock, peer = self.sock.accept()
+            except ConnectionAbortedError:
+                continue
+            except OSError:  # none waits, or there is no descriptor for it
+                break
+            sock.setblocking(False)
+            streams.append(SocketStream(self.loop, sock, Address(*peer[:2])))
+        self.close()
+        return streams
+
     def close(self) -> None:
         """Take no more connections."""
         if self.sock.fileno() >= 0:
--- a/fennelwind/node/front.py
+++ b/fennelwind/node/front.py
@@ -31,6 +31,7 @@
 ACCEPTED_AT_ONCE = 64  # connections taken in one turn; then what is open gets its turn
 LINGER_MS = 500.0  # ms between our end and the close outright; a silent client's is then still within 3 s
 LINGER_BYTES = 262_144  # bytes that are read and dropped meanwhile; who sends more will not stop
+END_LOOK_MS = 25.0  # ms between two looks at what is open while all connections are being ended
 
 
 class Connection:
@@ -248,6 +249,7 @@
         self.lingering_most = lingering_most
         self.names: set[str] = set()  # ids of open requests
         self.well = True
+        self.ending = False
         self.partial = 0
         self.counts: Counter[str] = Counter()
         self.said = lambda _: None
@@ -260,7 +262,13 @@
     def _accept(self) -> None:
         taken = 0
         while True:
-            self._admit(self.listener.accept())
+            try:
+                stream = self.listener.accept()
+            except StreamReset:
+                if self.ending:
+                    return
+                raise
+            self._admit(stream)
             taken += 1
             if taken >= ACCEPTED_AT_ONCE:
                 taken = 0
@@ -319,6 +327,30 @@
         self.lingering.pop(connection, None)
         connection.stream.close()
 
+    # The end of service.
+
+    def finish(self) -> None:
+        """Take no more connections but those that have come up already."""
+        self.ending = True
+        for stream in self.listener.finish():
+            self._admit(stream)
+
+    def end(self, last_answers: float, last: float) -> None:
+        """Close all connections in order: each once it has got and sent all, the others when time is up.
+
+        `last_answers`: until then answers may be taken and messages come whole; `last`: until then
+        connections may linger.
+        """
+        self.lingering_most += len(self.places)  # nobody needs the descriptors any more
+        while (len(self.places) or self.lingering) and self.loop.now() < last:
+            late = self.loop.now() >= last_answers
+            for connection in self.places:
+                if late or not (connection.owed() or connection.partial or connection.stream.waiting()):
+                    connection.close()
+            self.loop.sleep(END_LOOK_MS)
+        for connection in list(self.lingering):
+            self.let_go(connection)
+
     def unreadable(self, why: str) -> None:
         """Count a connection that can't be read any further."""
         self.counts["unreadable"] += 1
--- a/fennelwind/node/lifecycle.py
+++ b/fennelwind/node/lifecycle.py
@@ -26,7 +26,12 @@
 CLIENTS_PART, EXECUTORS_PART = 0.55, 0.36  # of the descriptors: clients', and links to executors
 LINGERING_PART = 0.03  # for connections being closed; the rest, 17 of 256, is for files, pipe, channel
 STAY_MS = 1000.0  # ms after SIGTERM in which new connections and requests are still served
-LINGER_MS = 150.0  # ms for the last answers to leave
+LONGEST_LEAST_MS, KILL_MS = 3000.0, 700.0  # ms; SIGKILL comes the longest deadline, the least at least, and
+# so much after SIGTERM. Before it:
+GIVE_UP_MS, LAST_ANSWERS_MS, END_MS = 250.0, 150.0, 50.0  # ms; what is open is given up; no answer is waited
+# for to be taken any more; no connection lingers any more
+LEAVE_LOOK_MS = 25.0  # ms between two looks at what is open
+LAST_DELETES_MS = 150.0  # ms for what was given up to be ended at the executors
 GC_STEP = 20_000  # new objects between two collections; nearly all garbage here is freed by counts
 LOOK_MS = 1000.0  # ms between two looks at what is believed beside what is on the sockets
 LOOKS_A_LINE = 10  # looks between two lines of the log that tell of it
@@ -137,15 +142,22 @@
                     f"{'; '.join(map(str, rows))}"), STATE_MOST)
 
     def leave(self) -> None:
-        """Go in order: no longer well, but serving for some time, then until all that is open is answered."""
-        self.front.well = False
-        until = self.loop.now() + STAY_MS
+        """Go in order: no longer well, but serving for some time; then refusing what is new, until all that
+        is open is answered and taken; then connections are closed, and what still comes is dropped.
+        """
+        ledger, front = self.driver.ledger, self.front
+        front.well = False
         longest = max(cls.give_up_ms for cls in self.config.settings.classes)
-        while self.loop.now() < until or self.driver.ledger.open and self.loop.now() < until + longest:
-            self.loop.sleep(25.0)
+        killed = self.loop.now() + max(longest, LONGEST_LEAST_MS) + KILL_MS
+        self.loop.sleep(STAY_MS)
         self.driver.closing = True
-        self.loop.sleep(LINGER_MS)
-        ledger = self.driver.ledger
+        front.finish()
+        while ledger.open and self.loop.now() < killed - GIVE_UP_MS:
+            self.loop.sleep(LEAVE_LOOK_MS)
+        self.driver.close()
+        deleted = self.loop.now() + LAST_DELETES_MS
+        front.end(killed - LAST_ANSWERS_MS, killed - END_MS)
+        self.loop.sleep(max(0.0, min(deleted, killed - END_MS) - self.loop.now()))
         self.log.write("closed", f"books agree: {ledger.balanced()}; open {ledger.open}, second answers "
                                  f"{ledger.second}, forgotten {self.driver.forgotten}, step errors "
                                  f"{self.driver.step_errors}; clients {dict(self.front.counts)}; executors "
--- a/tests/test_crossings_front.py
+++ b/tests/test_crossings_front.py
@@ -5,18 +5,26 @@
 """
 
 import json
+import os
+import resource
+import signal
 import socket
+import subprocess
+import sys
+import threading
 from contextlib import suppress
 
 import msgpack
 import pytest
-from nodes import ROWS, Client, Executor, Quiet, config_text, instance, name, start
+from nodes import ROWS, Client, Executor, Quiet, config_text, first_page, instance, name, start
 from test_node import run, settled
-from test_node_run import ROOT, WAIT_S, Program, ask, listening, program, serve_channel  # noqa: F401
+from test_node_run import ROOT, WAIT_S, command, listening, serve_channel
 
 from fennelwind.limits import places
 from fennelwind.loop import Address, RealLoop, StreamReset
+from fennelwind.loop.real import READ
 from fennelwind.node import front as front_module
+from fennelwind.node import lifecycle
 from fennelwind.node.config import read_config
 from fennelwind.node.lifecycle import Node
 
@@ -349,3 +357,387 @@
         other.close()
 
     real(main)
+
+
+def test_the_third_unusable_request_leaves_the_answers_that_are_not_taken_yet():
+    def main(loop):
+        executor = Executor(loop, 1, pages=9, script=big_pages)
+        node = start(loop, [instance("s-1", 1)])
+        client = Client(loop)
+        connection, held, late = lazy(loop, node, executor, client)
+        client.stream.write(msgpack.packb([2, "forget", [held]]))
+        numbers = [client.ask(name(30 + k), "no-such-class") for k in range(3)]
+        until(loop, lambda: connection.last == numbers[-1])
+        assert not connection.open and connection.unusable == 0  # refused, as what waits is too much
+        client.answer(late)
+        numbers = [client.ask(name(40 + k), "no-such-class") for k in range(3)]
+        client.answer(numbers[-1])
+        assert len(client.answers) == 16 + 1 + 3 + 3
+
+    run(5, main)
+
+
+# The end of service.
+
+
+def killed_at(node, loop):
+    """Return when SIGKILL would come, had SIGTERM come now."""
+    longest = max(cls.give_up_ms for cls in node.config.settings.classes)
+    return loop.now() + max(longest, lifecycle.LONGEST_LEAST_MS) + lifecycle.KILL_MS
+
+
+def test_the_end_waits_for_a_slow_reader_and_for_half_a_message():
+    def main(loop):
+        executor = Executor(loop, 1, pages=9, script=big_pages)
+        node = start(loop, [instance("s-1", 1)])
+        client, slow = Client(loop), Client(loop)
+        slow.stream.write(is_well(1))
+        slow.answer(1)
+        for k in range(1, 25):
+            client.ask(name(k), "scene-build", 5000)
+        ending = loop.spawn(node.leave)
+        loop.sleep(lifecycle.STAY_MS - 100.0)
+        whole = request(2, 50)
+        slow.stream.write(whole[:30])
+        until(loop, lambda: node.driver.closing and not node.driver.ledger.open)
+        assert len(node.front.places) == 2
+        loop.sleep(1000.0)
+        assert not ending.done
+        assert all(client.answer(k)[0] is None for k in range(1, 25)) and client.closed()
+        slow.stream.write(whole[30:])
+        assert slow.answer(2)[0][0] == "Shed" and slow.closed()
+        for each in (client, slow):
+            each.stream.close()
+        ending.join()
+        assert name(50) not in executor.ran
+        settled(node)
+
+    run(6, main)
+
+
+def test_a_reader_that_takes_nothing_and_a_client_that_never_ends_hold_the_end_no_longer_than_they_may():
+    def main(loop):
+        Executor(loop, 1, pages=9, script=big_pages)
+        node = start(loop, [instance("s-1", 1)])
+        client, resting = Client(loop), Client(loop)
+        resting.stream.write(is_well(1))
+        assert resting.answer(1) == (None, [True, {}])
+        for k in range(1, 25):
+            client.ask(name(k), "scene-build", 5000)
+        killed = killed_at(node, loop)
+        ending = loop.spawn(node.leave)
+        assert resting.closed()
+        ending.join()
+        assert loop.now() < killed
+        assert not len(node.front.places) and not node.front.lingering
+        settled(node)
+
+    run(7, main)
+
+
+def test_what_is_read_after_the_end_of_service_is_refused_and_not_sent_on():
+    def main(loop):
+        executor = Executor(loop, 1)
+        node = start(loop, [instance("s-1", 1)])
+        client, resting = Client(loop), Client(loop)
+        resting.stream.write(is_well(1))
+        resting.answer(1)
+        held = client.ask(HELD, "publish", 5000)
+        until(loop, lambda: HELD in executor.started)
+        executor.started[HELD] += 2500.0
+        ending = loop.spawn(node.leave)
+        until(loop, lambda: node.driver.closing)
+        late = client.ask(name(1), "scene-build", 4000)
+        resting.number = 1
+        rested = resting.ask(name(2), "scene-build", 4000)
+        assert client.answer(late)[0][0] == resting.answer(rested)[0][0] == "Shed"
+        assert client.answer(held) == (None, [ROWS, {}])
+        assert client.closed() and resting.closed()
+        client.stream.close()
+        resting.stream.close()
+        ending.join()
+        assert executor.ran == [HELD]
+        settled(node)
+
+    run(8, main)
+
+
+def test_what_is_open_at_the_last_gets_its_answer():
+    def main(loop):
+        executor = Executor(loop, 1)
+        node = start(loop, [instance("s-1", 1)])
+        client = Client(loop)
+        number = client.ask(HELD, "publish", 12_000)
+        until(loop, lambda: HELD in executor.started)
+        executor.started[HELD] += 60_000.0
+        killed = killed_at(node, loop)
+        ending = loop.spawn(node.leave)
+        assert client.answer(number, 20_000.0)[0][0] == "Failed" and loop.now() < killed
+        assert client.closed()
+        client.stream.close()
+        ending.join()
+        assert loop.now() < killed and executor.deleted == [HELD]
+        settled(node)
+
+    run(9, main)
+
+
+def test_who_waits_in_the_backlog_as_the_listener_closes_is_answered(monkeypatch):
+    monkeypatch.setattr(lifecycle, "STAY_MS", 1.0)
+
+    def main(loop, node, executor):
+        finish, address, socks = node.front.finish, node.front.listener.address, []
+
+        def last_come():
+            for number in range(1, 70):
+                sock = socket.create_connection(address)
+                sock.sendall(request(1, number))
+                sock.setblocking(False)
+                socks.append(sock)
+            finish()
+
+        monkeypatch.setattr(node.front, "finish", last_come)
+        ending = loop.spawn(node.leave)
+        until(loop, lambda: socks)
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(address)
+        for sock in socks:
+            (_, number, error, _), = taken(loop, sock)[0]
+            assert number == 1 and error[0] == "Shed"
+            sock.close()
+        ending.join()
+        assert not executor.calls
+
+    real(main)
+
+
+def in_a_process(call, **more):
+    """Run one of this file's calls in a process of its own; return how it ended and what it wrote."""
+    code = f"import sys; sys.path.insert(0, 'tests'); import test_crossings_front as t; t.{call}()"
+    return subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True,
+                          timeout=4 * WAIT_S, **more)
+
+
+def whole_program(scenario):
+    """Run the program's `main` with a scenario as a task of its own loop."""
+    begin = Node.start
+
+    def start_with(node):
+        node.loop.spawn(scenario, node.loop, node)
+        begin(node)
+
+    Node.start = start_with
+    sys.exit(lifecycle.main())
+
+
+def config_file(folder, **told):
+    path = folder / "config.json"
+    text = json.loads(config_text([instance("s-1", 1) | {"hostPort": "127.0.0.1:1"}], **told))
+    path.write_text(json.dumps(text | {"listen": "127.0.0.1:0"}), encoding="utf-8")
+    return os.environ | {"RELAY_CONFIG": str(path)}
+
+
+def signals_in_shutdown():
+    def scenario(loop, node):
+        executor = Executor(loop, 1, port=0)
+        node.links.remove("s-1")
+        node.channel.take_known(2, (
+            {"cursor": 2, "nodes": {"reset": True, "instances": [
+                instance("s-2", 2) | {"hostPort": str(executor.listener.address)}]}},))
+        sock = connect(loop, node)
+        sock.sendall(request(1, 99, "publish", 5000))
+        until(loop, lambda: HELD in executor.started)
+        executor.started[HELD] += 60_000.0
+        os.kill(os.getpid(), signal.SIGTERM)
+        until(loop, lambda: not node.front.well)
+        path = os.environ["RELAY_CONFIG"]
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+        for number, wanted in ((signal.SIGTERM, "127.0.0.1:1"), (signal.SIGINT, "127.0.0.1:2")):
+            os.kill(os.getpid(), number)
+            with open(path, "w", encoding="utf-8") as file:
+                file.write("{ no JSON")
+            os.kill(os.getpid(), signal.SIGHUP)
+            loop.sleep(1.0)
+            with open(path, "w", encoding="utf-8") as file:
+                file.write(text.replace('"127.0.0.8:9092"', f'"{wanted}"'))
+            os.kill(os.getpid(), signal.SIGHUP)
+            until(loop, lambda where=wanted: str(node.channel.address) == where)
+        sock.sendall(request(2, 1))
+        told = answer(loop, sock)
+        assert told[1] == 2 and (told[2] is None or told[2][0] == "Shed")
+        executor.started[HELD] = 0.0
+        assert answer(loop, sock) == [1, 1, None, [ROWS, {}]]
+        assert taken(loop, sock) == ([], False)
+        sock.close()
+
+    whole_program(scenario)
+
+
+def test_signals_during_the_end_change_nothing_of_it(tmp_path):
+    done = in_a_process("signals_in_shutdown", env=config_file(tmp_path))
+    assert done.returncode == 0, done.stderr
+    assert "broke:" not in done.stderr and "books agree: True; open 0" in done.stderr
+
+
+def told_to_end_while_starting():
+    def scenario(loop, node):
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    begin = Node.start
+
+    def start_late(node):
+        os.kill(os.getpid(), signal.SIGTERM)
+        begin(node)
+
+    Node.start = start_late
+    whole_program(scenario)
+
+
+def test_the_program_that_is_told_to_end_before_it_listens_starts_and_ends_in_order(tmp_path):
+    done = in_a_process("told_to_end_while_starting", env=config_file(tmp_path))
+    assert done.returncode == 0, done.stderr
+    assert "listening" in done.stderr and "books agree: True; open 0" in done.stderr
+
+
+# The loop under it.
+
+
+def test_news_of_a_closed_descriptor_do_not_reach_the_next_one_with_its_number():
+    loop, got = RealLoop(), []
+
+    def main():
+        listener = loop.listen(Address("127.0.0.1", 0))
+        peers, mine = [], []
+        for _ in range(2):
+            peers.append(socket.create_connection(listener.address))
+            mine.append(listener.accept())
+
+        def read(stream, who):
+            got.append((who, stream.read()))
+
+        def first():
+            read(mine[0], "first")
+            number = mine[1].sock.fileno()
+            mine[1].close()  # its bytes were told in the same look at the sockets
+            fresh = socket.create_connection(listener.address)
+            peers.append(fresh)
+            while fresh.fileno() != number and len(peers) < 9:
+                fresh = socket.create_connection(listener.address)
+                peers.append(fresh)
+            assert fresh.fileno() == number
+            fresh.setblocking(False)
+            loop.spawn(lambda: (loop.watch(number, READ).wait(), got.append(("fresh", fresh.recv(9)))))
+
+        tasks = [loop.spawn(first), loop.spawn(read, mine[1], "second")]
+        loop.sleep(0.0)
+        for peer in peers:
+            peer.sendall(b"x")
+        for task in tasks:
+            task.join()
+        for _ in range(5):
+            loop.sleep(0.0)
+        assert got == [("first", b"x"), ("second", b"")]
+        other = [listener.accept() for _ in range(len(peers) - 2)][-1]
+        other.write(b"y")
+        until(loop, lambda: len(got) == 3)
+        assert got[-1] == ("fresh", b"y")
+        for peer in peers:
+            peer.close()
+
+    loop.run(main)
+
+
+# Descriptors.
+
+
+def test_full_of_idle_clients_the_channel_executors_and_new_clients_still_get_a_descriptor(tmp_path):
+    """Idle and silent clients fill their part while the channel is down and executors close each call."""
+    executor, where = listening()
+    channel, away = listening()
+    channel.close()
+    free, listen = listening()
+    free.close()
+    host, port = listen.rsplit(":", 1)
+
+    def serve():
+        def one(peer):
+            with peer:
+                head = peer.recv(65536)
+                while head and b"sales_3" not in head and b"GET" not in head:
+                    head += peer.recv(65536)
+                if head:
+                    peer.sendall(first_page())
+
+        while True:
+            try:
+                peer, _ = executor.accept()
+            except OSError:
+                return
+            threading.Thread(target=one, args=(peer,), daemon=True).start()
+
+    threading.Thread(target=serve, daemon=True).start()
+    path = tmp_path / "config.json"
+    told = json.loads(config_text([instance("s-1", 1) | {"hostPort": where}], channel=away))
+    path.write_text(json.dumps(told | {"listen": listen}), encoding="utf-8")
+    most = told["limits"]["sockets"]
+    process = subprocess.Popen(
+        command(), cwd=ROOT, env=os.environ | {"RELAY_CONFIG": str(path)}, stderr=subprocess.PIPE, text=True)
+    resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (most, most))
+    log = []
+    opened = []
+    asked = []
+
+    def expect(words):
+        while line := process.stderr.readline():
+            log.append(line)
+            if words in line:
+                return
+        raise AssertionError("".join(log))
+
+    def client(message):
+        sock = socket.create_connection((host, int(port)), WAIT_S)
+        opened.append(sock)
+        sock.settimeout(WAIT_S)
+        if message:
+            sock.sendall(message)
+        return sock
+
+    def served(query):
+        unpacker = msgpack.Unpacker(raw=False)
+        sock = client(request(1, query))
+        while data := sock.recv(65536):
+            unpacker.feed(data)
+            for told in unpacker:
+                return told
+        raise AssertionError("closed without an answer")
+
+    try:
+        expect("listening")
+        for _ in range(int(most / 3)):
+            idle = client(is_well(1))
+            assert msgpack.unpackb(idle.recv(100)) == [1, 1, None, [True, {}]]
+        for k in range(most):
+            client(b"")
+            if k % 16 == 0:
+                assert served(k) == [1, 1, None, [ROWS, {}]]
+        used = len(os.listdir(f"/proc/{process.pid}/fd"))
+        assert most / 2 < used < most
+        back = socket.create_server(("127.0.0.1", int(away.rsplit(":", 1)[1])))
+        back.settimeout(WAIT_S)
+        threading.Thread(target=serve_channel, args=(back, asked), daemon=True).start()
+        while not asked and process.poll() is None:
+            assert served(1000 + len(opened)) == [1, 1, None, [ROWS, {}]]
+        process.send_signal(signal.SIGTERM)
+        expect("closed")
+        assert process.wait(WAIT_S) == 0 and "books agree: True; open 0" in log[-1]
+        assert "broke:" not in "".join(log) and asked
+        back.close()
+    finally:
+        if process.poll() is None:
+            process.kill()
+        process.wait()
+        process.stderr.close()
+        executor.close()
+        for sock in opened:
+            sock.close()
