A signal's call that fails is reported like any other of the loop's and ends nothing

Cause: RealLoop._take_signals made the calls of signals and threads bare, and `_pause`, which makes it, is guarded by nobody: a reload that raises what its caller does not name would have ended the program. Seen: the test ended with the planted RuntimeError out of `loop.run` on the sources as they were. Ruled out beside it: news of a descriptor that was closed in the same look at the sockets do not reach the next one with its number (forget drops the watch, no socket is opened between poll and its events); a test forces the order and held before.

--- a/fennelwind/loop/real.py
+++ b/fennelwind/loop/real.py
@@ -247,9 +247,15 @@
     def _take_signals(self) -> None:
         for number in os.read(self._wake_in, 4096):
             if number in self._signals:
-                self._signals[number]()
+                self._call(self._signals[number])
         while self._came:
-            self._came.popleft()()
+            self._call(self._came.popleft())
+
+    def _call(self, call: Callable[[], None]) -> None:
+        try:
+            call()
+        except Exception as exc:  # one call's failure must not end the program, here as anywhere
+            self.on_error(self.callbacks, exc)
 
 
 class SocketStream:
--- a/tests/test_crossings_front.py
+++ b/tests/test_crossings_front.py
@@ -603,6 +603,31 @@
 # The loop under it.
 
 
+def test_a_signals_call_that_fails_is_reported_and_ends_nothing():
+    loop, failed, seen = RealLoop(), [], []
+    loop.on_error = lambda task, exc: failed.append(str(exc))
+
+    def broken():
+        raise RuntimeError("planted")
+
+    def main():
+        loop.on_signal(signal.SIGUSR1, broken)
+        loop.on_signal(signal.SIGUSR2, lambda: seen.append("usr2"))
+        os.kill(os.getpid(), signal.SIGUSR1)
+        os.kill(os.getpid(), signal.SIGUSR2)
+        loop.from_thread(broken)
+        until(loop, lambda: seen and len(failed) == 2)
+
+    before = [signal.getsignal(number) for number in (signal.SIGUSR1, signal.SIGUSR2)]
+    try:
+        loop.run(main)
+    finally:
+        signal.set_wakeup_fd(-1)
+        for number, handler in zip((signal.SIGUSR1, signal.SIGUSR2), before, strict=True):
+            signal.signal(number, handler)
+    assert failed == ["planted", "planted"]
+
+
 def test_news_of_a_closed_descriptor_do_not_reach_the_next_one_with_its_number():
     loop, got = RealLoop(), []
 
