--- a/fennelwind/loop/real.py
+++ b/fennelwind/loop/real.py
@@ -340,6 +340,14 @@
         except OSError:
             return False
 
+    def ended(self) -> bool:
+        """Tell whether the peer sends nothing more, whatever of it is not read yet."""
+        if self.sock.fileno() < 0:
+            return True
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def half_close(self) -> None:
         """Send nothing more, behind what was written; what the peer still sends can be read."""
         with suppress(OSError):  # it is closed or reset already
--- a/fennelwind/loop/sim.py
+++ b/fennelwind/loop/sim.py
@@ -256,6 +256,10 @@
         """Tell whether bytes have come that are not read yet; an end is none."""
         return not self.closed and bool(self.inward.arrived)
 
+    def ended(self) -> bool:
+        """Tell whether the peer sends nothing more, whatever of it is not read yet."""
+        return self.closed or self.inward.ended or self.inward.reset
+
     def half_close(self) -> None:
         """Send nothing more, behind what was written; what the peer still sends can be read."""
         if not self.finished:
--- a/fennelwind/loop/streams.py
+++ b/fennelwind/loop/streams.py
@@ -70,6 +70,9 @@
     def waiting(self) -> bool:
         """Tell, without waiting, whether bytes have come that are not read yet; an end is none."""
 
+    def ended(self) -> bool:
+        """Tell, without waiting, whether the peer sends nothing more, whatever of it is not read yet."""
+
     def half_close(self) -> None:
         """Send nothing more, behind what was written; what the peer still sends can be read.
 
--- a/fennelwind/node/front.py
+++ b/fennelwind/node/front.py
@@ -56,13 +56,16 @@
         dropped = 0
         try:
             while data := self.stream.read(READ_BYTES):
+                full = len(data) == READ_BYTES  # more waits behind it
                 if self.closed:
                     dropped += len(data)
                     if dropped > LINGER_BYTES:
                         break
+                elif full and self.stream.ended():
+                    break  # it has sent much and gone: nothing of it may begin now
                 else:
                     self._take(data)
-                if len(data) == READ_BYTES:  # more waits; others get their turn before it
+                if full:  # others get their turn before the rest
                     self.front.loop.sleep(0.0)
         except StreamReset:
             pass
--- a/tests/test_crossings_front.py
+++ b/tests/test_crossings_front.py
@@ -359,6 +359,26 @@
     real(main)
 
 
+def test_of_a_client_that_has_sent_much_and_gone_nothing_begins():
+    def main(loop, node, executor):
+        node.front.listener.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 400_000)  # its end comes up
+        sock = connect(loop, node)
+        connection = only(loop, node)
+        sent = b"".join(request(k, k) for k in range(1, 900))
+        assert len(sent) > front_module.READ_BYTES
+        sock.setblocking(True)
+        sock.settimeout(WAIT_S)
+        sock.sendall(sent)
+        sock.shutdown(socket.SHUT_WR)  # a client that closes would be seen by the answers it does not take
+        assert not connection.last
+        until(loop, lambda: connection.closed)
+        loop.sleep(100.0)
+        assert not executor.calls and not node.log.ends
+        sock.close()
+
+    real(main)
+
+
 def test_the_third_unusable_request_leaves_the_answers_that_are_not_taken_yet():
     def main(loop):
         executor = Executor(loop, 1, pages=9, script=big_pages)
@@ -511,6 +531,76 @@
     real(main)
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_whoever_asks_around_the_end_gets_one_answer_or_crosses_the_end(seed):
+    """Clients that pipeline, pause, read slowly or rest, before and through the end, by a seed."""
+
+    def main(loop):
+        draw = loop.random
+        executors = [Executor(loop, k, work_ms=150.0 * k, pages=6, script=big_pages) for k in (1, 2)]
+        node = start(loop, [instance("s-1", 1), instance("s-2", 2)])
+        ids = iter(range(1, 10_000))
+        told = []  # client, number, when it was sent, its id
+        closed, linger = {}, node.front.linger  # when each connection was closed here
+
+        def closes(connection):
+            closed[connection.stream.outward] = loop.now()
+            linger(connection)
+
+        node.front.linger = closes
+
+        def life(client, ended):
+            loop.sleep(draw.uniform(0.0, 1500.0))
+            while not ended:
+                for _ in range(draw.choice((1, 1, 3, 12))):
+                    query, effect = next(ids), draw.choice(("lookup", "scene-build", "publish"))
+                    sent = loop.now()
+                    with suppress(StreamReset):
+                        number = client.ask(name(query), effect, draw.choice((400, 1500, 1900)))
+                        told.append((client, number, sent, name(query)))
+                loop.sleep(draw.choice((5.0, 60.0, 400.0, 1500.0)))
+
+        def listen(client, ended):
+            while True:
+                data = client.stream.read(draw.choice((500, 20_000, 65_536)))
+                if not data:
+                    ended.append(True)
+                    loop.sleep(draw.choice((0.0, 30.0, 900.0)))  # some end late
+                    client.stream.close()
+                    return
+                client.unpacker.feed(data)
+                for kind, number, error, result in client.unpacker:
+                    assert kind == 1 and number not in client.answers
+                    client.answers[number] = (error, result)
+                loop.sleep(draw.choice((0.0, 0.0, 1.0, 20.0)))
+
+        lives, ends = [], {}
+        for _ in range(12):
+            client = Client(loop)
+            ends[client] = []
+            lives += [loop.spawn(life, client, ends[client]), loop.spawn(listen, client, ends[client])]
+        loop.sleep(800.0)
+        began, killed = loop.now(), killed_at(node, loop)
+        node.leave()
+        assert loop.now() < killed
+        for task in lives:
+            task.join()
+        ran, answered = {query for executor in executors for query in executor.ran}, 0
+        for client, number, sent, query in told:
+            if number in client.answers:
+                error, result = client.answers[number]
+                assert error is not None or result == [ROWS + 5 * BIG, {}]
+                answered += 1
+            else:  # it was under way to here as our end was to there
+                assert sent > closed[client.stream.inward] - 1.0 and query not in ran
+            assert sent < began + lifecycle.STAY_MS or query not in ran
+        assert answered > 50 and len(ran) > 25  # else the seed tells nothing
+        loop.sleep(1000.0)
+        settled(node)
+
+    run(seed, main)
+
+
 def in_a_process(call, **more):
     """Run one of this file's calls in a process of its own; return how it ended and what it wrote."""
     code = f"import sys; sys.path.insert(0, 'tests'); import test_crossings_front as t; t.{call}()"
