--- a/tests/test_crossings_front.py
+++ b/tests/test_crossings_front.py
@@ -272,7 +272,7 @@
     return connection, number, late
 
 
-@pytest.mark.parametrize("how", ["forget", "close", "reset"])
+@pytest.mark.parametrize("how", ["forget", "half-close", "close", "reset"])
 def test_a_client_that_leaves_while_its_answers_wait_unread_is_seen_at_once(how):
     def main(loop):
         executor = Executor(loop, 1, pages=9, script=big_pages)
@@ -282,6 +282,8 @@
         began = loop.now()
         if how == "forget":
             client.stream.write(msgpack.packb([2, "forget", [number]]))
+        elif how == "half-close":
+            client.stream.half_close()
         elif how == "close":
             client.stream.close()
         else:
@@ -766,6 +768,19 @@
 # Descriptors.
 
 
+@pytest.mark.parametrize("sockets", [256, 300, 512, 640, 1024])
+def test_the_parts_of_the_descriptors_leave_some_for_all_else(sockets):
+    def main(loop):
+        node = start(loop, [], sockets=sockets)
+        front = node.front
+        rest = sockets - front.places.most - front.lingering_most - node.links.most
+        assert rest >= 3 + 2 + 1 + 1 + 1 + 1 + 6  # standard streams, wake pipe, listener, channel, the
+        # connection just accepted, a file of settings; and six more
+        assert front.lingering_most >= 7
+
+    run(1, main)
+
+
 def test_full_of_idle_clients_the_channel_executors_and_new_clients_still_get_a_descriptor(tmp_path):
     """Idle and silent clients fill their part while the channel is down and executors close each call."""
     executor, where = listening()
@@ -820,11 +835,12 @@
 
     def served(query):
         unpacker = msgpack.Unpacker(raw=False)
-        sock = client(request(1, query))
-        while data := sock.recv(65536):
-            unpacker.feed(data)
-            for told in unpacker:
-                return told
+        with client(request(1, query)) as sock:
+            opened.remove(sock)
+            while data := sock.recv(65536):
+                unpacker.feed(data)
+                for told in unpacker:
+                    return told
         raise AssertionError("closed without an answer")
 
     try:
@@ -843,8 +859,16 @@
         threading.Thread(target=serve_channel, args=(back, asked), daemon=True).start()
         while not asked and process.poll() is None:
             assert served(1000 + len(opened)) == [1, 1, None, [ROWS, {}]]
+        moved, there = listening()
+        moved_asked = []
+        threading.Thread(target=serve_channel, args=(moved, moved_asked), daemon=True).start()
+        path.write_text(path.read_text("utf-8").replace(away, there), encoding="utf-8")
+        process.send_signal(signal.SIGHUP)
+        while not moved_asked and process.poll() is None:
+            assert served(5000 + len(opened)) == [1, 1, None, [ROWS, {}]]
         process.send_signal(signal.SIGTERM)
         expect("closed")
+        moved.close()
         assert process.wait(WAIT_S) == 0 and "books agree: True; open 0" in log[-1]
         assert "broke:" not in "".join(log) and asked
         back.close()
