--- a/fennelwind/loop/real.py
+++ b/fennelwind/loop/real.py
@@ -247,9 +247,15 @@
     def _take_signals(self) -> None:
         for number in os.read(self._wake_in, 4096):
             if number in self._signals:
-                self._signals[number]()
+                self._call(self._signals[number])
         while self._came:
-            self._came.popleft()()
+            self._call(self._came.popleft())
+
+    def _call(self, call: Callable[[], None]) -> None:
+        try:
+            call()
+        except Exception as exc:  # one call's failure must not end the program, here as anywhere
+            self.on_error(self.callbacks, exc)
 
 
 class SocketStream:
@@ -327,6 +333,26 @@
             pass
         return True
 
+    def waiting(self) -> bool:
+        """Tell whether bytes have come that are not read yet; an end is none."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
+    def ended(self) -> bool:
+        """Tell whether the peer sends nothing more, whatever of it is not read yet."""
+        if self.sock.fileno() < 0:
+            return True
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    def half_close(self) -> None:
+        """Send nothing more, behind what was written; what the peer still sends can be read."""
+        with suppress(OSError):  # it is closed or reset already
+            self.sock.shutdown(socket.SHUT_WR)
+
     def close(self) -> None:
         """Close in order."""
         if self.sock.fileno() >= 0:
@@ -372,6 +398,21 @@
                 return SocketStream(self.loop, sock, Address(*peer[:2]))
         raise StreamReset(errno.EBADF, f"{self.address}: closed here")
 
+    def finish(self) -> list[SocketStream]:
+        """Take no more connections; return those that have come up and wait."""
+        streams = []
+        while self.sock.fileno() >= 0:
+            try:
+                sock, peer = self.sock.accept()
+            except ConnectionAbortedError:
+                continue
+            except OSError:  # none waits, or there is no descriptor for it
+                break
+            sock.setblocking(False)
+            streams.append(SocketStream(self.loop, sock, Address(*peer[:2])))
+        self.close()
+        return streams
+
     def close(self) -> None:
         """Take no more connections."""
         if self.sock.fileno() >= 0:
