A query that ends while its step is carried out is out nowhere; a refused DELETE proves no end

Writing the refusal showed that the client had gone; its other query was settled and left the ledger before its Send was carried out. Driver._send then found no entry, wrote "the module sent query 75, which has ended", and told the module no outcome: the attempt stayed out at its engine for ever, as load that is not there. Change: the entries of a step's sends are looked up before any action is carried out; such an attempt ends as moot.

Tests: ..._while_another_of_its_answers_leaves_is_out_nowhere (virtual loop and sockets), ..._may_not_be_ given_up[delete is refused]; all three failed with the sources of before.

--- a/fennelwind/core/driver.py
+++ b/fennelwind/core/driver.py
@@ -204,9 +204,12 @@
             self.step_errors += 1
             self.observer.failed("module", exc)
             return
-        for action in actions:
+        # Before any is carried out: an answer may show that its client has gone, and with it other queries.
+        entries = [self.ledger.entries.get(action.query) if isinstance(action, api.Send) else None
+                   for action in actions]
+        for action, entry in zip(actions, entries, strict=True):
             try:
-                self._carry_out(action)
+                self._carry_out(action, entry)
             except Exception as exc:  # the other actions are none the worse for it
                 self.step_errors += 1
                 self.observer.failed(f"carrying out {type(action).__name__}", exc)
@@ -225,10 +228,10 @@
             self.observer.failed("advisor", exc)
             return [api.Picture({}), *events]
 
-    def _carry_out(self, action: api.Action) -> None:
+    def _carry_out(self, action: api.Action, sent: Entry | None = None) -> None:
         match action:
             case api.Send(query, engine, timeout):
-                self._send(query, engine, timeout)
+                self._send(sent, query, engine, timeout)
             case api.Timer(delay, token):
                 self.loop.after(delay, lambda: self.post(api.TimerFired(token)))
             case api.Terms(query, memory, priority) if query in self.ledger.entries:
@@ -252,8 +255,7 @@
             case api.Log(text):
                 self.observer.said(text)
 
-    def _send(self, query: int, engine: str, timeout: float) -> None:
-        entry = self.ledger.entries.get(query)
+    def _send(self, entry: Entry | None, query: int, engine: str, timeout: float) -> None:
         if entry is None:
             self.observer.failed("driver", KeyError(f"the module sent query {query}, which has ended"))
             return
--- a/fennelwind/node/executors.py
+++ b/fennelwind/node/executors.py
@@ -352,10 +352,8 @@
         for number in range(DELETE_TRIES):
             try:
                 response = self.once(host, request(b"DELETE", name), DELETE_MS, fresh=number > 0)
-            except ConnectFailed as exc:
-                if exc.errno == errno.ECONNREFUSED and not host.lost:
-                    return True  # its process is not there, and so is not at work
-                break  # cut off, late, or no descriptor here: it may well go on
+            except ConnectFailed:
+                break  # not even a refusal tells that it has ended: its own connection would have broken
             except (OSError, Malformed):
                 continue
             if response.status in (204, 500):  # ended now, or not known any more
--- a/tests/test_crossings_attempt.py
+++ b/tests/test_crossings_attempt.py
@@ -9,6 +9,7 @@
 import socket
 from contextlib import suppress
 
+import msgpack
 import pytest
 from nodes import (
     LISTEN,
@@ -181,7 +182,7 @@
     play(main)
 
 
-@pytest.mark.parametrize("how", ["delete is not answered", "cut off"])
+@pytest.mark.parametrize("how", ["delete is not answered", "delete is refused", "cut off"])
 def test_no_second_attempt_goes_out_while_the_first_may_not_be_given_up(how):
     # On the virtual loop alone: what counts are seconds.
     def main(loop):
@@ -192,6 +193,9 @@
                 asked.append(loop.now())
             if verb == "POST" and how == "cut off":
                 stage.failing.add(0)
+            if verb == "POST" and how == "delete is refused":
+                stage.executors[0].stop()  # it takes no connection more, but those that are there go on
+                loop.sleep(9000.0)
             return "silent"
 
         stage = Stage(loop, ceilings={"ParallelTries": False, "DialTimeoutMs": 250.0}, scripts=[silent])
@@ -235,6 +239,39 @@
     play(main)
 
 
+def test_a_query_whose_client_goes_while_another_of_its_answers_leaves_is_out_nowhere(play):
+    class Breaks:
+        """A stream whose peer turns out to be gone when the first answer is written."""
+
+        def __init__(self, stream):
+            self.stream = stream
+
+        def __getattr__(self, name):
+            return getattr(self.stream, name)
+
+        def push(self, data):
+            raise StreamReset(errno.ECONNRESET, "gone")
+
+    def main(loop):
+        stage = Stage(loop)
+        stage.let()
+        client = stage.client()
+        stage.until(lambda: len(stage.node.front.places))
+        connection = next(iter(stage.node.front.places))
+        connection.stream = Breaks(connection.stream)
+        long = {"i": name(1), "d": "1500", "t": "acme", "h": "1000000.0"}  # it can't be served in its time
+        usual = {"i": name(2), "d": "5000", "t": "acme", "h": "10.0"}
+        client.stream.write(msgpack.packb([0, 1, "lookup", [long, b"select 1"]])
+                            + msgpack.packb([0, 2, "scene-build", [usual, b"select 1"]]))
+        stage.until(lambda: stage.node.driver.ledger.counts[1]["left"])
+        stage.end()
+        loop.sleep(300.0)
+        assert not stage.node.driver.gateway.queries and not stage.ran
+        assert not any(engine.out for engine in stage.node.driver.gateway.engines.values())
+
+    play(main)
+
+
 def test_an_engine_that_is_told_to_drain_while_the_connection_comes_up_gets_nothing(play):
     def main(loop):
         stage = Stage(loop, executors=1)
