The client's idempotency key goes to executors with every attempt

Without it executors can't drop repeats, so the rule on effects could not hold for keyed classes at all.

Change: the key is read (printable, 128 letters at most; else `Unusable`, so that no line end gets into a head), and is told on unchanged with each attempt.

Tests: ..._an_idempotency_key_is_told_on_unchanged_with_every_attempt and two unusable keys; the three failed before.

--- a/fennelwind/core/types.py
+++ b/fennelwind/core/types.py
@@ -31,6 +31,7 @@
     shards: tuple[str, ...] = ()  # that it reads, where copies of them are known
     engine_id: str = ""  # the query's name and class as engines are told them, where they are told any
     engine_class: str = ""
+    idempotency_key: str = ""  # its client's, for engines that drop repeats by it
 
 
 @dataclass(slots=True, frozen=True)
--- a/fennelwind/node/executors.py
+++ b/fennelwind/node/executors.py
@@ -495,11 +495,13 @@
         body = submission.statement
         wait = max(1, int(order.deadline_ms - self.loop.now()))
         grant = b"X-Reserve: %d\r\n" % order.memory_mb if order.memory_mb >= 1.0 else b""
+        told = submission.idempotency_key.encode("ascii")
+        key = b"Idempotency-Key: %s\r\n" % told if told else b""
         rank = b"X-Weight-Class: %d\r\n" % order.priority if order.priority != 1 else b""
         self.told = order.priority
-        return (b"POST /data HTTP/1.1\r\nHost: executor\r\nX-Req: %s\r\nX-Class: %s\r\nX-Wait-Ms: %d\r\n%s%s"
-                b"Content-Length: %d\r\n\r\n%s" % (
-                    self.name.encode("ascii"), submission.engine_class.encode(), wait, grant, rank,
+        return (b"POST /data HTTP/1.1\r\nHost: executor\r\nX-Req: %s\r\nX-Class: %s\r\n%s"
+                b"X-Wait-Ms: %d\r\n%s%sContent-Length: %d\r\n\r\n%s" % (
+                    self.name.encode("ascii"), submission.engine_class.encode(), key, wait, grant, rank,
                     len(body), body))
 
     def _connect(self, fresh: bool) -> None:
--- a/fennelwind/node/front.py
+++ b/fennelwind/node/front.py
@@ -134,7 +134,7 @@
         submission = Submission(
             cls=asked.cls, statement=asked.statement, deadline_ms=now + asked.wait_ms, tenant=asked.tenant,
             work_ms=asked.work_ms, memory_mb=asked.memory_mb, tables=asked.tables, repeat=asked.repeat,
-            engine_id=asked.name, engine_class=message.method)
+            engine_id=asked.name, engine_class=message.method, idempotency_key=asked.idempotency_key)
         front.names.add(asked.name)
         number = message.number
 
--- a/fennelwind/node/requests.py
+++ b/fennelwind/node/requests.py
@@ -9,6 +9,7 @@
 
 ID = re.compile(r"[0-9a-f]{16}")
 MILLISECONDS = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
+IDEMPOTENCY_KEY = re.compile(r"[\x21-\x7e]{1,128}")  # opaque; it goes into a header as it is
 NUMBER = re.compile(r"[0-9]{1,12}(?:\.[0-9]{1,9})?")
 WORK_MOST = 1e9  # ms of work; an estimate of eleven days is none
 MEMORY_MOST = 1e7  # MB; nor is one of ten terabytes
@@ -33,6 +34,7 @@
     memory_mb: float
     tables: int | None
     repeat: bool
+    idempotency_key: str  # by which executors drop repeats, where they do; "": none
 
 
 def read_request(method: str, params: list[Any], classes: dict[str, int], tenants: dict[str, int],
@@ -59,6 +61,9 @@
         raise Unusable("no such tenant")
     if fields.get("r", "1") != "1":
         raise Unusable("a retry is marked 1")
+    key = fields.get("k", "")
+    if key and IDEMPOTENCY_KEY.fullmatch(key) is None:
+        raise Unusable("no idempotency key")
     work = _estimate(fields.get("h"), "work", WORK_MOST)
     memory = _estimate(fields.get("mb"), "memory", MEMORY_MOST)
     try:
@@ -68,7 +73,7 @@
     if not text.strip():
         raise Unusable("a statement is wanted")
     return Asked(name, cls, tenant, float(wait), statement, work or None, memory or 0.0, table_group(text),
-                 "r" in fields)
+                 "r" in fields, key)
 
 
 def _estimate(text: str | None, what: str, most: float) -> float | None:
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -139,6 +139,7 @@
         self.calls, self.started, self.deleted, self.priorities = [], {}, [], {}
         self.ran = []
         self.posted = {}
+        self.fields = {}
         self.open = 0
         self.listener = loop.listen(self.address)
         loop.spawn(self._accept, name=f"executor {number}")
@@ -196,6 +197,7 @@
             name = fields["X-Req"]
             self.started[name] = self.loop.now()
             self.posted[name] = (fields["X-Class"], body)
+            self.fields[name] = fields
             self.ran.append(name)
             return None
         name = path.split("/")[2]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -54,6 +54,28 @@
     run(1, main)
 
 
+@pytest.mark.parametrize("key", [None, "3e9954514b07f7bef1023aaa976e7bdf"])
+def test_an_idempotency_key_is_told_on_unchanged_with_every_attempt(key):
+    errors = []
+
+    def main(loop):
+        def script(verb, path, number):
+            if verb == "POST" and not errors:
+                errors.append(path)
+                return b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+            return None
+
+        executors = [Executor(loop, k, script=script) for k in (1, 2)]
+        node = start(loop, [instance("s-1", 1), instance("s-2", 2)])
+        client = Client(loop)
+        assert client.answer(client.ask(name(1), "scene-build", 5000, k=key)) == (None, [ROWS, {}])
+        told = [one.fields[name(1)].get("Idempotency-Key") for one in executors]
+        assert errors and told == [key, key]
+        settled(node)
+
+    run(1, main)
+
+
 SPOILT = {
     "noise": b"\x00\xff\x17 no http at all\r\n\r\n",
     "a head without an end": b"HTTP/1.1 200 OK\r\n" + b"X-A: 1\r\n" * 2000,
@@ -297,6 +319,8 @@
     "huge memory": {"mb": "99999999999"},
     "memory that is no number": {"mb": "NaN"},
     "digits of another script": {"d": "١٥٠"},
+    "a key of two lines": {"k": "3e9954514b07\r\nX-Reserve: 9"},
+    "a key without end": {"k": "9" * 129},
 }
 
 
