The budget of further attempts holds for when they begin, not for when they were decided on

Cause, from reading: the module counts further attempts by its decisions (rules._budget_left). Connections that come up late may let two of them, decided a window apart, begin together, and the rule counts what is sent. Shown by ..._whose_connections_come_up_together_keep_to_their_budget: two further attempts within one window where one is allowed, on the virtual loop and on sockets.

Change: the question before the first byte also counts further attempts that began in the window against the queries taken in it; one over it is moot. Only where the settings name such a window. Stage.pass_by moves the virtual loop's own time; a skew on it moved time twice.

--- a/fennelwind/core/driver.py
+++ b/fennelwind/core/driver.py
@@ -31,6 +31,7 @@
 from fennelwind.recovery.repeats import Repeats, Request, goes_on, request_name
 from fennelwind.rules import Gateway
 from fennelwind.spread.advisor import Advisor
+from fennelwind.state import Window
 
 NO_TABLE = "42S02"  # SQLSTATE of a table or partition that is not there, as Hive tells it
 UNSURE = ("reset", "timeout", "cancelled")  # ends of attempts whose statement may go on at its engine
@@ -77,6 +78,7 @@
         self._events: list[api.Event] = []
         self._asked = False
         self._tasks: dict[tuple[int, int], Task] = {}
+        self._taken, self._further = Window(), Window()  # queries, and further attempts that began
 
     # What comes in.
 
@@ -130,6 +132,8 @@
 
     def _arrive(self, entry: Entry) -> None:
         """Hand a query to the module."""
+        if self.settings.budget_ms:
+            self._taken.add(self.loop.now(), 1.0, self.loop.now() - self.settings.budget_ms)
         submission = entry.submission
         left = submission.deadline_ms - entry.due_ms
         last = max(submission.deadline_ms - LAST_MOMENT * left, entry.taken_ms)
@@ -300,7 +304,7 @@
         self._ended(entry, number, engine, sent, end)
 
     def _barred(self, entry: Entry, number: int, deadline: float) -> str:
-        """Tell why an attempt may not begin now, "" if it may.
+        """Tell why an attempt may not begin now, "" if it may, and then does.
 
         The module's decision holds for its moment; the connection may come up much later. So whoever makes
         the attempt asks right before its first byte leaves, and what is barred then never ran.
@@ -318,6 +322,13 @@
         if doubt is not None and cls.effect == "keyed" \
                 and now + self.settings.tick_ms >= doubt.began_ms + cls.memory_ms:
             return "its repeats are not dropped any more"
+        if number and self.settings.budget_ms:
+            since = now - self.settings.budget_ms
+            most = self.settings.budget_free + self.settings.budget_share * self._taken.total(
+                since + self.settings.tick_ms)
+            if self._further.total(since) + 1 > most:
+                return "the ration of further attempts is used up"
+            self._further.add(now)
         return ""
 
     def _elsewhere(self, entry: Entry, number: int, engine: str, end: AttemptEnd) -> AttemptEnd:
--- a/tests/test_crossings_attempt.py
+++ b/tests/test_crossings_attempt.py
@@ -44,7 +44,7 @@
 class Stage:
     """A controller whose connections to executors come up when the script says."""
 
-    def __init__(self, loop, executors=2, ceilings=None, grades=(), work_ms=5.0, scripts=()):
+    def __init__(self, loop, executors=2, ceilings=None, grades=(), work_ms=5.0, scripts=(), **settings):
         self.loop, self.skew, self.opened, self.dials = loop, 0.0, Once(loop), []
         self.failing = set()  # executors to which no connection comes up in time
         real = isinstance(loop, RealLoop)
@@ -55,14 +55,16 @@
         told = json.loads(config_text(
             [instance(f"s-{k}", k, port=port) for k, port in enumerate(ports)],
             Ceilings=SETTINGS["Ceilings"] | {"DialTimeoutMs": 50000.0} | (ceilings or {}),
-            Grades=[*GRADES, *grades]))
+            Grades=[*GRADES, *grades], **settings))
         self.listen = free_address("127.0.0.1") if real else LISTEN
         told["listen"] = str(self.listen)
         if real:
             told["channel"] = str(free_address("127.0.0.1"))
         self.places = {Address(f"127.0.1.{k}", port): k for k, port in enumerate(ports)}
         self.plain_now, self.plain_connect = loop.now, loop.connect
-        loop.now, loop.connect = lambda: self.plain_now() + self.skew, self.connect
+        loop.connect = self.connect
+        if real:
+            loop.now = lambda: self.plain_now() + self.skew
         self.log = Quiet()
         loop.on_error = lambda task, exc: self.log.failed(task.name, exc)
         self.node = Node(loop, read_config(json.dumps(told)), self.log)
@@ -85,6 +87,13 @@
             while not what():
                 self.loop.sleep(1.0)
 
+    def pass_by(self, ms):
+        """Let time pass at once, with no turn of the loop in it."""
+        if isinstance(self.loop, SimLoop):
+            self.loop._time += ms
+        else:
+            self.skew += ms
+
     def let(self):
         """Let all connections come up from now on."""
         self.opened.set()
@@ -141,7 +150,7 @@
         number = client.ask(name(1), "scene-build", 5000)
         stage.until(lambda: stage.dials)
         go_away(client, "forget", number)
-        stage.skew += 150.0  # the turn took that long, and in it the connection came up
+        stage.pass_by(150.0)  # the turn took that long, and in it the connection came up
         stage.let()
         stage.end()
         assert not stage.ran and stage.log.ends == ["moot"]
@@ -173,7 +182,7 @@
         number = client.ask(name(1), "tally", 59000)
         stage.until(lambda: "second" in stage.dials)
         assert stage.ran == [name(1)]
-        stage.skew += 21000.0
+        stage.pass_by(21000.0)
         held.set()
         error, _ = client.answer(number, 60000.0)
         stage.end()
@@ -182,6 +191,47 @@
     play(main)
 
 
+def test_further_attempts_whose_connections_come_up_together_keep_to_their_budget(play):
+    def main(loop):
+        holding = []
+
+        def errs_once(k):
+            def script(verb, path, number):
+                if verb != "POST" or stage.ran.count(stage.executors[k].ran[-1]) > 1:
+                    return None
+                holding.append(True)
+                return b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+            return script
+
+        sweep = GRADES[1] | {"Name": "sweep", "AimMs": 30000.0, "GiveUpMs": 60000.0}
+        rules = SETTINGS["Rules"] | {"ExtraFloor": 1.0, "FurtherRatio": 0.0, "LookBackMs": 5000.0}
+        stage = Stage(loop, executors=4, ceilings={"Cancel": False, "ParallelTries": False}, grades=[sweep],
+                      scripts=[errs_once(k) for k in range(4)], Rules=rules)
+        waiting, go = [], Once(loop)
+
+        def connect(address):
+            if address in stage.places and holding:
+                waiting.append(address)
+                go.wait()
+            return stage.plain_connect(address)
+
+        loop.connect = connect
+        asked = []
+        for k in range(2):
+            holding.clear()
+            client = stage.client()
+            asked.append((client, client.ask(name(k + 1), "sweep", 59000, h="2000.0")))
+            stage.until(lambda k=k: len(waiting) > k)
+            stage.pass_by(6000.0)  # the decision on the first one's further attempt is out of the window
+        go.set()
+        ends = [client.answer(number, 60000.0)[0] for client, number in asked]
+        stage.end()
+        assert len(stage.ran) == 3 and stage.log.ends.count("moot") >= 1
+        assert sum(end is None for end in ends) == 1
+
+    play(main)
+
+
 @pytest.mark.parametrize("how", ["delete is not answered", "delete is refused", "cut off"])
 def test_no_second_attempt_goes_out_while_the_first_may_not_be_given_up(how):
     # On the virtual loop alone: what counts are seconds.
