--- a/fennelwind/core/driver.py
+++ b/fennelwind/core/driver.py
@@ -26,12 +26,12 @@
     Router,
     Submission,
 )
+from fennelwind.limits.budget import AttemptBudget
 from fennelwind.limits.margin import AnswerMargin
 from fennelwind.loop import Cancelled, Loop, Task
 from fennelwind.recovery.repeats import Repeats, Request, goes_on, request_name
 from fennelwind.rules import Gateway
 from fennelwind.spread.advisor import Advisor
-from fennelwind.state import Window
 
 NO_TABLE = "42S02"  # SQLSTATE of a table or partition that is not there, as Hive tells it
 UNSURE = ("reset", "timeout", "cancelled")  # ends of attempts whose statement may go on at its engine
@@ -78,7 +78,8 @@
         self._events: list[api.Event] = []
         self._asked = False
         self._tasks: dict[tuple[int, int], Task] = {}
-        self._taken, self._further = Window(), Window()  # queries, and further attempts that began
+        self._budget = AttemptBudget(
+            settings.budget_free, settings.budget_share, settings.budget_ms, settings.tick_ms)
 
     # What comes in.
 
@@ -132,8 +133,7 @@
 
     def _arrive(self, entry: Entry) -> None:
         """Hand a query to the module."""
-        if self.settings.budget_ms:
-            self._taken.add(self.loop.now(), 1.0, self.loop.now() - self.settings.budget_ms)
+        self._budget.took(self.loop.now())
         submission = entry.submission
         left = submission.deadline_ms - entry.due_ms
         last = max(submission.deadline_ms - LAST_MOMENT * left, entry.taken_ms)
@@ -322,13 +322,8 @@
         if doubt is not None and cls.effect == "keyed" \
                 and now + self.settings.tick_ms >= doubt.began_ms + cls.memory_ms:
             return "its repeats are not dropped any more"
-        if number and self.settings.budget_ms:
-            since = now - self.settings.budget_ms
-            most = self.settings.budget_free + self.settings.budget_share * self._taken.total(
-                since + self.settings.tick_ms)
-            if self._further.total(since) + 1 > most:
-                return "the ration of further attempts is used up"
-            self._further.add(now)
+        if number and not self._budget.begins(now):
+            return "the budget of further attempts is used up"
         return ""
 
     def _elsewhere(self, entry: Entry, number: int, engine: str, end: AttemptEnd) -> AttemptEnd:
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -183,7 +183,7 @@
     for name in ("rules.py", "state.py", "interface.py", "core/ledger.py", "core/types.py",
                  "thrift/transport.py", "core/sessions.py", "limits/margin.py", "limits/admission.py",
                  "recovery/repeats.py", "engines/verdicts.py", "limits/logins.py", "client/retry.py",
-                 "limits/lines.py", "limits/places.py", "node/msgrpc.py", "node/http1.py",
+                 "limits/lines.py", "limits/places.py", "limits/budget.py", "node/msgrpc.py", "node/http1.py",
                  "node/statement.py", "node/requests.py", "node/view.py", "fleet/plan.py", "fleet/links.py",
                  "fleet/wholeday.py", "fleet/yardsticks.py", "spread/estimate.py", "spread/subset.py",
                  "spread/advisor.py",
