Sampled crossings: a refusing executor has died, and tellings count when they arrive

A refused connection is proof that nothing ran there, so an executor that refuses ends what it ran. Clients are counted from their decision to come, so that they hold no more than a third of the descriptors.

--- a/tests/crossings_play.py
+++ b/tests/crossings_play.py
@@ -143,10 +143,12 @@
                 run.given_up = self.loop.now() if run.given_up is None else run.given_up
 
     def refuse(self, ms):
-        """Take no new connections for a while."""
-        self.listener.close()
+        """Die and come back some time later, with nothing that ran; connections are refused meanwhile."""
+        self.stop()
         self.loop.sleep(ms)
-        if self.alive and self.address not in self.loop.listeners:
+        if self.play.engines.get(self.name) is self and not self.alive:
+            self.runs.clear()
+            self.alive = True
             self.listen()
 
     def cut(self, ms):
@@ -441,11 +443,7 @@
             stream.abort()
             raise StreamReset("broken off")
         stream.write(raw + raw if chance < 0.2 else raw)
-        self.loop.after(1.0, lambda: self._read(stream, instances))
-
-    def _read(self, stream, instances):
-        if not stream.outward.reset:
-            self.play.told(instances)
+        stream.outward.later(lambda: self.play.told(instances))  # when the controller has it, if it ever does
 
 
 class Caller:
@@ -457,7 +455,6 @@
         self.closed = None  # when the controller closed it
         self.gone = False
         self.open = {}
-        self.play.callers += 1
         try:
             self.stream = self.loop.connect(LISTEN, self)
         except ConnectFailed:
@@ -750,12 +747,16 @@
             for _ in range(random.choice([1] * 30 + [8])):
                 if self.callers < self.sockets // 3 and not loop.over:
                     kind = random.choices(list(KINDS), list(KINDS.values()))[0]
-                    loop.spawn(self._client, kind, name="peer: client")
+                    self._client(kind)
 
     def _client(self, kind):
-        caller = Caller(self, kind)
-        if not caller.gone:
-            getattr(caller, f"play_{kind}")()
+        def come():
+            caller = Caller(self, kind)
+            if not caller.gone:
+                getattr(caller, f"play_{kind}")()
+
+        self.callers += 1  # until its connection has ended
+        self.loop.spawn(come, name="peer: client")
 
     def _trouble(self, after):
         random, loop = self.random, self.loop
@@ -774,7 +775,7 @@
             self.registry.tell([self.instance(told) for told in self.members.values()], reset=True)
         elif what == "burst":
             for _ in range(min(8, self.sockets // 3 - self.callers)):
-                loop.spawn(self._client, "leaver", name="peer: client")
+                self._client("leaver")
         elif engine is None or not engine.alive:
             return
         elif what == "reset":
