Bad configuration: the field is named, exit 2 at start, no change on reload

Cause, seen by tests on the source before (node/config.py, node/lifecycle.py): - `read_config` caught KeyError and the like around the whole reading and passed their texts on: "KeyError: 'GiveUpMs'", "setting aim_ms is unusable". OverflowError (an infinite number of descriptors or cursor) was not caught: a traceback at start, and the program's end on SIGHUP, as calls by signals are made in the loop's wait, which nothing guards. - Known events were not looked at: `instances` a number ended the start with a traceback and the running program on SIGHUP, with the events before it already taken. - No descriptors, negative and not-a-number limits, and two classes of one name were taken.

Change: each field is read by a reader of its own and named as in the file, the module's checks and the adapter's included (the adapter is as it was); known events are read whole before any is taken. An executor in a zone, or of a machine type or state, that is not known here is left out with a line of the log, as before: a refusal to start would cost all the others. The reload runs as a call of the loop's, whose error ends no program.

--- a/fennelwind/node/config.py
+++ b/fennelwind/node/config.py
@@ -5,14 +5,29 @@
 """
 
 import json
+import re
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 from fennelwind import interface as api
 from fennelwind.adapter import Fields, WireError, read_settings
 from fennelwind.loop.streams import Address, parse_address
-
-FILE_MOST = 16_000_000  # bytes of the file; it holds hundreds of executors at most
+from fennelwind.node.channel import as_figure, as_text, as_whole, read_list, shown
+
+FILE_MOST = 16_000_000  # letters of the file; it holds hundreds of executors at most
+SOCKETS_LEAST = 16  # descriptors; fewer hold no listener, log, channel, client and executor beside each other
+MISSING = object()
+# The names of the module's own checks in the file; those of a class have their place in the list before them.
+CHECKED = {
+    "classes": "Grades", "gateways": "Balancers", "max_attempts": "Ceilings.MaxAttempts",
+    "tick_ms": "ResolutionMs", "kind_cores": "FamilyInfo.KindCores",
+    "max_retry_after_ms": "Ceilings.MaxRetryAfterMs", "drain_grace_ms": "Rules.DrainGraceMs",
+    "cold_share": "Rules.ColdShare", "cold_ms": "Rules.RampTimeMs", "fall_multiple": "Rules.FallMultiple",
+    "fall_ms": "Rules.OverloadForMs", "settle_ms": "Rules.SettleAfterDoubtMs",
+    "budget_free": "Rules.ExtraFloor", "budget_share": "Rules.FurtherRatio", "budget_ms": "Rules.LookBackMs",
+    "answer_slack_ms": "Rules.AnswerSlackMs", "threads": "FamilyInfo.WidthByClass"}
+CHECKED_OF_CLASS = {"aim_ms": "AimMs", "give_up_ms": "GiveUpMs", "worth": "Points"}
 
 
 class ConfigError(Exception):
@@ -65,32 +80,136 @@
     return str(value).replace(" ", "_").replace(",", "_")
 
 
+def _get(holder: dict[str, Any], path: str, read: Callable[[Any], Any], default: Any = MISSING) -> Any:
+    """Return the field at the end of the path, read as told; absent ones take the default if there is one."""
+    value = holder.get(path.rpartition(".")[2])
+    if value is None:
+        if default is MISSING:
+            raise ConfigError(f"{path} is missing")
+        return default
+    try:
+        return read(value)
+    except (ValueError, TypeError, AttributeError):
+        raise ConfigError(f"{path} can't be used: {shown(value)}") from None
+
+
+def _as_object(value: Any) -> dict[str, Any]:
+    if not isinstance(value, dict):
+        raise ValueError(value)
+    return value
+
+
+def _as_list(value: Any) -> list[Any]:
+    if not isinstance(value, list):
+        raise ValueError(value)
+    return value
+
+
+def _above_zero(value: Any) -> float:
+    if not as_figure(value):
+        raise ValueError(value)
+    return float(value)
+
+
+def _descriptors(value: Any) -> int:
+    if as_whole(value) < SOCKETS_LEAST:
+        raise ValueError(value)
+    return int(value)
+
+
 def _names(settings: dict[str, Any], field: str) -> dict[str, int]:
     """Return the places of the named things of a list, by their names as clients and events say them."""
-    listed = settings.get(field) or []
-    return {entry["Name"] if isinstance(entry, dict) else str(entry): place
-            for place, entry in enumerate(listed)}
+    names: dict[str, int] = {}
+    for place, entry in enumerate(_get(settings, f"settings.{field}", _as_list, [])):
+        path = f"settings.{field}[{place}]"
+        if isinstance(entry, dict):
+            path += ".Name"
+            name = _get(entry, path, as_text)
+        elif entry is None or isinstance(entry, list):
+            raise ConfigError(f"{path} can't be used: {shown(entry)}")
+        else:
+            name = str(entry)
+        if name in names:
+            raise ConfigError(f"{path}: {shown(name)} is there twice")
+        names[name] = place
+    return names
+
+
+def _in_file(field: str) -> str:
+    """Return the path in the file of a field laid flat."""
+    return "settings." + re.sub(r"\.(\d+)(?=\.|$)", r"[\1]", field).removesuffix(".count")
+
+
+def _settings(pairs: dict[str, str]) -> tuple[api.Settings, float, float, int]:
+    """Return the module's settings, and of the program's own those on idle, new and open connections."""
+    fields = Fields("settings", [f"{name}={value}" for name, value in pairs.items()])
+    try:
+        settings = read_settings(fields)
+        return (settings, fields.get("Ceilings.ConnIdleMs", _positive, 15000.0),
+                fields.get("Ceilings.DialTimeoutMs", _positive, 250.0),
+                fields.get("Ceilings.MaxOpen", lambda text: as_whole(_positive(text)), 20000))
+    except WireError as exc:
+        found = re.search(r"field (\S+) (.+)", str(exc))
+        raise ConfigError(f"{_in_file(found[1])} {found[2]}" if found is not None else str(exc)) from None
+    except ValueError as exc:  # it can be read, but no decision can be built on it
+        found = re.fullmatch(r"setting (\w+) is unusable", str(exc))
+        name = found[1] if found is not None else ""
+        if name in CHECKED_OF_CLASS:
+            raise ConfigError(f"{_class_field(pairs, name)} can't be used") from None
+        raise ConfigError(f"settings.{CHECKED.get(name, name)} can't be used: {exc}") from None
+
+
+def _positive(text: str) -> float:
+    return _above_zero(float(text))
+
+
+def _class_field(pairs: dict[str, str], name: str) -> str:
+    """Return the path of the first class's field that the module's check of that name refuses."""
+    field, least = CHECKED_OF_CLASS[name], 0.0 if name == "worth" else 1e-300
+    return next(_in_file(flat) for flat, text in pairs.items()
+                if re.fullmatch(rf"Grades\.\d+\.{field}", flat) and float(text) < least)
+
+
+def _events(known: dict[str, Any], zones: dict[str, int],
+            kinds: dict[str, int]) -> tuple[dict[str, Any], ...]:
+    """Return the events, of which all can be read; who is in a zone unknown here is left out when taken."""
+    events = _get(known, "known.cmds", _as_list, [])
+    for place, event in enumerate(events):
+        path = f"known.cmds[{place}]"
+        if not isinstance(event, dict):
+            raise ConfigError(f"{path} can't be used: {shown(event)}")
+        _get(event, f"{path}.cursor", as_whole)
+        for wrong in read_list(event, zones, kinds).wrong:
+            raise ConfigError(f"{path}.{wrong} can't be used")
+    return tuple(events)
 
 
 def read_config(text: str) -> NodeConfig:
-    """Read the file's text. Raises `ConfigError`."""
+    """Read the file's text. Raises `ConfigError`, which names the field."""
     if len(text) > FILE_MOST:
         raise ConfigError("the file is too large")
     try:
-        told = json.loads(text)
-        stated, limits, known = told["settings"], told["limits"], told.get("known") or {}
-        pairs = flatten(stated)
-        return NodeConfig(
-            name=str(told["name"]), listen=parse_address(told["listen"]),
-            channel=parse_address(told["channel"]), seed=int(str(told["seed"]), 16),
-            cores=float(limits.get("cores", 1.0)), memory_mb=float(limits["memory_mb"]),
-            sockets=int(limits["sockets"]),
-            settings=read_settings(Fields("settings", [f"{k}={v}" for k, v in pairs.items()])),
-            classes=_names(stated, "Grades"), tenants=_names(stated, "Projects"),
-            zones=_names(stated, "Zones"), kinds=_names(stated, "Kinds"),
-            idle_ms=float(pairs.get("Ceilings.ConnIdleMs", 15000.0)),
-            dial_ms=float(pairs.get("Ceilings.DialTimeoutMs", 250.0)),
-            most_open=int(pairs.get("Ceilings.MaxOpen", 20000)),
-            cursor=int(known.get("cursor", 0)), events=tuple(known.get("cmds") or ()))
-    except (KeyError, TypeError, ValueError, AttributeError, WireError, RecursionError) as exc:
-        raise ConfigError(f"{type(exc).__name__}: {exc}") from None
+        return _read(json.loads(text))
+    except RecursionError:
+        raise ConfigError("the file is nested too deeply") from None
+    except ValueError as exc:
+        raise ConfigError(f"the file is no JSON: {exc}") from None
+
+
+def _read(told: Any) -> NodeConfig:
+    if not isinstance(told, dict):
+        raise ConfigError(f"the file holds no object: {shown(told)}")
+    stated, limits = _get(told, "settings", _as_object), _get(told, "limits", _as_object)
+    known = _get(told, "known", _as_object, {})
+    settings, idle_ms, dial_ms, most_open = _settings(flatten(stated))
+    zones, kinds = _names(stated, "Zones"), _names(stated, "Kinds")
+    return NodeConfig(
+        name=_get(told, "name", as_text), listen=_get(told, "listen", parse_address),
+        channel=_get(told, "channel", parse_address),
+        seed=_get(told, "seed", lambda seed: int(str(seed), 16)),
+        cores=_get(limits, "limits.cores", _above_zero, 1.0),
+        memory_mb=_get(limits, "limits.memory_mb", _above_zero),
+        sockets=_get(limits, "limits.sockets", _descriptors), settings=settings,
+        classes=_names(stated, "Grades"), tenants=_names(stated, "Projects"), zones=zones, kinds=kinds,
+        idle_ms=idle_ms, dial_ms=dial_ms, most_open=most_open,
+        cursor=_get(known, "known.cursor", as_whole, 0), events=_events(known, zones, kinds))
--- a/fennelwind/node/lifecycle.py
+++ b/fennelwind/node/lifecycle.py
@@ -174,7 +174,7 @@
         node, stop = Node(loop, config, log), Once(loop)
         for number in (TERMINATE, INTERRUPT):
             loop.on_signal(number, stop.set)
-        loop.on_signal(HANGUP, lambda: reload(node))
+        loop.on_signal(HANGUP, lambda: loop.soon(lambda: reload(node)))  # where what breaks ends no program
         try:
             node.start()
         except OSError as exc:
--- a/tests/test_crossings_list.py
+++ b/tests/test_crossings_list.py
@@ -6,24 +6,28 @@
 
 import copy
 import json
+import os
 import random
 import re
 import signal
 import socket
 import struct
+import subprocess
+import sys
 import threading
 import time
 from contextlib import suppress
 
 import pytest
 from nodes import CHANNEL, Quiet, config_text, instance, nodes_event, start
-from test_node_run import WAIT_S, Program, ask, listening
+from test_node_run import ROOT, WAIT_S, Program, ask, command, listening
 
 from fennelwind import interface as api
 from fennelwind.loop import Address, RealLoop, SimLoop, StreamReset
 from fennelwind.loop.streams import READ_MOST
 from fennelwind.node import channel as channel_module
 from fennelwind.node.channel import AGAIN_MOST, SILENCE_MS, Channel
+from fennelwind.node.config import ConfigError, read_config
 from fennelwind.node.executors import Executors
 from fennelwind.node.http1 import ServerEvent
 
@@ -928,6 +932,182 @@
         script.sock.close()
 
 
+# Files.
+
+BASE = json.loads(config_text([instance("s-1", 1)]))
+MISSING = object()
+BAD_FIELDS = [
+    ("name", MISSING), ("name", 5), ("listen", MISSING), ("listen", "here"), ("listen", 9090),
+    ("listen", "127.0.0.9:70000"), ("channel", "127.0.0.8"), ("channel", None), ("channel", ["127.0.0.8:1"]),
+    ("seed", MISSING), ("seed", "no hex"), ("seed", 1.5), ("settings", MISSING), ("settings", []),
+    ("limits", MISSING), ("limits", 5), ("limits.cores", -1), ("limits.cores", float("nan")),
+    ("limits.cores", True), ("limits.cores", "1"), ("limits.memory_mb", MISSING), ("limits.memory_mb", 0),
+    ("limits.memory_mb", float("inf")), ("limits.sockets", MISSING), ("limits.sockets", 0),
+    ("limits.sockets", -5), ("limits.sockets", 3), ("limits.sockets", 100.5), ("limits.sockets", 10**400),
+    ("limits.sockets", float("inf")), ("known", 5), ("known.cursor", "1"), ("known.cursor", float("inf")),
+    ("known.cursor", -1), ("known.cursor", True), ("known.cmds", {}), ("known.cmds", "all"),
+    ("known.cmds[0]", 5), ("known.cmds[0].cursor", MISSING), ("known.cmds[0].cursor", 1.5),
+    ("known.cmds[0].nodes", []), ("known.cmds[0].nodes.instances", 5),
+    ("known.cmds[0].nodes.instances", MISSING), ("known.cmds[0].nodes.reset", "no"),
+    ("known.cmds[0].nodes.instances[0]", "s-1"), ("known.cmds[0].nodes.instances[0].instanceId", 5),
+    ("known.cmds[0].nodes.instances[0].zone", 0), ("known.cmds[0].nodes.instances[0].hostPort", "x"),
+    ("known.cmds[0].nodes.instances[0].lifecycle", MISSING),
+    ("known.cmds[0].nodes.instances[0].weight", float("nan")),
+    ("known.cmds[0].nodes.instances[0].startedAtMs", "soon"),
+    ("settings.Grades", MISSING), ("settings.Grades", 5), ("settings.Grades", []),
+    ("settings.Grades", [1, 2]),
+    ("settings.Grades[1].GiveUpMs", MISSING), ("settings.Grades[1].GiveUpMs", "soon"),
+    ("settings.Grades[1].GiveUpMs", float("nan")), ("settings.Grades[1].GiveUpMs", -1),
+    ("settings.Grades[2].AimMs", 0), ("settings.Grades[2].Points", -0.5), ("settings.Grades[0].Points", True),
+    ("settings.Grades[0].Effect", "sometimes"), ("settings.Grades[2].Name", "lookup"),
+    ("settings.Grades[2].Name", MISSING), ("settings.Grades[2].Name", 5), ("settings.Zones", 5),
+    ("settings.Zones[1]", "east"), ("settings.Projects[0].QuotaPerS", MISSING),
+    ("settings.Balancers", 0), ("settings.Balancers", 1.5), ("settings.Me", "me"),
+    ("settings.Ceilings.MaxAttempts", 0), ("settings.Ceilings.MaxOpen", 0),
+    ("settings.Ceilings.MaxOpen", float("inf")), ("settings.Ceilings.ConnIdleMs", -1),
+    ("settings.Ceilings.DialTimeoutMs", "x"), ("settings.Ceilings.Cancel", "perhaps"),
+    ("settings.FamilyInfo.KindCores", [0]), ("settings.FamilyInfo.WidthByClass", [1, 0, 1]),
+    ("settings.Rules.ColdShare", -0.1), ("settings.Rules.DrainGraceMs", float("inf")),
+]
+
+
+def with_field(told, path, value):
+    told = copy.deepcopy(told)
+    *parts, last = [int(part) if part.isdecimal() else part for part in re.findall(r"[^.\[\]]+", path)]
+    holder = told
+    for part in parts:
+        holder = holder[part]
+    if value is MISSING:
+        del holder[last]
+    else:
+        holder[last] = value
+    return told
+
+
+@pytest.mark.parametrize(("path", "value"), BAD_FIELDS)
+def test_a_bad_field_of_a_file_is_named_as_it_is_in_the_file(path, value):
+    with pytest.raises(ConfigError) as told:
+        read_config(json.dumps(with_field(BASE, path, value)))
+    assert re.match(re.escape(path) + r"(?![\w.\[])", str(told.value)), str(told.value)
+
+
+def test_a_file_bent_anywhere_is_read_or_refused():
+    paths = []
+
+    def walk(value, path):
+        if path:
+            paths.append(path)
+        for key, inner in value.items() if isinstance(value, dict) else (
+                enumerate(value) if isinstance(value, list) else ()):
+            walk(inner, f"{path}.{key}" if path else str(key))
+
+    walk(BASE, "")
+    refused = 0
+    for path in paths:
+        for value in (MISSING, None, True, 0, -1, 1.5, NAN, INFINITY, 10**400, "", "x", "\ud800", [], [[1]],
+                      {}, {"a": []}):
+            try:
+                read_config(json.dumps(with_field(BASE, path, value)))
+            except ConfigError:
+                refused += 1
+    assert refused > len(paths)
+
+
+@pytest.mark.parametrize(
+    "text", ["", "{", json.dumps(BASE)[:-200], "[" * 200_000, '{"name": NaN}', "\ufeff{}", "null"])
+def test_a_file_that_is_half_there_is_refused(text):
+    with pytest.raises(ConfigError):
+        read_config(text)
+
+
+@pytest.mark.parametrize(("path", "value"), [one for one in BAD_FIELDS if one[0].startswith("known")])
+def test_a_bad_file_changes_nothing_and_tells_it_in_one_line(path, value):
+    def main(loop):
+        Feed(loop, steady(loop))
+        node = start(loop, [instance("s-1", 1)])
+        loop.sleep(20.0)
+        told = json.loads(known_text(3, [nodes_event(2, [instance("s-2", 2)]), nodes_event(
+            3, [instance("s-1", 1, "terminating")], True)], ELSEWHERE))
+        node.log.lines.clear()
+        node.reload(json.dumps(with_field(told, path.replace("[0].nodes", "[1].nodes"), value)))
+        loop.sleep(20.0)
+        assert states(node) == {"s-1": "ready"} and node.channel.cursor == 1
+        assert node.channel.address == CHANNEL
+        assert [sort for sort, _ in node.log.lines] == ["reload"]
+        assert "as before: known" in node.log.lines[0][1]
+
+    run(main)
+
+
+@pytest.mark.parametrize(("content", "named"), [
+    (b"", "no JSON"), (b"\xff\xfe{}", "utf-8"), (json.dumps(BASE).encode()[:500], "no JSON"),
+    *((json.dumps(with_field(BASE, path, value)).encode(), path) for path, value in (
+        ("settings.Grades[1].GiveUpMs", NAN), ("known.cmds[0].nodes.instances", 5),
+        ("limits.sockets", INFINITY)))])
+def test_a_start_with_a_bad_file_is_one_line_that_names_the_field_and_exit_2(content, named, tmp_path):
+    path = tmp_path / "config.json"
+    path.write_bytes(content)
+    done = subprocess.run(command(), cwd=ROOT, env=os.environ | {"RELAY_CONFIG": str(path)},
+                          capture_output=True, text=True, timeout=WAIT_S)
+    assert done.returncode == 2 and done.stderr.startswith("RELAY_CONFIG") and named in done.stderr
+    assert done.stderr.count("\n") == 1
+
+
+def test_a_running_program_outlives_every_bad_file(tmp_path):
+    program = Running(tmp_path)
+    try:
+        good = json.loads(program.path.read_text("utf-8"))
+        moved, address = listening()
+        bad = [b"", b"\xff", json.dumps(good).encode()[:100]] + [
+            json.dumps(with_field(good | {"channel": address}, path, value)).encode() for path, value in (
+                ("known.cmds[0].nodes.instances", 5), ("known.cmds[0].nodes.instances[0].hostPort", 5),
+                ("known.cmds[0].nodes.instances[0].cell", INFINITY), ("limits.sockets", INFINITY),
+                ("known.cmds", 5), ("settings.Grades[0].Name", 5))]
+        for content in bad:
+            program.path.write_bytes(content)
+            program.process.send_signal(signal.SIGHUP)
+            program.expect("settings are as before")
+        program.path.unlink()
+        program.process.send_signal(signal.SIGHUP)
+        program.expect("settings are as before")
+        program.path.write_text(json.dumps(good | {"channel": address}), "utf-8")
+        program.process.send_signal(signal.SIGHUP)
+        program.expect(f"command channel at {address}")
+        peer, _ = moved.accept()
+        assert b"Last-Event-ID: 1\r\n" in peer.recv(4096)
+        assert program.process.poll() is None
+        program.process.send_signal(signal.SIGTERM)
+        assert program.process.wait(WAIT_S) == 0
+        peer.close()
+        moved.close()
+    finally:
+        program.end()
+
+
+def test_an_error_that_nobody_thought_of_in_a_reload_ends_no_program(tmp_path):
+    path = tmp_path / "config.json"
+    sock, listen = listening()
+    sock.close()
+    path.write_text(json.dumps(BASE | {"listen": listen}), "utf-8")
+    code = "import sys, fennelwind.node.lifecycle as l; l.Node.reload = lambda *_: 1 / 0; sys.exit(l.main())"
+    running = subprocess.Popen([sys.executable, "-c", code], cwd=ROOT, text=True, stderr=subprocess.PIPE,
+                               env=os.environ | {"RELAY_CONFIG": str(path)})
+    try:
+        for words, number in (
+                ("listening", signal.SIGHUP), ("ZeroDivisionError", signal.SIGTERM), ("closed", 0)):
+            for line in running.stderr:
+                if words in line:
+                    break
+            else:
+                raise AssertionError(f"{words!r} never came")
+            running.send_signal(number)
+        assert running.wait(WAIT_S) == 0
+    finally:
+        running.kill()
+        running.wait()
+        running.stderr.close()
+
+
 # All of it at random.
 
 
