A long list that comes in pieces is no silence; an address that another had is taken anew

Cause 1: silence is judged by whole events and comments since one byte a second kept a dead channel. An event that takes over 1.6 s to come whole was then given up each time, and the controller would have stayed deaf: a list of 100 executors in pieces of 700 bytes was asked for 13 times in 20 s and never taken (test ..._long_list_that_comes_slowly_in_pieces_is_no_silence with the line left out). Change: 512 bytes of an event under way count as news. Cause 2: Executors.place returned early for an executor that was back at its address after another had it, without looking whether it was lost; the channel worked round it. The mend stands where its cause is now.

--- a/fennelwind/node/channel.py
+++ b/fennelwind/node/channel.py
@@ -20,6 +20,7 @@
 
 SILENCE_MS = 1600.0  # ms without a whole event or comment; a comment comes every second
 CONNECT_MS = 400.0  # ms for a connection, and again for the request to leave
+FLOW_BYTES = 512  # of an event under way, that count as news: a long list may come in many pieces
 READ_BYTES = 16384  # bytes of one read; a full one is followed by a turn of the loop, so a flood stops nobody
 PAUSE_MS, PAUSE_MOST_MS = 25.0, 400.0  # ms between tries that fail, doubled up to the most
 LASTED_MS = 1000.0  # ms, the comments' period; a connection that lasted so long has not failed
@@ -250,12 +251,15 @@
         try:
             stream.write(b"GET /cmd/next HTTP/1.1\r\nHost: channel\r\nAccept: text/event-stream\r\n"
                          b"Last-Event-ID: %d\r\n\r\n" % self.cursor, CONNECT_MS)
-            reader, heard = EventReader(), self.loop.now()
+            reader, heard, flowed = EventReader(), self.loop.now(), 0
             while not reader.ended:
-                with self.loop.deadline_at(heard + SILENCE_MS):  # not of bytes: a whole event or comment
+                with self.loop.deadline_at(heard + SILENCE_MS):  # of events and comments, not of single bytes
                     data = stream.read(READ_BYTES)
                 if not data:
                     return
+                flowed += len(data)
+                if flowed >= FLOW_BYTES:
+                    heard, flowed = self.loop.now(), 0
                 if len(data) == READ_BYTES:
                     self.loop.sleep(0.0)
                 for event in reader.feed(data):
@@ -356,8 +360,6 @@
 
     def _place(self, entry: api.EngineEntry, address: Address | None) -> None:
         host = self.links.hosts.get(entry.engine)
-        if address is not None and host is not None and host.lost:
-            self.links.remove(entry.engine)  # another had its address meanwhile
         if address is not None or host is not None:
             self.links.place(entry.engine, address or host.address, entry.state == "draining")
         self._entries[entry.engine] = entry
--- a/fennelwind/node/executors.py
+++ b/fennelwind/node/executors.py
@@ -120,7 +120,7 @@
     def place(self, name: str, address: Address, draining: bool = False) -> None:
         """Note where an executor is; whoever had the address before has lost it."""
         host = self.hosts.get(name)
-        if host is not None and host.address == address:
+        if host is not None and host.address == address and not host.lost:
             host.draining = draining
             return
         if host is not None:
--- a/tests/test_crossings_list.py
+++ b/tests/test_crossings_list.py
@@ -340,6 +340,26 @@
     run(main)
 
 
+def test_a_long_list_that_comes_slowly_in_pieces_is_no_silence():
+    def main(loop):
+        many = [instance(f"s-{k}", k % 250, port=9000 + k) for k in range(100)]
+
+        def script(stream, number, last):
+            stream.write(HEAD)
+            told = event(2, many, reset=True)
+            for begin in range(0, len(told), 700):
+                stream.write(told[begin:begin + 700])
+                loop.sleep(300.0)
+            comments(loop, stream)
+
+        feed = Feed(loop, script)
+        node = start(loop, [instance("s-0", 0)])
+        loop.sleep(20000.0)
+        assert len(feed.asked) == 1 and node.channel.cursor == 2 and len(node.links.hosts) == 100
+
+    run(main)
+
+
 def test_comments_alone_are_no_silence():
     def main(loop):
         feed = Feed(loop, steady(loop))
