--- /dev/null
+++ b/tests/test_cold_fleet.py
@@ -0,0 +1,65 @@
+"""Cold engines under the sum of all gateways: a small sample of tests/cold_model.py, and planted defects."""
+
+from dataclasses import replace
+
+import pytest
+from cold_model import Case, interval, sample
+
+from fennelwind.rules import Gateway
+
+# An engine that starts under far more than it may take, from gateways that see the same traffic: the budget
+# is used as far as it goes, and N of 73 leaves little to chance.
+FULL = Case(gateways=200, engines=1, trouble="all", work=(150.0, 150.0), spread=(0.1, 0.1), skew=0.0,
+            load=3.0, length_ms=5000.0)
+MIXED = Case(gateways=30, engines=6, trouble="zone", kill=0.7, late=1 / 3, errors=0.1, length_ms=7000.0)
+FEW = Case(gateways=2, engines=6, trouble="zone", length_ms=6000.0)
+# As docs/results/cold.md has it: the upper end of the interval (95%) of the share of the lives of cold engines
+# that falls where nothing tells the work of a request, and one large one may be more than all that is
+# allowed.
+UNTOLD = 0.083
+
+
+class Undivided(Gateway):
+    """Takes the budget of all gateways for its own."""
+
+    def __init__(self, settings, seed):
+        super().__init__(replace(settings, gateways=1), seed)
+
+
+class RoundedUp(Gateway):
+    """Rounds a part up to one query at each gateway."""
+
+    def _engine(self, entry, known):
+        engine = super()._engine(entry, known)
+        engine.draw = 1.0
+        return engine
+
+
+@pytest.mark.parametrize("case", [FULL, MIXED, FEW], ids=["full", "mixed", "few"])
+def test_cold_engines_do_not_fall_by_what_gateways_told_of_them_send(case):
+    result = sample(case, range(1, 4))
+    assert result.lives >= 3
+    assert result.broken == 0
+    assert max(result.told) < 1.0  # what came from those alone stays under a fall as well
+
+
+def test_where_no_work_is_told_few_gateways_push_over_no_more_than_measured():
+    result = sample(replace(FEW, estimates="none"), range(1, 21))
+    assert result.lives == 60
+    assert result.broken <= UNTOLD * result.lives
+    assert result.by_class == 0  # with the mean work of its class for each request, none would fall
+
+
+@pytest.mark.parametrize("defect", [Undivided, RoundedUp])
+def test_the_sample_finds_a_planted_defect(defect):
+    result = sample(FULL, range(1, 2), defect)
+    assert result.lives == 1
+    assert result.broken == 1
+
+
+def test_interval_of_a_share_holds_the_share():
+    assert interval(0, 0) == (0.0, 1.0)
+    low, high = interval(0, 100)
+    assert low == 0.0 and 0.03 < high < 0.04
+    low, high = interval(10, 100)
+    assert 0.05 < low < 0.1 < high < 0.18
