--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -13,9 +13,8 @@
             load=3.0, length_ms=5000.0)
 MIXED = Case(gateways=30, engines=6, trouble="zone", kill=0.7, late=1 / 3, errors=0.1, length_ms=7000.0)
 FEW = Case(gateways=2, engines=6, trouble="zone", length_ms=6000.0)
-# As docs/results/cold.md has it: the upper end of the interval (95%) of the share of the lives of cold engines
-# that falls where nothing tells the work of a request, and one large one may be more than all that is
-# allowed.
+# The upper end of the interval (95%) that docs/results/cold.md has for the share of lives that fall where
+# nothing tells the work of a request: a single large one may then be more than all that is allowed.
 UNTOLD = 0.083
 
 
