Only queries that are served pay for further attempts

Ruled out: attempts that begin late, as what begins is counted since the last change; no line of the log names that bar.

Change: a query counts for the budget once it is served, by the time at which it was taken, so that one taken before the window adds nothing; bad clients' requests are never served. It is at most what the rule counts. Window.total passes over older amounts in whatever order they came.

--- a/fennelwind/core/driver.py
+++ b/fennelwind/core/driver.py
@@ -133,7 +133,6 @@
 
     def _arrive(self, entry: Entry) -> None:
         """Hand a query to the module."""
-        self._budget.took(self.loop.now())
         submission = entry.submission
         left = submission.deadline_ms - entry.due_ms
         last = max(submission.deadline_ms - LAST_MOMENT * left, entry.taken_ms)
@@ -358,6 +357,7 @@
             entry.tries[number].ended_ms, entry.tries[number].status = now, end.status
         if end.status == "ok":
             if entry.answer is None:
+                self._budget.served(now, entry.taken_ms)
                 self._settle(entry, Answer(SERVED, result=end.result))
             else:  # its time was up in the same turn, or its client has gone: nobody will read it
                 end.result.close()
--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -149,8 +149,6 @@
             return
         c = min(max(told.cls, 0), len(self.mean) - 1)
         cls = self.set.classes[c]
-        if self.set.budget_ms:
-            self.taken.add(self.now, 1.0, self.now - self.set.budget_ms)
         work = told.work_ms or self.work[c] or GUESS * cls.aim_ms * cls.threads
         span = max(work / cls.threads, 1.0)
         self.work[c] += (work - self.work[c]) * (MEAN_PART if self.work[c] else 1.0)
@@ -170,6 +168,9 @@
         if attempt is None or not attempt.ended():
             return
         self.threads[query.short] -= query.cls.threads
+        if event.status == "ok" and not query.done and self.set.budget_ms:
+            # Only who is served pays for further attempts: what bad clients ask for may not count as taken.
+            self.taken.add(query.arrived, 1.0, self.now - self.set.budget_ms)
         if not attempt.engine.out:
             self.busy.pop(attempt.engine.entry.engine, None)
         self.blocked = [False] * len(self.lanes)
--- a/fennelwind/state.py
+++ b/fennelwind/state.py
@@ -124,10 +124,10 @@
         self.items.append((now, amount))
 
     def total(self, since: float) -> float:
-        """Return the sum from that time on; what is older is dropped."""
+        """Return the sum from that time on; what is older is dropped, in whatever order it came."""
         while self.items and self.items[0][0] < since:
             self.items.popleft()
-        return sum(amount for _, amount in self.items)
+        return sum(amount for at, amount in self.items if at >= since)
 
 
 @dataclass(slots=True, eq=False)
