--- a/tests/test_crossings_front.py
+++ b/tests/test_crossings_front.py
@@ -82,16 +82,22 @@
             loop.sleep(1.0)
 
 
+def received(loop, sock):
+    """Return what comes next on a plain socket; wait for it in turns of the loop."""
+    while True:
+        try:
+            return sock.recv(65536)
+        except BlockingIOError:
+            loop.sleep(1.0)
+
+
 def taken(loop, sock):
     """Read to the end; return the messages and whether it was a reset that ended it."""
     unpacker = msgpack.Unpacker(raw=False)
     with loop.deadline(WAIT_S * 1000.0):
         while True:
             try:
-                data = sock.recv(65536)
-            except BlockingIOError:
-                loop.sleep(1.0)
-                continue
+                data = received(loop, sock)
             except ConnectionResetError:
                 return list(unpacker), True
             if not data:
@@ -104,11 +110,7 @@
     unpacker = msgpack.Unpacker(raw=False)
     with loop.deadline(WAIT_S * 1000.0):
         while True:
-            try:
-                data = sock.recv(65536)
-            except BlockingIOError:
-                loop.sleep(1.0)
-                continue
+            data = received(loop, sock)
             assert data, "closed without an answer"
             unpacker.feed(data)
             for told in unpacker:
