--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 
 test: $(STAMP)
 	.venv/bin/ruff check .
+	.venv/bin/ruff format --check .
 	.venv/bin/python -m pytest -n 4 --dist loadgroup
 
 # The generated modules are in the repository; make them anew after a change of a .proto file.
--- a/fennelwind/adapter.py
+++ b/fennelwind/adapter.py
@@ -10,8 +10,16 @@
 EFFECTS = {"repeatable": "safe", "by_key": "keyed", "once": "unsafe"}
 STATES = {"in_service": "ready", "terminating": "draining", "terminated": "gone"}
 FORMS = {"Partial": "delta", "Complete": "full", "Persisted": "cached", "Error": "failed"}
-STATUSES = {"OK": "ok", "INTERNAL": "error", "RESOURCE_EXHAUSTED": "full", "DEADLINE_EXCEEDED": "timeout",
-            "UNAVAILABLE": "connect_failed", "ABORTED": "reset", "CANCELLED": "cancelled", "TOO_LATE": "moot"}
+STATUSES = {
+    "OK": "ok",
+    "INTERNAL": "error",
+    "RESOURCE_EXHAUSTED": "full",
+    "DEADLINE_EXCEEDED": "timeout",
+    "UNAVAILABLE": "connect_failed",
+    "ABORTED": "reset",
+    "CANCELLED": "cancelled",
+    "TOO_LATE": "moot",
+}
 FINITE = 1e300
 
 
@@ -82,22 +90,38 @@
     classes = []
     for i in range(get("Grades.count", int)):
         at = f"Grades.{i}."
-        classes.append(api.QueryClass(
-            name=get(at + "Name", str, str(i)), aim_ms=get(at + "AimMs", _number),
-            give_up_ms=get(at + "GiveUpMs", _number), worth=get(at + "Points", _number),
-            aim_stretch=get(at + "AimStretch", _number, 0.0), late_worth=get(at + "LateWorth", _number, 0.0),
-            effect=get(at + "Effect", EFFECTS.__getitem__), group=get(at + "Group", str, "all"),
-            memory_ms=get(at + "MemorySpanMs", _number, 0.0), serial=get(at + "SerialByKey", _flag, False),
-            zones=get(at + "RunsIn", _whole, None), kinds=get(at + "RunsOn", _whole, None),
-            threads=threads[i] if i < len(threads) else 1,
-            holds=i < len(holds) and holds[i], waits=i < len(waits) and waits[i]))
+        classes.append(
+            api.QueryClass(
+                name=get(at + "Name", str, str(i)),
+                aim_ms=get(at + "AimMs", _number),
+                give_up_ms=get(at + "GiveUpMs", _number),
+                worth=get(at + "Points", _number),
+                aim_stretch=get(at + "AimStretch", _number, 0.0),
+                late_worth=get(at + "LateWorth", _number, 0.0),
+                effect=get(at + "Effect", EFFECTS.__getitem__),
+                group=get(at + "Group", str, "all"),
+                memory_ms=get(at + "MemorySpanMs", _number, 0.0),
+                serial=get(at + "SerialByKey", _flag, False),
+                zones=get(at + "RunsIn", _whole, None),
+                kinds=get(at + "RunsOn", _whole, None),
+                threads=threads[i] if i < len(threads) else 1,
+                holds=i < len(holds) and holds[i],
+                waits=i < len(waits) and waits[i],
+            )
+        )
     tenants = tuple(
-        api.Tenant(name=get(f"Projects.{i}.Name", str, str(i)),
-                   quota_per_s=get(f"Projects.{i}.QuotaPerS", _number))
-        for i in range(get("Projects.count", int, 0)))
+        api.Tenant(
+            name=get(f"Projects.{i}.Name", str, str(i)), quota_per_s=get(f"Projects.{i}.QuotaPerS", _number)
+        )
+        for i in range(get("Projects.count", int, 0))
+    )
     return api.Settings(
-        classes=tuple(classes), tenants=tenants, kind_cores=get("FamilyInfo.KindCores", _whole, ()),
-        gateways=get("Balancers", int, 1), me=get("Me", int, 0), zone=get("Zone", int, 0),
+        classes=tuple(classes),
+        tenants=tenants,
+        kind_cores=get("FamilyInfo.KindCores", _whole, ()),
+        gateways=get("Balancers", int, 1),
+        me=get("Me", int, 0),
+        zone=get("Zone", int, 0),
         over_share_worth=get("OverShareWorth", _number, 1.0),
         kind_memory_mb=get("FamilyInfo.SizeMb", _numbers, ()),
         max_grant_share=get("FamilyInfo.MaxGrantShare", _number, 1.0),
@@ -110,20 +134,24 @@
         report_fields=get("Report.Columns", _texts, ()),
         can_cancel=get("Ceilings.Cancel", _flag, False),
         can_probe=get("Ceilings.Probing", _flag, False),
-        can_tell=get("Ceilings.Peers", _flag, False), parallel=get("Ceilings.ParallelTries", _flag, False),
+        can_tell=get("Ceilings.Peers", _flag, False),
+        parallel=get("Ceilings.ParallelTries", _flag, False),
         retry_after=get("Ceilings.RetryAfter", _flag, False),
         max_retry_after_ms=get("Ceilings.MaxRetryAfterMs", _number, 0.0),
         max_attempts=get("Ceilings.MaxAttempts", int, 1),
         must_ask=get("RegistryMode", str, "pushed") == "on_request",
         answer_slack_ms=get("Rules.AnswerSlackMs", _number, 0.0),
         drain_grace_ms=get("Rules.DrainGraceMs", _number, 0.0),
-        cold_share=get("Rules.ColdShare", _number, 1.0), cold_ms=get("Rules.RampTimeMs", _number, 0.0),
+        cold_share=get("Rules.ColdShare", _number, 1.0),
+        cold_ms=get("Rules.RampTimeMs", _number, 0.0),
         fall_multiple=get("Rules.FallMultiple", _number, 0.0),
         fall_ms=get("Rules.OverloadForMs", _number, 0.0),
         settle_ms=get("Rules.SettleAfterDoubtMs", _number, 0.0),
         budget_free=get("Rules.ExtraFloor", _number, 0.0),
         budget_share=get("Rules.FurtherRatio", _number, 0.0),
-        budget_ms=get("Rules.LookBackMs", _number, 0.0), tick_ms=get("ResolutionMs", _number, 1.0))
+        budget_ms=get("Rules.LookBackMs", _number, 0.0),
+        tick_ms=get("ResolutionMs", _number, 1.0),
+    )
 
 
 def _key_space(text: str) -> str | None:
@@ -215,9 +243,14 @@
             raise WireError(f"LIST: field MembersList promises more entries, got {message[:40]}")
         get = Fields(message, parts).get
         return api.EngineEntry(
-            engine=get("Executor"), state=get("State", STATES.__getitem__), zone=get("Dc", int, 0),
-            kind=get("Sku", int, 0), cell=get("Cell", int, 0), weight=get("Nominal", _number, 1.0),
-            launched_ms=get("LaunchedMs", _number, 0.0))
+            engine=get("Executor"),
+            state=get("State", STATES.__getitem__),
+            zone=get("Dc", int, 0),
+            kind=get("Sku", int, 0),
+            cell=get("Cell", int, 0),
+            weight=get("Nominal", _number, 1.0),
+            launched_ms=get("LaunchedMs", _number, 0.0),
+        )
 
     def _event(self, who: int, message: str, fields: Fields) -> api.Event:
         get = fields.get
@@ -225,18 +258,29 @@
             case "REQUEST":
                 options = get("Options", int, 0)
                 return api.Arrival(
-                    query=get("Txn", int), cls=get("Service", int), deadline_ms=get("DeadlineMs", _number),
-                    tenant=get("Owner", int, 0), key=get("Table", _key_space, None),
+                    query=get("Txn", int),
+                    cls=get("Service", int),
+                    deadline_ms=get("DeadlineMs", _number),
+                    tenant=get("Owner", int, 0),
+                    key=get("Table", _key_space, None),
                     work_ms=get("ExpectedMs", _number, None) if options & 1 else None,
-                    memory_mb=get("FootprintMb", _number, 0.0), tables=get("DataGroup", int, None),
-                    repeat=bool(options & 2))
+                    memory_mb=get("FootprintMb", _number, 0.0),
+                    tables=get("DataGroup", int, None),
+                    repeat=bool(options & 2),
+                )
             case "ANSWER":
                 note = get("Note", int, 0) if self.costs[who] else 0
                 return api.Outcome(
-                    query=get("Txn", int), attempt=get("Try", int), engine=get("Executor"),
-                    status=get("Disposition", STATUSES.__getitem__), took_ms=get("TookMs", _number),
-                    finished=get("Complete", _flag, False), work_ms=float(note >> 12) if note else None,
-                    memory_mb=(note & 4095) * 4.0 if note else None, load=self._load(who, fields))
+                    query=get("Txn", int),
+                    attempt=get("Try", int),
+                    engine=get("Executor"),
+                    status=get("Disposition", STATUSES.__getitem__),
+                    took_ms=get("TookMs", _number),
+                    finished=get("Complete", _flag, False),
+                    work_ms=float(note >> 12) if note else None,
+                    memory_mb=(note & 4095) * 4.0 if note else None,
+                    load=self._load(who, fields),
+                )
             case "TIMEOUT_FIRED":
                 return api.TimerFired(token=get("Mark", int))
             case "PEERS_KNOWN":
@@ -248,28 +292,37 @@
                     raise WireError("PEERS_KNOWN: field Page names no list")
                 return api.EngineList(form=form, engines=self.pages[page])
             case "UPDATE_OF":
-                return api.Note(query=get("Txn", int), attempt=get("Try", int), sort=get("Sort", int),
-                                value=get("Value", _number))
+                return api.Note(
+                    query=get("Txn", int),
+                    attempt=get("Try", int),
+                    sort=get("Sort", int),
+                    value=get("Value", _number),
+                )
             case "CLIENT_GONE":
                 return api.Gone(query=get("Txn", int))
             case "BEGUN":
                 return api.Begun(query=get("Txn", int), attempt=get("Try", int))
             case "HEALTH":
                 return api.Probed(
-                    engine=get("Executor"), took_ms=get("TookMs", _number),
-                    status=get("Disposition", STATUSES.__getitem__), load=self._load(who, fields))
+                    engine=get("Executor"),
+                    took_ms=get("TookMs", _number),
+                    status=get("Disposition", STATUSES.__getitem__),
+                    load=self._load(who, fields),
+                )
             case "MAIL":
                 text = get("Content")
-                return api.PeerMessage(sender=get("From", int),
-                                       data=b"" if text == "-" else get("Content", bytes.fromhex))
+                return api.PeerMessage(
+                    sender=get("From", int), data=b"" if text == "-" else get("Content", bytes.fromhex)
+                )
         raise WireError(f"{message[:40]}: unknown message")
 
     def _load(self, who: int, fields: Fields) -> dict[str, float]:
         values = fields.get("Load", _numbers, ())
         return dict(zip(self.columns[who], values, strict=False))
 
-    def _answer(self, now: float, who: int, start: tuple[api.Settings, int] | None,
-                events: list[api.Event]) -> list[str]:
+    def _answer(
+        self, now: float, who: int, start: tuple[api.Settings, int] | None, events: list[api.Event]
+    ) -> list[str]:
         """Let one instance decide, and put its actions into lines."""
         try:
             if start is not None:
--- a/fennelwind/audit/fleet.py
+++ b/fennelwind/audit/fleet.py
@@ -206,8 +206,9 @@
             continue
         first = answers[0]
         if not excused:
-            verdict.check(first.at <= until,
-                          f"{who}: {first.kind} {first.at - asked.deadline:.0f} ms after its time")
+            verdict.check(
+                first.at <= until, f"{who}: {first.kind} {first.at - asked.deadline:.0f} ms after its time"
+            )
         verdict.check(first.kind != STRANGE, f"{who}: an answer that is none: {first.proof}")
         if first.kind == SERVED:
             verdict.check(first.proof in story.proofs.get(name, ()), f"{who}: served what no executor made")
@@ -257,14 +258,20 @@
             continue
         until = at + facts.drain_grace_ms + SLACK_MS + WAY_MS
         place = facts.places.get(began.instance)
-        if began.at > until and place is not None \
-                and facts.disturbed(began.controller, place.slot, at, began.at):
+        if (
+            began.at > until
+            and place is not None
+            and facts.disturbed(began.controller, place.slot, at, began.at)
+        ):
             continue  # it was under way when its way was cut, and came when that ended
         stopped = [(s, e + WAKES_MS) for s, e in _stops(story, began.controller)]
         if began.at > until and _overlaps(stopped, at, began.at):
             continue  # its sender stood still, with what it had begun to send
-        verdict.check(began.at <= until, f"{began.name}: n{began.controller} to {began.instance}, "
-                                         f"{began.at - until:.0f} ms past the grace")
+        verdict.check(
+            began.at <= until,
+            f"{began.name}: n{began.controller} to {began.instance}, "
+            f"{began.at - until:.0f} ms past the grace",
+        )
 
 
 def _stops(story: Story, controller: int) -> list[Window]:
@@ -287,9 +294,12 @@
     by_instance: dict[str, list[Began]] = defaultdict(list)
     for attempt in story.attempts:
         by_instance[attempt.began.instance].append(attempt.began)
-    listed = {(number, instance): _knows(at, facts.blind.get(number, []))
-              for number, events in facts.told.items() for at, instance, state in events
-              if state == "in_service"}
+    listed = {
+        (number, instance): _knows(at, facts.blind.get(number, []))
+        for number, events in facts.told.items()
+        for at, instance, state in events
+        if state == "in_service"
+    }
     for instance, place in facts.places.items():
         if place.start_ms < 0.0:
             continue
@@ -298,16 +308,20 @@
         for end, began in enumerate(sent):
             while sent[start].at < began.at - facts.fall_ms:
                 start += 1
-            window = sent[start:end + 1]
+            window = sent[start : end + 1]
             work = sum(b.work_ms for b in window)
-            knowing = sum(b.work_ms for b in window
-                          if b.at > listed.get((b.controller, instance), float("inf")))
+            knowing = sum(
+                b.work_ms for b in window if b.at > listed.get((b.controller, instance), float("inf"))
+            )
             if knowing < KNOWING * work:
                 continue  # who was not told of the start could not know
             warm = facts.cold_share + (1 - facts.cold_share) * (began.at - place.start_ms) / facts.cold_ms
             most = facts.fall_multiple * warm * place.cores * facts.fall_ms
-            verdict.check(work <= most, f"{instance}: {work:.0f} ms of work within {facts.fall_ms:.0f} ms, "
-                                        f"{began.at - place.start_ms:.0f} ms after its start, of {most:.0f}")
+            verdict.check(
+                work <= most,
+                f"{instance}: {work:.0f} ms of work within {facts.fall_ms:.0f} ms, "
+                f"{began.at - place.start_ms:.0f} ms after its start, of {most:.0f}",
+            )
 
 
 def order_by_key(story: Story, facts: Facts, verdict: Verdict) -> None:
@@ -320,8 +334,9 @@
         request, place = story.requests.get(attempt.began.name), facts.places.get(attempt.began.instance)
         if request is not None and place is not None:
             zones = facts.classes[request.asked.cls].zones
-            verdict.check(not zones or place.zone in zones,
-                          f"{attempt.began.name}: {attempt.began.cls} in {place.zone}")
+            verdict.check(
+                not zones or place.zone in zones, f"{attempt.began.name}: {attempt.began.cls} in {place.zone}"
+            )
 
 
 def budget(story: Story, facts: Facts, verdict: Verdict) -> None:
--- a/fennelwind/audit/histories.py
+++ b/fennelwind/audit/histories.py
@@ -113,8 +113,12 @@
         self.match: _Node | None = None  # an ask's answer; None: of an answer, or unknown
 
 
-def check(history: Iterable[Operation], model: Model = dictionary, start: Hashable = ABSENT,
-          steps_most: int = STEPS_MOST) -> Answer:
+def check(
+    history: Iterable[Operation],
+    model: Model = dictionary,
+    start: Hashable = ABSENT,
+    steps_most: int = STEPS_MOST,
+) -> Answer:
     """Check a history against a model, key by key; the first key that is not in order is the answer."""
     by_key: dict[Hashable, list[Operation]] = {}
     for operation in history:
@@ -148,8 +152,9 @@
     return head
 
 
-def _check_key(key: Hashable, operations: list[Operation], model: Model, start: Hashable,
-               steps_most: int) -> Answer:
+def _check_key(
+    key: Hashable, operations: list[Operation], model: Model, start: Hashable, steps_most: int
+) -> Answer:
     head = _marks(operations)
     steps_most = min(steps_most, MEMORY_MOST // (len(operations) // 8 + 200))
     left = sum(operation.returned is not None for operation in operations)  # answered, and not in the order
--- a/fennelwind/audit/rules.py
+++ b/fennelwind/audit/rules.py
@@ -36,7 +36,14 @@
 def audit(trace: Trace, settings: pb.Settings) -> list[Verdict]:
     """Check all rules; return a verdict for each."""
     checks: tuple[Callable[[Trace, pb.Settings, Verdict], None], ...] = (
-        final_answers, effects, drains, cold_engines, order_by_key, placement, budget)
+        final_answers,
+        effects,
+        drains,
+        cold_engines,
+        order_by_key,
+        placement,
+        budget,
+    )
     verdicts = []
     for rule, check in zip(RULES, checks, strict=True):
         verdict = Verdict(rule)
@@ -89,14 +96,22 @@
                 verdict.check(not ran, f"{tag}: sent again after it may have run")
             elif cls.effect == pb.QueryClass.KEYED and ran:
                 first, here = places.get(ran[0].engine), places.get(attempt.engine)
-                same = cls.group == pb.QueryClass.ALL or first is not None and here is not None and (
-                    first.zone == here.zone and (cls.group == pb.QueryClass.ZONE or first.cell == here.cell))
+                same = (
+                    cls.group == pb.QueryClass.ALL
+                    or first is not None
+                    and here is not None
+                    and (
+                        first.zone == here.zone
+                        and (cls.group == pb.QueryClass.ZONE or first.cell == here.cell)
+                    )
+                )
                 verdict.check(same, f"{tag}: repeated outside its {pb.QueryClass.Group.Name(cls.group)}")
                 age = attempt.began - ran[0].began
                 verdict.check(age <= cls.memory_ms, f"{tag}: repeated after {age:.0f} ms")
         refused = any(kind == REFUSED for _, kind in query.answers)
         harmless = cls.effect == pb.QueryClass.SAFE or (
-            cls.effect == pb.QueryClass.KEYED and cls.group == pb.QueryClass.ALL)
+            cls.effect == pb.QueryClass.KEYED and cls.group == pb.QueryClass.ALL
+        )
         if refused and not harmless:
             verdict.check(all(a.end == NOT_RUN for a in attempts), f"{tag}: refused after it may have run")
 
@@ -143,14 +158,17 @@
         for end, attempt in enumerate(sent):
             while sent[start].began < attempt.began - r.fall_ms:
                 start += 1
-            work = sum(a.work_ms for a in sent[start:end + 1])
-            knowing = sum(a.work_ms for a in sent[start:end + 1] if a.began > told.at)
+            work = sum(a.work_ms for a in sent[start : end + 1])
+            knowing = sum(a.work_ms for a in sent[start : end + 1] if a.began > told.at)
             if knowing < KNOWING * work:
                 continue  # who was not told of the start could not know
             warm = r.cold_share + (1 - r.cold_share) * (attempt.began - launched) / r.cold_ms
             most = r.fall_multiple * warm * cores[told.kind] * r.fall_ms
-            verdict.check(work <= most, f"{engine}: {work:.0f} ms of work within {r.fall_ms:.0f} ms, "
-                                        f"{attempt.began - launched:.0f} ms after its start, of {most:.0f}")
+            verdict.check(
+                work <= most,
+                f"{engine}: {work:.0f} ms of work within {r.fall_ms:.0f} ms, "
+                f"{attempt.began - launched:.0f} ms after its start, of {most:.0f}",
+            )
 
 
 def order_by_key(trace: Trace, settings: pb.Settings, verdict: Verdict) -> None:
@@ -167,13 +185,17 @@
                     if other.asked > query.asked - SLACK_MS and other.wire != query.wire:
                         continue  # which of the two came first can't be seen from here
                     ends = [e[0] for e in other.answers] or [other.left or float("inf")]
-                    verdict.check(ends[0] <= attempt.began + SLACK_MS,
-                                  f"{key}: {query.tag} ran before {other.tag} had ended")
+                    verdict.check(
+                        ends[0] <= attempt.began + SLACK_MS,
+                        f"{key}: {query.tag} ran before {other.tag} had ended",
+                    )
                     for before in attempts.get(other.tag, ()):
                         rest = settings.rules.settle_ms if before.end in ("cut",) else 0.0
                         free = (before.ended if before.ended is not None else float("inf")) + rest
-                        verdict.check(free <= attempt.began + SLACK_MS,
-                                      f"{key}: {query.tag} ran while {other.tag} may have been running")
+                        verdict.check(
+                            free <= attempt.began + SLACK_MS,
+                            f"{key}: {query.tag} ran while {other.tag} may have been running",
+                        )
 
 
 def placement(trace: Trace, settings: pb.Settings, verdict: Verdict) -> None:
--- a/fennelwind/audit/sightings.py
+++ b/fennelwind/audit/sightings.py
@@ -114,7 +114,7 @@
     late_ms: float  # by how much its loop's timers were late at worst, if it is of the rig
 
 
-Sighting = (Asked | Answered | Left | Broken | Unreached | Odd | Began | Ended | Lived | Process | Usage)
+Sighting = Asked | Answered | Left | Broken | Unreached | Odd | Began | Ended | Lived | Process | Usage
 KINDS = (Asked, Answered, Left, Broken, Unreached, Odd, Began, Ended, Lived, Process, Usage)
 NUMBERS = {kind: number for number, kind in enumerate(KINDS)}
 
--- a/fennelwind/audit/trace.py
+++ b/fennelwind/audit/trace.py
@@ -103,8 +103,9 @@
                 entries |= {name: {**e, "state": "gone"} for name, e in known.items() if name not in entries}
             known |= entries
             for e in entries.values():
-                trace.told.append(Told(
-                    at, e["engine"], e["state"], e["zone"], e["kind"], e["cell"], e["launched_ms"]))
+                trace.told.append(
+                    Told(at, e["engine"], e["state"], e["zone"], e["kind"], e["cell"], e["launched_ms"])
+                )
 
 
 class _Wire:
@@ -184,8 +185,13 @@
         if method == "ExecuteStatement":
             said = request.confOverlay or {}
             query = Query(
-                said["standin.tag"], said["standin.class"], at, at + float(said["fennelwind.timeout_ms"]),
-                said.get("fennelwind.key", ""), self.number)
+                said["standin.tag"],
+                said["standin.class"],
+                at,
+                at + float(said["fennelwind.timeout_ms"]),
+                said.get("fennelwind.key", ""),
+                self.number,
+            )
             self.trace.queries[query.tag] = query
             self.mine.append(query)
             return query
--- a/fennelwind/clearance/book.py
+++ b/fennelwind/clearance/book.py
@@ -110,9 +110,13 @@
         self._order += 1
         self._said, self._again_at, self._not_before = made, now + AGAIN_MS, now + PACE_MS
         return pb.Word(
-            number=self.number, order=self._order, copies=self.copies, tables=self.tables,
+            number=self.number,
+            order=self._order,
+            copies=self.copies,
+            tables=self.tables,
             open_copies=[pb.Pair(name=name, engine=engine) for name, engine in copies],
-            open_tables=[pb.Pair(name=name, engine=engine) for name, engine in tables]), now + PACE_MS
+            open_tables=[pb.Pair(name=name, engine=engine) for name, engine in tables],
+        ), now + PACE_MS
 
     def unheard(self) -> None:
         """The last word did not reach the leader: it is due again, at its pace."""
--- a/fennelwind/clearance/words.py
+++ b/fennelwind/clearance/words.py
@@ -43,12 +43,12 @@
             return False  # late or doubled
         if last is None and len(self.said) >= len(roll.lives):
             self.said = {number: said for number, said in self.said.items() if number in roll.lives}
-        self.said[word.number] = _Said(word.order, word.copies, word.tables, _pairs(word.open_copies),
-                                       _pairs(word.open_tables))
+        self.said[word.number] = _Said(
+            word.order, word.copies, word.tables, _pairs(word.open_copies), _pairs(word.open_tables)
+        )
         return True
 
-    def hears(self, wishes: Iterable[pb.Wish], roll: RollMachine, index: int,
-              clock_ms: int) -> pb.Heard:
+    def hears(self, wishes: Iterable[pb.Wish], roll: RollMachine, index: int, clock_ms: int) -> pb.Heard:
         """Return how each wish stands by the roll as of entry `index` and the record's clock then.
 
         A roll of an entry ahead of the wish may lack controllers who send by a view from before it.
--- a/fennelwind/cli/bench.py
+++ b/fennelwind/cli/bench.py
@@ -50,8 +50,10 @@
 def spread() -> None:
     """Decisions with news of whole loads beside those without, by number of executors."""
     rows = [["executors", "queries a second", "us a query without", "with", "KB kept"]]
-    rows += [[str(engines), f"{rate:g}", f"{without:.0f}", f"{told:.0f}", f"{kept:.0f}"]
-             for engines, rate, without, told, kept in spread_bench.measure()]
+    rows += [
+        [str(engines), f"{rate:g}", f"{without:.0f}", f"{told:.0f}", f"{kept:.0f}"]
+        for engines, rate, without, told, kept in spread_bench.measure()
+    ]
     click.echo(table(rows))
 
 
@@ -77,13 +79,23 @@
     for count, ways in results["connections"].items():
         for way, seen in ways.items():
             ratio = seen["rate"] / ways["relay"]["rate"]
-            lines.append([str(count), way, f"{seen['rate']:.0f}", f"{ratio:.2f}", f"{seen['median_ms']:.2f}",
-                          f"{seen['p99_ms']:.2f}"])
+            lines.append(
+                [
+                    str(count),
+                    way,
+                    f"{seen['rate']:.0f}",
+                    f"{ratio:.2f}",
+                    f"{seen['median_ms']:.2f}",
+                    f"{seen['p99_ms']:.2f}",
+                ]
+            )
     click.echo(table(lines))
     stages = list(dict.fromkeys(stage for shares in results["stages"].values() for stage in shares))
     lines = [["the controller's CPU time", *(f"{count} conn." for count in results["stages"])]]
-    lines += [[stage, *(f"{shares.get(stage, 0.0):.0%}" for shares in results["stages"].values())]
-              for stage in stages]
+    lines += [
+        [stage, *(f"{shares.get(stage, 0.0):.0%}" for shares in results["stages"].values())]
+        for stage in stages
+    ]
     click.echo("\n" + table(lines))
     if json_file is not None:
         json_file.write_text(json.dumps(results, indent=2) + "\n", encoding="utf-8")
--- a/fennelwind/cli/council.py
+++ b/fennelwind/cli/council.py
@@ -47,8 +47,10 @@
         try:
             durable = folder.open()
             left = look(durable)
-            click.echo(f"{left.name}: last entry {left.last} of term {left.last_term}, members "
-                       f"{', '.join(left.members) or 'none'}; {left.majority} of them go on without this")
+            click.echo(
+                f"{left.name}: last entry {left.last} of term {left.last_term}, members "
+                f"{', '.join(left.members) or 'none'}; {left.majority} of them go on without this"
+            )
             if yes:
                 now = found_alone(folder, durable, str(place.members[place.me]))
                 click.echo(f"{now.name} is the only member now, from entry {now.last} on")
--- a/fennelwind/cli/demo.py
+++ b/fennelwind/cli/demo.py
@@ -32,8 +32,22 @@
         path.write_text(text_format.MessageToString(settings), encoding="utf-8")
         self.log = log.open("w", encoding="utf-8")
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "fennelwind.cli.main", "serve", str(path), "--seed", str(seed),
-             "--log", "json", *extra], stdout=subprocess.PIPE, stderr=self.log, text=True)
+            [
+                sys.executable,
+                "-m",
+                "fennelwind.cli.main",
+                "serve",
+                str(path),
+                "--seed",
+                str(seed),
+                "--log",
+                "json",
+                *extra,
+            ],
+            stdout=subprocess.PIPE,
+            stderr=self.log,
+            text=True,
+        )
         line = self.process.stdout.readline()  # it prints the line or ends
         if not line:
             raise click.ClickException(f"the controller did not start; see {log}")
@@ -58,8 +72,11 @@
     worth = {c.name: c.worth for c in settings.classes}
     asked = sum(row["taken"] * worth[name] for name, row in classes.items())
     served = sum(row["in_time"] * worth[name] for name, row in classes.items())
-    return {"classes": classes, "worth": served / asked if asked else 0.0,
-            "rules": {v.rule: {"checks": v.checks, "breaks": len(v.breaks)} for v in verdicts}}
+    return {
+        "classes": classes,
+        "worth": served / asked if asked else 0.0,
+        "rules": {v.rule: {"checks": v.checks, "breaks": len(v.breaks)} for v in verdicts},
+    }
 
 
 def show(told: dict, verdicts: list[Verdict]) -> None:
@@ -78,19 +95,44 @@
 
 
 @click.command()
-@click.option("--settings", "settings_file", type=click.Path(exists=True, dir_okay=False, path_type=Path),
-              default=DATA / "bad-day.settings.txtpb")
-@click.option("--script", "script_file", type=click.Path(exists=True, dir_okay=False, path_type=Path),
-              default=DATA / "bad-day.script.txtpb")
+@click.option(
+    "--settings",
+    "settings_file",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    default=DATA / "bad-day.settings.txtpb",
+)
+@click.option(
+    "--script",
+    "script_file",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    default=DATA / "bad-day.script.txtpb",
+)
 @click.option("--seed", type=int, default=None, help="In place of the script's.")
-@click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path), default=None,
-              help="Write the figures to this file.")
-@click.option("--log", "log_file", type=click.Path(dir_okay=False, path_type=Path), default=None,
-              help="Where the controller logs to; default: a file in the system's temporary folder.")
+@click.option(
+    "--json",
+    "json_file",
+    type=click.Path(dir_okay=False, path_type=Path),
+    default=None,
+    help="Write the figures to this file.",
+)
+@click.option(
+    "--log",
+    "log_file",
+    type=click.Path(dir_okay=False, path_type=Path),
+    default=None,
+    help="Where the controller logs to; default: a file in the system's temporary folder.",
+)
 @click.option("--keep", is_flag=True, help="Play nothing; leave controller and stand-ins up until SIGTERM.")
 @click.option("--listen", default=None, help="HOST:PORT of the controller.")
-def demo(settings_file: Path, script_file: Path, seed: int | None, json_file: Path | None,
-         log_file: Path | None, keep: bool, listen: str | None) -> None:
+def demo(
+    settings_file: Path,
+    script_file: Path,
+    seed: int | None,
+    json_file: Path | None,
+    log_file: Path | None,
+    keep: bool,
+    listen: str | None,
+) -> None:
     """Play a scripted bad day and check the seven rules. Exits with 1 if a rule broke."""
     settings = config.load(settings_file).file
     try:
--- a/fennelwind/cli/fleet.py
+++ b/fennelwind/cli/fleet.py
@@ -17,34 +17,54 @@
 FOLDER = click.Path(file_okay=False, path_type=Path)
 
 
-def _day(name: str, controllers: int | None, executors: int | None, seconds: float | None,
-         overlay: str | None) -> dayfile.Day:
+def _day(
+    name: str, controllers: int | None, executors: int | None, seconds: float | None, overlay: str | None
+) -> dayfile.Day:
     """Read a day with its changes, or end with all that is wrong."""
     try:
         day = dayfile.load(name)
         text = Path(overlay).read_text(encoding="utf-8") if overlay else ""
         if controllers is None and executors is None and seconds is None and not text:
             return day
-        return dayfile.change(day, controllers=controllers, executors=executors, seconds=seconds,
-                              overlay=text)
+        return dayfile.change(
+            day, controllers=controllers, executors=executors, seconds=seconds, overlay=text
+        )
     except SettingsError as exc:
         raise click.ClickException(str(exc)) from None
     except (OSError, UnicodeDecodeError) as exc:
-        raise click.ClickException(f"{name}: no day file that can be read ({exc}), and none of "
-                                   f"{', '.join(dayfile.bundled())}") from None
+        raise click.ClickException(
+            f"{name}: no day file that can be read ({exc}), and none of {', '.join(dayfile.bundled())}"
+        ) from None
 
 
 def sized(command: Any) -> Any:
     """Give a command the options that change a day."""
     for option in (
-            click.option("--overlay", type=click.Path(exists=True, dir_okay=False), default=None,
-                         help="A file whose fields take the place of the day's."),
-            click.option("--seconds", type=click.FloatRange(0.1, 3600.0), default=None,
-                         help="Another length; the faults' times are scaled."),
-            click.option("--executors", type=click.IntRange(1, dayfile.EXECUTORS_MOST), default=None,
-                         help="Another number of executors; rates follow their cores."),
-            click.option("--controllers", type=click.IntRange(1, dayfile.CONTROLLERS_MOST), default=None,
-                         help="Another number of controllers.")):
+        click.option(
+            "--overlay",
+            type=click.Path(exists=True, dir_okay=False),
+            default=None,
+            help="A file whose fields take the place of the day's.",
+        ),
+        click.option(
+            "--seconds",
+            type=click.FloatRange(0.1, 3600.0),
+            default=None,
+            help="Another length; the faults' times are scaled.",
+        ),
+        click.option(
+            "--executors",
+            type=click.IntRange(1, dayfile.EXECUTORS_MOST),
+            default=None,
+            help="Another number of executors; rates follow their cores.",
+        ),
+        click.option(
+            "--controllers",
+            type=click.IntRange(1, dayfile.CONTROLLERS_MOST),
+            default=None,
+            help="Another number of controllers.",
+        ),
+    ):
         command = option(command)
     return command
 
@@ -52,8 +72,18 @@
 def show(result: Any) -> None:
     """Print a day's figures and verdicts."""
     told = result.figures
-    columns = ["requests", "served", "late", "refused", "failed", "withdrawn", "lost", "worth", "p50_ms",
-               "p99_ms"]
+    columns = [
+        "requests",
+        "served",
+        "late",
+        "refused",
+        "failed",
+        "withdrawn",
+        "lost",
+        "worth",
+        "p50_ms",
+        "p99_ms",
+    ]
     rows = [["class", *(column.replace("_", " ") for column in columns)]]
     for name, row in told["classes"].items():
         rows.append([name, *(f"{row[c]:.3f}" if isinstance(row[c], float) else str(row[c]) for c in columns)])
@@ -64,13 +94,30 @@
         f"{told['attempts_a_request']:.2f}; executors: variation {told['uneven']:.2f}, idle while another "
         f"queues {told['idle_while_queued']:.3f}, largest herd {told['herd']}, attempts that met an overfull "
         f"one {told['overfull']:.3f}, short of memory {told['short_of_memory']:.3f}, wasted work "
-        f"{told['wasted']:.3f}" + ("" if recovery is None else f"; recovered after {recovery:.0f} ms") + "\n")
+        f"{told['wasted']:.3f}" + ("" if recovery is None else f"; recovered after {recovery:.0f} ms") + "\n"
+    )
     if told["faults"]:
-        click.echo(table([["fault", "at", "for", "worth served around it"]] + [
-            [row["kind"].lower(), f"{row['at_ms']:.0f}", f"{row['for_ms']:.0f}",
-             "-" if row["worth"] is None else f"{row['worth']:.3f}"] for row in told["faults"]]) + "\n")
-    click.echo(table([["rule", "checks", "breaks"]] + [
-        [rule["rule"], str(rule["checks"]), str(rule["breaks"])] for rule in result.rules]))
+        click.echo(
+            table(
+                [["fault", "at", "for", "worth served around it"]]
+                + [
+                    [
+                        row["kind"].lower(),
+                        f"{row['at_ms']:.0f}",
+                        f"{row['for_ms']:.0f}",
+                        "-" if row["worth"] is None else f"{row['worth']:.3f}",
+                    ]
+                    for row in told["faults"]
+                ]
+            )
+            + "\n"
+        )
+    click.echo(
+        table(
+            [["rule", "checks", "breaks"]]
+            + [[rule["rule"], str(rule["checks"]), str(rule["breaks"])] for rule in result.rules]
+        )
+    )
     for rule in result.rules:
         for text in rule["first"]:
             click.echo(f"BROKEN {rule['rule']}: {text}")
@@ -101,16 +148,28 @@
     for name in dayfile.bundled():
         day = dayfile.load(name)
         rate = sum(day.per_s(load) for load in day.file.loads)
-        rows.append([name, str(day.file.controllers.count), str(day.executors),
-                     f"{day.file.length_ms / 1000.0:g}", f"{rate:.0f}", day.file.about])
+        rows.append(
+            [
+                name,
+                str(day.file.controllers.count),
+                str(day.executors),
+                f"{day.file.length_ms / 1000.0:g}",
+                f"{rate:.0f}",
+                day.file.about,
+            ]
+        )
     click.echo(table(rows))
 
 
 @fleet.command(name="sim")
 @click.argument("day")
 @click.option("--seed", type=int, default=None, help="In place of the day's.")
-@click.option("--policy", default="module", show_default=True,
-              help="What decides: module, random, fewest, two, reported, late or late:MS.")
+@click.option(
+    "--policy",
+    default="module",
+    show_default=True,
+    help="What decides: module, random, fewest, two, reported, late or late:MS.",
+)
 @click.option("--out", type=FOLDER, default=None, help="Keep the result in this folder.")
 @sized
 def sim_command(day: str, seed: int | None, policy: str, out: Path | None, **changes: Any) -> None:
@@ -152,8 +211,12 @@
 
 @fleet.command()
 @click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
-@click.option("--to", type=click.Path(dir_okay=False, path_type=Path), default=None,
-              help="Where the page goes; default: report.html in the folder.")
+@click.option(
+    "--to",
+    type=click.Path(dir_okay=False, path_type=Path),
+    default=None,
+    help="Where the page goes; default: report.html in the folder.",
+)
 def report(folder: Path, to: Path | None) -> None:
     """Make a page with tables and charts of the results kept in FOLDER."""
     from fennelwind.fleet.play import load_all
@@ -173,14 +236,26 @@
 @fleet.command(name="compare")
 @click.argument("days", nargs=-1, required=True)
 @click.option("--a", "base", default="module", show_default=True, help="The first variant.")
-@click.option("--b", "others", multiple=True, required=True,
-              help="What it is compared with; may be given several times.")
+@click.option(
+    "--b",
+    "others",
+    multiple=True,
+    required=True,
+    help="What it is compared with; may be given several times.",
+)
 @click.option("--seeds", default="1-8", show_default=True, help="FIRST-LAST.")
 @click.option("--workers", type=click.IntRange(1, 256), default=None, help="Days at a time; default: cores.")
 @click.option("--out", type=FOLDER, default=None, help="Keep the results in this folder.")
 @sized
-def compare_command(days: tuple[str, ...], base: str, others: tuple[str, ...], seeds: str,
-                    workers: int | None, out: Path | None, **changes: Any) -> None:
+def compare_command(
+    days: tuple[str, ...],
+    base: str,
+    others: tuple[str, ...],
+    seeds: str,
+    workers: int | None,
+    out: Path | None,
+    **changes: Any,
+) -> None:
     """Play DAYS with variants on the same seeds, pair by pair, in virtual time.
 
     A variant is a policy of `fleet sim`, commit:REV, or overlay:FILE; @TEXT behind it draws other random
@@ -211,10 +286,23 @@
     for other in variants[1:]:
         for name, label, a, b, diff in rows(results, variants[0], other):
             interval = f"{diff.low:+.4f} to {diff.high:+.4f}"
-            verdict = ("better" if (diff.mean > 0) == (label == "worth") else "worse") if diff.told_apart \
+            verdict = (
+                ("better" if (diff.mean > 0) == (label == "worth") else "worse")
+                if diff.told_apart
                 else "not told apart"
-            told.append([name, METRICS[label], f"{a:.4f}", other.text, f"{b:.4f}", f"{diff.mean:+.4f}",
-                         interval, verdict])
+            )
+            told.append(
+                [
+                    name,
+                    METRICS[label],
+                    f"{a:.4f}",
+                    other.text,
+                    f"{b:.4f}",
+                    f"{diff.mean:+.4f}",
+                    interval,
+                    verdict,
+                ]
+            )
     click.echo(table(told))
     lines = broken(results)
     for line in lines[:20]:
@@ -234,8 +322,14 @@
     from fennelwind.fleet.capacity import IDLE_ROWS, measure
 
     cost = measure()
-    click.echo(table([
-        ["a message there and back", "us"], ["direct", f"{cost.direct_us:.0f}"],
-        ["through a relay", f"{cost.relayed_us:.0f}"],
-        [f"through one with {IDLE_ROWS} more listeners", f"{cost.crowded_us:.0f}"]]))
+    click.echo(
+        table(
+            [
+                ["a message there and back", "us"],
+                ["direct", f"{cost.direct_us:.0f}"],
+                ["through a relay", f"{cost.relayed_us:.0f}"],
+                [f"through one with {IDLE_ROWS} more listeners", f"{cost.crowded_us:.0f}"],
+            ]
+        )
+    )
     click.echo(f"\nOne relay process is full at some {cost.per_s:.0f} messages a second; plan for a third.")
--- a/fennelwind/cli/main.py
+++ b/fennelwind/cli/main.py
@@ -67,8 +67,10 @@
     """Check settings; tell all that is wrong, with line and column."""
     settings = load(file)
     m = settings.module
-    click.echo(f"{file}: good: {len(m.classes)} classes, {len(settings.engines)} engines stated, "
-               f"discovery {settings.discovery or 'none'}")
+    click.echo(
+        f"{file}: good: {len(m.classes)} classes, {len(settings.engines)} engines stated, "
+        f"discovery {settings.discovery or 'none'}"
+    )
 
 
 @main.command()
@@ -76,8 +78,12 @@
 @click.option("--log", "form", type=click.Choice(["console", "json"]), default="console", show_default=True)
 @click.option("--answers", is_flag=True, help="Log a line for each final answer.")
 @click.option("--seed", type=int, default=None, help="Seed of the decisions; drawn if not given.")
-@click.option("--sample", type=click.Path(dir_okay=False, path_type=Path), default=None,
-              help="Write to this file, at the end, which part of the program the CPU time went to.")
+@click.option(
+    "--sample",
+    type=click.Path(dir_okay=False, path_type=Path),
+    default=None,
+    help="Write to this file, at the end, which part of the program the CPU time went to.",
+)
 def serve(file: Path, form: str, answers: bool, seed: int | None, sample: Path | None) -> None:
     """Run a controller until SIGTERM or SIGINT. Prints one line of JSON once it listens."""
     settings = load(file)
@@ -97,8 +103,12 @@
             program.start()
         except OSError as exc:
             raise click.ClickException(f"{settings.listen}: {exc.strerror or exc}") from None
-        loop.on_signal(signal.SIGHUP, lambda: observer.log.info(
-            "reload", users=program.reload_users(), certificates=program.reload_certificates()))
+        loop.on_signal(
+            signal.SIGHUP,
+            lambda: observer.log.info(
+                "reload", users=program.reload_users(), certificates=program.reload_certificates()
+            ),
+        )
         click.echo(json.dumps({"ready": True, "listen": str(program.address)}))
         observer.log.info("listening", address=str(program.address), seed=seed)
         sampler = Sampler()
@@ -111,8 +121,14 @@
         program.close()
         ledger, driver = program.driver.ledger, program.driver
         observer.log.info(
-            "closed", balanced=ledger.balanced(), open=ledger.open, second_answers=ledger.second,
-            overdue=ledger.overdue, forgotten=driver.forgotten, step_errors=driver.step_errors)
+            "closed",
+            balanced=ledger.balanced(),
+            open=ledger.open,
+            second_answers=ledger.second,
+            overdue=ledger.overdue,
+            forgotten=driver.forgotten,
+            step_errors=driver.step_errors,
+        )
 
     loop.run(run)
 
--- a/fennelwind/cli/program.py
+++ b/fennelwind/cli/program.py
@@ -28,19 +28,33 @@
     def __init__(self, loop: Loop, settings: Controller, observer: Observer, seed: int) -> None:
         self.loop, self.settings, self.observer = loop, settings, observer
         rules = settings.file.rules
-        self.links = EngineLinks(loop, settings.file.links, settings.module.report_fields,
-                                 settings.engines_tls)
+        self.links = EngineLinks(
+            loop, settings.file.links, settings.module.report_fields, settings.engines_tls
+        )
         module, router = self._routing()
         self.driver = Driver(
-            loop, module, self.links, observer, seed=seed, max_open=settings.file.max_open,
+            loop,
+            module,
+            self.links,
+            observer,
+            seed=seed,
+            max_open=settings.file.max_open,
             margin=AnswerMargin(rules.answer_margin_ms, rules.answer_margin_most_ms),
-            subscribe=self._subscribe, router=router)
+            subscribe=self._subscribe,
+            router=router,
+        )
         self.discovery = None
         if settings.discovery is not None:
             self.discovery = DiscoveryLink(
-                loop, settings.discovery, pushed=settings.file.discovery.mode == pb.Discovery.PUSHED,
-                zones=settings.zones, kinds=settings.kinds, post=self.driver.post, seed=seed,
-                said=observer.said)
+                loop,
+                settings.discovery,
+                pushed=settings.file.discovery.mode == pb.Discovery.PUSHED,
+                zones=settings.zones,
+                kinds=settings.kinds,
+                post=self.driver.post,
+                seed=seed,
+                said=observer.said,
+            )
         self.service = Service(loop, settings, self.driver)
         self.keeper = self._keeper(seed) if settings.council is not None else None
         self.front: Front | None = None
@@ -91,9 +105,16 @@
         from fennelwind.keeper.whole import Keeper
 
         c = self.settings.council
-        place = Place(c.fleet, c.me, c.members, c.folder, c.listen,
-                      Timing(heartbeat_ms=c.heartbeat_ms, election_ms=c.election_ms),
-                      c.reserve_bytes, c.handover_ms)
+        place = Place(
+            c.fleet,
+            c.me,
+            c.members,
+            c.folder,
+            c.listen,
+            Timing(heartbeat_ms=c.heartbeat_ms, election_ms=c.election_ms),
+            c.reserve_bytes,
+            c.handover_ms,
+        )
         keeper = Keeper(self.loop, place, seed, self.observer.council)
         keeper.serve_engines(self.links, self._engines)
         self.service.gate = keeper.gate
@@ -123,16 +144,35 @@
             for name, engine in self.driver.gateway.engines.items():
                 entry = engine.entry
                 kind = kinds[entry.kind // parts]
-                found.append(Home(name, self.settings.zones[entry.zone], kind.name, kind.disk_bytes,
-                                  kind.headroom_bytes, entry.state))
+                found.append(
+                    Home(
+                        name,
+                        self.settings.zones[entry.zone],
+                        kind.name,
+                        kind.disk_bytes,
+                        kind.headroom_bytes,
+                        entry.state,
+                    )
+                )
             return found
 
         usual = Bounds()
-        bounds = Bounds(told.streams_per_engine or usual.streams_per_engine,
-                        told.streams_per_link or usual.streams_per_link,
-                        told.bytes_per_hour or usual.bytes_per_hour)
-        shards = [Shard(name=s.name, table=s.name.partition("/")[0], size=s.size_bytes, copies=s.copies or 1,
-                        zones=s.zones or 1, kinds=s.kinds) for s in told.shards]
+        bounds = Bounds(
+            told.streams_per_engine or usual.streams_per_engine,
+            told.streams_per_link or usual.streams_per_link,
+            told.bytes_per_hour or usual.bytes_per_hour,
+        )
+        shards = [
+            Shard(
+                name=s.name,
+                table=s.name.partition("/")[0],
+                size=s.size_bytes,
+                copies=s.copies or 1,
+                zones=s.zones or 1,
+                kinds=s.kinds,
+            )
+            for s in told.shards
+        ]
         router = self.driver.router
         book = router.opened
         book.route_copies, book.route_tables = self.driver.copies, self.driver.quiet
@@ -140,8 +180,9 @@
         def launched() -> dict[str, float]:
             return {name: engine.entry.launched_ms for name, engine in self.driver.gateway.engines.items()}
 
-        keeper.serve_shards(self.links, homes, told.staging, bounds, shards, book, router.named,
-                            cleared=told.clearances)
+        keeper.serve_shards(
+            self.links, homes, told.staging, bounds, shards, book, router.named, cleared=told.clearances
+        )
         keeper.moves.launched = launched
 
     def _engines(self) -> list[str]:
--- a/fennelwind/cli/standin.py
+++ b/fennelwind/cli/standin.py
@@ -29,12 +29,15 @@
 @click.option("--cores", type=click.IntRange(1), default=8, show_default=True)
 @click.option("--memory-mb", type=float, default=16384.0, show_default=True)
 @click.option("--cold", is_flag=True, help="Start cold, as after a crash.")
-@click.option("--slow", type=click.FloatRange(1.0), default=1.0, show_default=True,
-              help="Times the usual time.")
-@click.option("--fault", multiple=True,
-              type=click.Choice(["hang", "lose", "refuse", "error", "cut", "twice"]))
-def engine(listen: str, cores: int, memory_mb: float, cold: bool, slow: float,
-           fault: tuple[str, ...]) -> None:
+@click.option(
+    "--slow", type=click.FloatRange(1.0), default=1.0, show_default=True, help="Times the usual time."
+)
+@click.option(
+    "--fault", multiple=True, type=click.Choice(["hang", "lose", "refuse", "error", "cut", "twice"])
+)
+def engine(
+    listen: str, cores: int, memory_mb: float, cold: bool, slow: float, fault: tuple[str, ...]
+) -> None:
     """An engine that answers statements with rows."""
     loop = RealLoop()
 
--- a/fennelwind/client/connection.py
+++ b/fennelwind/client/connection.py
@@ -19,10 +19,21 @@
 READ_BYTES = 262_144
 
 
-def connect(host: str, port: int = 10_000, *, user: str = "", password: str = "", transport: str = "sasl",
-            database: str = "", configuration: dict[str, str] | None = None, timeout_s: float = 60.0,
-            connect_timeout_s: float = 10.0, tries: int = 5, ssl_context: ssl.SSLContext | None = None,
-            chance: Callable[[], float] = random.random) -> "Connection":
+def connect(
+    host: str,
+    port: int = 10_000,
+    *,
+    user: str = "",
+    password: str = "",
+    transport: str = "sasl",
+    database: str = "",
+    configuration: dict[str, str] | None = None,
+    timeout_s: float = 60.0,
+    connect_timeout_s: float = 10.0,
+    tries: int = 5,
+    ssl_context: ssl.SSLContext | None = None,
+    chance: Callable[[], float] = random.random,
+) -> "Connection":
     """Connect and open a session.
 
     - `transport`: "sasl" (PLAIN), "framed" or "buffered"
@@ -32,16 +43,38 @@
 
     Raises `OperationalError` if there is no connection or no session.
     """
-    return Connection((host, port), user, password, transport, database, dict(configuration or {}), timeout_s,
-                      connect_timeout_s, tries, ssl_context, chance)
+    return Connection(
+        (host, port),
+        user,
+        password,
+        transport,
+        database,
+        dict(configuration or {}),
+        timeout_s,
+        connect_timeout_s,
+        tries,
+        ssl_context,
+        chance,
+    )
 
 
 class Connection:
     """A connection (PEP 249). `reconnect` opens a new one after it was lost; its old operations are gone."""
 
-    def __init__(self, address: tuple[str, int], user: str, password: str, transport: str, database: str,
-                 configuration: dict[str, str], timeout_s: float, connect_timeout_s: float, tries: int,
-                 ssl_context: ssl.SSLContext | None, chance: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        user: str,
+        password: str,
+        transport: str,
+        database: str,
+        configuration: dict[str, str],
+        timeout_s: float,
+        connect_timeout_s: float,
+        tries: int,
+        ssl_context: ssl.SSLContext | None,
+        chance: Callable[[], float],
+    ) -> None:
         self.address, self.user, self.transport = address, user, transport
         self.timeout_s, self.connect_timeout_s, self.tries = timeout_s, connect_timeout_s, tries
         self.chance = chance
@@ -75,8 +108,11 @@
             self._drop()
             raise OperationalError(f"{self.address[0]}:{self.address[1]}: {exc}") from exc
         self.lives += 1
-        reply = self.call("OpenSession", hs2.TOpenSessionReq(
-            hs2.PROTOCOL_NEWEST, self.user, None, self._configuration), self.connect_timeout_s)
+        reply = self.call(
+            "OpenSession",
+            hs2.TOpenSessionReq(hs2.PROTOCOL_NEWEST, self.user, None, self._configuration),
+            self.connect_timeout_s,
+        )
         self.session, self.told = reply.sessionHandle, dict(reply.configuration or {})
 
     def call(self, method: str, request: Structure, timeout_s: float) -> Structure:
@@ -138,8 +174,19 @@
 
     def sibling(self) -> "Connection":
         """Return a further connection to the same place, as cancelling from another thread needs."""
-        return Connection(self.address, self.user, self._password, self.transport, "", {}, self.timeout_s,
-                          self.connect_timeout_s, 1, self._ssl, self.chance)
+        return Connection(
+            self.address,
+            self.user,
+            self._password,
+            self.transport,
+            "",
+            {},
+            self.timeout_s,
+            self.connect_timeout_s,
+            1,
+            self._ssl,
+            self.chance,
+        )
 
     def commit(self) -> None:
         """Do nothing: each statement stands for itself."""
--- a/fennelwind/client/cursor.py
+++ b/fennelwind/client/cursor.py
@@ -45,8 +45,15 @@
         self._until = 0.0
         self._timeout_s = connection.timeout_s
 
-    def execute(self, operation: str, parameters: Parameters = None, *, timeout_s: float | None = None,
-                repeatable: bool = False, configuration: Mapping[str, str] | None = None) -> "Cursor":
+    def execute(
+        self,
+        operation: str,
+        parameters: Parameters = None,
+        *,
+        timeout_s: float | None = None,
+        repeatable: bool = False,
+        configuration: Mapping[str, str] | None = None,
+    ) -> "Cursor":
         """Run a statement and wait for its end; return the cursor.
 
         - `timeout_s`: seconds in which it has to be answered, told to the server as well
@@ -95,8 +102,11 @@
         left = self._left()
         said = {**said, "fennelwind.timeout_ms": str(int(left * 1000))}
         beside = not any(key.startswith(SCHEMA) for key in said)
-        reply = self.connection.call("ExecuteStatement", hs2.TExecuteStatementReq(
-            self.connection.session, statement, said, beside, ceil(left)), left + GRACE_S)
+        reply = self.connection.call(
+            "ExecuteStatement",
+            hs2.TExecuteStatementReq(self.connection.session, statement, said, beside, ceil(left)),
+            left + GRACE_S,
+        )
         self.told = list(reply.status.infoMessages or ())
         if reply.operationHandle is None:  # it was done within the call, and has no rows
             return
@@ -120,8 +130,10 @@
     def _describe(self) -> None:
         schema = self._call("GetResultSetMetadata", hs2.TGetResultSetMetadataReq(self._handle)).schema
         self._names = [type_name(column) for column in schema.columns]
-        self.description = [(column.columnName, name, None, None, None, None, True)
-                            for column, name in zip(schema.columns, self._names, strict=True)]
+        self.description = [
+            (column.columnName, name, None, None, None, None, True)
+            for column, name in zip(schema.columns, self._names, strict=True)
+        ]
         self._more, self.rowcount, self._read = True, -1, 0
 
     def _call(self, method: str, request: Structure) -> Structure:
@@ -135,8 +147,10 @@
         if self._life != self.connection.lives or self.connection.lost:
             raise OperationalError("the connection was lost, and the rest of the rows with it", "08S01")
         self._until = time.monotonic() + self._timeout_s
-        reply = self._call("FetchResults", hs2.TFetchResultsReq(
-            self._handle, hs2.FETCH_NEXT, max(PAGE_ROWS, self.arraysize), 0))
+        reply = self._call(
+            "FetchResults",
+            hs2.TFetchResultsReq(self._handle, hs2.FETCH_NEXT, max(PAGE_ROWS, self.arraysize), 0),
+        )
         rows = read_page(reply.results, self._names) if reply.results is not None else []
         self._rows.extend(rows)
         self._read += len(rows)
--- a/fennelwind/client/errors.py
+++ b/fennelwind/client/errors.py
@@ -63,9 +63,17 @@
     """It is not served."""
 
 
-BY_CLASS = {"22": DataError, "23": IntegrityError, "42": ProgrammingError, "3D": ProgrammingError,
-            "3F": ProgrammingError, "07": ProgrammingError, "21": ProgrammingError, "0A": NotSupportedError,
-            "XX": InternalError}
+BY_CLASS = {
+    "22": DataError,
+    "23": IntegrityError,
+    "42": ProgrammingError,
+    "3D": ProgrammingError,
+    "3F": ProgrammingError,
+    "07": ProgrammingError,
+    "21": ProgrammingError,
+    "0A": NotSupportedError,
+    "XX": InternalError,
+}
 
 
 def error_of(status: Any) -> DatabaseError:
--- a/fennelwind/client/types.py
+++ b/fennelwind/client/types.py
@@ -9,9 +9,31 @@
 from fennelwind.thrift.codec import Structure
 
 # TTypeId of the published interface.
-NAMES = ("BOOLEAN", "TINYINT", "SMALLINT", "INT", "BIGINT", "FLOAT", "DOUBLE", "STRING", "TIMESTAMP",
-         "BINARY", "ARRAY", "MAP", "STRUCT", "UNION", "USER_DEFINED", "DECIMAL", "NULL", "DATE", "VARCHAR",
-         "CHAR", "INTERVAL_YEAR_MONTH", "INTERVAL_DAY_TIME", "TIMESTAMPLOCALTZ")
+NAMES = (
+    "BOOLEAN",
+    "TINYINT",
+    "SMALLINT",
+    "INT",
+    "BIGINT",
+    "FLOAT",
+    "DOUBLE",
+    "STRING",
+    "TIMESTAMP",
+    "BINARY",
+    "ARRAY",
+    "MAP",
+    "STRUCT",
+    "UNION",
+    "USER_DEFINED",
+    "DECIMAL",
+    "NULL",
+    "DATE",
+    "VARCHAR",
+    "CHAR",
+    "INTERVAL_YEAR_MONTH",
+    "INTERVAL_DAY_TIME",
+    "TIMESTAMPLOCALTZ",
+)
 
 
 class TypeGroup(frozenset):
@@ -47,8 +69,11 @@
 
 
 READERS: dict[str, Callable[[Any], Any]] = {
-    "TIMESTAMP": _moment, "DATE": lambda raw: date.fromisoformat(_text(raw)),
-    "DECIMAL": lambda raw: Decimal(_text(raw)), "BINARY": lambda raw: raw}
+    "TIMESTAMP": _moment,
+    "DATE": lambda raw: date.fromisoformat(_text(raw)),
+    "DECIMAL": lambda raw: Decimal(_text(raw)),
+    "BINARY": lambda raw: raw,
+}
 
 
 def read_page(page: Structure, names: Sequence[str]) -> list[tuple[Any, ...]]:
@@ -115,5 +140,19 @@
         raise ProgrammingError(f"parameters do not fit the statement: {exc}") from None
 
 
-__all__ = ["BINARY", "Binary", "DATETIME", "Date", "NUMBER", "ROWID", "STRING", "Time", "Timestamp", "bind",
-           "literal", "read_page", "timedelta", "type_name"]
+__all__ = [
+    "BINARY",
+    "Binary",
+    "DATETIME",
+    "Date",
+    "NUMBER",
+    "ROWID",
+    "STRING",
+    "Time",
+    "Timestamp",
+    "bind",
+    "literal",
+    "read_page",
+    "timedelta",
+    "type_name",
+]
--- a/fennelwind/config/read.py
+++ b/fennelwind/config/read.py
@@ -17,19 +17,64 @@
 from fennelwind.config.users import User, UsersError, load_users
 from fennelwind.loop.streams import Address, parse_address
 
-LISTENER = ("max_connections", "max_sessions", "max_operations", "idle_ms", "long_poll_ms",
-            "max_request_bytes", "max_connections_per_address", "max_sessions_per_user",
-            "max_bytes_per_s_per_user")
+LISTENER = (
+    "max_connections",
+    "max_sessions",
+    "max_operations",
+    "idle_ms",
+    "long_poll_ms",
+    "max_request_bytes",
+    "max_connections_per_address",
+    "max_sessions_per_user",
+    "max_bytes_per_s_per_user",
+)
 LINKS = ("max_links", "connect_ms", "idle_ms", "page_rows", "max_result_bytes")
-RULES = ("answer_margin_ms", "answer_margin_most_ms", "drain_grace_ms", "cold_share", "cold_ms",
-         "fall_multiple", "fall_ms", "settle_ms", "budget_free", "budget_share", "budget_ms",
-         "max_attempts", "cancel", "parallel", "max_retry_after_ms")
+RULES = (
+    "answer_margin_ms",
+    "answer_margin_most_ms",
+    "drain_grace_ms",
+    "cold_share",
+    "cold_ms",
+    "fall_multiple",
+    "fall_ms",
+    "settle_ms",
+    "budget_free",
+    "budget_share",
+    "budget_ms",
+    "max_attempts",
+    "cancel",
+    "parallel",
+    "max_retry_after_ms",
+)
 CLASS = ("aim_ms", "give_up_ms", "worth", "threads")
-AT_LEAST_ONE = {"max_connections_per_address", "max_sessions_per_user", "max_connections",
-                "max_sessions", "max_operations", "max_request_bytes", "max_links", "page_rows",
-                "max_result_bytes", "max_attempts", "threads", "cores", "gateways", "max_open"}
-ABOVE_ZERO = {"answer_margin_ms", "aim_ms", "give_up_ms", "idle_ms", "long_poll_ms", "connect_ms",
-              "cold_share", "heartbeat_ms", "election_ms", "handover_ms"}
+AT_LEAST_ONE = {
+    "max_connections_per_address",
+    "max_sessions_per_user",
+    "max_connections",
+    "max_sessions",
+    "max_operations",
+    "max_request_bytes",
+    "max_links",
+    "page_rows",
+    "max_result_bytes",
+    "max_attempts",
+    "threads",
+    "cores",
+    "gateways",
+    "max_open",
+}
+ABOVE_ZERO = {
+    "answer_margin_ms",
+    "aim_ms",
+    "give_up_ms",
+    "idle_ms",
+    "long_poll_ms",
+    "connect_ms",
+    "cold_share",
+    "heartbeat_ms",
+    "election_ms",
+    "handover_ms",
+}
 COUNCIL = ("heartbeat_ms", "election_ms", "handover_ms")
 MEMBERS = (3, 5, 7)  # an even number stands no more losses than the odd one below it
 BEATS_LEAST = 3  # heartbeats in an election time-out: one that is lost or late must elect nobody
@@ -62,9 +107,11 @@
 
     def matches(self, user: str, statement: str, configuration: dict[str, str]) -> bool:
         """Tell whether everything stated matches."""
-        return ((not self.user or self.user == user)
-                and (self.statement is None or self.statement.match(statement) is not None)
-                and all(configuration.get(key) == value for key, value in self.configuration))
+        return (
+            (not self.user or self.user == user)
+            and (self.statement is None or self.statement.match(statement) is not None)
+            and all(configuration.get(key) == value for key, value in self.configuration)
+        )
 
 
 @dataclass(slots=True, frozen=True)
@@ -100,7 +147,7 @@
     try:
         text = raw.decode("utf-8")
     except UnicodeDecodeError as exc:
-        line = raw[:exc.start].count(b"\n") + 1
+        line = raw[: exc.start].count(b"\n") + 1
         raise SettingsError(str(path), [Problem(line, 1, "bytes that are not UTF-8")]) from None
     return read(text, str(path), Path(path).parent)
 
@@ -212,8 +259,9 @@
         asked = f.listener.http_address
         http = self.address(("listener", "http_address"), asked) if asked else None
         users = self._users(classes) if f.listener.users_file else None
-        tls = self._tls(("listener", "tls_certificate"), server_context, f.listener.tls_certificate,
-                        f.listener.tls_key)
+        tls = self._tls(
+            ("listener", "tls_certificate"), server_context, f.listener.tls_certificate, f.listener.tls_key
+        )
         engines_tls = self._tls(("links", "tls_authorities"), client_context, f.links.tls_authorities)
         metadata = None
         if f.metadata_class:
@@ -233,8 +281,24 @@
             self.wrong((), str(exc))
             return None
         return Controller(
-            module, f, listen, selectors, by_user, engines, discovery, tuple(zones), tuple(kinds),
-            metrics, http, self.folder, tls, engines_tls, users, metadata, council)
+            module,
+            f,
+            listen,
+            selectors,
+            by_user,
+            engines,
+            discovery,
+            tuple(zones),
+            tuple(kinds),
+            metrics,
+            http,
+            self.folder,
+            tls,
+            engines_tls,
+            users,
+            metadata,
+            council,
+        )
 
     def _moves(self, kinds: list[str]) -> None:
         """Check what is to be moved where."""
@@ -248,8 +312,10 @@
                 self.wrong((*path, label), f"{label}: {getattr(f.moves, label):g} is too small")
         for i, kind in enumerate(f.kinds):
             if not 0 <= kind.headroom_bytes <= kind.disk_bytes:
-                self.wrong(("kinds", i), f"headroom_bytes: {kind.headroom_bytes}, where disk_bytes are "
-                                         f"{kind.disk_bytes}")
+                self.wrong(
+                    ("kinds", i),
+                    f"headroom_bytes: {kind.headroom_bytes}, where disk_bytes are {kind.disk_bytes}",
+                )
         for i, shard in enumerate(f.moves.shards):
             place: FieldPath = (*path, "shards", i)
             if not shard.name.partition("/")[0] or "/" not in shard.name:
@@ -268,8 +334,11 @@
         c, path = self.file.council, ("council",)
         for label in ("fleet", "me"):
             if not NAME.fullmatch(getattr(c, label)):
-                self.wrong((*path, label), f"{label}: {getattr(c, label)!r}, where a name of letters, "
-                                           "digits, '.', '_' and '-' is needed, 64 at most")
+                self.wrong(
+                    (*path, label),
+                    f"{label}: {getattr(c, label)!r}, where a name of letters, "
+                    "digits, '.', '_' and '-' is needed, 64 at most",
+                )
         if len(c.members) not in MEMBERS:
             self.wrong(path, f"members: {len(c.members)}, where 3, 5 or 7 are needed")
         members: dict[str, Address] = {}
@@ -292,17 +361,28 @@
         if mine:
             self.stated(path, c, ("reserve_bytes",))
         if c.election_ms < BEATS_LEAST * c.heartbeat_ms:
-            self.wrong((*path, "election_ms"), f"election_ms: {c.election_ms:g}, where {BEATS_LEAST} times "
-                                               f"heartbeat_ms are needed at least")
+            self.wrong(
+                (*path, "election_ms"),
+                f"election_ms: {c.election_ms:g}, where {BEATS_LEAST} times heartbeat_ms are needed at least",
+            )
         listen = self.address((*path, "listen"), c.listen) if c.listen else members.get(c.me)
         if self.problems:
             return None
-        return Council(c.fleet, c.me, members, self.folder / c.folder if mine else None,
-                       listen if mine else None, c.heartbeat_ms, c.election_ms, c.handover_ms,
-                       c.reserve_bytes)
-
-    def _tls(self, path: FieldPath, make: Callable[..., ssl.SSLContext],
-             *names: str) -> ssl.SSLContext | None:
+        return Council(
+            c.fleet,
+            c.me,
+            members,
+            self.folder / c.folder if mine else None,
+            listen if mine else None,
+            c.heartbeat_ms,
+            c.election_ms,
+            c.handover_ms,
+            c.reserve_bytes,
+        )
+
+    def _tls(
+        self, path: FieldPath, make: Callable[..., ssl.SSLContext], *names: str
+    ) -> ssl.SSLContext | None:
         if not any(names):
             return None
         if not all(names):
@@ -339,11 +419,22 @@
         if self.problems:
             return None
         return api.QueryClass(
-            name=c.name, aim_ms=c.aim_ms, give_up_ms=c.give_up_ms, worth=c.worth, aim_stretch=c.aim_stretch,
-            late_worth=c.late_worth, effect=pb.QueryClass.Effect.Name(c.effect).lower(),
-            group=pb.QueryClass.Group.Name(c.group).lower() if c.group else "all", memory_ms=c.memory_ms,
-            serial=c.serial, zones=in_zones or None, kinds=on_kinds or None, threads=c.threads,
-            holds=c.holds_tables, waits=c.waits_for_tables)
+            name=c.name,
+            aim_ms=c.aim_ms,
+            give_up_ms=c.give_up_ms,
+            worth=c.worth,
+            aim_stretch=c.aim_stretch,
+            late_worth=c.late_worth,
+            effect=pb.QueryClass.Effect.Name(c.effect).lower(),
+            group=pb.QueryClass.Group.Name(c.group).lower() if c.group else "all",
+            memory_ms=c.memory_ms,
+            serial=c.serial,
+            zones=in_zones or None,
+            kinds=on_kinds or None,
+            threads=c.threads,
+            holds=c.holds_tables,
+            waits=c.waits_for_tables,
+        )
 
     def _selector(self, i: int, s: pb.Selector, classes: list[str]) -> Selector:
         path: FieldPath = ("selectors", i)
@@ -360,25 +451,49 @@
         if any(e.address == other.address for other in self.file.engines[:i]):
             self.wrong((*path, "address"), f"address: {e.address} stands twice")
         zone = self.find((*path, "zone"), "zone", e.zone, zones) if e.zone else 0
-        return api.EngineEntry(e.address, zone=zone, cell=e.cell, weight=e.weight or 1.0,
-                               kind=self.find((*path, "kind"), "kind", e.kind, kinds))
+        return api.EngineEntry(
+            e.address,
+            zone=zone,
+            cell=e.cell,
+            weight=e.weight or 1.0,
+            kind=self.find((*path, "kind"), "kind", e.kind, kinds),
+        )
 
     def _module(self, classes: tuple[api.QueryClass, ...], zones: list[str]) -> api.Settings:
         f, rules, traits = self.file, self.file.rules, self.file.traits
         return api.Settings(
-            classes=classes, kind_cores=tuple(k.cores for k in f.kinds), gateways=f.gateways, me=f.me,
+            classes=classes,
+            kind_cores=tuple(k.cores for k in f.kinds),
+            gateways=f.gateways,
+            me=f.me,
             zone=zones.index(f.zone) if f.zone else 0,
             tenants=tuple(api.Tenant(t.name, t.quota_per_s) for t in f.tenants),
             over_share_worth=f.over_share_worth if f.tenants else 1.0,
             kind_memory_mb=tuple(k.memory_mb for k in f.kinds),
-            max_grant_share=traits.max_grant_share or 1.0, grants=traits.memory_grants,
+            max_grant_share=traits.max_grant_share or 1.0,
+            grants=traits.memory_grants,
             memory_waits=traits.when_short_of_memory == pb.EngineTraits.WAIT,
-            memory_pages=traits.when_short_of_memory == pb.EngineTraits.PAGE, priorities=traits.priorities,
-            note_ms=traits.note_ms, tells_cost=traits.tells_cost, report_fields=tuple(traits.report_fields),
-            can_cancel=rules.cancel, can_probe=rules.probe, parallel=rules.parallel,
-            retry_after=rules.max_retry_after_ms > 0, max_retry_after_ms=rules.max_retry_after_ms,
-            max_attempts=rules.max_attempts, must_ask=f.discovery.mode == pb.Discovery.ASKED,
-            answer_slack_ms=rules.answer_margin_ms, drain_grace_ms=rules.drain_grace_ms,
-            cold_share=rules.cold_share, cold_ms=rules.cold_ms, fall_multiple=rules.fall_multiple,
-            fall_ms=rules.fall_ms, settle_ms=rules.settle_ms, budget_free=rules.budget_free,
-            budget_share=rules.budget_share, budget_ms=rules.budget_ms, tick_ms=1.0)
+            memory_pages=traits.when_short_of_memory == pb.EngineTraits.PAGE,
+            priorities=traits.priorities,
+            note_ms=traits.note_ms,
+            tells_cost=traits.tells_cost,
+            report_fields=tuple(traits.report_fields),
+            can_cancel=rules.cancel,
+            can_probe=rules.probe,
+            parallel=rules.parallel,
+            retry_after=rules.max_retry_after_ms > 0,
+            max_retry_after_ms=rules.max_retry_after_ms,
+            max_attempts=rules.max_attempts,
+            must_ask=f.discovery.mode == pb.Discovery.ASKED,
+            answer_slack_ms=rules.answer_margin_ms,
+            drain_grace_ms=rules.drain_grace_ms,
+            cold_share=rules.cold_share,
+            cold_ms=rules.cold_ms,
+            fall_multiple=rules.fall_multiple,
+            fall_ms=rules.fall_ms,
+            settle_ms=rules.settle_ms,
+            budget_free=rules.budget_free,
+            budget_share=rules.budget_share,
+            budget_ms=rules.budget_ms,
+            tick_ms=1.0,
+        )
--- a/fennelwind/config/text.py
+++ b/fennelwind/config/text.py
@@ -27,13 +27,18 @@
     """Settings that can't be used, with all that is wrong with them."""
 
     code = "settings-unusable"
-    advice = ("Mend each place that is named (file:line:column) and try again with `fennelwind check`; "
-              "docs/operators/controller.md tells what each field means.")
+    advice = (
+        "Mend each place that is named (file:line:column) and try again with `fennelwind check`; "
+        "docs/operators/controller.md tells what each field means."
+    )
 
     def __init__(self, name: str, problems: list[Problem]) -> None:
         self.name, self.problems = name, sorted(problems)
-        super().__init__("\n".join(f"{name}:{p.line}:{p.column}: {p.text}" for p in self.problems),
-                         file=name, problems=len(problems))
+        super().__init__(
+            "\n".join(f"{name}:{p.line}:{p.column}: {p.text}" for p in self.problems),
+            file=name,
+            problems=len(problems),
+        )
 
 
 def reason(exc: text_format.ParseError) -> str:
@@ -70,8 +75,9 @@
             colon = tokens.TryConsume(":")
             if found is None:
                 known = ", ".join(sorted(descriptor.fields_by_name))
-                problems.append(Problem(
-                    *place, f"{label}: no such field of {descriptor.name}; it has {known}"))
+                problems.append(
+                    Problem(*place, f"{label}: no such field of {descriptor.name}; it has {known}")
+                )
                 skip_value()
             elif found.message_type is not None and tokens.token in ("{", "<"):
                 inner = path + (label, counts.get(label, 0)) if found.is_repeated else path + (label,)
--- a/fennelwind/config/tls.py
+++ b/fennelwind/config/tls.py
@@ -10,8 +10,10 @@
     """A certificate or key that can't be used; the text says which and why."""
 
     code = "tls-unusable"
-    advice = ("Give a PEM certificate and its key without a password, readable for the controller's "
-              "user, and send SIGHUP; until then the certificate is as before.")
+    advice = (
+        "Give a PEM certificate and its key without a password, readable for the controller's "
+        "user, and send SIGHUP; until then the certificate is as before."
+    )
 
 
 def server_context(certificate: Path, key: Path) -> ssl.SSLContext:
--- a/fennelwind/config/users.py
+++ b/fennelwind/config/users.py
@@ -22,8 +22,10 @@
     """A file of users that can't be used; the text says why and where."""
 
     code = "users-unusable"
-    advice = ("Mend the file of users at the place that is named and send SIGHUP; until then the users "
-              "are as before. `fennelwind password` makes a hash.")
+    advice = (
+        "Mend the file of users at the place that is named and send SIGHUP; until then the users "
+        "are as before. `fennelwind password` makes a hash."
+    )
 
 
 def load_users(path: str | Path, classes: list[str]) -> dict[str, User]:
--- a/fennelwind/contracts/carrying.py
+++ b/fennelwind/contracts/carrying.py
@@ -36,6 +36,7 @@
 
 # What happens. `token` is that of the action which it answers; what answers an earlier one is passed over.
 
+
 @dataclass(slots=True, frozen=True)
 class Recorded:
     """What became of a `Tell`; None: nobody knows."""
@@ -111,6 +112,7 @@
 
 # What is to be done.
 
+
 @dataclass(slots=True, frozen=True)
 class Tell:
     """A command for the record; one at a time, and `Recorded` answers it."""
@@ -183,8 +185,19 @@
 class _Part:
     """One engine's part."""
 
-    __slots__ = ("name", "state", "phase", "until", "token", "tries", "next", "quiet", "there",
-                 "unsure", "out")
+    __slots__ = (
+        "name",
+        "state",
+        "phase",
+        "until",
+        "token",
+        "tries",
+        "next",
+        "quiet",
+        "there",
+        "unsure",
+        "out",
+    )
 
     def __init__(self, name: str, state: int) -> None:
         self.name, self.state = name, state
@@ -335,8 +348,11 @@
             return
         left = [part for part in self._parts.values() if part.state in open_states]
         if forward:
-            left += [part for part in self._parts.values()
-                     if part.state == Change.BEHIND and part.there and not part.out]
+            left += [
+                part
+                for part in self._parts.values()
+                if part.state == Change.BEHIND and part.there and not part.out
+            ]
         if not left:
             if forward and all(part.state != Change.DONE for part in self._parts.values()):
                 self._turn(now, actions, "no engine is there to be changed")
@@ -391,8 +407,9 @@
     def _aim(self) -> int:
         return Change.DONE if self.step_name == Change.FORWARD else Change.UNDONE
 
-    def _looked(self, now: float, part: _Part, seen: tuple[tuple[str, str], ...] | None,
-                actions: list[Action]) -> None:
+    def _looked(
+        self, now: float, part: _Part, seen: tuple[tuple[str, str], ...] | None, actions: list[Action]
+    ) -> None:
         wanted = self._new if self.step_name == Change.FORWARD else self._old
         if part.state == Change.BEHIND and seen != wanted:
             part.phase, part.out = "", seen != self._old
@@ -474,15 +491,17 @@
     def _drain(self, now: float, part: _Part, actions: list[Action]) -> None:
         actions.append(Quiet(self._phase(now, part, "drain", self.patience.drain_ms), part.name))
 
-    def _settle(self, now: float, part: _Part, state: int, actions: list[Action], *,
-                quiet: bool = False) -> None:
+    def _settle(
+        self, now: float, part: _Part, state: int, actions: list[Action], *, quiet: bool = False
+    ) -> None:
         """Have the record note an engine's state."""
         self._phase(now, part, "tell", inf)
         mark = pb.Mark(number=self.number, fence=self.fence, engine=part.name, state=state, quiet=quiet)
         self._tell(now, actions, mark=mark)
 
-    def _tell(self, now: float, actions: list[Action],
-              **what: pb.Begin | pb.Mark | pb.Turn | pb.Finish) -> None:
+    def _tell(
+        self, now: float, actions: list[Action], **what: pb.Begin | pb.Mark | pb.Turn | pb.Finish
+    ) -> None:
         command = pb.ContractCommand(rules=NUMBER, **what)
         self._asked.append(command)
         if len(self._asked) == 1:
--- a/fennelwind/contracts/checker.py
+++ b/fennelwind/contracts/checker.py
@@ -75,8 +75,15 @@
         return self._tables.get(table, {})
 
 
-def check(subscriptions: Subscriptions, table: str, old: Schema | None, new: Schema | None, *,
-          anew: bool = False, publisher: str = "") -> Verdict:
+def check(
+    subscriptions: Subscriptions,
+    table: str,
+    old: Schema | None,
+    new: Schema | None,
+    *,
+    anew: bool = False,
+    publisher: str = "",
+) -> Verdict:
     """Hold a change against all subscribers of its table; None: there is no table, or it goes.
 
     What the publisher itself reads warns it and stops nothing: it knows of the change.
--- a/fennelwind/contracts/descriptors.py
+++ b/fennelwind/contracts/descriptors.py
@@ -35,111 +35,83 @@
 _RESERVE = "Reserve its number and its name."
 _STAY = "Leave it as it is, and add another beside it."
 RULES = {
-    "file-removed": Rule(
-        True,
-        "a file is gone, and its messages with it",
-        GUIDE,
-        _STAY),
+    "file-removed": Rule(True, "a file is gone, and its messages with it", GUIDE, _STAY),
     "syntax": Rule(
-        True,
-        "the syntax is another: absent fields and unknown values are read otherwise",
-        GUIDE,
-        _STAY),
+        True, "the syntax is another: absent fields and unknown values are read otherwise", GUIDE, _STAY
+    ),
     "message-removed": Rule(
-        True,
-        "a message is gone",
-        GUIDE,
-        "Keep it as long as an older version may send it."),
+        True, "a message is gone", GUIDE, "Keep it as long as an older version may send it."
+    ),
     "field-removed": Rule(
-        True,
-        "a field is gone without its number and name being reserved",
-        GUIDE,
-        _RESERVE),
+        True, "a field is gone without its number and name being reserved", GUIDE, _RESERVE
+    ),
     "number-reused": Rule(
-        True,
-        "the number bears another field: older versions read one for the other",
-        GUIDE,
-        _NEW),
-    "reserved-used": Rule(
-        True,
-        "a number or name that was reserved is used",
-        GUIDE,
-        _NEW),
+        True, "the number bears another field: older versions read one for the other", GUIDE, _NEW
+    ),
+    "reserved-used": Rule(True, "a number or name that was reserved is used", GUIDE, _NEW),
     "reserve-dropped": Rule(
-        True,
-        "a number or name is no longer reserved, and may be used anew",
-        GUIDE,
-        _RESERVE),
+        True, "a number or name is no longer reserved, and may be used anew", GUIDE, _RESERVE
+    ),
     "type-changed": Rule(
-        True,
-        "values of this type are not read, or cut off, by the other version",
-        ENCODING,
-        _NEW),
+        True, "values of this type are not read, or cut off, by the other version", ENCODING, _NEW
+    ),
     "label-changed": Rule(
-        True,
-        "one value against many: the other version reads none, or the last",
-        ENCODING,
-        _NEW),
+        True, "one value against many: the other version reads none, or the last", ENCODING, _NEW
+    ),
     "required": Rule(
         True,
         "required: a version that does not send it is not read at all",
         GUIDE,
-        "Make it optional, and check for it where it is used."),
-    "default-changed": Rule(
-        True,
-        "an absent value means one thing here and another there",
-        GUIDE,
-        _STAY),
+        "Make it optional, and check for it where it is used.",
+    ),
+    "default-changed": Rule(True, "an absent value means one thing here and another there", GUIDE, _STAY),
     "oneof-moved": Rule(
         True,
         "a field moved into or out of a oneof: setting one clears others in one version only",
         GUIDE,
-        _NEW),
+        _NEW,
+    ),
     "enum-removed": Rule(
-        True,
-        "an enumeration is gone",
-        ENUMS,
-        "Keep it as long as a field of an older version has it."),
+        True, "an enumeration is gone", ENUMS, "Keep it as long as a field of an older version has it."
+    ),
     "enum-zero": Rule(
         True,
         "the value 0 is what an absent field means, and it means another thing now",
         ENUMS,
-        "Leave the value 0 as it was."),
-    "value-removed": Rule(
-        True,
-        "a value is gone without its number being reserved",
-        ENUMS,
-        _RESERVE),
+        "Leave the value 0 as it was.",
+    ),
+    "value-removed": Rule(True, "a value is gone without its number being reserved", ENUMS, _RESERVE),
     "value-reused": Rule(
         True,
         "the number has another name: settings and the other version mean something else",
         ENUMS,
-        "Give the new value a number that was never used."),
+        "Give the new value a number that was never used.",
+    ),
     "oneof-grown": Rule(
         False,
         "a oneof has a further field: an older version sees that none is set",
         GUIDE,
-        "Send it only when all members know it."),
+        "Send it only when all members know it.",
+    ),
     "value-added": Rule(
         False,
         "an enumeration has a further value: an older version knows its number alone",
         ENUMS,
-        "Send it only when all members know it."),
+        "Send it only when all members know it.",
+    ),
     "field-retired": Rule(
         False,
         "a field is gone and reserved: what an older version says in it is passed over",
         GUIDE,
-        "Let it go when no version in a fleet still sends it."),
+        "Let it go when no version in a fleet still sends it.",
+    ),
     "value-retired": Rule(
         False,
         "a value is gone and reserved: an older version may still send its number",
         ENUMS,
-        "Let it go when no version in a fleet still sends it."),
-    "presence": Rule(
-        False,
-        "whether a field was set is told by one version only",
-        GUIDE,
-        _STAY),
+        "Let it go when no version in a fleet still sends it.",
+    ),
+    "presence": Rule(False, "whether a field was set is told by one version only", GUIDE, _STAY),
 }
 
 
@@ -257,8 +229,14 @@
     return message.oneof_decl[field.oneof_index].name
 
 
-def _field(place: str, old: FieldDescriptorProto, was_in: str, new: FieldDescriptorProto, is_in: str,
-           found: list[Found]) -> None:
+def _field(
+    place: str,
+    old: FieldDescriptorProto,
+    was_in: str,
+    new: FieldDescriptorProto,
+    is_in: str,
+    found: list[Found],
+) -> None:
     required = FieldDescriptorProto.LABEL_REQUIRED
     if (old.type, old.type_name) != (new.type, new.type_name):
         found.append(Found("type-changed", place))
@@ -302,4 +280,5 @@
             kept = _covered(ranges, value.number, value.number + 1)
             found.append(Found("value-retired" if kept else "value-removed", place))
     found.extend(
-        Found("value-added", f"{name}.{value.name}") for value in new.value if value.number not in known)
+        Found("value-added", f"{name}.{value.name}") for value in new.value if value.number not in known
+    )
--- a/fennelwind/contracts/machine.py
+++ b/fennelwind/contracts/machine.py
@@ -58,15 +58,27 @@
 
 Change, Refused = pb.Change, pb.Refusal
 _FORWARD = {
-    (Change.WAITING, Change.ASKED), (Change.WAITING, Change.DONE), (Change.ASKED, Change.DONE),
-    (Change.WAITING, Change.GONE_AWAY), (Change.ASKED, Change.GONE_AWAY), (Change.DONE, Change.GONE_AWAY),
+    (Change.WAITING, Change.ASKED),
+    (Change.WAITING, Change.DONE),
+    (Change.ASKED, Change.DONE),
+    (Change.WAITING, Change.GONE_AWAY),
+    (Change.ASKED, Change.GONE_AWAY),
+    (Change.DONE, Change.GONE_AWAY),
     (Change.GONE_AWAY, Change.ASKED),  # what it was asked before it left may have been done
-    (Change.BEHIND, Change.WAITING), (Change.BEHIND, Change.DONE)}  # it has the old schema, or the new
+    (Change.BEHIND, Change.WAITING),
+    (Change.BEHIND, Change.DONE),
+}  # it has the old schema, or the new
 _BACK = {
-    (Change.ASKED, Change.ASKED_BACK), (Change.DONE, Change.ASKED_BACK), (Change.ASKED_BACK, Change.UNDONE),
-    (Change.ASKED, Change.UNDONE), (Change.DONE, Change.UNDONE), (Change.ASKED, Change.GONE_AWAY),
-    (Change.DONE, Change.GONE_AWAY), (Change.ASKED_BACK, Change.GONE_AWAY),
-    (Change.GONE_AWAY, Change.ASKED_BACK)}
+    (Change.ASKED, Change.ASKED_BACK),
+    (Change.DONE, Change.ASKED_BACK),
+    (Change.ASKED_BACK, Change.UNDONE),
+    (Change.ASKED, Change.UNDONE),
+    (Change.DONE, Change.UNDONE),
+    (Change.ASKED, Change.GONE_AWAY),
+    (Change.DONE, Change.GONE_AWAY),
+    (Change.ASKED_BACK, Change.GONE_AWAY),
+    (Change.GONE_AWAY, Change.ASKED_BACK),
+}
 
 
 @dataclass(slots=True)
@@ -235,8 +247,18 @@
             return
         for number in self._lapsed_by_name.pop(name, []):
             del self.lapsed[number]
-        self._add(Subscription(at.index, name, told.version, term, at.clock_ms + term, at.clock_ms, reads,
-                               all_reads_message(reads)))
+        self._add(
+            Subscription(
+                at.index,
+                name,
+                told.version,
+                term,
+                at.clock_ms + term,
+                at.clock_ms,
+                reads,
+                all_reads_message(reads),
+            )
+        )
         answer.number = at.index
 
     def _resolved(self, told: pb.Reads) -> Reads:
@@ -251,15 +273,31 @@
         form = table.form
         if reads.star:
             columns = tuple(
-                shared(Read(c.name, c.type, c.nullable, place if reads.by_place else 0, c.number,
-                            c.name in form.partitions)) for place, c in enumerate(form.row, 1))
+                shared(
+                    Read(
+                        c.name,
+                        c.type,
+                        c.nullable,
+                        place if reads.by_place else 0,
+                        c.number,
+                        c.name in form.partitions,
+                    )
+                )
+                for place, c in enumerate(form.row, 1)
+            )
             return replace(reads, columns=columns)
         made = []
         for read in reads.columns:
             found = form.by_name.get(read.name)
-            made.append(shared(replace(
-                read, number=found.number if found else 0,
-                partition=found is not None and found.name in form.partitions)))
+            made.append(
+                shared(
+                    replace(
+                        read,
+                        number=found.number if found else 0,
+                        partition=found is not None and found.name in form.partitions,
+                    )
+                )
+            )
         return replace(reads, columns=tuple(made))
 
     def _forms(self, reads: Reads) -> list[Form | None]:
@@ -308,8 +346,10 @@
         if len(engines) != len(told.engines) or len(engines) > ENGINES_MOST:
             raise SchemaError(f"{len(told.engines)} engines, each once, where {ENGINES_MOST} are taken")
         if bool(engines) != bool(told.forward) or max(len(told.forward), len(told.back)) > STATEMENTS_MOST:
-            raise SchemaError(f"{len(told.forward)} and {len(told.back)} statements for {len(engines)} "
-                              f"engines, where {STATEMENTS_MOST} are taken")
+            raise SchemaError(
+                f"{len(told.forward)} and {len(told.back)} statements for {len(engines)} "
+                f"engines, where {STATEMENTS_MOST} are taken"
+            )
         if any(not 0 < len(each) <= STATEMENT_MOST for each in statements):
             raise SchemaError(f"a statement of no letters or over {STATEMENT_MOST}")
         table = self.tables.get(name)
@@ -342,9 +382,20 @@
                 engines[engine] = Change.BEHIND
         self.next_column = following
         self.wanted.pop(name, None)
-        change = Underway(at.index, name, publisher, answer.version, new, told.anew, engines,
-                          tuple(told.forward), tuple(told.back), told.at_once, at.clock_ms + BEGIN_MS,
-                          form=Form(new) if new is not None else None)
+        change = Underway(
+            at.index,
+            name,
+            publisher,
+            answer.version,
+            new,
+            told.anew,
+            engines,
+            tuple(told.forward),
+            tuple(told.back),
+            told.at_once,
+            at.clock_ms + BEGIN_MS,
+            form=Form(new) if new is not None else None,
+        )
         self.changes[change.number] = change
         self.by_table[name] = answer.number = change.number
         if not engines:
@@ -390,8 +441,9 @@
             if change.step == Change.ADMITTED:
                 change.step = Change.FORWARD
 
-    def _acting(self, told: pb.Mark | pb.Turn | pb.Finish, facts: Facts,
-                answer: pb.ContractAnswer) -> Underway | None:
+    def _acting(
+        self, told: pb.Mark | pb.Turn | pb.Finish, facts: Facts, answer: pb.ContractAnswer
+    ) -> Underway | None:
         change = self._held(told.number, told.fence, facts, answer)
         if change is not None and change.fence != told.fence:  # it has not begun here, or another has since
             answer.refusal = Refused.FENCE
@@ -459,8 +511,11 @@
         table = self.tables.get(name)
         if table is None:
             return
-        waiting = [key for key in self.readers.forms(name)
-                   if not key[0].columns or not any(read.number for read in key[0].columns)]
+        waiting = [
+            key
+            for key in self.readers.forms(name)
+            if not key[0].columns or not any(read.number for read in key[0].columns)
+        ]
         if not waiting:
             return
         for subscription in list(self.subscriptions.values()):
@@ -468,7 +523,10 @@
                 self._unlist(subscription)
                 subscription.reads = tuple(
                     self._resolved(reads_message(replace(r, columns=() if r.star else r.columns)))
-                    if (r, subscription.version) in waiting else r for r in subscription.reads)
+                    if (r, subscription.version) in waiting
+                    else r
+                    for r in subscription.reads
+                )
                 subscription.raw = all_reads_message(subscription.reads)
                 self._list(subscription)
 
@@ -537,8 +595,12 @@
         """Return all state; equal states give equal bytes."""
         state = pb.ContractState(next_column=self.next_column)
         for name, table in sorted(self.tables.items()):
-            state.tables.add(name=name, version=table.version, schema=schema_message(table.schema),
-                             behind=sorted(table.behind))
+            state.tables.add(
+                name=name,
+                version=table.version,
+                schema=schema_message(table.schema),
+                behind=sorted(table.behind),
+            )
         state.subscriptions.extend(_told(s) for _, s in sorted(self.subscriptions.items()))
         state.lapsed.extend(map(_told, self.lapsed.values()))
         for _, change in sorted(self.changes.items()):
@@ -571,33 +633,71 @@
 
 def change_message(change: Underway) -> pb.Change:
     """Return a change's message, for snapshots and for who carries it out."""
-    engines = [Change.Engine(name=name, state=state, quiet=name in change.quiet)
-               for name, state in change.engines.items()]
+    engines = [
+        Change.Engine(name=name, state=state, quiet=name in change.quiet)
+        for name, state in change.engines.items()
+    ]
     schema = schema_message(change.schema) if change.schema is not None else None
     return Change(
-        number=change.number, table=change.table, publisher=change.publisher, schema=schema,
-        from_version=change.from_version, anew=change.anew, engines=engines, forward=change.forward,
-        back=change.back, at_once=change.at_once, step=change.step, fence=change.fence,
-        begin_by_ms=change.begin_by_ms)
+        number=change.number,
+        table=change.table,
+        publisher=change.publisher,
+        schema=schema,
+        from_version=change.from_version,
+        anew=change.anew,
+        engines=engines,
+        forward=change.forward,
+        back=change.back,
+        at_once=change.at_once,
+        step=change.step,
+        fence=change.fence,
+        begin_by_ms=change.begin_by_ms,
+    )
 
 
 def read_change(told: pb.Change) -> Underway:
     """Return the change of a message. Raises `SchemaError`."""
     schema = read_schema(told.schema) if told.HasField("schema") else None
     return Underway(
-        told.number, told.table, told.publisher, told.from_version, schema, told.anew,
-        {each.name: each.state for each in told.engines}, tuple(told.forward), tuple(told.back), told.at_once,
-        told.begin_by_ms, told.step, told.fence, {each.name for each in told.engines if each.quiet},
-        Form(schema) if schema is not None else None)
+        told.number,
+        told.table,
+        told.publisher,
+        told.from_version,
+        schema,
+        told.anew,
+        {each.name: each.state for each in told.engines},
+        tuple(told.forward),
+        tuple(told.back),
+        told.at_once,
+        told.begin_by_ms,
+        told.step,
+        told.fence,
+        {each.name for each in told.engines if each.quiet},
+        Form(schema) if schema is not None else None,
+    )
 
 
 def _told(subscription: Subscription) -> pb.ContractState.Subscription:
     s = subscription
     return pb.ContractState.Subscription(
-        number=s.number, name=s.name, version=s.version, term_ms=s.term_ms, until_ms=s.until_ms,
-        since_ms=s.since_ms, reads=s.raw)
+        number=s.number,
+        name=s.name,
+        version=s.version,
+        term_ms=s.term_ms,
+        until_ms=s.until_ms,
+        since_ms=s.since_ms,
+        reads=s.raw,
+    )
 
 
 def _subscription(told: pb.ContractState.Subscription) -> Subscription:
-    return Subscription(told.number, told.name, told.version, told.term_ms, told.until_ms, told.since_ms,
-                        read_all_reads(told.reads), told.reads)
+    return Subscription(
+        told.number,
+        told.name,
+        told.version,
+        told.term_ms,
+        told.until_ms,
+        told.since_ms,
+        read_all_reads(told.reads),
+        told.reads,
+    )
--- a/fennelwind/contracts/messages.py
+++ b/fennelwind/contracts/messages.py
@@ -33,13 +33,20 @@
 
 def schema_message(schema: Schema) -> pb.Schema:
     """Return a schema's message."""
-    return pb.Schema(columns=map(_column_message, schema.columns),
-                     partitions=map(_column_message, schema.partitions))
+    return pb.Schema(
+        columns=map(_column_message, schema.columns), partitions=map(_column_message, schema.partitions)
+    )
 
 
 def _column_message(column: Column) -> pb.Column:
-    return pb.Column(name=column.name, type=type_message(column.type), fixed=not column.nullable,
-                     default=column.default, number=column.number, was=column.was)
+    return pb.Column(
+        name=column.name,
+        type=type_message(column.type),
+        fixed=not column.nullable,
+        default=column.default,
+        number=column.number,
+        was=column.was,
+    )
 
 
 def read_schema(told: pb.Schema) -> Schema:
@@ -54,8 +61,17 @@
 
 def reads_message(reads: Reads) -> pb.Reads:
     """Return the message of what is read of one table."""
-    columns = [pb.Reads.Read(name=r.name, type=type_message(r.type), fixed=not r.nullable, place=r.place,
-                             number=r.number, partition=r.partition) for r in reads.columns]
+    columns = [
+        pb.Reads.Read(
+            name=r.name,
+            type=type_message(r.type),
+            fixed=not r.nullable,
+            place=r.place,
+            number=r.number,
+            partition=r.partition,
+        )
+        for r in reads.columns
+    ]
     return pb.Reads(table=reads.table, star=reads.star, by_place=reads.by_place, columns=columns)
 
 
@@ -72,8 +88,9 @@
     told = pb.Reads.Read.FromString(raw)
     if fold(told.name) != told.name:
         raise SchemaError(f"the name {told.name!r} is not in lower case", column=told.name)
-    return shared(Read(told.name, read_type(told.type), not told.fixed, told.place, told.number,
-                       told.partition))
+    return shared(
+        Read(told.name, read_type(told.type), not told.fixed, told.place, told.number, told.partition)
+    )
 
 
 @lru_cache(maxsize=65536)
--- a/fennelwind/contracts/said.py
+++ b/fennelwind/contracts/said.py
@@ -51,8 +51,10 @@
     """What a session says of itself can't be taken."""
 
     code = "contracts-said"
-    advice = ("Correct the setting that the error names; docs/operators/contracts.md shows each with an "
-              "example. A session that says nothing of what it reads is served as before.")
+    advice = (
+        "Correct the setting that the error names; docs/operators/contracts.md shows each with an "
+        "example. A session that says nothing of what it reads is served as before."
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,8 +68,12 @@
 
     def command(self) -> pb.ContractCommand:
         """Return the command that registers it."""
-        told = pb.Register(name=self.name, version=self.version, term_ms=int(self.term_s * 1000),
-                           reads=map(reads_message, self.reads))
+        told = pb.Register(
+            name=self.name,
+            version=self.version,
+            term_ms=int(self.term_s * 1000),
+            reads=map(reads_message, self.reads),
+        )
         return pb.ContractCommand(rules=NUMBER, register=told)
 
 
@@ -114,7 +120,8 @@
     """Return the text of what is read of one table."""
     columns = ", ".join(
         f"{f'{r.place} ' if r.place else ''}{quoted(r.name)} {r.type}{'' if r.nullable else ' not null'}"
-        for r in reads.columns)
+        for r in reads.columns
+    )
     return f"{'*' if reads.star else columns} by {'place' if reads.by_place else 'name'}"
 
 
@@ -133,7 +140,7 @@
         raise SaidError(f"{len(said)} tables are read, of 1 to {READS_MOST}", setting=READS)
     reads: dict[str, Reads] = {}
     for key, text in sorted(said.items()):
-        table = _told(key, table_name, key[len(READS):], database)
+        table = _told(key, table_name, key[len(READS) :], database)
         if table in reads:
             raise SaidError(f"{key}: {table} is named twice", setting=key)
         reads[table] = _told(key, parse_reads, table, text)
@@ -166,9 +173,9 @@
     if len(said) > 1 or publisher is None:
         raise SaidError(f"{len(said)} schemas, of one, by {PUBLISHER}", setting=sorted(said)[0])
     key, text = said[0], overlay[said[0]]
-    table = _told(key, table_name, key[len(SCHEMA):], database)
+    table = _told(key, table_name, key[len(SCHEMA) :], database)
     told = {each.lower(): text for each, text in overlay.items()}
-    named = key[len(SCHEMA):].lower()
+    named = key[len(SCHEMA) :].lower()
     schema = None
     if text.strip().lower() != GONE:
         schema = schema_message(_told(key, parse_schema, text))
@@ -176,10 +183,18 @@
     if not version.isascii() or not version.isdigit() or len(version) > 18:
         raise SaidError(f"{VERSION}{named}: {version[:40]!r} is no version", setting=VERSION + named)
     back = overlay.get(BACK)
-    return Publication(table, pb.Propose(
-        table=table, publisher=_told(PUBLISHER, fold, publisher), version=int(version), schema=schema,
-        anew=told.get(ANEW + named) == "true", back=[back] if back else [],
-        at_once=overlay.get(AT_ONCE) == "true"))
+    return Publication(
+        table,
+        pb.Propose(
+            table=table,
+            publisher=_told(PUBLISHER, fold, publisher),
+            version=int(version),
+            schema=schema,
+            anew=told.get(ANEW + named) == "true",
+            back=[back] if back else [],
+            at_once=overlay.get(AT_ONCE) == "true",
+        ),
+    )
 
 
 def _told(setting: str, read: Callable[..., Any], *what: str) -> Any:
--- a/fennelwind/contracts/types.py
+++ b/fennelwind/contracts/types.py
@@ -22,8 +22,23 @@
 DEFAULT_MOST = 256  # letters of a default's literal
 
 # Primitive types (LanguageManual Types). Those with a size are spelled with it.
-PLAIN = ("boolean", "tinyint", "smallint", "int", "bigint", "float", "double", "string", "binary", "date",
-         "timestamp", "timestamplocaltz", "interval_year_month", "interval_day_time", "void")
+PLAIN = (
+    "boolean",
+    "tinyint",
+    "smallint",
+    "int",
+    "bigint",
+    "float",
+    "double",
+    "string",
+    "binary",
+    "date",
+    "timestamp",
+    "timestamplocaltz",
+    "interval_year_month",
+    "interval_day_time",
+    "void",
+)
 SIZED = ("decimal", "char", "varchar")
 NESTED = ("array", "map", "struct", "uniontype")
 KINDS = frozenset(PLAIN + SIZED + NESTED)
@@ -39,8 +54,10 @@
     """A schema, a subscription or a type whose text can't be read, or is over a bound."""
 
     code = "contracts-text"
-    advice = ("Write columns as Hive does: `id bigint not null, price decimal(10,2) default 0, "
-              "tags array<string>`. The place in the text is told with the error.")
+    advice = (
+        "Write columns as Hive does: `id bigint not null, price decimal(10,2) default 0, "
+        "tags array<string>`. The place in the text is told with the error."
+    )
 
 
 class SchemaError(FennelwindError):
@@ -127,8 +144,9 @@
     """Return a name as it is compared. Raises `SchemaError` for one that Hive could not hold."""
     name = name.strip().lower()
     if not 0 < len(name) <= NAME_MOST or _CONTROLS.search(name):
-        raise SchemaError(f"a name of {len(name)} letters, where 1 to {NAME_MOST} can be held",
-                          name=name[:NAME_MOST])
+        raise SchemaError(
+            f"a name of {len(name)} letters, where 1 to {NAME_MOST} can be held", name=name[:NAME_MOST]
+        )
     return name
 
 
@@ -185,8 +203,10 @@
         seen.add(name)
     for column in schema.row:
         if column.default is not None and len(column.default) > DEFAULT_MOST:
-            raise SchemaError(f"a default of {len(column.default)} letters, where {DEFAULT_MOST} are taken",
-                              column=column.name)
+            raise SchemaError(
+                f"a default of {len(column.default)} letters, where {DEFAULT_MOST} are taken",
+                column=column.name,
+            )
     for column in schema.partitions:  # LanguageManual DDL: partition columns are primitive
         if column.type.kind in NESTED:
             raise SchemaError(f"the partition column {column.name} is of a nested type", column=column.name)
@@ -219,6 +239,7 @@
 def _nested(called: str) -> Callable[[pp.ParseResults], Type]:
     def make(tokens: pp.ParseResults) -> Type:
         return Type(called, parts=tuple(tokens))
+
     return make
 
 
@@ -231,19 +252,26 @@
 
     What is of one word or of a word with sizes is one expression: a parser by parts takes five times as long.
     """
+
     def word(text: str) -> pp.ParserElement:
         return pp.CaselessKeyword(text).suppress()
 
     def mark(text: str) -> pp.ParserElement:
         return pp.Literal(text).suppress()
 
-    name = pp.Regex(r"`(?:[^`]|``)+`|[A-Za-z_]\w*").set_name("a name").set_parse_action(
-        lambda t: (t[0][1:-1].replace("``", "`") if t[0][0] == "`" else t[0]).lower())
+    name = (
+        pp.Regex(r"`(?:[^`]|``)+`|[A-Za-z_]\w*")
+        .set_name("a name")
+        .set_parse_action(lambda t: (t[0][1:-1].replace("``", "`") if t[0][0] == "`" else t[0]).lower())
+    )
     kind = pp.Forward().set_name("a type of Hive")
-    simple = pp.Regex(r"(?i)(?:timestamp\s+with\s+local\s+time\s+zone|double\s+precision|"
-                      rf"{'|'.join(PLAIN)}|integer|real)\b").set_parse_action(_simple)
-    sized = pp.Regex(r"(?i)(?:decimal|dec|numeric|char|varchar)\b(?:\s*\(\s*\d{1,6}(?:\s*,\s*\d{1,6})?\s*\))?"
-                     ).set_parse_action(_sized)
+    simple = pp.Regex(
+        r"(?i)(?:timestamp\s+with\s+local\s+time\s+zone|double\s+precision|"
+        rf"{'|'.join(PLAIN)}|integer|real)\b"
+    ).set_parse_action(_simple)
+    sized = pp.Regex(
+        r"(?i)(?:decimal|dec|numeric|char|varchar)\b(?:\s*\(\s*\d{1,6}(?:\s*,\s*\d{1,6})?\s*\))?"
+    ).set_parse_action(_sized)
     array = (word("array") + mark("<") + kind + mark(">")).set_parse_action(_nested("array"))
     mapped = word("map") + mark("<") + kind + mark(",") + kind + mark(">")
     mapped = mapped.set_parse_action(_nested("map"))
@@ -253,23 +281,28 @@
     struct = struct.set_parse_action(_struct)
     kind <<= simple | sized | array | mapped | struct | union
 
-    literal = pp.Regex(r"'(?:[^'\\]|\\.)*'|-?\d+(?:\.\d+)?(?:[eE][-+]?\d+)?|(?i:null|true|false|current_date"
-                       r"|current_timestamp)").set_name("a literal")
+    literal = pp.Regex(
+        r"'(?:[^'\\]|\\.)*'|-?\d+(?:\.\d+)?(?:[eE][-+]?\d+)?|(?i:null|true|false|current_date"
+        r"|current_timestamp)"
+    ).set_name("a literal")
     null = (word("not") + word("null")).set_parse_action(lambda: ("nullable", False))
     default = (word("default") + literal).set_parse_action(lambda t: ("default", t[0]))
     was = (word("was") + name).set_parse_action(lambda t: ("was", t[0]))
     column = (name + kind + pp.ZeroOrMore(null | default | was)).set_parse_action(
-        lambda t: Column(t[0], t[1], **dict(t[2:])))
+        lambda t: Column(t[0], t[1], **dict(t[2:]))
+    )
     columns = pp.DelimitedList(column)
     parted = word("partitioned") + word("by") + mark("(") + columns + mark(")")
     schema = (pp.Group(columns) + pp.Group(pp.Optional(parted))).set_parse_action(
-        lambda t: Schema(tuple(t[0]), tuple(t[1])))
+        lambda t: Schema(tuple(t[0]), tuple(t[1]))
+    )
 
     place = pp.Optional(pp.Regex(r"\d{1,6}").set_parse_action(lambda t: int(t[0])), default=0)
     fixed = pp.Optional((word("not") + word("null")).set_parse_action(lambda: False), default=True)
     how = word("by") + (pp.CaselessKeyword("name") | pp.CaselessKeyword("place"))
-    reads = (pp.Group(mark("*") | pp.DelimitedList(pp.Group(place + name + kind + fixed)))
-             + pp.Optional(how, default="name"))
+    reads = pp.Group(mark("*") | pp.DelimitedList(pp.Group(place + name + kind + fixed))) + pp.Optional(
+        how, default="name"
+    )
     return kind, schema, reads
 
 
@@ -288,7 +321,7 @@
     try:
         return grammar.parse_string(text, parse_all=True)
     except pp.ParseBaseException as exc:
-        near = text[exc.loc:exc.loc + 20]
+        near = text[exc.loc : exc.loc + 20]
         text = f"not to be read from letter {exc.loc + 1} on: {near!r}"
         raise SchemaTextError(text, place=exc.loc + 1) from None
 
--- a/fennelwind/core/driver.py
+++ b/fennelwind/core/driver.py
@@ -58,9 +58,20 @@
 class Driver:
     """One controller's core."""
 
-    def __init__(self, loop: Loop, settings: api.Settings, engines: Engines, observer: Observer, *, seed: int,
-                 max_open: int, margin: AnswerMargin, subscribe: Callable[[], None] = lambda: None,
-                 advisor: Advisor | None = None, router: Router | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        settings: api.Settings,
+        engines: Engines,
+        observer: Observer,
+        *,
+        seed: int,
+        max_open: int,
+        margin: AnswerMargin,
+        subscribe: Callable[[], None] = lambda: None,
+        advisor: Advisor | None = None,
+        router: Router | None = None,
+    ) -> None:
         self.loop, self.settings, self.engines, self.observer = loop, settings, engines, observer
         self.max_open, self.margin, self.subscribe = max_open, margin, subscribe
         self.ledger = Ledger(len(settings.classes) if router is None else router.classes)
@@ -79,7 +90,8 @@
         self._asked = False
         self._tasks: dict[tuple[int, int], Task] = {}
         self._budget = AttemptBudget(
-            settings.budget_free, settings.budget_share, settings.budget_ms, settings.tick_ms)
+            settings.budget_free, settings.budget_share, settings.budget_ms, settings.tick_ms
+        )
 
     # What comes in.
 
@@ -91,15 +103,28 @@
         if not submission.request:
             self._arrive(entry)
             return entry
-        name = request_name(submission.user, submission.tenant, submission.cls, submission.request,
-                            submission.statement, submission.database, submission.overlay)
+        name = request_name(
+            submission.user,
+            submission.tenant,
+            submission.cls,
+            submission.request,
+            submission.statement,
+            submission.database,
+            submission.overlay,
+        )
         request = self.repeats.find(name)
         if request is not None:
             if self.repeats.join(request, entry):
                 self._wait_for(entry, request)
             else:
-                self._settle(entry, Answer(REFUSED, "too many wait for the same request already",
-                                           self.settings.max_retry_after_ms))
+                self._settle(
+                    entry,
+                    Answer(
+                        REFUSED,
+                        "too many wait for the same request already",
+                        self.settings.max_retry_after_ms,
+                    ),
+                )
         elif not self._run_request(name, entry):  # too many are known: it runs on its own
             self._arrive(entry)
         return entry
@@ -107,7 +132,8 @@
     def _run_request(self, name: bytes, entry: Entry) -> bool:
         """Run a query for whoever asks for the request, in the time of this one; False: none may be run."""
         hidden = self.ledger.take(
-            entry.submission, self.loop.now(), entry.due_ms, self._request_ended, hidden=True)
+            entry.submission, self.loop.now(), entry.due_ms, self._request_ended, hidden=True
+        )
         request = self.repeats.begin(name, hidden, entry)
         if request is None:
             self.ledger.settle(hidden, Answer(LEFT), self.loop.now())
@@ -124,7 +150,8 @@
     def _take(self, submission: Submission, on_answer: Callable[[Entry], None]) -> Entry:
         """Enter a query; refuse it at once if it can't be taken."""
         entry = self.ledger.take(
-            submission, self.loop.now(), submission.deadline_ms - self.margin.ms, on_answer)
+            submission, self.loop.now(), submission.deadline_ms - self.margin.ms, on_answer
+        )
         if self.closing or self.ledger.open > self.max_open:
             self.turned_away += 1
             why = "the controller is closing" if self.closing else f"{self.max_open} queries are open here"
@@ -142,10 +169,19 @@
             cls, lists = self.router.arrives(entry.query, cls, submission.shards)
             for event in lists:
                 self._push(event)
-        self._push(api.Arrival(
-            query=entry.query, cls=cls, deadline_ms=entry.due_ms, tenant=submission.tenant,
-            key=submission.key, work_ms=submission.work_ms, memory_mb=submission.memory_mb,
-            tables=submission.tables, repeat=submission.repeat))
+        self._push(
+            api.Arrival(
+                query=entry.query,
+                cls=cls,
+                deadline_ms=entry.due_ms,
+                tenant=submission.tenant,
+                key=submission.key,
+                work_ms=submission.work_ms,
+                memory_mb=submission.memory_mb,
+                tables=submission.tables,
+                repeat=submission.repeat,
+            )
+        )
 
     def leave(self, entry: Entry, reason: str) -> bool:
         """Note that the client wants no answer any more; tell whether one was still owed."""
@@ -208,8 +244,10 @@
             self.observer.failed("module", exc)
             return
         # Before any is carried out: an answer may show that its client has gone, and with it other queries.
-        entries = [self.ledger.entries.get(action.query) if isinstance(action, api.Send) else None
-                   for action in actions]
+        entries = [
+            self.ledger.entries.get(action.query) if isinstance(action, api.Send) else None
+            for action in actions
+        ]
         for action, entry in zip(actions, entries, strict=True):
             try:
                 self._carry_out(action, entry)
@@ -269,11 +307,19 @@
             return
         deadline = min(entry.due_ms, now + timeout) if timeout else entry.due_ms
         entry.tries.append(Try(now))
-        order = Order(query, number, entry.submission, deadline, entry.memory_mb, entry.priority,
-                      lambda sort, value: self._note(entry, number, sort, value),
-                      lambda: self._barred(entry, number, deadline))
+        order = Order(
+            query,
+            number,
+            entry.submission,
+            deadline,
+            entry.memory_mb,
+            entry.priority,
+            lambda sort, value: self._note(entry, number, sort, value),
+            lambda: self._barred(entry, number, deadline),
+        )
         self._tasks[query, number] = self.loop.spawn(
-            self._attempt, entry, number, engine, order, name=f"query {query} attempt {number}")
+            self._attempt, entry, number, engine, order, name=f"query {query} attempt {number}"
+        )
         if self.advisor is not None:
             self.advisor.sent(engine, self.settings.classes[entry.submission.cls].threads)
 
@@ -318,8 +364,11 @@
         doubt = next((one for one in entry.tries[:number] if one.status not in NEVER_RAN), None)
         if doubt is not None and cls.effect == "unsafe":
             return "an earlier attempt may have run"
-        if doubt is not None and cls.effect == "keyed" \
-                and now + self.settings.tick_ms >= doubt.began_ms + cls.memory_ms:
+        if (
+            doubt is not None
+            and cls.effect == "keyed"
+            and now + self.settings.tick_ms >= doubt.began_ms + cls.memory_ms
+        ):
             return "its repeats are not dropped any more"
         if number and not self._budget.begins(now):
             return "the budget of further attempts is used up"
@@ -362,9 +411,19 @@
             else:  # its time was up in the same turn, or its client has gone: nobody will read it
                 end.result.close()
         self.observer.attempted(entry, number, engine, end, now - sent)
-        self.post(api.Outcome(
-            query=entry.query, attempt=number, engine=engine, status=end.status, took_ms=now - sent,
-            finished=entry.answer is not None, work_ms=end.work_ms, memory_mb=end.memory_mb, load=end.load))
+        self.post(
+            api.Outcome(
+                query=entry.query,
+                attempt=number,
+                engine=engine,
+                status=end.status,
+                took_ms=now - sent,
+                finished=entry.answer is not None,
+                work_ms=end.work_ms,
+                memory_mb=end.memory_mb,
+                load=end.load,
+            )
+        )
 
     def _probe(self, engine: str) -> None:
         sent = self.loop.now()
--- a/fennelwind/core/ledger.py
+++ b/fennelwind/core/ledger.py
@@ -54,8 +54,14 @@
         self.overdue = 0  # final answers given after they were due
         self._last = 0
 
-    def take(self, submission: Submission, now: float, due_ms: float,
-             on_answer: Callable[[Entry], None], hidden: bool = False) -> Entry:
+    def take(
+        self,
+        submission: Submission,
+        now: float,
+        due_ms: float,
+        on_answer: Callable[[Entry], None],
+        hidden: bool = False,
+    ) -> Entry:
         """Enter a query; from now on it is owed a final answer."""
         self._last += 1
         entry = Entry(self._last, submission, now, due_ms, on_answer)
--- a/fennelwind/core/sessions.py
+++ b/fennelwind/core/sessions.py
@@ -18,7 +18,9 @@
 _USE = re.compile(r"use\s+`?(\w+)`?\s*;?\s*$", re.I)
 _TEMPORARY = re.compile(
     r"(create\s+temporary\s+(?:external\s+)?(?:table|view|function|macro)"
-    r"|add\s+(?:jars?|files?|archives?))\b", re.I)
+    r"|add\s+(?:jars?|files?|archives?))\b",
+    re.I,
+)
 
 
 class SessionError(Exception):
--- a/fennelwind/council/core.py
+++ b/fennelwind/council/core.py
@@ -175,8 +175,10 @@
 
         The log can't be shortened without it, and at its bound a leader takes nothing more.
         """
-        return self.writes.durable < self.commit \
+        return (
+            self.writes.durable < self.commit
             and self.now - self.wrote >= STUCK_TIMEOUTS * self.timing.election_ms
+        )
 
     def _settle(self) -> None:
         """Do what follows from all that came in this step."""
@@ -244,8 +246,11 @@
 
     def founded(self) -> bool:
         """Whether commands may come: not while they would rest on the founder's disk alone."""
-        return self.commands_seen or self.snapshots.index > 0 or any(
-            2 * len(found.voters) > len(self.stated) for found in self.log.configs)
+        return (
+            self.commands_seen
+            or self.snapshots.index > 0
+            or any(2 * len(found.voters) > len(self.stated) for found in self.log.configs)
+        )
 
     def log_clock(self) -> int:
         """Return the record's clock as of the last entry."""
@@ -257,13 +262,21 @@
         """Return what there is to see."""
         leading = self.leading
         return View(
-            part=self.part, term=self.term, leader=self.leader.name if self.leader is not None else "",
-            commit=self.commit, given=self.given, last=self.log.last, durable=self.writes.durable,
-            base=self.log.base, log_bytes=self.log.size,
-            waiting=len(leading.waiting) if leading else 0, reads=len(leading.reads) if leading else 0,
+            part=self.part,
+            term=self.term,
+            leader=self.leader.name if self.leader is not None else "",
+            commit=self.commit,
+            given=self.given,
+            last=self.log.last,
+            durable=self.writes.durable,
+            base=self.log.base,
+            log_bytes=self.log.size,
+            waiting=len(leading.waiting) if leading else 0,
+            reads=len(leading.reads) if leading else 0,
             members=self.log.config.members,
             match={life.name: peer.match for life, peer in leading.peers.items()} if leading else {},
-            counts=dict(self.counts))
+            counts=dict(self.counts),
+        )
 
     # What leaves
 
@@ -319,7 +332,8 @@
     def hears(self) -> bool:
         """Whether it leads, or heard who leads, so lately that nobody else should."""
         return self.leading is not None or (
-            self.leader is not None and self.now < self.heard + self.timing.election_ms)
+            self.leader is not None and self.now < self.heard + self.timing.election_ms
+        )
 
     def follow(self, term: int, leader: Life | None) -> None:
         """Be no leader; take a later term if there is one."""
@@ -334,8 +348,14 @@
         if leading is not None:
             self.draw()
             for _, token in leading.waiting:
-                self.out.append(api.Answer(token, pb.Result.UNKNOWN, leader=leader.name if leader else "",
-                                           again_ms=int(self.timing.election_ms)))
+                self.out.append(
+                    api.Answer(
+                        token,
+                        pb.Result.UNKNOWN,
+                        leader=leader.name if leader else "",
+                        again_ms=int(self.timing.election_ms),
+                    )
+                )
             for token in leading.reads.drop():
                 self.refuse_read(token, self._nobody())
 
@@ -368,8 +388,11 @@
                         self.snapshots.piece(message.piece)
             case "append_answer" | "piece_answer":
                 leading = self.leading
-                if leading is None or sender not in leading.peers or (
-                        term > self.term and leading.peers[sender].leaves_at):
+                if (
+                    leading is None
+                    or sender not in leading.peers
+                    or (term > self.term and leading.peers[sender].leaves_at)
+                ):
                     self.counts["late" if sender in self.log.config.lives else "stranger"] += 1
                 elif term > self.term:
                     self.follow(term, None)
@@ -378,8 +401,13 @@
                 elif term == self.term:
                     leading.piece_answered(sender, message.piece_answer, self.now)
             case "take_over":
-                if term == self.term and sender == self.leader and self._may_lead() \
-                        and self.snapshots.installing is None and not self._shy():
+                if (
+                    term == self.term
+                    and sender == self.leader
+                    and self._may_lead()
+                    and self.snapshots.installing is None
+                    and not self._shy()
+                ):
                     votes.ask(self, handed_over=True)
             case "join":
                 self._join(sender, message.join)
@@ -414,8 +442,11 @@
         entries = list(append.entries)
         terms = [append.before_term, *(entry.term for entry in entries), self.term]
         places = list(range(before + 1, before + 1 + len(entries)))
-        if bool(before) != bool(append.before_term) or terms != sorted(terms) \
-                or [entry.index for entry in entries] != places:
+        if (
+            bool(before) != bool(append.before_term)
+            or terms != sorted(terms)
+            or [entry.index for entry in entries] != places
+        ):
             self.counts["malformed"] += 1
             return
         newer = append.round > self.round
@@ -425,8 +456,13 @@
             return
         if before > log.last or (before >= log.base and log.term(before) != append.before_term):
             index = log.back_to(append.before_term, before - 1)
-            self.send(self.leader, pb.Message(term=self.term, append_answer=pb.AppendAnswer(
-                index=index, round=self.round, cannot_write=self.mute)))
+            self.send(
+                self.leader,
+                pb.Message(
+                    term=self.term,
+                    append_answer=pb.AppendAnswer(index=index, round=self.round, cannot_write=self.mute),
+                ),
+            )
             return
         fresh = [e for e in entries if e.index > log.base and log.term(e.index) != e.term]
         if fresh and fresh[0].index <= log.last:
--- a/fennelwind/council/interface.py
+++ b/fennelwind/council/interface.py
@@ -47,6 +47,7 @@
 
 # What happens to a member.
 
+
 @dataclass(slots=True, frozen=True)
 class Received:
     """A message of another member, whose name and life were checked against the connection's hello."""
@@ -136,12 +137,25 @@
     """The time that `Timer` named has come."""
 
 
-Event = (Received | Written | WriteFailed | CanWrite | RoomShort | Propose | Read | Applied | Snapshot
-         | HandOver | Change | TimerFired)
+Event = (
+    Received
+    | Written
+    | WriteFailed
+    | CanWrite
+    | RoomShort
+    | Propose
+    | Read
+    | Applied
+    | Snapshot
+    | HandOver
+    | Change
+    | TimerFired
+)
 
 
 # What is to be done.
 
+
 @dataclass(slots=True, frozen=True)
 class Send:
     """A message for a member; lost where it can't be sent at once."""
--- a/fennelwind/council/joining.py
+++ b/fennelwind/council/joining.py
@@ -19,8 +19,11 @@
         """Return what is asked of all others, whose lives aren't known yet."""
         stated = self.stated.get(self.me.name)
         member = pb.Member(name=self.me.name, life=self.me.life, address=stated.address if stated else "")
-        return [(Life(name, b""), pb.Message(join=pb.Join(member=member)))
-                for name in sorted(self.stated) if name != self.me.name]
+        return [
+            (Life(name, b""), pb.Message(join=pb.Join(member=member)))
+            for name in sorted(self.stated)
+            if name != self.me.name
+        ]
 
     def answered(self, sender: Life, answer: pb.JoinAnswer, now: float) -> None:
         """Take another's word."""
--- a/fennelwind/council/leading.py
+++ b/fennelwind/council/leading.py
@@ -71,8 +71,11 @@
     def may_change(self) -> bool:
         """Whether the members may change: one at a time, and only once an entry of the own term is agreed."""
         core = self.core
-        return core.log.config.index <= core.commit and core.log.term(core.commit) == self.term \
+        return (
+            core.log.config.index <= core.commit
+            and core.log.term(core.commit) == self.term
             and self.hand_over_by is None
+        )
 
     def change(self, event: Change, now: float) -> None:
         """Change the members by one, or say why not."""
@@ -102,7 +105,8 @@
         """Whether a member of this name was heard of late: then nobody else comes under it."""
         return name == self.core.me.name or any(
             life.name == name and now - peer.heard < self.core.timing.election_ms and peer.round
-            for life, peer in self.peers.items())
+            for life, peer in self.peers.items()
+        )
 
     def let_in(self, member: pb.Member, now: float) -> int:
         """Add a member without a vote, in place of an earlier life of its name; return the entry's index."""
@@ -197,8 +201,12 @@
             for peer in self.peers.values():  # lost ones are sent anew; a heartbeat's answer tells earlier
                 peer.waits &= now < peer.asked + timing.election_ms
             self.start_round()
-            for life in [life for life, p in self.peers.items() if p.leaves_at and (
-                    now >= p.leaves_by or (p.match >= p.leaves_at and p.commit >= p.leaves_at))]:
+            for life in [
+                life
+                for life, p in self.peers.items()
+                if p.leaves_at
+                and (now >= p.leaves_by or (p.match >= p.leaves_at and p.commit >= p.leaves_at))
+            ]:
                 del self.peers[life]
         if self.hand_over_by is not None and now >= self.hand_over_by:
             self.hand_over_by = self.asked_over = None
@@ -280,8 +288,9 @@
             if member.votes or peer is None or peer.cannot_write or peer.way != STREAM:
                 continue
             if peer.match + NEAR >= self.core.log.last and now - peer.heard < self.core.timing.election_ms:
-                members[place] = pb.Member(name=member.name, life=member.life, address=member.address,
-                                           votes=True)
+                members[place] = pb.Member(
+                    name=member.name, life=member.life, address=member.address, votes=True
+                )
                 self._members(members, now)
                 return
 
@@ -318,8 +327,11 @@
                 return
             entries: list[pb.Entry] = []
             most = min(peer.most, timing.append_most)
-            free = not peer.waits if peer.way == PROBE else len(peer.under_way) < max(
-                1, timing.under_way_most * most // timing.append_most)
+            free = (
+                not peer.waits
+                if peer.way == PROBE
+                else len(peer.under_way) < max(1, timing.under_way_most * most // timing.append_most)
+            )
             if peer.cannot_write and not beat:
                 free = False
             if free and peer.next <= core.log.last:
@@ -327,9 +339,19 @@
             if not entries and not beat:
                 return
             before = peer.next - 1
-            core.send(life, pb.Message(term=self.term, append=pb.Append(
-                before_index=before, before_term=core.log.term(before), commit=core.commit,
-                round=self.round, entries=entries)))
+            core.send(
+                life,
+                pb.Message(
+                    term=self.term,
+                    append=pb.Append(
+                        before_index=before,
+                        before_term=core.log.term(before),
+                        commit=core.commit,
+                        round=self.round,
+                        entries=entries,
+                    ),
+                ),
+            )
             peer.commit, beat = core.commit, False
             if peer.way == PROBE:
                 if entries:
@@ -346,10 +368,15 @@
             self.core.send(life, pb.Message(term=self.term, append=pb.Append(round=self.round)))
         if peer.waits or peer.cannot_write:
             return
-        data = peer.data[peer.offset:peer.offset + min(self.core.timing.piece_most, peer.most)]
+        data = peer.data[peer.offset : peer.offset + min(self.core.timing.piece_most, peer.most)]
         peer.waits, peer.asked = True, self.core.now
-        self.core.send(life, pb.Message(term=self.term, piece=pb.Piece(
-            head=peer.head, offset=peer.offset, data=data, round=self.round)))
+        self.core.send(
+            life,
+            pb.Message(
+                term=self.term,
+                piece=pb.Piece(head=peer.head, offset=peer.offset, data=data, round=self.round),
+            ),
+        )
 
     # Handing over
 
@@ -368,6 +395,9 @@
     def heir(self, now: float) -> Life | None:
         """Return the voter that is best to lead next; None: nobody is."""
         since = now - self.core.timing.election_ms
-        fit = [life for life in self.voters() if life != self.core.me
-               and self.peers[life].heard > since and not self.peers[life].cannot_write]
+        fit = [
+            life
+            for life in self.voters()
+            if life != self.core.me and self.peers[life].heard > since and not self.peers[life].cannot_write
+        ]
         return max(fit, key=lambda life: self.peers[life].match, default=None)
--- a/fennelwind/council/log.py
+++ b/fennelwind/council/log.py
@@ -19,8 +19,12 @@
 
 def config(index: int, members: pb.Members) -> Config:
     """Return who counts from an entry on."""
-    return Config(index, members, tuple(Life(m.name, m.life) for m in members.members),
-                  tuple(Life(m.name, m.life) for m in members.members if m.votes))
+    return Config(
+        index,
+        members,
+        tuple(Life(m.name, m.life) for m in members.members),
+        tuple(Life(m.name, m.life) for m in members.members if m.votes),
+    )
 
 
 class Log:
@@ -39,12 +43,18 @@
             self.size -= first.ByteSize()
             self.base, self.base_term = first.index, first.term
         if head is not None:
-            self.configs += [config(e.index, e.members) for e in self.entries
-                             if e.index < head.index and e.WhichOneof("what") == "members"]
+            self.configs += [
+                config(e.index, e.members)
+                for e in self.entries
+                if e.index < head.index and e.WhichOneof("what") == "members"
+            ]
             self.configs.append(config(head.index, head.members))
         start = head.index if head is not None else 0
-        self.configs += [config(e.index, e.members) for e in self.entries
-                         if e.index > start and e.WhichOneof("what") == "members"]
+        self.configs += [
+            config(e.index, e.members)
+            for e in self.entries
+            if e.index > start and e.WhichOneof("what") == "members"
+        ]
 
     @property
     def last(self) -> int:
@@ -69,7 +79,7 @@
         """Return who counted as of an entry, and all later ones."""
         if self.configs[-1].index <= index:
             return self.configs[-1:]
-        return self.configs[bisect_right(self.configs, index, key=lambda found: found.index) - 1:]
+        return self.configs[bisect_right(self.configs, index, key=lambda found: found.index) - 1 :]
 
     def term(self, index: int) -> int | None:
         """Return an entry's term; None where the log doesn't hold it."""
@@ -81,7 +91,7 @@
 
     def slice(self, first: int, last: int) -> list[pb.Entry]:
         """Return the entries from `first` to `last`, both included, as far as they are held."""
-        return self.entries[max(first - self.base - 1, 0):max(last - self.base, 0)]
+        return self.entries[max(first - self.base - 1, 0) : max(last - self.base, 0)]
 
     def batch(self, first: int, last: int, most: int) -> list[pb.Entry]:
         """Return entries from `first` on of at most so many bytes, but one at least if there is one."""
@@ -104,7 +114,7 @@
     def cut(self, after: int) -> None:
         """Drop what lies behind an index; the members are again who they were there."""
         self.size -= sum(entry.ByteSize() for entry in self.slice(after + 1, self.last))
-        del self.entries[max(after - self.base, 0):]
+        del self.entries[max(after - self.base, 0) :]
         while self.configs[-1].index > after:
             self.configs.pop()
 
@@ -114,7 +124,7 @@
         if term is None or base <= self.base:
             return
         self.size -= sum(entry.ByteSize() for entry in self.slice(self.base + 1, base))
-        del self.entries[:base - self.base]
+        del self.entries[: base - self.base]
         self.base, self.base_term = base, term
         place = bisect_right(self.configs, base, key=lambda found: found.index) - 1
         del self.configs[:place]
--- a/fennelwind/council/pieces.py
+++ b/fennelwind/council/pieces.py
@@ -35,5 +35,6 @@
 
 def head_of(index: int, term: int, clock_ms: int, members: pb.Members, data: bytes) -> pb.SnapshotHead:
     """Return what is to be known of a snapshot."""
-    return pb.SnapshotHead(index=index, term=term, clock_ms=clock_ms, members=members, size=len(data),
-                           crc32c=crc32c.crc32c(data))
+    return pb.SnapshotHead(
+        index=index, term=term, clock_ms=clock_ms, members=members, size=len(data), crc32c=crc32c.crc32c(data)
+    )
--- a/fennelwind/council/record.py
+++ b/fennelwind/council/record.py
@@ -55,8 +55,9 @@
 
     def _set_level(self, level: int) -> None:
         self.level = level
-        self.machines = {name: machine for name, machine in self.every.items()
-                         if getattr(machine, "since", 1) <= level}
+        self.machines = {
+            name: machine for name, machine in self.every.items() if getattr(machine, "since", 1) <= level
+        }
         self._tellers = {kind: machine for machine in self.machines.values() for kind in machine.kinds}
 
     def due(self) -> int | None:
--- a/fennelwind/council/snapshots.py
+++ b/fennelwind/council/snapshots.py
@@ -93,12 +93,20 @@
         if whole is not None:
             self.incoming.drop()
             held = core.log.term(head.index) == head.term
-            number = self.write(head, whole, core.log.base + 1 if held else head.index + 1,
-                                None if held else head.index)
+            number = self.write(
+                head, whole, core.log.base + 1 if held else head.index + 1, None if held else head.index
+            )
             self.installing = (number, head, whole)
             return
-        core.send(core.leader, pb.Message(term=core.term, piece_answer=pb.PieceAnswer(
-            index=head.index, offset=len(self.incoming.data), round=core.round)))
+        core.send(
+            core.leader,
+            pb.Message(
+                term=core.term,
+                piece_answer=pb.PieceAnswer(
+                    index=head.index, offset=len(self.incoming.data), round=core.round
+                ),
+            ),
+        )
 
     def written(self, number: int) -> None:
         """Go on from a snapshot that is on the disk."""
--- a/fennelwind/engines/discovery.py
+++ b/fennelwind/engines/discovery.py
@@ -24,8 +24,10 @@
     """A line that is no list."""
 
     code = "discovery-unreadable"
-    advice = ("Look at what discovery sends: lines of JSON as engines/discovery.py describes them. The "
-              "engines known before are used meanwhile, with growing caution.")
+    advice = (
+        "Look at what discovery sends: lines of JSON as engines/discovery.py describes them. The "
+        "engines known before are used meanwhile, with growing caution."
+    )
 
 
 class Lives:
@@ -44,8 +46,9 @@
         return known[1]
 
 
-def read_list(line: bytes, zones: tuple[str, ...], kinds: tuple[str, ...], lives: Lives,
-              now: float) -> api.EngineList:
+def read_list(
+    line: bytes, zones: tuple[str, ...], kinds: tuple[str, ...], lives: Lives, now: float
+) -> api.EngineList:
     """Turn a line into the module's event. Raises `DiscoveryError`."""
     try:
         told = json.loads(line)
@@ -58,9 +61,17 @@
             if state not in STATES:
                 raise DiscoveryError(f"{engine}: state {state!r}")
             launched = lives.local(engine, float(e.get("launched_ms", 0.0)), float(told["now_ms"]), now)
-            entries.append(api.EngineEntry(
-                engine, state, zones.index(e["zone"]) if "zone" in e else 0, kinds.index(e["kind"]),
-                int(e.get("cell", 0)), float(e.get("weight", 1.0)), launched))
+            entries.append(
+                api.EngineEntry(
+                    engine,
+                    state,
+                    zones.index(e["zone"]) if "zone" in e else 0,
+                    kinds.index(e["kind"]),
+                    int(e.get("cell", 0)),
+                    float(e.get("weight", 1.0)),
+                    launched,
+                )
+            )
     except (ValueError, KeyError, TypeError, AttributeError) as exc:
         raise DiscoveryError(f"{type(exc).__name__}: {exc}") from None
     return api.EngineList(form, tuple(entries))
@@ -69,14 +80,23 @@
 class DiscoveryLink:
     """Keeps a subscription; told lists go to `post`, as does each failure."""
 
-    def __init__(self, loop: Loop, address: Address, *, pushed: bool, zones: tuple[str, ...],
-                 kinds: tuple[str, ...], post: Callable[[api.EngineList], None], seed: int,
-                 said: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        *,
+        pushed: bool,
+        zones: tuple[str, ...],
+        kinds: tuple[str, ...],
+        post: Callable[[api.EngineList], None],
+        seed: int,
+        said: Callable[[str], None],
+    ) -> None:
         self.loop, self.address, self.pushed, self.post, self.said = loop, address, pushed, post, said
         self.zones, self.kinds, self.lives = zones, kinds, Lives()
         self.lists = self.failures = 0
         self._task: Task | None = None
-        self._draw = seed & 0xffff
+        self._draw = seed & 0xFFFF
 
     def start(self) -> None:
         """Subscribe and stay subscribed, where lists are pushed."""
@@ -94,7 +114,7 @@
             before = self.lists
             self._once()
             pause = AGAIN_FIRST_MS if self.lists > before else min(pause * 2, AGAIN_MOST_MS)
-            self._draw = (self._draw * 25173 + 13849) & 0xffff  # spreads controllers that lost it together
+            self._draw = (self._draw * 25173 + 13849) & 0xFFFF  # spreads controllers that lost it together
             self.loop.sleep(pause * (0.5 + self._draw / 0x20000))
 
     def _once(self) -> None:
--- a/fennelwind/engines/links.py
+++ b/fennelwind/engines/links.py
@@ -60,8 +60,10 @@
     """The engine answered a call with an error."""
 
     code = "engine-answered-error"
-    advice = ("Read the engine's own log at this time. An error of the statement itself is the client's "
-              "to mend; any other counts against the engine.")
+    advice = (
+        "Read the engine's own log at this time. An error of the statement itself is the client's "
+        "to mend; any other counts against the engine."
+    )
 
     def __init__(self, text: str, status: Structure | None = None) -> None:
         super().__init__(text)
@@ -72,8 +74,9 @@
 class Link:
     """One connection to an engine, with its session. One task uses it at a time."""
 
-    def __init__(self, loop: Loop, address: Address, transport: str, user: str,
-                 tls: ssl.SSLContext | None = None) -> None:
+    def __init__(
+        self, loop: Loop, address: Address, transport: str, user: str, tls: ssl.SSLContext | None = None
+    ) -> None:
         self.loop, self.address, self.tls = loop, address, tls
         self.side = ClientSide(transport, user)
         self.stream: Stream | None = None
@@ -174,8 +177,9 @@
 class Pool:
     """The links to one engine; at most so many, idle ones kept for some time."""
 
-    def __init__(self, loop: Loop, address: Address, settings: pb.EngineLinks,
-                 tls: ssl.SSLContext | None = None) -> None:
+    def __init__(
+        self, loop: Loop, address: Address, settings: pb.EngineLinks, tls: ssl.SSLContext | None = None
+    ) -> None:
         self.loop, self.address, self.settings, self.tls = loop, address, settings, tls
         self.idle: list[Link] = []
         self.count = 0
@@ -197,8 +201,9 @@
         if self.count >= self.settings.max_links:
             raise LinksUsedUp(f"all {self.count} links to {self.address} are in use")
         self.count += 1
-        link = Link(self.loop, self.address, TRANSPORTS[self.settings.transport], self.settings.user,
-                    self.tls)
+        link = Link(
+            self.loop, self.address, TRANSPORTS[self.settings.transport], self.settings.user, self.tls
+        )
         try:
             with self.loop.deadline(self.settings.connect_ms):
                 link.open()
@@ -229,15 +234,22 @@
     """No link to the engine may be opened; nothing was sent."""
 
     code = "links-used-up"
-    advice = ("All links that links.max_links allows to this engine are in use: raise it if the engine "
-              "bears more connections, or look for statements that hold theirs for long.")
+    advice = (
+        "All links that links.max_links allows to this engine are in use: raise it if the engine "
+        "bears more connections, or look for statements that hold theirs for long."
+    )
 
 
 class EngineLinks:
     """The links to all engines."""
 
-    def __init__(self, loop: Loop, settings: pb.EngineLinks, report_fields: tuple[str, ...],
-                 tls: ssl.SSLContext | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        settings: pb.EngineLinks,
+        report_fields: tuple[str, ...],
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
         self.loop, self.settings, self.tls = loop, settings, tls
         self.report_fields = frozenset(report_fields)
         self.pools: dict[str, Pool] = {}
@@ -298,9 +310,14 @@
                 while not attempt.over and attempt.told != attempt.terms():
                     terms = attempt.terms()
                     guid = attempt.handle.operationId.guid.hex()
-                    link.call("SetClientInfo", hs2.make(
-                        "TSetClientInfoReq", sessionHandle=link.session,
-                        configuration={"fennelwind.operation": guid, **terms}))
+                    link.call(
+                        "SetClientInfo",
+                        hs2.make(
+                            "TSetClientInfoReq",
+                            sessionHandle=link.session,
+                            configuration={"fennelwind.operation": guid, **terms},
+                        ),
+                    )
                     attempt.told = terms
                     self.told += 1
             pool.put(link)
@@ -458,9 +475,18 @@
             said = verdict(exc.status.sqlState, exc.status.infoMessages) if exc.status is not None else FAULT
             if said == ANSWER and (self.sent or self.entering):
                 told = exc.status  # its client gets the engine's own words, and not its load figures
-                return self._end("ok", result=Result(error=hs2.TStatus(
-                    statusCode=hs2.ERROR, infoMessages=hints.others(told.infoMessages) or None,
-                    sqlState=told.sqlState, errorCode=told.errorCode, errorMessage=told.errorMessage)))
+                return self._end(
+                    "ok",
+                    result=Result(
+                        error=hs2.TStatus(
+                            statusCode=hs2.ERROR,
+                            infoMessages=hints.others(told.infoMessages) or None,
+                            sqlState=told.sqlState,
+                            errorCode=told.errorCode,
+                            errorMessage=told.errorMessage,
+                        )
+                    ),
+                )
             if said == TURNED_AWAY or not self.sent:
                 return self._end("full", str(exc))
             return self._end("error", str(exc))
@@ -494,8 +520,12 @@
             return
         self.entering = True
         link.prepare_close()
-        reply = link.call("ExecuteStatement", hs2.TExecuteStatementReq(
-            sessionHandle=link.session, statement=f"USE `{wanted}`", confOverlay={}, runAsync=False))
+        reply = link.call(
+            "ExecuteStatement",
+            hs2.TExecuteStatementReq(
+                sessionHandle=link.session, statement=f"USE `{wanted}`", confOverlay={}, runAsync=False
+            ),
+        )
         link.database, link.closing = wanted, reply.operationHandle
 
     def _execute(self) -> Result:
@@ -506,7 +536,8 @@
         self.told = self.terms()
         overlay = {**said.overlay, "fennelwind.attempt": f"{order.query}.{order.number}", **self.told}
         request = hs2.TExecuteStatementReq(
-            sessionHandle=link.session, statement=said.statement, confOverlay=overlay, runAsync=True)
+            sessionHandle=link.session, statement=said.statement, confOverlay=overlay, runAsync=True
+        )
         self.sent = True
         link.prepare_close()
         reply = link.call("ExecuteStatement", request)
@@ -550,9 +581,16 @@
                     self.handle.hasResultSet = reply.hasResultSet
                 return
             if state not in (hs2.INITIALIZED, hs2.RUNNING, hs2.PENDING):
-                raise RemoteError(f"operation state {state}: {reply.errorMessage}", hs2.TStatus(
-                    statusCode=hs2.ERROR, infoMessages=reply.status.infoMessages, sqlState=reply.sqlState,
-                    errorCode=reply.errorCode, errorMessage=reply.errorMessage))
+                raise RemoteError(
+                    f"operation state {state}: {reply.errorMessage}",
+                    hs2.TStatus(
+                        statusCode=hs2.ERROR,
+                        infoMessages=reply.status.infoMessages,
+                        sqlState=reply.sqlState,
+                        errorCode=reply.errorCode,
+                        errorMessage=reply.errorMessage,
+                    ),
+                )
             self._note(reply)
             if self.loop.now() - asked < POLL_FIRST_MS:  # no long poll on that side
                 self.loop.sleep(pause)
@@ -576,7 +614,8 @@
         link, settings = self.link, self.links.settings
         before = link.received
         request = hs2.TFetchResultsReq(
-            operationHandle=self.handle, orientation=hs2.FETCH_NEXT, maxRows=settings.page_rows, fetchType=0)
+            operationHandle=self.handle, orientation=hs2.FETCH_NEXT, maxRows=settings.page_rows, fetchType=0
+        )
         schema_sent = link.prepare("GetResultSetMetadata", hs2.TGetResultSetMetadataReq(self.handle))
         page_sent = link.send("FetchResults", request)
         try:
--- a/fennelwind/engines/rowstream.py
+++ b/fennelwind/engines/rowstream.py
@@ -26,9 +26,11 @@
     """The rest of the rows can't be had any more; the text says why."""
 
     code = "engine-stream-lost"
-    advice = ("The engine ended, or its client was silent for long, after rows of a large answer had "
-              "gone out. The client asks again; links.max_result_bytes tells up to which size answers "
-              "are held whole.")
+    advice = (
+        "The engine ended, or its client was silent for long, after rows of a large answer had "
+        "gone out. The client asks again; links.max_result_bytes tells up to which size answers "
+        "are held whole."
+    )
 
 
 class RowStream:
@@ -83,8 +85,12 @@
             self._drop("it was closed")
 
     def _ask(self) -> int:
-        return self.link.send("FetchResults", hs2.TFetchResultsReq(
-            operationHandle=self.handle, orientation=hs2.FETCH_NEXT, maxRows=self.page_rows, fetchType=0))
+        return self.link.send(
+            "FetchResults",
+            hs2.TFetchResultsReq(
+                operationHandle=self.handle, orientation=hs2.FETCH_NEXT, maxRows=self.page_rows, fetchType=0
+            ),
+        )
 
     def _lose(self, why: str) -> None:
         if not self.lost:
--- a/fennelwind/fleet/capacity.py
+++ b/fennelwind/fleet/capacity.py
@@ -53,8 +53,13 @@
     loop.spawn(accept)
 
     def relay(rows: int) -> Address:
-        made = Relay(loop, Links(Distances({}, 0.0, 0.0, 0.0), ()),
-                     [Row(HERE, "a", "b", listener.address) for _ in range(rows)], loop.now, "1")
+        made = Relay(
+            loop,
+            Links(Distances({}, 0.0, 0.0, 0.0), ()),
+            [Row(HERE, "a", "b", listener.address) for _ in range(rows)],
+            loop.now,
+            "1",
+        )
         made.prepare()
         return made.doors[0].listener.address
 
--- a/fennelwind/fleet/compare.py
+++ b/fennelwind/fleet/compare.py
@@ -26,11 +26,27 @@
 
 PACKAGE = Path(__file__).parent.parent
 # What another revision brings along: what decides and what carries decisions out. The rig stays this one's.
-BROUGHT = ("rules.py", "interface.py", "state.py", "adapter.py", "node", "core", "limits", "recovery",
-           "membership", "replica", "spread")
+BROUGHT = (
+    "rules.py",
+    "interface.py",
+    "state.py",
+    "adapter.py",
+    "node",
+    "core",
+    "limits",
+    "recovery",
+    "membership",
+    "replica",
+    "spread",
+)
 LONGEST_S = 1800.0  # s for one day
-METRICS = {"worth": "worth served", "uneven": "variation over executors", "idle_while_queued":
-           "idle while another queues", "overfull": "attempts met overfull", "wasted": "work wasted"}
+METRICS = {
+    "worth": "worth served",
+    "uneven": "variation over executors",
+    "idle_while_queued": "idle while another queues",
+    "overfull": "attempts met overfull",
+    "wasted": "work wasted",
+}
 
 
 class CompareFailed(FennelwindError):
@@ -72,8 +88,12 @@
         yield PACKAGE.parent
         return
     with tempfile.TemporaryDirectory(prefix="fennelwind-commit-") as folder:
-        made = subprocess.run(["git", "archive", "--format=tar", variant.commit, "fennelwind"],
-                              cwd=PACKAGE.parent, capture_output=True, check=False)
+        made = subprocess.run(
+            ["git", "archive", "--format=tar", variant.commit, "fennelwind"],
+            cwd=PACKAGE.parent,
+            capture_output=True,
+            check=False,
+        )
         if made.returncode:
             raise CompareFailed(f"{variant.text}: {made.stderr.decode('utf-8', 'replace').strip()}")
         there = Path(folder) / "there"
@@ -97,8 +117,14 @@
     spec = {"day": day, "seed": seed, "policy": variant.policy, "salt": variant.salt}
     try:
         made = subprocess.run(
-            [sys.executable, "-m", "fennelwind.fleet.one"], input=json.dumps(spec).encode(), cwd=root,
-            env=os.environ | {"PYTHONPATH": str(root)}, capture_output=True, timeout=LONGEST_S, check=False)
+            [sys.executable, "-m", "fennelwind.fleet.one"],
+            input=json.dumps(spec).encode(),
+            cwd=root,
+            env=os.environ | {"PYTHONPATH": str(root)},
+            capture_output=True,
+            timeout=LONGEST_S,
+            check=False,
+        )
     except subprocess.TimeoutExpired:
         raise CompareFailed(f"{variant.text}, seed {seed}: no end within {LONGEST_S:.0f} s") from None
     if made.returncode:
@@ -106,8 +132,13 @@
     return Result(**json.loads(made.stdout))
 
 
-def compare(days: list[dayfile.Day], seeds: list[int], variants: list[Variant], workers: int,
-            said: Callable[[int, int], None] = lambda done, of: None) -> dict[tuple[str, str], list[Result]]:
+def compare(
+    days: list[dayfile.Day],
+    seeds: list[int],
+    variants: list[Variant],
+    workers: int,
+    said: Callable[[int, int], None] = lambda done, of: None,
+) -> dict[tuple[str, str], list[Result]]:
     """Play all; return the results by day and variant, in the order of the seeds."""
     with ExitStack() as stack:
         roots = {variant: stack.enter_context(packages(variant)) for variant in variants}
@@ -117,8 +148,10 @@
             for variant in variants:
                 changed = dayfile.change(day, overlay=variant.overlay) if variant.overlay else day
                 text = str(changed.file)
-                jobs += [(day.file.name, variant, pool.submit(play_one, roots[variant], text, seed, variant))
-                         for seed in seeds]
+                jobs += [
+                    (day.file.name, variant, pool.submit(play_one, roots[variant], text, seed, variant))
+                    for seed in seeds
+                ]
         results: dict[tuple[str, str], list[Result]] = {}
         for done, (name, variant, job) in enumerate(jobs):
             results.setdefault((name, variant.text), []).append(job.result())
@@ -126,16 +159,18 @@
         return results
 
 
-def rows(results: dict[tuple[str, str], list[Result]], base: Variant,
-         other: Variant) -> list[tuple[str, str, float, float, Difference]]:
+def rows(
+    results: dict[tuple[str, str], list[Result]], base: Variant, other: Variant
+) -> list[tuple[str, str, float, float, Difference]]:
     """Return by day and metric: both means, and the difference with its interval; last, over all days."""
     found: list[tuple[str, str, float, float, Difference]] = []
     days = list(dict.fromkeys(name for name, _ in results))
     for label in METRICS:
         every: list[tuple[float, float]] = []
         for name in days:
-            a, b = ([result.figures[label] for result in results[name, variant.text]]
-                    for variant in (base, other))
+            a, b = (
+                [result.figures[label] for result in results[name, variant.text]] for variant in (base, other)
+            )
             every += zip(a, b, strict=True)
             found.append((name, label, _mean(a), _mean(b), difference(a, b)))
         if len(days) > 1:
@@ -146,10 +181,19 @@
 
 def broken(results: dict[tuple[str, str], list[Result]]) -> list[str]:
     """Return what broke, a line each."""
-    return [f"{variant} on {name}, seed {result.seed}: {text}"
-            for (name, variant), plays in results.items() for result in plays
-            for text in [*result.broke[:1], *(f"{rule['rule']} ({rule['breaks']}): {rule['first'][0]}"
-                                             for rule in result.rules if rule["breaks"])]]
+    return [
+        f"{variant} on {name}, seed {result.seed}: {text}"
+        for (name, variant), plays in results.items()
+        for result in plays
+        for text in [
+            *result.broke[:1],
+            *(
+                f"{rule['rule']} ({rule['breaks']}): {rule['first'][0]}"
+                for rule in result.rules
+                if rule["breaks"]
+            ),
+        ]
+    ]
 
 
 def _mean(values: list[Any]) -> float:
--- a/fennelwind/fleet/councilbench.py
+++ b/fennelwind/fleet/councilbench.py
@@ -118,8 +118,11 @@
     try:
         ahead = ""
         for kept in (folder, ""):
-            child = subprocess.Popen([sys.executable, "-m", "fennelwind.fleet.councilbench", "hop", ahead,
-                                      kept], stdout=subprocess.PIPE, text=True)
+            child = subprocess.Popen(
+                [sys.executable, "-m", "fennelwind.fleet.councilbench", "hop", ahead, kept],
+                stdout=subprocess.PIPE,
+                text=True,
+            )
             children.append(child)
             ahead = child.stdout.readline().strip()
         stream, times = rig.loop.connect(parse_address(ahead)), []
@@ -136,8 +139,12 @@
     return times
 
 
-def many(rig: CouncilRig, call: Callable[[Asker, int], Any], askers: int = ASKERS, each: int = EACH_ASKER,
-         ) -> float:
+def many(
+    rig: CouncilRig,
+    call: Callable[[Asker, int], Any],
+    askers: int = ASKERS,
+    each: int = EACH_ASKER,
+) -> float:
     """Return how many calls a second end while so many are under way."""
     loop, done, until = rig.loop, [0], rig.loop.now() + RATE_MS
 
@@ -147,8 +154,11 @@
             done[0] += 1
 
     began = loop.now()
-    tasks = [loop.spawn(one, ours, number * each + place)
-             for number, ours in enumerate(asker(rig, n + 1) for n in range(askers)) for place in range(each)]
+    tasks = [
+        loop.spawn(one, ours, number * each + place)
+        for number, ours in enumerate(asker(rig, n + 1) for n in range(askers))
+        for place in range(each)
+    ]
     for task in tasks:
         task.join()
     return done[0] / (loop.now() - began) * 1000.0
@@ -181,15 +191,23 @@
 
 def commits() -> None:
     """Print the time and the rate of commands."""
-    print("| members | sync | one sync (ms, median / 99th) | as many at once as members | there and back "
-          "| a command's hops, bare | one command | of one sync and one round | commands/s | renewals/s |")
+    print(
+        "| members | sync | one sync (ms, median / 99th) | as many at once as members | there and back "
+        "| a command's hops, bare | one command | of one sync and one round | commands/s | renewals/s |"
+    )
     print("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     for members in (3, 5):
         for no_sync in (False, True):
             with folder() as place:
+
                 def script(rig: CouncilRig, no_sync: bool = no_sync, place: Path = place) -> list[str]:
-                    rig.until(lambda: sum(rig.state(n)["votes"] == len(rig.members) for n in rig.members)
-                              == len(rig.members), "all vote")
+                    rig.until(
+                        lambda: (
+                            sum(rig.state(n)["votes"] == len(rig.members) for n in rig.members)
+                            == len(rig.members)
+                        ),
+                        "all vote",
+                    )
                     ours = asker(rig, 0)
                     put(ours, "x", 0)
                     bare, rounds, times = bare_syncs(place), bare_rounds(rig), []
@@ -201,28 +219,41 @@
                         times.append(rig.loop.now() - began)
                     rate = many(rig, lambda ours, n: put(ours, f"k{n % 100}", n))
                     floor = (0.0 if no_sync else median(bare)) + median(rounds)
-                    return [*map(figures, (bare, crowd, rounds, hops, times)), f"{median(times) / floor:.2f}",
-                            f"{rate:.0f}", f"{renewals(rig):.0f}"]
+                    return [
+                        *map(figures, (bare, crowd, rounds, hops, times)),
+                        f"{median(times) / floor:.2f}",
+                        f"{rate:.0f}",
+                        f"{renewals(rig):.0f}",
+                    ]
 
                 rig = CouncilRig(place, members, direct=True, disk={"no_sync": no_sync})
-                print(f"| {members} | {'no' if no_sync else 'yes'} | " + " | ".join(rig.play(script)) + " |",
-                      flush=True)
+                print(
+                    f"| {members} | {'no' if no_sync else 'yes'} | " + " | ".join(rig.play(script)) + " |",
+                    flush=True,
+                )
 
 
 def leaders(faults: list[str]) -> None:
     """Print the time without a leader after each sort of fault."""
     print(f"Election time-outs of {TIMING['election_ms']:.0f} to {2 * TIMING['election_ms']:.0f} ms.\n")
-    print("| fault | plays | without a leader (ms): median / 99th / most | below 3 time-outs "
-          "| first command done after: median / most |")
+    print(
+        "| fault | plays | without a leader (ms): median / 99th / most | below 3 time-outs "
+        "| first command done after: median / most |"
+    )
     print("| --- | --- | --- | --- | --- |")
     for fault in faults or FAULTS:
         with folder() as place:
+
             def script(rig: CouncilRig, fault: str = fault) -> tuple[list[float], list[float]]:
                 without, first = [], []
                 ours = Asker(rig.loop, "rig", "bench", {n: rig.home(n) for n in rig.members}, "1")
                 for number in range(PLAYS):
-                    rig.until(lambda: all((rig.state(n) or {}).get("votes") == len(rig.members)
-                                          for n in rig.members), "all vote")
+                    rig.until(
+                        lambda: all(
+                            (rig.state(n) or {}).get("votes") == len(rig.members) for n in rig.members
+                        ),
+                        "all vote",
+                    )
                     leader = rig.leader()
                     term = rig.state(leader)["term"]
                     put(ours, "x", number)
@@ -230,18 +261,31 @@
                     strike(rig, fault, leader)
                     put(ours, "x", number)
                     first.append(rig.loop.now() - began)
-                    at = rig.until(lambda leader=leader, term=term, seen=seen: next(
-                        (facts["at_ms"] for who, what, facts in rig.said[seen:] if who != leader
-                         and what == "part" and facts["part"] == "leader" and facts["term"] > term), 0),
-                        "another leader")
+                    at = rig.until(
+                        lambda leader=leader, term=term, seen=seen: next(
+                            (
+                                facts["at_ms"]
+                                for who, what, facts in rig.said[seen:]
+                                if who != leader
+                                and what == "part"
+                                and facts["part"] == "leader"
+                                and facts["term"] > term
+                            ),
+                            0,
+                        ),
+                        "another leader",
+                    )
                     without.append(at - began)
                     mend(rig, fault, leader)
                 return without, first
 
             without, first = CouncilRig(place, 3).play(script)
             below = sum(ms < 3.0 * TIMING["election_ms"] for ms in without)
-            print(f"| {fault} | {len(without)} | {figures(without)} / {max(without):.0f} | {below} of "
-                  f"{len(without)} | {median(first):.0f} / {max(first):.0f} |", flush=True)
+            print(
+                f"| {fault} | {len(without)} | {figures(without)} / {max(without):.0f} | {below} of "
+                f"{len(without)} | {median(first):.0f} / {max(first):.0f} |",
+                flush=True,
+            )
 
 
 def strike(rig: CouncilRig, fault: str, leader: str) -> None:
@@ -293,6 +337,7 @@
 def catch_up() -> None:
     """Print how long a member takes that has missed `BEHIND` commands."""
     with folder() as place:
+
         def script(rig: CouncilRig) -> None:
             askers = [asker(rig, n) for n in range(ASKERS)]
             fill(rig, 100, askers)
@@ -304,14 +349,21 @@
             target = rig.state(rig.leader())["commit"]
             began = rig.loop.now()
             rig.start(late)
-            rig.until(lambda: any(who == late and what == "member" and facts["at_ms"] > began
-                                  for who, what, facts in rig.said), "it has opened its folder")
+            rig.until(
+                lambda: any(
+                    who == late and what == "member" and facts["at_ms"] > began
+                    for who, what, facts in rig.said
+                ),
+                "it has opened its folder",
+            )
             opened = rig.loop.now()
             rig.until(lambda: (rig.state(late) or {"applied": 0})["applied"] >= target, "it is up", 300.0)
             ended = rig.loop.now()
-            print(f"{BEHIND} commands in {took / 1000.0:.1f} s; the member was up to index {target} "
-                  f"{(ended - opened) / 1000.0:.2f} s after it had opened its folder "
-                  f"({(ended - began) / 1000.0:.2f} s after its start).")
+            print(
+                f"{BEHIND} commands in {took / 1000.0:.1f} s; the member was up to index {target} "
+                f"{(ended - opened) / 1000.0:.2f} s after it had opened its folder "
+                f"({(ended - began) / 1000.0:.2f} s after its start)."
+            )
 
         CouncilRig(place, 3, direct=True).play(script)
 
@@ -319,6 +371,7 @@
 def memory(commands: int) -> None:
     """Print members' memory after so many commands, in ten steps."""
     with folder() as place:
+
         def script(rig: CouncilRig) -> None:
             askers = [asker(rig, n) for n in range(ASKERS)]
             print("| commands | memory of each member (MB) | at most | longest log (MB) | files (MB) |")
@@ -327,8 +380,9 @@
                 fill(rig, commands // 10, askers)
                 told = [rig.state(name) for name in rig.members]
                 files = sum(f.stat().st_size for n in rig.members for f in (place / n).glob("*")) / len(told)
-                kept = " | ".join(", ".join(str(t[key] // 1024) for t in told)
-                                  for key in ("now_kb", "memory_kb"))
+                kept = " | ".join(
+                    ", ".join(str(t[key] // 1024) for t in told) for key in ("now_kb", "memory_kb")
+                )
                 log = max(t["log_bytes"] for t in told) / 1e6
                 print(f"| {step * commands // 10} | {kept} | {log:.1f} | {files / 1e6:.1f} |", flush=True)
 
--- a/fennelwind/fleet/councilrig.py
+++ b/fennelwind/fleet/councilrig.py
@@ -136,8 +136,17 @@
 
     WORK = "fennelwind.fleet.councilwork"  # what its processes run
 
-    def __init__(self, folder: Path, members: int = 3, followers: int = 0, *, seed: int = 1,
-                 more: dict[str, dict[str, Any]] | None = None, direct: bool = False, **every: Any) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        members: int = 3,
+        followers: int = 0,
+        *,
+        seed: int = 1,
+        more: dict[str, dict[str, Any]] | None = None,
+        direct: bool = False,
+        **every: Any,
+    ) -> None:
         self.folder, self.seed, self.direct = folder, seed, direct  # direct: without relays, nothing is cut
         self.loop = RealLoop()
         self.members = [f"m{n}" for n in range(members)]
@@ -158,6 +167,7 @@
 
     def play(self, script: Callable[["CouncilRig"], Any], up: bool = True) -> Any:
         """Run the script with all processes up (or none yet); end them all. Raises `RigFailed`."""
+
         def run() -> Any:
             self._prepare()
             if up:
@@ -201,8 +211,9 @@
         self.resource = Resource(self.loop, Address(f"127.{RESOURCE}.0.1", self.port))
         self.loop.spawn(self.resource.serve, name="resource")
         rows = [Row(self.way(a, b), a, b, self.home(b)) for a in self.names for b in self.members if a != b]
-        return rows + [Row(self.way(a, "resource"), a, "resource", self.resource.listener.address)
-                       for a in self.names]
+        return rows + [
+            Row(self.way(a, "resource"), a, "resource", self.resource.listener.address) for a in self.names
+        ]
 
     def home(self, name: str) -> Address:
         """Where a member listens."""
@@ -218,20 +229,29 @@
     def spec(self, name: str) -> dict[str, Any]:
         """Return what a process is told to be."""
         member = name in self.members
-        return {
-            "name": name, "fleet": "rig", "seed": self.seed + self.lives[name], "life": self.lives[name],
-            "members": {other: str(self.home(other) if other == name else self.way(name, other))
-                        for other in self.members},
-            "folder": str(self.folder / name) if member else "",
-            "listen": str(self.home(name)) if member else "",
-            "timing": TIMING,
-            "resource": str(self.way(name, "resource"))} | self.every | self.more.get(name, {})
+        return (
+            {
+                "name": name,
+                "fleet": "rig",
+                "seed": self.seed + self.lives[name],
+                "life": self.lives[name],
+                "members": {
+                    other: str(self.home(other) if other == name else self.way(name, other))
+                    for other in self.members
+                },
+                "folder": str(self.folder / name) if member else "",
+                "listen": str(self.home(name)) if member else "",
+                "timing": TIMING,
+                "resource": str(self.way(name, "resource")),
+            }
+            | self.every
+            | self.more.get(name, {})
+        )
 
     def start(self, name: str) -> None:
         """Start a life of a process."""
         self.lives[name] += 1
-        part = Part(self.loop, self.spec(name), self.folder / f"{name}.{self.lives[name]}.log",
-                    self.WORK)
+        part = Part(self.loop, self.spec(name), self.folder / f"{name}.{self.lives[name]}.log", self.WORK)
         self.parts[name] = part
         self._all.append(part)
 
@@ -328,6 +348,7 @@
 
     def state(self, name: str) -> dict[str, Any]:
         """Ask a running process how it stands."""
+
         def told() -> dict[str, Any] | None:
             self._tokens += 1
             token = self._tokens
@@ -342,6 +363,7 @@
 
     def leader(self, among: Iterable[str] | None = None) -> str:
         """Wait for a leader among the running members; return its name."""
+
         def one() -> str:
             asked = among or [name for name in self.members if name in self.parts]
             states = {name: self.state(name) for name in asked}
@@ -360,8 +382,13 @@
         start = len(self.resource.seen) if than is None else than
 
         def enough() -> bool:
-            ends = [s for s in self.resource.seen[start:] if s.taken and s.what == "end"
-                    and all(getattr(s, key) == value for key, value in like.items())]
+            ends = [
+                s
+                for s in self.resource.seen[start:]
+                if s.taken
+                and s.what == "end"
+                and all(getattr(s, key) == value for key, value in like.items())
+            ]
             return len(ends) >= more
 
         self.until(enough, f"{more} acts")
--- a/fennelwind/fleet/councilwork.py
+++ b/fennelwind/fleet/councilwork.py
@@ -59,10 +59,23 @@
         members = {name: parse_address(address) for name, address in spec["members"].items()}
         folder = Path(spec["folder"]) if spec.get("folder") else None
         place = Place(
-            spec["fleet"], self.name, members, folder, parse_address(spec["listen"]) if folder else None,
-            Timing(**spec.get("timing", {})), spec.get("reserve", 1 << 20), spec.get("handover_ms", 3000.0))
-        self.keeper = Keeper(loop, place, spec["seed"], self._said,
-                             lambda: RigDisk(loop, str(folder), self.faults), (Registers(),))
+            spec["fleet"],
+            self.name,
+            members,
+            folder,
+            parse_address(spec["listen"]) if folder else None,
+            Timing(**spec.get("timing", {})),
+            spec.get("reserve", 1 << 20),
+            spec.get("handover_ms", 3000.0),
+        )
+        self.keeper = Keeper(
+            loop,
+            place,
+            spec["seed"],
+            self._said,
+            lambda: RigDisk(loop, str(folder), self.faults),
+            (Registers(),),
+        )
 
     def _true_ms(self) -> float:
         """Return the time that all processes of the machine share."""
@@ -133,8 +146,12 @@
 
     def _tell(self, stream: Stream, what: str, number: int, fence: int) -> bool:
         with self.loop.deadline(RESOURCE_MS):
-            stream.write(json.dumps([self.spec["task"]["name"], self.name, self.spec["life"], what, number,
-                                     fence]).encode() + b"\n")
+            stream.write(
+                json.dumps(
+                    [self.spec["task"]["name"], self.name, self.spec["life"], what, number, fence]
+                ).encode()
+                + b"\n"
+            )
             answer = b""
             while not answer.endswith(b"\n"):
                 data = stream.read()
@@ -167,16 +184,29 @@
             say(state=[token, None])
             return
         view = member.core.state()
-        say(state=[token, {"part": view.part, "term": view.term, "leader": view.leader, "commit": view.commit,
-                           "applied": member.state.record.index, "members": len(view.members.members),
-                           "memory_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
-                           "now_kb": _memory_kb(),
-                           "log_bytes": view.log_bytes, "base": view.base,
-                           "votes": sum(m.votes for m in view.members.members),
-                           "lives": {m.name: m.life.hex() for m in view.members.members},
-                           "counts": view.counts | member.counts | member.peers.counts,
-                           "ways": {name: peer.life.hex() if peer.up else ""
-                                    for name, peer in member.peers.peers.items()}}])
+        say(
+            state=[
+                token,
+                {
+                    "part": view.part,
+                    "term": view.term,
+                    "leader": view.leader,
+                    "commit": view.commit,
+                    "applied": member.state.record.index,
+                    "members": len(view.members.members),
+                    "memory_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
+                    "now_kb": _memory_kb(),
+                    "log_bytes": view.log_bytes,
+                    "base": view.base,
+                    "votes": sum(m.votes for m in view.members.members),
+                    "lives": {m.name: m.life.hex() for m in view.members.members},
+                    "counts": view.counts | member.counts | member.peers.counts,
+                    "ways": {
+                        name: peer.life.hex() if peer.up else "" for name, peer in member.peers.peers.items()
+                    },
+                },
+            ]
+        )
 
 
 def _memory_kb() -> int:
--- a/fennelwind/fleet/dayfile.py
+++ b/fennelwind/fleet/dayfile.py
@@ -14,10 +14,26 @@
 REQUESTS_MOST = 2_000_000  # of a day; they are planned ahead and kept in memory
 FAULTS_MOST = 1000
 LINKS = (pb.Fault.CUT, pb.Fault.RESET, pb.Fault.DELAY, pb.Fault.LOSSY, pb.Fault.STALL, pb.Fault.RATE)
-OF_CONTROLLERS = (pb.Fault.KILL, pb.Fault.TERM, pb.Fault.PAUSE, pb.Fault.SQUEEZE, pb.Fault.RELOAD,
-                  pb.Fault.ROLL, pb.Fault.BURST)
-OF_EXECUTORS = (pb.Fault.SLOW, pb.Fault.ERROR, pb.Fault.LOSE, pb.Fault.HANG, pb.Fault.REFUSE,
-                pb.Fault.SPOIL, pb.Fault.CRASH, pb.Fault.REPLACE, pb.Fault.REPORT_LATE)
+OF_CONTROLLERS = (
+    pb.Fault.KILL,
+    pb.Fault.TERM,
+    pb.Fault.PAUSE,
+    pb.Fault.SQUEEZE,
+    pb.Fault.RELOAD,
+    pb.Fault.ROLL,
+    pb.Fault.BURST,
+)
+OF_EXECUTORS = (
+    pb.Fault.SLOW,
+    pb.Fault.ERROR,
+    pb.Fault.LOSE,
+    pb.Fault.HANG,
+    pb.Fault.REFUSE,
+    pb.Fault.SPOIL,
+    pb.Fault.CRASH,
+    pb.Fault.REPLACE,
+    pb.Fault.REPORT_LATE,
+)
 INSTANT = (pb.Fault.KILL, pb.Fault.TERM, pb.Fault.RELOAD)  # take no time of their own
 SHARED = (pb.Fault.ERROR, pb.Fault.SPOIL, pb.Fault.SQUEEZE)  # need a share above 0
 REPORTS = ("active", "waiting", "cpu", "memory")
@@ -48,8 +64,9 @@
 def bundled() -> list[str]:
     """Return the names of the days that come with the program."""
     folder = resources.files("fennelwind.fleet") / "days"
-    return sorted(entry.name.removesuffix(".txtpb") for entry in folder.iterdir()
-                  if entry.name.endswith(".txtpb"))
+    return sorted(
+        entry.name.removesuffix(".txtpb") for entry in folder.iterdir() if entry.name.endswith(".txtpb")
+    )
 
 
 def load(name: str) -> Day:
@@ -61,7 +78,7 @@
     try:
         return read(raw.decode("utf-8"), name)
     except UnicodeDecodeError as exc:
-        line = raw[:exc.start].count(b"\n") + 1
+        line = raw[: exc.start].count(b"\n") + 1
         raise SettingsError(name, [Problem(line, 1, "bytes that are not UTF-8")]) from None
 
 
@@ -75,8 +92,14 @@
     return Day(message, text)
 
 
-def change(day: Day, *, controllers: int | None = None, executors: int | None = None,
-           seconds: float | None = None, overlay: str = "") -> Day:
+def change(
+    day: Day,
+    *,
+    controllers: int | None = None,
+    executors: int | None = None,
+    seconds: float | None = None,
+    overlay: str = "",
+) -> Day:
     """Return the day with other sizes or settings; rates follow the executors' cores.
 
     `overlay` is text of a day whose fields take the place of the day's own; `seconds` scales the times of
@@ -117,8 +140,9 @@
         super().__init__(places)
         self.day = day
 
-    def number(self, path: FieldPath, message: Any, label: str, least: float, most: float,
-               open_below: bool = False) -> None:
+    def number(
+        self, path: FieldPath, message: Any, label: str, least: float, most: float, open_below: bool = False
+    ) -> None:
         """Check that a number is in its range; with `open_below` the least value itself is out."""
         value = getattr(message, label)
         good = math.isfinite(value) and least <= value <= most and not (open_below and value == least)
@@ -240,8 +264,16 @@
             self.number(("reports",), day.reports, label, 0.0, 1e6)
         self.number(("reports",), day.reports, "noise", 0.0, 10.0)
         rules = day.rules
-        for label in ("drain_grace_ms", "cold_ms", "fall_multiple", "fall_ms", "max_retry_after_ms",
-                      "budget_free", "budget_share", "budget_ms"):
+        for label in (
+            "drain_grace_ms",
+            "cold_ms",
+            "fall_multiple",
+            "fall_ms",
+            "max_retry_after_ms",
+            "budget_free",
+            "budget_share",
+            "budget_ms",
+        ):
             self.number(("rules",), rules, label, 0.0, 1e7)
         self.number(("rules",), rules, "cold_share", 0.0, 1.0, True)
         self.number(("rules",), rules, "max_attempts", 1, 20)
@@ -290,8 +322,11 @@
                 self.wrong((*path, label), f"{label}: {name!r} is none of {zones}")
         if party.numbers and side not in (pb.Party.CONTROLLERS, pb.Party.EXECUTORS):
             self.wrong((*path, "numbers"), "numbers: only controllers and executors have numbers")
-        most = (self.day.controllers.count if side == pb.Party.CONTROLLERS
-                else sum(group.count for group in self.day.executors))
+        most = (
+            self.day.controllers.count
+            if side == pb.Party.CONTROLLERS
+            else sum(group.count for group in self.day.executors)
+        )
         for index, number in enumerate(party.numbers):
             if not 0 <= number < most:
                 self.wrong((*path, "numbers", index), f"numbers: {number}, where there are {most}")
--- a/fennelwind/fleet/facts.py
+++ b/fennelwind/fleet/facts.py
@@ -14,34 +14,67 @@
     """Return what the audit has to know of a day."""
     day, rules = plan.day.file, plan.day.file.rules
     cores = {kind.name: kind.cores for kind in day.kinds}
-    classes = tuple(ClassFacts(cls.name, EFFECTS[cls.effect], cls.memory_ms, frozenset(cls.zones))
-                    for cls in day.classes)
-    places = {life.instance: Place(plan.slots[life.slot].zone, cores[plan.slots[life.slot].kind],
-                                   life.start_ms, plan.slots[life.slot].name) for life in plan.lives}
-    told = {c.number: [(at, one["instanceId"], one["lifecycle"]) for at, event in plan.told(c.number)
-                       for one in event["nodes"]["instances"]] for c in plan.controllers}
+    classes = tuple(
+        ClassFacts(cls.name, EFFECTS[cls.effect], cls.memory_ms, frozenset(cls.zones)) for cls in day.classes
+    )
+    places = {
+        life.instance: Place(
+            plan.slots[life.slot].zone,
+            cores[plan.slots[life.slot].kind],
+            life.start_ms,
+            plan.slots[life.slot].name,
+        )
+        for life in plan.lives
+    }
+    told = {
+        c.number: [
+            (at, one["instanceId"], one["lifecycle"])
+            for at, event in plan.told(c.number)
+            for one in event["nodes"]["instances"]
+        ]
+        for c in plan.controllers
+    }
     holds = tuple(fault for fault in plan.link_faults if fault.kind in HOLDS)
 
     def disturbed(controller: int, slot: str, start: float, end: float) -> bool:
         return bool(_windows(holds, plan.controllers[controller].name, {slot}, start, end))
 
     return Facts(
-        classes, places, told, blind={c.number: _blind(plan, holds, c.number) for c in plan.controllers},
-        deaf={c.number: _deaf(plan, holds, c.number) for c in plan.controllers}, disturbed=disturbed,
-        drain_grace_ms=rules.drain_grace_ms, cold_share=rules.cold_share, cold_ms=rules.cold_ms,
-        fall_multiple=rules.fall_multiple, fall_ms=rules.fall_ms, max_attempts=rules.max_attempts,
-        parallel=rules.parallel, budget_free=rules.budget_free, budget_share=rules.budget_share,
-        budget_ms=rules.budget_ms)
+        classes,
+        places,
+        told,
+        blind={c.number: _blind(plan, holds, c.number) for c in plan.controllers},
+        deaf={c.number: _deaf(plan, holds, c.number) for c in plan.controllers},
+        disturbed=disturbed,
+        drain_grace_ms=rules.drain_grace_ms,
+        cold_share=rules.cold_share,
+        cold_ms=rules.cold_ms,
+        fall_multiple=rules.fall_multiple,
+        fall_ms=rules.fall_ms,
+        max_attempts=rules.max_attempts,
+        parallel=rules.parallel,
+        budget_free=rules.budget_free,
+        budget_share=rules.budget_share,
+        budget_ms=rules.budget_ms,
+    )
 
 
-def _windows(faults: tuple[LinkFault, ...], name: str, others: set[str], start: float = float("-inf"),
-             end: float = float("inf")) -> list[Window]:
+def _windows(
+    faults: tuple[LinkFault, ...],
+    name: str,
+    others: set[str],
+    start: float = float("-inf"),
+    end: float = float("inf"),
+) -> list[Window]:
     """Return when a way between a party and any of the others was at fault, in either direction."""
     found = []
     for fault in faults:
         until = fault.until_ms + HEALS_MS + 2.0 * fault.delay_ms
-        if fault.at_ms < end and start < until and any(
-                fault.between(name, other) or fault.between(other, name) for other in others):
+        if (
+            fault.at_ms < end
+            and start < until
+            and any(fault.between(name, other) or fault.between(other, name) for other in others)
+        ):
             found.append((fault.at_ms, until))
     return found
 
@@ -51,8 +84,11 @@
     name = plan.controllers[number].name
     windows = [(start, end + HEARS_MS) for start, end in _windows(holds, name, {CHANNEL})]
     windows += [(fault.at_ms, fault.until_ms + HEARS_MS) for fault in plan.channel_faults]
-    windows += [(step.at_ms, step.at_ms + HEARS_MS + RELOADED_MS) for step in plan.steps
-                if step.controller == number and step.verb == "hup"]
+    windows += [
+        (step.at_ms, step.at_ms + HEARS_MS + RELOADED_MS)
+        for step in plan.steps
+        if step.controller == number and step.verb == "hup"
+    ]
     since = None
     for step in plan.steps:
         if step.controller == number and step.verb == "stop" and since is None:
--- a/fennelwind/fleet/figures.py
+++ b/fennelwind/fleet/figures.py
@@ -46,8 +46,14 @@
 def roots_of(plan: Plan, story: Story) -> list[Root]:
     """Return all planned requests with their ends."""
     classes = plan.day.file.classes
-    roots = [Root(ask.at_ms, ask.cls, classes[ask.cls].aim_ms + classes[ask.cls].aim_stretch
-                  * ask.work_ms / classes[ask.cls].threads) for ask in plan.asks]
+    roots = [
+        Root(
+            ask.at_ms,
+            ask.cls,
+            classes[ask.cls].aim_ms + classes[ask.cls].aim_stretch * ask.work_ms / classes[ask.cls].threads,
+        )
+        for ask in plan.asks
+    ]
     for request in story.requests.values():
         root = roots[request.asked.root]
         if request.left is not None:
@@ -76,10 +82,13 @@
     earned = np.array([worth_of(plan, root) for root in roots] or [0.0])
     total = float(worth.sum()) or 1.0
     told: dict[str, Any] = {
-        "requests": len(roots), "worth": float((worth * earned).sum()) / total,
-        "classes": _classes(plan, roots), "tries_a_request": len(story.requests) / max(1, len(roots)),
+        "requests": len(roots),
+        "worth": float((worth * earned).sum()) / total,
+        "classes": _classes(plan, roots),
+        "tries_a_request": len(story.requests) / max(1, len(roots)),
         "attempts_a_request": len(story.attempts) / max(1, len(story.requests)),
-        "unreached": sum(isinstance(one, Unreached) for one in sightings)}
+        "unreached": sum(isinstance(one, Unreached) for one in sightings),
+    }
     told |= _executors(plan, story, sightings)
     at = np.array([root.at for root in roots] or [0.0])
     told |= _faults(plan, at, worth, earned)
@@ -96,10 +105,15 @@
             if root.served_at is not None:
                 histogram.record_value(max(1, round(root.served_at - root.at)))
         count = max(1, len(mine))
-        rows[cls.name] = {"requests": len(mine)} | {end: ends[end] / count for end in ENDS} | {
-            "worth": sum(worth_of(plan, root) for root in mine) / count,
-            "p50_ms": histogram.get_value_at_percentile(50.0),
-            "p99_ms": histogram.get_value_at_percentile(99.0)}
+        rows[cls.name] = (
+            {"requests": len(mine)}
+            | {end: ends[end] / count for end in ENDS}
+            | {
+                "worth": sum(worth_of(plan, root) for root in mine) / count,
+                "p50_ms": histogram.get_value_at_percentile(50.0),
+                "p99_ms": histogram.get_value_at_percentile(99.0),
+            }
+        )
     return rows
 
 
@@ -135,20 +149,25 @@
     idle = (threads < 0.5) & alive & queued[None, :]
     overfull, short, wasted, all_work = _meetings(bounds, cores, memory)
     return {
-        "work": _work(load, names), "uneven": _uneven(load, alive),
+        "work": _work(load, names),
+        "uneven": _uneven(load, alive),
         "idle_while_queued": float(idle.sum()) / max(1.0, float(alive.sum())),
         "busy": float(np.minimum(load, 1.0)[alive].mean()) if alive.any() else 0.0,
-        "herd": _herd(story), "overfull": overfull, "short_of_memory": short,
+        "herd": _herd(story),
+        "overfull": overfull,
+        "short_of_memory": short,
         "wasted": wasted / max(all_work, 1e-9),
-        "ends": dict(Counter(attempt.how or "open" for attempt in story.attempts))}
+        "ends": dict(Counter(attempt.how or "open" for attempt in story.attempts)),
+    }
 
 
 def _slot(at: float, slots: int) -> int:
     return min(max(0, int(at / GRID_MS)), slots)
 
 
-def _meetings(bounds: list[tuple], cores: np.ndarray,
-              memory: np.ndarray) -> tuple[float, float, float, float]:
+def _meetings(
+    bounds: list[tuple], cores: np.ndarray, memory: np.ndarray
+) -> tuple[float, float, float, float]:
     """Return the shares of attempts that met an overfull executor, one short of memory; wasted work; all."""
     running, held = defaultdict(float), defaultdict(float)
     met = full = short = 0
@@ -168,16 +187,21 @@
 def _work(load: np.ndarray, names: list[str]) -> dict[str, list[float]]:
     """Return the threads a core of each executor, the mean of each window, by instance."""
     step = int(WINDOW_MS / GRID_MS)
-    return {name: [round(float(load[place, start:start + step].mean()), 3)
-                   for start in range(0, load.shape[1], step)] for place, name in enumerate(names)}
+    return {
+        name: [
+            round(float(load[place, start : start + step].mean()), 3)
+            for start in range(0, load.shape[1], step)
+        ]
+        for place, name in enumerate(names)
+    }
 
 
 def _uneven(load: np.ndarray, alive: np.ndarray) -> float:
     """Return the coefficient of variation of work over executors, the mean over windows."""
     step, found = int(WINDOW_MS / GRID_MS), []
     for start in range(0, load.shape[1] - step + 1, step):
-        whole = alive[:, start:start + step].all(axis=1)
-        mean = load[whole, start:start + step].mean(axis=1) if whole.any() else np.zeros(1)
+        whole = alive[:, start : start + step].all(axis=1)
+        mean = load[whole, start : start + step].mean(axis=1) if whole.any() else np.zeros(1)
         if len(mean) > 1 and mean.mean() > 0.0:
             found.append(float(mean.std() / mean.mean()))
     return float(np.mean(found)) if found else 0.0
@@ -198,6 +222,7 @@
 
 def _faults(plan: Plan, at: np.ndarray, worth: np.ndarray, earned: np.ndarray) -> dict[str, Any]:
     """Return the share of the worth served around each fault, and the time to recover from the last."""
+
     def share(start: float, end: float) -> float | None:
         inside = (at >= start) & (at < end)
         asked = float(worth[inside].sum())
@@ -207,8 +232,14 @@
     rows = []
     for fault in day.faults:
         name = type(fault).Kind.Name(fault.kind)
-        rows.append({"kind": name, "at_ms": fault.at_ms, "for_ms": fault.for_ms,
-                     "worth": share(fault.at_ms, fault.at_ms + fault.for_ms + AFTER_MS)})
+        rows.append(
+            {
+                "kind": name,
+                "at_ms": fault.at_ms,
+                "for_ms": fault.for_ms,
+                "worth": share(fault.at_ms, fault.at_ms + fault.for_ms + AFTER_MS),
+            }
+        )
     told: dict[str, Any] = {"faults": rows, "recovery_ms": None}
     if day.faults:
         before = share(0.0, min(fault.at_ms for fault in day.faults))
--- a/fennelwind/fleet/links.py
+++ b/fennelwind/fleet/links.py
@@ -30,8 +30,13 @@
 
     def between(self, source: str, target: str) -> bool:
         """Tell whether it is on the way from one party to the other."""
-        return (source in self.source and target in self.target
-                or self.both_ways and target in self.source and source in self.target)
+        return (
+            source in self.source
+            and target in self.target
+            or self.both_ways
+            and target in self.source
+            and source in self.target
+        )
 
 
 @dataclass(slots=True, frozen=True)
@@ -93,11 +98,15 @@
         case pb.Fault.STALL:
             return path._replace(stalled=True)
         case pb.Fault.DELAY:
-            return path._replace(delay_ms=path.delay_ms + fault.delay_ms,
-                                 jitter=max(path.jitter, fault.share))
+            return path._replace(
+                delay_ms=path.delay_ms + fault.delay_ms, jitter=max(path.jitter, fault.share)
+            )
         case pb.Fault.LOSSY:
-            return path._replace(lost=max(path.lost, fault.lost), twice=max(path.twice, fault.twice),
-                                 swapped=max(path.swapped, fault.swapped))
+            return path._replace(
+                lost=max(path.lost, fault.lost),
+                twice=max(path.twice, fault.twice),
+                swapped=max(path.swapped, fault.swapped),
+            )
         case pb.Fault.RATE:
             rate = fault.bytes_per_s / 1000.0
             return path._replace(bytes_per_ms=min(path.bytes_per_ms or rate, rate))
