--- a/fennelwind/fleet/plan.py
+++ b/fennelwind/fleet/plan.py
@@ -154,8 +154,9 @@
     def links(self) -> Links:
         """Return the ways between the parties, with the day's faults on them."""
         network = self.day.file.network
-        return Links(Distances(self.zone_of, network.same_ms, network.cross_ms, network.jitter),
-                     self.link_faults)
+        return Links(
+            Distances(self.zone_of, network.same_ms, network.cross_ms, network.jitter), self.link_faults
+        )
 
     def told(self, controller: int) -> list[tuple[float, dict[str, Any]]]:
         """Return what the channel has to tell a controller, each event with the time from which it does.
@@ -173,9 +174,16 @@
     def entry(self, life: Life, state: str) -> dict[str, Any]:
         """Return an executor as the channel lists it; its address and the time of its start are the rig's."""
         slot = self.slots[life.slot]
-        return {"instanceId": life.instance, "slot": slot.number, "zone": slot.zone, "machineType": slot.kind,
-                "cell": slot.number % 4, "lifecycle": state, "weight": 1,
-                "startedAtMs": life.start_ms if life.cold else 0}
+        return {
+            "instanceId": life.instance,
+            "slot": slot.number,
+            "zone": slot.zone,
+            "machineType": slot.kind,
+            "cell": slot.number % 4,
+            "lifecycle": state,
+            "weight": 1,
+            "startedAtMs": life.start_ms if life.cold else 0,
+        }
 
 
 def _event(number: int, instances: list[dict[str, Any]], reset: bool) -> dict[str, Any]:
@@ -198,7 +206,7 @@
     exact = [count * share / total for share in shares]
     dealt = [int(part) for part in exact]
     order = sorted(range(len(shares)), key=lambda i: (dealt[i] - exact[i], i))
-    for i in order[:count - sum(dealt)]:
+    for i in order[: count - sum(dealt)]:
         dealt[i] += 1
     return dealt
 
@@ -228,19 +236,27 @@
         homes = [zone for zone, count in zip(zones, spread, strict=True) for _ in range(count)]
         draw.shuffle(homes)
         plan.controllers = tuple(
-            ControllerPlan(i, f"n{i}", zone, math.exp(draw.gauss(0.0, 1.0) * told.skew),
-                           draw.gauss(0.0, 1.0) * told.clock_ms) for i, zone in enumerate(homes))
+            ControllerPlan(
+                i,
+                f"n{i}",
+                zone,
+                math.exp(draw.gauss(0.0, 1.0) * told.skew),
+                draw.gauss(0.0, 1.0) * told.clock_ms,
+            )
+            for i, zone in enumerate(homes)
+        )
         kinds = [group.kind for group in day.executors for _ in range(group.count)]
         draw.shuffle(kinds)
         spread = deal(len(kinds), [zone.executors for zone in day.zones])
         homes = [zone for zone, count in zip(zones, spread, strict=True) for _ in range(count)]
-        plan.slots = tuple(Slot(i, f"x{i}", zone, kind)
-                           for i, (zone, kind) in enumerate(zip(homes, kinds, strict=True)))
+        plan.slots = tuple(
+            Slot(i, f"x{i}", zone, kind) for i, (zone, kind) in enumerate(zip(homes, kinds, strict=True))
+        )
         spread_ms = day.channel.spread_ms
         plan.notice = [day.channel.notice_ms + draw.random() * spread_ms for _ in plan.controllers]
 
     def _instance(self, draw: Random) -> str:
-        return f"s-{draw.randrange(16 ** 8):08x}"
+        return f"s-{draw.randrange(16**8):08x}"
 
     def _lives(self) -> None:
         """Work out the executors' lives: crashes and replacements in order, each to who lives then."""
@@ -273,11 +289,16 @@
             zones -= {party.other_than}
         named: list[str] = []
         groups: dict[int, tuple[Any, ...]] = {
-            pb.Party.CONTROLLERS: plan.controllers, pb.Party.EXECUTORS: plan.slots}
+            pb.Party.CONTROLLERS: plan.controllers,
+            pb.Party.EXECUTORS: plan.slots,
+        }
         for each, members in groups.items():
             if side in (pb.Party.ANY, each):
-                chosen = [m.name for m in members
-                          if m.zone in zones and (not party.numbers or m.number in party.numbers)]
+                chosen = [
+                    m.name
+                    for m in members
+                    if m.zone in zones and (not party.numbers or m.number in party.numbers)
+                ]
                 if party.share:
                     count = max(1, round(party.share * len(chosen))) if chosen else 0
                     chosen = self.random(f"party {part} {each}").sample(chosen, count)
@@ -293,10 +314,22 @@
         for place, fault in enumerate(self.day.faults):
             until = fault.at_ms + fault.for_ms
             if fault.kind in LINKS:
-                links.append(LinkFault(
-                    fault.kind, fault.at_ms, until, self.party(fault.who, 0, f"{place} who"),
-                    self.party(fault.to, 0, f"{place} to"), fault.both_ways, fault.delay_ms, fault.share,
-                    fault.lost, fault.twice, fault.swapped, fault.bytes_per_s))
+                links.append(
+                    LinkFault(
+                        fault.kind,
+                        fault.at_ms,
+                        until,
+                        self.party(fault.who, 0, f"{place} who"),
+                        self.party(fault.to, 0, f"{place} to"),
+                        fault.both_ways,
+                        fault.delay_ms,
+                        fault.share,
+                        fault.lost,
+                        fault.twice,
+                        fault.swapped,
+                        fault.bytes_per_s,
+                    )
+                )
             elif fault.kind in (pb.Fault.CHANNEL_SILENT, pb.Fault.CHANNEL_BREAK):
                 silent = fault.kind == pb.Fault.CHANNEL_SILENT
                 plan.channel_faults.append(ChannelFault(silent, fault.at_ms, until))
@@ -306,9 +339,17 @@
                 self._steps(place, fault)
             else:
                 for name in sorted(self.party(fault.who, pb.Party.EXECUTORS, f"{place} who"), key=_number):
-                    plan.executor_faults.append(ExecutorFault(
-                        fault.kind, fault.at_ms, until, int(name[1:]), fault.factor, fault.share,
-                        fault.delay_ms))
+                    plan.executor_faults.append(
+                        ExecutorFault(
+                            fault.kind,
+                            fault.at_ms,
+                            until,
+                            int(name[1:]),
+                            fault.factor,
+                            fault.share,
+                            fault.delay_ms,
+                        )
+                    )
         plan.link_faults = tuple(links)
         plan.steps.sort()
 
@@ -355,9 +396,16 @@
     def _asks(self) -> None:
         day, plan = self.day, self.plan
         classes = {cls.name: place for place, cls in enumerate(day.classes)}
-        bursts = [(fault.at_ms, fault.at_ms + fault.for_ms, fault.factor,
-                   self.party(fault.who, pb.Party.CONTROLLERS, f"burst {place}"))
-                  for place, fault in enumerate(day.faults) if fault.kind == pb.Fault.BURST]
+        bursts = [
+            (
+                fault.at_ms,
+                fault.at_ms + fault.for_ms,
+                fault.factor,
+                self.party(fault.who, pb.Party.CONTROLLERS, f"burst {place}"),
+            )
+            for place, fault in enumerate(day.faults)
+            if fault.kind == pb.Fault.BURST
+        ]
         sums = list(accumulate(controller.share for controller in plan.controllers))
         for place, load in enumerate(day.loads):
             draw = self.random(f"load {place}")
@@ -393,8 +441,19 @@
         group = min(int(load.tables * draw.random() ** 2), max(load.tables - 1, 0))  # some more than others
         impatient = draw.random() < day.clients.impatient
         withdrawn = 0.25 * day.classes[cls].give_up_ms if impatient else 0.0
-        return Ask(0, at, cls, controller, max(work, 0.1), max(work * told, 0.1), need, need * told, group,
-                   max(load.rows, 1), withdrawn)
+        return Ask(
+            0,
+            at,
+            cls,
+            controller,
+            max(work, 0.1),
+            max(work * told, 0.1),
+            need,
+            need * told,
+            group,
+            max(load.rows, 1),
+            withdrawn,
+        )
 
 
 def _number(name: str) -> int:
--- a/fennelwind/fleet/play.py
+++ b/fennelwind/fleet/play.py
@@ -63,8 +63,12 @@
         return None
     name, _, late = policy.partition(":")
     late_ms = float(late or 100.0)
-    Yardstick(name, api.Settings(classes=(api.QueryClass("x", 1.0, 1.0, 1.0),), kind_cores=(1,)), 0,
-              lambda at, instance: 0.0)  # a wrong name is told now
+    Yardstick(
+        name,
+        api.Settings(classes=(api.QueryClass("x", 1.0, 1.0, 1.0),), kind_cores=(1,)),
+        0,
+        lambda at, instance: 0.0,
+    )  # a wrong name is told now
 
     def make(settings: api.Settings, seed: int, fleet: Virtual) -> Decides:
         def truth(at: float, instance: str) -> float:
@@ -105,8 +109,15 @@
 def judge(plan: Plan, outcome: Outcome, rig: str, policy: str) -> Result:
     """Audit a day that was played and work out its figures."""
     story = put_together(outcome.sightings)
-    rules = [{"rule": verdict.rule, "checks": verdict.checks, "breaks": len(verdict.breaks),
-              "first": verdict.breaks[:SHOWN]} for verdict in audit(story, facts_of(plan))]
+    rules = [
+        {
+            "rule": verdict.rule,
+            "checks": verdict.checks,
+            "breaks": len(verdict.breaks),
+            "first": verdict.breaks[:SHOWN],
+        }
+        for verdict in audit(story, facts_of(plan))
+    ]
     told = figures(plan, story, outcome.sightings)
     usages = [one for one in outcome.sightings if isinstance(one, Usage)]
     notes = outcome.notes | {"processes": [list(one[1:]) for one in usages if one.name != "world"]}
--- a/fennelwind/fleet/processes.py
+++ b/fennelwind/fleet/processes.py
@@ -44,16 +44,19 @@
 AFTER_MS = 1000.0  # ms after the last request, for what is still to settle
 END_S = 30.0  # s in which a controller has to end after SIGTERM
 PDEATHSIG = 1  # of prctl: the signal that a process gets when its parent ends
-BOOKS = re.compile(r"closed: books agree: (\w+); open (\d+), second answers (\d+), forgotten (\d+), "
-                   r"step errors (\d+)")
+BOOKS = re.compile(
+    r"closed: books agree: (\w+); open (\d+), second answers (\d+), forgotten (\d+), "
+    r"step errors (\d+)"
+)
 
 
 class RigFailed(FennelwindError):
     """The rig itself could not do its part; the text says why."""
 
     code = "rig-failed"
-    advice = ("The play says nothing of the controllers. Read the logs in its folder, give it more of "
-              "the machine.")
+    advice = (
+        "The play says nothing of the controllers. Read the logs in its folder, give it more of the machine."
+    )
 
 
 def run_command(root: Path | None = None) -> tuple[str, Path]:
@@ -80,8 +83,9 @@
 class Part:
     """A worker's process, which is talked to in lines of JSON."""
 
-    def __init__(self, loop: Loop, spec: dict[str, Any], log: Path,
-                 module: str = "fennelwind.fleet.worker") -> None:
+    def __init__(
+        self, loop: Loop, spec: dict[str, Any], log: Path, module: str = "fennelwind.fleet.worker"
+    ) -> None:
         self.loop, self.spec = loop, spec
         self.done = self.ready = self.ended = self.silent = False
         self.killed = False  # by its rig
@@ -89,9 +93,13 @@
         self.log = log.open("wb")
         root = Path(__file__).parent.parent.parent
         self.process = subprocess.Popen(
-            [sys.executable, "-m", module], stdin=subprocess.PIPE, stdout=subprocess.PIPE,
-            stderr=self.log, preexec_fn=_with_parent,  # noqa: PLW1509 - one thread here
-            env=os.environ | {"PYTHONPATH": f"{root}{os.pathsep}{os.environ.get('PYTHONPATH', '')}"})
+            [sys.executable, "-m", module],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=self.log,
+            preexec_fn=_with_parent,  # noqa: PLW1509 - one thread here
+            env=os.environ | {"PYTHONPATH": f"{root}{os.pathsep}{os.environ.get('PYTHONPATH', '')}"},
+        )
         os.set_blocking(self.process.stdout.fileno(), False)
         self._rest = b""
         self.say(spec)
@@ -161,11 +169,16 @@
         """Write its configuration as of now."""
         rig = self.rig
         text = config_text(
-            rig.plan, self.number, listen=rig.addresses.controller(self.number),
+            rig.plan,
+            self.number,
+            listen=rig.addresses.controller(self.number),
             channel=rig.addresses.channel_for(self.number, self.second_channel),
             peers=[rig.addresses.peer_for(c.number) for c in rig.plan.controllers],
-            peers_all=rig.addresses.peers_all(), known=rig.book.known(self.number, rig.clock()),
-            start=self.lives, salt=rig.salt)
+            peers_all=rig.addresses.peers_all(),
+            known=rig.book.known(self.number, rig.clock()),
+            start=self.lives,
+            salt=rig.salt,
+        )
         whole = self.path.with_suffix(".new")
         whole.write_text(text, encoding="utf-8")
         whole.replace(self.path)
@@ -178,14 +191,22 @@
         self.wanted, self.stopped = True, False
         offset = rig.plan.controllers[self.number].clock_ms
         env = os.environ | {
-            "RELAY_CONFIG": str(self.path), "RELAY_NAME": self.name,
-            "RELAY_LISTEN": str(rig.addresses.controller(self.number))}
+            "RELAY_CONFIG": str(self.path),
+            "RELAY_NAME": self.name,
+            "RELAY_LISTEN": str(rig.addresses.controller(self.number)),
+        }
         if offset:  # a setting of the rig's: `run` knows nothing of it
             env |= {"FLEET_CLOCK_MS": str(offset), "PYTHONPATH": str(rig.shim)}
         with (rig.folder / f"{self.name}.{self.lives}.log").open("wb") as log:
             self.process = subprocess.Popen(
-                ["/bin/sh", "-c", rig.command], cwd=rig.root, env=env, stdin=subprocess.DEVNULL, stdout=log,
-                stderr=log, preexec_fn=_with_parent)  # noqa: PLW1509 - one thread here
+                ["/bin/sh", "-c", rig.command],
+                cwd=rig.root,
+                env=env,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                preexec_fn=_with_parent,
+            )  # noqa: PLW1509 - one thread here
         rig.note(Process(rig.clock(), self.number, "started"))
 
     def measure(self) -> None:
@@ -283,23 +304,31 @@
                 self.rig.counts["second"] += int(second)
                 stopped = self.number in self.rig.plan.stopped
                 if agree != "True" or int(errors) or int(forgotten) and not stopped:
-                    self.rig.broke.append(f"{self.name}: books agree {agree}, forgotten {forgotten}, "
-                                          f"step errors {errors}")
+                    self.rig.broke.append(
+                        f"{self.name}: books agree {agree}, forgotten {forgotten}, step errors {errors}"
+                    )
 
 
-SHIM = '''import os
+SHIM = """import os
 import time
 
 _time, _offset = time.time, float(os.environ.get("FLEET_CLOCK_MS", "0")) / 1000.0
 time.time = lambda: _time() + _offset
-'''
+"""
 
 
 class Processes:
     """One day on sockets; `play` returns what it left behind. Raises `RigFailed`."""
 
-    def __init__(self, plan: Plan, folder: Path, *, root: Path | None = None, salt: str = "",
-                 said: Callable[[str], None] = lambda _: None) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        folder: Path,
+        *,
+        root: Path | None = None,
+        salt: str = "",
+        said: Callable[[str], None] = lambda _: None,
+    ) -> None:
         self.plan, self.folder, self.salt, self.said = plan, folder, salt, said
         self.command, self.root = run_command(root)
         self.loop = RealLoop()
@@ -381,8 +410,11 @@
             part.say({"start_ms": self.start_ms, "epoch_ms": epoch})
         script = loop.spawn(self._script, name="rig: script")
         loop.spawn(self._tell, name="rig: progress")
-        self._wait(lambda part: part.told.get("done") or part.spec["role"] != "clients",
-                   (plan.day.file.length_ms + OVER_MS) / 1000.0, "do not end")
+        self._wait(
+            lambda part: part.told.get("done") or part.spec["role"] != "clients",
+            (plan.day.file.length_ms + OVER_MS) / 1000.0,
+            "do not end",
+        )
         self.over = True
         script.cancel()
         loop.sleep(AFTER_MS)
--- a/fennelwind/fleet/relay.py
+++ b/fennelwind/fleet/relay.py
@@ -138,8 +138,8 @@
                 path = relay.path(from_, to)
                 if path.stalled and not stalled and len(data) > 1:
                     stalled = True
-                    sink.write(data[:len(data) // 2])
-                    data = data[len(data) // 2:]
+                    sink.write(data[: len(data) // 2])
+                    data = data[len(data) // 2 :]
                 path = relay.passable(from_, to)
                 if path.bytes_per_ms:
                     relay.loop.sleep(len(data) / path.bytes_per_ms)
@@ -180,8 +180,9 @@
 class Relay:
     """All rows of one relay process, and the datagrams if it carries them."""
 
-    def __init__(self, loop: RealLoop, links: Links, rows: list[Row], clock: Callable[[], float],
-                 seed: str) -> None:
+    def __init__(
+        self, loop: RealLoop, links: Links, rows: list[Row], clock: Callable[[], float], seed: str
+    ) -> None:
         self.loop, self.links, self.clock, self.random = loop, links, clock, Random(seed)
         self.doors = [Door(self, row) for row in rows]
         self.carried = self.datagrams = self.dropped = 0
@@ -234,11 +235,24 @@
         self._posts = [*sockets.values(), self.loop.datagrams(everyone)]
         for name, socket in sockets.items():
             self.loop.spawn(self._receive, socket, [name], sockets, homes, names, name="relay: datagrams")
-        self.loop.spawn(self._receive, self._posts[-1], list(sockets), sockets, homes, names,
-                        name="relay: datagrams for all")
+        self.loop.spawn(
+            self._receive,
+            self._posts[-1],
+            list(sockets),
+            sockets,
+            homes,
+            names,
+            name="relay: datagrams for all",
+        )
 
-    def _receive(self, socket: Datagrams, targets: list[str], sockets: dict[str, Datagrams],
-                 homes: dict[str, Address], names: dict[Address, str]) -> None:
+    def _receive(
+        self,
+        socket: Datagrams,
+        targets: list[str],
+        sockets: dict[str, Datagrams],
+        homes: dict[str, Address],
+        names: dict[Address, str],
+    ) -> None:
         while True:
             data, sender = socket.receive()
             source = names.get(sender)
--- a/fennelwind/fleet/report.py
+++ b/fennelwind/fleet/report.py
@@ -24,11 +24,21 @@
     def mean(plays: list[dict[str, Any]], label: str) -> float:
         return sum(play["figures"][label] for play in plays) / len(plays)
 
-    return [{"name": name, "rig": rig, "policy": policy, "plays": len(plays), "worth": mean(plays, "worth"),
-             "uneven": mean(plays, "uneven"), "idle": mean(plays, "idle_while_queued"),
-             "overfull": mean(plays, "overfull"), "wasted": mean(plays, "wasted"),
-             "breaks": sum(rule["breaks"] for play in plays for rule in play["rules"])}
-            for (name, rig, policy), plays in sorted(groups.items())]
+    return [
+        {
+            "name": name,
+            "rig": rig,
+            "policy": policy,
+            "plays": len(plays),
+            "worth": mean(plays, "worth"),
+            "uneven": mean(plays, "uneven"),
+            "idle": mean(plays, "idle_while_queued"),
+            "overfull": mean(plays, "overfull"),
+            "wasted": mean(plays, "wasted"),
+            "breaks": sum(rule["breaks"] for play in plays for rule in play["rules"]),
+        }
+        for (name, rig, policy), plays in sorted(groups.items())
+    ]
 
 
 def _chart(rows: list[dict[str, Any]], label: str, title: str) -> dict[str, str]:
@@ -69,15 +79,27 @@
 def write_report(results: list[dict[str, Any]], path: Path) -> None:
     """Write the page."""
     rows = summary(results)
-    charts = [_chart(rows, label, title) for label, title in (
-        ("worth", "Share of the worth served"), ("uneven", "Variation of work over executors"),
-        ("idle", "Idle while another queues"), ("wasted", "Work wasted"))]
+    charts = [
+        _chart(rows, label, title)
+        for label, title in (
+            ("worth", "Share of the worth served"),
+            ("uneven", "Variation of work over executors"),
+            ("idle", "Idle while another queues"),
+            ("wasted", "Work wasted"),
+        )
+    ]
     drawn = [result for result in results if result["figures"].get("work")]  # older results have none
     charts += [_map(result) for result in drawn[:MAPS_MOST]]
-    breaks = [f"{result['name']}, {result['policy']}, seed {result['seed']}: {text}" for result in results
-              for text in [*result["broke"], *(f"{rule['rule']}: {first}" for rule in result["rules"]
-                                               for first in rule["first"])]][:BREAKS_MOST]
+    breaks = [
+        f"{result['name']}, {result['policy']}, seed {result['seed']}: {text}"
+        for result in results
+        for text in [
+            *result["broke"],
+            *(f"{rule['rule']}: {first}" for rule in result["rules"] for first in rule["first"]),
+        ]
+    ][:BREAKS_MOST]
     environment = Environment(loader=PackageLoader("fennelwind.fleet"), autoescape=select_autoescape())
     page = environment.get_template("report.html").render(
-        results=results, summary=rows, charts=charts, breaks=breaks)
+        results=results, summary=rows, charts=charts, breaks=breaks
+    )
     path.write_text(page, encoding="utf-8")
--- a/fennelwind/fleet/stage.py
+++ b/fennelwind/fleet/stage.py
@@ -26,9 +26,17 @@
 class ExecutorStage:
     """The executors in one slot, one after the other, with what goes wrong with them."""
 
-    def __init__(self, loop: Loop, plan: Plan, slot: int, address: Address, *,
-                 note: Callable[[Sighting], None], clock: Callable[[], float],
-                 caller: Callable[[Stream], int]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        plan: Plan,
+        slot: int,
+        address: Address,
+        *,
+        note: Callable[[Sighting], None],
+        clock: Callable[[], float],
+        caller: Callable[[Stream], int],
+    ) -> None:
         self.loop, self.plan, self.slot, self.address = loop, plan, slot, address
         self.note, self.clock, self.caller = note, clock, caller
         self.current: Executor | None = None
@@ -36,10 +44,18 @@
         day = plan.day.file
         kind = next(kind for kind in day.kinds if kind.name == plan.slots[slot].kind)
         rules = day.rules
-        self.machine = Machine(kind.cores, kind.memory_mb, rules.cold_share, rules.cold_ms,
-                               rules.fall_multiple, rules.fall_ms, RANKS if rules.priorities else ())
-        self.reporting = Reporting(tuple(day.reports.fields), day.reports.period_ms, day.reports.delay_ms,
-                                   day.reports.noise)
+        self.machine = Machine(
+            kind.cores,
+            kind.memory_mb,
+            rules.cold_share,
+            rules.cold_ms,
+            rules.fall_multiple,
+            rules.fall_ms,
+            RANKS if rules.priorities else (),
+        )
+        self.reporting = Reporting(
+            tuple(day.reports.fields), day.reports.period_ms, day.reports.delay_ms, day.reports.noise
+        )
 
     def prepare(self) -> None:
         """Start who is there from the beginning."""
@@ -62,9 +78,16 @@
 
     def _begin(self, life: Life) -> None:
         executor = self.current = Executor(
-            self.loop, life.instance, self.address, self.machine, reporting=self.reporting,
-            random=Random(f"{self.plan.seed}/{life.instance}"), note=self.note, clock=self.clock,
-            caller=self.caller)
+            self.loop,
+            life.instance,
+            self.address,
+            self.machine,
+            reporting=self.reporting,
+            random=Random(f"{self.plan.seed}/{life.instance}"),
+            note=self.note,
+            clock=self.clock,
+            caller=self.caller,
+        )
         self._look([fault for fault in self.plan.executor_faults if fault.slot == self.slot])
         for number in range(BIND_TRIES):
             try:
@@ -111,20 +134,44 @@
 class ChannelStage:
     """The command channel at its two addresses: SIGHUP moves a controller from the first to the second."""
 
-    def __init__(self, loop: Loop, plan: Plan, addresses: tuple[Address, Address],
-                 told: Callable[[int], list[tuple[float, dict[str, Any]]]], *,
-                 note: Callable[[Sighting], None], clock: Callable[[], float],
-                 caller: Callable[[Stream], int]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        plan: Plan,
+        addresses: tuple[Address, Address],
+        told: Callable[[int], list[tuple[float, dict[str, Any]]]],
+        *,
+        note: Callable[[Sighting], None],
+        clock: Callable[[], float],
+        caller: Callable[[Stream], int],
+    ) -> None:
         self.loop, self.plan, self.clock = loop, plan, clock
         moves: dict[int, float] = {}
         for step in plan.steps:
             if step.verb == "hup":
                 moves.setdefault(step.controller, step.at_ms)
         self.channels = [
-            Channel(loop, addresses[0], told, clock=clock, caller=caller, note=note, linger_ms=RELOADED_MS,
-                    open_until=lambda number: moves.get(number, FOREVER)),
-            Channel(loop, addresses[1], told, clock=clock, caller=caller, note=note, linger_ms=0.0,
-                    open_until=lambda number: FOREVER)]
+            Channel(
+                loop,
+                addresses[0],
+                told,
+                clock=clock,
+                caller=caller,
+                note=note,
+                linger_ms=RELOADED_MS,
+                open_until=lambda number: moves.get(number, FOREVER),
+            ),
+            Channel(
+                loop,
+                addresses[1],
+                told,
+                clock=clock,
+                caller=caller,
+                note=note,
+                linger_ms=0.0,
+                open_until=lambda number: FOREVER,
+            ),
+        ]
 
     def prepare(self) -> None:
         """Listen."""
@@ -133,8 +180,9 @@
 
     def play(self) -> None:
         """Play the channel's faults."""
-        changes = sorted({time for fault in self.plan.channel_faults
-                          for time in (fault.at_ms, fault.until_ms)})
+        changes = sorted(
+            {time for fault in self.plan.channel_faults for time in (fault.at_ms, fault.until_ms)}
+        )
         for at in changes:
             self.loop.sleep(max(0.0, at - self.clock()))
             now = self.clock()
@@ -150,8 +198,16 @@
 class ClientStage:
     """The clients of one zone, and the front that is told by `isWell` who leaves."""
 
-    def __init__(self, loop: Loop, plan: Plan, zone: str, where: Callable[[int], Address], *,
-                 note: Callable[[Sighting], None], clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        plan: Plan,
+        zone: str,
+        where: Callable[[int], Address],
+        *,
+        note: Callable[[Sighting], None],
+        clock: Callable[[], float],
+    ) -> None:
         self.loop, self.plan, self.clock = loop, plan, clock
         told = plan.day.file.clients
         here = {c.number for c in plan.controllers if c.zone == zone}
@@ -160,9 +216,15 @@
         neighbours = {n: [m for m in everyone if m != n and zones[m] == zones[n]] for n in everyone}
         wishes = (wish_of(plan, ask) for ask in plan.asks if ask.controller in here)
         self.clients = Clients(
-            loop, wishes, neighbours, where,
+            loop,
+            wishes,
+            neighbours,
+            where,
             Manners(TENANT, told.retries, told.backoff_ms, told.honour, max(told.notice_ms, 1.0)),
-            seed=f"{plan.seed}/{zone}", note=note, clock=clock)
+            seed=f"{plan.seed}/{zone}",
+            note=note,
+            clock=clock,
+        )
 
     def play(self) -> None:
         """Ask all that is planned; return when it has ended."""
--- a/fennelwind/fleet/virtual.py
+++ b/fennelwind/fleet/virtual.py
@@ -105,8 +105,12 @@
         fleet, plan = self.fleet, self.fleet.plan
         address = fleet.addresses.controller(self.number)
         told = plan.controllers[self.number]
-        self.host = fleet.world.host(told.name, address.host, clock_ms=UNIX_MS + told.clock_ms,
-                                     turn_ms=plan.day.file.controllers.turn_us / 1000.0)
+        self.host = fleet.world.host(
+            told.name,
+            address.host,
+            clock_ms=UNIX_MS + told.clock_ms,
+            turn_ms=plan.day.file.controllers.turn_us / 1000.0,
+        )
         self.host.on_error = self._broke
         config = read_config(self.config())
         self.node = node = Node(self.host, config, fleet.log)
@@ -121,10 +125,16 @@
         fleet = self.fleet
         known = fleet.book.known(self.number, fleet.clock())
         return config_text(
-            fleet.plan, self.number, listen=fleet.addresses.controller(self.number),
+            fleet.plan,
+            self.number,
+            listen=fleet.addresses.controller(self.number),
             channel=fleet.addresses.channel_for(self.number, self.second_channel),
             peers=[fleet.addresses.peer_for(c.number) for c in fleet.plan.controllers],
-            peers_all=fleet.addresses.peers_all(), known=known, start=self.lives, salt=fleet.salt)
+            peers_all=fleet.addresses.peers_all(),
+            known=known,
+            start=self.lives,
+            salt=fleet.salt,
+        )
 
     def _broke(self, task: Any, exc: Exception) -> None:
         self.fleet.log.failed(f"n{self.number} {task.name}", exc)
@@ -137,7 +147,8 @@
         if not driver.ledger.balanced() or driver.step_errors or driver.forgotten and not stopped:
             self.fleet.log.broke.append(
                 f"n{self.number}: books agree {driver.ledger.balanced()}, step errors {driver.step_errors}, "
-                f"forgotten {driver.forgotten}")
+                f"forgotten {driver.forgotten}"
+            )
         self.fleet.note(Process(self.fleet.clock(), self.number, why))
         self.host.kill()
 
@@ -217,18 +228,28 @@
     def play(self) -> Outcome:
         """Play the day to its end."""
         self.world.run(self._day)
-        broke = self.log.broke + [f"{host} {task}: {type(exc).__name__}: {exc}"
-                                  for host, task, exc in self.world.errors]
-        notes = {"turns": self.world.turns, "connections_most": {
-            stage.slot: max(stage.most_streams, stage.current.most_streams) for stage in self.executors}}
+        broke = self.log.broke + [
+            f"{host} {task}: {type(exc).__name__}: {exc}" for host, task, exc in self.world.errors
+        ]
+        notes = {
+            "turns": self.world.turns,
+            "connections_most": {
+                stage.slot: max(stage.most_streams, stage.current.most_streams) for stage in self.executors
+            },
+        }
         return Outcome(self.sightings, broke, self.log.ends, notes)
 
     def _day(self) -> None:
         plan, world, shared = self.plan, self.world, {"note": self.note, "clock": self.clock}
         channel_host = world.host(CHANNEL, self.addresses.channel(False).host)
-        channel = ChannelStage(channel_host, plan, (self.addresses.channel(False),
-                                                    self.addresses.channel(True)),
-                               self.book.told, caller=self.caller, **shared)
+        channel = ChannelStage(
+            channel_host,
+            plan,
+            (self.addresses.channel(False), self.addresses.channel(True)),
+            self.book.told,
+            caller=self.caller,
+            **shared,
+        )
         channel_host.start(channel.prepare)
         for slot in plan.slots:
             address = self.addresses.executor(slot.number)
--- a/fennelwind/fleet/wholeday.py
+++ b/fennelwind/fleet/wholeday.py
@@ -61,11 +61,16 @@
         at += random.expovariate(per_s) * 1000.0
         cls = "report" if random.random() < REPORTS else "lookup"
         mean, sigma = WORK_MS[cls]
-        work = mean * math.exp(random.gauss(0.0, sigma) - sigma ** 2 / 2.0)
+        work = mean * math.exp(random.gauss(0.0, sigma) - sigma**2 / 2.0)
         shard = random.choice(shards) if shards and random.random() < NAMED else ""
-        overlay = {"standin.class": cls, "standin.work_ms": f"{work:.3f}",
-                   "standin.threads": str(THREADS[cls]), "standin.rows": "3",
-                   "fennelwind.work_ms": f"{work:.3f}", "fennelwind.timeout_ms": f"{TIMEOUT_MS:.0f}"}
+        overlay = {
+            "standin.class": cls,
+            "standin.work_ms": f"{work:.3f}",
+            "standin.threads": str(THREADS[cls]),
+            "standin.rows": "3",
+            "fennelwind.work_ms": f"{work:.3f}",
+            "fennelwind.timeout_ms": f"{TIMEOUT_MS:.0f}",
+        }
         if shard:
             overlay |= {"standin.shards": shard, "fennelwind.shards": shard}
         ask = Ask("select name from parcel where id = 1", TIMEOUT_MS, overlay, random.random() < LATER)
@@ -88,12 +93,16 @@
 ENGINE_REST_MS = 25_000.0  # ms between two faults of engines: a copy that was lost has to be made anew
 
 
-def storm(seed: int, members: Sequence[str], followers: Sequence[str], engines: Sequence[str],
-          length_ms: float) -> list[Fault]:
+def storm(
+    seed: int, members: Sequence[str], followers: Sequence[str], engines: Sequence[str], length_ms: float
+) -> list[Fault]:
     """Draw faults: of one member at a time, so that the others agree, of one engine, of one follower."""
     random, faults = Random(f"storm {seed}"), []
-    for targets, kinds, rest in ((members, MEMBER_FAULTS, 2_000.0), (engines, ENGINE_FAULTS, ENGINE_REST_MS),
-                                 (followers, ("kill", "stop", "cut off"), 8_000.0)):
+    for targets, kinds, rest in (
+        (members, MEMBER_FAULTS, 2_000.0),
+        (engines, ENGINE_FAULTS, ENGINE_REST_MS),
+        (followers, ("kill", "stop", "cut off"), 8_000.0),
+    ):
         at = random.uniform(0.0, 4_000.0)
         while at < length_ms and targets:
             kind, target = random.choice(kinds), random.choice(targets)
@@ -104,8 +113,9 @@
     return sorted(faults, key=lambda fault: fault.at_ms)
 
 
-def verdict(wires: Mapping[str, Sequence[Wire]], settings: pb.Settings,
-            stops: Spans, cuts: Spans) -> tuple[list[str], int, int]:
+def verdict(
+    wires: Mapping[str, Sequence[Wire]], settings: pb.Settings, stops: Spans, cuts: Spans
+) -> tuple[list[str], int, int]:
     """Return what broke, how often something was checked, and the asks that met a stopped controller.
 
     `stops` by the controller's name, `cuts` by that and the engine's, with a blank between.
@@ -138,7 +148,11 @@
         own_ms = float(end.query.ask.overlay["standin.work_ms"]) / THREADS[end.query.cls]
         return end.took_ms > LATE_MS + LATE_STRETCH * own_ms
 
-    return {"asked": len(ends), "lost": len(ends) - len(took), "late": sum(map(late, ends)),
-            "median_ms": median(took) if took else 0.0,
-            "p99_ms": quantiles(took, n=100)[98] if len(took) > 1 else 0.0,
-            "again": sum(end.tries > 1 for end in ends)}
+    return {
+        "asked": len(ends),
+        "lost": len(ends) - len(took),
+        "late": sum(map(late, ends)),
+        "median_ms": median(took) if took else 0.0,
+        "p99_ms": quantiles(took, n=100)[98] if len(took) > 1 else 0.0,
+        "again": sum(end.tries > 1 for end in ends),
+    }
--- a/fennelwind/fleet/wholeplays.py
+++ b/fennelwind/fleet/wholeplays.py
@@ -34,6 +34,7 @@
 
 # Storms.
 
+
 def play_storm(seed: int) -> dict[str, Any]:
     """Play one storm; return what was seen and what broke."""
     rig, wrong = WholeRig(folder(), members=3, followers=1, seed=seed), []
@@ -64,10 +65,18 @@
         wrong.append(str(exc)[:400])
     broken, checks, excused = rig.judge()
     hows = Counter(end.how for end in rig.ends)
-    return {"seed": seed, "wrong": wrong + broken, "checks": checks, "stood still": excused, "ends": hows,
-            "absent": rig.absent(), "pulled": rig.pulled(),
-            "least copies": min(rig.least.values(), default=0),
-            "faults": Counter(fault.kind for fault in faults), "folder": str(rig.folder)}
+    return {
+        "seed": seed,
+        "wrong": wrong + broken,
+        "checks": checks,
+        "stood still": excused,
+        "ends": hows,
+        "absent": rig.absent(),
+        "pulled": rig.pulled(),
+        "least copies": min(rig.least.values(), default=0),
+        "faults": Counter(fault.kind for fault in faults),
+        "folder": str(rig.folder),
+    }
 
 
 def _do(rig: WholeRig, fault: Fault) -> None:
@@ -115,11 +124,13 @@
 
 # The same day with moves and without.
 
+
 def play_pair(seed: int) -> dict[str, Any]:
     """Play a day with moves of shards and the same one without; return the figures of both."""
     told: dict[str, Any] = {"seed": seed}
     order = ("moves", "none") if seed % 2 else ("none", "moves")
     for which in order:
+
         def change(settings: pb.Settings, which: str = which) -> None:
             twin = settings.kinds.add()
             twin.CopyFrom(settings.kinds[0])
@@ -128,8 +139,16 @@
                 for shard in settings.moves.shards:
                     shard.kinds.append(KIND)
 
-        rig = WholeRig(folder(), members=3, followers=1, shards=8, seed=seed, ms_per_byte=100.0,
-                       change=change, timing=TIMING | {"copy_ms": 60_000.0})
+        rig = WholeRig(
+            folder(),
+            members=3,
+            followers=1,
+            shards=8,
+            seed=seed,
+            ms_per_byte=100.0,
+            change=change,
+            timing=TIMING | {"copy_ms": 60_000.0},
+        )
         rig.layout = [["e0", "e1"]] * 8  # uneven: half of the copies go to the other two, where they may
         rig.kinds = {"e2": TWIN, "e3": TWIN}
 
@@ -148,6 +167,7 @@
 
 # Many controllers.
 
+
 def play_many(count: int) -> dict[str, Any]:
     """Start so many controllers, five of them members; return what they take and how they follow."""
     rig = WholeRig(folder(), members=5, followers=count - 5, engines=4, direct=True, constants={}, timing={})
@@ -157,7 +177,7 @@
     def script(rig: WholeRig) -> None:
         began = rig.loop.now()
         for start in range(0, count, BATCH):
-            names = rig.names[start:start + BATCH]
+            names = rig.names[start : start + BATCH]
             for name in names:
                 rig.start(name)
             for name in names:
@@ -175,7 +195,8 @@
             told[what] = {"leader cpu": (_cpu(rig, leader) - cpu) / (spent / 1000.0)} | {
                 f"{key}/s": round((value - before.get(key, 0.0)) / spent * 1000.0, 2)
                 for key, value in after.items()
-                if key.startswith("council_events_total") and value > before.get(key, 0.0)}
+                if key.startswith("council_events_total") and value > before.get(key, 0.0)
+            }
             if traffic is not None:
                 rig.finish(traffic)
         told["queries"] = figures(rig.ends)
@@ -192,11 +213,12 @@
 
 def know(rig: WholeRig, shards: int) -> None:
     """Wait until all running controllers know so many shards; they are asked side by side."""
+
     def one(name: str) -> None:
         rig.until(lambda: rig.gauges(name).get("council_shards_known", 0.0) >= shards, name, SETTLE_S)
 
     for start in range(0, len(rig.names), BATCH):
-        names = [name for name in rig.names[start:start + BATCH] if name in rig.parts]
+        names = [name for name in rig.names[start : start + BATCH] if name in rig.parts]
         for task in [rig.loop.spawn(one, name, name="know") for name in names]:
             task.join()
 
--- a/fennelwind/fleet/wholerig.py
+++ b/fennelwind/fleet/wholerig.py
@@ -46,13 +46,26 @@
 AGAIN_MS = 100.0  # ms until a client asks another controller
 TRIES_MOST = 50  # controllers that a client asks for one query
 QUICK = {  # constants of a short play: the same order among them as the product's have
-    "fennelwind.keeper.moves:TERM_MS": 6000, "fennelwind.keeper.moves:LOOK_MS": 1500.0,
-    "fennelwind.keeper.moves:NEWS_MS": 300.0, "fennelwind.keeper.moves:LIST_SOON_MS": 500.0,
-    "fennelwind.keeper.changes:TERM_MS": 6000, "fennelwind.keeper.changes:STATEMENT_MS": 1500.0,
-    "fennelwind.keeper.changes:STOP_MS": 1000.0, "fennelwind.keeper.member:LEVEL_MS": 300.0,
-    "fennelwind.shards.machine:ShardMachine.rest_ms": 4000}
-TIMING = {"drop_ms": 2000.0, "check_ms": 3000.0, "copy_ms": 6000.0, "slowest": 1.0, "slack_ms": 500.0,
-          "finish_ms": 2000.0, "again_ms": 200.0, "plan_ms": 300.0}
+    "fennelwind.keeper.moves:TERM_MS": 6000,
+    "fennelwind.keeper.moves:LOOK_MS": 1500.0,
+    "fennelwind.keeper.moves:NEWS_MS": 300.0,
+    "fennelwind.keeper.moves:LIST_SOON_MS": 500.0,
+    "fennelwind.keeper.changes:TERM_MS": 6000,
+    "fennelwind.keeper.changes:STATEMENT_MS": 1500.0,
+    "fennelwind.keeper.changes:STOP_MS": 1000.0,
+    "fennelwind.keeper.member:LEVEL_MS": 300.0,
+    "fennelwind.shards.machine:ShardMachine.rest_ms": 4000,
+}
+TIMING = {
+    "drop_ms": 2000.0,
+    "check_ms": 3000.0,
+    "copy_ms": 6000.0,
+    "slowest": 1.0,
+    "slack_ms": 500.0,
+    "finish_ms": 2000.0,
+    "again_ms": 200.0,
+    "plan_ms": 300.0,
+}
 
 
 @dataclass(slots=True, frozen=True)
@@ -68,16 +81,34 @@
 
     WORK = "fennelwind.fleet.wholework"
 
-    def __init__(self, folder: Path, members: int = 3, followers: int = 1, engines: int = 4, shards: int = 4,
-                 copies: int = 2, *, seed: int = 1, direct: bool = False,
-                 more: dict[str, dict[str, Any]] | None = None,
-                 constants: dict[str, Any] | None = None, timing: dict[str, float] | None = None,
-                 ms_per_byte: float = 5.0,
-                 change: Callable[[pb.Settings], None] = lambda settings: None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        members: int = 3,
+        followers: int = 1,
+        engines: int = 4,
+        shards: int = 4,
+        copies: int = 2,
+        *,
+        seed: int = 1,
+        direct: bool = False,
+        more: dict[str, dict[str, Any]] | None = None,
+        constants: dict[str, Any] | None = None,
+        timing: dict[str, float] | None = None,
+        ms_per_byte: float = 5.0,
+        change: Callable[[pb.Settings], None] = lambda settings: None,
+    ) -> None:
         """Make it. `more`: of one, into its line; `ms_per_byte`: that a copy takes; `change`: of settings."""
-        super().__init__(folder, members, followers, seed=seed, direct=direct, more=more,
-                         constants=QUICK if constants is None else constants,
-                         timing=TIMING if timing is None else timing)
+        super().__init__(
+            folder,
+            members,
+            followers,
+            seed=seed,
+            direct=direct,
+            more=more,
+            constants=QUICK if constants is None else constants,
+            timing=TIMING if timing is None else timing,
+        )
         self.engine_names = [f"e{n}" for n in range(engines)]
         self.kinds: dict[str, str] = {}  # of engines that are not of the template's
         self.layout: list[list[str]] | None = None  # by shard, the engines with copies; None: all evenly
@@ -119,16 +150,25 @@
             return super().way(source, target)
         if self.direct:
             return self.engine_at(target)
-        return Address(super().way(source, source).host.rpartition(".")[0]
-                       + f".{ENGINE_WAY + self.engine_names.index(target)}", self.port)
+        return Address(
+            super().way(source, source).host.rpartition(".")[0]
+            + f".{ENGINE_WAY + self.engine_names.index(target)}",
+            self.port,
+        )
 
     def _surround(self) -> list[Row]:
         self.asker = Asker(self.loop, "rig", "rig", {m: self.home(m) for m in self.members}, f"{self.seed}")
         self._names = {self.host(name): name for name in self.names}
         self.discovery = Discovery(self.loop, Address(f"127.{DISCOVERY}.0.1", self.port), self._wrap)
         for number, name in enumerate(self.engine_names):
-            engine = Engine(self.loop, self.engine_at(name), Machine(cores=8), max_sessions=10_000,
-                            note_ms=self.settings.traits.note_ms, wrap=self._wrap)
+            engine = Engine(
+                self.loop,
+                self.engine_at(name),
+                Machine(cores=8),
+                max_sessions=10_000,
+                note_ms=self.settings.traits.note_ms,
+                wrap=self._wrap,
+            )
             engine.shelf = Shelf(DISK, self.staging, ms_per_byte=self.ms_per_byte)
             engine.schemas.run("CREATE TABLE IF NOT EXISTS sales.orders (id bigint, total decimal(10,2))")
             self.engines[name] = engine
@@ -136,16 +176,26 @@
             self.tell(name, zone=("hall-a", "hall-b")[number % 2], kind=self.kinds.get(name, KIND))
         engines = len(self.engine_names)
         for number, shard in enumerate(self.shards):
-            homes = self.layout[number] if self.layout is not None else [
-                self.engine_names[(number + copy) % engines] for copy in range(self.copies)]
+            homes = (
+                self.layout[number]
+                if self.layout is not None
+                else [self.engine_names[(number + copy) % engines] for copy in range(self.copies)]
+            )
             for home in homes:
                 self.engines[home].shelf.held[shard] = self.content(shard)
         self.discovery.start()
         self.loop.spawn(self._count_copies, name="rig: copies")
-        rows = [Row(self.way(a, b), a, b, self.home(b), self.host(a))
-                for a in self.names for b in self.members if a != b]
-        return rows + [Row(self.way(a, e), a, e, self.engine_at(e), self.host(a))
-                       for a in self.names for e in self.engine_names]
+        rows = [
+            Row(self.way(a, b), a, b, self.home(b), self.host(a))
+            for a in self.names
+            for b in self.members
+            if a != b
+        ]
+        return rows + [
+            Row(self.way(a, e), a, e, self.engine_at(e), self.host(a))
+            for a in self.names
+            for e in self.engine_names
+        ]
 
     def _wrap(self, stream: Stream, who: str) -> Stream:
         """Record a connection of a controller's to an engine or to discovery."""
@@ -217,8 +267,17 @@
         path.write_text(text_format.MessageToString(settings), "utf-8")
         ways = {str(self.home(m)): str(self.way(name, m)) for m in self.members if m != name}
         ways |= {str(self.engine_at(e)): str(self.way(name, e)) for e in self.engine_names}
-        return {"name": name, "settings": str(path), "seed": self.seed * 1000 + self.lives[name],
-                "host": self.host(name), "ways": ways} | self.every | self.more.get(name, {})
+        return (
+            {
+                "name": name,
+                "settings": str(path),
+                "seed": self.seed * 1000 + self.lives[name],
+                "host": self.host(name),
+                "ways": ways,
+            }
+            | self.every
+            | self.more.get(name, {})
+        )
 
     def start(self, name: str) -> None:
         """Start a life of a process."""
@@ -330,11 +389,14 @@
             self.until(lambda name=name: self.gauges(name), f"{name} answers")
         self.leader()
         for name in list(self.parts):  # a copy is good once it was checked, and a view may be 5 s old
-            self.until(lambda name=name: self.gauges(name).get("council_shards_readable") == len(self.shards),
-                       f"{name} knows the copies")
+            self.until(
+                lambda name=name: self.gauges(name).get("council_shards_readable") == len(self.shards),
+                f"{name} knows the copies",
+            )
 
     def leader(self, among: Any = None) -> str:
         """Wait for a leader; return its name."""
+
         def one() -> str:
             asked = among or [name for name in self.members if name in self.parts]
             told = {name: self.gauges(name) for name in asked}
@@ -372,11 +434,20 @@
         """Tell whether nothing moves, all needs are met, and disks are as the record says."""
         machine, ready = self.shard_machine(), [e.engine for e in self._listed.values() if e.state == "ready"]
         good = {shard: list(machine.good(shard)) for shard in self.shards}
-        return not machine.moves and all(
-            len(found) == self.copies and set(found) <= set(ready) and set(found) == set(self.whole(shard))
-            for shard, found in good.items()) and all(
-            set(e.shelf.held) == {shard for shard in self.shards if e.name in good[shard]}
-            for name, e in self.engines.items() if self._listed[name].state != "gone")
+        return (
+            not machine.moves
+            and all(
+                len(found) == self.copies
+                and set(found) <= set(ready)
+                and set(found) == set(self.whole(shard))
+                for shard, found in good.items()
+            )
+            and all(
+                set(e.shelf.held) == {shard for shard in self.shards if e.name in good[shard]}
+                for name, e in self.engines.items()
+                if self._listed[name].state != "gone"
+            )
+        )
 
     # Clients.
 
@@ -450,16 +521,25 @@
     def publish(self, name: str, columns: str, version: int = 0, back: str = "", seconds: int = 60) -> Told:
         """Have a table's schema changed by a controller; wait for its answer."""
         link = Link(self.loop, self.front(name), SASL, "orders-load")
-        overlay = {"fennelwind.publisher": "orders-load", "fennelwind.schema.sales.orders": columns,
-                   "fennelwind.schema_version.sales.orders": str(version)}
+        overlay = {
+            "fennelwind.publisher": "orders-load",
+            "fennelwind.schema.sales.orders": columns,
+            "fennelwind.schema_version.sales.orders": str(version),
+        }
         if back:
             overlay["fennelwind.back"] = f"ALTER TABLE sales.orders REPLACE COLUMNS ({back})"
         try:
             with self.loop.deadline(seconds * 1000.0 + ASK_MS):
                 link.open()
-                link.call("ExecuteStatement", hs2.TExecuteStatementReq(
-                    sessionHandle=link.session, confOverlay=overlay, queryTimeout=seconds,
-                    statement=f"ALTER TABLE sales.orders REPLACE COLUMNS ({columns})"))
+                link.call(
+                    "ExecuteStatement",
+                    hs2.TExecuteStatementReq(
+                        sessionHandle=link.session,
+                        confOverlay=overlay,
+                        queryTimeout=seconds,
+                        statement=f"ALTER TABLE sales.orders REPLACE COLUMNS ({columns})",
+                    ),
+                )
         except RemoteError as exc:
             return Told(exc.status.sqlState or "" if exc.status is not None else "?", str(exc))
         except (StreamReset, OSError, DeadlineExceeded, Malformed) as exc:
--- a/fennelwind/fleet/wholework.py
+++ b/fennelwind/fleet/wholework.py
@@ -58,8 +58,9 @@
 
         def __init__(self, loop: Any, place: Any, seed: int, said: Any) -> None:
             more = (Later(),) if known >= Later.since else ()
-            super().__init__(loop, place, seed, said, lambda: RigDisk(loop, str(place.folder), faults), more,
-                             known)
+            super().__init__(
+                loop, place, seed, said, lambda: RigDisk(loop, str(place.folder), faults), more, known
+            )
 
         def serve_shards(self, *args: Any, **more: Any) -> None:
             super().serve_shards(*args, **more)
@@ -85,7 +86,8 @@
     try:
         build(spec, faults)
         importlib.import_module(PROGRAM).main.main(
-            ["serve", spec["settings"], "--log", "json", "--seed", str(spec["seed"])], standalone_mode=False)
+            ["serve", spec["settings"], "--log", "json", "--seed", str(spec["seed"])], standalone_mode=False
+        )
     except BaseException as exc:  # noqa: BLE001 - all that ends it is told, and where
         traceback.print_exc(file=sys.__stderr__)
         say(failed=f"{type(exc).__name__}: {exc}")
--- a/fennelwind/fleet/worker.py
+++ b/fennelwind/fleet/worker.py
@@ -32,11 +32,21 @@
         for place, zone in enumerate(plan.day.file.zones):
             rows.append(Row(addresses.controller_for(place, number), clients_of(zone.name), name, home))
         for slot in plan.slots:
-            rows.append(Row(addresses.executor_for(number, slot.number), name, slot.name,
-                            addresses.executor(slot.number), home.host))
+            rows.append(
+                Row(
+                    addresses.executor_for(number, slot.number),
+                    name,
+                    slot.name,
+                    addresses.executor(slot.number),
+                    home.host,
+                )
+            )
         for second in (False, True):
-            rows.append(Row(addresses.channel_for(number, second), name, CHANNEL, addresses.channel(second),
-                            home.host))
+            rows.append(
+                Row(
+                    addresses.channel_for(number, second), name, CHANNEL, addresses.channel(second), home.host
+                )
+            )
     return rows
 
 
@@ -72,14 +82,26 @@
         relay = Relay(self.loop, self.plan.links(), rows, self.clock, f"{self.plan.seed}/relay")
         relay.prepare()
         if self.spec["post"]:
-            relay.post([(c.name, self.addresses.peer_for(c.number), self.addresses.peer(c.number))
-                        for c in self.plan.controllers], self.addresses.peers_all())
+            relay.post(
+                [
+                    (c.name, self.addresses.peer_for(c.number), self.addresses.peer(c.number))
+                    for c in self.plan.controllers
+                ],
+                self.addresses.peers_all(),
+            )
         self.parts.append(relay)
 
     def _executors(self) -> None:
         for slot in self.spec["members"]:
-            stage = ExecutorStage(self.loop, self.plan, slot, self.addresses.executor(slot),
-                                  note=self.sightings.append, clock=self.clock, caller=self.caller)
+            stage = ExecutorStage(
+                self.loop,
+                self.plan,
+                slot,
+                self.addresses.executor(slot),
+                note=self.sightings.append,
+                clock=self.clock,
+                caller=self.caller,
+            )
             stage.prepare()
             self.parts.append(stage)
 
@@ -92,18 +114,28 @@
             return books[0].told(number)
 
         stage = ChannelStage(
-            self.loop, self.plan, (self.addresses.channel(False), self.addresses.channel(True)), told,
-            note=self.sightings.append, clock=self.clock, caller=self.caller)
+            self.loop,
+            self.plan,
+            (self.addresses.channel(False), self.addresses.channel(True)),
+            told,
+            note=self.sightings.append,
+            clock=self.clock,
+            caller=self.caller,
+        )
         stage.prepare()
         self.parts.append(stage)
 
     def _clients(self) -> None:
         for place, zone in enumerate(self.plan.day.file.zones):
+
             def where(number: int, place: int = place) -> Any:
                 return self.addresses.controller_for(place, number)
 
-            self.parts.append(ClientStage(self.loop, self.plan, zone.name, where,
-                                          note=self.sightings.append, clock=self.clock))
+            self.parts.append(
+                ClientStage(
+                    self.loop, self.plan, zone.name, where, note=self.sightings.append, clock=self.clock
+                )
+            )
 
     def play(self) -> list[Task]:
         """Start to play; return the tasks."""
@@ -112,8 +144,15 @@
     def finish(self) -> None:
         """Write down what was seen."""
         used = resource.getrusage(resource.RUSAGE_SELF)
-        self.sightings.append(Usage(self.clock(), self.spec["name"], used.ru_maxrss / 1024.0,
-                                    (used.ru_utime + used.ru_stime) * 1000.0, self.loop.worst_delay_ms))
+        self.sightings.append(
+            Usage(
+                self.clock(),
+                self.spec["name"],
+                used.ru_maxrss / 1024.0,
+                (used.ru_utime + used.ru_stime) * 1000.0,
+                self.loop.worst_delay_ms,
+            )
+        )
         with open(self.spec["records"], "wb") as file:
             write(file, self.sightings)
 
--- a/fennelwind/fleet/yardsticks.py
+++ b/fennelwind/fleet/yardsticks.py
@@ -29,10 +29,16 @@
 class Yardstick:
     """A policy by name, with the module's interface."""
 
-    def __init__(self, name: str, settings: api.Settings, seed: int, truth: Truth | None = None,
-                 late_ms: float = 0.0) -> None:
-        choices = {"random": self._random, "fewest": self._fewest, "two": self._two,
-                   "reported": self._reported, "late": self._late}
+    def __init__(
+        self, name: str, settings: api.Settings, seed: int, truth: Truth | None = None, late_ms: float = 0.0
+    ) -> None:
+        choices = {
+            "random": self._random,
+            "fewest": self._fewest,
+            "two": self._two,
+            "reported": self._reported,
+            "late": self._late,
+        }
         if name not in choices:
             raise ValueError(f"{name!r} is none of {', '.join(choices)}")
         if name == "late" and truth is None:
@@ -75,14 +81,16 @@
     def _send(self, number: int, actions: list[api.Action]) -> None:
         query, tried = self.queries[number]
         cls = self.set.classes[query.cls]
-        pool = [engine for _, engine in sorted(self.engines.items()) if engine.entry.state == "ready"
-                and (cls.zones is None or engine.entry.zone in cls.zones)]
+        pool = [
+            engine
+            for _, engine in sorted(self.engines.items())
+            if engine.entry.state == "ready" and (cls.zones is None or engine.entry.zone in cls.zones)
+        ]
         fresh = [engine for engine in pool if engine.entry.engine not in tried] or pool
         if not fresh or len(tried) >= self.set.max_attempts or self.now >= query.deadline_ms:
             del self.queries[number]
             ran = bool(tried) and cls.effect != "safe"
-            actions.append(api.Fail(number) if ran
-                           else api.Refuse(number, self.set.max_retry_after_ms))
+            actions.append(api.Fail(number) if ran else api.Refuse(number, self.set.max_retry_after_ms))
             return
         engine = self.choice(fresh)
         engine.out[number, len(tried)] = cls.threads
@@ -124,12 +132,13 @@
         return min(self.random.sample(pool, min(2, len(pool))), key=lambda e: e.threads / e.cores)
 
     def _reported(self, pool: list[_Engine]) -> _Engine:
-        return min(self.random.sample(pool, min(2, len(pool))),
-                   key=lambda e: e.told + e.threads / e.cores)
+        return min(self.random.sample(pool, min(2, len(pool))), key=lambda e: e.told + e.threads / e.cores)
 
     def _late(self, pool: list[_Engine]) -> _Engine:
         at = self.now - self.late_ms
-        loads = {engine: self.truth(at, engine.entry.engine) + engine.threads / engine.cores / 2.0
-                 for engine in pool}
+        loads = {
+            engine: self.truth(at, engine.entry.engine) + engine.threads / engine.cores / 2.0
+            for engine in pool
+        }
         least = min(loads.values())
         return self.random.choice([engine for engine, load in loads.items() if load <= least + 0.05])
--- a/fennelwind/fronts/hs2/http.py
+++ b/fennelwind/fronts/hs2/http.py
@@ -89,8 +89,12 @@
         entry = None
         if message.body is None:
             reply = write_message(
-                message.method[:80], messages.EXCEPTION, message.sequence, TApplicationException(
-                    f"{message.method[:80]}: unknown method", messages.UNKNOWN_METHOD), message.strict)
+                message.method[:80],
+                messages.EXCEPTION,
+                message.sequence,
+                TApplicationException(f"{message.method[:80]}: unknown method", messages.UNKNOWN_METHOD),
+                message.strict,
+            )
         else:
             reply, entry = self._answer(message, user)
         self._send(200, reply, headers, last=self.requests >= PER_CONNECTION)
@@ -194,13 +198,19 @@
         """Answer with a status and end the connection; what is left of the request is not read."""
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             try:
-                self._send(refused.status, str(refused).encode(), list(refused.headers), last=True,
-                           kind=b"text/plain")
+                self._send(
+                    refused.status,
+                    str(refused).encode(),
+                    list(refused.headers),
+                    last=True,
+                    kind=b"text/plain",
+                )
             except (StreamReset, DeadlineExceeded, h11.LocalProtocolError):
                 self.front.cut += 1
 
-    def _send(self, status: int, body: bytes, headers: list[tuple[bytes, bytes]], *, last: bool,
-              kind: bytes = TYPE) -> None:
+    def _send(
+        self, status: int, body: bytes, headers: list[tuple[bytes, bytes]], *, last: bool, kind: bytes = TYPE
+    ) -> None:
         told = [(b"content-type", kind), (b"content-length", str(len(body)).encode()), *headers]
         if last:
             told.append((b"connection", b"close"))
--- a/fennelwind/fronts/hs2/rows.py
+++ b/fennelwind/fronts/hs2/rows.py
@@ -25,9 +25,16 @@
     return hs2.TRowSet(startRowOffset=(page.startRowOffset or 0) + start, rows=[], columns=columns)
 
 
-VALUES = {"boolVal": "TBoolValue", "byteVal": "TByteValue", "i16Val": "TI16Value", "i32Val": "TI32Value",
-          "i64Val": "TI64Value", "doubleVal": "TDoubleValue", "stringVal": "TStringValue",
-          "binaryVal": "TStringValue"}  # columns -> the values of rows; binary ones go as strings there
+VALUES = {
+    "boolVal": "TBoolValue",
+    "byteVal": "TByteValue",
+    "i16Val": "TI16Value",
+    "i32Val": "TI32Value",
+    "i64Val": "TI64Value",
+    "doubleVal": "TDoubleValue",
+    "stringVal": "TStringValue",
+    "binaryVal": "TStringValue",
+}  # columns -> the values of rows; binary ones go as strings there
 
 
 def by_rows(page: Structure) -> Structure:
@@ -39,9 +46,12 @@
             if values is not None:
                 name = "stringVal" if field.name == "binaryVal" else field.name
                 value, nulls = hs2.CODECS[VALUES[field.name]].make, values.nulls or b""
-                made.append([
-                    hs2.make("TColumnValue", **{name: value(None if null(nulls, i) else each)})
-                    for i, each in enumerate(values.values)])
+                made.append(
+                    [
+                        hs2.make("TColumnValue", **{name: value(None if null(nulls, i) else each)})
+                        for i, each in enumerate(values.values)
+                    ]
+                )
     rows = [hs2.make("TRow", colVals=list(row)) for row in zip(*made, strict=True)]
     return hs2.TRowSet(startRowOffset=page.startRowOffset or 0, rows=rows)
 
--- a/fennelwind/fronts/hs2/server.py
+++ b/fennelwind/fronts/hs2/server.py
@@ -201,9 +201,17 @@
             raise Malformed(f"{message.method}: a message of type {message.type} from a client")
         if message.body is None:
             text = f"{message.method[:80]}: unknown method"
-            self._write(self.side.wrap(write_message(
-                message.method, messages.EXCEPTION, message.sequence,
-                TApplicationException(text, messages.UNKNOWN_METHOD), message.strict)))
+            self._write(
+                self.side.wrap(
+                    write_message(
+                        message.method,
+                        messages.EXCEPTION,
+                        message.sequence,
+                        TApplicationException(text, messages.UNKNOWN_METHOD),
+                        message.strict,
+                    )
+                )
+            )
             return None
         service = self.front.service
         if service.door.users is not None and not self.logged_in:
@@ -234,8 +242,11 @@
 
     def _reply(self, message: Message, reply: Structure) -> None:
         if message.type == messages.CALL:
-            self._write(self.side.wrap(write_message(
-                message.method, messages.REPLY, message.sequence, reply, message.strict)))
+            self._write(
+                self.side.wrap(
+                    write_message(message.method, messages.REPLY, message.sequence, reply, message.strict)
+                )
+            )
 
     def _write(self, data: bytes) -> None:
         self.stream.write(data, self.front.settings.idle_ms)
--- a/fennelwind/fronts/hs2/service.py
+++ b/fennelwind/fronts/hs2/service.py
@@ -43,8 +43,17 @@
 SWEEPS = 4.0  # looks for idle sessions and forgotten operations within the time that makes them so
 NOT_BOUND: dict[bytes, None] = {}  # in place of a connection's sessions: they outlive it
 SHARDS_MOST = 64  # named by one statement; more sets than slots are left to a look ahead of each attempt
-METADATA = {"GetTypeInfo": 1, "GetCatalogs": 2, "GetSchemas": 3, "GetTables": 4, "GetTableTypes": 5,
-            "GetColumns": 6, "GetFunctions": 7, "GetPrimaryKeys": 8, "GetCrossReference": 8}  # TOperationType
+METADATA = {
+    "GetTypeInfo": 1,
+    "GetCatalogs": 2,
+    "GetSchemas": 3,
+    "GetTables": 4,
+    "GetTableTypes": 5,
+    "GetColumns": 6,
+    "GetFunctions": 7,
+    "GetPrimaryKeys": 8,
+    "GetCrossReference": 8,
+}  # TOperationType
 STATES = {SERVED: hs2.FINISHED, REFUSED: hs2.FAILED, FAILED: hs2.FAILED, LEFT: hs2.CANCELED}
 
 Pending = Callable[[], tuple[Structure, Entry | None]]  # waits, then gives the reply and what it answers
@@ -65,8 +74,7 @@
 class Operation:
     """A statement of a session, from ExecuteStatement to CloseOperation."""
 
-    __slots__ = ("handle", "ended", "entry", "reader", "started_ms", "started_wall_s", "used_ms",
-                 "log_read")
+    __slots__ = ("handle", "ended", "entry", "reader", "started_ms", "started_wall_s", "used_ms", "log_read")
 
     def __init__(self, loop: Loop, handle: Structure) -> None:
         self.handle, self.ended = handle, Once(loop)
@@ -81,8 +89,9 @@
 
     __slots__ = ("handle", "user", "protocol", "state", "operations", "used_ms", "bound", "subscriber")
 
-    def __init__(self, handle: Structure, user: str, protocol: int, configuration: dict[str, str],
-                 now_ms: float) -> None:
+    def __init__(
+        self, handle: Structure, user: str, protocol: int, configuration: dict[str, str], now_ms: float
+    ) -> None:
         self.handle, self.user, self.protocol, self.used_ms = handle, user, protocol, now_ms
         self.bound = True  # it ends with the connection that opened it
         self.state = SessionState(configuration)
@@ -98,7 +107,8 @@
 def error(text: str, state: str = "HY000", code: int = 0, told: list[str] | None = None) -> Structure:
     """Return the status of a call that did not."""
     return hs2.TStatus(
-        statusCode=hs2.ERROR, infoMessages=told, sqlState=state, errorCode=code, errorMessage=text)
+        statusCode=hs2.ERROR, infoMessages=told, sqlState=state, errorCode=code, errorMessage=text
+    )
 
 
 def answer_status(entry: Entry) -> Structure:
@@ -143,12 +153,18 @@
     told = []
     for number, each in enumerate(own.tries):
         over = each.ended_ms is not None
-        told.append({
-            "taskId": f"Attempt-{number}", "taskType": "ATTEMPT", "name": "ATTEMPT",
-            "taskState": "FINISHED" if over else "RUNNING", "beginTime": int(began + each.began_ms),
-            "endTime": int(began + each.ended_ms) if over else None,
-            "returnValue": (0 if each.status == "ok" else 1) if over else None,
-            "errorMsg": each.status if over and each.status != "ok" else None})
+        told.append(
+            {
+                "taskId": f"Attempt-{number}",
+                "taskType": "ATTEMPT",
+                "name": "ATTEMPT",
+                "taskState": "FINISHED" if over else "RUNNING",
+                "beginTime": int(began + each.began_ms),
+                "endTime": int(began + each.ended_ms) if over else None,
+                "returnValue": (0 if each.status == "ok" else 1) if over else None,
+                "errorMsg": each.status if over and each.status != "ok" else None,
+            }
+        )
     return json.dumps(told)
 
 
@@ -156,9 +172,13 @@
     """Return a query's progress, as far as its engine tells."""
     own = runs(entry)
     return hs2.TProgressUpdateResp(
-        headerNames=["ATTEMPTS", "DONE"], rows=[[str(own.attempts), f"{own.done:.0%}"]],
-        progressedPercentage=own.done, status=0, footerSummary="",  # TJobExecutionStatus.IN_PROGRESS
-        startTime=int(operation.started_wall_s * 1000))
+        headerNames=["ATTEMPTS", "DONE"],
+        rows=[[str(own.attempts), f"{own.done:.0%}"]],
+        progressedPercentage=own.done,
+        status=0,
+        footerSummary="",  # TJobExecutionStatus.IN_PROGRESS
+        startTime=int(operation.started_wall_s * 1000),
+    )
 
 
 class Service:
@@ -172,12 +192,19 @@
         self.door = Door(loop, settings.users)
         self.idled = self.forgotten = 0  # sessions and operations that nobody used for too long
         bounds = settings.file.listener
-        self.admission = Admission(Bounds(
-            bounds.max_connections, bounds.max_connections_per_address, bounds.max_sessions,
-            bounds.max_sessions_per_user, bounds.max_bytes_per_s_per_user))
-
-    def begin(self, method: str, request: Structure, user: str,
-              mine: dict[bytes, None]) -> Structure | Pending:
+        self.admission = Admission(
+            Bounds(
+                bounds.max_connections,
+                bounds.max_connections_per_address,
+                bounds.max_sessions,
+                bounds.max_sessions_per_user,
+                bounds.max_bytes_per_s_per_user,
+            )
+        )
+
+    def begin(
+        self, method: str, request: Structure, user: str, mine: dict[bytes, None]
+    ) -> Structure | Pending:
         """Take a call; return its reply, or what waits for it. `mine`: what the connection has opened."""
         call = getattr(self, "_" + method, None)
         if method in METADATA:
@@ -191,8 +218,11 @@
         except BadRequestError as exc:
             return reply(status=error(str(exc), exc.state))
         except UnknownHandleError:
-            return reply(status=hs2.TStatus(
-                statusCode=hs2.INVALID_HANDLE, sqlState="HY000", errorMessage=f"{method}: unknown handle"))
+            return reply(
+                status=hs2.TStatus(
+                    statusCode=hs2.INVALID_HANDLE, sqlState="HY000", errorMessage=f"{method}: unknown handle"
+                )
+            )
 
     def start(self) -> None:
         """Look after sessions and operations that nobody uses any more."""
@@ -224,8 +254,12 @@
 
     # Sessions.
 
-    def _OpenSession(self, request: Structure, user: str,  # noqa: N802
-                     mine: dict[bytes, None]) -> Structure | Pending:
+    def _OpenSession(  # noqa: N802
+        self,
+        request: Structure,
+        user: str,
+        mine: dict[bytes, None],
+    ) -> Structure | Pending:
         protocol = min(max(request.client_protocol or 0, 0), hs2.PROTOCOL_NEWEST)
         who = request.username or user
         if self.door.users is not None:
@@ -237,8 +271,9 @@
         session = Session(handle, who, protocol, dict(request.configuration or {}), self.loop.now())
         if self.gate is not None:
             try:
-                session.subscriber = self.gate.subscribe(session.state.configuration(None), protocol,
-                                                         session.state.database)
+                session.subscriber = self.gate.subscribe(
+                    session.state.configuration(None), protocol, session.state.database
+                )
             except FennelwindError as exc:
                 self.admission.sessions.give_back(who)
                 raise BadRequestError(f"{exc} ({exc.code}: {exc.advice})", "22023") from None
@@ -249,8 +284,9 @@
 
         def reply() -> tuple[Structure, None]:
             told = {} if session.subscriber is None else {SUBSCRIBED: self.gate.word(session.subscriber)}
-            return hs2.TOpenSessionResp(status=success(), serverProtocolVersion=protocol,
-                                        sessionHandle=handle, configuration=told), None
+            return hs2.TOpenSessionResp(
+                status=success(), serverProtocolVersion=protocol, sessionHandle=handle, configuration=told
+            ), None
 
         return reply()[0] if session.subscriber is None else reply
 
@@ -269,8 +305,12 @@
 
     # Operations.
 
-    def _ExecuteStatement(self, request: Structure, user: str,  # noqa: N802
-                          mine: dict[bytes, None]) -> Structure | Pending:
+    def _ExecuteStatement(  # noqa: N802
+        self,
+        request: Structure,
+        user: str,
+        mine: dict[bytes, None],
+    ) -> Structure | Pending:
         session = self._session(request.sessionHandle)
         self._room(session)
         statement = request.statement or ""
@@ -304,8 +344,9 @@
         except FennelwindError as exc:
             raise BadRequestError(f"{exc} ({exc.code}: {exc.advice})", "22023") from None
         if change is not None and request.runAsync:
-            raise BadRequestError("a change of a schema is not run beside its call: runAsync has to be off",
-                                  "0A000")
+            raise BadRequestError(
+                "a change of a schema is not run beside its call: runAsync has to be off", "0A000"
+            )
         return change
 
     def _publish(self, change: Any, request: Structure) -> tuple[Structure, None]:
@@ -334,14 +375,24 @@
         self._room(session)
         operation = self._operate(session, METADATA[method], True)
         give_up = self.settings.module.classes[cls].give_up_ms
-        operation.entry = self.driver.submit(Submission(
-            cls=cls, statement=method, deadline_ms=self.loop.now() + give_up, user=session.user,
-            tenant=self.settings.tenants_by_user.get(session.user, 0), database=session.state.database,
-            method=method, arguments=request), operation.ended.set)
+        operation.entry = self.driver.submit(
+            Submission(
+                cls=cls,
+                statement=method,
+                deadline_ms=self.loop.now() + give_up,
+                user=session.user,
+                tenant=self.settings.tenants_by_user.get(session.user, 0),
+                database=session.state.database,
+                method=method,
+                arguments=request,
+            ),
+            operation.ended.set,
+        )
         return partial(self._answer, session, operation, hs2.CODECS[f"T{method}Resp"].make)
 
-    def _answer(self, session: Session, operation: Operation,
-                reply: Callable[..., Structure]) -> tuple[Structure, Entry]:
+    def _answer(
+        self, session: Session, operation: Operation, reply: Callable[..., Structure]
+    ) -> tuple[Structure, Entry]:
         """Wait for a query's final answer; return the reply that tells it."""
         try:
             operation.ended.wait()
@@ -354,8 +405,12 @@
             return reply(status=status), operation.entry
         return reply(status=status, operationHandle=operation.handle), operation.entry
 
-    def _GetOperationStatus(self, request: Structure, user: str,  # noqa: N802
-                            mine: dict[bytes, None]) -> Structure | Pending:
+    def _GetOperationStatus(  # noqa: N802
+        self,
+        request: Structure,
+        user: str,
+        mine: dict[bytes, None],
+    ) -> Structure | Pending:
         _, operation = self._operation(request.operationHandle)
 
         def status() -> Structure:
@@ -365,19 +420,30 @@
             if answer is None:
                 state = hs2.RUNNING if runs(entry).attempts else hs2.PENDING
                 return hs2.TGetOperationStatusResp(
-                    status=success(), operationState=state, hasResultSet=True, operationStarted=started,
-                    taskStatus=tasks(operation, entry), progressUpdateResponse=progress(operation, entry)
-                    if request.getProgressUpdate else None)
+                    status=success(),
+                    operationState=state,
+                    hasResultSet=True,
+                    operationStarted=started,
+                    taskStatus=tasks(operation, entry),
+                    progressUpdateResponse=progress(operation, entry) if request.getProgressUpdate else None,
+                )
             told = answer_status(entry)
             ok = told.statusCode == hs2.SUCCESS
             state = STATES[answer.kind] if ok or answer.kind != SERVED else hs2.FAILED
             return hs2.TGetOperationStatusResp(
-                status=hs2.TStatus(statusCode=hs2.SUCCESS_WITH_INFO if told.infoMessages else hs2.SUCCESS,
-                                   infoMessages=told.infoMessages),
-                operationState=state, sqlState=told.sqlState, errorCode=told.errorCode,
-                operationStarted=started, taskStatus=tasks(operation, entry),
+                status=hs2.TStatus(
+                    statusCode=hs2.SUCCESS_WITH_INFO if told.infoMessages else hs2.SUCCESS,
+                    infoMessages=told.infoMessages,
+                ),
+                operationState=state,
+                sqlState=told.sqlState,
+                errorCode=told.errorCode,
+                operationStarted=started,
+                taskStatus=tasks(operation, entry),
                 operationCompleted=started + int(entry.answered_ms - operation.started_ms),
-                errorMessage=told.errorMessage, hasResultSet=ok and answer.result.schema is not None)
+                errorMessage=told.errorMessage,
+                hasResultSet=ok and answer.result.schema is not None,
+            )
 
         if operation.ended.ready:
             return status()
@@ -392,16 +458,24 @@
 
         return wait
 
-    def _GetResultSetMetadata(self, request: Structure, user: str,  # noqa: N802
-                              mine: dict[bytes, None]) -> Structure:
+    def _GetResultSetMetadata(  # noqa: N802
+        self,
+        request: Structure,
+        user: str,
+        mine: dict[bytes, None],
+    ) -> Structure:
         _, operation = self._operation(request.operationHandle)
         result = self._served(operation).answer.result
         if result.schema is None:
             raise BadRequestError("the statement has no result set", "24000")
         return hs2.TGetResultSetMetadataResp(status=success(), schema=result.schema)
 
-    def _FetchResults(self, request: Structure, user: str,  # noqa: N802
-                      mine: dict[bytes, None]) -> Structure | Pending:
+    def _FetchResults(  # noqa: N802
+        self,
+        request: Structure,
+        user: str,
+        mine: dict[bytes, None],
+    ) -> Structure | Pending:
         session, operation = self._operation(request.operationHandle)
         if request.fetchType:
             return self._fetch_log(operation, request)
@@ -426,8 +500,11 @@
         try:
             rows, more = reader.next(most)
         except StreamLostError as exc:
-            return hs2.TFetchResultsResp(status=error(
-                f"failed after {reader.rows} rows: {exc}; the rest can't be had", "08S01", STREAM_CODE))
+            return hs2.TFetchResultsResp(
+                status=error(
+                    f"failed after {reader.rows} rows: {exc}; the rest can't be had", "08S01", STREAM_CODE
+                )
+            )
         if session.protocol < hs2.PROTOCOL_COLUMNS:
             rows = by_rows(rows)
         return hs2.TFetchResultsResp(status=success(), hasMoreRows=more, results=rows)
@@ -454,7 +531,7 @@
         """Return the log's lines that were not fetched yet; the log grows while the query is open."""
         if request.orientation == hs2.FETCH_FIRST:
             operation.log_read = 0
-        lines = log_lines(operation.entry)[operation.log_read:]
+        lines = log_lines(operation.entry)[operation.log_read :]
         page = text_page(operation.log_read, lines)
         operation.log_read += len(lines)
         return hs2.TFetchResultsResp(status=success(), hasMoreRows=False, results=page)
@@ -477,13 +554,16 @@
     def _room(self, session: Session) -> None:
         if len(session.operations) >= self.settings.file.listener.max_operations:
             raise BadRequestError(
-                f"{len(session.operations)} operations of this session are open, which is the limit", "53000")
+                f"{len(session.operations)} operations of this session are open, which is the limit", "53000"
+            )
 
     def _operate(self, session: Session, kind: int, rows: bool) -> Operation:
         """Enter an operation of a session, under a handle that nobody can guess."""
         handle = hs2.TOperationHandle(
             operationId=hs2.THandleIdentifier(self.loop.token(16), self.loop.token(16)),
-            operationType=kind, hasResultSet=rows)
+            operationType=kind,
+            hasResultSet=rows,
+        )
         operation = Operation(self.loop, handle)
         session.operations[handle.operationId.guid] = operation
         self.operations[handle.operationId.guid] = session, operation
@@ -539,13 +619,21 @@
         work = number(said, "work_ms", 0.0)
         tables = number(said, "tables", -1.0)
         return Submission(
-            cls=cls, statement=statement, deadline_ms=self.loop.now() + min(timeout, TIMEOUT_MOST_MS),
-            user=session.user, tenant=self.settings.tenants_by_user.get(session.user, 0),
-            key=said.get(OWN + "key") or None, work_ms=work or None,
-            memory_mb=number(said, "memory_mb", 0.0), tables=int(tables) if tables >= 0 else None,
-            repeat=said.get(OWN + "repeat") == "true", database=session.state.database,
-            request=said.get(OWN + "request", ""), shards=shards(said),
-            overlay={key: value for key, value in said.items() if not key.startswith(OWN)})
+            cls=cls,
+            statement=statement,
+            deadline_ms=self.loop.now() + min(timeout, TIMEOUT_MOST_MS),
+            user=session.user,
+            tenant=self.settings.tenants_by_user.get(session.user, 0),
+            key=said.get(OWN + "key") or None,
+            work_ms=work or None,
+            memory_mb=number(said, "memory_mb", 0.0),
+            tables=int(tables) if tables >= 0 else None,
+            repeat=said.get(OWN + "repeat") == "true",
+            database=session.state.database,
+            request=said.get(OWN + "request", ""),
+            shards=shards(said),
+            overlay={key: value for key, value in said.items() if not key.startswith(OWN)},
+        )
 
 
 def shards(said: dict[str, str]) -> tuple[str, ...]:
--- a/fennelwind/interface.py
+++ b/fennelwind/interface.py
@@ -74,17 +74,36 @@
 
     def __post_init__(self) -> None:
         """Refuse settings that no decision can be built on."""
-        checks = [("classes", bool(self.classes)), ("gateways", self.gateways >= 1),
-                  ("max_attempts", self.max_attempts >= 1), ("tick_ms", self.tick_ms > 0),
-                  ("kind_cores", all(c > 0 for c in self.kind_cores))]
-        names = ("max_retry_after_ms", "drain_grace_ms", "cold_share", "cold_ms", "fall_multiple", "fall_ms",
-                 "settle_ms", "budget_free", "budget_share", "budget_ms", "answer_slack_ms")
+        checks = [
+            ("classes", bool(self.classes)),
+            ("gateways", self.gateways >= 1),
+            ("max_attempts", self.max_attempts >= 1),
+            ("tick_ms", self.tick_ms > 0),
+            ("kind_cores", all(c > 0 for c in self.kind_cores)),
+        ]
+        names = (
+            "max_retry_after_ms",
+            "drain_grace_ms",
+            "cold_share",
+            "cold_ms",
+            "fall_multiple",
+            "fall_ms",
+            "settle_ms",
+            "budget_free",
+            "budget_share",
+            "budget_ms",
+            "answer_slack_ms",
+        )
         checks += [(name, getattr(self, name) >= 0) for name in names]
         for cls in self.classes:
-            checks += [("aim_ms", cls.aim_ms > 0), ("give_up_ms", cls.give_up_ms > 0),
-                       ("worth", cls.worth >= 0), ("threads", cls.threads >= 1),
-                       ("effect", cls.effect in ("safe", "keyed", "unsafe")),
-                       ("group", cls.group in ("all", "zone", "cell"))]
+            checks += [
+                ("aim_ms", cls.aim_ms > 0),
+                ("give_up_ms", cls.give_up_ms > 0),
+                ("worth", cls.worth >= 0),
+                ("threads", cls.threads >= 1),
+                ("effect", cls.effect in ("safe", "keyed", "unsafe")),
+                ("group", cls.group in ("all", "zone", "cell")),
+            ]
         for name, good in checks:
             if not good:
                 raise ValueError(f"setting {name} is unusable")
--- a/fennelwind/keeper/asker.py
+++ b/fennelwind/keeper/asker.py
@@ -62,8 +62,10 @@
         self.heard_ms = loop.now()
         self._token = 0
         self._waiting: dict[int, Once] = {}
-        self._tasks: list[Task] = [loop.spawn(self._read, name=f"asker: from {name}"),
-                                   loop.spawn(self._write, name=f"asker: to {name}")]
+        self._tasks: list[Task] = [
+            loop.spawn(self._read, name=f"asker: from {name}"),
+            loop.spawn(self._write, name=f"asker: to {name}"),
+        ]
 
     def ask(self, ask: pb.Ask, until: float) -> pb.Told | None:
         """Return the answer; None if the connection broke or the time is up."""
@@ -121,8 +123,15 @@
 class Asker:
     """Asks the record on behalf of one controller."""
 
-    def __init__(self, loop: Loop, fleet: str, name: str, members: dict[str, Address], seed: str,
-                 said: Callable[[CouncilError], None] = lambda _: None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        fleet: str,
+        name: str,
+        members: dict[str, Address],
+        seed: str,
+        said: Callable[[CouncilError], None] = lambda _: None,
+    ) -> None:
         self.loop, self.fleet, self.name, self.members, self.said = loop, fleet, name, dict(members), said
         self.random = Random(seed)
         self.wrong: CouncilError | None = None  # what an operator has to put right, as the last dial met it
@@ -162,8 +171,9 @@
             if client != self._client:
                 continue  # the numbers are another client's by now: this one was never sent
             try:
-                result, lost = self._command(council_pb2.Command(
-                    client=client, number=number, machine=machine, body=body), until)
+                result, lost = self._command(
+                    council_pb2.Command(client=client, number=number, machine=machine, body=body), until
+                )
             finally:
                 if client == self._client:
                     self._end_number(number)
@@ -180,8 +190,9 @@
             if result.refusal in (Result.CLIENT_GONE, Result.NUMBER_GONE):
                 raise self._unknown(machine, number)
             name = Result.Refusal.Name(result.refusal)
-            raise CommandRefused(f"{machine}: {name} {result.text[:200]}".strip(), refusal=name,
-                                 machine=machine)
+            raise CommandRefused(
+                f"{machine}: {name} {result.text[:200]}".strip(), refusal=name, machine=machine
+            )
 
     def _command(self, command: council_pb2.Command, until: float) -> tuple[Result | None, bool]:
         """Return what the record says, None when the time is up; and whether it may be done unsaid."""
@@ -258,8 +269,9 @@
         """Return a fact; without `fresh` as some member knows it. Raises `CouncilLost` and its like."""
         return self._view(pb.View(machine=machine, kind=kind, key=key, fresh=fresh), within_ms)
 
-    def watch(self, machine: str, after: int = 0, *, wait_ms: float, query: bytes = b"",
-              unlike: bytes | None = None) -> Seen:
+    def watch(
+        self, machine: str, after: int = 0, *, wait_ms: float, query: bytes = b"", unlike: bytes | None = None
+    ) -> Seen:
         """Return the state once it has changed behind the revision, or as it is after so long.
 
         With `unlike` it is the answer to the query that has to be another. Raises `AskerFull` when as many
@@ -292,14 +304,16 @@
         told, result = found
         if result.refusal != Result.NONE:
             name = Result.Refusal.Name(result.refusal)
-            raise CommandRefused(f"{view.machine}: {name} {result.text[:200]}".strip(), refusal=name,
-                                 machine=view.machine)
+            raise CommandRefused(
+                f"{view.machine}: {name} {result.text[:200]}".strip(), refusal=name, machine=view.machine
+            )
         return Seen(result.body, told.fact, told.revision, result.index, told.clock_ms)
 
     # Who is asked.
 
-    def _ask(self, make: Callable[[], pb.Ask], until: float, maybe: list[bool],
-             long_ms: float = 0.0) -> tuple[pb.Told, Result] | None:
+    def _ask(
+        self, make: Callable[[], pb.Ask], until: float, maybe: list[bool], long_ms: float = 0.0
+    ) -> tuple[pb.Told, Result] | None:
         """Ask one member after the other until one answers for good; None when the time is up.
 
         `maybe[0]` becomes true where an ask went out and what became of it is not known.
@@ -324,8 +338,11 @@
                 self._last = result.refusal
                 maybe[0] = maybe[0] or result.refusal == Result.UNKNOWN
                 again_ms = float(result.again_ms)
-                if result.refusal != Result.TOO_MANY and self._turn(line.name, result.leader) \
-                        and hops < len(self._order):
+                if (
+                    result.refusal != Result.TOO_MANY
+                    and self._turn(line.name, result.leader)
+                    and hops < len(self._order)
+                ):
                     hops += 1
                     continue  # somebody said who leads: no need to wait
                 hops = 0
@@ -409,8 +426,9 @@
                 if wrong is None and hello.refused:
                     wrong = FleetMismatch(f"{name} refuses us: {hello.refused[:200]}", peer=name)
                 if wrong is None and hello.name != name:
-                    wrong = NameMismatch(f"{hello.name!r} answers where {name!r} is said to be",
-                                         theirs=hello.name, wanted=name)
+                    wrong = NameMismatch(
+                        f"{hello.name!r} answers where {name!r} is said to be", theirs=hello.name, wanted=name
+                    )
                 if wrong is not None:
                     raise wrong
             except BaseException:
@@ -421,8 +439,12 @@
     # Errors.
 
     def _unknown(self, machine: str, number: int) -> OutcomeUnknown:
-        return OutcomeUnknown(f"{machine}: command {number} may be done or not", machine=machine,
-                              client=self._client, number=number)
+        return OutcomeUnknown(
+            f"{machine}: command {number} may be done or not",
+            machine=machine,
+            client=self._client,
+            number=number,
+        )
 
     def _nobody(self) -> CouncilError:
         if self.wrong is not None:
--- a/fennelwind/keeper/asking.py
+++ b/fennelwind/keeper/asking.py
@@ -13,12 +13,12 @@
     if query.open:
         named = 0
         for number, change in sorted(machine.changes.items()):
-            quiet = sorted(change.quiet)[:NAMED_MOST - named]
+            quiet = sorted(change.quiet)[: NAMED_MOST - named]
             told.open.add(number=number, table=change.table, fence=change.fence, quiet=quiet)
             named, told.cut = named + len(quiet), told.cut or len(quiet) < len(change.quiet)
         for name in sorted(machine.lagging) if query.behind else ():
             table = machine.tables[name]
-            behind = sorted(table.behind)[:NAMED_MOST - named]
+            behind = sorted(table.behind)[: NAMED_MOST - named]
             if behind:
                 told.behind.add(table=name, engines=behind)
             named, told.cut = named + len(behind), told.cut or len(behind) < len(table.behind)
--- a/fennelwind/keeper/changes.py
+++ b/fennelwind/keeper/changes.py
@@ -55,8 +55,10 @@
     """A change can't be carried on from this controller; another one is tried."""
 
     code = "gate-change-given-up"
-    advice = ("Look at the engine that is named: it refuses the publisher's statement, or can't be reached "
-              "from here. The change goes on from another controller, or from here after a while.")
+    advice = (
+        "Look at the engine that is named: it refuses the publisher's statement, or can't be reached "
+        "from here. The change goes on from another controller, or from here after a while."
+    )
 
 
 def shape(rows: Iterable[tuple[str, ...]]) -> tuple[tuple[str, str], ...]:
@@ -77,8 +79,15 @@
 class Changes:
     """This controller's part in carrying changes out."""
 
-    def __init__(self, loop: Loop, asker: Asker, tasks: Tasks, statements: Statements,
-                 engines: Callable[[], Iterable[str]], said: Callable[[str, dict], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        asker: Asker,
+        tasks: Tasks,
+        statements: Statements,
+        engines: Callable[[], Iterable[str]],
+        said: Callable[[str, dict], None],
+    ) -> None:
         self.loop, self.asker, self.tasks, self.statements = loop, asker, tasks, statements
         self.quieted: Quieted | None = None  # who keeps queries away here
         self.clearances: Clearances | None = None  # whom a holder asks here; None: nobody
@@ -141,8 +150,9 @@
 
     def _carry_out(self, table: str, number: int, held: Held) -> None:
         if not list(self.engines()):  # to who knows none, all seem gone
-            raise ChangeGivenUp(f"change {number} of {table}: no engine is known here", table=table,
-                                number=number)
+            raise ChangeGivenUp(
+                f"change {number} of {table}: no engine is known here", table=table, number=number
+            )
         query = gate_pb2.ChangeQuery(number=number, whole=True).SerializeToString()
         try:
             seen = self.asker.read(CONTRACTS, query, within_ms=ASK_MS)
@@ -157,15 +167,15 @@
         self.said("change " + over.how, {"table": table, "number": number, "reason": over.reason})
         self.counts[over.how] += 1
         if over.how not in ("finished", "undone"):
-            raise ChangeGivenUp(f"change {number} of {table}: {over.how}: {over.reason}", table=table,
-                                number=number)
+            raise ChangeGivenUp(
+                f"change {number} of {table}: {over.how}: {over.reason}", table=table, number=number
+            )
 
 
 class _Carrying:
     """One change, under one fence."""
 
-    def __init__(self, changes: Changes, held: Held, change: Underway, old: Schema | None,
-                 seen: int) -> None:
+    def __init__(self, changes: Changes, held: Held, change: Underway, old: Schema | None, seen: int) -> None:
         # By engine: an entry at which it was quiet, and has been since. What was so at `seen` is, as only
         # the holder of the lease can let queries go there again.
         self._quiet_since = dict.fromkeys(change.quiet, seen)
@@ -222,7 +232,8 @@
     def _tell(self, action: carrying.Tell) -> None:
         try:
             raw, index = self.changes.asker.propose_at(
-                CONTRACTS, action.command.SerializeToString(deterministic=True), ASK_MS)
+                CONTRACTS, action.command.SerializeToString(deterministic=True), ASK_MS
+            )
         except CouncilError as exc:
             self.changes.counts[exc.code] += 1
             self.hands.post(carrying.Recorded(action.token, None))
@@ -240,7 +251,7 @@
         wish = clear.Wish(table=True, name=self.change.table, engine=engine)
         while self._drains.get(engine) == token:
             wish.since = self._quiet_since.get(engine, 2**62)
-            state, = self.changes.clearances.hear([wish])
+            (state,) = self.changes.clearances.hear([wish])
             now = self.loop.now()
             if state != clear.Heard.SILENT:
                 silent_since = None
@@ -259,8 +270,10 @@
             how, _ = statement.run(action.statement, dict(action.overlay), STATEMENT_MS)
             act.open = how == LOST
         if how != OK:
-            self.changes.said("statement " + how, {"engine": action.engine, "table": self.change.table,
-                                                   "text": statement.text[:300]})
+            self.changes.said(
+                "statement " + how,
+                {"engine": action.engine, "table": self.change.table, "text": statement.text[:300]},
+            )
         self.hands.post(carrying.Ran(action.token, action.engine, how))
 
     def _stop(self, action: carrying.Stop) -> None:
@@ -283,6 +296,7 @@
         elif statement.state == NO_TABLE:
             self.hands.post(carrying.Looked(action.token, action.engine, None))
             return
-        self.changes.said("look " + how, {"engine": action.engine, "table": self.change.table,
-                                          "text": statement.text[:300]})
+        self.changes.said(
+            "look " + how, {"engine": action.engine, "table": self.change.table, "text": statement.text[:300]}
+        )
         self.hands.post(carrying.LookFailed(action.token, action.engine, how == FENCED))
--- a/fennelwind/keeper/clearances.py
+++ b/fennelwind/keeper/clearances.py
@@ -63,8 +63,9 @@
             if not number:
                 command = pb.RollCommand(sign_on=pb.SignOn(name=self.name, routes=self.book is not None))
             try:
-                answer = pb.RollAnswer.FromString(self.asker.propose(
-                    ROLL, command.SerializeToString(deterministic=True), ASK_MS))
+                answer = pb.RollAnswer.FromString(
+                    self.asker.propose(ROLL, command.SerializeToString(deterministic=True), ASK_MS)
+                )
                 number = 0 if answer.refusal else answer.number
                 self.counts[pb.RollAnswer.Refusal.Name(answer.refusal)] += 1
             except CouncilError as exc:  # the record may be of a level without a roll
--- a/fennelwind/keeper/door.py
+++ b/fennelwind/keeper/door.py
@@ -60,8 +60,9 @@
 class Door:
     """Accepts, and reads what comes."""
 
-    def __init__(self, loop: Loop, listener: Listener, fleet: str, taker: Taker,
-                 said: Callable[[CouncilError], None]) -> None:
+    def __init__(
+        self, loop: Loop, listener: Listener, fleet: str, taker: Taker, said: Callable[[CouncilError], None]
+    ) -> None:
         self.loop, self.listener, self.fleet, self.taker, self.said = loop, listener, fleet, taker, said
         self.counts: Counter[str] = Counter()  # connections by what became of them
         self.strangers = 0
@@ -125,9 +126,11 @@
             ours = self.taker.hello()
             wrong = wrong_hello(hello, self.fleet)
             if wrong is None:
-                full = (len(self.members) >= MEMBERS_MOST
-                        and Life(hello.name, hello.life) not in self.members if hello.life
-                        else len(self.callers) >= ASKERS_MOST)
+                full = (
+                    len(self.members) >= MEMBERS_MOST and Life(hello.name, hello.life) not in self.members
+                    if hello.life
+                    else len(self.callers) >= ASKERS_MOST
+                )
                 if full or not 0 < len(hello.name) <= NAME_MOST:
                     self.counts["too many" if full else "dropped"] += 1
                     return None
--- a/fennelwind/keeper/errors.py
+++ b/fennelwind/keeper/errors.py
@@ -14,17 +14,21 @@
     """No member answered in time. `again_ms` is a time to come back; queries go on as without a council."""
 
     code = "council-lost"
-    advice = ("Look whether a majority of the members run and can reach one another, and whether this "
-              "controller reaches the addresses of its settings. Queries go on meanwhile; tasks of the fleet "
-              "and changes of schemas wait.")
+    advice = (
+        "Look whether a majority of the members run and can reach one another, and whether this "
+        "controller reaches the addresses of its settings. Queries go on meanwhile; tasks of the fleet "
+        "and changes of schemas wait."
+    )
 
 
 class NoLeader(CouncilLost):
     """Members answer, but none leads: no majority of them can reach one another or write."""
 
     code = "council-no-leader"
-    advice = ("A majority of the members has to run, reach one another and be able to write. Look for "
-              "members that are down, for full disks and for cut links; a leader is elected by itself then.")
+    advice = (
+        "A majority of the members has to run, reach one another and be able to write. Look for "
+        "members that are down, for full disks and for cut links; a leader is elected by itself then."
+    )
 
 
 class OutcomeUnknown(CouncilError):
@@ -38,8 +42,10 @@
     """The record refused a command, which changed nothing. `refusal` names why."""
 
     code = "council-command-refused"
-    advice = ("NO_MACHINE: members of an older version do not know the command yet, finish the upgrade. "
-              "TOO_LARGE: cut it into several. UNREADABLE: a version that never met this one, or a defect.")
+    advice = (
+        "NO_MACHINE: members of an older version do not know the command yet, finish the upgrade. "
+        "TOO_LARGE: cut it into several. UNREADABLE: a version that never met this one, or a defect."
+    )
 
 
 class AskerFull(CouncilError):
--- a/fennelwind/keeper/folder.py
+++ b/fennelwind/keeper/folder.py
@@ -13,8 +13,15 @@
 class Folder:
     """What `Member` keeps. A life is drawn for a folder that is made anew."""
 
-    def __init__(self, disk: Callable[[], Disk], fleet: str, name: str, token: Callable[[int], bytes],
-                 limits: Limits, pause: Callable[[], None] = lambda: None) -> None:
+    def __init__(
+        self,
+        disk: Callable[[], Disk],
+        fleet: str,
+        name: str,
+        token: Callable[[int], bytes],
+        limits: Limits,
+        pause: Callable[[], None] = lambda: None,
+    ) -> None:
         """Make it; `pause` lets other tasks run while a long log is read."""
         self.make_disk, self.fleet, self.name, self.token, self.limits = disk, fleet, name, token, limits
         self.pause = pause
@@ -24,8 +31,9 @@
         """Read what is kept. Raises `StoreError` and `DiskError`; it may be tried again."""
         disk = self.make_disk()
         try:
-            self.store, durable = Store.open(disk, self.fleet, self.name, self.token(LIFE), self.limits,
-                                             self.pause)
+            self.store, durable = Store.open(
+                disk, self.fleet, self.name, self.token(LIFE), self.limits, self.pause
+            )
         except BaseException:
             disk.close()
             raise
--- a/fennelwind/keeper/frames.py
+++ b/fennelwind/keeper/frames.py
@@ -41,8 +41,8 @@
             raise FrameRefused(f"a frame of {size} bytes, where {most} are allowed", size=size, most=most)
         if not self._fill(LENGTH.size + size):
             return None
-        data = bytes(self._held[LENGTH.size:LENGTH.size + size])
-        del self._held[:LENGTH.size + size]
+        data = bytes(self._held[LENGTH.size : LENGTH.size + size])
+        del self._held[: LENGTH.size + size]
         return data
 
     def hello(self) -> pb.Hello | None:
--- a/fennelwind/keeper/gate.py
+++ b/fennelwind/keeper/gate.py
@@ -49,8 +49,10 @@
     """The change would break a subscriber, or can't be judged as it was asked; nothing was changed."""
 
     code = "gate-change-refused"
-    advice = ("Read which subscribers would break and what the text names instead: a column added at the end "
-              "with a default, a second version beside the first, or wait until a named subscriber is gone.")
+    advice = (
+        "Read which subscribers would break and what the text names instead: a column added at the end "
+        "with a default, a second version beside the first, or wait until a named subscriber is gone."
+    )
     state = "23000"
 
 
@@ -58,8 +60,10 @@
     """The change has to wait; nothing was changed. `again_ms` is a time to come back."""
 
     code = "gate-change-not-now"
-    advice = ("Ask again after the time that is told: the council has no leader, another change of the table "
-              "is under way, or its shards are being moved. Queries go on meanwhile.")
+    advice = (
+        "Ask again after the time that is told: the council has no leader, another change of the table "
+        "is under way, or its shards are being moved. Queries go on meanwhile."
+    )
     state = "53000"
 
 
@@ -67,8 +71,10 @@
     """The change was admitted and has not ended within the publisher's time; it goes on by itself."""
 
     code = "gate-change-open"
-    advice = ("Ask nothing anew: the fleet carries the change on, or takes it back. A further statement of "
-              "the same table is told when that has ended; look at the engines that the log names.")
+    advice = (
+        "Ask nothing anew: the fleet carries the change on, or takes it back. A further statement of "
+        "the same table is told when that has ended; look at the engines that the log names."
+    )
     state = "HYT00"
 
 
@@ -95,8 +101,14 @@
 class Gate:
     """One controller's part in it."""
 
-    def __init__(self, loop: Loop, asker: Asker, engines: Callable[[], Iterable[str]], seed: str,
-                 said: Callable[[str, dict], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        asker: Asker,
+        engines: Callable[[], Iterable[str]],
+        seed: str,
+        said: Callable[[str, dict], None],
+    ) -> None:
         self.loop, self.asker, self.engines, self.said = loop, asker, engines, said
         self.random = Random(seed)
         self.subscribers: dict[Subscription, Subscriber] = {}
@@ -260,16 +272,19 @@
             why = told or [pb.Refusal.Name(answer.refusal), answer.text]
             if answer.refusal == pb.VERSION:
                 why = [f"the table's version is {answer.version}: look at it and say that one"]
-            raise ChangeRefused(f"{change.table}: {'; '.join(filter(None, why))}"[:TEXT_MOST],
-                                refusal=pb.Refusal.Name(answer.refusal))
+            raise ChangeRefused(
+                f"{change.table}: {'; '.join(filter(None, why))}"[:TEXT_MOST],
+                refusal=pb.Refusal.Name(answer.refusal),
+            )
         self.said("change admitted", {"table": change.table, "number": answer.number})
         outcome = self._outcome(answer.number, until)
         if outcome == FINISHED:
             return told
         if not outcome:
             raise ChangeOpen(f"{change.table}: change {answer.number} goes on", number=answer.number)
-        raise ChangeTakenBack(f"{change.table}: change {answer.number} is {ENDS[outcome]}",
-                              number=answer.number)
+        raise ChangeTakenBack(
+            f"{change.table}: change {answer.number} is {ENDS[outcome]}", number=answer.number
+        )
 
     def _outcome(self, number: int, until: float) -> int:
         """Wait for what becomes of a change; 0 when the time is up."""
@@ -307,8 +322,11 @@
 
 def verdict_lines(answer: pb.ContractAnswer) -> list[str]:
     """Return a verdict in lines, those who would break first."""
-    lines = [f"{', '.join(readers.names)}: {finding_text(found)}"
-             for readers in answer.readers for found in readers.found]
+    lines = [
+        f"{', '.join(readers.names)}: {finding_text(found)}"
+        for readers in answer.readers
+        for found in readers.found
+    ]
     if answer.more:
         lines.append(f"and {answer.more} subscribers more")
     return lines + [finding_text(found) for found in answer.found]
--- a/fennelwind/keeper/hands.py
+++ b/fennelwind/keeper/hands.py
@@ -29,6 +29,7 @@
 
     def spawn(self, call: Callable[..., None], *args: object) -> Task:
         """Start a task; one that finds too little of the lease ends the whole in its next turn."""
+
         def run() -> None:
             try:
                 call(*args)
--- a/fennelwind/keeper/member.py
+++ b/fennelwind/keeper/member.py
@@ -98,9 +98,17 @@
 class Member:
     """Keeps the record with the others. `start` returns at once; what can't be had is tried again."""
 
-    def __init__(self, loop: Loop, place: Place, record: Record, store: Keeping,
-                 core: Callable[[Durable], Deciding], seed: str, said: Callable[[str, dict], None],
-                 ask: Callable[[Machine, bytes], bytes] = whole_state) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        place: Place,
+        record: Record,
+        store: Keeping,
+        core: Callable[[Durable], Deciding],
+        seed: str,
+        said: Callable[[str, dict], None],
+        ask: Callable[[Machine, bytes], bytes] = whole_state,
+    ) -> None:
         self.loop, self.place, self.store, self.make_core = loop, place, store, core
         self.said = said
         self.core: Deciding | None = None
@@ -143,11 +151,22 @@
         self.core = self.make_core(durable)
         self._listen()
         self._reach()
-        for call, name in ((self._write, "keeper: writes"), (self.state.run, "keeper: applies"),
-                           (self._look_for_room, "keeper: room"), (self._raise_level, "keeper: level")):
+        for call, name in (
+            (self._write, "keeper: writes"),
+            (self.state.run, "keeper: applies"),
+            (self._look_for_room, "keeper: room"),
+            (self._raise_level, "keeper: level"),
+        ):
             self._tasks.append(self.loop.spawn(self._guarded, call, name=name))
-        self.said("member", {"name": self.me.name, "life": self.me.life.hex(),
-                             "index": self.state.record.index, "entries": len(durable.entries)})
+        self.said(
+            "member",
+            {
+                "name": self.me.name,
+                "life": self.me.life.hex(),
+                "index": self.state.record.index,
+                "entries": len(durable.entries),
+            },
+        )
         self._turn()
 
     def _opened(self) -> Durable:
@@ -170,8 +189,12 @@
                 listener = self.loop.listen(self.place.listen)
             except OSError as exc:
                 if not told:
-                    self.said("cannot listen", AddressTaken(f"{self.place.listen}: {exc.strerror}",
-                                                            address=str(self.place.listen)).told())
+                    self.said(
+                        "cannot listen",
+                        AddressTaken(
+                            f"{self.place.listen}: {exc.strerror}", address=str(self.place.listen)
+                        ).told(),
+                    )
                     told = True
                 self.loop.sleep(waits.next())
             else:
@@ -221,8 +244,13 @@
 
     def hello(self) -> pb.Hello:
         """Return what this member says first."""
-        return pb.Hello(protocol=PROTOCOL, fleet=self.place.fleet, name=self.me.name, life=self.me.life,
-                        level=self.state.record.known)
+        return pb.Hello(
+            protocol=PROTOCOL,
+            fleet=self.place.fleet,
+            name=self.me.name,
+            life=self.me.life,
+            level=self.state.record.known,
+        )
 
     def greeted(self, sender: Life) -> None:
         """Take note that a member has opened its way to this one."""
@@ -366,8 +394,12 @@
             elif isinstance(action, Became):
                 self._become(action)
         self._stop_if_too_new()
-        if any(isinstance(action, Restore) or isinstance(action, Apply) and any(
-                entry.WhichOneof("what") == "members" for entry in action.entries) for action in actions):
+        if any(
+            isinstance(action, Restore)
+            or isinstance(action, Apply)
+            and any(entry.WhichOneof("what") == "members" for entry in action.entries)
+            for action in actions
+        ):
             self._reach()
 
     def _set_timer(self, at: float) -> None:
@@ -377,8 +409,15 @@
 
     def _become(self, became: Became) -> None:
         self.part, self.term, self.leader = became.part, became.term, became.leader
-        self.said("part", {"part": became.part, "term": became.term, "leader": became.leader,
-                           "index": self.state.record.index})
+        self.said(
+            "part",
+            {
+                "part": became.part,
+                "term": became.term,
+                "leader": became.leader,
+                "index": self.state.record.index,
+            },
+        )
         parts, self._parts = self._parts, []
         for once in parts:
             once.set()
@@ -399,9 +438,14 @@
         """Take part no more in a record that a later version goes on with; queries go on as without it."""
         record = self.state.record
         if self.state.too_new and self.part != "closed":
-            self.said("takes part no more", RecordTooNew(
-                f"the record is of level {record.level}, this version knows {record.known}",
-                record_level=record.level, known=record.known).told())
+            self.said(
+                "takes part no more",
+                RecordTooNew(
+                    f"the record is of level {record.level}, this version knows {record.known}",
+                    record_level=record.level,
+                    known=record.known,
+                ).told(),
+            )
             self.part = "closed"
             self.loop.spawn(self.close, name="keeper: close")
 
@@ -411,11 +455,17 @@
         while record.level < record.known:
             self.loop.sleep(LEVEL_MS)
             others = [m for m in self.core.log.config.members.members if (m.name, m.life) != self.me]
-            known = [peer.level if (peer := self.peers.peers.get(m.name)) is not None and peer.up
-                     and peer.life == m.life else 0 for m in others]
+            known = [
+                peer.level
+                if (peer := self.peers.peers.get(m.name)) is not None and peer.up and peer.life == m.life
+                else 0
+                for m in others
+            ]
             if self.part == "leader" and min(known, default=0) > record.level:
-                self._propose(council_pb2.Command(machine=ITSELF, body=b"%d" % (record.level + 1)),
-                              lambda result: self.said("level", {"record_level": result.body.decode()}))
+                self._propose(
+                    council_pb2.Command(machine=ITSELF, body=b"%d" % (record.level + 1)),
+                    lambda result: self.said("level", {"record_level": result.body.decode()}),
+                )
 
     # The folder.
 
--- a/fennelwind/keeper/moves.py
+++ b/fennelwind/keeper/moves.py
@@ -67,9 +67,16 @@
 
     def _begin(self, statement: str, overlay: dict[str, str]) -> None:
         self.link = self._open()
-        self.handle = self.link.call("ExecuteStatement", hs2.TExecuteStatementReq(
-            sessionHandle=self.link.session, statement=statement, confOverlay=overlay, runAsync=True,
-            queryTimeout=int(overlay[steps.TIMEOUT]))).operationHandle
+        self.handle = self.link.call(
+            "ExecuteStatement",
+            hs2.TExecuteStatementReq(
+                sessionHandle=self.link.session,
+                statement=statement,
+                confOverlay=overlay,
+                runAsync=True,
+                queryTimeout=int(overlay[steps.TIMEOUT]),
+            ),
+        ).operationHandle
 
     def _finish(self) -> list[tuple[str, ...]]:
         while True:
@@ -97,11 +104,21 @@
 class Moves:
     """This controller's part in the moves of shards."""
 
-    def __init__(self, loop: Loop, asker: Asker, tasks: Tasks, statements: Statements,
-                 homes: Callable[[], Iterable[Home]], staging: str, said: Callable[[str, dict], None],
-                 bounds: Bounds | None = None, timing: api.Timing | None = None,
-                 planner: Callable[[World, Bounds], Planned] = plan, shards: Iterable[pb.Shard] = (),
-                 record: Record | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        asker: Asker,
+        tasks: Tasks,
+        statements: Statements,
+        homes: Callable[[], Iterable[Home]],
+        staging: str,
+        said: Callable[[str, dict], None],
+        bounds: Bounds | None = None,
+        timing: api.Timing | None = None,
+        planner: Callable[[World, Bounds], Planned] = plan,
+        shards: Iterable[pb.Shard] = (),
+        record: Record | None = None,
+    ) -> None:
         """Make it. `homes` tells the engines that are there now; `shards` are those that settings state.
 
         With the record at hand, as a member has it, its state is read in place; else all of it is asked for
@@ -184,10 +201,14 @@
         for told in self.moves.shards:
             shard = known.get(told.name)
             if shard is None or (shard.size, shard.copies, shard.zones, shard.kinds) != (
-                    told.size, told.copies, told.zones, tuple(told.kinds)):
+                told.size,
+                told.copies,
+                told.zones,
+                tuple(told.kinds),
+            ):
                 new.append(told)
         for start in range(0, len(new), PLAN_MOST):
-            command = pb.Command(declare=pb.Declare(shards=new[start:start + PLAN_MOST]))
+            command = pb.Command(declare=pb.Declare(shards=new[start : start + PLAN_MOST]))
             try:
                 raw = self.asker.propose(SHARDS, command.SerializeToString(deterministic=True), ASK_MS)
             except CouncilError as exc:  # whoever holds the lease next tells it
@@ -251,8 +272,11 @@
     def _frozen(self) -> frozenset[str]:
         """Return the tables under change, by their names here; what can't be heard is left to the record."""
         try:
-            told = gate_pb2.ChangeTold.FromString(self.asker.read(
-                CONTRACTS, gate_pb2.ChangeQuery(open=True).SerializeToString(), within_ms=ASK_MS).state)
+            told = gate_pb2.ChangeTold.FromString(
+                self.asker.read(
+                    CONTRACTS, gate_pb2.ChangeQuery(open=True).SerializeToString(), within_ms=ASK_MS
+                ).state
+            )
         except CouncilError as exc:
             self.moves.counts[exc.code] += 1
             return self.carrier.frozen
@@ -300,10 +324,13 @@
             machine = self.machine
             waiting = machine.waiting()[:WISHES_MOST]
             moves = [machine.move_of(shard).number for shard, _ in waiting]
-            wishes = [clear.Wish(name=shard, engine=engine, since=machine.touched(shard))
-                      for shard, engine in waiting]
-            for wish, move, state in zip(wishes, moves, self.moves.clearances.hear(wishes) if wishes else (),
-                                         strict=True):
+            wishes = [
+                clear.Wish(name=shard, engine=engine, since=machine.touched(shard))
+                for shard, engine in waiting
+            ]
+            for wish, move, state in zip(
+                wishes, moves, self.moves.clearances.hear(wishes) if wishes else (), strict=True
+            ):
                 if state == clear.Heard.CLEARED:
                     self.hands.post(api.Quiet(wish.name, wish.engine, move))
 
@@ -322,8 +349,10 @@
         finally:
             self._statements.pop(action.token, None)
         if how != OK:
-            self.moves.said("move's statement " + how, {
-                "engine": action.engine, "statement": action.statement[:300], "text": statement.text[:300]})
+            self.moves.said(
+                "move's statement " + how,
+                {"engine": action.engine, "statement": action.statement[:300], "text": statement.text[:300]},
+            )
         outcome, figures = {OK: "ok", LOST: "unknown"}.get(how, "failed"), (0, 0)
         if rows:  # of a check
             try:
--- a/fennelwind/keeper/peers.py
+++ b/fennelwind/keeper/peers.py
@@ -96,8 +96,12 @@
         if wrong is not None:
             raise wrong
         if hello.name != self.name:
-            raise NameMismatch(f"{hello.name!r} answers where {self.name!r} is said to be",
-                               address=str(self.address), theirs=hello.name, wanted=self.name)
+            raise NameMismatch(
+                f"{hello.name!r} answers where {self.name!r} is said to be",
+                address=str(self.address),
+                theirs=hello.name,
+                wanted=self.name,
+            )
         if hello.refused:
             raise FleetMismatch(f"{self.name} refuses us: {hello.refused[:200]}", peer=self.name)
         self.life, self.level = hello.life, hello.level
@@ -118,8 +122,15 @@
 class Peers:
     """The ways to all other members."""
 
-    def __init__(self, loop: Loop, fleet: str, hello: Callable[[], pb.Hello], seed: str,
-                 said: Callable[[CouncilError], None], met: Callable[[Peer], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        fleet: str,
+        hello: Callable[[], pb.Hello],
+        seed: str,
+        said: Callable[[CouncilError], None],
+        met: Callable[[Peer], None],
+    ) -> None:
         self.loop, self.fleet, self.hello, self.said, self.met = loop, fleet, hello, said, met
         self.random = Random(seed)
         self.peers: dict[str, Peer] = {}
--- a/fennelwind/keeper/place.py
+++ b/fennelwind/keeper/place.py
@@ -34,9 +34,15 @@
 def wrong_hello(hello: pb.Hello, fleet: str) -> CouncilError | None:
     """Return what keeps us from talking to whoever said this; None: nothing."""
     if hello.fleet != fleet:
-        return FleetMismatch(f"{hello.name[:NAME_MOST]!r} is of the fleet {hello.fleet[:NAME_MOST]!r}, "
-                             f"here is {fleet!r}", theirs=hello.fleet[:NAME_MOST], ours=fleet)
+        return FleetMismatch(
+            f"{hello.name[:NAME_MOST]!r} is of the fleet {hello.fleet[:NAME_MOST]!r}, here is {fleet!r}",
+            theirs=hello.fleet[:NAME_MOST],
+            ours=fleet,
+        )
     if hello.protocol != PROTOCOL:
-        return ProtocolMismatch(f"{hello.name[:NAME_MOST]!r} speaks protocol {hello.protocol}, here is "
-                                f"{PROTOCOL}", theirs=hello.protocol, ours=PROTOCOL)
+        return ProtocolMismatch(
+            f"{hello.name[:NAME_MOST]!r} speaks protocol {hello.protocol}, here is {PROTOCOL}",
+            theirs=hello.protocol,
+            ours=PROTOCOL,
+        )
     return None
--- a/fennelwind/keeper/rescue.py
+++ b/fennelwind/keeper/rescue.py
@@ -34,8 +34,13 @@
 def look(durable: Durable) -> Left:
     """Return what there is."""
     log = Log(durable.head, durable.entries)
-    return Left(durable.me.name, log.last_term, log.last, _clock(durable),
-                tuple(member.name for member in log.config.members.members))
+    return Left(
+        durable.me.name,
+        log.last_term,
+        log.last,
+        _clock(durable),
+        tuple(member.name for member in log.config.members.members),
+    )
 
 
 def found_alone(folder: Folder, durable: Durable, address: str) -> Left:
@@ -44,8 +49,10 @@
     term = max(durable.hard.term, left.last_term) + 1
     alone = pb.Members(members=[pb.Member(name=me.name, life=me.life, address=address, votes=True)])
     entries = [pb.Entry(term=term, index=left.last + 1, clock_ms=left.clock_ms, members=alone)]
-    entries += [pb.Entry(term=term, index=left.last + 1 + n, clock_ms=left.clock_ms, nothing=True)
-                for n in range(1, JUMP)]
+    entries += [
+        pb.Entry(term=term, index=left.last + 1 + n, clock_ms=left.clock_ms, nothing=True)
+        for n in range(1, JUMP)
+    ]
     hard = pb.HardState(term=term, voted_name=me.name, voted_life=me.life)
     folder.write([Write(1, hard=hard, entries=tuple(entries))])
     return Left(me.name, term, entries[-1].index, left.clock_ms, (me.name,))
--- a/fennelwind/keeper/state.py
+++ b/fennelwind/keeper/state.py
@@ -40,8 +40,13 @@
 class State:
     """Applies what is agreed; tells who waits for an entry, a state of at least an index, or a change."""
 
-    def __init__(self, loop: Loop, record: Record, post: Callable[[Event], None],
-                 ask: Callable[[Machine, bytes], bytes]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        record: Record,
+        post: Callable[[Event], None],
+        ask: Callable[[Machine, bytes], bytes],
+    ) -> None:
         self.loop, self.record, self.post, self.ask = loop, record, post, ask
         self.revisions = dict.fromkeys(record.every, 0)
         self.applied = 0  # entries since the start
@@ -144,7 +149,7 @@
             for start in range(0, len(action.entries), SLICE):
                 if start:
                     self.loop.sleep(0.0)
-                self._apply(action.entries[start:start + SLICE])
+                self._apply(action.entries[start : start + SLICE])
         self._settle()
         due = record.due()
         if due != self._due:  # all that the core wants to know of what was applied
@@ -159,12 +164,18 @@
             if entry.index <= record.index:
                 continue  # a folder that was read anew gives again what was agreed
             clock_ms = max(record.clock_ms, entry.clock_ms)
-            changed = [name for name, machine in record.machines.items()
-                       if (due := machine.due()) is not None and due <= clock_ms]
+            changed = [
+                name
+                for name, machine in record.machines.items()
+                if (due := machine.due()) is not None and due <= clock_ms
+            ]
             result = record.apply(entry)
             self.applied += 1
-            if entry.WhichOneof("what") == "command" and entry.command.machine in record.machines \
-                    and entry.command.machine not in changed:
+            if (
+                entry.WhichOneof("what") == "command"
+                and entry.command.machine in record.machines
+                and entry.command.machine not in changed
+            ):
                 changed.append(entry.command.machine)
             if changed:
                 self._changed(changed)
@@ -216,7 +227,6 @@
         return told
 
 
-
 def whole_state(machine: Machine, query: bytes) -> bytes:
     """Answer any query by all that a machine keeps."""
     return machine.snapshot()
--- a/fennelwind/keeper/statements.py
+++ b/fennelwind/keeper/statements.py
@@ -28,16 +28,21 @@
         self.link: Link | None = None
         self.text = self.state = ""  # what the engine said, where it said no, and its SQLSTATE
 
-    def run(self, statement: str, overlay: dict[str, str], within_ms: float,
-            rows: bool = False) -> tuple[str, list[tuple[str, ...]]]:
+    def run(
+        self, statement: str, overlay: dict[str, str], within_ms: float, rows: bool = False
+    ) -> tuple[str, list[tuple[str, ...]]]:
         """Run it; return how it ended and, where they are wanted, its rows of texts."""
         sent = False
         try:
             with self.loop.deadline(within_ms):
                 self.link = self._open()
                 sent = True
-                reply = self.link.call("ExecuteStatement", hs2.TExecuteStatementReq(
-                    sessionHandle=self.link.session, statement=statement, confOverlay=overlay))
+                reply = self.link.call(
+                    "ExecuteStatement",
+                    hs2.TExecuteStatementReq(
+                        sessionHandle=self.link.session, statement=statement, confOverlay=overlay
+                    ),
+                )
                 found = self._rows(reply.operationHandle) if rows else []
         except RemoteError as exc:
             self.text = str(exc)
@@ -74,8 +79,9 @@
         return True
 
     def _open(self) -> Link:
-        link = Link(self.loop, parse_address(self.engine), TRANSPORTS[self.links.transport], self.links.user,
-                    self.tls)
+        link = Link(
+            self.loop, parse_address(self.engine), TRANSPORTS[self.links.transport], self.links.user, self.tls
+        )
         try:
             with self.loop.deadline(self.links.connect_ms):
                 link.open()
@@ -85,8 +91,10 @@
         return link
 
     def _rows(self, handle: Structure) -> list[tuple[str, ...]]:
-        page = self.link.call("FetchResults", hs2.TFetchResultsReq(
-            operationHandle=handle, orientation=hs2.FETCH_NEXT, maxRows=LOOK_ROWS)).results
+        page = self.link.call(
+            "FetchResults",
+            hs2.TFetchResultsReq(operationHandle=handle, orientation=hs2.FETCH_NEXT, maxRows=LOOK_ROWS),
+        ).results
         columns = []
         for column in page.columns or ():
             if column.stringVal is None:
--- a/fennelwind/keeper/tasks.py
+++ b/fennelwind/keeper/tasks.py
@@ -88,8 +88,9 @@
 class Tasks:
     """All tasks that one controller would do."""
 
-    def __init__(self, loop: Loop, asker: Asker, name: str, seed: int,
-                 said: Callable[[str, dict], None]) -> None:
+    def __init__(
+        self, loop: Loop, asker: Asker, name: str, seed: int, said: Callable[[str, dict], None]
+    ) -> None:
         self.loop, self.asker, self.said = loop, asker, said
         self.me = Life(name, loop.token(LIFE))
         self.holder = api.Holder(self.me, seed)
@@ -105,8 +106,10 @@
 
     def start(self) -> None:
         """Ask for what is wanted from now on."""
-        self._tasks = [self.loop.spawn(self._turns, name="tasks: turns"),
-                       self.loop.spawn(self._watch, name="tasks: offers")]
+        self._tasks = [
+            self.loop.spawn(self._turns, name="tasks: turns"),
+            self.loop.spawn(self._watch, name="tasks: offers"),
+        ]
 
     def want(self, name: str, run: Run, term_ms: int = api.TERM_MS, purpose: str = "") -> None:
         """Do the task whenever its lease is held here.
--- a/fennelwind/keeper/whole.py
+++ b/fennelwind/keeper/whole.py
@@ -37,9 +37,16 @@
 class Keeper:
     """What a controller with a section `council` runs. Nothing on a query's way waits for it."""
 
-    def __init__(self, loop: Loop, place: Place, seed: int, said: Callable[[str, dict], None],
-                 disk: Callable[[], Disk] | None = None, more: Iterable[Machine] = (),
-                 level: int = LEVEL) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        place: Place,
+        seed: int,
+        said: Callable[[str, dict], None],
+        disk: Callable[[], Disk] | None = None,
+        more: Iterable[Machine] = (),
+        level: int = LEVEL,
+    ) -> None:
         """Make it. `disk`, `more` machines and another `level` that is known are for rigs."""
         self.loop, self.place, self.said = loop, place, said
         self.member = self._member(seed, disk, Record([*machines(), *more], level)) if place.member else None
@@ -63,8 +70,9 @@
         def core(durable: Durable) -> Core:
             return Core(place.timing, durable, seed, stated)
 
-        folder = Folder(disk or self._disk, place.fleet, place.me, loop.token, limits,
-                        lambda: loop.sleep(0.0))
+        folder = Folder(
+            disk or self._disk, place.fleet, place.me, loop.token, limits, lambda: loop.sleep(0.0)
+        )
         return Member(loop, place, record, folder, core, f"member {seed}", self.said, answer)
 
     def _disk(self) -> Disk:
@@ -81,9 +89,18 @@
         self.gate = Gate(self.loop, self.asker, engines, f"gate {self._seed}", self.said)
         self.changes = Changes(self.loop, self.asker, self.tasks, statements, engines, self.said)
 
-    def serve_shards(self, links: EngineLinks, homes: Callable[[], Iterable[Home]], staging: str,
-                     bounds: Bounds, shards: Iterable[Shard], book: Book, named: Named, *,
-                     cleared: bool = False) -> None:
+    def serve_shards(
+        self,
+        links: EngineLinks,
+        homes: Callable[[], Iterable[Home]],
+        staging: str,
+        bounds: Bounds,
+        shards: Iterable[Shard],
+        book: Book,
+        named: Named,
+        *,
+        cleared: bool = False,
+    ) -> None:
         """Move shards while the lease is held here.
 
         `book` counts the queries that are open here, and tells routing each newer view of the record; `named`
@@ -92,8 +109,18 @@
         """
         statements = Statements(self.loop, links.settings, links.tls)
         record = self.member.state.record if self.member is not None else None
-        self.moves = Moves(self.loop, self.asker, self.tasks, statements, homes, staging, self.said, bounds,
-                           shards=shards, record=record)
+        self.moves = Moves(
+            self.loop,
+            self.asker,
+            self.tasks,
+            statements,
+            homes,
+            staging,
+            self.said,
+            bounds,
+            shards=shards,
+            record=record,
+        )
         self.heat = Heat(self.loop, self.asker, named, self._seed)
         self.clearances = clearances = Clearances(self.loop, self.asker, self.place.me, book)
         self.copies = Copies(self.loop, self.asker, clearances.copies)
@@ -129,23 +156,40 @@
         held = len(self.tasks.holder.held(self.loop.now()))
         told = [("leases_held", "Leases of tasks held here.", held)]
         if self.copies is not None:
-            told.append(("shards_known", "Shards of the record, by the view that queries go by here.",
-                         len(self.copies.places)))
-            told.append(("shards_readable", "Shards with a good copy, by the view that queries go by here.",
-                         sum(map(bool, self.copies.places.values()))))
+            told.append(
+                (
+                    "shards_known",
+                    "Shards of the record, by the view that queries go by here.",
+                    len(self.copies.places),
+                )
+            )
+            told.append(
+                (
+                    "shards_readable",
+                    "Shards with a good copy, by the view that queries go by here.",
+                    sum(map(bool, self.copies.places.values())),
+                )
+            )
         member = self.member
         if member is not None and member.core is not None:
             record = member.state.record
             told += [
                 ("leads", "1 where this member leads.", member.part == "leader"),
-                ("votes", "1 where this member has a vote and can write.",
-                 member.part in ("leader", "follower", "asking")),
+                (
+                    "votes",
+                    "1 where this member has a vote and can write.",
+                    member.part in ("leader", "follower", "asking"),
+                ),
                 ("term", "The member's term.", member.term),
                 ("index", "The last entry that was applied.", record.index),
                 ("level", "The record's level.", record.level),
-                ("members_reached", "Other members that can be sent to.",
-                 sum(peer.up for peer in member.peers.peers.values())),
-                ("watchers", "Watches that wait here.", member.state.watchers)]
+                (
+                    "members_reached",
+                    "Other members that can be sent to.",
+                    sum(peer.up for peer in member.peers.peers.values()),
+                ),
+                ("watchers", "Watches that wait here.", member.state.watchers),
+            ]
         return [(name, help_, float(value)) for name, help_, value in told]
 
     def events(self) -> list[tuple[str, str, int]]:
--- a/fennelwind/lab/codec.py
+++ b/fennelwind/lab/codec.py
@@ -17,19 +17,35 @@
     return hs2.TExecuteStatementReq(
         sessionHandle=hs2.TSessionHandle(hs2.THandleIdentifier(b"g" * 16, b"s" * 16)),
         statement="select area, sum(use) from meter where day > '2026-01-01' group by area -- \u00e4",
-        confOverlay={"fennelwind.work_ms": "120", "fennelwind.key": "k1"}, runAsync=True)
+        confOverlay={"fennelwind.work_ms": "120", "fennelwind.key": "k1"},
+        runAsync=True,
+    )
 
 
 def result() -> Structure:
     """Return a page of a thousand rows of a number, a figure, a flag and a text."""
     return hs2.TFetchResultsResp(
-        status=hs2.TStatus(statusCode=0, infoMessages=["x"]), hasMoreRows=False,
-        results=hs2.TRowSet(startRowOffset=0, rows=[], columns=[
-            hs2.TColumn(i64Val=hs2.make("TI64Column", values=list(range(ROWS)), nulls=b"")),
-            hs2.TColumn(doubleVal=hs2.make("TDoubleColumn", values=[i / 7 for i in range(ROWS)], nulls=b"")),
-            hs2.TColumn(boolVal=hs2.make("TBoolColumn", values=[i % 3 == 0 for i in range(ROWS)], nulls=b"")),
-            hs2.TColumn(stringVal=hs2.make(
-                "TStringColumn", values=[b"row %d" % i for i in range(ROWS)], nulls=b""))]))
+        status=hs2.TStatus(statusCode=0, infoMessages=["x"]),
+        hasMoreRows=False,
+        results=hs2.TRowSet(
+            startRowOffset=0,
+            rows=[],
+            columns=[
+                hs2.TColumn(i64Val=hs2.make("TI64Column", values=list(range(ROWS)), nulls=b"")),
+                hs2.TColumn(
+                    doubleVal=hs2.make("TDoubleColumn", values=[i / 7 for i in range(ROWS)], nulls=b"")
+                ),
+                hs2.TColumn(
+                    boolVal=hs2.make("TBoolColumn", values=[i % 3 == 0 for i in range(ROWS)], nulls=b"")
+                ),
+                hs2.TColumn(
+                    stringVal=hs2.make(
+                        "TStringColumn", values=[b"row %d" % i for i in range(ROWS)], nulls=b""
+                    )
+                ),
+            ],
+        ),
+    )
 
 
 def ways(value: Structure) -> dict[str, tuple[Callable[[], object], Callable[[], object]]]:
@@ -56,9 +72,11 @@
 
         return write, read
 
-    return {"fennelwind": (lambda: encode(codec, value), lambda: decode(codec, raw)),
-            "Apache, pure Python": public(TBinaryProtocol),
-            "Apache, C extension": public(TBinaryProtocolAccelerated)}
+    return {
+        "fennelwind": (lambda: encode(codec, value), lambda: decode(codec, raw)),
+        "Apache, pure Python": public(TBinaryProtocol),
+        "Apache, C extension": public(TBinaryProtocolAccelerated),
+    }
 
 
 def rate(call: Callable[[], object]) -> float:
--- a/fennelwind/lab/contract_rows.py
+++ b/fennelwind/lab/contract_rows.py
@@ -30,18 +30,53 @@
 FINE, OTHER, BROKEN = range(3)  # how a value is taken: as expected; inexact or padded; not at all
 KNOWN = {6: 20, 7: 20, 8: 22, 9: 22, 10: 22, 11: 23}  # kinds of TTypeId that a version of the protocol has
 PLAIN = [
-    parse_type(text) for text in (
-        "boolean", "tinyint", "smallint", "int", "bigint", "float", "double", "string", "binary", "date",
-        "timestamp", "decimal(5,2)", "decimal(9,2)", "decimal(12,2)", "decimal(12,4)", "decimal(19,0)",
-        "char(3)", "char(6)", "varchar(3)", "varchar(6)", "interval_day_time",
-        "timestamp with local time zone")]
+    parse_type(text)
+    for text in (
+        "boolean",
+        "tinyint",
+        "smallint",
+        "int",
+        "bigint",
+        "float",
+        "double",
+        "string",
+        "binary",
+        "date",
+        "timestamp",
+        "decimal(5,2)",
+        "decimal(9,2)",
+        "decimal(12,2)",
+        "decimal(12,4)",
+        "decimal(19,0)",
+        "char(3)",
+        "char(6)",
+        "varchar(3)",
+        "varchar(6)",
+        "interval_day_time",
+        "timestamp with local time zone",
+    )
+]
 BITS = {"tinyint": 8, "smallint": 16, "int": 32, "bigint": 64}
-COLUMNS = {"boolean": "boolVal", "tinyint": "byteVal", "smallint": "i16Val", "int": "i32Val",
-           "bigint": "i64Val", "float": "doubleVal", "double": "doubleVal",
-           "binary": "binaryVal"}  # all others: stringVal
-STRUCTURES = {"boolVal": "TBoolColumn", "byteVal": "TByteColumn", "i16Val": "TI16Column",
-              "i32Val": "TI32Column", "i64Val": "TI64Column", "doubleVal": "TDoubleColumn",
-              "stringVal": "TStringColumn", "binaryVal": "TBinaryColumn"}
+COLUMNS = {
+    "boolean": "boolVal",
+    "tinyint": "byteVal",
+    "smallint": "i16Val",
+    "int": "i32Val",
+    "bigint": "i64Val",
+    "float": "doubleVal",
+    "double": "doubleVal",
+    "binary": "binaryVal",
+}  # all others: stringVal
+STRUCTURES = {
+    "boolVal": "TBoolColumn",
+    "byteVal": "TByteColumn",
+    "i16Val": "TI16Column",
+    "i32Val": "TI32Column",
+    "i64Val": "TI64Column",
+    "doubleVal": "TDoubleColumn",
+    "stringVal": "TStringColumn",
+    "binaryVal": "TBinaryColumn",
+}
 TYPE_IDS = {"timestamplocaltz": "TIMESTAMPLOCALTZ", "uniontype": "UNION", "void": "NULL"}
 
 
@@ -70,7 +105,7 @@
         return struct.unpack(">f", struct.pack(">f", made))[0] if kind == "float" else made
     if kind == "decimal":
         digits, behind = of.size
-        whole = 10 ** digits - 1 if row < 2 else random.randrange(10 ** digits)
+        whole = 10**digits - 1 if row < 2 else random.randrange(10**digits)
         return Decimal(whole).scaleb(-behind) * (-1 if row == 1 else 1)
     if kind in ("char", "varchar", "string"):
         most = of.size[0] if of.size else 1000  # longer than any length in PLAIN
@@ -79,10 +114,15 @@
         return made.ljust(of.size[0]) if kind == "char" else made
     if kind in ("array", "map", "struct", "uniontype"):
         return _nested(of, row, random)
-    moment = datetime(2026, 1, 1) + timedelta(seconds=random.randrange(10 ** 8), microseconds=1)
-    return {"boolean": row % 2 == 0, "binary": random.randbytes(4), "date": moment.date(),
-            "timestamp": moment, "timestamplocaltz": f"{moment.isoformat(' ')} Asia/Tokyo",
-            "interval_day_time": f"{row} 01:02:03.000000000"}[kind]
+    moment = datetime(2026, 1, 1) + timedelta(seconds=random.randrange(10**8), microseconds=1)
+    return {
+        "boolean": row % 2 == 0,
+        "binary": random.randbytes(4),
+        "date": moment.date(),
+        "timestamp": moment,
+        "timestamplocaltz": f"{moment.isoformat(' ')} Asia/Tokyo",
+        "interval_day_time": f"{row} 01:02:03.000000000",
+    }[kind]
 
 
 def _nested(of: Type, row: int, random: Random) -> Any:
@@ -115,8 +155,13 @@
     for at, column in enumerate(columns):
         kind = column.type.kind
         entry = hs2.TPrimitiveTypeEntry(type=NAMES.index(TYPE_IDS.get(kind, kind.upper())))
-        described.append(hs2.TColumnDesc(columnName=column.name, position=at + 1, typeDesc=hs2.TTypeDesc(
-            types=[hs2.TTypeEntry(primitiveEntry=entry)])))
+        described.append(
+            hs2.TColumnDesc(
+                columnName=column.name,
+                position=at + 1,
+                typeDesc=hs2.TTypeDesc(types=[hs2.TTypeEntry(primitiveEntry=entry)]),
+            )
+        )
         field = COLUMNS.get(kind, "stringVal")
         bits, values = 0, []
         for number, row in enumerate(rows):
@@ -170,7 +215,7 @@
         return BROKEN
     digits, behind = expected.size
     shifted = Decimal(str(got)).scaleb(behind)
-    if shifted != shifted.to_integral_value() or abs(shifted) >= 10 ** digits:
+    if shifted != shifted.to_integral_value() or abs(shifted) >= 10**digits:
         return BROKEN
     return FINE if type(got) is Decimal or inside else OTHER
 
@@ -241,8 +286,13 @@
             if any(read.name not in there for read in self.reads.columns):
                 return BROKEN, "no such column"
             row, origins = map(list, zip(*(there[read.name] for read in self.reads.columns), strict=True))
-        values = [[None if column.nullable and number == 3 else value(column.type, number, random)
-                   for column in row] for number in range(ROWS)]
+        values = [
+            [
+                None if column.nullable and number == 3 else value(column.type, number, random)
+                for column in row
+            ]
+            for number in range(ROWS)
+        ]
         raw_schema, raw_page = page(row, values)
         described = decode(hs2.CODECS["TTableSchema"], raw_schema)[0].columns
         if any(each.typeDesc.types[0].primitiveEntry.type >= KNOWN[self.version] for each in described):
@@ -280,8 +330,11 @@
         self.random, self.following = random, 0
         count = random.randrange(1, 5)
         self.columns = [self._column(f"c{n}") for n in range(count)]
-        self.partitions = [self._column("p", parse_type(random.choice(("date", "int", "string"))))
-                           ] if random.random() < 0.3 else []
+        self.partitions = (
+            [self._column("p", parse_type(random.choice(("date", "int", "string"))))]
+            if random.random() < 0.3
+            else []
+        )
 
     def _column(self, name: str, kind: Type | None = None) -> tuple[Column, int]:
         self.following += 1
@@ -304,8 +357,9 @@
         other.partitions, columns = list(self.partitions), other.columns
         at = random.randrange(len(columns))
         column, origin = columns[at]
-        what = random.choice(("add", "middle", "drop", "rename", "move", "type", "type", "type", "null",
-                              "swap"))
+        what = random.choice(
+            ("add", "middle", "drop", "rename", "move", "type", "type", "type", "null", "swap")
+        )
         free = sorted({"c0", "c1", "c2", "c3", "c4", "d"} - {c.name for c, _ in columns})
         if what in ("add", "middle") and free:
             place = len(columns) if what == "add" else random.randrange(len(columns))
@@ -336,15 +390,20 @@
                 part = parse_type(random.choice(("int", "bigint", "string", "varchar(3)")))
             else:
                 part = self._near(kind.parts[at])
-            parts = (*kind.parts[:at], part, *kind.parts[at + 1:])
+            parts = (*kind.parts[:at], part, *kind.parts[at + 1 :])
             if kind.kind == "struct" and random.random() < 0.4 and len(parts) < 3:
-                names = ("x", "y", "z")[:len(parts) + 1]
+                names = ("x", "y", "z")[: len(parts) + 1]
                 return Type("struct", names=names, parts=(*parts, random.choice(PLAIN)))
             if kind.kind in ("struct", "uniontype") and random.random() < 0.3:
                 return replace(kind, names=kind.names[:1], parts=parts[:1])
             return replace(kind, parts=parts)
-        families = (("tinyint", "smallint", "int", "bigint"), ("float", "double"), ("decimal",),
-                    ("char", "varchar", "string"), ("date", "timestamp", "timestamplocaltz"))
+        families = (
+            ("tinyint", "smallint", "int", "bigint"),
+            ("float", "double"),
+            ("decimal",),
+            ("char", "varchar", "string"),
+            ("date", "timestamp", "timestamplocaltz"),
+        )
         family = next((each for each in families if kind.kind in each), ())
         near = [each for each in PLAIN if each.kind in family and each != kind]
         return random.choice(near) if near and random.random() < 0.7 else any_type(random)
@@ -369,9 +428,14 @@
     def propose(self, schema: Schema) -> pb.ContractAnswer:
         """Propose a schema for the one table."""
         known = self.machine.tables.get("t")
-        return self.do(propose=pb.Propose(
-            table="t", publisher="load", version=known.version if known else 0,
-            schema=schema_message(schema)))
+        return self.do(
+            propose=pb.Propose(
+                table="t",
+                publisher="load",
+                version=known.version if known else 0,
+                schema=schema_message(schema),
+            )
+        )
 
 
 def reader(table: Table, random: Random) -> Reader:
@@ -393,8 +457,9 @@
     gate.propose(table.schema())
     who = reader(table, random)
     said = who.reads if not who.reads.star else replace(who.reads, columns=())
-    told = gate.do(register=pb.Register(
-        name="reader", version=who.version, term_ms=10**9, reads=[reads_message(said)]))
+    told = gate.do(
+        register=pb.Register(name="reader", version=who.version, term_ms=10**9, reads=[reads_message(said)])
+    )
     if told.refusal:  # it can't carry a type of the table as it is
         return []
     seen = []
--- a/fennelwind/lab/contracts.py
+++ b/fennelwind/lab/contracts.py
@@ -1,7 +1,7 @@
 """What a check of a schema change costs, and how right its verdicts are.
 
-    python -m fennelwind.lab.contracts checks        10,000 subscribers, 1,000 tables
-    python -m fennelwind.lab.contracts rows PLAYS    verdicts against rows that are written and read
+python -m fennelwind.lab.contracts checks        10,000 subscribers, 1,000 tables
+python -m fennelwind.lab.contracts rows PLAYS    verdicts against rows that are written and read
 """
 
 import statistics
@@ -58,8 +58,13 @@
     chosen = sorted(random.sample(range(COLUMNS), count))
     by = random.choice(("name", "place"))
     kinds = ["int" if not n else KINDS[n % len(KINDS)] for n in chosen]
-    return ", ".join(f"{f'{n + 1} ' if by == 'place' else ''}c{n} {kind}"
-                     for n, kind in zip(chosen, kinds, strict=True)) + f" by {by}"
+    return (
+        ", ".join(
+            f"{f'{n + 1} ' if by == 'place' else ''}c{n} {kind}"
+            for n, kind in zip(chosen, kinds, strict=True)
+        )
+        + f" by {by}"
+    )
 
 
 def filled(spread: Callable[[Random, int], list[tuple[str, str]]], tables: int) -> Gate:
@@ -70,8 +75,11 @@
         gate.do(propose=pb.Propose(table=f"s.t{number}", publisher="load", schema=schema))
     for number in range(SUBSCRIBERS):
         reads = [reads_message(parse_reads(table, text)) for table, text in spread(random, number)]
-        answer, _, _ = gate.do(register=pb.Register(
-            name=f"reader-{number}", version=random.randrange(6, 12), term_ms=10**8, reads=reads))
+        answer, _, _ = gate.do(
+            register=pb.Register(
+                name=f"reader-{number}", version=random.randrange(6, 12), term_ms=10**8, reads=reads
+            )
+        )
         assert not answer.refusal, answer
     return gate
 
@@ -98,8 +106,9 @@
     for number in tables:
         table = f"s.t{number}"
         version = gate.machine.tables[table].version
-        answer, ms, size = gate.do(propose=pb.Propose(
-            table=table, publisher="load", version=version, schema=schema, ask_only=True))
+        answer, ms, size = gate.do(
+            propose=pb.Propose(table=table, publisher="load", version=version, schema=schema, ask_only=True)
+        )
         named = sum(len(each.names) for each in answer.readers) + answer.more
         seen.append((ms, size, named))
     return seen
@@ -108,8 +117,10 @@
 def checks() -> None:
     """Print what checks cost."""
     for title, spread, tables in (
-            ("over 1,000 tables", over_tables, TABLES), ("one table, 20 forms", all_alike, 1),
-            ("one table, all different", all_different, 1)):
+        ("over 1,000 tables", over_tables, TABLES),
+        ("one table, 20 forms", all_alike, 1),
+        ("one table, all different", all_different, 1),
+    ):
         began = time.perf_counter()
         gate = filled(spread, tables)
         registered = time.perf_counter() - began
@@ -117,24 +128,31 @@
             rounds = 1 if tables > 1 else 20
             seen = [each for _ in range(rounds) for each in timed(gate, range(tables), grown)]
             times = sorted(ms for ms, _, _ in seen)
-            print(f"{title}; {what}: {len(seen)} checks, median {statistics.median(times):.2f} ms, 99th "
-                  f"{times[int(len(times) * 0.99) - 1]:.2f} ms, longest {times[-1]:.2f} ms; most subscribers "
-                  f"told {max(n for _, _, n in seen)}, longest answer {max(s for _, s, _ in seen)} bytes")
+            print(
+                f"{title}; {what}: {len(seen)} checks, median {statistics.median(times):.2f} ms, 99th "
+                f"{times[int(len(times) * 0.99) - 1]:.2f} ms, longest {times[-1]:.2f} ms; most subscribers "
+                f"told {max(n for _, _, n in seen)}, longest answer {max(s for _, s, _ in seen)} bytes"
+            )
         began = time.perf_counter()
         state = gate.machine.snapshot()
         took = (time.perf_counter() - began) * 1000.0
         began = time.perf_counter()
         ContractMachine().restore(state)
         back = (time.perf_counter() - began) * 1000.0
-        print(f"{title}: set up in {registered:.1f} s; snapshot of {len(state)} bytes in {took:.0f} ms, "
-              f"taken back in {back:.0f} ms")
+        print(
+            f"{title}: set up in {registered:.1f} s; snapshot of {len(state)} bytes in {took:.0f} ms, "
+            f"taken back in {back:.0f} ms"
+        )
 
 
 def rows(plays: int) -> None:
     """Print how verdicts and rows went together."""
     together, cautious, missed = contract_rows.measure(plays)
-    words = {contract_rows.FINE: "read as expected", contract_rows.OTHER: "inexact or padded",
-             contract_rows.BROKEN: "broken"}
+    words = {
+        contract_rows.FINE: "read as expected",
+        contract_rows.OTHER: "inexact or padded",
+        contract_rows.BROKEN: "broken",
+    }
     for (rejected, how), count in sorted(together.items()):
         print(f"{'rejected' if rejected else 'let pass'}, {words[how]}: {count}")
     print(f"rejected though no row broke, by rule: {dict(cautious)}")
--- a/fennelwind/lab/descriptors.py
+++ b/fennelwind/lab/descriptors.py
@@ -32,7 +32,9 @@
     made = FileDescriptorSet()
     for path in sorted(PROGRAM.rglob("*_pb2.py")):
         name = ".".join(("fennelwind", *path.relative_to(PROGRAM).with_suffix("").parts))
-        made.file.append(FileDescriptorProto.FromString(importlib.import_module(name).DESCRIPTOR.serialized_pb))
+        made.file.append(
+            FileDescriptorProto.FromString(importlib.import_module(name).DESCRIPTOR.serialized_pb)
+        )
     return made
 
 
--- a/fennelwind/lab/heat.py
+++ b/fennelwind/lab/heat.py
@@ -107,8 +107,9 @@
     return number
 
 
-def measure(seed: int, queries: float, hours: int,
-            chance: float = evenness.CHANCE) -> tuple[float, float, int]:
+def measure(
+    seed: int, queries: float, hours: int, chance: float = evenness.CHANCE
+) -> tuple[float, float, int]:
     """Return moves an hour by chance, unevenness 2 h after an engine's shards doubled, and moves by that."""
     with mock.patch.object(evenness, "CHANCE", chance):
         one = Play(seed, queries)
@@ -129,12 +130,16 @@
     asked = parser.parse_args()
     for queries in (1_000.0, 3_000.0, 15_000.0, 60_000.0):
         for chance in (evenness.CHANCE, 0.0):
-            rows = [measure(seed, queries, asked.hours, chance)
-                    for seed in range(asked.first, asked.first + asked.count)]
+            rows = [
+                measure(seed, queries, asked.hours, chance)
+                for seed in range(asked.first, asked.first + asked.count)
+            ]
             calm, uneven, moved = (sum(column) / len(rows) for column in zip(*rows, strict=True))
-            print(f"{queries:.0f} queries an hour, {chance:.0f} deviations: {calm:.2f} moves an hour by "
-                  f"chance; an engine's shards doubled: {moved:.1f} in 2 h, then {uneven:.2f} over the mean",
-                  flush=True)
+            print(
+                f"{queries:.0f} queries an hour, {chance:.0f} deviations: {calm:.2f} moves an hour by "
+                f"chance; an engine's shards doubled: {moved:.1f} in 2 h, then {uneven:.2f} over the mean",
+                flush=True,
+            )
 
 
 if __name__ == "__main__":
--- a/fennelwind/lab/path.py
+++ b/fennelwind/lab/path.py
@@ -49,8 +49,12 @@
 @contextmanager
 def process(*arguments: str) -> Iterator[tuple[subprocess.Popen, Address]]:
     """Run a command of ours that prints where it listens; end it by SIGTERM."""
-    child = subprocess.Popen([sys.executable, "-m", "fennelwind.cli.main", *arguments],
-                             stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
+    child = subprocess.Popen(
+        [sys.executable, "-m", "fennelwind.cli.main", *arguments],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        text=True,
+    )
     try:
         ready, _, _ = select.select([child.stdout], [], [], START_S)
         line = child.stdout.readline() if ready else ""
@@ -93,8 +97,11 @@
 def load(addresses: list[Address], connections: int, queries: int, rows: int) -> dict:
     """Put queries over connections, one after the other on each; return the figures as for JSON."""
     loop, histogram = RealLoop(), HdrHistogram(1, LONGEST_US, 3)
-    ask = Ask("select 1", 60_000.0, {"standin.work_ms": "0.01", "standin.rows": str(rows),
-                                     "fennelwind.work_ms": "1"})
+    ask = Ask(
+        "select 1",
+        60_000.0,
+        {"standin.work_ms": "0.01", "standin.rows": str(rows), "fennelwind.work_ms": "1"},
+    )
 
     def user(client: Client, count: int) -> None:
         for _ in range(count):
@@ -118,19 +125,40 @@
         return loop.now() - began
 
     took = loop.run(main)
-    return {"ms": took, "queries": queries // connections * connections,
-            "histogram": histogram.encode().decode()}
+    return {
+        "ms": took,
+        "queries": queries // connections * connections,
+        "histogram": histogram.encode().decode(),
+    }
 
 
-def run_loaders(addresses: list[Address], connections: int, queries: int,
-                rows: int) -> tuple[float, HdrHistogram]:
+def run_loaders(
+    addresses: list[Address], connections: int, queries: int, rows: int
+) -> tuple[float, HdrHistogram]:
     """Run the clients' processes; return queries a second and their latencies in microseconds."""
     each = max(1, connections // LOADERS)
     count = min(LOADERS, connections)
-    children = [subprocess.Popen(
-        [sys.executable, "-m", "fennelwind.cli.main", "bench", "load", "--connections", str(each),
-         "--queries", str(queries // count), "--rows", str(rows), *map(str, addresses)],
-        stdout=subprocess.PIPE, text=True) for _ in range(count)]
+    children = [
+        subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "fennelwind.cli.main",
+                "bench",
+                "load",
+                "--connections",
+                str(each),
+                "--queries",
+                str(queries // count),
+                "--rows",
+                str(rows),
+                *map(str, addresses),
+            ],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        for _ in range(count)
+    ]
     told = []
     for child in children:
         out, _ = child.communicate(timeout=RUN_S)
@@ -148,15 +176,23 @@
     results: dict = {"connections": {}, "stages": {}}
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="fennelwind-bench-")))
-        engines = [stack.enter_context(process("standin", "engine", "--cores", "2000"))[1]
-                   for _ in range(ENGINES)]
+        engines = [
+            stack.enter_context(process("standin", "engine", "--cores", "2000"))[1] for _ in range(ENGINES)
+        ]
         _, between = stack.enter_context(process("bench", "relay", *map(str, engines)))
-        (folder / "settings.txtpb").write_text(SETTINGS % "\n".join(
-            f'engines {{ address: "{e}" kind: "k" }}' for e in engines), encoding="utf-8")
+        (folder / "settings.txtpb").write_text(
+            SETTINGS % "\n".join(f'engines {{ address: "{e}" kind: "k" }}' for e in engines), encoding="utf-8"
+        )
         for count in connections:
             ways: dict[str, list[tuple[float, HdrHistogram]]] = {}
-            with process("serve", str(folder / "settings.txtpb"), "--seed", "1",
-                         "--sample", str(folder / "stages.json")) as (_, controller):
+            with process(
+                "serve",
+                str(folder / "settings.txtpb"),
+                "--seed",
+                "1",
+                "--sample",
+                str(folder / "stages.json"),
+            ) as (_, controller):
                 for _ in range(rounds):
                     there_by_way = {"direct": engines, "relay": [between], "controller": [controller]}
                     for way, there in there_by_way.items():
@@ -169,8 +205,11 @@
 def _middle(seen: list[tuple[float, HdrHistogram]]) -> dict[str, float]:
     """Return the round with the median rate."""
     rate, histogram = sorted(seen, key=lambda pair: pair[0])[len(seen) // 2]
-    return {"rate": rate, "median_ms": histogram.get_value_at_percentile(50) / 1000.0,
-            "p99_ms": histogram.get_value_at_percentile(99) / 1000.0}
+    return {
+        "rate": rate,
+        "median_ms": histogram.get_value_at_percentile(50) / 1000.0,
+        "p99_ms": histogram.get_value_at_percentile(99) / 1000.0,
+    }
 
 
 def memory(queries: int, visitors: int) -> list[tuple[int, float]]:
@@ -180,11 +219,13 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, max(limit, 2 * visitors + 200)), hard))
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="fennelwind-bench-")))
-        engines = [stack.enter_context(process("standin", "engine", "--cores", "2000"))[1]
-                   for _ in range(ENGINES)]
+        engines = [
+            stack.enter_context(process("standin", "engine", "--cores", "2000"))[1] for _ in range(ENGINES)
+        ]
         path = folder / "settings.txtpb"
-        path.write_text(SETTINGS % "\n".join(
-            f'engines {{ address: "{e}" kind: "k" }}' for e in engines), encoding="utf-8")
+        path.write_text(
+            SETTINGS % "\n".join(f'engines {{ address: "{e}" kind: "k" }}' for e in engines), encoding="utf-8"
+        )
         child, controller = stack.enter_context(process("serve", str(path), "--seed", "1"))
         done = 0
         for _ in range(10):
--- a/fennelwind/lab/platform.py
+++ b/fennelwind/lab/platform.py
@@ -15,12 +15,15 @@
 
 from fennelwind.node.http1 import ResponseReader
 
-ANSWER = (b"HTTP/1.1 200 OK\r\nX-Batches: 1\r\nX-Load: cpu:0.61;waiting:3;x1:0.2\r\n"
-          b"Content-Length: 2000\r\n\r\n" + b"0123456789abcdef\tof\tmay\n" * 80 + b"\t\t" + b"x" * 77 + b"\n")
+ANSWER = (
+    b"HTTP/1.1 200 OK\r\nX-Batches: 1\r\nX-Load: cpu:0.61;waiting:3;x1:0.2\r\n"
+    b"Content-Length: 2000\r\n\r\n" + b"0123456789abcdef\tof\tmay\n" * 80 + b"\t\t" + b"x" * 77 + b"\n"
+)
 ROUNDS, CALLS = 7, 2000  # the best of so many rounds, as others' work only adds to a time
 WAIT_S = 10.0  # s for the process to listen
-SETTINGS = {"Grades": [{"Name": "lookup", "AimMs": 400.0, "Effect": "repeatable", "GiveUpMs": 2000.0,
-                        "Points": 1.0}]}
+SETTINGS = {
+    "Grades": [{"Name": "lookup", "AimMs": 400.0, "Effect": "repeatable", "GiveUpMs": 2000.0, "Points": 1.0}]
+}
 
 
 def answers() -> dict[str, float]:
@@ -52,8 +55,14 @@
     """Hold as many connections as a controller allows, open more; return what each of them costs."""
     with socket.create_server(("127.0.0.1", 0)) as free:
         port = free.getsockname()[1]
-    told = {"name": "n0", "listen": f"127.0.0.1:{port}", "channel": "127.0.0.1:1", "seed": "1",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "settings": SETTINGS}
+    told = {
+        "name": "n0",
+        "listen": f"127.0.0.1:{port}",
+        "channel": "127.0.0.1:1",
+        "seed": "1",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+        "settings": SETTINGS,
+    }
     request = msgpack.packb([0, 1, "isWell", [{}]])
     held: deque[socket.socket] = deque()
 
@@ -67,8 +76,11 @@
         path = Path(folder) / "config.json"
         path.write_text(json.dumps(told), encoding="utf-8")
         process = subprocess.Popen(
-            [sys.executable, "-m", "fennelwind.node"], stderr=subprocess.PIPE, text=True,
-            env=os.environ | {"RELAY_CONFIG": str(path)})
+            [sys.executable, "-m", "fennelwind.node"],
+            stderr=subprocess.PIPE,
+            text=True,
+            env=os.environ | {"RELAY_CONFIG": str(path)},
+        )
         try:
             process.stderr.readline()  # it listens
             before = _resident_kb(process.pid)
--- a/fennelwind/lab/spread.py
+++ b/fennelwind/lab/spread.py
@@ -19,8 +19,15 @@
 def play(engines: int, rate: float, news: bool, seed: int) -> float:
     """Return microseconds of all decisions for a query, its arrival and its answer included."""
     random, now = Random(seed), 1000.0
-    settings = api.Settings(classes=(SMALL, LARGE), kind_cores=(8,), gateways=CONTROLLERS,
-                            report_fields=("cpu", "x1"), can_cancel=True, parallel=True, max_attempts=3)
+    settings = api.Settings(
+        classes=(SMALL, LARGE),
+        kind_cores=(8,),
+        gateways=CONTROLLERS,
+        report_fields=("cpu", "x1"),
+        can_cancel=True,
+        parallel=True,
+        max_attempts=3,
+    )
     gateway, advisor = Gateway(settings, seed), Advisor(settings, seed, IDLE_MS) if news else None
     listed = api.EngineList("full", tuple(api.EngineEntry(f"s-{n:08x}", zone=n % 2) for n in range(engines)))
     out: list[tuple[float, int, str]] = []
@@ -71,7 +78,9 @@
     rows = []
     for engines in sizes:
         for rate in RATES:
-            times = {news: statistics.median(play(engines, rate, news, seed) for seed in range(ROUNDS))
-                     for news in (False, True)}
+            times = {
+                news: statistics.median(play(engines, rate, news, seed) for seed in range(ROUNDS))
+                for news in (False, True)
+            }
             rows.append((engines, rate, times[False], times[True], held(engines)))
     return rows
--- a/fennelwind/lab/store.py
+++ b/fennelwind/lab/store.py
@@ -26,9 +26,15 @@
 
 def entries(first: int, many: int) -> tuple[pb.Entry, ...]:
     """Return entries as a council writes them."""
-    return tuple(pb.Entry(term=1, index=index, clock_ms=index, command=pb.Command(
-        client=1, number=index, machine="leases", body=os.urandom(BODY)))
-        for index in range(first, first + many))
+    return tuple(
+        pb.Entry(
+            term=1,
+            index=index,
+            clock_ms=index,
+            command=pb.Command(client=1, number=index, machine="leases", body=os.urandom(BODY)),
+        )
+        for index in range(first, first + many)
+    )
 
 
 def timed(call: Callable[[], object]) -> float:
@@ -115,22 +121,28 @@
     loop = RealLoop()
 
     def play() -> None:
-        print("| entries a write | bytes | write, median ms | 99th | bare append and sync, median ms | 99th "
-              "| times bare | entries a second |\n" + "| --- " * 8 + "|")
+        print(
+            "| entries a write | bytes | write, median ms | 99th | bare append and sync, median ms | 99th "
+            "| times bare | entries a second |\n" + "| --- " * 8 + "|"
+        )
         for many in SIZES:
             with tempfile.TemporaryDirectory(dir=root) as folder:
                 ours, bares, size = play_writes(loop, folder, many)
             (mid, high), (bare, bare_high) = quantiles(ours), quantiles(bares)
-            print(f"| {many} | {size} | {mid:.2f} | {high:.2f} | {bare:.2f} | {bare_high:.2f} "
-                  f"| {mid / bare:.2f} | {many * len(ours) / sum(ours) * 1000.0:.0f} |")
+            print(
+                f"| {many} | {size} | {mid:.2f} | {high:.2f} | {bare:.2f} | {bare_high:.2f} "
+                f"| {mid / bare:.2f} | {many * len(ours) / sum(ours) * 1000.0:.0f} |"
+            )
         print("\n| snapshot, bytes | write, median ms | bare file, median ms |\n| --- | --- | --- |")
         for size in (10_000, 1_000_000, 16_000_000):
             with tempfile.TemporaryDirectory(dir=root) as folder:
                 print("| {} | {:.1f} | {:.1f} |".format(size, *play_snapshots(loop, folder, size)))
         with tempfile.TemporaryDirectory(dir=root) as folder:
             opened, read, size = play_opening(loop, folder)
-        print(f"\nopening a log of {LOG} entries, {size:.1f} MB: {opened:.0f} ms (reading its bytes alone: "
-              f"{read:.0f} ms), median of {OPENINGS}")
+        print(
+            f"\nopening a log of {LOG} entries, {size:.1f} MB: {opened:.0f} ms (reading its bytes alone: "
+            f"{read:.0f} ms), median of {OPENINGS}"
+        )
 
     loop.run(play)
 
--- a/fennelwind/leases/guard.py
+++ b/fennelwind/leases/guard.py
@@ -79,22 +79,38 @@
         wanted = act_ms + self.pause_ms
         if not self.fence or not self.usable or now + wanted > self.until:
             if self.fence and 0.0 < self.usable < wanted:
-                raise ActTooLong(f"an act of {act_ms:.0f} ms does not fit into the lease of {self.task}",
-                                 task=self.task, act_ms=act_ms, usable_ms=self.usable - self.pause_ms)
+                raise ActTooLong(
+                    f"an act of {act_ms:.0f} ms does not fit into the lease of {self.task}",
+                    task=self.task,
+                    act_ms=act_ms,
+                    usable_ms=self.usable - self.pause_ms,
+                )
             left = max(0.0, self.until - now) if self.fence else 0.0
-            raise TaskNotHeld(f"{self.task} is not held for another {wanted:.0f} ms", task=self.task,
-                              left_ms=left, wanted_ms=wanted)
+            raise TaskNotHeld(
+                f"{self.task} is not held for another {wanted:.0f} ms",
+                task=self.task,
+                left_ms=left,
+                wanted_ms=wanted,
+            )
         if len(self.acts) >= ACTS_MOST:
-            raise TaskNotHeld(f"{len(self.acts)} acts of {self.task} are under way", task=self.task,
-                              left_ms=self.until - now, wanted_ms=wanted)
+            raise TaskNotHeld(
+                f"{len(self.acts)} acts of {self.task} are under way",
+                task=self.task,
+                left_ms=self.until - now,
+                wanted_ms=wanted,
+            )
         self._numbers += 1
         act = self.acts[self._numbers] = Act(self._numbers, self.fence, now + act_ms)
         return act
 
     def may_go_on(self, now: float, act: Act) -> bool:
         """Tell whether the act may take its next step; asked ahead of each, and after each wait."""
-        return (act.number in self.acts and act.fence == self.fence and now <= act.ends_by
-                and now + self.pause_ms <= self.until)
+        return (
+            act.number in self.acts
+            and act.fence == self.fence
+            and now <= act.ends_by
+            and now + self.pause_ms <= self.until
+        )
 
     def end(self, act: Act) -> None:
         """The act is over, and nothing of it can take effect any more.
@@ -119,8 +135,9 @@
             raise FencesFull(f"fences of {FENCES_MOST} tasks are known; {task} is another", task=task)
         if seen is not None and fence < seen:
             self.refused += 1
-            raise OlderFence(f"fence {fence} of {task} is older than {seen}",
-                             task=task, fence=fence, seen=seen)
+            raise OlderFence(
+                f"fence {fence} of {task} is older than {seen}", task=task, fence=fence, seen=seen
+            )
         self.fences[task] = fence
 
 
--- a/fennelwind/leases/holder.py
+++ b/fennelwind/leases/holder.py
@@ -32,6 +32,7 @@
 
 # What happens.
 
+
 @dataclass(slots=True, frozen=True)
 class Want:
     """The controller would do this task."""
@@ -101,6 +102,7 @@
 
 # What is to be done.
 
+
 @dataclass(slots=True, frozen=True)
 class Ask:
     """A `LeaseCommand` for the record. The carrier may send it more than once, as one client's one number."""
@@ -145,8 +147,9 @@
     @property
     def error(self) -> LeaseRefused:
         """What an operator is told."""
-        return LeaseRefused(f"the record refuses {self.task}: {self.refusal}", task=self.task,
-                            refusal=self.refusal)
+        return LeaseRefused(
+            f"the record refuses {self.task}: {self.refusal}", task=self.task, refusal=self.refusal
+        )
 
 
 @dataclass(slots=True, frozen=True)
@@ -254,7 +257,8 @@
                 task = self._tasks.get(event.task)
                 if task is None:
                     self._tasks[event.task] = _Task(
-                        event.term_ms, event.purpose, Guard(event.task, self.pause_ms))
+                        event.term_ms, event.purpose, Guard(event.task, self.pause_ms)
+                    )
                 else:
                     task.term_ms, task.purpose, task.wanted = event.term_ms, event.purpose, True
                 return
@@ -349,8 +353,11 @@
                 self._confirm(name)
 
     def _told(self, now: float, sent: _Sent, name: str, task: _Task, told: pb.Told) -> None:
-        is_of_a_queue = told.state == pb.Told.WAITING or told.state == pb.Told.FREE and told.refusal not in (
-            pb.NONE, pb.NOT_HOLDER)
+        is_of_a_queue = (
+            told.state == pb.Told.WAITING
+            or told.state == pb.Told.FREE
+            and told.refusal not in (pb.NONE, pb.NOT_HOLDER)
+        )
         if task.fence and is_of_a_queue:
             return  # a late answer to an ask from before it was gained
         if told.refusal and told.refusal != pb.NOT_HOLDER and not (task.fence and told.state == pb.Told.HELD):
@@ -452,8 +459,13 @@
             return
         due = [name for name, task in sorted(self._tasks.items()) if self._due_at(task) <= now]
         if due:
-            due = [name for name, task in sorted(self._tasks.items()) if self._due_at(task) <= now
-                   or task.phase == HELD and task.ask_at - task.term_ms / GATHER_PART <= now]
+            due = [
+                name
+                for name, task in sorted(self._tasks.items())
+                if self._due_at(task) <= now
+                or task.phase == HELD
+                and task.ask_at - task.term_ms / GATHER_PART <= now
+            ]
         elif now < self._word_due():
             return
         command, sent, size = pb.LeaseCommand(by=pb.Who(name=self.me.name, life=self.me.life)), _Sent(now), 0
@@ -487,11 +499,13 @@
             case ("ending", "hand"):
                 return pb.LeaseAsk(task=name, hand_over=pb.HandOver(fence=fence, checkpoint=checkpoint))
             case ("ending", "spare"):
-                return pb.LeaseAsk(task=name, hand_over=pb.HandOver(
-                    fence=fence, checkpoint=checkpoint, only_spare=True))
+                return pb.LeaseAsk(
+                    task=name, hand_over=pb.HandOver(fence=fence, checkpoint=checkpoint, only_spare=True)
+                )
             case ("ending", "fail"):
-                return pb.LeaseAsk(task=name, give_up=pb.GiveUp(
-                    fence=fence, reason=pb.GiveUp.CANNOT, checkpoint=checkpoint))
+                return pb.LeaseAsk(
+                    task=name, give_up=pb.GiveUp(fence=fence, reason=pb.GiveUp.CANNOT, checkpoint=checkpoint)
+                )
             case ("ending", "forget"):
                 return pb.LeaseAsk(task=name, forget=pb.Forget(fence=fence))
             case ("ending", _):
--- a/fennelwind/leases/machine.py
+++ b/fennelwind/leases/machine.py
@@ -111,9 +111,16 @@
         task = self._tasks.get(name)
         if task is None:
             return None
-        return View(task.holder.name if task.holder else "", task.fence, task.until_ms, task.purpose,
-                    task.checkpoint, task.revision, tuple(who.name for who in task.waiters),
-                    {who: aside.until_ms for who, aside in sorted(task.asides.items())})
+        return View(
+            task.holder.name if task.holder else "",
+            task.fence,
+            task.until_ms,
+            task.purpose,
+            task.checkpoint,
+            task.revision,
+            tuple(who.name for who in task.waiters),
+            {who: aside.until_ms for who, aside in sorted(task.asides.items())},
+        )
 
     def tasks(self) -> list[str]:
         """Return the names of all tasks."""
@@ -135,7 +142,8 @@
         refusal = _refusal(asked)
         if refusal:
             return pb.LeaseAnswer(refusal=refusal, revision=self.revision).SerializeToString(
-                deterministic=True)
+                deterministic=True
+            )
         if by in self._heard:
             self._heard[by] = at.clock_ms
         answer = pb.LeaseAnswer(told=[self._ask(at, by, ask) for ask in asked.asks])
@@ -206,9 +214,11 @@
         task.waiters[by] = _Waiter(gain.term_ms, gain.purpose)
         self._plan("task", name)
         return pb.Told(
-            state=pb.Told.WAITING, ahead=list(task.waiters).index(by),
+            state=pb.Told.WAITING,
+            ahead=list(task.waiters).index(by),
             aside_ms=max(0, aside.until_ms - at.clock_ms) if aside is not None else 0,
-            holder=task.holder.name if task.holder else "")
+            holder=task.holder.name if task.holder else "",
+        )
 
     def _grant(self, at: At, by: Life, name: str, task: _Task, wish: _Waiter) -> pb.Told:
         if by in task.waiters:
@@ -220,14 +230,25 @@
         task.holder, task.fence, task.term_ms, task.purpose = by, at.index, wish.term_ms, wish.purpose
         task.until_ms = max(kept, at.clock_ms + wish.term_ms)
         self._changed(at, name, task)
-        return pb.Told(state=pb.Told.HELD, fence=task.fence, term_ms=task.term_ms, checkpoint=task.checkpoint,
-                       spare=self._spare(at, task), holder=by.name)
+        return pb.Told(
+            state=pb.Told.HELD,
+            fence=task.fence,
+            term_ms=task.term_ms,
+            checkpoint=task.checkpoint,
+            spare=self._spare(at, task),
+            holder=by.name,
+        )
 
     def _renewed(self, at: At, name: str, task: _Task) -> pb.Told:
         task.until_ms = max(task.until_ms, at.clock_ms + task.term_ms)
         self._plan("task", name)
-        return pb.Told(state=pb.Told.HELD, fence=task.fence, term_ms=task.term_ms,
-                       spare=self._spare(at, task), holder=task.holder.name)
+        return pb.Told(
+            state=pb.Told.HELD,
+            fence=task.fence,
+            term_ms=task.term_ms,
+            spare=self._spare(at, task),
+            holder=task.holder.name,
+        )
 
     def _held(self, task: _Task, refusal: int) -> pb.Told:
         """Refuse, and lengthen nothing: a term of 0 gives its holder no time."""
@@ -355,8 +376,9 @@
             able = [who for who in task.waiters if who.name == to]
         if not able:
             return
-        who = min(able, key=lambda who: (
-            at.clock_ms - self._heard[who] > QUIET_MS, self._holds.get(who.name, 0)))
+        who = min(
+            able, key=lambda who: (at.clock_ms - self._heard[who] > QUIET_MS, self._holds.get(who.name, 0))
+        )
         wish = task.waiters[who]
         self._unqueue(at, name, task, who)
         task.holder, task.term_ms, task.purpose = who, wish.term_ms, wish.purpose
@@ -372,7 +394,8 @@
         mine = self._holds[task.holder.name]
         return mine >= SPARE_LEAST and any(
             mine - self._holds.get(who.name, 0) >= SPARE_LEAST and self._able(at, task, who)
-            for who in task.waiters)
+            for who in task.waiters
+        )
 
     def _failed(self, at: At, task: _Task, name: str) -> None:
         aside = task.asides.setdefault(name, _Aside(0, 0))
@@ -415,8 +438,14 @@
         state = pb.LeaseState(revision=self.revision)
         for name, task in sorted(self._tasks.items()):
             told = state.tasks.add(
-                name=name, fence=task.fence, term_ms=task.term_ms, until_ms=task.until_ms,
-                purpose=task.purpose, checkpoint=task.checkpoint, revision=task.revision)
+                name=name,
+                fence=task.fence,
+                term_ms=task.term_ms,
+                until_ms=task.until_ms,
+                purpose=task.purpose,
+                checkpoint=task.checkpoint,
+                revision=task.revision,
+            )
             if task.holder is not None:
                 told.holder.CopyFrom(_who(task.holder))
             for who, wish in task.waiters.items():
@@ -435,7 +464,8 @@
         for told in state.tasks:
             holder = Life(told.holder.name, told.holder.life) if told.HasField("holder") else None
             task = self._tasks[told.name] = _Task(
-                holder, told.fence, told.term_ms, told.until_ms, told.purpose, told.checkpoint, told.revision)
+                holder, told.fence, told.term_ms, told.until_ms, told.purpose, told.checkpoint, told.revision
+            )
             for waiter in told.waiters:
                 who = Life(waiter.who.name, waiter.who.life)
                 task.waiters[who] = _Waiter(waiter.term_ms, waiter.purpose)
--- a/fennelwind/limits/places.py
+++ b/fennelwind/limits/places.py
@@ -70,8 +70,9 @@
         for table in (self.unheard, self.idle, self.half):
             table.pop(who, None)
 
-    def for_room(self, now: float,
-                 spared: Callable[[Hashable], bool] = lambda _: False) -> tuple[Hashable, str] | None:
+    def for_room(
+        self, now: float, spared: Callable[[Hashable], bool] = lambda _: False
+    ) -> tuple[Hashable, str] | None:
         """Return whom to close so that another has a place, and why; None if there is nobody.
 
         `spared` tells who is not as idle as it seems here; it is asked of few.
@@ -95,8 +96,11 @@
 
     def overdue(self, now: float) -> Iterator[tuple[Hashable, str]]:
         """Yield who is to be closed by now, and why; the caller may close them as they come."""
-        for table, most, why in ((self.half, SILENT_MS, "half_sent"), (self.unheard, SILENT_MS, "silent"),
-                                 (self.idle, IDLE_MS, "idle")):
+        for table, most, why in (
+            (self.half, SILENT_MS, "half_sent"),
+            (self.unheard, SILENT_MS, "silent"),
+            (self.idle, IDLE_MS, "idle"),
+        ):
             ripe = []
             for who, since in table.items():
                 if now - since <= most:
--- a/fennelwind/loop/__init__.py
+++ b/fennelwind/loop/__init__.py
@@ -32,9 +32,26 @@
 
 __all__ = [
     "TlsStream",
-    "Address", "Cancelled", "Channel", "ChannelClosed", "ChannelFull", "ConnectFailed", "Datagrams",
-    "Deadline", "DeadlineExceeded", "Deadlock", "Listener", "Loop", "Once", "RealLoop", "ShortOfDescriptors",
-    "SimLoop", "Stream", "StreamReset", "Task", "parse_address",
+    "Address",
+    "Cancelled",
+    "Channel",
+    "ChannelClosed",
+    "ChannelFull",
+    "ConnectFailed",
+    "Datagrams",
+    "Deadline",
+    "DeadlineExceeded",
+    "Deadlock",
+    "Listener",
+    "Loop",
+    "Once",
+    "RealLoop",
+    "ShortOfDescriptors",
+    "SimLoop",
+    "Stream",
+    "StreamReset",
+    "Task",
+    "parse_address",
 ]
 
 
--- a/fennelwind/loop/disk.py
+++ b/fennelwind/loop/disk.py
@@ -23,8 +23,10 @@
     """No room; a part of what was appended may be there."""
 
     code = "disk-full"
-    advice = ("Make room on the disk that holds the folder. The member comes back by itself; until then it "
-              "follows and has no vote.")
+    advice = (
+        "Make room on the disk that holds the folder. The member comes back by itself; until then it "
+        "follows and has no vote."
+    )
 
 
 class DiskFailed(DiskError):
@@ -38,8 +40,10 @@
     """What was written may never reach the disk, though later syncs may succeed: nothing of it counts."""
 
     code = "disk-sync-failed"
-    advice = ("Restart the member after a look at the device: the kernel may have dropped what it could not "
-              "write. The member says nothing of that data until it has read it anew.")
+    advice = (
+        "Restart the member after a look at the device: the kernel may have dropped what it could not "
+        "write. The member says nothing of that data until it has read it anew."
+    )
 
 
 class NameMissing(DiskError):
--- a/fennelwind/loop/outlet.py
+++ b/fennelwind/loop/outlet.py
@@ -21,4 +21,4 @@
         while rest:
             if not self._poll.poll(0):
                 raise BlockingIOError
-            rest = rest[os.write(self.fd, rest[:select.PIPE_BUF]):]
+            rest = rest[os.write(self.fd, rest[: select.PIPE_BUF]) :]
--- a/fennelwind/loop/real.py
+++ b/fennelwind/loop/real.py
@@ -317,7 +317,7 @@
             if self.sock.fileno() < 0:
                 raise StreamReset(errno.EPIPE, f"{self.peer}: closed here")
             try:
-                rest = rest[self.sock.send(rest):]
+                rest = rest[self.sock.send(rest) :]
             except AGAIN:
                 self.loop.watch(self.sock.fileno(), WRITE).wait()
             except OSError as exc:
--- a/fennelwind/loop/realdisk.py
+++ b/fennelwind/loop/realdisk.py
@@ -95,8 +95,12 @@
         try:
             self._worker = _Worker(loop)
         except (OSError, RuntimeError) as exc:  # no descriptor left, or no thread: both may come back
-            raise DiskFailed(f"{self.folder}: no thread for it: {exc}", folder=self.folder, call="start",
-                             errno=getattr(exc, "errno", 0) or 0) from None
+            raise DiskFailed(
+                f"{self.folder}: no thread for it: {exc}",
+                folder=self.folder,
+                call="start",
+                errno=getattr(exc, "errno", 0) or 0,
+            ) from None
         try:
             self._folder = self._made("open", "", _open_folder, self.folder)
         except BaseException:
@@ -147,7 +151,7 @@
     def _append(self, name: str, data: bytes) -> None:
         fd, rest = self._open(name), memoryview(data)
         while rest:  # a short write is followed by the error that made it short
-            rest = rest[os.write(fd, rest):]
+            rest = rest[os.write(fd, rest) :]
 
     def sync(self, name: str) -> None:
         """Let what a file holds reach the disk. After `SyncFailed` nothing unsynced of it counts."""
--- a/fennelwind/loop/scheduler.py
+++ b/fennelwind/loop/scheduler.py
@@ -89,8 +89,19 @@
 class Task:
     """A greenlet of the loop. An exception ends the task alone, and is reported to the loop's `on_error`."""
 
-    __slots__ = ("loop", "name", "greenlet", "waiter", "scopes", "interrupted", "cancelled", "done", "value",
-                 "error", "joiners")
+    __slots__ = (
+        "loop",
+        "name",
+        "greenlet",
+        "waiter",
+        "scopes",
+        "interrupted",
+        "cancelled",
+        "done",
+        "value",
+        "error",
+        "joiners",
+    )
 
     def __init__(self, loop: "Loop", call: Callable[..., Any], args: tuple, name: str) -> None:
         self.loop, self.name = loop, name
--- a/fennelwind/loop/sim.py
+++ b/fennelwind/loop/sim.py
@@ -98,6 +98,7 @@
 
     def carry(self, data: bytes, source: Address, to: Address) -> None:
         """Bring a datagram to its receiver, if there is one."""
+
         def arrive() -> None:
             socket = self.sockets.get(to)
             if socket is not None:
--- a/fennelwind/loop/simdisk.py
+++ b/fennelwind/loop/simdisk.py
@@ -102,7 +102,7 @@
         """The machine loses power: of what waits, files' and names', it keeps what `loss` says."""
         changes = self.waiting
         if loss == "prefix":
-            changes = changes[:random.randint(0, len(changes))]
+            changes = changes[: random.randint(0, len(changes))]
         elif loss == "pick":
             changes = [change for change in changes if random.random() < 0.5]
         for change in changes if loss != "none" else ():
@@ -118,7 +118,7 @@
     def _tear(file: _File, random: Random, loss: str) -> None:
         sectors = []
         if file.was_cut and (loss == "all" or loss != "none" and random.random() < 0.5):
-            del file.held[len(file.shown):]
+            del file.held[len(file.shown) :]
         for start, end in file.dirty:
             while start < end:
                 stop = min(end, (start // SECTOR + 1) * SECTOR)
@@ -168,9 +168,15 @@
     `sync` (a sync fails).
     """
 
-    def __init__(self, loop: Loop | None, platter: Platter, *, seed: int | str = 0,
-                 costs: Costs | None = None,
-                 plan: Callable[[int, str, str], str | None] | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop | None,
+        platter: Platter,
+        *,
+        seed: int | str = 0,
+        costs: Costs | None = None,
+        plan: Callable[[int, str, str], str | None] | None = None,
+    ) -> None:
         self.loop, self.platter, self.costs = loop, platter, costs or Costs()
         self.random, self.plan = Random(seed), plan
         self.calls = 0
@@ -194,7 +200,7 @@
         """Return bytes from an offset on; b"" at the end. Raises `NameMissing`."""
         file = self._file(name, "read")
         self._call("read", name, self.costs.append_ms)
-        return bytes(file.shown[offset:offset + most])
+        return bytes(file.shown[offset : offset + most])
 
     def append(self, name: str, data: bytes) -> None:
         """Write behind what a file holds; it is made if need be. After `DiskFull` a part may be written."""
@@ -225,7 +231,7 @@
         if fault == "sync" or self.platter.sync_fails:
             raise SyncFailed(f"{name}: sync failed", file=name, call="sync", errno=errno.EIO)
         if file.was_cut:
-            del file.held[len(file.shown):]
+            del file.held[len(file.shown) :]
             file.was_cut = False
         for start, end in dirty:
             file.settle(start, end)
--- a/fennelwind/loop/tls.py
+++ b/fennelwind/loop/tls.py
@@ -18,7 +18,8 @@
         self.peer: Address = stream.peer
         self._in, self._out = ssl.MemoryBIO(), ssl.MemoryBIO()
         self._tls = context.wrap_bio(
-            self._in, self._out, server_side=server, server_hostname=None if server else stream.peer.host)
+            self._in, self._out, server_side=server, server_hostname=None if server else stream.peer.host
+        )
         self._shaken = False
         self._flushing: Once | None = None  # set when the task that writes has done so
         self._shaking: Once | None = None
@@ -79,7 +80,7 @@
             while rest:
                 while self._flushing is not None:  # else what is written here would heap up behind it
                     self._flushing.wait()
-                rest = rest[self._tls.write(rest[:WRITE_MOST]):]
+                rest = rest[self._tls.write(rest[:WRITE_MOST]) :]
                 self._flush()
         except ssl.SSLError as exc:
             raise StreamReset(errno.EPROTO, f"{self.peer}: TLS: {exc.reason or exc}") from None
--- a/fennelwind/loop/world.py
+++ b/fennelwind/loop/world.py
@@ -116,8 +116,9 @@
 class Host(MemoryLoop):
     """A machine with one process: a loop in the world's time, with a clock of its own for the time of day."""
 
-    def __init__(self, world: World, name: str, address: str, clock_ms: float, turn_ms: float,
-                 number: int) -> None:
+    def __init__(
+        self, world: World, name: str, address: str, clock_ms: float, turn_ms: float, number: int
+    ) -> None:
         super().__init__()
         self.world, self.name, self.address = world, name, address
         self.clock_ms, self.turn_ms = clock_ms, turn_ms
@@ -163,8 +164,13 @@
         self.sleep(world.delay(there) + world.delay(back))
         target = world.hosts[address.host]
         listener = target.listeners.get(address)
-        if there.refused or back.refused or target.dead or listener is None \
-                or len(listener.waiting) >= listener.backlog:
+        if (
+            there.refused
+            or back.refused
+            or target.dead
+            or listener is None
+            or len(listener.waiting) >= listener.backlog
+        ):
             raise ConnectFailed(errno.ECONNREFUSED, f"{address}: refused")
         out, home = FarPipe(world, self, target), FarPipe(world, target, self)
         mine = SimStream(self, address, home, out)
@@ -308,7 +314,7 @@
         """Put a piece under way; of a way that stalls only its first half."""
         self.held += len(data)
         if not self.kept and len(data) > 1 and self.world.path(self.source, self.target).stalled:
-            first, rest = data[:len(data) // 2], data[len(data) // 2:]
+            first, rest = data[: len(data) // 2], data[len(data) // 2 :]
             self._go(lambda: self.arrived.append(first), len(first))
             self._keep(lambda: self.arrived.append(rest), len(rest))
             return
--- a/fennelwind/node/channel.py
+++ b/fennelwind/node/channel.py
@@ -102,13 +102,19 @@
     return lambda value: table[as_text(value)]
 
 
-def _read_line(one: dict[str, Any], name: str, state: str, zones: dict[str, int], kinds: dict[str, int],
-               offset: float) -> Line:
+def _read_line(
+    one: dict[str, Any], name: str, state: str, zones: dict[str, int], kinds: dict[str, int], offset: float
+) -> Line:
     started = _get(one, "startedAtMs", as_figure, 0.0)
     entry = api.EngineEntry(
-        engine=name, state=state, zone=_get(one, "zone", _named(zones)),
-        kind=_get(one, "machineType", _named(kinds)), cell=_get(one, "cell", as_whole, 0),
-        weight=_get(one, "weight", as_figure, 1.0), launched_ms=started - offset if started else 0.0)
+        engine=name,
+        state=state,
+        zone=_get(one, "zone", _named(zones)),
+        kind=_get(one, "machineType", _named(kinds)),
+        cell=_get(one, "cell", as_whole, 0),
+        weight=_get(one, "weight", as_figure, 1.0),
+        launched_ms=started - offset if started else 0.0,
+    )
     return Line(name, state, entry, _get(one, "hostPort", lambda at: parse_address(as_text(at))))
 
 
@@ -170,9 +176,17 @@
 class Channel:
     """Follows the command channel and hands its lists on."""
 
-    def __init__(self, loop: Loop, address: Address, links: Executors, *, zones: dict[str, int],
-                 kinds: dict[str, int], post: Callable[[api.Event], None],
-                 said: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        links: Executors,
+        *,
+        zones: dict[str, int],
+        kinds: dict[str, int],
+        post: Callable[[api.Event], None],
+        said: Callable[[str], None],
+    ) -> None:
         self.loop, self.address, self.links = loop, address, links
         self.zones, self.kinds, self.post, self.said = zones, kinds, post, said
         self.cursor = 0
@@ -249,8 +263,11 @@
             return
         self._stream = stream
         try:
-            stream.write(b"GET /cmd/next HTTP/1.1\r\nHost: channel\r\nAccept: text/event-stream\r\n"
-                         b"Last-Event-ID: %d\r\n\r\n" % self.cursor, CONNECT_MS)
+            stream.write(
+                b"GET /cmd/next HTTP/1.1\r\nHost: channel\r\nAccept: text/event-stream\r\n"
+                b"Last-Event-ID: %d\r\n\r\n" % self.cursor,
+                CONNECT_MS,
+            )
             reader, heard, flowed = EventReader(), self.loop.now(), 0
             while not reader.ended:
                 with self.loop.deadline_at(heard + SILENCE_MS):  # of events and comments, not of single bytes
