--- a/fennelwind/node/config.py
+++ b/fennelwind/node/config.py
@@ -20,13 +20,24 @@
 MISSING = object()
 # The names of the module's own checks in the file; those of a class have their place in the list before them.
 CHECKED = {
-    "classes": "Grades", "gateways": "Balancers", "max_attempts": "Ceilings.MaxAttempts",
-    "tick_ms": "ResolutionMs", "kind_cores": "FamilyInfo.KindCores",
-    "max_retry_after_ms": "Ceilings.MaxRetryAfterMs", "drain_grace_ms": "Rules.DrainGraceMs",
-    "cold_share": "Rules.ColdShare", "cold_ms": "Rules.RampTimeMs", "fall_multiple": "Rules.FallMultiple",
-    "fall_ms": "Rules.OverloadForMs", "settle_ms": "Rules.SettleAfterDoubtMs",
-    "budget_free": "Rules.ExtraFloor", "budget_share": "Rules.FurtherRatio", "budget_ms": "Rules.LookBackMs",
-    "answer_slack_ms": "Rules.AnswerSlackMs", "threads": "FamilyInfo.WidthByClass"}
+    "classes": "Grades",
+    "gateways": "Balancers",
+    "max_attempts": "Ceilings.MaxAttempts",
+    "tick_ms": "ResolutionMs",
+    "kind_cores": "FamilyInfo.KindCores",
+    "max_retry_after_ms": "Ceilings.MaxRetryAfterMs",
+    "drain_grace_ms": "Rules.DrainGraceMs",
+    "cold_share": "Rules.ColdShare",
+    "cold_ms": "Rules.RampTimeMs",
+    "fall_multiple": "Rules.FallMultiple",
+    "fall_ms": "Rules.OverloadForMs",
+    "settle_ms": "Rules.SettleAfterDoubtMs",
+    "budget_free": "Rules.ExtraFloor",
+    "budget_share": "Rules.FurtherRatio",
+    "budget_ms": "Rules.LookBackMs",
+    "answer_slack_ms": "Rules.AnswerSlackMs",
+    "threads": "FamilyInfo.WidthByClass",
+}
 CHECKED_OF_CLASS = {"aim_ms": "AimMs", "give_up_ms": "GiveUpMs", "worth": "Points"}
 
 
@@ -145,9 +156,12 @@
     fields = Fields("settings", [f"{name}={value}" for name, value in pairs.items()])
     try:
         settings = read_settings(fields)
-        return (settings, fields.get("Ceilings.ConnIdleMs", _positive, 15000.0),
-                fields.get("Ceilings.DialTimeoutMs", _positive, 250.0),
-                fields.get("Ceilings.MaxOpen", lambda text: as_whole(_positive(text)), 20000))
+        return (
+            settings,
+            fields.get("Ceilings.ConnIdleMs", _positive, 15000.0),
+            fields.get("Ceilings.DialTimeoutMs", _positive, 250.0),
+            fields.get("Ceilings.MaxOpen", lambda text: as_whole(_positive(text)), 20000),
+        )
     except WireError as exc:
         found = re.search(r"field (\S+) (.+)", str(exc))
         raise ConfigError(f"{_in_file(found[1])} {found[2]}" if found is not None else str(exc)) from None
@@ -166,12 +180,16 @@
 def _class_field(pairs: dict[str, str], name: str) -> str:
     """Return the path of the first class's field that the module's check of that name refuses."""
     field, least = CHECKED_OF_CLASS[name], 0.0 if name == "worth" else 1e-300
-    return next(_in_file(flat) for flat, text in pairs.items()
-                if re.fullmatch(rf"Grades\.\d+\.{field}", flat) and float(text) < least)
+    return next(
+        _in_file(flat)
+        for flat, text in pairs.items()
+        if re.fullmatch(rf"Grades\.\d+\.{field}", flat) and float(text) < least
+    )
 
 
-def _events(known: dict[str, Any], zones: dict[str, int],
-            kinds: dict[str, int]) -> tuple[dict[str, Any], ...]:
+def _events(
+    known: dict[str, Any], zones: dict[str, int], kinds: dict[str, int]
+) -> tuple[dict[str, Any], ...]:
     """Return the events, of which all can be read; who is in a zone unknown here is left out when taken."""
     events = _get(known, "known.cmds", _as_list, [])
     for place, event in enumerate(events):
@@ -204,12 +222,21 @@
     settings, idle_ms, dial_ms, most_open = _settings(flatten(stated))
     zones, kinds = _names(stated, "Zones"), _names(stated, "Kinds")
     return NodeConfig(
-        name=_get(told, "name", as_text), listen=_get(told, "listen", parse_address),
+        name=_get(told, "name", as_text),
+        listen=_get(told, "listen", parse_address),
         channel=_get(told, "channel", parse_address),
         seed=_get(told, "seed", lambda seed: int(str(seed), 16)),
         cores=_get(limits, "limits.cores", _above_zero, 1.0),
         memory_mb=_get(limits, "limits.memory_mb", _above_zero),
-        sockets=_get(limits, "limits.sockets", _descriptors), settings=settings,
-        classes=_names(stated, "Grades"), tenants=_names(stated, "Projects"), zones=zones, kinds=kinds,
-        idle_ms=idle_ms, dial_ms=dial_ms, most_open=most_open,
-        cursor=_get(known, "known.cursor", as_whole, 0), events=_events(known, zones, kinds))
+        sockets=_get(limits, "limits.sockets", _descriptors),
+        settings=settings,
+        classes=_names(stated, "Grades"),
+        tenants=_names(stated, "Projects"),
+        zones=zones,
+        kinds=kinds,
+        idle_ms=idle_ms,
+        dial_ms=dial_ms,
+        most_open=most_open,
+        cursor=_get(known, "known.cursor", as_whole, 0),
+        events=_events(known, zones, kinds),
+    )
--- a/fennelwind/node/executors.py
+++ b/fennelwind/node/executors.py
@@ -50,8 +50,14 @@
 HEARD_MS = 25.0  # ms; a loop that has not looked for so long hears first who has left: 100 ms are allowed
 PROBE_MS = 250.0  # ms for a probe
 # Load reports may use the platform's words or the wire's.
-REPORT_WORDS = {"inflight": "active", "queue": "waiting", "util": "cpu", "latency_ms": "avg_ms",
-                "qps": "rps", "eps": "err_rps"}
+REPORT_WORDS = {
+    "inflight": "active",
+    "queue": "waiting",
+    "util": "cpu",
+    "latency_ms": "avg_ms",
+    "qps": "rps",
+    "eps": "err_rps",
+}
 
 
 class Connection:
@@ -77,8 +83,7 @@
 class Host:
     """One executor: where it is, and the idle connections to it, the longest idle first."""
 
-    __slots__ = ("name", "address", "idle", "lost", "draining", "deletes", "deleters",
-                 "ended")
+    __slots__ = ("name", "address", "idle", "lost", "draining", "deletes", "deleters", "ended")
 
     def __init__(self, name: str, address: Address) -> None:
         self.name, self.address = name, address
@@ -98,8 +103,16 @@
 class Executors:
     """The links to all executors."""
 
-    def __init__(self, loop: Loop, *, report_fields: tuple[str, ...], idle_ms: float, dial_ms: float,
-                 most: int, parallel: bool) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        *,
+        report_fields: tuple[str, ...],
+        idle_ms: float,
+        dial_ms: float,
+        most: int,
+        parallel: bool,
+    ) -> None:
         self.loop, self.report_fields = loop, frozenset(report_fields)
         self.idle_ms, self.dial_ms, self.most, self.parallel = idle_ms * IDLE_PART, dial_ms, most, parallel
         self.hosts: dict[str, Host] = {}
@@ -398,7 +411,12 @@
     """Return the bytes of a call on a query."""
     length = b"Content-Length: %d\r\n" % len(body) if verb in (b"PUT", b"POST") else b""
     return b"%s /data/%s%s HTTP/1.1\r\nHost: executor\r\n%s\r\n%s" % (
-        verb, name.encode("ascii"), path, length, body)
+        verb,
+        name.encode("ascii"),
+        path,
+        length,
+        body,
+    )
 
 
 class _Attempt:
@@ -505,10 +523,20 @@
         key = b"Idempotency-Key: %s\r\n" % told if told else b""
         rank = b"X-Weight-Class: %d\r\n" % order.priority if order.priority != 1 else b""
         self.told = order.priority
-        return (b"POST /data HTTP/1.1\r\nHost: executor\r\nX-Req: %s\r\nX-Class: %s\r\n%s"
-                b"X-Wait-Ms: %d\r\n%s%sContent-Length: %d\r\n\r\n%s" % (
-                    self.name.encode("ascii"), submission.engine_class.encode(), key, wait, grant, rank,
-                    len(body), body))
+        return (
+            b"POST /data HTTP/1.1\r\nHost: executor\r\nX-Req: %s\r\nX-Class: %s\r\n%s"
+            b"X-Wait-Ms: %d\r\n%s%sContent-Length: %d\r\n\r\n%s"
+            % (
+                self.name.encode("ascii"),
+                submission.engine_class.encode(),
+                key,
+                wait,
+                grant,
+                rank,
+                len(body),
+                body,
+            )
+        )
 
     def _connect(self, fresh: bool) -> None:
         self._use = _Use(self.links, self.host, self.links.take(self.host, fresh))
@@ -585,8 +613,12 @@
     def _pages(self, first: Response) -> tuple[bytes, ...] | None:
         """Return all pages; None if the first one is no answer. Raises `_Useless`."""
         count = first.headers.get(b"x-batches", b"")
-        if COUNT.fullmatch(count) is None or not 1 <= int(count) <= PAGES_MOST \
-                or b"x-batch" in first.headers or not whole_rows(first.body):
+        if (
+            COUNT.fullmatch(count) is None
+            or not 1 <= int(count) <= PAGES_MOST
+            or b"x-batch" in first.headers
+            or not whole_rows(first.body)
+        ):
             self._wrong("strange")
             return None
         pages, size = [first.body], len(first.body)
@@ -597,8 +629,11 @@
                 continue
             if response.status == 500:
                 raise _Useless(f"page {number} is lost")
-            if response.status != 200 or response.headers.get(b"x-batch") != b"%d" % number \
-                    or not whole_rows(response.body):
+            if (
+                response.status != 200
+                or response.headers.get(b"x-batch") != b"%d" % number
+                or not whole_rows(response.body)
+            ):
                 self._wrong("strange")
                 continue
             pages.append(response.body)
--- a/fennelwind/node/front.py
+++ b/fennelwind/node/front.py
@@ -37,8 +37,19 @@
 class Connection:
     """One client's connection."""
 
-    __slots__ = ("front", "stream", "reader", "last", "open", "unread", "unread_bytes", "writing",
-                 "unusable", "partial", "closed")
+    __slots__ = (
+        "front",
+        "stream",
+        "reader",
+        "last",
+        "open",
+        "unread",
+        "unread_bytes",
+        "writing",
+        "unusable",
+        "partial",
+        "closed",
+    )
 
     def __init__(self, front: "Front", stream: PushStream) -> None:
         self.front, self.stream, self.reader = front, stream, msgrpc.Reader()
@@ -120,8 +131,9 @@
         front = self.front
         config, now = front.config, front.loop.now()
         try:
-            asked = read_request(message.method, message.params, config.classes, config.tenants,
-                                 config.settings)
+            asked = read_request(
+                message.method, message.params, config.classes, config.tenants, config.settings
+            )
             if asked.name in front.names:
                 raise Unusable("the id is that of an open request")
         except Unusable as exc:
@@ -132,9 +144,18 @@
                 self.close()
             return
         submission = Submission(
-            cls=asked.cls, statement=asked.statement, deadline_ms=now + asked.wait_ms, tenant=asked.tenant,
-            work_ms=asked.work_ms, memory_mb=asked.memory_mb, tables=asked.tables, repeat=asked.repeat,
-            engine_id=asked.name, engine_class=message.method, idempotency_key=asked.idempotency_key)
+            cls=asked.cls,
+            statement=asked.statement,
+            deadline_ms=now + asked.wait_ms,
+            tenant=asked.tenant,
+            work_ms=asked.work_ms,
+            memory_mb=asked.memory_mb,
+            tables=asked.tables,
+            repeat=asked.repeat,
+            engine_id=asked.name,
+            engine_class=message.method,
+            idempotency_key=asked.idempotency_key,
+        )
         front.names.add(asked.name)
         number = message.number
 
@@ -244,8 +265,15 @@
 class Front:
     """Takes clients in; `most` connections at a time, and `lingering_most` more that are being closed."""
 
-    def __init__(self, loop: Loop, listener: Listener, driver: Driver, config: NodeConfig, most: int,
-                 lingering_most: int) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        listener: Listener,
+        driver: Driver,
+        config: NodeConfig,
+        most: int,
+        lingering_most: int,
+    ) -> None:
         self.loop, self.listener, self.driver, self.config = loop, listener, driver, config
         self.places = Places(most)
         self.lingering: dict[Connection, float] = {}  # closed by us, since when
--- a/fennelwind/node/http1.py
+++ b/fennelwind/node/http1.py
@@ -12,8 +12,17 @@
 BODY_MOST = 65536  # bytes of one body; a page has 6,000 at most
 CHUNK_LINE_MOST = 64  # bytes of the line that tells a chunk's size
 EVENT_MOST = 1_048_576  # bytes of one event; a full list of hundreds of executors is far smaller
-ONCE = frozenset((b"content-length", b"transfer-encoding", b"connection", b"x-batches", b"x-batch", b"x-load",
-                  b"x-not-run"))  # two of one of these can't both hold
+ONCE = frozenset(
+    (
+        b"content-length",
+        b"transfer-encoding",
+        b"connection",
+        b"x-batches",
+        b"x-batch",
+        b"x-load",
+        b"x-not-run",
+    )
+)  # two of one of these can't both hold
 STATUS = re.compile(rb"HTTP/1\.1 ([1-5][0-9][0-9])(?: [\x20-\x7e]*)?")
 NAME = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
@@ -57,7 +66,7 @@
     """Return the head that the bytes begin with, None while it is not whole, and what is left of them."""
     end = data.find(b"\r\n\r\n", 0, HEAD_MOST)
     if end >= 0:
-        return parse_head(data[:end]), data[end + 4:]
+        return parse_head(data[:end]), data[end + 4 :]
     if len(data) >= HEAD_MOST:
         raise Malformed("a head without an end")
     if not b"HTTP/1.1 ".startswith(data[:9]):
@@ -118,7 +127,7 @@
         else:
             if len(self._data) < self._left:
                 return None
-            head.body, rest = self._data[:self._left], self._data[self._left:]
+            head.body, rest = self._data[: self._left], self._data[self._left :]
         keep = head.headers.get(b"connection", b"").lower() != b"close"
         head.reusable = keep and not rest and not self._interim
         self._data, self._head, self._chunks, self._body = b"", None, None, []
@@ -141,12 +150,12 @@
         pieces = [] if pieces is None else pieces
         while not self.ended:
             if self._left:
-                taken = self._data[:self._left]
+                taken = self._data[: self._left]
                 if not taken:
                     break
                 pieces.append(taken)
                 self._left -= len(taken)
-                self._data = self._data[len(taken):]
+                self._data = self._data[len(taken) :]
             elif self._line_due:
                 if len(self._data) < 2:
                     break
@@ -166,7 +175,7 @@
                     raise Malformed(f"a chunk of size {size[:20]!r}")
                 self._left, self._line_due = int(size, 16), True
                 self._last = not self._left
-                self._data = self._data[end + 2:]
+                self._data = self._data[end + 2 :]
                 self.total += self._left
                 if self.most and self.total > self.most:
                     raise Malformed("a body that is too large")
@@ -229,7 +238,7 @@
                 self._lines(b"".join(pieces), events)
             return
         if self._left is not None:
-            data = data[:self._left]
+            data = data[: self._left]
             self._left -= len(data)
         self._lines(data, events)
 
--- a/fennelwind/node/lifecycle.py
+++ b/fennelwind/node/lifecycle.py
@@ -64,14 +64,19 @@
         """Write of a query that was not served."""
         answer = entry.answer
         if answer.kind != SERVED:
-            self.write(answer.kind, f"query {entry.query} of class {entry.submission.cls} after "
-                                    f"{entry.answered_ms - entry.taken_ms:.0f} ms: {answer.reason}")
+            self.write(
+                answer.kind,
+                f"query {entry.query} of class {entry.submission.cls} after "
+                f"{entry.answered_ms - entry.taken_ms:.0f} ms: {answer.reason}",
+            )
 
     def attempted(self, entry: Entry, number: int, engine: str, end: AttemptEnd, took_ms: float) -> None:
         """Write of an attempt that did not end well."""
         if end.status not in ("ok", "cancelled"):
-            self.write(end.status, f"query {entry.query} attempt {number} at {engine} after {took_ms:.0f} ms:"
-                                   f" {end.reason}")
+            self.write(
+                end.status,
+                f"query {entry.query} attempt {number} at {engine} after {took_ms:.0f} ms: {end.reason}",
+            )
 
     def said(self, text: str) -> None:
         """Write a note."""
@@ -90,23 +95,46 @@
         self.loop, self.config, self.log = loop, config, log
         settings = config.settings
         self.links = Executors(
-            loop, report_fields=settings.report_fields, idle_ms=config.idle_ms, dial_ms=config.dial_ms,
-            most=int(config.sockets * EXECUTORS_PART), parallel=settings.parallel)
+            loop,
+            report_fields=settings.report_fields,
+            idle_ms=config.idle_ms,
+            dial_ms=config.dial_ms,
+            most=int(config.sockets * EXECUTORS_PART),
+            parallel=settings.parallel,
+        )
         self.driver = Driver(
-            loop, settings, self.links, log, seed=config.seed, max_open=config.most_open,
+            loop,
+            settings,
+            self.links,
+            log,
+            seed=config.seed,
+            max_open=config.most_open,
             margin=AnswerMargin(MARGIN_LEAST_MS, MARGIN_MOST_MS),
-            advisor=Advisor(settings, config.seed, config.idle_ms) if acts(settings) else None)
-        self.channel = Channel(loop, config.channel, self.links, zones=config.zones, kinds=config.kinds,
-                               post=self.driver.post, said=log.said)
+            advisor=Advisor(settings, config.seed, config.idle_ms) if acts(settings) else None,
+        )
+        self.channel = Channel(
+            loop,
+            config.channel,
+            self.links,
+            zones=config.zones,
+            kinds=config.kinds,
+            post=self.driver.post,
+            said=log.said,
+        )
         self.front: Front | None = None
 
     def start(self) -> None:
         """Learn of the executors and listen for clients. Raises `OSError` if the address can't be had."""
         listener = self.loop.listen(self.config.listen, 1024)
         self.channel.take_known(self.config.cursor, self.config.events)
-        self.front = Front(self.loop, listener, self.driver, self.config,
-                           int(self.config.sockets * CLIENTS_PART),
-                           int(self.config.sockets * LINGERING_PART))
+        self.front = Front(
+            self.loop,
+            listener,
+            self.driver,
+            self.config,
+            int(self.config.sockets * CLIENTS_PART),
+            int(self.config.sockets * LINGERING_PART),
+        )
         self.front.said = self.log.said
         self.links.start()
         self.channel.start()
@@ -135,11 +163,16 @@
             differed += drift(self.driver.gateway, self.links) > 0
             if looks % LOOKS_A_LINE == 0:
                 rows = compare(self.driver.gateway, self.links)
-                self.log.write("state", (
-                    f"{self.driver.ledger.open} open, {len(self.front.places)} clients, "
-                    f"{self.links.count} connections {dict(self.links.counts)}, margin "
-                    f"{self.driver.margin.ms:.0f} ms, view differed in {differed} of {looks} looks; "
-                    f"{'; '.join(map(str, rows))}"), STATE_MOST)
+                self.log.write(
+                    "state",
+                    (
+                        f"{self.driver.ledger.open} open, {len(self.front.places)} clients, "
+                        f"{self.links.count} connections {dict(self.links.counts)}, margin "
+                        f"{self.driver.margin.ms:.0f} ms, view differed in {differed} of {looks} looks; "
+                        f"{'; '.join(map(str, rows))}"
+                    ),
+                    STATE_MOST,
+                )
 
     def leave(self) -> None:
         """Go in order: no longer well, but serving for some time; then refusing what is new, until all that
@@ -158,10 +191,13 @@
         deleted = self.loop.now() + LAST_DELETES_MS
         front.end(killed - LAST_ANSWERS_MS, killed - END_MS)
         self.loop.sleep(max(0.0, min(deleted, killed - END_MS) - self.loop.now()))
-        self.log.write("closed", f"books agree: {ledger.balanced()}; open {ledger.open}, second answers "
-                                 f"{ledger.second}, forgotten {self.driver.forgotten}, step errors "
-                                 f"{self.driver.step_errors}; clients {dict(self.front.counts)}; executors "
-                                 f"{dict(self.links.counts)}; channel {dict(self.channel.counts)}")
+        self.log.write(
+            "closed",
+            f"books agree: {ledger.balanced()}; open {ledger.open}, second answers "
+            f"{ledger.second}, forgotten {self.driver.forgotten}, step errors "
+            f"{self.driver.step_errors}; clients {dict(self.front.counts)}; executors "
+            f"{dict(self.links.counts)}; channel {dict(self.channel.counts)}",
+        )
 
 
 def main() -> int:
--- a/fennelwind/node/msgrpc.py
+++ b/fennelwind/node/msgrpc.py
@@ -51,7 +51,7 @@
             unpacker, self._fed, self._read = _parser(), 0, 0
         try:
             for start in range(0, len(data), BODY_MOST):
-                unpacker.feed(data[start:start + BODY_MOST])
+                unpacker.feed(data[start : start + BODY_MOST])
                 self._fed += min(BODY_MOST, len(data) - start)
                 for value in unpacker:
                     messages.append(_message(value))
@@ -72,15 +72,29 @@
 
 def _parser() -> msgpack.Unpacker:
     return msgpack.Unpacker(
-        raw=False, strict_map_key=True, read_size=1024, max_buffer_size=MESSAGE_MOST, max_bin_len=BODY_MOST,
-        max_str_len=TEXT_MOST, max_array_len=PARTS_MOST, max_map_len=PARTS_MOST, max_ext_len=0)
+        raw=False,
+        strict_map_key=True,
+        read_size=1024,
+        max_buffer_size=MESSAGE_MOST,
+        max_bin_len=BODY_MOST,
+        max_str_len=TEXT_MOST,
+        max_array_len=PARTS_MOST,
+        max_map_len=PARTS_MOST,
+        max_ext_len=0,
+    )
 
 
 def _message(value: object) -> Message:
     if type(value) is list and len(value) == 4:
         kind, number, method, params = value
-        if kind == REQUEST and type(kind) is int and type(number) is int and 0 <= number <= NUMBER_MOST \
-                and type(method) is str and type(params) is list:
+        if (
+            kind == REQUEST
+            and type(kind) is int
+            and type(number) is int
+            and 0 <= number <= NUMBER_MOST
+            and type(method) is str
+            and type(params) is list
+        ):
             return Message(number, method, params)
     elif type(value) is list and len(value) == 3:
         kind, method, params = value
--- a/fennelwind/node/requests.py
+++ b/fennelwind/node/requests.py
@@ -37,8 +37,9 @@
     idempotency_key: str  # by which executors drop repeats, where they do; "": none
 
 
-def read_request(method: str, params: list[Any], classes: dict[str, int], tenants: dict[str, int],
-                 settings: api.Settings) -> Asked:
+def read_request(
+    method: str, params: list[Any], classes: dict[str, int], tenants: dict[str, int], settings: api.Settings
+) -> Asked:
     """Check a request field by field. Raises `Unusable`."""
     cls = classes.get(method)
     if cls is None:
@@ -72,8 +73,18 @@
         raise Unusable("a statement is text") from None
     if not text.strip():
         raise Unusable("a statement is wanted")
-    return Asked(name, cls, tenant, float(wait), statement, work or None, memory or 0.0, table_group(text),
-                 "r" in fields, key)
+    return Asked(
+        name,
+        cls,
+        tenant,
+        float(wait),
+        statement,
+        work or None,
+        memory or 0.0,
+        table_group(text),
+        "r" in fields,
+        key,
+    )
 
 
 def _estimate(text: str | None, what: str, most: float) -> float | None:
--- a/fennelwind/node/statement.py
+++ b/fennelwind/node/statement.py
@@ -12,7 +12,9 @@
 # In turn: a line's comment, a block's comment, a string, a quoted name, a name, any other sign.
 TOKEN = re.compile(
     r"""--[^\n]*|/\*(?:[^*]|\*(?!/))*(?:\*/)?|'(?:[^']|'')*'?|"((?:[^"]|"")*)"?"""
-    r"""|`([^`]*)`?|([A-Za-z_\u0080-\U0010ffff][\w$]*)|(\s+)|(.)""", re.S)
+    r"""|`([^`]*)`?|([A-Za-z_\u0080-\U0010ffff][\w$]*)|(\s+)|(.)""",
+    re.S,
+)
 ENDS_WITH_NUMBER = re.compile(r".*_([0-9]{1,7})", re.S)
 
 
--- a/fennelwind/node/view.py
+++ b/fennelwind/node/view.py
@@ -25,8 +25,10 @@
 
     def __str__(self) -> str:
         judged = f"{self.state} suspect" if self.suspect else self.state
-        return (f"{self.engine} {judged} {self.believed}/{self.running} lag {self.lag:.1f} ok {self.answers}"
-                f" bad {self.others}")
+        return (
+            f"{self.engine} {judged} {self.believed}/{self.running} lag {self.lag:.1f} ok {self.answers}"
+            f" bad {self.others}"
+        )
 
 
 def compare(gateway: Gateway, links: Executors) -> list[Row]:
@@ -39,11 +41,18 @@
         if host is not None:
             host.ended.clear()
         good = ended.pop("ok", 0)
-        rows.append(Row(
-            name, engine.entry.state if engine is not None else "unknown",
-            len(engine.out) if engine is not None else 0, running.get(name, 0),
-            engine.lag_now if engine is not None else 0.0, engine is not None and engine.suspect, good,
-            sum(count for status, count in ended.items() if status not in ("cancelled", "moot"))))
+        rows.append(
+            Row(
+                name,
+                engine.entry.state if engine is not None else "unknown",
+                len(engine.out) if engine is not None else 0,
+                running.get(name, 0),
+                engine.lag_now if engine is not None else 0.0,
+                engine is not None and engine.suspect,
+                good,
+                sum(count for status, count in ended.items() if status not in ("cancelled", "moot")),
+            )
+        )
     return rows
 
 
--- a/fennelwind/observe/logs.py
+++ b/fennelwind/observe/logs.py
@@ -56,19 +56,30 @@
     """Set logging up for the process; `form` is json or console. Logs go to standard error."""
     stream = stream or sys.stderr
     lines = Lines(stream)
-    last = structlog.processors.JSONRenderer() if form == "json" else structlog.dev.ConsoleRenderer(
-        colors=stream is not None and stream.isatty())
+    last = (
+        structlog.processors.JSONRenderer()
+        if form == "json"
+        else structlog.dev.ConsoleRenderer(colors=stream is not None and stream.isatty())
+    )
     structlog.configure(
-        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso"),
-                    structlog.processors.format_exc_info, lines.tell, last],
-        logger_factory=structlog.PrintLoggerFactory(lines), cache_logger_on_first_use=True)
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.format_exc_info,
+            lines.tell,
+            last,
+        ],
+        logger_factory=structlog.PrintLoggerFactory(lines),
+        cache_logger_on_first_use=True,
+    )
 
 
 class LogObserver:
     """Logs what the core tells. `every_answer` gives a line for each final answer, without a limit."""
 
-    def __init__(self, now: Callable[[], float], classes: tuple[str, ...],
-                 every_answer: bool = False) -> None:
+    def __init__(
+        self, now: Callable[[], float], classes: tuple[str, ...], every_answer: bool = False
+    ) -> None:
         self.log = structlog.get_logger()
         self.classes, self.every_answer = classes, every_answer
         self.limit = RateLimit(now)
@@ -87,15 +98,29 @@
             more = {}
         took = entry.answered_ms - entry.taken_ms
         self.log.info(
-            "answer", query=entry.query, query_class=self.classes[entry.submission.cls], kind=answer.kind,
-            user=entry.submission.user, took_ms=round(took, 1), attempts=entry.attempts,
-            reason=answer.reason[:TEXT_MOST], **more)
+            "answer",
+            query=entry.query,
+            query_class=self.classes[entry.submission.cls],
+            kind=answer.kind,
+            user=entry.submission.user,
+            took_ms=round(took, 1),
+            attempts=entry.attempts,
+            reason=answer.reason[:TEXT_MOST],
+            **more,
+        )
 
     def attempted(self, entry: Entry, number: int, engine: str, end: AttemptEnd, took_ms: float) -> None:
         """Log an attempt that did not end well."""
         if end.status not in ("ok", "moot", "cancelled"):
-            self._limited("attempt", query=entry.query, attempt=number, engine=engine, status=end.status,
-                          reason=end.reason[:TEXT_MOST], took_ms=round(took_ms, 1))
+            self._limited(
+                "attempt",
+                query=entry.query,
+                attempt=number,
+                engine=engine,
+                status=end.status,
+                reason=end.reason[:TEXT_MOST],
+                took_ms=round(took_ms, 1),
+            )
 
     def said(self, text: str) -> None:
         """Log a line of the module's or of discovery's."""
--- a/fennelwind/observe/metrics.py
+++ b/fennelwind/observe/metrics.py
@@ -49,15 +49,23 @@
             attempts.add_metric([end], count)
         yield attempts
         yield Gauge("fennelwind_queries_open", "Queries without a final answer.", driver.ledger.open)
-        yield Gauge("fennelwind_answer_margin_seconds", "How early final answers leave.",
-                    driver.margin.ms / 1000.0)
+        yield Gauge(
+            "fennelwind_answer_margin_seconds", "How early final answers leave.", driver.margin.ms / 1000.0
+        )
         for name, help_, value in (
-                ("requests_joined", "Askings that joined an open request.", driver.repeats.joined),
-                ("answers_second", "Answers offered after the final one; anything but 0 is a fault.",
-                 driver.ledger.second),
-                ("answers_overdue", "Final answers given too late; anything but 0 is a fault.",
-                 driver.ledger.overdue),
-                ("turned_away", "Queries refused as too many were open.", driver.turned_away)):
+            ("requests_joined", "Askings that joined an open request.", driver.repeats.joined),
+            (
+                "answers_second",
+                "Answers offered after the final one; anything but 0 is a fault.",
+                driver.ledger.second,
+            ),
+            (
+                "answers_overdue",
+                "Final answers given too late; anything but 0 is a fault.",
+                driver.ledger.overdue,
+            ),
+            ("turned_away", "Queries refused as too many were open.", driver.turned_away),
+        ):
             yield Count(f"fennelwind_{name}", help_, value)
         states = Counter(e.entry.state for e in driver.gateway.engines.values())
         engines = Gauge("fennelwind_engines", "Engines known, by state.", labels=["state"])
@@ -72,8 +80,11 @@
         count = waits.get_total_count()
         wait.add_metric([], count, waits.get_mean_value() * count / 1e6)
         yield wait
-        marks = Gauge("fennelwind_link_wait_quantile_seconds", "The same, by quantile, since the start.",
-                    labels=["quantile"])
+        marks = Gauge(
+            "fennelwind_link_wait_quantile_seconds",
+            "The same, by quantile, since the start.",
+            labels=["quantile"],
+        )
         for quantile in QUANTILES:
             marks.add_metric([str(quantile)], waits.get_value_at_percentile(100 * quantile) / 1e6)
         yield marks
@@ -84,23 +95,28 @@
         for state, value in (("idle", idle), ("streams", streams), ("busy", open_ - idle - streams)):
             by_state.add_metric([state], value)
         yield by_state
-        yield Gauge("fennelwind_engine_sessions_per_session", "Sessions at engines for one of a client.",
-                    open_ / sessions if sessions else 0.0)
+        yield Gauge(
+            "fennelwind_engine_sessions_per_session",
+            "Sessions at engines for one of a client.",
+            open_ / sessions if sessions else 0.0,
+        )
         for name, help_, value in (
-                ("operations_reaped", "Operations left behind at engines and closed.", links.reaped),
-                ("operations_unreaped", "Those that could not be reached.", links.unreaped),
-                ("streams_begun", "Large answers that flowed.", links.streams_begun),
-                ("streams_lost", "Large answers that ended early.", links.streams_lost),
-                ("terms_told", "New terms told to engines.", links.told),
-                ("terms_untold", "New terms that could not be told.", links.untold)):
+            ("operations_reaped", "Operations left behind at engines and closed.", links.reaped),
+            ("operations_unreaped", "Those that could not be reached.", links.unreaped),
+            ("streams_begun", "Large answers that flowed.", links.streams_begun),
+            ("streams_lost", "Large answers that ended early.", links.streams_lost),
+            ("terms_told", "New terms told to engines.", links.told),
+            ("terms_untold", "New terms that could not be told.", links.untold),
+        ):
             yield Count(f"fennelwind_{name}", help_, value)
 
     def _fronts(self) -> Iterator[Metric]:
         program = self.program
         fronts = {"hs2": program.front, "http": program.http}
         now = Gauge("fennelwind_connections", "Connections of clients.", labels=["front"])
-        events = Count("fennelwind_connection_events", "What happened to connections.",
-                    labels=["front", "event"])
+        events = Count(
+            "fennelwind_connection_events", "What happened to connections.", labels=["front", "event"]
+        )
         for name, front in fronts.items():
             if front is not None:
                 now.add_metric([name], len(front.connections))
@@ -110,12 +126,13 @@
         yield events
         service = program.service
         yield Gauge("fennelwind_sessions", "Sessions of clients.", len(service.sessions))
-        yield Gauge("fennelwind_operations", "Operations of clients not closed.",
-                    len(service.operations))
+        yield Gauge("fennelwind_operations", "Operations of clients not closed.", len(service.operations))
         yield Count("fennelwind_logins_failed", "Wrong passwords.", service.door.logins.failures)
-        yield Gauge("fennelwind_loop_delay_seconds", "How late timers are, a fading mean.",
-                    program.loop.delay_ms / 1000.0)
-
+        yield Gauge(
+            "fennelwind_loop_delay_seconds",
+            "How late timers are, a fading mean.",
+            program.loop.delay_ms / 1000.0,
+        )
 
     def _council(self) -> Iterator[Metric]:
         keeper = getattr(self.program, "keeper", None)
@@ -123,8 +140,11 @@
             return
         for name, help_, value in keeper.gauges():
             yield Gauge(f"fennelwind_council_{name}", help_, value)
-        events = Count("fennelwind_council_events", "What happened between this controller and the council.",
-                       labels=["where", "event"])
+        events = Count(
+            "fennelwind_council_events",
+            "What happened between this controller and the council.",
+            labels=["where", "event"],
+        )
         for where, event, count in keeper.events():
             events.add_metric([where, event], count)
         yield events
@@ -177,11 +197,23 @@
                     http.receive_data(stream.read())
                 if isinstance(event, h11.Request):
                     status, body = self._answer(event.method, event.target)
-                    stream.write(b"".join(http.send(e) for e in (
-                        h11.Response(status_code=status, headers=[
-                            ("content-type", TYPE), ("content-length", str(len(body))),
-                            ("connection", "close")]),
-                        h11.Data(data=body), h11.EndOfMessage())))
+                    stream.write(
+                        b"".join(
+                            http.send(e)
+                            for e in (
+                                h11.Response(
+                                    status_code=status,
+                                    headers=[
+                                        ("content-type", TYPE),
+                                        ("content-length", str(len(body))),
+                                        ("connection", "close"),
+                                    ],
+                                ),
+                                h11.Data(data=body),
+                                h11.EndOfMessage(),
+                            )
+                        )
+                    )
         except (StreamReset, DeadlineExceeded, h11.ProtocolError):
             pass
         finally:
--- a/fennelwind/observe/sampler.py
+++ b/fennelwind/observe/sampler.py
@@ -8,9 +8,17 @@
 
 EVERY_S = 0.002  # s of CPU time between samples; some 1 in 100 of the time goes into taking them
 PACKAGE = Path(__file__).parent.parent
-STAGES = {"thrift": "codec", "loop": "loop", "rules.py": "module", "state.py": "module",
-          "interface.py": "module",
-          "core": "ledger and driver", "engines": "engine links", "fronts": "front", "observe": "logs"}
+STAGES = {
+    "thrift": "codec",
+    "loop": "loop",
+    "rules.py": "module",
+    "state.py": "module",
+    "interface.py": "module",
+    "core": "ledger and driver",
+    "engines": "engine links",
+    "fronts": "front",
+    "observe": "logs",
+}
 
 
 class Sampler:
@@ -41,7 +49,7 @@
                 self.counts["codec"] += 1
                 return
             if name.startswith(str(PACKAGE)):
-                first = name[len(str(PACKAGE)) + 1:].split("/")[0]
+                first = name[len(str(PACKAGE)) + 1 :].split("/")[0]
                 self.counts[STAGES.get(first, "the rest")] += 1
                 return
             frame = frame.f_back
--- a/fennelwind/recovery/repeats.py
+++ b/fennelwind/recovery/repeats.py
@@ -31,8 +31,15 @@
     waiting: dict[object, None] = field(default_factory=dict)  # askings without an answer, in order
 
 
-def request_name(user: str, tenant: int, cls: int, request: str, statement: str, database: str = "",
-                 configuration: Mapping[str, str] | None = None) -> bytes:
+def request_name(
+    user: str,
+    tenant: int,
+    cls: int,
+    request: str,
+    statement: str,
+    database: str = "",
+    configuration: Mapping[str, str] | None = None,
+) -> bytes:
     """Return the name under which a request is known; what would give other rows never meets it."""
     digest = blake2b(digest_size=16)
     said = [part for pair in sorted((configuration or {}).items()) for part in pair]
--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -137,8 +137,14 @@
     def _engine(self, entry: api.EngineEntry, known: Engine | None) -> Engine:
         s = self.set
         cores = s.kind_cores[entry.kind] if 0 <= entry.kind < len(s.kind_cores) else 1
-        fresh = Engine(entry, cores, START_PER_CORE * cores / s.gateways, self.random.random(),
-                       deque(maxlen=WARM_GROUPS), [(0.0, 0.0)] * len(s.classes))
+        fresh = Engine(
+            entry,
+            cores,
+            START_PER_CORE * cores / s.gateways,
+            self.random.random(),
+            deque(maxlen=WARM_GROUPS),
+            [(0.0, 0.0)] * len(s.classes),
+        )
         if known is not None:  # a restart under its old name: the past says nothing, but work sent counts
             fresh.take_over(known)
             self.busy.update({entry.engine: fresh} if fresh.out else {})
@@ -204,7 +210,7 @@
         erring = event.status == "error" and engine.errors >= ERRORS
         if erring or event.status in ("connect_failed", "reset", "full"):
             engine.fails, engine.failed, engine.suspect = engine.fails + 1, self.now, True
-            engine.shut_until = self.now + SHUT_MS * min(2 ** engine.fails, 4)
+            engine.shut_until = self.now + SHUT_MS * min(2**engine.fails, 4)
             return
         stretch = event.took_ms / query.span
         lag = min(stretch / self.best[c], CAP_LAG)
@@ -332,7 +338,7 @@
         """Return the times the even part of the fleet that this gateway may run now."""
         # With many gateways an even part is hardly one query, and demand scatters: a fleet that its reports
         # tell to be half empty is open to all; when it fills, as by a burst or lost engines, all give way.
-        told = min(FILL / self.fill, MOST_PARTS ** 0.5) ** 2 if self.fill > 0.0 else 1.0
+        told = min(FILL / self.fill, MOST_PARTS**0.5) ** 2 if self.fill > 0.0 else 1.0
         if self.set.memory_waits and not self.fill and self.took:
             # Nothing reported: how long attempts take tells a jam, as by one tenant's burst or lost engines.
             return WAITING * min(1.0, PACE * self.due / self.took) ** 2
@@ -372,8 +378,14 @@
         # late: starting anew costs all its work. When notes stop, as from a hung engine, its age decides.
         told = self.now - attempt.noted < NOTES * self.set.note_ms
         early = attempt.age(self.now) < due or told and attempt.left < due
-        if (early and attempt.engine.entry.state != "gone" or attempt.cancelled or query.done or query.out > 1
-                or query.cls.effect == "unsafe"):
+        if (
+            early
+            and attempt.engine.entry.state != "gone"
+            or attempt.cancelled
+            or query.done
+            or query.out > 1
+            or query.cls.effect == "unsafe"
+        ):
             return
         # By work, not by number: short queries must not pay for starting long ones anew again and again.
         work = query.span * query.cls.threads
@@ -425,8 +437,14 @@
             self._end(query)
             return False
         barred = (
-            query.attempts and not self._budget_left() or query.out and not self.set.parallel
-            or query.line is not None and not query.attempts and self.rest.get(query.line, 0.0) > self.now)
+            query.attempts
+            and not self._budget_left()
+            or query.out
+            and not self.set.parallel
+            or query.line is not None
+            and not query.attempts
+            and self.rest.get(query.line, 0.0) > self.now
+        )
         told = query.span * query.cls.threads  # estimates may lie low: at least the usual
         query.weight = max(told, self.work[query.c]) * max(1.0, self.best[query.c])
         engine = None if barred else self._choose(query)
@@ -478,7 +496,7 @@
         if self.told:
             near = [self.engines[name] for name in self.told if name in self.engines]
         else:
-            near, far = self.ready[:SAMPLE // 2], self.ready[SAMPLE // 2:]
+            near, far = self.ready[: SAMPLE // 2], self.ready[SAMPLE // 2 :]
             near += self.random.sample(far, SAMPLE // 2) if len(self.ready) > SAMPLE else far
         allowed = [e for e in near if self._permitted(query, e)]
         if not allowed or self.told and all(e.suspect for e in allowed):
@@ -502,8 +520,15 @@
         tied = [e for e, load in loads.items() if load <= least]
         if self.told:  # the order is this gateway's own, so that it comes back to connections that are open
             return min(tied, default=None, key=lambda e: query.told.tables not in e.warm)
-        return min(tied, default=None, key=lambda e: (
-            e.entry.zone != self.set.zone, query.told.tables not in e.warm, e.threads / e.cores))
+        return min(
+            tied,
+            default=None,
+            key=lambda e: (
+                e.entry.zone != self.set.zone,
+                query.told.tables not in e.warm,
+                e.threads / e.cores,
+            ),
+        )
 
     def _limit(self, engine: Engine) -> float:
         """Return the threads allowed: the bound under pressure, else the ceiling, as pressure shows late."""
@@ -514,8 +539,12 @@
     def _permitted(self, query: Query, engine: Engine) -> bool:
         """Drain, placement, keyed group and cold budget: the rules on where an attempt may go."""
         cls, entry = query.cls, engine.entry
-        misplaced = (cls.zones is not None and entry.zone not in cls.zones
-                     or cls.kinds is not None and entry.kind not in cls.kinds)
+        misplaced = (
+            cls.zones is not None
+            and entry.zone not in cls.zones
+            or cls.kinds is not None
+            and entry.kind not in cls.kinds
+        )
         if entry.state != "ready" or misplaced:
             return False
         first = query.anchor.engine.entry if query.anchor is not None and cls.group != "all" else entry
--- a/fennelwind/shards/carrier.py
+++ b/fennelwind/shards/carrier.py
@@ -51,6 +51,7 @@
 
 # What happens.
 
+
 @dataclass(slots=True, frozen=True)
 class Seen:
     """The record up to this index is in the holder's copy of the machine; `frozen`: tables under change."""
@@ -109,6 +110,7 @@
 
 # What is to be done.
 
+
 @dataclass(slots=True, frozen=True)
 class Propose:
     """A command for the machine of shards; `Proposed` with this token follows."""
@@ -191,8 +193,14 @@
 class Carrier:
     """The holder's part; one for each time that the lease is gained."""
 
-    def __init__(self, fence: int, since_index: int, staging: str, bounds: Bounds | None = None,
-                 timing: Timing | None = None) -> None:
+    def __init__(
+        self,
+        fence: int,
+        since_index: int,
+        staging: str,
+        bounds: Bounds | None = None,
+        timing: Timing | None = None,
+    ) -> None:
         self.fence, self.since_index, self.staging = fence, since_index, staging
         self.bounds, self.timing = bounds or Bounds(), timing or Timing()
         self.machine: ShardMachine | None = None
@@ -316,11 +324,11 @@
         self._propose(move.number, Step.Kind.Name(kind), step=Step(move=move.number, kind=kind, **more))
         self._asked[self._token].source = more.get("source", move.source)
 
-    def _run(self, owner: object, kind: str, shard: str, engine: str, statement: str,
-             within: float) -> None:
+    def _run(self, owner: object, kind: str, shard: str, engine: str, statement: str, within: float) -> None:
         self._token += 1
         self._asked[self._token] = _Asked(
-            owner, kind, self._now + within + self.timing.slack_ms, (shard, engine), self._index)
+            owner, kind, self._now + within + self.timing.slack_ms, (shard, engine), self._index
+        )
         self._out.append(Run(self._token, engine, statement, steps.overlay(self.fence, within), within))
 
     def _proposed(self, event: Proposed) -> None:
@@ -345,10 +353,16 @@
                     for engine in self.machine.good(asked.owner[0]):
                         self._doubts.setdefault((asked.owner[0], engine), (0, 0.0))
             if asked.kind == "news":
-                later = {home.name for home, refusal in zip(asked.owner, answer.refusals, strict=False)
-                         if refusal == Answer.WAITS}
-                self._news = {name: home for name, home in self._news.items()
-                              if home not in asked.owner or name in later}
+                later = {
+                    home.name
+                    for home, refusal in zip(asked.owner, answer.refusals, strict=False)
+                    if refusal == Answer.WAITS
+                }
+                self._news = {
+                    name: home
+                    for name, home in self._news.items()
+                    if home not in asked.owner or name in later
+                }
             return
         if not answer.refusal:
             if asked.kind == "COPY":
@@ -383,7 +397,8 @@
             return self._again(work)
         if self._begins is None:
             self._begins = pace.begin(
-                self.machine, self.bounds, self._spent(), self._copies_asked(), self._may_take)
+                self.machine, self.bounds, self._spent(), self._copies_asked(), self._may_take
+            )
         if move.number in self._begins:
             self._take(move, Step.RESERVE)
 
@@ -391,8 +406,13 @@
         """Tell whether nothing here keeps a planned copy back, streams and space aside."""
         work = self._work.get(move.number) or self._first_sight(move)
         busy = any(a.owner == move.number for a in self._asked.values())
-        return (bool(move.target) and not busy and work.wait_until <= self._now
-                and work.tries < self.timing.tries and self._is_known(move.target))
+        return (
+            bool(move.target)
+            and not busy
+            and work.wait_until <= self._now
+            and work.tries < self.timing.tries
+            and self._is_known(move.target)
+        )
 
     def _copies_asked(self) -> dict[int, str]:
         """Return the moves whose copying was asked to begin, or begin anew, and from which engine.
@@ -416,7 +436,8 @@
         """Tell whether an engine was listed and holds nothing that the record doesn't count."""
         held, shards = self.machine.copies, self.machine.shards
         return engine in self._listed and not any(
-            engine not in held.get(shard, ()) for shard in self._listed[engine] if shard in shards)
+            engine not in held.get(shard, ()) for shard in self._listed[engine] if shard in shards
+        )
 
     def _at_reserved(self, move: Move, work: _Work) -> None:
         self._begin_copy(move, work)
@@ -432,7 +453,8 @@
         size, asked = self.machine.shards[move.shard].size, self._copies_asked()
         source = pace.source(self.machine, self.bounds, move, good[first:] + good[:first], asked)
         paid = not move.attempt or pace.affords(  # the first was paid for when it was reserved
-            self.bounds, self._spent() + pace.soon(self.machine, asked), size)
+            self.bounds, self._spent() + pace.soon(self.machine, asked), size
+        )
         if not source or not paid:
             work.tries, work.wait_until = self.timing.tries, self._now + self.timing.again_ms
             return  # for a stream, or bytes of the hour; what has come so far is used up
@@ -443,8 +465,11 @@
 
     def _target_there(self, move: Move) -> bool:
         home = self.machine.homes[move.target]
-        return (home.life != "gone" and home.generation == move.generation
-                and move.target in self.machine.copies.get(move.shard, {}))
+        return (
+            home.life != "gone"
+            and home.generation == move.generation
+            and move.target in self.machine.copies.get(move.shard, {})
+        )
 
     def _at_copying(self, move: Move, work: _Work) -> None:
         if not self._target_there(move):
@@ -481,8 +506,9 @@
     def _loads_ended(self, move: Move) -> bool:
         """Tell whether no load can still put anything where a half copy is dropped."""
         pair = move.shard, move.target
-        return (self._loads_end.get(pair, 0.0) <= self._now
-                and not any(a.pair == pair and a.kind == "import" for a in self._asked.values()))
+        return self._loads_end.get(pair, 0.0) <= self._now and not any(
+            a.pair == pair and a.kind == "import" for a in self._asked.values()
+        )
 
     def _copy_ms(self, shard: str) -> float:
         return self.timing.copy_ms + self.machine.shards[shard].size / self.timing.slowest
@@ -603,12 +629,26 @@
         if not self._news or any(a.kind == "news" for a in self._asked.values()):
             return
         known = self.machine.homes
-        self._news = {name: home for name, home in sorted(self._news.items())
-                      if name not in known or _differs(home, known[name])}
+        self._news = {
+            name: home
+            for name, home in sorted(self._news.items())
+            if name not in known or _differs(home, known[name])
+        }
         news = tuple(self._news.values())[:PLAN_MOST]
         if news:
-            told = [pb.Home(name=h.name, zone=h.zone, kind=h.kind, disk=h.disk, headroom=h.headroom,
-                            life=h.life, mark=h.mark, spilled=h.spilled) for h in news]
+            told = [
+                pb.Home(
+                    name=h.name,
+                    zone=h.zone,
+                    kind=h.kind,
+                    disk=h.disk,
+                    headroom=h.headroom,
+                    life=h.life,
+                    mark=h.mark,
+                    spilled=h.spilled,
+                )
+                for h in news
+            ]
             self._propose(news, "news", news=pb.News(homes=told, seen=self._index))
 
     def _check_doubtful(self) -> None:
@@ -643,10 +683,19 @@
         if event.outcome != "ok" or known is None or home is None or engine not in self._listed:
             return self._again_doubt(asked.pair)
         self._doubts.pop(asked.pair, None)
-        self._propose(asked.pair, "found", found=pb.Found(
-            shard=shard, engine=engine, generation=home.generation, rows=event.rows, checksum=event.checksum,
-            seen=asked.seen,
-            present=event.rows > 0 or known.rows == 0 or shard in self._listed.get(engine, ())))
+        self._propose(
+            asked.pair,
+            "found",
+            found=pb.Found(
+                shard=shard,
+                engine=engine,
+                generation=home.generation,
+                rows=event.rows,
+                checksum=event.checksum,
+                seen=asked.seen,
+                present=event.rows > 0 or known.rows == 0 or shard in self._listed.get(engine, ()),
+            ),
+        )
 
     def _again_doubt(self, pair: tuple[str, str]) -> None:
         tries = self._doubts.get(pair, (0, 0.0))[0] + 1
@@ -664,21 +713,31 @@
         machine = self.machine
         for number in self.planned.cancels:
             move = machine.moves.get(number)
-            if move is not None and move.step in ("planned", "reserved", "copying", "checked") and not any(
-                    a.owner == number for a in self._asked.values()):
+            if (
+                move is not None
+                and move.step in ("planned", "reserved", "copying", "checked")
+                and not any(a.owner == number for a in self._asked.values())
+            ):
                 self._take(move, Step.UNDO)
         goes = list(self.planned.drops)
-        goes += [(shard, engine) for shard, held in sorted(machine.copies.items())
-                 for engine, copy in sorted(held.items())
-                 if copy.wrong and machine.homes[engine].life != "gone"]
+        goes += [
+            (shard, engine)
+            for shard, held in sorted(machine.copies.items())
+            for engine, copy in sorted(held.items())
+            if copy.wrong and machine.homes[engine].life != "gone"
+        ]
         wanted: list[pb.Move] = []
         begun: set[str] = set()  # shards that this plan moves: each has one move at a time
         clears = {(move.shard, move.drops): move.number for move in machine.moves.values() if move.drops}
         numbers: dict[int, int] = {}  # of the planner's moves within this plan
         coming = {move.shard for move in self.planned.moves}
         for shard, engine in goes:
-            if (shard not in begun and shard not in coming and self._may_begin(shard)
-                    and machine.spared(shard, engine)):
+            if (
+                shard not in begun
+                and shard not in coming
+                and self._may_begin(shard)
+                and machine.spared(shard, engine)
+            ):
                 begun.add(shard)
                 clears[shard, engine] = NEW + len(wanted)
                 wanted.append(pb.Move(number=NEW + len(wanted), shard=shard, drops=engine))
@@ -691,16 +750,28 @@
             numbers[move.number] = NEW + len(wanted)
             after = [numbers.get(ahead, ahead) for ahead in move.after]
             after += [clears[pair] for pair in move.cleared if pair in clears]
-            wanted.append(pb.Move(number=NEW + len(wanted), shard=move.shard, source=move.source,
-                                  target=move.target, drops=move.drops, after=after))
-        wanted = wanted[:max(0, min(PLAN_MOST, MOVES_MOST - len(machine.moves)))]
+            wanted.append(
+                pb.Move(
+                    number=NEW + len(wanted),
+                    shard=move.shard,
+                    source=move.source,
+                    target=move.target,
+                    drops=move.drops,
+                    after=after,
+                )
+            )
+        wanted = wanted[: max(0, min(PLAN_MOST, MOVES_MOST - len(machine.moves)))]
         if wanted:
             self._propose(None, "plan", plan=pb.Plan(moves=wanted))
 
     def _may_begin(self, shard: str) -> bool:
         known = self.machine.shards.get(shard)
-        return (known is not None and known.table not in self.frozen and self.machine.move_of(shard) is None
-                and not self.machine.asides.get(shard, (0, 0))[0])
+        return (
+            known is not None
+            and known.table not in self.frozen
+            and self.machine.move_of(shard) is None
+            and not self.machine.asides.get(shard, (0, 0))[0]
+        )
 
 
 def _differs(told: Home, known: Home) -> bool:
--- a/fennelwind/shards/check.py
+++ b/fennelwind/shards/check.py
@@ -218,8 +218,10 @@
             if event[0] == "gone" and event[2] == engine and (event[1], engine) in self.copies:
                 weights[event] = -self.world.shards[event[1]].size
         for number, move in (self.moves | self.new).items():  # by way of a third engine: it goes again
-            if move.drops == engine and (move.shard, engine) not in self.copies and (
-                number in self.new or self._brought(move)
+            if (
+                move.drops == engine
+                and (move.shard, engine) not in self.copies
+                and (number in self.new or self._brought(move))
             ):
                 weights["done", number] = -self.world.shards[move.shard].size
         return weights
--- a/fennelwind/shards/heat.py
+++ b/fennelwind/shards/heat.py
@@ -11,8 +11,24 @@
 PARTS = 16  # of a half-life: heat on the record fades by steps of 4%
 PART_MS = HALF_LIFE_MS // PARTS
 UNIT = 1000  # in which the record counts a query
-FADES = (65536, 62757, 60097, 57549, 55109, 52773, 50535, 48393, 46341, 44376, 42495, 40693, 38968, 37316,
-         35734, 34219)  # of 65536, after so many parts: 2 ** (-n / 16)
+FADES = (
+    65536,
+    62757,
+    60097,
+    57549,
+    55109,
+    52773,
+    50535,
+    48393,
+    46341,
+    44376,
+    42495,
+    40693,
+    38968,
+    37316,
+    35734,
+    34219,
+)  # of 65536, after so many parts: 2 ** (-n / 16)
 TOLD_MOST = 256  # shards that a controller tells at a time, those named most
 TOLD_BYTES = 65_536  # of their names, a quarter of what the record takes in one command
 COUNT_MOST = 2**40  # thousandths of a query that one controller can mean; sums stay far from 2**64
@@ -48,8 +64,11 @@
         self.counts = {shard: count * left for shard, count in self.counts.items() if count * left >= LEAST}
         first = sorted(self.counts, key=lambda shard: (-self.counts[shard], shard))[:TOLD_MOST]
         sizes = accumulate(len(shard.encode()) for shard in first)
-        return [(shard, min(COUNT_MOST, int(self.counts[shard] * UNIT)))
-                for shard, size in zip(first, sizes, strict=True) if size <= TOLD_BYTES]
+        return [
+            (shard, min(COUNT_MOST, int(self.counts[shard] * UNIT)))
+            for shard, size in zip(first, sizes, strict=True)
+            if size <= TOLD_BYTES
+        ]
 
     def told(self, batch: Iterable[tuple[str, int]]) -> None:
         """The record has these: only what has come since is left to be told."""
--- a/fennelwind/shards/machine.py
+++ b/fennelwind/shards/machine.py
@@ -127,8 +127,11 @@
 
         Too few are chance, and what was declared is better.
         """
-        found = {shard: heat.faded(count, self._faded_part - part)
-                 for shard, (count, part) in self._faded.items() if shard in self.shards}
+        found = {
+            shard: heat.faded(count, self._faded_part - part)
+            for shard, (count, part) in self._faded.items()
+            if shard in self.shards
+        }
         enough = sum(found.values()) >= heat.ENOUGH
         return {shard: count / heat.UNIT for shard, count in found.items()} if enough else {}
 
@@ -152,10 +155,15 @@
                 moves[number] = replace(move, step="switched") if move.step == "dropping" else move
         counted = self.heats()
         return World(
-            shards=dict(self.shards), counted=counted, heat_unit=1.0 if counted else 0.0,
+            shards=dict(self.shards),
+            counted=counted,
+            heat_unit=1.0 if counted else 0.0,
             homes={name: replace(home, disk=effective(home)) for name, home in self.homes.items()},
-            copies=copies, moves=moves, frozen=frozenset(frozen),
-            aside=frozenset(shard for shard, (until, _) in self.asides.items() if until))
+            copies=copies,
+            moves=moves,
+            frozen=frozenset(frozen),
+            aside=frozenset(shard for shard, (until, _) in self.asides.items() if until),
+        )
 
     def asked(self, query: bytes) -> bytes:
         """Answer a `ShardQuery` with a `ShardSeen` or `Places`; nothing changes. b"": it can't be read."""
@@ -169,14 +177,20 @@
         if self._told is None or self._told[0] != self.state_at:
             self._told = self.state_at, self.snapshot()
         revision, state = self._told
-        return pb.ShardSeen(revision=revision, size=len(state),
-                            piece=state[skip:skip + PIECE_MOST]).SerializeToString()
+        return pb.ShardSeen(
+            revision=revision, size=len(state), piece=state[skip : skip + PIECE_MOST]
+        ).SerializeToString()
 
     def _changed_places(self, asked: pb.PlacesQuery) -> pb.Places:
         whole = asked.after < self._whole_before
-        names = sorted(self.shards) if whole else sorted(
-            shard for shard, at in self._placed.items() if at > asked.after and shard in self.shards)
-        names = names[bisect_right(names, asked.name):]
+        names = (
+            sorted(self.shards)
+            if whole
+            else sorted(
+                shard for shard, at in self._placed.items() if at > asked.after and shard in self.shards
+            )
+        )
+        names = names[bisect_right(names, asked.name) :]
         answer, numbers = pb.Places(revision=self.revision, whole=whole, more=len(names) > PLACES_MOST), {}
         if not asked.name:
             waiting = self.waiting()
@@ -252,9 +266,15 @@
 
     def _declared(self, told: pb.Shard, at: At) -> int:
         named = told.table and told.name.startswith(told.table + "/") and len(told.name) <= NAME_MOST
-        if not (named and 0 < told.size <= SIZE_MOST and 1 <= told.copies <= COPIES_MOST
-                and 1 <= told.zones <= told.copies and _sane(told.heat)
-                and len(told.kinds) <= COPIES_MOST and all(map(_named, told.kinds))):
+        if not (
+            named
+            and 0 < told.size <= SIZE_MOST
+            and 1 <= told.copies <= COPIES_MOST
+            and 1 <= told.zones <= told.copies
+            and _sane(told.heat)
+            and len(told.kinds) <= COPIES_MOST
+            and all(map(_named, told.kinds))
+        ):
             return Answer.BAD
         known = self.shards.get(told.name)
         if known is None and len(self.shards) >= SHARDS_MOST:
@@ -319,17 +339,23 @@
         return Answer(refusals=[self._heard(told, asked.seen, at) for told in asked.homes])
 
     def _heard(self, told: pb.Home, seen: int, at: At) -> int:
-        if not (_named(told.name) and all(len(t) <= NAME_MOST for t in (told.zone, told.kind, told.mark))
-                and told.disk <= SIZE_MOST and told.headroom <= SIZE_MOST and told.spilled <= SIZE_MOST
-                and told.life in LIVES):
+        if not (
+            _named(told.name)
+            and all(len(t) <= NAME_MOST for t in (told.zone, told.kind, told.mark))
+            and told.disk <= SIZE_MOST
+            and told.headroom <= SIZE_MOST
+            and told.spilled <= SIZE_MOST
+            and told.life in LIVES
+        ):
             return Answer.BAD
         known = self.homes.get(told.name)
         if seen < self._heard_at.get(told.name, 0):
             return Answer.WAITS  # it may be older than what is known
         if known is None and len(self.homes) >= HOMES_MOST:
             return Answer.TOO_MANY
-        home = Home(told.name, told.zone, told.kind, told.disk, told.headroom, told.life, 0, told.mark,
-                    told.spilled)
+        home = Home(
+            told.name, told.zone, told.kind, told.disk, told.headroom, told.life, 0, told.mark, told.spilled
+        )
         if known is not None:
             home = replace(home, generation=known.generation, mark=told.mark or known.mark)
             if known.mark and home.mark != known.mark:
@@ -427,8 +453,15 @@
                 self.last_move += 1
                 after = {numbers.get(ahead, ahead) for ahead in told.after}
                 self.moves[self.last_move] = Move(
-                    self.last_move, told.shard, told.source, told.target, told.drops, "planned",
-                    tuple(sorted(ahead for ahead in after if ahead in self.moves)), at_ms=at.clock_ms)
+                    self.last_move,
+                    told.shard,
+                    told.source,
+                    told.target,
+                    told.drops,
+                    "planned",
+                    tuple(sorted(ahead for ahead in after if ahead in self.moves)),
+                    at_ms=at.clock_ms,
+                )
                 self._of_shard[told.shard] = numbers[told.number] = self.last_move
             answer.numbers.append(0 if refusal else self.last_move)
             answer.refusals.append(refusal)
@@ -467,16 +500,26 @@
         if move is None:
             return Answer(refusal=Answer.UNKNOWN)
         take = {
-            Step.RESERVE: self._reserve, Step.COPY: self._copy, Step.CHECK: self._check,
-            Step.SWITCH: self._switch, Step.DROP: self._drop, Step.DONE: self._done, Step.KEEP: self._keep,
-            Step.UNDO: self._undo, Step.UNDONE: self._undone}.get(asked.kind)
+            Step.RESERVE: self._reserve,
+            Step.COPY: self._copy,
+            Step.CHECK: self._check,
+            Step.SWITCH: self._switch,
+            Step.DROP: self._drop,
+            Step.DONE: self._done,
+            Step.KEEP: self._keep,
+            Step.UNDO: self._undo,
+            Step.UNDONE: self._undone,
+        }.get(asked.kind)
         if take is None:
             return Answer(refusal=Answer.BAD)
         forth = asked.kind in (Step.RESERVE, Step.COPY, Step.CHECK, Step.SWITCH, Step.DROP)
         if forth and _barred(self.shards[move.shard], facts, begins=move.step == "planned"):
             return Answer(refusal=Answer.CHANGING)
-        if move.step == "switched" and asked.kind == Step.DROP and not (move.rested or (
-                asked.cleared and facts.fact("level", "") >= CLEARED_LEVEL)):
+        if (
+            move.step == "switched"
+            and asked.kind == Step.DROP
+            and not (move.rested or (asked.cleared and facts.fact("level", "") >= CLEARED_LEVEL))
+        ):
             return Answer(refusal=Answer.WAITS)  # an older view may still send queries there
         refusal = take(move, asked, at)
         if not refusal:
@@ -512,8 +555,12 @@
     def _coming(self, move: Move) -> bool:
         """Tell whether a move's target is the engine that it was, with the copy that comes in."""
         home, copy = self.homes[move.target], self.copies.get(move.shard, {}).get(move.target)
-        return (home.life != "gone" and home.generation == move.generation
-                and copy is not None and copy.state == "coming")
+        return (
+            home.life != "gone"
+            and home.generation == move.generation
+            and copy is not None
+            and copy.state == "coming"
+        )
 
     def _copy(self, move: Move, asked: pb.Step, at: At) -> int:
         if move.step not in ("reserved", "copying") or asked.attempt != move.attempt + 1:
@@ -669,21 +716,50 @@
         """Return its state; equal states give equal bytes."""
         state = pb.State(last_move=self.last_move, changes=self.changes, revision=self.revision)
         for _, s in sorted(self.shards.items()):
-            state.shards.add(name=s.name, table=s.table, size=s.size, copies=s.copies, zones=s.zones,
-                             kinds=s.kinds, heat=s.heat, checked=s.rows >= 0, rows=max(s.rows, 0),
-                             checksum=s.checksum, touched=self._touched.get(s.name, 0),
-                             doubted_ms=self._doubted_at.get(s.name, -1) + 1)
+            state.shards.add(
+                name=s.name,
+                table=s.table,
+                size=s.size,
+                copies=s.copies,
+                zones=s.zones,
+                kinds=s.kinds,
+                heat=s.heat,
+                checked=s.rows >= 0,
+                rows=max(s.rows, 0),
+                checksum=s.checksum,
+                touched=self._touched.get(s.name, 0),
+                doubted_ms=self._doubted_at.get(s.name, -1) + 1,
+            )
         for _, h in sorted(self.homes.items()):
-            state.homes.add(name=h.name, zone=h.zone, kind=h.kind, disk=h.disk, headroom=h.headroom,
-                            life=h.life, generation=h.generation, mark=h.mark, spilled=h.spilled,
-                            heard=self._heard_at[h.name])
+            state.homes.add(
+                name=h.name,
+                zone=h.zone,
+                kind=h.kind,
+                disk=h.disk,
+                headroom=h.headroom,
+                life=h.life,
+                generation=h.generation,
+                mark=h.mark,
+                spilled=h.spilled,
+                heard=self._heard_at[h.name],
+            )
         for shard in sorted(self.copies):
             for _, c in sorted(self.copies[shard].items()):
                 state.copies.add(shard=shard, engine=c.engine, state=c.state, wrong=c.wrong)
         for _, m in sorted(self.moves.items()):
-            state.moves.add(number=m.number, shard=m.shard, source=m.source, target=m.target, drops=m.drops,
-                            step=m.step, after=m.after, attempt=m.attempt, generation=m.generation,
-                            at_ms=m.at_ms, rested=m.rested)
+            state.moves.add(
+                number=m.number,
+                shard=m.shard,
+                source=m.source,
+                target=m.target,
+                drops=m.drops,
+                step=m.step,
+                after=m.after,
+                attempt=m.attempt,
+                generation=m.generation,
+                at_ms=m.at_ms,
+                rested=m.rested,
+            )
         for shard, (until, times) in sorted(self.asides.items()):
             state.asides.add(shard=shard, until_ms=until, times=times)
         for part, size in sorted(self._begun.items()):
@@ -699,8 +775,17 @@
         self.__init__()
         self.last_move = state.last_move
         for s in state.shards:
-            self.shards[s.name] = Shard(s.name, s.table, s.size, s.copies, s.zones, tuple(s.kinds), s.heat,
-                                        s.rows if s.checked else -1, s.checksum)
+            self.shards[s.name] = Shard(
+                s.name,
+                s.table,
+                s.size,
+                s.copies,
+                s.zones,
+                tuple(s.kinds),
+                s.heat,
+                s.rows if s.checked else -1,
+                s.checksum,
+            )
             self._of_table.setdefault(s.table, {})[s.name] = None
             if s.touched:
                 self._touched[s.name] = s.touched
@@ -708,14 +793,25 @@
                 self._doubted_at[s.name] = s.doubted_ms - 1
         for h in state.homes:
             self._heard_at[h.name] = h.heard
-            self.homes[h.name] = Home(h.name, h.zone, h.kind, h.disk, h.headroom, h.life, h.generation,
-                                      h.mark, h.spilled)
+            self.homes[h.name] = Home(
+                h.name, h.zone, h.kind, h.disk, h.headroom, h.life, h.generation, h.mark, h.spilled
+            )
         for c in state.copies:
             self._hold(c.shard, Copy(c.shard, c.engine, c.state, c.wrong))
         for m in state.moves:
-            self.moves[m.number] = Move(m.number, m.shard, m.source, m.target, m.drops, m.step,
-                                        tuple(m.after), attempt=m.attempt, generation=m.generation,
-                                        at_ms=m.at_ms, rested=m.rested)
+            self.moves[m.number] = Move(
+                m.number,
+                m.shard,
+                m.source,
+                m.target,
+                m.drops,
+                m.step,
+                tuple(m.after),
+                attempt=m.attempt,
+                generation=m.generation,
+                at_ms=m.at_ms,
+                rested=m.rested,
+            )
             self._of_shard[m.shard] = m.number
         self.asides = {a.shard: (a.until_ms, a.times) for a in state.asides}
         self.changes, self.revision = state.changes, state.revision
--- a/fennelwind/shards/pace.py
+++ b/fennelwind/shards/pace.py
@@ -21,8 +21,13 @@
     moves: Mapping[int, Move]
 
 
-def begin(known: Known, bounds: Bounds, spent: int, asked: Asked = NONE,
-          may: Callable[[Move], bool] = lambda move: True) -> tuple[int, ...]:
+def begin(
+    known: Known,
+    bounds: Bounds,
+    spent: int,
+    asked: Asked = NONE,
+    may: Callable[[Move], bool] = lambda move: True,
+) -> tuple[int, ...]:
     """Return the planned moves that may be asked to begin together now, the first planned first.
 
     `spent`: bytes that copies have begun to transfer within the last hour, as the record knows them. `asked`:
@@ -33,8 +38,12 @@
     streams, begun = _streams(known, asked), []
     spent += soon(known, asked)
     for number, move in sorted(known.moves.items()):
-        if (move.step != "planned" or number in asked or any(ahead in known.moves for ahead in move.after)
-                or not may(move)):
+        if (
+            move.step != "planned"
+            or number in asked
+            or any(ahead in known.moves for ahead in move.after)
+            or not may(move)
+        ):
             continue
         size, takes = known.shards[move.shard].size, _takes(known, move.source, move.target)
         if _free(streams, takes, bounds) and affords(bounds, spent, size):
@@ -46,8 +55,11 @@
 
 def soon(known: Known, asked: Asked = NONE) -> int:
     """Return the bytes of copies that are certain to begin and that the record does not count yet."""
-    return sum(known.shards[move.shard].size for number, move in known.moves.items()
-               if move.step == "reserved" or number in asked)
+    return sum(
+        known.shards[move.shard].size
+        for number, move in known.moves.items()
+        if move.step == "reserved" or number in asked
+    )
 
 
 def affords(bounds: Bounds, spent: int, size: int) -> bool:
@@ -55,8 +67,7 @@
     return not spent or spent + size <= bounds.bytes_per_hour
 
 
-def source(known: Known, bounds: Bounds, move: Move, engines: Iterable[str],
-           asked: Asked = NONE) -> str:
+def source(known: Known, bounds: Bounds, move: Move, engines: Iterable[str], asked: Asked = NONE) -> str:
     """Return the first of some engines that a copy under way may be read from; "": none has a stream free."""
     streams = _streams(known, asked)
     streams.subtract(_takes(known, move.source, move.target))
@@ -85,5 +96,7 @@
 
 def _free(streams: Counter, takes: Takes, bounds: Bounds) -> bool:
     reads, writes, link = takes
-    return (streams[link] < bounds.streams_per_link
-            and max(streams[reads], streams[writes]) < bounds.streams_per_engine)
+    return (
+        streams[link] < bounds.streams_per_link
+        and max(streams[reads], streams[writes]) < bounds.streams_per_engine
+    )
--- a/fennelwind/shards/routing.py
+++ b/fennelwind/shards/routing.py
@@ -46,15 +46,20 @@
         masks = [mask for mask in range(parts) if not slot or mask >> (slot - 1) & 1]
         return tuple(kind * parts + mask for kind in allowed for mask in masks)
 
-    classes = [cls if cls.kinds is None else replace(cls, kinds=kinds(cls.kinds, 0))
-               for cls in settings.classes]
+    classes = [
+        cls if cls.kinds is None else replace(cls, kinds=kinds(cls.kinds, 0)) for cls in settings.classes
+    ]
     for slot in range(1, min(slots, SLOTS_MOST) + 1):
-        classes += [replace(cls, kinds=kinds(range(count) if cls.kinds is None else cls.kinds, slot))
-                    for cls in settings.classes]
+        classes += [
+            replace(cls, kinds=kinds(range(count) if cls.kinds is None else cls.kinds, slot))
+            for cls in settings.classes
+        ]
     return replace(
-        settings, classes=tuple(classes),
+        settings,
+        classes=tuple(classes),
         kind_cores=tuple(c for c in settings.kind_cores for _ in range(parts)),
-        kind_memory_mb=tuple(m for m in settings.kind_memory_mb for _ in range(parts)))
+        kind_memory_mb=tuple(m for m in settings.kind_memory_mb for _ in range(parts)),
+    )
 
 
 class _Slot:
@@ -135,8 +140,9 @@
         self.named.count(shard for shard in set(shards) if shard in self.places)
         if self.opened is not None and shards:
             self._named[query] = tuple(shards)
-        named = tuple(sorted(shard for shard in set(shards)
-                             if shard in self.places or self._kept_away((shard,))))
+        named = tuple(
+            sorted(shard for shard in set(shards) if shard in self.places or self._kept_away((shard,)))
+        )
         if not self.slots or not named:
             return cls, []
         self._uses += 1
@@ -170,8 +176,11 @@
         or nobody else has it; then the engine's word is the query's answer.
         """
         _, shards = self._of_query.get(query, (None, ()))
-        left = {shard: tuple(name for name in self.places[shard] if name != engine)
-                for shard in shards if engine in self.places.get(shard, ())}
+        left = {
+            shard: tuple(name for name in self.places[shard] if name != engine)
+            for shard in shards
+            if engine in self.places.get(shard, ())
+        }
         if not left or not all(left.values()):
             return None
         return self.seen({**self.places, **left})
--- a/fennelwind/shards/steps.py
+++ b/fennelwind/shards/steps.py
@@ -73,8 +73,10 @@
     The sum finds lost, doubled, cut and stale rows; it is no guard against rows made to deceive.
     """
     where = " AND ".join(f"{name_of(column)}={literal(value)}" for column, value in partition(shard))
-    return (f"SELECT CAST(COUNT(*) AS STRING), CAST(COALESCE(SUM(CAST(HASH(*) AS BIGINT)), 0) AS STRING) "
-            f"FROM {name(table(shard))}" + (f" WHERE {where}" if where else ""))
+    return (
+        f"SELECT CAST(COUNT(*) AS STRING), CAST(COALESCE(SUM(CAST(HASH(*) AS BIGINT)), 0) AS STRING) "
+        f"FROM {name(table(shard))}" + (f" WHERE {where}" if where else "")
+    )
 
 
 def listing(table: str, whole: bool) -> str:
@@ -97,8 +99,10 @@
 
 def mark_write(mark: str) -> Sequence[str]:
     """Return what marks an engine's disk, where it has no mark."""
-    return (f"CREATE TABLE IF NOT EXISTS {name(MARK_TABLE)} (mark STRING)",
-            f"INSERT INTO TABLE {name(MARK_TABLE)} VALUES ({literal(mark)})")
+    return (
+        f"CREATE TABLE IF NOT EXISTS {name(MARK_TABLE)} (mark STRING)",
+        f"INSERT INTO TABLE {name(MARK_TABLE)} VALUES ({literal(mark)})",
+    )
 
 
 def overlay(fence: int, timeout_ms: float) -> dict[str, str]:
--- a/fennelwind/shards/ways.py
+++ b/fennelwind/shards/ways.py
@@ -83,10 +83,18 @@
             read = {engine for one, engine in (*board.read, *view.clears) if one == name}
             fit = {engine for engine in self.engines if takes(view.world.homes[engine], shard)}
             doubtful = {e for e in view.doubtful[name] - view.good[name] if (name, e) not in view.clears}
-            part = _Part(name, shard.size, wanted(shard), span_wanted(shard), self._bits(fit),
-                         self._bits(fit - (held - view.good[name])), self._bits(view.good[name]),
-                         self._bits(view.good[name] & view.now[name]),
-                         self._bits(view.good[name] & view.now[name] - read), self._bits(doubtful))
+            part = _Part(
+                name,
+                shard.size,
+                wanted(shard),
+                span_wanted(shard),
+                self._bits(fit),
+                self._bits(fit - (held - view.good[name])),
+                self._bits(view.good[name]),
+                self._bits(view.good[name] & view.now[name]),
+                self._bits(view.good[name] & view.now[name] - read),
+                self._bits(doubtful),
+            )
             self._aim(part)
             self.parts.append(part)
         self.lacks = sum(part.lacks for part in self.parts)
@@ -154,11 +162,14 @@
             whole = self._rest(state, 0)
             for number, after, changed, step in self._next(state, rooms):
                 cost = paid + (self.parts[number].size if step[1] else 0)
-                then = (*state[:number], after, *state[number + 1:])
+                then = (*state[:number], after, *state[number + 1 :])
                 if cost >= best.get(then, cost + 1):
                     continue
-                rest = self._rest(then, spared) if spared else (
-                    whole - self.missing(number, state[number][0]) + self.missing(number, after[0]))
+                rest = (
+                    self._rest(then, spared)
+                    if spared
+                    else (whole - self.missing(number, state[number][0]) + self.missing(number, after[0]))
+                )
                 if below is not None and cost + rest >= below:
                     continue
                 best[then] = cost
@@ -179,8 +190,14 @@
         rests = [self.missing(number, good) for number, (good, _) in enumerate(state)]
         if not spared:
             return sum(rests)
-        sizes = sorted((part.size for part, rest in zip(self.parts, rests, strict=True)
-                        for _ in range(rest // part.size)), reverse=True)
+        sizes = sorted(
+            (
+                part.size
+                for part, rest in zip(self.parts, rests, strict=True)
+                for _ in range(rest // part.size)
+            ),
+            reverse=True,
+        )
         return sum(sizes[spared:])
 
     def _next(self, state: State, rooms: tuple[int, ...]) -> Iterator[tuple]:
@@ -208,14 +225,26 @@
             for out in self._numbers(good | left):
                 stays = more & ~(1 << out)
                 if self._span(stays) >= least:
-                    yield n, size, out, part.size, (stays, left & ~(1 << out)), (
-                        part.name, self.engines[n], self.engines[out])
+                    yield (
+                        n,
+                        size,
+                        out,
+                        part.size,
+                        (stays, left & ~(1 << out)),
+                        (part.name, self.engines[n], self.engines[out]),
+                    )
         if good & ~part.good:
             return  # copies that go without a move have to be spare from the start
         for out in self._numbers(good & part.firm | doubtful):
             if self._spare(part, good & part.now, out):
-                yield -1, 0, out, part.size, (good & ~(1 << out), doubtful & ~(1 << out)), (
-                    part.name, "", self.engines[out])
+                yield (
+                    -1,
+                    0,
+                    out,
+                    part.size,
+                    (good & ~(1 << out), doubtful & ~(1 << out)),
+                    (part.name, "", self.engines[out]),
+                )
 
     def _spare(self, part: _Part, now: int, out: int) -> bool:
         """Tell whether a copy may go at once, by those that are good already."""
@@ -226,5 +255,7 @@
 
     def places(self, state: State) -> dict[str, frozenset[str]]:
         """Return where the good copies that count are, by shard."""
-        return {part.name: frozenset(self.engines[n] for n in self._numbers(good & part.fit))
-                for part, (good, _) in zip(self.parts, state, strict=True)}
+        return {
+            part.name: frozenset(self.engines[n] for n in self._numbers(good & part.fit))
+            for part, (good, _) in zip(self.parts, state, strict=True)
+        }
--- a/fennelwind/spread/advisor.py
+++ b/fennelwind/spread/advisor.py
@@ -96,8 +96,10 @@
             return subset.rank(self.set.me, entry.engine, self._cores(entry))
 
         ready = sorted((e for e in self.entries.values() if e.state == "ready"), key=place)
-        return ([e.engine for e in ready if e.zone == self.set.zone],
-                [e.engine for e in ready if e.zone != self.set.zone])
+        return (
+            [e.engine for e in ready if e.zone == self.set.zone],
+            [e.engine for e in ready if e.zone != self.set.zone],
+        )
 
     def _rate(self, now: float) -> float:
         return self.rate * math.exp(-max(now - self.rate_at, 0.0) / RATE_MS)
--- a/fennelwind/spread/estimate.py
+++ b/fennelwind/spread/estimate.py
@@ -37,7 +37,7 @@
     """What is usual in a zone."""
 
     mean: float
-    variance: float = SPREAD ** 2
+    variance: float = SPREAD**2
 
 
 def load_of(report: dict[str, float], cores: int) -> float | None:
@@ -102,4 +102,4 @@
             return usual.mean, math.sqrt(usual.variance)
         told, keep = self.told[engine], math.exp(-max(age, 0.0) / FADE_MS)
         load = told.load * keep + usual.mean * (1.0 - keep) + told.sent / cores * keep
-        return load, math.sqrt(NOISE ** 2 * keep + usual.variance * (1.0 - keep * keep))
+        return load, math.sqrt(NOISE**2 * keep + usual.variance * (1.0 - keep * keep))
--- a/fennelwind/spread/subset.py
+++ b/fennelwind/spread/subset.py
@@ -10,7 +10,7 @@
 
 LEAST = 8  # executors of the own zone; with fewer, one bad executor is too much of the whole
 FAR_PART, FAR_LEAST = 1.0 / 3.0, 2  # of that many of other zones, and at least: a way out of an overfull zone
-WHOLE = 2.0 ** 64  # what the hash is drawn from
+WHOLE = 2.0**64  # what the hash is drawn from
 
 
 def rank(controller: int, engine: str, weight: float) -> float:
@@ -27,4 +27,4 @@
 
 def choose(near: list[str], far: list[str], many: int) -> list[str]:
     """Return the first of both lists, which are ordered by rank: `many` near ones and fewer far ones."""
-    return near[:many] + far[:max(FAR_LEAST, round(many * FAR_PART))]
+    return near[:many] + far[: max(FAR_LEAST, round(many * FAR_PART))]
--- a/fennelwind/standin/client.py
+++ b/fennelwind/standin/client.py
@@ -40,8 +40,12 @@
                 self.stream.write(bytes(self.side.outgoing))
             while not self.side.ready:
                 self._receive()
-            reply = self.call("OpenSession", hs2.TOpenSessionReq(
-                client_protocol=hs2.PROTOCOL_NEWEST, username=self.user, configuration={}))
+            reply = self.call(
+                "OpenSession",
+                hs2.TOpenSessionReq(
+                    client_protocol=hs2.PROTOCOL_NEWEST, username=self.user, configuration={}
+                ),
+            )
             if reply.sessionHandle is None:
                 raise StreamReset(reply.status.errorMessage)
             self.session = reply.sessionHandle
@@ -52,7 +56,7 @@
         self.stream.write(raw)
         while not (replies := self._receive()):
             pass
-        reply, = replies
+        (reply,) = replies
         if reply.sequence != sequence or reply.type != REPLY:
             raise Malformed(f"{method}: no reply to it")
         return reply.body
@@ -64,8 +68,10 @@
         """
         try:
             with self.loop.deadline(ask.timeout_ms):
-                reply = self.call("ExecuteStatement", hs2.TExecuteStatementReq(
-                    self.session, ask.statement, ask.overlay, ask.asynchronous))
+                reply = self.call(
+                    "ExecuteStatement",
+                    hs2.TExecuteStatementReq(self.session, ask.statement, ask.overlay, ask.asynchronous),
+                )
                 if reply.status.statusCode == hs2.ERROR:
                     return "error", 0
                 handle = reply.operationHandle
@@ -80,8 +86,12 @@
         rows, more = 0, True
         with self.loop.deadline(ask.timeout_ms):
             while more:
-                page = self.call("FetchResults", hs2.TFetchResultsReq(
-                    operationHandle=handle, orientation=hs2.FETCH_NEXT, maxRows=PAGE_ROWS, fetchType=0))
+                page = self.call(
+                    "FetchResults",
+                    hs2.TFetchResultsReq(
+                        operationHandle=handle, orientation=hs2.FETCH_NEXT, maxRows=PAGE_ROWS, fetchType=0
+                    ),
+                )
                 rows += len(page.results.columns[0].i64Val.values) if page.results.columns else 0
                 more = page.hasMoreRows
             self._close(handle)
--- a/fennelwind/standin/day.py
+++ b/fennelwind/standin/day.py
@@ -65,11 +65,21 @@
             for _ in range(group.count):
                 kind = kinds[group.kind]
                 engine = Engine(
-                    self.loop, Address(HERE, 0),
-                    Machine(kind.cores, group.memory_mb or 16384.0, rules.cold_share, rules.cold_ms,
-                            rules.fall_multiple, rules.fall_ms),
-                    max_sessions=group.max_sessions or 400, note_ms=self.settings.traits.note_ms,
-                    tells_cost=self.settings.traits.tells_cost, wrap=self.wrap)
+                    self.loop,
+                    Address(HERE, 0),
+                    Machine(
+                        kind.cores,
+                        group.memory_mb or 16384.0,
+                        rules.cold_share,
+                        rules.cold_ms,
+                        rules.fall_multiple,
+                        rules.fall_ms,
+                    ),
+                    max_sessions=group.max_sessions or 400,
+                    note_ms=self.settings.traits.note_ms,
+                    tells_cost=self.settings.traits.tells_cost,
+                    wrap=self.wrap,
+                )
                 engine.start(cold=False)
                 engine.on_fall = lambda e: self.falls.append(e.name)
                 self.engines.append(engine)
@@ -83,8 +93,12 @@
         begin = self.loop.now()
         for fault in self.script.faults:
             self.loop.at(begin + fault.at_ms, lambda f=fault: self.loop.spawn(self._fault, f, name="fault"))
-        makers = [self.loop.spawn(self._arrivals, load, Random(self.random.random()), begin,
-                                  name=f"load {load.query_class}") for load in self.script.loads]
+        makers = [
+            self.loop.spawn(
+                self._arrivals, load, Random(self.random.random()), begin, name=f"load {load.query_class}"
+            )
+            for load in self.script.loads
+        ]
         asks: list[Task] = []
         for maker in makers:
             asks += maker.join()
@@ -109,16 +123,21 @@
 
     def _make(self, load: sc.Load, random: Random) -> Ask:
         self._number += 1
-        work = load.work_ms * math.exp(random.gauss(0.0, load.spread) - load.spread ** 2 / 2)
+        work = load.work_ms * math.exp(random.gauss(0.0, load.spread) - load.spread**2 / 2)
         estimate = work * math.exp(random.gauss(0.0, load.estimate_spread))
         timeout = load.timeout_ms * (IMPATIENT if random.random() < load.impatient_share else 1.0)
         tables = int(random.random() ** 3 * load.tables) if load.tables else -1
         overlay = {
-            "standin.tag": f"q{self._number}", "standin.class": load.query_class,
-            "standin.work_ms": f"{work:.3f}", "standin.threads": str(load.threads),
-            "standin.memory_mb": f"{load.memory_mb:.0f}", "standin.tables": str(tables),
-            "standin.rows": str(load.rows), "fennelwind.work_ms": f"{estimate:.3f}",
-            "fennelwind.timeout_ms": f"{timeout:.0f}"}
+            "standin.tag": f"q{self._number}",
+            "standin.class": load.query_class,
+            "standin.work_ms": f"{work:.3f}",
+            "standin.threads": str(load.threads),
+            "standin.memory_mb": f"{load.memory_mb:.0f}",
+            "standin.tables": str(tables),
+            "standin.rows": str(load.rows),
+            "fennelwind.work_ms": f"{estimate:.3f}",
+            "fennelwind.timeout_ms": f"{timeout:.0f}",
+        }
         if load.memory_mb:
             overlay["fennelwind.memory_mb"] = f"{load.memory_mb:.0f}"
         if tables >= 0:
--- a/fennelwind/standin/discovery.py
+++ b/fennelwind/standin/discovery.py
@@ -63,9 +63,18 @@
                 self.loop.after(self.delay_ms, lambda c=channel: None if c.closed else c.offer(line))
 
     def _line(self, form: str, entries) -> bytes:
-        engines = [{
-            "engine": e.engine, "state": e.state, "zone": e.zone, "kind": e.kind, "cell": e.cell,
-            "weight": e.weight, "launched_ms": e.launched_ms} for e in entries]
+        engines = [
+            {
+                "engine": e.engine,
+                "state": e.state,
+                "zone": e.zone,
+                "kind": e.kind,
+                "cell": e.cell,
+                "weight": e.weight,
+                "launched_ms": e.launched_ms,
+            }
+            for e in entries
+        ]
         told = {"form": form, "index": self.index, "now_ms": self.loop.now(), "engines": engines}
         return json.dumps(told).encode() + b"\n"
 
--- a/fennelwind/standin/engine.py
+++ b/fennelwind/standin/engine.py
@@ -26,13 +26,16 @@
 from fennelwind.thrift.transport import Login, ServerSide
 
 METADATA = {  # metadata calls, with the text columns of their answers
-    "GetTypeInfo": ("TYPE_NAME",), "GetCatalogs": ("TABLE_CAT",), "GetTableTypes": ("TABLE_TYPE",),
+    "GetTypeInfo": ("TYPE_NAME",),
+    "GetCatalogs": ("TABLE_CAT",),
+    "GetTableTypes": ("TABLE_TYPE",),
     "GetSchemas": ("TABLE_SCHEM", "TABLE_CATALOG"),
     "GetTables": ("TABLE_CAT", "TABLE_SCHEM", "TABLE_NAME", "TABLE_TYPE", "REMARKS"),
     "GetColumns": ("TABLE_CAT", "TABLE_SCHEM", "TABLE_NAME", "COLUMN_NAME", "TYPE_NAME"),
     "GetFunctions": ("FUNCTION_CAT", "FUNCTION_SCHEM", "FUNCTION_NAME"),
     "GetPrimaryKeys": ("TABLE_CAT", "TABLE_SCHEM", "TABLE_NAME", "COLUMN_NAME"),
-    "GetCrossReference": ("PKTABLE_NAME", "PKCOLUMN_NAME", "FKTABLE_NAME", "FKCOLUMN_NAME")}
+    "GetCrossReference": ("PKTABLE_NAME", "PKCOLUMN_NAME", "FKTABLE_NAME", "FKCOLUMN_NAME"),
+}
 METADATA_MS = 2.0  # ms that a metadata call takes
 LONG_POLL_MS = 5000.0  # ms; Hive's own default
 ROWS_MOST = 1_000_000  # rows of one answer
@@ -94,25 +97,35 @@
 
 # Columns by TTypeId: field, structure, and the value of a row's number; row n is null in column n.
 EVERY_TYPE = {
-    0: ("boolVal", "TBoolColumn", lambda n: n % 2 == 0), 1: ("byteVal", "TByteColumn", lambda n: n - 100),
+    0: ("boolVal", "TBoolColumn", lambda n: n % 2 == 0),
+    1: ("byteVal", "TByteColumn", lambda n: n - 100),
     2: ("i16Val", "TI16Column", lambda n: n - 30_000),
     3: ("i32Val", "TI32Column", lambda n: n - 2_000_000_000),
-    4: ("i64Val", "TI64Column", lambda n: n - 2**62), 5: ("doubleVal", "TDoubleColumn", lambda n: n / 4),
+    4: ("i64Val", "TI64Column", lambda n: n - 2**62),
+    5: ("doubleVal", "TDoubleColumn", lambda n: n / 4),
     6: ("doubleVal", "TDoubleColumn", lambda n: n * 1e300),
     7: ("stringVal", "TStringColumn", lambda n: f"é {n}".encode()),
     8: ("stringVal", "TStringColumn", lambda n: b"2026-12-01 10:20:%02d.5" % n),
     9: ("binaryVal", "TBinaryColumn", lambda n: bytes([0, 255, n])),
     15: ("stringVal", "TStringColumn", lambda n: b"%d.10" % n),
-    17: ("stringVal", "TStringColumn", lambda n: b"2026-12-%02d" % (n + 1))}
+    17: ("stringVal", "TStringColumn", lambda n: b"2026-12-%02d" % (n + 1)),
+}
 
 
-QUALIFIERS = {15: hs2.make("TTypeQualifiers", qualifiers={
-    "precision": hs2.make("TTypeQualifierValue", i32Value=20),
-    "scale": hs2.make("TTypeQualifierValue", i32Value=2)})}
+QUALIFIERS = {
+    15: hs2.make(
+        "TTypeQualifiers",
+        qualifiers={
+            "precision": hs2.make("TTypeQualifierValue", i32Value=20),
+            "scale": hs2.make("TTypeQualifierValue", i32Value=2),
+        },
+    )
+}
 
 
-def _column(position: int, name: str, kind: str, value: Callable[[int], object],
-            rows: list[int]) -> Structure:
+def _column(
+    position: int, name: str, kind: str, value: Callable[[int], object], rows: list[int]
+) -> Structure:
     nulls = sum(1 << i for i, n in enumerate(rows) if n == position).to_bytes(len(rows) // 8 + 1, "little")
     return hs2.TColumn(**{name: hs2.make(kind, values=[value(n) for n in rows], nulls=nulls)})
 
@@ -124,9 +137,17 @@
 class Engine:
     """A stand-in engine at an address; `start` begins a life of it, `crash` ends one."""
 
-    def __init__(self, loop: Loop, address: Address, machine: Machine, *, max_sessions: int = 400,
-                 note_ms: float = 0.0, tells_cost: bool = True,
-                 wrap: Callable[[Stream, str], Stream] = lambda stream, who: stream) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        machine: Machine,
+        *,
+        max_sessions: int = 400,
+        note_ms: float = 0.0,
+        tells_cost: bool = True,
+        wrap: Callable[[Stream, str], Stream] = lambda stream, who: stream,
+    ) -> None:
         self.loop, self.address, self.machine = loop, address, machine
         self.max_sessions, self.note_ms, self.tells_cost, self.wrap = max_sessions, note_ms, tells_cost, wrap
         self.faults, self.counts = Faults(), Counts()
@@ -220,8 +241,10 @@
         if message.method in METADATA:
             handler = partial(self._metadata, message.method)
         if handler is None or message.body is None:
-            kind, reply = messages.EXCEPTION, messages.TApplicationException(
-                f"{message.method}: unknown method", messages.UNKNOWN_METHOD)
+            kind, reply = (
+                messages.EXCEPTION,
+                messages.TApplicationException(f"{message.method}: unknown method", messages.UNKNOWN_METHOD),
+            )
         else:
             try:
                 kind, reply = messages.REPLY, handler(message.body, mine)
@@ -231,7 +254,7 @@
                 raise StreamReset("the other side gave up") from None
         raw = side.wrap(write_message(message.method, kind, message.sequence, reply, message.strict))
         if self.faults.cut and message.method == "FetchResults":
-            stream.write(raw[:len(raw) // 2])
+            stream.write(raw[: len(raw) // 2])
             stream.abort()
             raise StreamReset("cut on purpose")
         stream.write(raw)
@@ -259,8 +282,11 @@
         self._sessions[handle.guid] = "default"
         mine.add(handle.guid)
         return hs2.TOpenSessionResp(
-            status=self._status(), serverProtocolVersion=min(request.client_protocol, hs2.PROTOCOL_NEWEST),
-            sessionHandle=hs2.TSessionHandle(handle), configuration={})
+            status=self._status(),
+            serverProtocolVersion=min(request.client_protocol, hs2.PROTOCOL_NEWEST),
+            sessionHandle=hs2.TSessionHandle(handle),
+            configuration={},
+        )
 
     def _SetClientInfo(self, request: Structure, mine: set[bytes]) -> Structure:  # noqa: N802
         if self.faults.hang:
@@ -295,13 +321,22 @@
             if database == "nowhere":
                 return reply(status=self._error("no such database: nowhere", "3F000"))
             self._sessions[session] = database
-            return reply(status=self._status(), operationHandle=hs2.TOperationHandle(
-                operationId=hs2.THandleIdentifier(self.loop.token(16), self.loop.token(16)),
-                operationType=hs2.EXECUTE_STATEMENT, hasResultSet=False))
+            return reply(
+                status=self._status(),
+                operationHandle=hs2.TOperationHandle(
+                    operationId=hs2.THandleIdentifier(self.loop.token(16), self.loop.token(16)),
+                    operationType=hs2.EXECUTE_STATEMENT,
+                    hasResultSet=False,
+                ),
+            )
         try:
             tables = int(said.get("standin.tables", -1))
-            job = Job(max(float(said.get("standin.work_ms", 1.0)), 0.01), int(said.get("standin.threads", 1)),
-                      float(said.get("standin.memory_mb", 0.0)), tables if tables >= 0 else None)
+            job = Job(
+                max(float(said.get("standin.work_ms", 1.0)), 0.01),
+                int(said.get("standin.threads", 1)),
+                float(said.get("standin.memory_mb", 0.0)),
+                tables if tables >= 0 else None,
+            )
             rows = min(int(said.get("standin.rows", 1)), ROWS_MOST)
         except ValueError as exc:
             return reply(status=self._error(str(exc), "22023", hints.write(hints.NOT_RUN)))
@@ -317,11 +352,22 @@
             job = Job(max(shelved.size * self.shelf.ms_per_byte, 1.0), 1)
         handle = hs2.TOperationHandle(
             operationId=hs2.THandleIdentifier(self.loop.token(16), self.loop.token(16)),
-            operationType=hs2.EXECUTE_STATEMENT, hasResultSet=True)
+            operationType=hs2.EXECUTE_STATEMENT,
+            hasResultSet=True,
+        )
         operation = _Operation(
-            handle, job, rows, Once(self.loop), session=session,
-            statement=request.statement, types="standin.types" in said,
-            sql_state=said.get("standin.sqlstate", ""), task=task, shelved=shelved, shards=shards)
+            handle,
+            job,
+            rows,
+            Once(self.loop),
+            session=session,
+            statement=request.statement,
+            types="standin.types" in said,
+            sql_state=said.get("standin.sqlstate", ""),
+            task=task,
+            shelved=shelved,
+            shards=shards,
+        )
         self.counts.databases[self._sessions[session]] += 1
         self.counts.statements += 1
         self._operations[handle.operationId.guid] = operation
@@ -377,12 +423,20 @@
             return reply(status=self._error("it failed on purpose", "HY000"))
         handle = hs2.TOperationHandle(
             operationId=hs2.THandleIdentifier(self.loop.token(16), self.loop.token(16)),
-            operationType=hs2.GET_TABLES, hasResultSet=True)
+            operationType=hs2.GET_TABLES,
+            hasResultSet=True,
+        )
         self.loop.sleep(METADATA_MS)
         self.counts.metadata += 1
         self._operations[handle.operationId.guid] = _Operation(
-            handle, Job(0.0, 1, 0.0, None), 3, Once(self.loop), hs2.FINISHED, session=session,
-            columns=METADATA[method])
+            handle,
+            Job(0.0, 1, 0.0, None),
+            3,
+            Once(self.loop),
+            hs2.FINISHED,
+            session=session,
+            columns=METADATA[method],
+        )
         return reply(status=self._status(), operationHandle=handle)
 
     def _GetOperationStatus(self, request: Structure, mine: set[bytes]) -> Structure:  # noqa: N802
@@ -405,13 +459,23 @@
         if self.note_ms and operation.state == hs2.RUNNING:
             self._runner.look()
             progress = hs2.TProgressUpdateResp(
-                headerNames=[], rows=[], progressedPercentage=job.share_done, status=0, footerSummary="",
-                startTime=0)
+                headerNames=[],
+                rows=[],
+                progressedPercentage=job.share_done,
+                status=0,
+                footerSummary="",
+                startTime=0,
+            )
         failed, own = operation.state == hs2.FAILED, operation.sql_state
         why = f"error {own} of its own" if own else "it failed on purpose"
-        return reply(status=self._status(*more), operationState=operation.state, hasResultSet=not failed,
-                     errorMessage=why if failed else None, sqlState=own or None,
-                     progressUpdateResponse=progress)
+        return reply(
+            status=self._status(*more),
+            operationState=operation.state,
+            hasResultSet=not failed,
+            errorMessage=why if failed else None,
+            sqlState=own or None,
+            progressUpdateResponse=progress,
+        )
 
     def _GetResultSetMetadata(self, request: Structure, mine: set[bytes]) -> Structure:  # noqa: N802
         operation = self._operation(request)
@@ -421,10 +485,22 @@
         elif operation is not None and operation.columns:
             named = [(name, hs2.STRING_TYPE) for name in operation.columns]
         columns = [
-            hs2.TColumnDesc(name, hs2.TTypeDesc([hs2.TTypeEntry(
-                primitiveEntry=hs2.TPrimitiveTypeEntry(type=kind, typeQualifiers=QUALIFIERS.get(kind)))]),
-                position, "")
-            for position, (name, kind) in enumerate(named, start=1)]
+            hs2.TColumnDesc(
+                name,
+                hs2.TTypeDesc(
+                    [
+                        hs2.TTypeEntry(
+                            primitiveEntry=hs2.TPrimitiveTypeEntry(
+                                type=kind, typeQualifiers=QUALIFIERS.get(kind)
+                            )
+                        )
+                    ]
+                ),
+                position,
+                "",
+            )
+            for position, (name, kind) in enumerate(named, start=1)
+        ]
         return hs2.TGetResultSetMetadataResp(status=self._status(), schema=hs2.TTableSchema(columns))
 
     def _FetchResults(self, request: Structure, mine: set[bytes]) -> Structure:  # noqa: N802
@@ -438,28 +514,65 @@
         operation.fetched = stop
         numbers = list(range(start, stop))
         if operation.types:
-            rows = hs2.TRowSet(startRowOffset=start, rows=[], columns=[
-                _column(position, *each, numbers) for position, each in enumerate(EVERY_TYPE.values())])
+            rows = hs2.TRowSet(
+                startRowOffset=start,
+                rows=[],
+                columns=[
+                    _column(position, *each, numbers) for position, each in enumerate(EVERY_TYPE.values())
+                ],
+            )
             return hs2.TFetchResultsResp(
-                status=self._status(), hasMoreRows=stop < operation.rows, results=rows)
+                status=self._status(), hasMoreRows=stop < operation.rows, results=rows
+            )
         if operation.cells:
-            rows = hs2.TRowSet(startRowOffset=start, rows=[], columns=[
-                hs2.TColumn(stringVal=hs2.make("TStringColumn", nulls=b"", values=[
-                    operation.cells[n][i].encode() if i < len(operation.cells[n]) else b"" for n in numbers]))
-                for i in range(len(COLUMNS))])
+            rows = hs2.TRowSet(
+                startRowOffset=start,
+                rows=[],
+                columns=[
+                    hs2.TColumn(
+                        stringVal=hs2.make(
+                            "TStringColumn",
+                            nulls=b"",
+                            values=[
+                                operation.cells[n][i].encode() if i < len(operation.cells[n]) else b""
+                                for n in numbers
+                            ],
+                        )
+                    )
+                    for i in range(len(COLUMNS))
+                ],
+            )
             return hs2.TFetchResultsResp(
-                status=self._status(), hasMoreRows=stop < operation.rows, results=rows)
+                status=self._status(), hasMoreRows=stop < operation.rows, results=rows
+            )
         if operation.columns:
-            rows = hs2.TRowSet(startRowOffset=start, rows=[], columns=[
-                hs2.TColumn(stringVal=hs2.make(
-                    "TStringColumn", values=[b"%s %d" % (name.encode(), n) for n in numbers], nulls=b""))
-                for name in operation.columns])
+            rows = hs2.TRowSet(
+                startRowOffset=start,
+                rows=[],
+                columns=[
+                    hs2.TColumn(
+                        stringVal=hs2.make(
+                            "TStringColumn",
+                            values=[b"%s %d" % (name.encode(), n) for n in numbers],
+                            nulls=b"",
+                        )
+                    )
+                    for name in operation.columns
+                ],
+            )
             return hs2.TFetchResultsResp(
-                status=self._status(), hasMoreRows=stop < operation.rows, results=rows)
-        rows = hs2.TRowSet(startRowOffset=start, rows=[], columns=[
-            hs2.TColumn(i64Val=hs2.make("TI64Column", values=numbers, nulls=b"")),
-            hs2.TColumn(stringVal=hs2.make(
-                "TStringColumn", values=[b"row %d" % n for n in numbers], nulls=b""))])
+                status=self._status(), hasMoreRows=stop < operation.rows, results=rows
+            )
+        rows = hs2.TRowSet(
+            startRowOffset=start,
+            rows=[],
+            columns=[
+                hs2.TColumn(i64Val=hs2.make("TI64Column", values=numbers, nulls=b"")),
+                hs2.TColumn(
+                    stringVal=hs2.make("TStringColumn", values=[b"row %d" % n for n in numbers], nulls=b"")
+                ),
+            ],
+        )
         return hs2.TFetchResultsResp(status=self._status(), hasMoreRows=stop < operation.rows, results=rows)
 
     def _CancelOperation(self, request: Structure, mine: set[bytes]) -> Structure:  # noqa: N802
@@ -494,8 +607,9 @@
         if operation is not None:
             if operation.shelved is not None and not self.faults.error:
                 operation.sql_state, operation.cells = self.shelf.run(operation.shelved)
-                self.counts.pulled += sum(not all(map(self.shelf.whole, o.shards))
-                                          for o in self._running.values())
+                self.counts.pulled += sum(
+                    not all(map(self.shelf.whole, o.shards)) for o in self._running.values()
+                )
                 operation.rows, operation.columns = len(operation.cells), COLUMNS
             elif self.schemas.knows(operation.statement) and not self.faults.error:
                 operation.sql_state, operation.cells = self.schemas.run(operation.statement)
--- a/fennelwind/standin/model.py
+++ b/fennelwind/standin/model.py
@@ -111,8 +111,12 @@
         threads = sum(j.threads for j in self.jobs)
         waiting = max(0.0, threads - self.machine.cores)
         memory = sum(j.memory_mb for j in self.jobs) / self.machine.memory_mb
-        return {"active": float(len(self.jobs)), "waiting": waiting,
-                "cpu": min(1.0, threads / self.machine.cores), "memory": memory}
+        return {
+            "active": float(len(self.jobs)),
+            "waiting": waiting,
+            "cpu": min(1.0, threads / self.machine.cores),
+            "memory": memory,
+        }
 
     def _paces(self, now: float) -> dict[Job, float]:
         threads = sum(j.threads for j in self.jobs)
--- a/fennelwind/standin/platform/channel.py
+++ b/fennelwind/standin/platform/channel.py
@@ -19,11 +19,18 @@
     `told` gives a controller's events, each with its time in ms of the day and as it is to be written.
     """
 
-    def __init__(self, loop: Loop, address: Address,
-                 told: Callable[[int], list[tuple[float, dict[str, Any]]]], *,
-                 clock: Callable[[], float], caller: Callable[[Stream], int],
-                 open_until: Callable[[int], float], note: Callable[[Sighting], None],
-                 linger_ms: float) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        told: Callable[[int], list[tuple[float, dict[str, Any]]]],
+        *,
+        clock: Callable[[], float],
+        caller: Callable[[Stream], int],
+        open_until: Callable[[int], float],
+        note: Callable[[Sighting], None],
+        linger_ms: float,
+    ) -> None:
         self.loop, self.address, self.told, self.clock = loop, address, told, clock
         self.caller, self.open_until, self.note, self.linger_ms = caller, open_until, note, linger_ms
         self.silent = self.broken = False
--- a/fennelwind/standin/platform/clients.py
+++ b/fennelwind/standin/platform/clients.py
@@ -134,9 +134,18 @@
 class Clients:
     """The clients of one zone; `play` asks all that is planned and returns when all has ended."""
 
-    def __init__(self, loop: Loop, wishes: Iterable[Wish], neighbours: dict[int, list[int]],
-                 where: Callable[[int], Address], manners: Manners, *, seed: str,
-                 note: Callable[[Sighting], None], clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        wishes: Iterable[Wish],
+        neighbours: dict[int, list[int]],
+        where: Callable[[int], Address],
+        manners: Manners,
+        *,
+        seed: str,
+        note: Callable[[Sighting], None],
+        clock: Callable[[], float],
+    ) -> None:
         self.loop, self.wishes, self.neighbours = loop, list(wishes), neighbours
         self.where, self.manners, self.seed, self.note, self.clock = where, manners, seed, note, clock
         self.links: dict[int, list[_Link]] = {number: [] for number in neighbours}
@@ -225,7 +234,7 @@
                 kind, wait, controller = self._try(wish, random, planned, retry)
                 if kind in (SERVED, WITHDRAWN, STRANGE, "") or retry == self.manners.retries:
                     return
-                pause = self.manners.backoff_ms * 2 ** retry * (0.5 + random.random())
+                pause = self.manners.backoff_ms * 2**retry * (0.5 + random.random())
                 if kind == REFUSED and honours:
                     pause = max(pause, wait)
                 self.loop.sleep(pause)
@@ -251,8 +260,13 @@
 
     def _ask(self, link: _Link, wish: Wish, random: Random, retry: int) -> tuple[str, float, int]:
         name, controller, now = f"{random.getrandbits(64):016x}", link.controller, self.clock()
-        fields = {"i": name, "d": f"{wish.wait_ms:.0f}", "t": self.manners.tenant,
-                  "h": f"{wish.estimate_ms:.1f}", "mb": f"{math.ceil(wish.estimate_mb)}"}
+        fields = {
+            "i": name,
+            "d": f"{wish.wait_ms:.0f}",
+            "t": self.manners.tenant,
+            "h": f"{wish.estimate_ms:.1f}",
+            "mb": f"{math.ceil(wish.estimate_mb)}",
+        }
         if retry:
             fields["r"] = "1"
         number, once = link.ask(wish.method, [fields, wish.statement])
--- a/fennelwind/standin/platform/executor.py
+++ b/fennelwind/standin/platform/executor.py
@@ -79,9 +79,19 @@
 class Executor:
     """One executor at an address; `start` begins its life, `end` ends it."""
 
-    def __init__(self, loop: Loop, instance: str, address: Address, machine: Machine, *,
-                 reporting: Reporting, random: Random, note: Callable[[Sighting], None],
-                 clock: Callable[[], float], caller: Callable[[Stream], int]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        instance: str,
+        address: Address,
+        machine: Machine,
+        *,
+        reporting: Reporting,
+        random: Random,
+        note: Callable[[Sighting], None],
+        clock: Callable[[], float],
+        caller: Callable[[Stream], int],
+    ) -> None:
         self.loop, self.instance, self.address, self.machine = loop, instance, address, machine
         self.reporting, self.random, self.note = reporting, random, note
         self.clock = clock  # ms of the day
@@ -107,8 +117,10 @@
         self._runner = Runner(self.loop, self.model, self._done)
         self.alive = True
         self.note(Lived(self.clock(), self.instance, "start"))
-        self._tasks = [self.loop.spawn(self._accept, name=f"{self.instance}: accept"),
-                       self.loop.spawn(self._sweep, name=f"{self.instance}: sweep")]
+        self._tasks = [
+            self.loop.spawn(self._accept, name=f"{self.instance}: accept"),
+            self.loop.spawn(self._sweep, name=f"{self.instance}: sweep"),
+        ]
 
     def end(self, what: str = "end") -> None:
         """End it at once: connections break, work is lost."""
@@ -160,7 +172,7 @@
                         if self.random.random() < 0.5:
                             raw = self.random.randbytes(40) + b"\r\n\r\n"
                         else:
-                            stream.write(raw[:len(raw) // 2])
+                            stream.write(raw[: len(raw) // 2])
                             return
                     stream.write(raw)
         except BadCall as exc:
@@ -236,8 +248,13 @@
         elif 0.0 < grant < need:
             work *= 1.0 + SPILL_SHARE * (1.0 - grant / need)
         group = GROUP.search(call.body)
-        job = Job(work, width, grant or need, int(group[1]) if group else None,
-                  int(call.fields.get("x-weight-class", "1")))
+        job = Job(
+            work,
+            width,
+            grant or need,
+            int(group[1]) if group else None,
+            int(call.fields.get("x-weight-class", "1")),
+        )
         query = _Query(name, job, rows, Once(self.loop), self.loop.now(), began, fails)
         before = self._queries.get(name)
         if before is not None and not before.how:
@@ -277,8 +294,9 @@
             proof = f"{self.random.getrandbits(64):016x}"
             row = f"{query.name}\t{self.instance}\t{proof}\n".encode()
             per_page = max(1, PAGE_BYTES // len(row))
-            query.pages = tuple(row * min(per_page, query.rows - start)
-                                for start in range(0, query.rows, per_page))
+            query.pages = tuple(
+                row * min(per_page, query.rows - start) for start in range(0, query.rows, per_page)
+            )
         elif how in (DELETED, EXPIRED):
             self._runner.remove(query.job)
         query.ended.set()
@@ -291,5 +309,7 @@
             if at <= now - self.reporting.delay_ms - self.faults.late_ms:
                 told = figures
         noise = self.reporting.noise + self.faults.noise
-        return ";".join(f"{name}:{max(0.0, told[name] * (1.0 + noise * self.random.gauss(0.0, 1.0))):.4g}"
-                        for name in self.reporting.fields)
+        return ";".join(
+            f"{name}:{max(0.0, told[name] * (1.0 + noise * self.random.gauss(0.0, 1.0))):.4g}"
+            for name in self.reporting.fields
+        )
--- a/fennelwind/standin/platform/http.py
+++ b/fennelwind/standin/platform/http.py
@@ -52,7 +52,7 @@
         start = end + 4
         if len(self._data) < start + length:
             return None
-        body, self._data = self._data[start:start + length], self._data[start + length:]
+        body, self._data = self._data[start : start + length], self._data[start + length :]
         return Call(verb, path, fields, body)
 
 
--- a/fennelwind/standin/schemas.py
+++ b/fennelwind/standin/schemas.py
@@ -6,11 +6,16 @@
 import re
 
 NAME = r"((?:`[^`]+`|\w+)(?:\.(?:`[^`]+`|\w+))?)"
-FORMS = {kind: re.compile(form, re.I | re.S) for kind, form in {
-    "replace": rf"ALTER TABLE {NAME} REPLACE COLUMNS \((.*)\)",
-    "add": rf"ALTER TABLE {NAME} ADD COLUMNS \((.*)\)",
-    "create": rf"CREATE TABLE IF NOT EXISTS {NAME} \((.*)\)", "drop": rf"DROP TABLE IF EXISTS {NAME}",
-    "describe": rf"DESCRIBE {NAME}"}.items()}
+FORMS = {
+    kind: re.compile(form, re.I | re.S)
+    for kind, form in {
+        "replace": rf"ALTER TABLE {NAME} REPLACE COLUMNS \((.*)\)",
+        "add": rf"ALTER TABLE {NAME} ADD COLUMNS \((.*)\)",
+        "create": rf"CREATE TABLE IF NOT EXISTS {NAME} \((.*)\)",
+        "drop": rf"DROP TABLE IF EXISTS {NAME}",
+        "describe": rf"DESCRIBE {NAME}",
+    }.items()
+}
 COLUMNS = ("col_name", "data_type", "comment")  # of a description, as the language manual has them
 NO_TABLE = "42S02"
 
@@ -30,8 +35,9 @@
 
     def run(self, statement: str) -> tuple[str, Columns]:
         """Carry it out; return an SQLSTATE, "" if it went well, and a description's rows."""
-        kind, found = next((kind, match) for kind, form in FORMS.items()
-                           if (match := form.fullmatch(statement.strip())))
+        kind, found = next(
+            (kind, match) for kind, form in FORMS.items() if (match := form.fullmatch(statement.strip()))
+        )
         table = found.group(1).replace("`", "").lower()
         if kind in ("create", "drop"):
             if kind == "create":
--- a/fennelwind/standin/shelves.py
+++ b/fennelwind/standin/shelves.py
@@ -9,17 +9,25 @@
 
 NAME, TEXT = r"`((?:[^`]|``)+(?:`\.`(?:[^`]|``)+)*)`", r"'((?:[^'\\]|\\.)*)'"
 SPEC = r"(?: PARTITION \((.*?)\))?"
-SUM = (r"CAST\(COUNT\(\*\) AS STRING\), "
-       r"CAST\(COALESCE\(SUM\(CAST\(HASH\(\*\) AS BIGINT\)\), 0\) AS STRING\)")
-FORMS = {kind: re.compile(form, re.DOTALL) for kind, form in {
-    "export": rf"EXPORT TABLE {NAME}{SPEC} TO {TEXT}", "import": rf"IMPORT TABLE {NAME}{SPEC} FROM {TEXT}",
-    "drop": rf"ALTER TABLE {NAME} DROP IF EXISTS{SPEC} PURGE",
-    "drop table": rf"DROP TABLE IF EXISTS {NAME} PURGE",
-    "check": rf"SELECT {SUM} FROM {NAME}(?: WHERE (.*))?", "list": rf"SHOW PARTITIONS {NAME}",
-    "list whole": rf"SHOW TABLES(?: IN {NAME})? LIKE {TEXT}",
-    "read mark": rf"SELECT mark FROM {NAME} LIMIT 1",
-    "make mark": rf"CREATE TABLE IF NOT EXISTS {NAME} \(mark STRING\)",
-    "write mark": rf"INSERT INTO TABLE {NAME} VALUES \({TEXT}\)"}.items()}
+SUM = (
+    r"CAST\(COUNT\(\*\) AS STRING\), "
+    r"CAST\(COALESCE\(SUM\(CAST\(HASH\(\*\) AS BIGINT\)\), 0\) AS STRING\)"
+)
+FORMS = {
+    kind: re.compile(form, re.DOTALL)
+    for kind, form in {
+        "export": rf"EXPORT TABLE {NAME}{SPEC} TO {TEXT}",
+        "import": rf"IMPORT TABLE {NAME}{SPEC} FROM {TEXT}",
+        "drop": rf"ALTER TABLE {NAME} DROP IF EXISTS{SPEC} PURGE",
+        "drop table": rf"DROP TABLE IF EXISTS {NAME} PURGE",
+        "check": rf"SELECT {SUM} FROM {NAME}(?: WHERE (.*))?",
+        "list": rf"SHOW PARTITIONS {NAME}",
+        "list whole": rf"SHOW TABLES(?: IN {NAME})? LIKE {TEXT}",
+        "read mark": rf"SELECT mark FROM {NAME} LIMIT 1",
+        "make mark": rf"CREATE TABLE IF NOT EXISTS {NAME} \(mark STRING\)",
+        "write mark": rf"INSERT INTO TABLE {NAME} VALUES \({TEXT}\)",
+    }.items()
+}
 PAIR = re.compile(rf"`((?:[^`]|``)+)`={TEXT}")
 FENCE = "fennelwind.fence"
 
@@ -124,8 +132,9 @@
         if task.kind == "read mark":
             return ("", ((self.mark,),)) if self.mark else ("42S02", ())
         if task.kind == "list":
-            return "", tuple((shard.partition("/")[2],) for shard in sorted(self.held)
-                             if shard.startswith(table + "/"))
+            return "", tuple(
+                (shard.partition("/")[2],) for shard in sorted(self.held) if shard.startswith(table + "/")
+            )
         if task.kind == "list whole":
             whole = f"{table}.{task.path}/" if table else f"{task.path}/"
             return "", ((task.path,),) if whole in self.held else ()
--- a/fennelwind/store/errors.py
+++ b/fennelwind/store/errors.py
@@ -2,9 +2,11 @@
 
 from fennelwind.errors import FennelwindError
 
-JOIN_ANEW = ("Stop the member, move the folder away and keep it, and start the member with an empty one: it "
-             "joins anew and gets all from the others. Do so with one member at a time, while a majority of "
-             "the others is well.")
+JOIN_ANEW = (
+    "Stop the member, move the folder away and keep it, and start the member with an empty one: it "
+    "joins anew and gets all from the others. Do so with one member at a time, while a majority of "
+    "the others is well."
+)
 
 
 class StoreError(FennelwindError):
@@ -18,24 +20,29 @@
     """The folder is a member's of another fleet."""
 
     code = "store-other-fleet"
-    advice = ("The folder named in the settings belongs to another fleet. Name this member's own, or an "
-              "empty one.")
+    advice = (
+        "The folder named in the settings belongs to another fleet. Name this member's own, or an empty one."
+    )
 
 
 class OtherMember(StoreError):
     """The folder is another member's."""
 
     code = "store-other-member"
-    advice = ("The folder named in the settings is another member's. Name this member's own, or an empty "
-              "one. Never copy a member's folder to another: both would vote as one.")
+    advice = (
+        "The folder named in the settings is another member's. Name this member's own, or an empty "
+        "one. Never copy a member's folder to another: both would vote as one."
+    )
 
 
 class NewerFormat(StoreError):
     """The folder was written by a newer version."""
 
     code = "store-newer-format"
-    advice = ("Start the version that wrote the folder, or a later one; or let the member join with an empty "
-              "folder.")
+    advice = (
+        "Start the version that wrote the folder, or a later one; or let the member join with an empty "
+        "folder."
+    )
 
 
 class MetaMissing(StoreError):
--- a/fennelwind/store/records.py
+++ b/fennelwind/store/records.py
@@ -39,8 +39,9 @@
 def parts(number: int, payload: bytes) -> bytes:
     """Return a group's bytes: one record, or as many as its length takes."""
     cuts = range(0, max(1, len(payload)), RECORD_MOST)
-    return b"".join(pack(LAST if at == cuts[-1] else PART, number, payload[at:at + RECORD_MOST])
-                    for at in cuts)
+    return b"".join(
+        pack(LAST if at == cuts[-1] else PART, number, payload[at : at + RECORD_MOST]) for at in cuts
+    )
 
 
 def _front(data: bytes, at: int) -> tuple[int, int, int, int] | None:
@@ -49,7 +50,7 @@
         return None
     magic, kind, length, number, crc = _FRONT.unpack_from(data, at)
     (told,) = _CRC.unpack_from(data, at + _FRONT.size)
-    if magic != MAGIC or length > RECORD_MOST or crc32c(data[at:at + _FRONT.size]) != told:
+    if magic != MAGIC or length > RECORD_MOST or crc32c(data[at : at + _FRONT.size]) != told:
         return None
     return kind, length, number, crc
 
@@ -61,8 +62,8 @@
         return None
     kind, length, number, crc = front
     begin, end = at + FRONT, at + AROUND + length
-    payload = data[begin:begin + length]
-    if end > len(data) or data[end - 1:end] != END or crc32c(payload) != crc:
+    payload = data[begin : begin + length]
+    if end > len(data) or data[end - 1 : end] != END or crc32c(payload) != crc:
         return None
     return Record(kind, number, payload, end)
 
@@ -87,7 +88,7 @@
         return True
     sector = at - at % SECTOR
     while sector < end:
-        if not any(data[max(sector, at):sector + SECTOR]):
+        if not any(data[max(sector, at) : sector + SECTOR]):
             return True
         sector += SECTOR
     return False
--- a/fennelwind/store/shape.py
+++ b/fennelwind/store/shape.py
@@ -12,8 +12,13 @@
 class Shape:
     """Terms of the entries held, the hard state, and the snapshots behind which the log can be read."""
 
-    def __init__(self, last_index: int = 0, last_term: int = 0, hard: bytes = b"",
-                 heads: Iterable[pb.SnapshotHead] = ()) -> None:
+    def __init__(
+        self,
+        last_index: int = 0,
+        last_term: int = 0,
+        hard: bytes = b"",
+        heads: Iterable[pb.SnapshotHead] = (),
+    ) -> None:
         self.start, self.start_term = last_index, last_term  # of the entry before the first one held
         self.terms: list[int] = []
         self.hard = hard
@@ -73,7 +78,7 @@
             raise WriteRefused(f"cut behind {after}, but {self.agreed} is agreed", after=after)
         if after < self.start:  # reading began behind it, since nobody needs what lies there
             self.start, self.start_term = after, 0
-        del self.terms[after - self.start:]
+        del self.terms[after - self.start :]
 
     def append(self, entries: Iterable[pb.Entry]) -> int:
         """Take entries behind those that are held; return how many were new.
@@ -86,8 +91,9 @@
             if index <= last and self.term(index) in ((term, None) if index <= self.agreed else (term,)):
                 continue
             if index != last + 1 or term < last_term:
-                raise WriteRefused(f"entry {index} of term {term} behind {last} of term {last_term}",
-                                   index=index, term=term)
+                raise WriteRefused(
+                    f"entry {index} of term {term} behind {last} of term {last_term}", index=index, term=term
+                )
             terms.append(term)
             last, last_term, taken = index, term, taken + 1
         return taken
@@ -100,7 +106,7 @@
         del self.heads[:-generations]
         if len(self.heads) == generations and self.heads[0].index > self.start:
             floor = self.heads[0]
-            del self.terms[:floor.index - self.start]
+            del self.terms[: floor.index - self.start]
             self.start, self.start_term = floor.index, floor.term
 
 
@@ -128,10 +134,10 @@
             if step.HasField("cut_after"):
                 last = shape.last
                 shape.cut(step.cut_after, bool(step.head))
-                del self.entries[max(0, len(self.entries) - (last - shape.last)):]
+                del self.entries[max(0, len(self.entries) - (last - shape.last)) :]
             entries = [pb.Entry.FromString(data) for data in step.entries]
             taken = shape.append(entries)
-            self.entries += entries[len(entries) - taken:]
+            self.entries += entries[len(entries) - taken :]
             if step.hard:
                 shape.hard = step.hard
 
@@ -139,4 +145,4 @@
         """Return the entries behind the newest snapshot, and those before it that are wanted and held."""
         shape = self.shape
         first = min(shape.keep_from or shape.agreed + 1, shape.agreed + 1)
-        return self.entries[max(0, len(self.entries) - (shape.last + 1 - first)):]
+        return self.entries[max(0, len(self.entries) - (shape.last + 1 - first)) :]
--- a/fennelwind/store/store.py
+++ b/fennelwind/store/store.py
@@ -104,8 +104,15 @@
         self.unmarked = 0  # marks that could not be written
 
     @classmethod
-    def open(cls, disk: Disk, fleet: str, name: str, life: bytes, limits: Limits | None = None,
-             pause: Callable[[], None] = lambda: None) -> tuple["Store", Durable]:
+    def open(
+        cls,
+        disk: Disk,
+        fleet: str,
+        name: str,
+        life: bytes,
+        limits: Limits | None = None,
+        pause: Callable[[], None] = lambda: None,
+    ) -> tuple["Store", Durable]:
         """Take the folder and read it; make it if it is empty, for a member with this life.
 
         `pause` is called while a log is read, each few ms of work: it lets other tasks run. Raises
@@ -131,8 +138,10 @@
         if self.failed:
             raise StoreStopped("an earlier write failed; the folder has to be read anew")
         group = _grouped(writes)
-        for size, most in ((group.ByteSize(), self.limits.group),
-                           *((len(write.snapshot), self.limits.snapshot) for write in writes)):
+        for size, most in (
+            (group.ByteSize(), self.limits.group),
+            *((len(write.snapshot), self.limits.snapshot) for write in writes),
+        ):
             if size > most:
                 raise WriteTooLarge(f"{size} bytes in one write, {most} at most", size=size, most=most)
         self.failed, self.full = True, False  # also for who is cancelled in the middle
@@ -205,8 +214,9 @@
             raise MetaDamaged(f"{META} can't be read", file=META)
         meta = _parsed(kept.Meta, record.payload, MetaDamaged, META)
         if meta.format > FORMAT:
-            raise NewerFormat(f"the folder's format is {meta.format}, this version's {FORMAT}",
-                              format=meta.format)
+            raise NewerFormat(
+                f"the folder's format is {meta.format}, this version's {FORMAT}", format=meta.format
+            )
         if meta.fleet != self.fleet:
             raise OtherFleet(f"the folder is of the fleet {meta.fleet!r}", fleet=meta.fleet)
         if meta.name != self.name:
@@ -223,14 +233,16 @@
         reached = sure + len(again)
         marked = self._marked() if acknowledged is None else acknowledged
         if reached < marked:
-            raise LogDamaged(f"group {marked} was acknowledged, the log ends with {reached}", group=marked,
-                             reached=reached)
+            raise LogDamaged(
+                f"group {marked} was acknowledged, the log ends with {reached}", group=marked, reached=reached
+            )
         self.segments = {s.head.segment: s.head.last_index for s in segments}
         number = last.head.segment + bool(last.groups)  # one that says nothing of its own is replaced
         replay, snapshot, head = self._replay(segments, again, generations, number, sure + 1)
         head.whole = len(again)
-        body = b"".join(records.parts(sure + 1 + place, group.SerializeToString())
-                        for place, group in enumerate(again))
+        body = b"".join(
+            records.parts(sure + 1 + place, group.SerializeToString()) for place, group in enumerate(again)
+        )
         self.shape, self.group = replay.shape, reached
         self._begin(head, body)
         self.first = max([head.first_segment, *(group.first_segment for group in again)])
@@ -242,22 +254,27 @@
         self.failed = False
         return Durable(Life(self.name, self.life), hard, newest, snapshot, replay.wanted())
 
-    def _read_log(self, acknowledged: int | None,
-                  generations: int) -> tuple[list[_Segment], list[kept.Group]]:
+    def _read_log(
+        self, acknowledged: int | None, generations: int
+    ) -> tuple[list[_Segment], list[kept.Group]]:
         """Return the segments needed, with the groups that count, and those that are to be written again."""
         numbers = _numbers(self.disk.names(), LOG)
         if not numbers:
             raise SegmentMissing("there is no log", file=_log(1))
         last, again = self._read_segment(numbers[-1]), []
         if acknowledged is not None:
-            del last.groups[max(0, acknowledged + 1 - last.head.group):]
+            del last.groups[max(0, acknowledged + 1 - last.head.group) :]
         else:
             after = last.head.group + len(last.groups)
-            if len(last.groups) < last.head.whole \
-                    or last.rest is not None and not records.torn(last.data, last.rest, after):
+            if (
+                len(last.groups) < last.head.whole
+                or last.rest is not None
+                and not records.torn(last.data, last.rest, after)
+            ):
                 offset = last.rest or len(last.data)
-                raise LogDamaged(f"{_log(numbers[-1])} is damaged at {offset}", file=_log(numbers[-1]),
-                                 offset=offset)
+                raise LogDamaged(
+                    f"{_log(numbers[-1])} is damaged at {offset}", file=_log(numbers[-1]), offset=offset
+                )
         first = max([last.head.first_segment, *(group.first_segment for group in last.groups)])
         if len(last.data) <= self.limits.again and generations == GENERATIONS:
             again, last.groups[:] = last.groups[:], []
@@ -269,9 +286,12 @@
                 raise SegmentMissing(f"{_log(number)} is not there", file=_log(number))
             segment, following = self._read_segment(number), segments[0].head.group
             if segment.head.group + len(segment.groups) < following:
-                raise LogDamaged(f"{_log(number)} ends before group {following}", file=_log(number),
-                                 offset=segment.rest or len(segment.data))
-            del segment.groups[following - segment.head.group:]  # never acknowledged
+                raise LogDamaged(
+                    f"{_log(number)} ends before group {following}",
+                    file=_log(number),
+                    offset=segment.rest or len(segment.data),
+                )
+            del segment.groups[following - segment.head.group :]  # never acknowledged
             segments.insert(0, segment)
         return segments, again
 
@@ -283,8 +303,9 @@
             raise LogDamaged(f"{name} has no beginning", file=name, offset=0)
         head = _parsed(kept.Head, record.payload, LogDamaged, name)
         if head.format > FORMAT:
-            raise NewerFormat(f"{name} is of format {head.format}, this version's is {FORMAT}",
-                              format=head.format)
+            raise NewerFormat(
+                f"{name} is of format {head.format}, this version's is {FORMAT}", format=head.format
+            )
         if head.segment != number or self.life and head.life != self.life:
             raise LogDamaged(f"{name} is not this folder's", file=name, offset=0)
         groups: list[kept.Group] = []
@@ -300,8 +321,9 @@
                 payloads, begin = [], at
         return _Segment(head, groups, data, at if begin < len(data) else None)
 
-    def _replay(self, segments: list[_Segment], again: list[kept.Group], generations: int, number: int,
-                group: int) -> tuple[Replay, bytes, kept.Head]:
+    def _replay(
+        self, segments: list[_Segment], again: list[kept.Group], generations: int, number: int, group: int
+    ) -> tuple[Replay, bytes, kept.Head]:
         """Return what the groups make, the newest snapshot, and a new segment's first record."""
         bad: set[int] = set()
         while True:
@@ -337,10 +359,13 @@
 
     @staticmethod
     def _check_joint(shape: Shape, head: kept.Head) -> None:
-        if (shape.last, shape.hard) != (head.last_index, head.hard) \
-                or shape.last_term not in (0, head.last_term):
-            raise LogDamaged(f"{_log(head.segment)} does not go on where the one before ends",
-                             file=_log(head.segment))
+        if (shape.last, shape.hard) != (head.last_index, head.hard) or shape.last_term not in (
+            0,
+            head.last_term,
+        ):
+            raise LogDamaged(
+                f"{_log(head.segment)} does not go on where the one before ends", file=_log(head.segment)
+            )
 
     def _read_snapshot(self, head: pb.SnapshotHead) -> bytes | None:
         """Return a snapshot's bytes; None: it is not there or not whole."""
@@ -417,9 +442,18 @@
     def _head(self, segment: int, group: int, first: int, shape: Shape | None = None) -> kept.Head:
         """Return a new segment's first record."""
         shape = shape or self.shape
-        return kept.Head(format=FORMAT, life=self.life, segment=segment, group=group, hard=shape.hard,
-                         heads=[head.SerializeToString() for head in shape.heads], last_index=shape.last,
-                         last_term=shape.last_term, first_segment=first, keep_from=shape.keep_from)
+        return kept.Head(
+            format=FORMAT,
+            life=self.life,
+            segment=segment,
+            group=group,
+            hard=shape.hard,
+            heads=[head.SerializeToString() for head in shape.heads],
+            last_index=shape.last,
+            last_term=shape.last_term,
+            first_segment=first,
+            keep_from=shape.keep_from,
+        )
 
     def _begin(self, head: kept.Head, body: bytes = b"", may_take: bool = True) -> None:
         """Begin a segment, with records that are written again."""
@@ -469,17 +503,25 @@
 
     def _first(self, shape: Shape) -> int:
         """Return the first segment that is needed to read the log behind the oldest snapshot kept."""
-        return max((number for number, last in self.segments.items() if last <= shape.start),
-                   default=min(self.segments, default=1))
+        return max(
+            (number for number, last in self.segments.items() if last <= shape.start),
+            default=min(self.segments, default=1),
+        )
 
     def _sweep(self) -> None:
         """Remove what nobody needs; what can't be removed is left for the next time."""
         first, wanted = self.first, {_snapshot(head) for head in self.shape.heads}
         self.segments = {number: last for number, last in self.segments.items() if number >= first}
         try:
-            gone = [name for name in self.disk.names() if name.endswith(NEW) and name.startswith(OURS)
-                    or name.startswith(SNAPSHOT) and name not in wanted
-                    or any(number < first for kind in (LOG, MARKS) for number in _numbers([name], kind))]
+            gone = [
+                name
+                for name in self.disk.names()
+                if name.endswith(NEW)
+                and name.startswith(OURS)
+                or name.startswith(SNAPSHOT)
+                and name not in wanted
+                or any(number < first for kind in (LOG, MARKS) for number in _numbers([name], kind))
+            ]
             for name in gone:
                 self.disk.remove(name)
             if gone:
@@ -490,8 +532,9 @@
     def _check_room(self) -> None:
         free = self.disk.free()
         if free < self.limits.low:
-            raise NoRoom(f"{free} bytes are free, {self.limits.low} are wanted", free=free,
-                         wanted=self.limits.low)
+            raise NoRoom(
+                f"{free} bytes are free, {self.limits.low} are wanted", free=free, wanted=self.limits.low
+            )
 
     def _take_reserve(self) -> None:
         """Hold room for a snapshot, as far as the disk has it to spare."""
@@ -526,7 +569,7 @@
     start = kept.SnapshotStart(head=head.SerializeToString(), size=len(snapshot))
     yield records.pack(records.SNAPSHOT, 0, start.SerializeToString())
     for number, at in enumerate(range(0, len(snapshot), records.RECORD_MOST), 1):
-        yield records.pack(records.PIECE, number, snapshot[at:at + records.RECORD_MOST])
+        yield records.pack(records.PIECE, number, snapshot[at : at + records.RECORD_MOST])
 
 
 def _grouped(writes: Iterable[Write]) -> kept.Group:
@@ -563,5 +606,6 @@
 
 def _numbers(names: list[str], kind: str) -> list[int]:
     """Return the numbers of the files of a kind, in order."""
-    return sorted(int(name[len(kind):]) for name in names
-                  if name.startswith(kind) and name[len(kind):].isdigit())
+    return sorted(
+        int(name[len(kind) :]) for name in names if name.startswith(kind) and name[len(kind) :].isdigit()
+    )
--- a/fennelwind/thrift/codec.py
+++ b/fennelwind/thrift/codec.py
@@ -20,8 +20,16 @@
 STRUCT, MAP, SET, LIST = 12, 13, 14, 15
 SIZES = {BOOL: 1, BYTE: 1, DOUBLE: 8, I16: 2, I32: 4, I64: 8}  # bytes of the types that have a fixed size
 LEAST = {**SIZES, STRING: 4, STRUCT: 1, MAP: 6, SET: 5, LIST: 5}  # bytes that a value takes at least
-SIMPLE = {"bool": BOOL, "byte": BYTE, "double": DOUBLE, "i16": I16, "i32": I32, "i64": I64, "string": STRING,
-          "binary": STRING}
+SIMPLE = {
+    "bool": BOOL,
+    "byte": BYTE,
+    "double": DOUBLE,
+    "i16": I16,
+    "i32": I32,
+    "i64": I64,
+    "string": STRING,
+    "binary": STRING,
+}
 FORMATS = {BYTE: "b", DOUBLE: "d", I16: "h", I32: "i", I64: "q"}
 
 
@@ -78,7 +86,7 @@
 
 
 def _read_bytes(buf: bytes, pos: int) -> tuple[bytes, int]:
-    size, = _int(buf, pos)
+    (size,) = _int(buf, pos)
     pos += 4
     end = pos + size
     if size < 0:
@@ -93,7 +101,7 @@
 
 
 def _read_count(buf: bytes, pos: int, least: int) -> int:
-    count, = _int(buf, pos)
+    (count,) = _int(buf, pos)
     if count < 0:
         raise Malformed(f"a list of {count} elements")
     if count * least > len(buf) - pos - 4:
@@ -135,7 +143,7 @@
         if inner == STRING:  # text columns of pages that pass: nearly all the time goes here
             read, most = _int, len(buf)
             for _ in range(count):
-                size, = read(buf, pos)
+                (size,) = read(buf, pos)
                 if size < 0:
                     raise Malformed(f"a string of {size} bytes")
                 pos += 4 + size
@@ -147,7 +155,7 @@
         return pos
     if code == MAP:
         key, value = buf[pos], buf[pos + 1]
-        if (key not in LEAST or value not in LEAST) and any(buf[pos + 2:pos + 6]):
+        if (key not in LEAST or value not in LEAST) and any(buf[pos + 2 : pos + 6]):
             raise Malformed(f"a map of the unknown types {key} and {value}")
         count = _read_count(buf, pos + 2, LEAST.get(key, 1) + LEAST.get(value, 1))
         pos += 6
@@ -170,17 +178,20 @@
             return simple[kind]
         name = "_read_" + re.sub(r"\W", "_", kind)
         if kind.startswith("lazy<") and name not in self.names:
-            inner, = _arguments(kind)
+            (inner,) = _arguments(kind)
             codec = f"Codec({inner}, _read_{inner}, _write_{inner})"
-            self._compile(f"def {name}(buf, pos):\n"
-                          f"    end = skip(buf, pos, {STRUCT}, 1)\n"
-                          f"    return Lazy({codec}, buf[pos:end]), end\n")
+            self._compile(
+                f"def {name}(buf, pos):\n"
+                f"    end = skip(buf, pos, {STRUCT}, 1)\n"
+                f"    return Lazy({codec}, buf[pos:end]), end\n"
+            )
         if name in self.names or wire_type(kind) == STRUCT:
             return name
         if kind in SIMPLE:
             code = SIMPLE[kind]
-            self._compile(f"def {name}(buf, pos):\n"
-                          f"    return _unpack{code}(buf, pos)[0], pos + {SIZES[code]}\n")
+            self._compile(
+                f"def {name}(buf, pos):\n    return _unpack{code}(buf, pos)[0], pos + {SIZES[code]}\n"
+            )
         elif kind.startswith("map<"):
             key, value = _arguments(kind)
             self._compile(
@@ -192,27 +203,34 @@
                 f"    for _ in range(count):\n"
                 f"        key, pos = {self.reader(key)}(buf, pos)\n"
                 f"        value[key], pos = {self.reader(value)}(buf, pos)\n"
-                f"    return value, pos\n")
+                f"    return value, pos\n"
+            )
         else:
-            inner, = _arguments(kind)
+            (inner,) = _arguments(kind)
             code = wire_type(inner)
             head = f"    count, pos = _read_list(buf, pos, {code}, {LEAST[code]})\n"
             if code == BOOL:
                 body = "    end = pos + count\n    return [v != 0 for v in buf[pos:end]], end\n"
             elif code in SIZES:
-                body = (f"    return list(unpack_from(f'>{{count}}{FORMATS[code]}', buf, pos)), "
-                        f"pos + count * {SIZES[code]}\n")
+                body = (
+                    f"    return list(unpack_from(f'>{{count}}{FORMATS[code]}', buf, pos)), "
+                    f"pos + count * {SIZES[code]}\n"
+                )
             elif inner == "binary":
-                body = ("    value = []\n    add = value.append\n    most = len(buf)\n"
-                        "    for _ in range(count):\n"
-                        "        size, = _int(buf, pos)\n        pos += 4\n        end = pos + size\n"
-                        "        if size < 0:\n            raise Malformed(f'a string of {size} bytes')\n"
-                        "        add(buf[pos:end])\n        pos = end\n"
-                        "    if pos > most:\n        raise Incomplete\n    return value, pos\n")
+                body = (
+                    "    value = []\n    add = value.append\n    most = len(buf)\n"
+                    "    for _ in range(count):\n"
+                    "        size, = _int(buf, pos)\n        pos += 4\n        end = pos + size\n"
+                    "        if size < 0:\n            raise Malformed(f'a string of {size} bytes')\n"
+                    "        add(buf[pos:end])\n        pos = end\n"
+                    "    if pos > most:\n        raise Incomplete\n    return value, pos\n"
+                )
             else:
-                body = (f"    value = []\n    for _ in range(count):\n"
-                        f"        item, pos = {self.reader(inner)}(buf, pos)\n"
-                        f"        value.append(item)\n    return value, pos\n")
+                body = (
+                    f"    value = []\n    for _ in range(count):\n"
+                    f"        item, pos = {self.reader(inner)}(buf, pos)\n"
+                    f"        value.append(item)\n    return value, pos\n"
+                )
             self._compile(f"def {name}(buf, pos):\n" + head + body)
         return name
 
@@ -220,27 +238,31 @@
         """Return the name of a function (out, value) that appends the value's pieces to a list's `append`."""
         name = "_write_" + re.sub(r"\W", "_", kind)
         if kind.startswith("lazy<") and name not in self.names:
-            inner, = _arguments(kind)
-            self._compile(f"def {name}(out, value):\n"
-                          f"    if type(value) is Lazy:\n        out(value.raw)\n"
-                          f"    else:\n        _write_{inner}(out, value)\n")
+            (inner,) = _arguments(kind)
+            self._compile(
+                f"def {name}(out, value):\n"
+                f"    if type(value) is Lazy:\n        out(value.raw)\n"
+                f"    else:\n        _write_{inner}(out, value)\n"
+            )
         if name in self.names or wire_type(kind) == STRUCT:
             return name
         if kind in SIMPLE:
             code = SIMPLE[kind]
             body = {
                 "string": "    raw = value.encode('utf-8', 'surrogateescape')\n"
-                          "    out(_pack8(len(raw)))\n    out(raw)\n",
+                "    out(_pack8(len(raw)))\n    out(raw)\n",
                 "binary": "    out(_pack8(len(value)))\n    out(value)\n",
                 "bool": "    out(b'\\1' if value else b'\\0')\n",
             }.get(kind, f"    out(_pack{code}(value))\n")
         elif kind.startswith("map<"):
             key, value = _arguments(kind)
-            body = (f"    out(_pack_map({wire_type(key)}, {wire_type(value)}, len(value)))\n"
-                    f"    for key, item in value.items():\n"
-                    f"        {self.writer(key)}(out, key)\n        {self.writer(value)}(out, item)\n")
+            body = (
+                f"    out(_pack_map({wire_type(key)}, {wire_type(value)}, len(value)))\n"
+                f"    for key, item in value.items():\n"
+                f"        {self.writer(key)}(out, key)\n        {self.writer(value)}(out, item)\n"
+            )
         else:
-            inner, = _arguments(kind)
+            (inner,) = _arguments(kind)
             code = wire_type(inner)
             body = f"    out(_pack_list({code}, len(value)))\n"
             if code == BOOL:
@@ -258,19 +280,31 @@
         """Make the class of a structure with its reader and writer."""
         slots = ", ".join(f"{f.name!r}" for f in fields)
         arguments = "".join(f", {f.name}=None" for f in fields)
-        text = [f"class {name}(Structure):", f"    __slots__ = ({slots}{',' if fields else ''})",
-                f"    FIELDS = FIELDS_{name}", f"    def __init__(self{arguments}):"]
+        text = [
+            f"class {name}(Structure):",
+            f"    __slots__ = ({slots}{',' if fields else ''})",
+            f"    FIELDS = FIELDS_{name}",
+            f"    def __init__(self{arguments}):",
+        ]
         text += [f"        self.{f.name} = {f.name}" for f in fields] or ["        pass"]
-        text += [f"def _read_{name}(buf, pos):", f"    value = {name}()", "    while True:",
-                 "        if buf[pos] == 0:", "            return value, pos + 1",
-                 "        head = buf[pos:pos + 3]", "        pos += 3"]
+        text += [
+            f"def _read_{name}(buf, pos):",
+            f"    value = {name}()",
+            "    while True:",
+            "        if buf[pos] == 0:",
+            "            return value, pos + 1",
+            "        head = buf[pos:pos + 3]",
+            "        pos += 3",
+        ]
         word = "if"
         for f in fields:
             head = bytes([f.code]) + f.number.to_bytes(2, "big", signed=True)
             text += [f"        {word} head == {head!r}:"] + self._read_field(f)
             word = "elif"
-        text += ["        else:" if fields else "        if True:",
-                 "            pos = skip(buf, pos, head[0], 1)"]
+        text += [
+            "        else:" if fields else "        if True:",
+            "            pos = skip(buf, pos, head[0], 1)",
+        ]
         text += [f"def _write_{name}(out, value):"]
         for f in fields:
             text += [f"    v = value.{f.name}", "    if v is not None:"] + self._write_field(f)
@@ -280,15 +314,23 @@
 
     def _read_field(self, f: Field) -> list[str]:
         if f.type in SIMPLE and f.code in FORMATS:
-            return [f"            value.{f.name}, = _unpack{f.code}(buf, pos)",
-                    f"            pos += {SIZES[f.code]}"]
+            return [
+                f"            value.{f.name}, = _unpack{f.code}(buf, pos)",
+                f"            pos += {SIZES[f.code]}",
+            ]
         if f.code == STRING:
             decode = ".decode('utf-8', 'surrogateescape')" if f.type == "string" else ""
-            return ["            size, = _int(buf, pos)", "            pos += 4",
-                    "            end = pos + size", "            if size < 0:",
-                    "                raise Malformed(f'a string of {size} bytes')",
-                    "            if end > len(buf):", "                raise Incomplete",
-                    f"            value.{f.name} = buf[pos:end]{decode}", "            pos = end"]
+            return [
+                "            size, = _int(buf, pos)",
+                "            pos += 4",
+                "            end = pos + size",
+                "            if size < 0:",
+                "                raise Malformed(f'a string of {size} bytes')",
+                "            if end > len(buf):",
+                "                raise Incomplete",
+                f"            value.{f.name} = buf[pos:end]{decode}",
+                "            pos = end",
+            ]
         return [f"            value.{f.name}, pos = {self.reader(f.type)}(buf, pos)"]
 
     def _write_field(self, f: Field) -> list[str]:
@@ -308,7 +350,7 @@
 
 def _arguments(kind: str) -> list[str]:
     """Return the type arguments of a container, split at its outermost comma."""
-    inside, depth, parts = kind[kind.index("<") + 1:-1], 0, [""]
+    inside, depth, parts = kind[kind.index("<") + 1 : -1], 0, [""]
     for letter in inside:
         depth += (letter == "<") - (letter == ">")
         if letter == "," and depth == 0:
@@ -326,7 +368,8 @@
 
     def __eq__(self, other: object) -> bool:
         return type(self) is type(other) and all(
-            getattr(self, f.name) == getattr(other, f.name) for f in self.FIELDS)
+            getattr(self, f.name) == getattr(other, f.name) for f in self.FIELDS
+        )
 
     __hash__ = None
 
@@ -377,11 +420,23 @@
 def build(tables: dict[str, str]) -> dict[str, Codec]:
     """Build the codecs of all structures declared; a structure may name any other."""
     names: dict[str, Any] = {
-        "Structure": Structure, "Lazy": Lazy, "Codec": Codec, "Struct": Struct, "Malformed": Malformed,
-        "Incomplete": Incomplete, "skip": skip, "unpack_from": unpack_from, "_int": _int,
-        "_pack_list": _pack_list, "_pack_map": _pack_map, "_read_text": _read_text,
-        "_read_bytes": _read_bytes, "_read_bool": _read_bool, "_read_count": _read_count,
-        "_read_list": _read_list}
+        "Structure": Structure,
+        "Lazy": Lazy,
+        "Codec": Codec,
+        "Struct": Struct,
+        "Malformed": Malformed,
+        "Incomplete": Incomplete,
+        "skip": skip,
+        "unpack_from": unpack_from,
+        "_int": _int,
+        "_pack_list": _pack_list,
+        "_pack_map": _pack_map,
+        "_read_text": _read_text,
+        "_read_bytes": _read_bytes,
+        "_read_bool": _read_bool,
+        "_read_count": _read_count,
+        "_read_list": _read_list,
+    }
     for code in FORMATS:
         names[f"_unpack{code}"], names[f"_pack{code}"] = _unpack[code], _pack[code]
         names[f"_pack_field{code}"] = _pack_field[code]
--- a/fennelwind/thrift/hints.py
+++ b/fennelwind/thrift/hints.py
@@ -37,7 +37,7 @@
     found: dict[str, dict[str, float]] = {}
     for message in messages or ():
         if message.startswith(PREFIX) and len(message) <= LONGEST:
-            name, *parts = message[len(PREFIX):].split(" ")
+            name, *parts = message[len(PREFIX) :].split(" ")
             found[name] = figures = {}
             for part in parts:
                 key, _, text = part.partition("=")
--- a/fennelwind/thrift/hiveserver2.py
+++ b/fennelwind/thrift/hiveserver2.py
@@ -39,9 +39,9 @@
     "TUnionTypeEntry": "1 nameToTypePtr map<string,i32>",
     "TUserDefinedTypeEntry": "1 typeClassName string",
     "TTypeEntry": "1 primitiveEntry TPrimitiveTypeEntry; 2 arrayEntry TArrayTypeEntry; "
-                  "3 mapEntry TMapTypeEntry;"
-                  "4 structEntry TStructTypeEntry; 5 unionEntry TUnionTypeEntry;"
-                  "6 userDefinedTypeEntry TUserDefinedTypeEntry",
+    "3 mapEntry TMapTypeEntry;"
+    "4 structEntry TStructTypeEntry; 5 unionEntry TUnionTypeEntry;"
+    "6 userDefinedTypeEntry TUserDefinedTypeEntry",
     "TTypeDesc": "1 types list<TTypeEntry>",
     "TColumnDesc": "1 columnName string; 2 typeDesc TTypeDesc; 3 position i32; 4 comment string",
     "TTableSchema": "1 columns list<TColumnDesc>",
@@ -53,7 +53,7 @@
     "TDoubleValue": "1 value double",
     "TStringValue": "1 value binary",
     "TColumnValue": "1 boolVal TBoolValue; 2 byteVal TByteValue; 3 i16Val TI16Value; 4 i32Val TI32Value;"
-                    "5 i64Val TI64Value; 6 doubleVal TDoubleValue; 7 stringVal TStringValue",
+    "5 i64Val TI64Value; 6 doubleVal TDoubleValue; 7 stringVal TStringValue",
     "TRow": "1 colVals list<TColumnValue>",
     "TBoolColumn": "1 values list<bool>; 2 nulls binary",
     "TByteColumn": "1 values list<byte>; 2 nulls binary",
@@ -64,29 +64,29 @@
     "TStringColumn": "1 values list<binary>; 2 nulls binary",
     "TBinaryColumn": "1 values list<binary>; 2 nulls binary",
     "TColumn": "1 boolVal TBoolColumn; 2 byteVal TByteColumn; 3 i16Val TI16Column; 4 i32Val TI32Column;"
-               "5 i64Val TI64Column; 6 doubleVal TDoubleColumn; 7 stringVal TStringColumn;"
-               "8 binaryVal TBinaryColumn",
+    "5 i64Val TI64Column; 6 doubleVal TDoubleColumn; 7 stringVal TStringColumn;"
+    "8 binaryVal TBinaryColumn",
     "TRowSet": "1 startRowOffset i64; 2 rows list<TRow>; 3 columns list<TColumn>; 4 binaryColumns binary;"
-               "5 columnCount i32",
+    "5 columnCount i32",
     "TStatus": "1 statusCode i32; 2 infoMessages list<string>; 3 sqlState string; 4 errorCode i32;"
-               "5 errorMessage string",
+    "5 errorMessage string",
     "THandleIdentifier": "1 guid binary; 2 secret binary",
     "TSessionHandle": "1 sessionId THandleIdentifier",
     "TOperationHandle": "1 operationId THandleIdentifier; 2 operationType i32; 3 hasResultSet bool;"
-                        "4 modifiedRowCount double",
+    "4 modifiedRowCount double",
     "TOpenSessionReq": "1 client_protocol i32; 2 username string; 3 password string;"
-                       "4 configuration map<string,string>",
+    "4 configuration map<string,string>",
     "TOpenSessionResp": "1 status TStatus; 2 serverProtocolVersion i32; 3 sessionHandle TSessionHandle;"
-                        "4 configuration map<string,string>",
+    "4 configuration map<string,string>",
     "TCloseSessionReq": _SESSION_ONLY,
     "TCloseSessionResp": _STATUS_ONLY,
     "TGetInfoValue": "1 stringValue string; 2 smallIntValue i16; 3 integerBitmask i32; 4 integerFlag i32;"
-                     "5 binaryValue i32; 6 lenValue i64",
+    "5 binaryValue i32; 6 lenValue i64",
     "TGetInfoReq": "1 sessionHandle TSessionHandle; 2 infoType i32",
     "TGetInfoResp": "1 status TStatus; 2 infoValue TGetInfoValue",
     "TExecuteStatementReq": "1 sessionHandle TSessionHandle; 2 statement string; "
-                            "3 confOverlay map<string,string>;"
-                            "4 runAsync bool; 5 queryTimeout i64",
+    "3 confOverlay map<string,string>;"
+    "4 runAsync bool; 5 queryTimeout i64",
     "TExecuteStatementResp": _OPERATION,
     "TGetTypeInfoReq": _SESSION_ONLY,
     "TGetTypeInfoResp": _OPERATION,
@@ -105,18 +105,18 @@
     "TGetPrimaryKeysReq": _NAMES + "; 4 tableName string",
     "TGetPrimaryKeysResp": _OPERATION,
     "TGetCrossReferenceReq": "1 sessionHandle TSessionHandle; 2 parentCatalogName string;"
-                             "3 parentSchemaName string; 4 parentTableName string; "
-                             "5 foreignCatalogName string; 6 foreignSchemaName string;"
-                             "7 foreignTableName string",
+    "3 parentSchemaName string; 4 parentTableName string; "
+    "5 foreignCatalogName string; 6 foreignSchemaName string;"
+    "7 foreignTableName string",
     "TGetCrossReferenceResp": _OPERATION,
     "TProgressUpdateResp": "1 headerNames list<string>; 2 rows list<list<string>>; "
-                           "3 progressedPercentage double;"
-                           "4 status i32; 5 footerSummary string; 6 startTime i64",
+    "3 progressedPercentage double;"
+    "4 status i32; 5 footerSummary string; 6 startTime i64",
     "TGetOperationStatusReq": _HANDLE_ONLY + "; 2 getProgressUpdate bool",
     "TGetOperationStatusResp": "1 status TStatus; 2 operationState i32; 3 sqlState string; 4 errorCode i32;"
-                               "5 errorMessage string; 6 taskStatus string; 7 operationStarted i64;"
-                               "8 operationCompleted i64; 9 hasResultSet bool;"
-                               "10 progressUpdateResponse TProgressUpdateResp; 11 numModifiedRows i64",
+    "5 errorMessage string; 6 taskStatus string; 7 operationStarted i64;"
+    "8 operationCompleted i64; 9 hasResultSet bool;"
+    "10 progressUpdateResponse TProgressUpdateResp; 11 numModifiedRows i64",
     "TCancelOperationReq": _HANDLE_ONLY,
     "TCancelOperationResp": _STATUS_ONLY,
     "TCloseOperationReq": _HANDLE_ONLY,
@@ -183,12 +183,12 @@
     count = 0
     try:
         while raw[pos] != 0:
-            code, number, pos = raw[pos], int.from_bytes(raw[pos + 1:pos + 3], "big"), pos + 3
+            code, number, pos = raw[pos], int.from_bytes(raw[pos + 1 : pos + 3], "big"), pos + 3
             if (code, number) == (LIST, 2):
-                count = max(count, int.from_bytes(raw[pos + 1:pos + 5], "big"))
-            elif (code, number) == (LIST, 3) and any(raw[pos + 1:pos + 5]):
+                count = max(count, int.from_bytes(raw[pos + 1 : pos + 5], "big"))
+            elif (code, number) == (LIST, 3) and any(raw[pos + 1 : pos + 5]):
                 # The list's head, the first column's only field, and the head of the list of its values.
-                head = raw[pos:pos + 16]
+                head = raw[pos : pos + 16]
                 if head[5] != STRUCT or head[8:11] != b"\x0f\0\1":  # its fields stand in another order
                     return _decoded_count(page.value)
                 return int.from_bytes(head[12:16], "big")
--- a/fennelwind/thrift/messages.py
+++ b/fennelwind/thrift/messages.py
@@ -63,14 +63,14 @@
     elif version:
         raise Malformed(f"a message of protocol version {version:#06x}")
     else:
-        size, = _int(buf, pos)
+        (size,) = _int(buf, pos)
         pos += 4
     if not 0 <= size <= NAME_MOST:
         raise Malformed(f"a method's name of {size} bytes")
-    name, pos = buf[pos:pos + size], pos + size
+    name, pos = buf[pos : pos + size], pos + size
     if not strict:
         kind, pos = buf[pos], pos + 1
-    sequence, = _int(buf, pos)
+    (sequence,) = _int(buf, pos)
     pos += 4
     if kind not in (CALL, REPLY, EXCEPTION, ONEWAY):
         raise Malformed(f"a message of type {kind}")
@@ -83,7 +83,7 @@
     method, codec = known
     wanted, body = b"\x0c\0\0" if kind == REPLY else b"\x0c\0\1", None
     while buf[pos] != STOP:
-        head, pos = buf[pos:pos + 3], pos + 3
+        head, pos = buf[pos : pos + 3], pos + 3
         if head == wanted:
             body, pos = codec.read(buf, pos)
         else:
@@ -93,7 +93,6 @@
     return Message(method, kind, sequence, body, strict), pos + 1
 
 
-
 def write_message(method: str, kind: int, sequence: int, body: Structure, strict: bool = True) -> bytes:
     """Return the bytes of a message."""
     name = method.encode()
@@ -163,7 +162,7 @@
         pos, left, most, read = self.pos, top[-1], len(buf), _int
         try:
             while left:
-                size, = read(buf, pos)
+                (size,) = read(buf, pos)
                 end = pos + 4 + size
                 if size < 0:
                     raise Malformed(f"a string of {size} bytes")
@@ -248,7 +247,7 @@
         return True
 
     def _count(self, buf: bytearray, pos: int, least: int) -> int:
-        count, = _int(buf, pos)
+        (count,) = _int(buf, pos)
         if count < 0:
             raise Malformed(f"a length of {count}")
         if pos + count * least > self.most:
--- a/fennelwind/thrift/transport.py
+++ b/fennelwind/thrift/transport.py
@@ -44,13 +44,13 @@
         buf = self.buf
         if len(buf) < 4:
             return None
-        size, = _length.unpack_from(buf)
+        (size,) = _length.unpack_from(buf)
         if not 0 < size <= self.most:
             raise Malformed(f"a frame of {size} bytes, where 1 to {self.most} are taken")
         if len(buf) < 4 + size:
             return None
-        message = self._decode(bytes(memoryview(buf)[4:4 + size]), size)
-        del buf[:4 + size]
+        message = self._decode(bytes(memoryview(buf)[4 : 4 + size]), size)
+        del buf[: 4 + size]
         return message
 
     def _bare(self) -> Message | None:
@@ -125,7 +125,7 @@
         elif len(buf) < 5:
             return False
         else:  # a length: of a frame, or of the method's name in an old head, which a letter follows
-            self.transport = BUFFERED if 0x41 <= buf[4] <= 0x7a else FRAMED
+            self.transport = BUFFERED if 0x41 <= buf[4] <= 0x7A else FRAMED
         self._inbox.framed = self.transport != BUFFERED
         return True
 
@@ -137,8 +137,8 @@
                 raise Malformed(f"a SASL step of {size} bytes")
             if len(buf) < 5 + size:
                 return None
-            payload = bytes(buf[5:5 + size])
-            del buf[:5 + size]
+            payload = bytes(buf[5 : 5 + size])
+            del buf[: 5 + size]
             if status == START and not self._plain:
                 if payload != b"PLAIN":
                     self.reject("only the SASL mechanism PLAIN is spoken here")
@@ -178,8 +178,9 @@
 class ClientSide:
     """The client's side of a connection."""
 
-    def __init__(self, transport: str = SASL, user: str = "", password: str = "",
-                 most: int = REPLY_MOST) -> None:
+    def __init__(
+        self, transport: str = SASL, user: str = "", password: str = "", most: int = REPLY_MOST
+    ) -> None:
         if transport not in (BUFFERED, FRAMED, SASL):
             raise ValueError(f"no transport: {transport!r}")
         self.transport = transport
@@ -211,8 +212,8 @@
                 raise Malformed(f"a SASL step of {size} bytes")
             if len(buf) < 5 + size:
                 return False
-            payload = bytes(buf[5:5 + size])
-            del buf[:5 + size]
+            payload = bytes(buf[5 : 5 + size])
+            del buf[: 5 + size]
             if status in (BAD, ERROR):
                 raise Malformed(f"turned away: {payload[:200].decode('utf-8', 'replace')}")
             if status not in (OK, COMPLETE):
@@ -227,7 +228,7 @@
 
     def call(self, method: str, request: Structure) -> tuple[int, bytes]:
         """Return a call's sequence id and its bytes as this transport carries them."""
-        self._sequence = (self._sequence + 1) & 0x7fffffff
+        self._sequence = (self._sequence + 1) & 0x7FFFFFFF
         payload = write_message(method, CALL, self._sequence, request)
         if self.transport != BUFFERED:
             payload = _length.pack(len(payload)) + payload
--- a/tests/clearance_measure.py
+++ b/tests/clearance_measure.py
@@ -84,16 +84,22 @@
             rig.sleep(60_000.0)
             words = sum(p.counts["told"] for p in parts) - words
             entries = (record.index - index) / 60
-            print(f"| {controllers} controllers, {wishes} wishes | {entries:.1f} entries/s |"
-                  f" {words / 60:.1f} words/s |", flush=True)
+            print(
+                f"| {controllers} controllers, {wishes} wishes | {entries:.1f} entries/s |"
+                f" {words / 60:.1f} words/s |",
+                flush=True,
+            )
 
     council.play(main)
 
 
 def check(times=5_000, runs=40):
     """What a query costs in routing, in us of the quickest of some runs, with and without a book."""
-    for what, book, quiet in (("without a book", None, {}), ("nothing is asked for", Book(), {}),
-                              ("three tables are quiet", Book(), {t: frozenset({"e1"}) for t in "abt"})):
+    for what, book, quiet in (
+        ("without a book", None, {}),
+        ("nothing is asked for", Book(), {}),
+        ("three tables are quiet", Book(), {t: frozenset({"e1"}) for t in "abt"}),
+    ):
         routing = Routing(SETTINGS, SLOTS_MOST, book)
         routing.listed(ENGINES)
         routing.seen({"t/d=1": ("e1", "e3"), "t/d=2": ("e3", "e5")})
@@ -121,7 +127,8 @@
         Fleet.text = staticmethod(lambda *args: plain(*args).replace('"(?i)load"', '"(?i)load|alter"'))
         for on in (True, False):
             program.moves.MOVES = program.MOVES = program.MOVES.replace(
-                "clearances: true", f"clearances: {str(on).lower()}")
+                "clearances: true", f"clearances: {str(on).lower()}"
+            )
             globals()[what](on, int(rest[0]))
     else:
         globals()[what]()
--- a/tests/clearance_play.py
+++ b/tests/clearance_play.py
@@ -191,8 +191,11 @@
         each.routing.ended(query)  # its client may be gone, or have its answer from another attempt
         attempt = (each, query)
         self.open[attempt] = pairs
-        takes = self.random.expovariate(1 / 400.0) if self.random.random() < 0.9 else self.random.uniform(
-            0.0, 15_000.0)
+        takes = (
+            self.random.expovariate(1 / 400.0)
+            if self.random.random() < 0.9
+            else self.random.uniform(0.0, 15_000.0)
+        )
         if self.random.random() < 0.2:  # nobody waits for it any more, and its engine runs it on for a while
             self.later(takes * 0.3, self.lost, each, query, self.now + takes)
         else:
@@ -227,16 +230,21 @@
         if len(self.wishes) < 3 and self.random.random() < 0.3:
             shard, engine = self.random.choice(SHARDS), self.random.choice(ENGINES)
             copy = shard in self.good and len(self.good[shard]) > 1 and engine in self.good[shard]
-            wish = ("copy", (shard, engine)) if copy and self.random.random() < 0.5 else (
-                "table", (table_of(shard), engine))
+            wish = (
+                ("copy", (shard, engine))
+                if copy and self.random.random() < 0.5
+                else ("table", (table_of(shard), engine))
+            )
             if wish not in self.wishes:
                 if wish[0] == "copy":
                     self.good[shard].discard(engine)
                 self.wishes[wish] = self.index + 1
                 self.write()
         if self.wishes:
-            asked = [pb.Wish(table=kind == "table", name=name, engine=engine, since=since)
-                     for (kind, (name, engine)), since in self.wishes.items()]
+            asked = [
+                pb.Wish(table=kind == "table", name=name, engine=engine, since=since)
+                for (kind, (name, engine)), since in self.wishes.items()
+            ]
             member = self.random.choice(self.members)
             heard = member.words.hears(asked, member.roll, member.index, member.clock_ms)
             for wish, one in zip(list(self.wishes), heard.states, strict=True):
--- a/tests/cold_model.py
+++ b/tests/cold_model.py
@@ -88,7 +88,10 @@
     def add(self, other: "Result") -> None:
         """Add what came of another play."""
         self.lives, self.falls, self.broken = (
-            self.lives + other.lives, self.falls + other.falls, self.broken + other.broken)
+            self.lives + other.lives,
+            self.falls + other.falls,
+            self.broken + other.broken,
+        )
         self.by_class += other.by_class
         self.most += other.most
         self.nearest += other.nearest
@@ -119,8 +122,9 @@
         up = now - self.launched
         self.most = max(self.most, total / case.allowed(up))
         self.nearest = max(self.nearest, total / case.falls_at(up))
-        self.nearest_by_class = max(self.nearest_by_class,
-                                    sum(u for _, _, u, _ in window) / case.mean / case.falls_at(up))
+        self.nearest_by_class = max(
+            self.nearest_by_class, sum(u for _, _, u, _ in window) / case.mean / case.falls_at(up)
+        )
         sure = sum(w for _, w, _, told in window if told) / case.mean
         self.nearest_told = max(self.nearest_told, sure / case.falls_at(up))
         if total <= case.falls_at(up) or self.fell:
@@ -167,7 +171,9 @@
             api.QueryClass(name, aim, give_up, worth, aim_stretch=stretch, late_worth=late, threads=threads)
             for name, aim, give_up, worth, stretch, late, threads in (
                 ("lookup", case.aims[0], 4000.0, 1.0, 1.5, 0.0, THREADS[0]),
-                ("build", case.aims[1], 15000.0, 10.0, 2.5, 0.4, THREADS[1])))
+                ("build", case.aims[1], 15000.0, 10.0, 2.5, 0.4, THREADS[1]),
+            )
+        )
         self.nodes = [Node(me, math.exp(self.random.gauss(0.0, case.skew))) for me in range(case.gateways)]
 
     def at(self, time: float, what: str, *told: object) -> None:
@@ -201,7 +207,7 @@
         """Plan the troubles."""
         case, names = self.case, list(self.lives)
         if case.trouble == "join":
-            for name in names[:max(1, round(0.4 * len(names)))]:
+            for name in names[: max(1, round(0.4 * len(names)))]:
                 self.at(1500.0 + self.random.random() * 2000.0, "replaced", name)
         else:
             lost = names[::2] if case.trouble == "zone" else names
@@ -221,18 +227,33 @@
     def start(self, node: Node) -> None:
         """Start a gateway that remembers nothing; it is told of all engines."""
         case = self.case
-        kept = dict(fall_multiple=case.fall_multiple if case.rule == "module" else 0.0,
-                    fall_ms=case.fall_ms, cold_share=case.cold_share, cold_ms=case.cold_ms)
+        kept = dict(
+            fall_multiple=case.fall_multiple if case.rule == "module" else 0.0,
+            fall_ms=case.fall_ms,
+            cold_share=case.cold_share,
+            cold_ms=case.cold_ms,
+        )
         settings = api.Settings(
-            self.classes, (case.cores,), gateways=case.gateways, me=node.me, can_cancel=True,
-            parallel=case.parallel, max_attempts=3, retry_after=True, max_retry_after_ms=2000.0, tick_ms=5.0,
-            **kept)
+            self.classes,
+            (case.cores,),
+            gateways=case.gateways,
+            me=node.me,
+            can_cancel=True,
+            parallel=case.parallel,
+            max_attempts=3,
+            retry_after=True,
+            max_retry_after_ms=2000.0,
+            tick_ms=5.0,
+            **kept,
+        )
         node.starts += 1
         node.gateway = self.make(settings, 1000 * self.seed + node.me + 1000000 * node.starts)
         if case.rule == "fleet":
             node.gateway._permitted = self.whole(node.gateway)
-        entries = tuple(api.EngineEntry(name, "ready" if life.up else "gone", launched_ms=life.launched)
-                        for name, life in self.lives.items())
+        entries = tuple(
+            api.EngineEntry(name, "ready" if life.up else "gone", launched_ms=life.launched)
+            for name, life in self.lives.items()
+        )
         node.believed = {entry.engine: entry for entry in entries}
         self.step(node, api.EngineList("full", entries))
 
@@ -291,8 +312,12 @@
             return
         node = self.random.choices(alive, [node.traffic for node in alive])[0]
         made = self.classes[cls]
-        request = Request(cls, work, self.now + made.aim_ms + made.aim_stretch * work / made.threads,
-                          self.now + made.give_up_ms)
+        request = Request(
+            cls,
+            work,
+            self.now + made.aim_ms + made.aim_stretch * work / made.threads,
+            self.now + made.give_up_ms,
+        )
         self.result.offered += made.worth
         self.count += 1
         self.requests[node.me, node.starts, self.count] = request
@@ -332,8 +357,9 @@
         took = request.work / threads * slow * math.exp(self.random.gauss(0.0, 0.1)) + 1.0
         self.at(self.now + took, "ended", node, mark, query, number, "ok", began, True)
 
-    def ended(self, node: Node, mark: int, query: int, number: int, status: str, began: float,
-              finished: bool) -> None:
+    def ended(
+        self, node: Node, mark: int, query: int, number: int, status: str, began: float, finished: bool
+    ) -> None:
         """An attempt ends, in whatever way came first."""
         request = self.requests[node.me, mark, query]
         where = request.out.pop(number, None)
@@ -363,8 +389,9 @@
         for (me, mark, query), request in self.requests.items():
             for number, (where, held) in list(request.out.items()):
                 if where == engine and held is life:
-                    self.at(self.now + 1.0, "ended", self.nodes[me], mark, query, number, "reset", self.now,
-                            False)
+                    self.at(
+                        self.now + 1.0, "ended", self.nodes[me], mark, query, number, "reset", self.now, False
+                    )
         self.tell(api.EngineEntry(engine, "gone"))
 
     def replaced(self, engine: str) -> None:
@@ -430,9 +457,11 @@
         f"{n}, budgets full, large mixed in": replace(full, work=(30.0, 180.0), shares=(6.0, 1.0)),
         f"{n}, budgets full, one size": replace(full, work=(150.0, 150.0), spread=(0.1, 0.1)),
         f"{n}, budgets full, one size, even traffic": replace(
-            full, work=(150.0, 150.0), spread=(0.1, 0.1), skew=0.0),
+            full, work=(150.0, 150.0), spread=(0.1, 0.1), skew=0.0
+        ),
         f"{n}, budgets full, one size, even traffic, all at once": replace(
-            full, work=(150.0, 150.0), spread=(0.1, 0.1), skew=0.0, kill=0.7, late=1 / 3, estimates="half"),
+            full, work=(150.0, 150.0), spread=(0.1, 0.1), skew=0.0, kill=0.7, late=1 / 3, estimates="half"
+        ),
         f"{n}, budgets full, all at once": replace(full, kill=0.7, late=1 / 3, errors=0.2, estimates="half"),
         f"{n}, skewed more": fleet(n, skew=1.6),
         f"{n}, no estimates": fleet(n, estimates="none"),
@@ -448,9 +477,11 @@
         f"{n}, one size": fleet(n, trouble="zone", work=(200.0, 200.0), spread=(0.1, 0.1)),
         f"{n}, large engines": fleet(n, trouble="zone", cores=32),
         f"{n}, all at once": fleet(
-            n, trouble="all", kill=0.7, late=1 / 3, errors=0.2, estimates="half", load=1.3),
+            n, trouble="all", kill=0.7, late=1 / 3, errors=0.2, estimates="half", load=1.3
+        ),
         f"{n}, all at once, none told": fleet(
-            n, trouble="all", kill=0.7, late=1 / 3, errors=0.2, estimates="none", load=1.3),
+            n, trouble="all", kill=0.7, late=1 / 3, errors=0.2, estimates="none", load=1.3
+        ),
     }
 
 
@@ -471,8 +502,11 @@
         r = sample(case, seeds)
         low, high = interval(r.broken, r.lives)
         told = sorted(r.told)
-        print(f"| {name} | {case.allowed(0.0):.0f} | {r.lives} | {r.falls} | {r.broken} ({low:.4f} to "
-              f"{high:.4f}) | {r.by_class} | {told[len(told) // 2]:.2f}, {told[-1]:.2f} |", flush=True)
+        print(
+            f"| {name} | {case.allowed(0.0):.0f} | {r.lives} | {r.falls} | {r.broken} ({low:.4f} to "
+            f"{high:.4f}) | {r.by_class} | {told[len(told) // 2]:.2f}, {told[-1]:.2f} |",
+            flush=True,
+        )
 
 
 def worth(names: list[str], seeds: range) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,9 +7,19 @@
 from fennelwind.rules import Gateway
 
 # Files whose tests start processes or take times: one of them at a time, whatever else runs beside.
-PROCESSES = {"test_clearance_processes", "test_cli", "test_council_processes", "test_council_program",
-             "test_disks", "test_known_red", "test_node_run", "test_rig", "test_rig_processes", "test_spread",
-             "test_whole"}
+PROCESSES = {
+    "test_clearance_processes",
+    "test_cli",
+    "test_council_processes",
+    "test_council_program",
+    "test_disks",
+    "test_known_red",
+    "test_node_run",
+    "test_rig",
+    "test_rig_processes",
+    "test_spread",
+    "test_whole",
+}
 
 
 def pytest_configure(config):
@@ -22,14 +32,24 @@
         name = item.path.stem
         item.add_marker(pytest.mark.xdist_group("processes" if name in PROCESSES else name))
 
+
 LOOKUP = api.QueryClass("small", aim_ms=800.0, give_up_ms=4000.0, worth=1.0, threads=1)
 REPORT = api.QueryClass("large", aim_ms=3000.0, give_up_ms=15000.0, worth=10.0, late_worth=0.3, threads=4)
 
 
 def settings(**changes):
-    base = dict(classes=(LOOKUP, REPORT), kind_cores=(8,), can_cancel=True, parallel=True, max_attempts=4,
-                retry_after=True, max_retry_after_ms=500.0, answer_slack_ms=20.0, drain_grace_ms=1000.0,
-                tick_ms=5.0)
+    base = dict(
+        classes=(LOOKUP, REPORT),
+        kind_cores=(8,),
+        can_cancel=True,
+        parallel=True,
+        max_attempts=4,
+        retry_after=True,
+        max_retry_after_ms=500.0,
+        answer_slack_ms=20.0,
+        drain_grace_ms=1000.0,
+        tick_ms=5.0,
+    )
     return api.Settings(**{**base, **changes})
 
 
