--- a/tests/contracts_defects.py
+++ b/tests/contracts_defects.py
@@ -33,6 +33,7 @@
 
 # Finders: each returns after how many plays it fails, and how; None: it did not.
 
+
 def by_rows(seed: int) -> None:
     """Hold verdicts against rows."""
     for rejected, how, found, _ in contract_rows.play(seed):
@@ -47,6 +48,7 @@
 def by_case(case: tuple[str, ...]) -> None:
     """Look at a written case of tables."""
     from test_contracts import told_verdict
+
     reads, old, new, verdict, rule = case
     assert told_verdict(reads, old, new) == (verdict, sorted(rule.split()))
 
@@ -54,6 +56,7 @@
 def by_test(name: str) -> None:
     """Run a written test."""
     import test_contracts
+
     made = test_contracts.Gate()
     made.propose("t", "a int, b string")
     getattr(test_contracts, name)(made)
@@ -65,99 +68,248 @@
         return by_model(GateModel, most)
     if finder == "cases":
         from test_contracts import cases
+
         return broken(partial(by_case, case) for case in cases("contract_tables.txt"))
     return broken(partial({"rows": by_rows, "world": by_world}[finder], seed) for seed in range(most))
 
 
 def last_step_only(real):
     """Let subscribers expect whatever the last change has made of their columns."""
+
     def finished(self, at, change, answer):
         real(self, at, change, answer)
         now = change.form.by_number if change.form is not None else {}
         for subscription in list(self.subscriptions.values()):
             self._unlist(subscription)
             subscription.reads = tuple(
-                replace(reads, columns=tuple(replace(r, type=now[r.number].type) if r.number in now else r
-                                             for r in reads.columns))
-                if reads.table == change.table else reads for reads in subscription.reads)
+                replace(
+                    reads,
+                    columns=tuple(
+                        replace(r, type=now[r.number].type) if r.number in now else r for r in reads.columns
+                    ),
+                )
+                if reads.table == change.table
+                else reads
+                for reads in subscription.reads
+            )
             self._list(subscription)
+
     return finished
 
 
 DEFECTS = (
-    Defect("admission from an old copy of the record", "model", [Line(
-        ContractMachine._barred, "told.version != answer.version", "False")],
-        "test_two_publishers_at_once_and_one_with_an_old_copy"),
-    Defect("a lapsed subscriber still counts", "model", [
-        patch.object(ContractMachine, "_lapse", lambda self, subscription: None)]),
-    Defect("a renewal does not lengthen the term", "model", [Line(
-        ContractMachine._renew, "known.until_ms = max(known.until_ms, at.clock_ms + known.term_ms)", "pass")],
-        "test_a_lapsed_subscriber_stops_nothing_and_is_told_what_came_when_it_returns"),
-    Defect("names are compared with their case", "cases", [Line(
-        said.parse_reads, "columns, how = parsed(READS_GRAMMAR, text)",
-        "columns, how = parsed(READS_GRAMMAR, text)\n"
-        "    for c in columns:\n"
-        "        c[1] = c[1].upper() if f'{c[1].upper()} ' in text else c[1]")]),
-    Defect("readers by place are passed over", "model", [Line(
-        checker.check, "forms(table).items():",
-        "forms(table).items():\n        if any(r.place for r in reads.columns):\n            continue")],
-        "test_a_change_that_breaks_nobody_stands_and_one_that_does_names_who_and_what"),
-    Defect("each step is held against the one before alone", "model", [
-        patch.object(ContractMachine, "_finished", last_step_only(ContractMachine._finished))],
-        "test_steps_that_are_each_harmless_and_together_break"),
-    Defect("`*` means what is there at the check", "model", [Line(
-        ContractMachine._resolved, "return replace(reads, columns=columns)", "return reads")],
-        "test_a_change_that_breaks_nobody_stands_and_one_that_does_names_who_and_what"),
-    Defect("a name is a column, whichever bears it", "rows", [Line(
-        rules._by_name, "(not read.number or not column.number or column.number == read.number)", "True")]),
-    Defect("a place is a column, whichever stands there", "rows", [Line(
-        rules._at_place, "if read.number and column.number else column.name == read.name", "or True")]),
-    Defect("whoever asks may act, without a fence", "model", [patch.object(
-        ContractMachine, "_acting", lambda self, told, facts, answer: self.changes.get(told.number))]),
-    Defect("the fence is not in the snapshot", "model", [Line(
-        machine.change_message, "fence=change.fence", "fence=0")],
-        "test_another_member_goes_on_where_the_first_one_stopped"),
-    Defect("finished before all engines are", "model", [Line(
-        ContractMachine._finish, "Change.DONE in states <= {Change.DONE, *rest}", "True")],
-        "test_only_the_holder_of_the_tables_lease_carries_out_and_a_later_one_goes_on"),
-    Defect("who registers meanwhile is held against the old schema alone", "model", [Line(
-        ContractMachine._forms, "forms + [change.form] if change is not None else forms", "forms")]),
-    Defect("shards under way are not asked for", "model", [Line(
-        ContractMachine._propose, 'facts.fact("moving", name) > 0', "False")]),
-    Defect("moves see a change once it has begun", "model", [Line(
-        ContractMachine.fact, "key in self.by_table",
-        "key in self.by_table and self.changes[self.by_table[key]].step > 0")]),
-    Defect("nobody breaks for a publisher", "model", [Line(
-        checker.check, "if others:", "if others and all(f.level < Level.BROKEN for f in findings):")],
-        "test_a_change_that_breaks_nobody_stands_and_one_that_does_names_who_and_what"),
-    Defect("nulls are not looked at", "rows", [Line(
-        rules._of_column, "column.nullable and not read.nullable", "False")]),
-    Defect("decimals by precision alone", "rows", [Line(
-        rules._plain, "behind <= scale and digits - behind <= precision - scale", "digits <= precision")]),
+    Defect(
+        "admission from an old copy of the record",
+        "model",
+        [Line(ContractMachine._barred, "told.version != answer.version", "False")],
+        "test_two_publishers_at_once_and_one_with_an_old_copy",
+    ),
+    Defect(
+        "a lapsed subscriber still counts",
+        "model",
+        [patch.object(ContractMachine, "_lapse", lambda self, subscription: None)],
+    ),
+    Defect(
+        "a renewal does not lengthen the term",
+        "model",
+        [
+            Line(
+                ContractMachine._renew,
+                "known.until_ms = max(known.until_ms, at.clock_ms + known.term_ms)",
+                "pass",
+            )
+        ],
+        "test_a_lapsed_subscriber_stops_nothing_and_is_told_what_came_when_it_returns",
+    ),
+    Defect(
+        "names are compared with their case",
+        "cases",
+        [
+            Line(
+                said.parse_reads,
+                "columns, how = parsed(READS_GRAMMAR, text)",
+                "columns, how = parsed(READS_GRAMMAR, text)\n"
+                "    for c in columns:\n"
+                "        c[1] = c[1].upper() if f'{c[1].upper()} ' in text else c[1]",
+            )
+        ],
+    ),
+    Defect(
+        "readers by place are passed over",
+        "model",
+        [
+            Line(
+                checker.check,
+                "forms(table).items():",
+                "forms(table).items():\n        if any(r.place for r in reads.columns):\n"
+                "            continue",
+            )
+        ],
+        "test_a_change_that_breaks_nobody_stands_and_one_that_does_names_who_and_what",
+    ),
+    Defect(
+        "each step is held against the one before alone",
+        "model",
+        [patch.object(ContractMachine, "_finished", last_step_only(ContractMachine._finished))],
+        "test_steps_that_are_each_harmless_and_together_break",
+    ),
+    Defect(
+        "`*` means what is there at the check",
+        "model",
+        [Line(ContractMachine._resolved, "return replace(reads, columns=columns)", "return reads")],
+        "test_a_change_that_breaks_nobody_stands_and_one_that_does_names_who_and_what",
+    ),
+    Defect(
+        "a name is a column, whichever bears it",
+        "rows",
+        [
+            Line(
+                rules._by_name,
+                "(not read.number or not column.number or column.number == read.number)",
+                "True",
+            )
+        ],
+    ),
+    Defect(
+        "a place is a column, whichever stands there",
+        "rows",
+        [Line(rules._at_place, "if read.number and column.number else column.name == read.name", "or True")],
+    ),
+    Defect(
+        "whoever asks may act, without a fence",
+        "model",
+        [
+            patch.object(
+                ContractMachine, "_acting", lambda self, told, facts, answer: self.changes.get(told.number)
+            )
+        ],
+    ),
+    Defect(
+        "the fence is not in the snapshot",
+        "model",
+        [Line(machine.change_message, "fence=change.fence", "fence=0")],
+        "test_another_member_goes_on_where_the_first_one_stopped",
+    ),
+    Defect(
+        "finished before all engines are",
+        "model",
+        [Line(ContractMachine._finish, "Change.DONE in states <= {Change.DONE, *rest}", "True")],
+        "test_only_the_holder_of_the_tables_lease_carries_out_and_a_later_one_goes_on",
+    ),
+    Defect(
+        "who registers meanwhile is held against the old schema alone",
+        "model",
+        [Line(ContractMachine._forms, "forms + [change.form] if change is not None else forms", "forms")],
+    ),
+    Defect(
+        "shards under way are not asked for",
+        "model",
+        [Line(ContractMachine._propose, 'facts.fact("moving", name) > 0', "False")],
+    ),
+    Defect(
+        "moves see a change once it has begun",
+        "model",
+        [
+            Line(
+                ContractMachine.fact,
+                "key in self.by_table",
+                "key in self.by_table and self.changes[self.by_table[key]].step > 0",
+            )
+        ],
+    ),
+    Defect(
+        "nobody breaks for a publisher",
+        "model",
+        [Line(checker.check, "if others:", "if others and all(f.level < Level.BROKEN for f in findings):")],
+        "test_a_change_that_breaks_nobody_stands_and_one_that_does_names_who_and_what",
+    ),
+    Defect(
+        "nulls are not looked at",
+        "rows",
+        [Line(rules._of_column, "column.nullable and not read.nullable", "False")],
+    ),
+    Defect(
+        "decimals by precision alone",
+        "rows",
+        [
+            Line(
+                rules._plain,
+                "behind <= scale and digits - behind <= precision - scale",
+                "digits <= precision",
+            )
+        ],
+    ),
     Defect("keys of maps are not looked at", "rows", [Line(rules._nested, "RULES[key].level", "False")]),
-    Defect("all versions of the protocol carry all", "rows", [
-        patch.object(rules, "carried", lambda given, version: ())]),
-    Defect("a late answer is taken for the present question's", "world", [
-        Line(Carrier._take, "event.token == self._told", "True"),
-        Line(Carrier._of_engine, "event.token != part.token", "False")]),
-    Defect("a lost answer is taken for success", "world", [Line(
-        Carrier._ran, 'part.unsure and how == "lost"', 'False; how = "ok" if how == "lost" else how')]),
-    Defect("what was lost is not stopped before the look", "world", [Line(
-        Carrier._ran, "self._stop(", "(self._stop if self._turning else self._look)(")]),
-    Defect("answers count, no look", "world", [Line(
-        Carrier._ran, "elif self._old != self._new:\n        self._look(now, part, actions)",
-        "elif how in ('ok', 'failed'):\n        self._settle(now, part, self._aim, actions)")]),
-    Defect("the statement runs before the record knows", "world", [Line(
-        Carrier._of_engine, "self._settle(now, part, state, actions, quiet=True)",
-        "self._run(now, part, actions)")]),
-    Defect("an engine that returns is taken for untouched", "world", [
-        Line(Carrier._settle, "self._phase(", "if part.state == Change.GONE_AWAY and state == Change.ASKED:\n"
-             "        state = Change.WAITING\n    self._phase("),
-        patch.object(machine, "_FORWARD", machine._FORWARD | {(pb.Change.GONE_AWAY, pb.Change.WAITING)})],
-        "test_an_engine_that_returns_half_way_is_not_taken_for_untouched"),
-    Defect("an engine that missed a change is taken for one with the old schema", "world", [Line(
-        Carrier._looked, "wanted = self._new",
-        "seen = self._old if part.state == Change.BEHIND else seen\n    wanted = self._new")]),
+    Defect(
+        "all versions of the protocol carry all",
+        "rows",
+        [patch.object(rules, "carried", lambda given, version: ())],
+    ),
+    Defect(
+        "a late answer is taken for the present question's",
+        "world",
+        [
+            Line(Carrier._take, "event.token == self._told", "True"),
+            Line(Carrier._of_engine, "event.token != part.token", "False"),
+        ],
+    ),
+    Defect(
+        "a lost answer is taken for success",
+        "world",
+        [Line(Carrier._ran, 'part.unsure and how == "lost"', 'False; how = "ok" if how == "lost" else how')],
+    ),
+    Defect(
+        "what was lost is not stopped before the look",
+        "world",
+        [Line(Carrier._ran, "self._stop(", "(self._stop if self._turning else self._look)(")],
+    ),
+    Defect(
+        "answers count, no look",
+        "world",
+        [
+            Line(
+                Carrier._ran,
+                "elif self._old != self._new:\n        self._look(now, part, actions)",
+                "elif how in ('ok', 'failed'):\n        self._settle(now, part, self._aim, actions)",
+            )
+        ],
+    ),
+    Defect(
+        "the statement runs before the record knows",
+        "world",
+        [
+            Line(
+                Carrier._of_engine,
+                "self._settle(now, part, state, actions, quiet=True)",
+                "self._run(now, part, actions)",
+            )
+        ],
+    ),
+    Defect(
+        "an engine that returns is taken for untouched",
+        "world",
+        [
+            Line(
+                Carrier._settle,
+                "self._phase(",
+                "if part.state == Change.GONE_AWAY and state == Change.ASKED:\n"
+                "        state = Change.WAITING\n    self._phase(",
+            ),
+            patch.object(machine, "_FORWARD", machine._FORWARD | {(pb.Change.GONE_AWAY, pb.Change.WAITING)}),
+        ],
+        "test_an_engine_that_returns_half_way_is_not_taken_for_untouched",
+    ),
+    Defect(
+        "an engine that missed a change is taken for one with the old schema",
+        "world",
+        [
+            Line(
+                Carrier._looked,
+                "wanted = self._new",
+                "seen = self._old if part.state == Change.BEHIND else seen\n    wanted = self._new",
+            )
+        ],
+    ),
 )
 
 
--- a/tests/contracts_model.py
+++ b/tests/contracts_model.py
@@ -14,15 +14,38 @@
 from fennelwind.council.machine import At
 
 SCHEMAS = (
-    "a int, b string", "A int, b string, c int", "a bigint, b string", "a smallint, b string",
+    "a int, b string",
+    "A int, b string, c int",
+    "a bigint, b string",
+    "a smallint, b string",
     "b string, a int",
-    "x int was a, b string", "a int was x, b string", "a int, b string partitioned by (d date)",
-    "a int not null, b varchar(5)", "b string", "a int, c int, b string", "b int was a, a string was b",
-    "a decimal(10,2), b string", "a int, b string, z timestamp with local time zone")
+    "x int was a, b string",
+    "a int was x, b string",
+    "a int, b string partitioned by (d date)",
+    "a int not null, b varchar(5)",
+    "b string",
+    "a int, c int, b string",
+    "b int was a, a string was b",
+    "a decimal(10,2), b string",
+    "a int, b string, z timestamp with local time zone",
+)
 READS = (
-    "a int", "A int, b string", "a bigint", "* by name", "* by place", "a int by place",
-    "a int, b string by place", "z timestamp with local time zone",
-    "2 b string by place", "b string", "c int", "d date", "a int not null", "x int", "a decimal(12,2)")
+    "a int",
+    "A int, b string",
+    "a bigint",
+    "* by name",
+    "* by place",
+    "a int by place",
+    "a int, b string by place",
+    "z timestamp with local time zone",
+    "2 b string by place",
+    "b string",
+    "c int",
+    "d date",
+    "a int not null",
+    "x int",
+    "a decimal(12,2)",
+)
 
 
 class GateModel(RuleBasedStateMachine):
@@ -82,25 +105,45 @@
             return reads
         parts = {column.name for column in schema.partitions}
         if reads.star:
-            return replace(reads, columns=tuple(
-                Read(c.name, c.type, c.nullable, n + 1 if reads.by_place else 0, c.number, c.name in parts)
-                for n, c in enumerate(schema.row)))
+            return replace(
+                reads,
+                columns=tuple(
+                    Read(
+                        c.name, c.type, c.nullable, n + 1 if reads.by_place else 0, c.number, c.name in parts
+                    )
+                    for n, c in enumerate(schema.row)
+                ),
+            )
         there = {column.name: column for column in schema.row}
-        return replace(reads, columns=tuple(
-            replace(read, number=there[read.name].number, partition=read.name in parts)
-            if read.name in there else read for read in reads.columns))
-
-    @rule(target=subscriptions, name=st.sampled_from(("r1", "R2", "load")), table=st.sampled_from("tTu"),
-          text=st.sampled_from(READS), version=st.sampled_from((5, 10, 11)),
-          term=st.sampled_from((10_000, 40_000)))
+        return replace(
+            reads,
+            columns=tuple(
+                replace(read, number=there[read.name].number, partition=read.name in parts)
+                if read.name in there
+                else read
+                for read in reads.columns
+            ),
+        )
+
+    @rule(
+        target=subscriptions,
+        name=st.sampled_from(("r1", "R2", "load")),
+        table=st.sampled_from("tTu"),
+        text=st.sampled_from(READS),
+        version=st.sampled_from((5, 10, 11)),
+        term=st.sampled_from((10_000, 40_000)),
+    )
     def register(self, name, table, text, version, term):
         """Register, or renew by registering the same again."""
         table = table_name(table)
         self.do(renew=pb.Renew())  # lets lapse what is due, so that the model looks at the same state
         reads = self.resolved(table, text)
         broken = any(worst(judge(reads, version, form)) == Level.BROKEN for form in self.forms(table))
-        answer = self.do(register=pb.Register(
-            name=name, version=version, term_ms=term, reads=[reads_message(parse_reads(table, text))]))
+        answer = self.do(
+            register=pb.Register(
+                name=name, version=version, term_ms=term, reads=[reads_message(parse_reads(table, text))]
+            )
+        )
         assert (answer.refusal == pb.BROKEN) == broken, (table, text, answer)
         if answer.refusal:
             return multiple()
@@ -108,7 +151,8 @@
         assert known is None or (known["name"], known["version"]) == (name.lower(), version)
         until = max(self.clock + term, known["until"] if known else 0)
         self.living[answer.number] = dict(
-            name=name.lower(), version=version, reads=reads, until=until, term=term)
+            name=name.lower(), version=version, reads=reads, until=until, term=term
+        )
         return answer.number
 
     @rule(number=subscriptions)
@@ -128,8 +172,15 @@
         assert (self.do(leave=pb.Leave(number=number)).refusal == pb.NONE) == lives
         self.living.pop(number, None)
 
-    @rule(target=changes, table=st.sampled_from("tTu"), text=st.sampled_from(SCHEMAS), engines=st.booleans(),
-          publisher=st.sampled_from(("load", "Load", "other")), old=st.integers(0, 9), goes=st.integers(0, 9))
+    @rule(
+        target=changes,
+        table=st.sampled_from("tTu"),
+        text=st.sampled_from(SCHEMAS),
+        engines=st.booleans(),
+        publisher=st.sampled_from(("load", "Load", "other")),
+        old=st.integers(0, 9),
+        goes=st.integers(0, 9),
+    )
     def propose(self, table, text, engines, publisher, old, goes):
         """Propose; what may be is told by looking at each living subscription as it registered."""
         table = table_name(table)
@@ -141,10 +192,17 @@
         schema = parse_schema(text)
         names = {c.name for c in known.schema.row} if known else set()
         invalid = not dropped and any(c.was and c.was not in names for c in schema.row)
-        answer = self.do(propose=pb.Propose(
-            table=table, publisher=publisher, version=version - 1 if wrong_version else version,
-            schema=None if dropped else schema_message(schema), engines=("e1", "e2") if engines else (),
-            forward=("do",) if engines else (), back=("undo",) if engines else ()))
+        answer = self.do(
+            propose=pb.Propose(
+                table=table,
+                publisher=publisher,
+                version=version - 1 if wrong_version else version,
+                schema=None if dropped else schema_message(schema),
+                engines=("e1", "e2") if engines else (),
+                forward=("do",) if engines else (),
+                back=("undo",) if engines else (),
+            )
+        )
         if invalid:
             assert answer.refusal == pb.INVALID
         elif table in self.change:
@@ -154,8 +212,12 @@
         else:
             made = None if dropped else self.made(known.schema if known else None, schema, text)
             broken = self.broken(table, made, publisher.lower())
-            told = {name for each in answer.readers for name in each.names if any(
-                RULES[found.rule].level == Level.BROKEN for found in each.found)}
+            told = {
+                name
+                for each in answer.readers
+                for name in each.names
+                if any(RULES[found.rule].level == Level.BROKEN for found in each.found)
+            }
             assert told == broken, (told, broken)
             wanted = pb.BROKEN if broken else pb.MOVING if table in self.moving else pb.NONE
             assert answer.refusal == wanted, (answer, broken)
@@ -176,6 +238,7 @@
             if column.name in known and column.name not in renamed:
                 return known[column.name]
             return next(fresh)
+
         cut = len(schema.columns)
         row = [replace(c, number=identity(c), was="") for c in schema.row]
         return replace(schema, columns=tuple(row[:cut]), partitions=tuple(row[cut:]))
@@ -183,17 +246,30 @@
     def broken(self, table, made, publisher):
         """Return who of the living would break."""
         form = Form(made) if made is not None else None
-        return {each["name"] for each in self.living.values()
-                if each["reads"].table == table and each["name"] != publisher
-                and worst(judge(each["reads"], each["version"], form)) == Level.BROKEN}
+        return {
+            each["name"]
+            for each in self.living.values()
+            if each["reads"].table == table
+            and each["name"] != publisher
+            and worst(judge(each["reads"], each["version"], form)) == Level.BROKEN
+        }
 
     def admitted(self, table, publisher, made, engines, number):
         """Note an admitted change; without engines it stands at once."""
         if engines:
-            states = {engine: pb.Change.BEHIND if engine in self.behind[table] else pb.Change.WAITING
-                      for engine in ("e1", "e2")}
-            self.change[table] = dict(number=number, publisher=publisher, made=made, step=0, fence=0,
-                                      states=states, begin_by=self.clock + under_test.BEGIN_MS)
+            states = {
+                engine: pb.Change.BEHIND if engine in self.behind[table] else pb.Change.WAITING
+                for engine in ("e1", "e2")
+            }
+            self.change[table] = dict(
+                number=number,
+                publisher=publisher,
+                made=made,
+                step=0,
+                fence=0,
+                states=states,
+                begin_by=self.clock + under_test.BEGIN_MS,
+            )
         else:
             self.stands(table, publisher, made)
 
@@ -214,8 +290,11 @@
         form = Form(schema) if schema is not None else None
         for number, each in list(self.living.items()):
             reads = each["reads"]
-            if reads.table == table and each["name"] == publisher and worst(
-                    judge(reads, each["version"], form)) == Level.BROKEN:
+            if (
+                reads.table == table
+                and each["name"] == publisher
+                and worst(judge(reads, each["version"], form)) == Level.BROKEN
+            ):
                 del self.living[number]
             elif reads.table == table and schema is not None and all(not r.number for r in reads.columns):
                 each["reads"] = self.resolved(table, reads_text(reads))
@@ -246,8 +325,12 @@
         """Do what a holder does with both engines, to the end."""
         for engine in ("e1", "e2"):
             for state in (pb.Change.ASKED, pb.Change.DONE):
-                self.acted(number, mark=lambda fence, e=engine, s=state: pb.Mark(
-                    number=number, fence=fence, engine=e, state=s))
+                self.acted(
+                    number,
+                    mark=lambda fence, e=engine, s=state: pb.Mark(
+                        number=number, fence=fence, engine=e, state=s
+                    ),
+                )
         self.finish(number)
 
     @rule(number=changes)
@@ -279,7 +362,7 @@
         """Act with the fence under which the change was begun; only the present holder's act counts."""
         table = next((t for t, c in self.change.items() if c["number"] == number), None)
         change = self.change.get(table, {"fence": 1, "step": 0})
-        (kind, make), = what.items()
+        ((kind, make),) = what.items()
         told = make(change["fence"])
         answer = self.do(**{kind: told})
         holds = change["step"] > 0 and change["fence"] == self.fence.get(f"table:{table}", 0) > 0
@@ -342,4 +425,3 @@
             assert table not in self.machine.tables or self.machine.tables[table].behind == engines
         assert not self.moving & self.change.keys()
         assert set(self.machine.by_table) == self.change.keys()
-
--- a/tests/contracts_search.py
+++ b/tests/contracts_search.py
@@ -106,9 +106,20 @@
         table, change = self.contracts.tables[TABLE], next(iter(self.contracts.changes.values()), None)
         for publisher in self.publishers:
             text = SCHEMAS[str(table.schema) == SCHEMAS[0]]
-            yield f"propose {publisher}", lambda p=publisher, t=text: self.contract(propose=pb.Propose(
-                table=TABLE, publisher=p, schema=schema_message(parse_schema(t)), version=table.version,
-                engines=self.engines, forward=["do"], back=["undo"]))
+            yield (
+                f"propose {publisher}",
+                lambda p=publisher, t=text: self.contract(
+                    propose=pb.Propose(
+                        table=TABLE,
+                        publisher=p,
+                        schema=schema_message(parse_schema(t)),
+                        version=table.version,
+                        engines=self.engines,
+                        forward=["do"],
+                        back=["undo"],
+                    )
+                ),
+            )
         if change is not None:
             yield from self.acts_on(change)
         for name in self.names:
@@ -124,12 +135,18 @@
             yield "begin", lambda f=fence: self.contract(begin=pb.Begin(number=number, fence=f))
             for engine in self.engines:
                 for state in (Change.ASKED, Change.DONE, Change.ASKED_BACK, Change.UNDONE):
-                    yield "mark", lambda f=fence, e=engine, s=state: self.contract(
-                        mark=pb.Mark(number=number, fence=f, engine=e, state=s))
+                    yield (
+                        "mark",
+                        lambda f=fence, e=engine, s=state: self.contract(
+                            mark=pb.Mark(number=number, fence=f, engine=e, state=s)
+                        ),
+                    )
             yield "turn", lambda f=fence: self.contract(turn=pb.Turn(number=number, fence=f))
             yield "finish", lambda f=fence: self.contract(finish=pb.Finish(number=number, fence=f))
-        yield "withdraw", lambda: self.contract(
-            withdraw=pb.Withdraw(number=number, publisher=change.publisher))
+        yield (
+            "withdraw",
+            lambda: self.contract(withdraw=pb.Withdraw(number=number, publisher=change.publisher)),
+        )
         if change.fence in (0, self.fence):
             yield "another holder", self.another_holder
 
@@ -142,14 +159,34 @@
         move, good = self.shards.move_of(name), self.shards.good(name)
         if move is None and good:
             other = "e2" if good[0] == "e1" else "e1"
-            yield "plan", lambda: self.shard(plan=moves.Plan(moves=[moves.Move(
-                number=1, shard=name, source=good[0], target=other, drops=good[0])]))
+            yield (
+                "plan",
+                lambda: self.shard(
+                    plan=moves.Plan(
+                        moves=[moves.Move(number=1, shard=name, source=good[0], target=other, drops=good[0])]
+                    )
+                ),
+            )
         if move is not None:
-            for kind in (Step.RESERVE, Step.COPY, Step.CHECK, Step.SWITCH, Step.DROP, Step.DONE, Step.UNDO,
-                         Step.UNDONE):
+            for kind in (
+                Step.RESERVE,
+                Step.COPY,
+                Step.CHECK,
+                Step.SWITCH,
+                Step.DROP,
+                Step.DONE,
+                Step.UNDO,
+                Step.UNDONE,
+            ):
                 attempt = min(move.attempt + (kind == Step.COPY), 1)
-                yield "step", lambda k=kind, a=attempt: self.shard(step=moves.Step(
-                    move=move.number, kind=k, source=move.source, attempt=a, rows=1, checksum=1))
+                yield (
+                    "step",
+                    lambda k=kind, a=attempt: self.shard(
+                        step=moves.Step(
+                            move=move.number, kind=k, source=move.source, attempt=a, rows=1, checksum=1
+                        )
+                    ),
+                )
 
     def pass_time(self, until):
         """Let time pass to where something lapses."""
@@ -164,17 +201,36 @@
         """Return a state without what makes no difference: numbers and times as they are to one another."""
         c, s = self.contracts, self.shards
         change = next(iter(c.changes.values()), None)
-        said = change and (change.publisher, change.step, tuple(change.engines.values()),
-                           (change.fence > 0) + (change.fence == self.fence),
-                           change.begin_by_ms - self.clock if not change.step else 0)
-        wanted = tuple((max(until - self.clock, 0) if until else 0, rest - self.clock)
-                       for until, rest in c.wanted.values())
+        said = change and (
+            change.publisher,
+            change.step,
+            tuple(change.engines.values()),
+            (change.fence > 0) + (change.fence == self.fence),
+            change.begin_by_ms - self.clock if not change.step else 0,
+        )
+        wanted = tuple(
+            (max(until - self.clock, 0) if until else 0, rest - self.clock)
+            for until, rest in c.wanted.values()
+        )
         under_way = tuple(
-            (m.shard, m.step, m.source, m.target, m.attempt, m.rested,
-             m.at_ms + REST_MS - self.clock if m.step == "switched" and not m.rested else 0)
-            for _, m in sorted(s.moves.items()))
-        copies = tuple(sorted((shard, engine, copy.state) for shard, held in s.copies.items()
-                              for engine, copy in held.items()))
+            (
+                m.shard,
+                m.step,
+                m.source,
+                m.target,
+                m.attempt,
+                m.rested,
+                m.at_ms + REST_MS - self.clock if m.step == "switched" and not m.rested else 0,
+            )
+            for _, m in sorted(s.moves.items())
+        )
+        copies = tuple(
+            sorted(
+                (shard, engine, copy.state)
+                for shard, held in s.copies.items()
+                for engine, copy in held.items()
+            )
+        )
         return str(c.tables[TABLE].schema), said, wanted, under_way, copies, bool(self.fence)
 
     def check(self):
@@ -219,8 +275,10 @@
     def stuck(self):
         """Return the states from which no rest (no change, no move) is reached, and no admission."""
         rest = {key for key in self.nodes if key[1] is None and not key[3]}
-        return (self.nodes.keys() - self.reaching(rest),
-                self.nodes.keys() - self.reaching({here for here, _ in self.admissions}))
+        return (
+            self.nodes.keys() - self.reaching(rest),
+            self.nodes.keys() - self.reaching({here for here, _ in self.admissions}),
+        )
 
     def reaching(self, goal):
         """Return the states from which one of a set can be reached."""
@@ -239,5 +297,7 @@
     count = search.run()
     edges = sum(map(len, search.edges.values()))
     no_rest, no_admission = search.stuck()
-    print(f"{count} states, {edges} ways between them, in {time.perf_counter() - began:.0f} s; rest can't be "
-          f"reached from {len(no_rest)}, an admission not from {len(no_admission)}")
+    print(
+        f"{count} states, {edges} ways between them, in {time.perf_counter() - began:.0f} s; rest can't be "
+        f"reached from {len(no_rest)}, an admission not from {len(no_admission)}"
+    )
--- a/tests/contracts_world.py
+++ b/tests/contracts_world.py
@@ -23,7 +23,7 @@
         self.shape, self.fence, self.running, self.there = shape(OLD), 0, None, True
 
     def admits(self, overlay):
-        (name, text), = overlay
+        ((name, text),) = overlay
         assert name == "fennelwind.fence" and text.startswith("table:t:")
         fence = int(text.rpartition(":")[2])
         if fence > self.fence:
@@ -49,9 +49,18 @@
         if behind:
             self.machine.tables["t"].behind.add("e0")
             self.engines["e0"].shape = shape(self.random.choice((OLD, NEW, ANCIENT)))
-        answer = self.do(propose=pb.Propose(
-            table="t", publisher="p", schema=schema_message(NEW), version=self.machine.tables["t"].version,
-            engines=self.engines, forward=["do"], back=["undo"] if back else [], at_once=at_once))
+        answer = self.do(
+            propose=pb.Propose(
+                table="t",
+                publisher="p",
+                schema=schema_message(NEW),
+                version=self.machine.tables["t"].version,
+                engines=self.engines,
+                forward=["do"],
+                back=["undo"] if back else [],
+                at_once=at_once,
+            )
+        )
         self.number = answer.number
         assert self.number in self.machine.changes
         self.events, self.carrier, self.holders = [], None, 0
@@ -189,9 +198,14 @@
 
 
 # What an engine may be, by what the record says of it: its state there, and whether it has the new schema.
-FORWARD = [(pb.Change.WAITING, False), (pb.Change.ASKED, False), (pb.Change.ASKED, True),
-           (pb.Change.DONE, True),
-           (pb.Change.GONE_AWAY, False), (pb.Change.GONE_AWAY, True)]
+FORWARD = [
+    (pb.Change.WAITING, False),
+    (pb.Change.ASKED, False),
+    (pb.Change.ASKED, True),
+    (pb.Change.DONE, True),
+    (pb.Change.GONE_AWAY, False),
+    (pb.Change.GONE_AWAY, True),
+]
 BACK = [*FORWARD, (pb.Change.ASKED_BACK, False), (pb.Change.ASKED_BACK, True), (pb.Change.UNDONE, False)]
 
 
@@ -212,6 +226,7 @@
 if __name__ == "__main__":
     import sys
     from collections import Counter
+
     ended = Counter()
     for seed in range(int(sys.argv[1])):
         world = World(seed, 1 + seed % 3, seed % 2 == 1, back=seed % 5 != 0, behind=seed % 4 == 0)
--- a/tests/council_chaos.py
+++ b/tests/council_chaos.py
@@ -109,8 +109,9 @@
                 else:
                     body = [what, key, new] if what == "put" else [what, key, old, new]
                     got = json.loads(keeper.asker.propose("registers", json.dumps(body).encode(), WITHIN_MS))
-                    self.operations[place] = Operation(who, key, began, host.now(), what, argument,
-                                                       got if what == "swap" else None)
+                    self.operations[place] = Operation(
+                        who, key, began, host.now(), what, argument, got if what == "swap" else None
+                    )
                 self.counts["answered"] += 1
             except OutcomeUnknown:
                 self.counts["unknown"] += 1
@@ -160,8 +161,10 @@
         name = random.choice(council.names)
         match what:
             case "kill" | "power":
-                self._kill(random.choice([*council.names, *self.followers]),
-                           random.choice(("none", "all", "prefix", "pick")) if what == "power" else None)
+                self._kill(
+                    random.choice([*council.names, *self.followers]),
+                    random.choice(("none", "all", "prefix", "pick")) if what == "power" else None,
+                )
             case "all":
                 for each in council.names:
                     self._kill(each, random.choice((None, "pick", "none")))
@@ -169,7 +172,8 @@
                 self._lose(name)
             case "stop":
                 council.hosts[random.choice([*council.names, *self.followers])].stop(
-                    rig.now() + random.uniform(100.0, 5000.0))
+                    rig.now() + random.uniform(100.0, 5000.0)
+                )
             case "cut":
                 self._cut(name)
             case "full":
@@ -188,8 +192,10 @@
                 if not council.hosts[name].dead:
                     council.hosts[name].start(council.keepers[name].hand_over)
                     life = council.hosts[name]
-                    rig.at(min(rig.now() + random.uniform(0.0, 2500.0), self.end - 1.0),
-                           lambda: council.hosts[name] is life and self._kill(name, None))
+                    rig.at(
+                        min(rig.now() + random.uniform(0.0, 2500.0), self.end - 1.0),
+                        lambda: council.hosts[name] is life and self._kill(name, None),
+                    )
             case "hang":
                 platter = council.platters[name]
                 platter.slow = random.choice((20.0, 500.0))
@@ -224,9 +230,14 @@
         stood = sum(member.votes for member in members) == len(council.names)
         if stood and self.lost:
             before = council.keepers[self.lost].member
-            stood = not council.hosts[self.lost].dead and before.part in ("leader", "follower") and (
-                before.state.record.index >= max(council.keepers[each].member.state.record.index
-                                                 for each in council.names))
+            stood = (
+                not council.hosts[self.lost].dead
+                and before.part in ("leader", "follower")
+                and (
+                    before.state.record.index
+                    >= max(council.keepers[each].member.state.record.index for each in council.names)
+                )
+            )
         if not stood:
             self.counts["not lost"] += 1
             return
--- a/tests/council_cluster.py
+++ b/tests/council_cluster.py
@@ -18,8 +18,18 @@
 from fennelwind.council.core import Core
 from fennelwind.council.interface import Durable, Life, Timing
 
-TIGHT = Timing(heartbeat_ms=50, election_ms=300, append_most=300, under_way_most=3, piece_most=64,
-               waiting_most=8, reads_most=8, kept_entries=4, log_most=2000, clock_ms=400)
+TIGHT = Timing(
+    heartbeat_ms=50,
+    election_ms=300,
+    append_most=300,
+    under_way_most=3,
+    piece_most=64,
+    waiting_most=8,
+    reads_most=8,
+    kept_entries=4,
+    log_most=2000,
+    clock_ms=400,
+)
 
 
 class Broken(AssertionError):
@@ -107,7 +117,7 @@
 
     def headed(self, head: pb.SnapshotHead) -> None:
         """A snapshot's head says what was agreed up to its entry."""
-        members = [e.members for e in self.agreed[:head.index] if e.WhichOneof("what") == "members"]
+        members = [e.members for e in self.agreed[: head.index] if e.WhichOneof("what") == "members"]
         last = self.agreed[head.index - 1]
         if (head.term, head.clock_ms, head.members) != (last.term, last.clock_ms, members[-1]):
             raise Broken(f"the head of the snapshot at {head.index} is not what was agreed")
@@ -133,8 +143,10 @@
                 raise Broken("the record's clock goes back")
             held = {life for life, image in images.items() if image.holds(entry.index, entry.term)}
             # by those who counted when it was agreed: new members may have been written in the same step
-            if not any(2 * len(held.intersection(voters)) > len(voters) for voters in (
-                    config.voters for config in node.core.log.configs[-2:])):
+            if not any(
+                2 * len(held.intersection(voters)) > len(voters)
+                for voters in (config.voters for config in node.core.log.configs[-2:])
+            ):
                 raise Broken(f"entry {entry.index} agreed with {len(held)} disks")
             self.agreed.append(entry)
             self.digests.append(digest(self.digests[-1], entry))
@@ -166,8 +178,14 @@
 class Cluster:
     """Members, clients and what lies between them, by one seed."""
 
-    def __init__(self, seed: int, members: int = 3, timing: Timing = TIGHT, core: type[Core] = Core,
-                 stated: int | None = None) -> None:
+    def __init__(
+        self,
+        seed: int,
+        members: int = 3,
+        timing: Timing = TIGHT,
+        core: type[Core] = Core,
+        stated: int | None = None,
+    ) -> None:
         self.random, self.seed, self.timing, self.core = Random(seed), seed, timing, core
         self.now, self.queue, self.count = 0.0, [], 0
         self.checks, self.counts = Checks(), Counter()
@@ -187,8 +205,12 @@
         self.due_every: int | None = None
 
     def _node(self, name: str) -> Node:
-        return Node(name, Life(name, b"%s1" % name.encode()), self.random.uniform(0.85, 1.18),
-                    self.random.uniform(0, 1e6))
+        return Node(
+            name,
+            Life(name, b"%s1" % name.encode()),
+            self.random.uniform(0.85, 1.18),
+            self.random.uniform(0, 1e6),
+        )
 
     # Time
 
@@ -221,8 +243,11 @@
 
     def begin_founded(self) -> None:
         """Begin where all are members already and nothing else has happened."""
-        members = pb.Members(members=[pb.Member(name=n, life=node.me.life, votes=True)
-                                      for n, node in sorted(self.nodes.items())])
+        members = pb.Members(
+            members=[
+                pb.Member(name=n, life=node.me.life, votes=True) for n, node in sorted(self.nodes.items())
+            ]
+        )
         for node in self.nodes.values():
             node.image.hard = pb.HardState(term=1)
             node.image.entries = [pb.Entry(term=1, index=1, members=members)]
@@ -251,9 +276,15 @@
         self.crash(name)
         old = self.nodes[name]
         self.lost[old.me] = old.image  # what it said before is on its way and counts: it was one loss of few
-        node = self.nodes[name] = Node(name, Life(name, b"%s%d" % (name.encode(), old.life_count + 2)),
-                                       old.rate, old.offset, epoch=old.epoch + 1, restarts=old.restarts,
-                                       life_count=old.life_count + 1)
+        node = self.nodes[name] = Node(
+            name,
+            Life(name, b"%s%d" % (name.encode(), old.life_count + 2)),
+            old.rate,
+            old.offset,
+            epoch=old.epoch + 1,
+            restarts=old.restarts,
+            life_count=old.life_count + 1,
+        )
         self.counts["wipes"] += 1
         node.core = None
 
@@ -380,7 +411,8 @@
         if body == "vote" and not message.vote.before:
             self.checks.voted(node.me, message.term, node.me)
         if (body == "vote_answer" and message.vote_answer.granted) or (
-                body == "append_answer" and message.append_answer.took):
+            body == "append_answer" and message.append_answer.took
+        ):
             self._promised(node, message)
         if (node.name, to.name) in self.cuts:
             return
@@ -524,12 +556,27 @@
     def behind(self, index: int) -> list[str]:
         """Return the members that have not applied an entry."""
         leader = self.await_leader()
-        return [life.name for life in leader.core.log.config.lives
-                if self.nodes[life.name].applied < index and self.nodes[life.name].me == life]
-
-
-TROUBLES = ("crash", "all", "cut", "one-way", "half", "minority", "fail", "slow", "hand over", "room",
-            "member", "wipe")
+        return [
+            life.name
+            for life in leader.core.log.config.lives
+            if self.nodes[life.name].applied < index and self.nodes[life.name].me == life
+        ]
+
+
+TROUBLES = (
+    "crash",
+    "all",
+    "cut",
+    "one-way",
+    "half",
+    "minority",
+    "fail",
+    "slow",
+    "hand over",
+    "room",
+    "member",
+    "wipe",
+)
 
 
 def play(seed: int, core: type[Core] = Core, part: float = 1.0) -> Cluster:
@@ -635,8 +682,13 @@
                 return False
             voters, last = cluster.voters(), cluster.checks.agreed[-1]
             fresh = [n for n in voters if cluster.nodes[n].image.holds(last.index, last.term)]
-            if leader is None or leader.name == name or 2 * len(fresh) <= len(voters) or len(voters) < 3 \
-                    or leader.core.log.config.index > leader.core.commit:
+            if (
+                leader is None
+                or leader.name == name
+                or 2 * len(fresh) <= len(voters)
+                or len(voters) < 3
+                or leader.core.log.config.index > leader.core.commit
+            ):
                 return False
             cluster.wipe(name)
             return True
@@ -664,8 +716,11 @@
     what is counted is the cores' own work.
     """
     lives = [Life(chr(ord("a") + i), b"x") for i in range(members)]
-    first = pb.Entry(term=1, index=1, members=pb.Members(
-        members=[pb.Member(name=life.name, life=life.life, votes=True) for life in lives]))
+    first = pb.Entry(
+        term=1,
+        index=1,
+        members=pb.Members(members=[pb.Member(name=life.name, life=life.life, votes=True) for life in lives]),
+    )
     cores = {life: Core(Timing(), Durable(life, pb.HardState(term=1), entries=[first]), 1) for life in lives}
     boxes: dict[Life, list[api.Event]] = {life: [] for life in lives}
     counts, now, leader = Counter(), 0.0, lives[0]
@@ -731,8 +786,10 @@
             if not args.keep_on:
                 raise
     took = time.perf_counter() - began
-    print(f"{args.seeds} seeds in {took:.1f} s, {len(failed)} failed; "
-          + ", ".join(f"{name} {count}" for name, count in sorted(counts.items())))
+    print(
+        f"{args.seeds} seeds in {took:.1f} s, {len(failed)} failed; "
+        + ", ".join(f"{name} {count}" for name, count in sorted(counts.items()))
+    )
     return 1 if failed else 0
 
 
--- a/tests/council_defects.py
+++ b/tests/council_defects.py
@@ -36,72 +36,132 @@
 
 DEFECTS = {
     # A follower tells the leader of entries that are only in its memory.
-    "acknowledge before sync": Defect([Line(
-        Core._answer_leader, "min(self.writes.durable, self.agreed)", "min(self.log.last, self.agreed)")],
-        ("led", 1000)),
-    "leader counts itself early": Defect([Line(
-        Leading.committed, "core.writes.durable", "core.log.last")], ("led", 3000)),
-    "vote forgotten at a crash": Defect([Line(
-        Core.__init__, "Life(hard.voted_name, hard.voted_life) if hard.voted_name else None", "None")],
-        ("rivals", 1000)),
+    "acknowledge before sync": Defect(
+        [
+            Line(
+                Core._answer_leader,
+                "min(self.writes.durable, self.agreed)",
+                "min(self.log.last, self.agreed)",
+            )
+        ],
+        ("led", 1000),
+    ),
+    "leader counts itself early": Defect(
+        [Line(Leading.committed, "core.writes.durable", "core.log.last")], ("led", 3000)
+    ),
+    "vote forgotten at a crash": Defect(
+        [Line(Core.__init__, "Life(hard.voted_name, hard.voted_life) if hard.voted_name else None", "None")],
+        ("rivals", 1000),
+    ),
     # Messages leave before the term and vote that they rest on are on the disk.
-    "vote before it is written": Defect([Line(
-        Core.send, "if self.mute or self.writes.hard_done:", "if True:")], (1, PART)),
+    "vote before it is written": Defect(
+        [Line(Core.send, "if self.mute or self.writes.hard_done:", "if True:")], (1, PART)
+    ),
     # A leader answers reads without asking whether it still leads.
-    "read from a deposed leader": Defect([Line(
-        Leading._serve_reads, "reads.place(core.commit, self.round + 1)", "reads.place(core.commit, 0)")],
-        ("contested", 100)),
+    "read from a deposed leader": Defect(
+        [
+            Line(
+                Leading._serve_reads,
+                "reads.place(core.commit, self.round + 1)",
+                "reads.place(core.commit, 0)",
+            )
+        ],
+        ("contested", 100),
+    ),
     # A new leader answers reads before it knows what earlier leaders agreed on.
-    "read before an own entry": Defect([Line(
-        Leading._serve_reads, "if core.log.term(core.commit) != self.term:", "if False:")], (42, PART)),
+    "read before an own entry": Defect(
+        [Line(Leading._serve_reads, "if core.log.term(core.commit) != self.term:", "if False:")], (42, PART)
+    ),
     # Entries that differ from the leader's are left where they are.
-    "tail kept after a conflict": Defect([Line(
-        Core._append, "e.index > log.base and log.term(e.index) != e.term", "e.index > log.last")],
-        (19, PART)),
-    "commit by counting old terms": Defect([Line(
-        Leading.committed, " and core.log.term(index) == self.term", "")], ("old_term", 12_000)),
+    "tail kept after a conflict": Defect(
+        [Line(Core._append, "e.index > log.base and log.term(e.index) != e.term", "e.index > log.last")],
+        (19, PART),
+    ),
+    "commit by counting old terms": Defect(
+        [Line(Leading.committed, " and core.log.term(index) == self.term", "")], ("old_term", 12_000)
+    ),
     "two changes at once": Defect([patch.object(Leading, "may_change", lambda self: True)], (56, 1.0)),
     # Who catches up counts for what is agreed, and for votes.
-    "learners count": Defect([
-        Line(Leading.voters, "config.voters", "config.lives"),
-        Line(Ballot.won, "sum(life in self.granted for life in voters)", "len(self.granted)")], (71, 1.0)),
+    "learners count": Defect(
+        [
+            Line(Leading.voters, "config.voters", "config.lives"),
+            Line(Ballot.won, "sum(life in self.granted for life in voters)", "len(self.granted)"),
+        ],
+        (71, 1.0),
+    ),
     "snapshot without its term": Defect([Line(snapshots.head_of, "term=term", "term=0")], (1, PART)),
     # It says who counts now, not who counted as of its last entry.
-    "snapshot with later members": Defect([
-        patch.object(Log, "config_at", lambda self, index: self.config)], (1, PART)),
-    "vote for a shorter log": Defect([
-        patch.object(votes, "lacks_nothing", lambda vote, term, index: True)], (1, PART)),
+    "snapshot with later members": Defect(
+        [patch.object(Log, "config_at", lambda self, index: self.config)], (1, PART)
+    ),
+    "vote for a shorter log": Defect(
+        [patch.object(votes, "lacks_nothing", lambda vote, term, index: True)], (1, PART)
+    ),
     "half is enough": Defect([Line(Ballot.won, "> len(voters)", ">= len(voters)")], (1, PART)),
     # It takes the leader's word for its own entries without having compared them.
-    "follower commits what it has": Defect([Line(
-        Core._append, "newer = append.round > self.round",
-        "newer = append.round > self.round; self.commit = max(self.commit, min(append.commit, log.last))")],
-        ("contested", 1000)),
-    "failed write taken as done": Defect([Line(
-        Core._take, "self._fall_mute()", "self._written(self.writes.number)")], ("led", 1000)),
+    "follower commits what it has": Defect(
+        [
+            Line(
+                Core._append,
+                "newer = append.round > self.round",
+                "newer = append.round > self.round; "
+                "self.commit = max(self.commit, min(append.commit, log.last))",
+            )
+        ],
+        ("contested", 1000),
+    ),
+    "failed write taken as done": Defect(
+        [Line(Core._take, "self._fall_mute()", "self._written(self.writes.number)")], ("led", 1000)
+    ),
     # A member whose disk takes no writes goes on as if it had one.
-    "mute member votes": Defect([patch.object(
-        Core, "_fall_mute", lambda self: self.writes.written(self.writes.number))], ("led", 3000)),
-    "promise forgotten when it can write": Defect([Line(
-        Core._speak_again, "self.writes.failed()",
-        "self.writes.failed(); self.term, self.voted, self.leader = durable.hard.term, None, None")],
-        (7, PART)),
+    "mute member votes": Defect(
+        [patch.object(Core, "_fall_mute", lambda self: self.writes.written(self.writes.number))],
+        ("led", 3000),
+    ),
+    "promise forgotten when it can write": Defect(
+        [
+            Line(
+                Core._speak_again,
+                "self.writes.failed()",
+                "self.writes.failed(); self.term, self.voted, self.leader = durable.hard.term, None, None",
+            )
+        ],
+        (7, PART),
+    ),
     # What was on the disk before a tail was cut counts for what came in its place.
-    "cut entries still count": Defect([Line(
-        Writes.cut_after, "min(self.durable, index)", "self.durable", "min(last, index)", "last")],
-        (19, PART)),
-    "clock of the new leader": Defect([
-        patch.object(Leading, "clock", lambda self, now: int(now))], (1, PART)),
+    "cut entries still count": Defect(
+        [Line(Writes.cut_after, "min(self.durable, index)", "self.durable", "min(last, index)", "last")],
+        (19, PART),
+    ),
+    "clock of the new leader": Defect(
+        [patch.object(Leading, "clock", lambda self, now: int(now))], (1, PART)
+    ),
     # Pieces of a later snapshot are put behind those of an earlier one.
-    "pieces of two snapshots": Defect([Line(
-        Incoming.take, "self.head, self.data = piece.head, bytearray()", "self.head = piece.head",
-        "crc32c.crc32c(whole) != piece.head.crc32c", "False")], (86, 1.0)),
+    "pieces of two snapshots": Defect(
+        [
+            Line(
+                Incoming.take,
+                "self.head, self.data = piece.head, bytearray()",
+                "self.head = piece.head",
+                "crc32c.crc32c(whole) != piece.head.crc32c",
+                "False",
+            )
+        ],
+        (86, 1.0),
+    ),
     # A member whose folder was lost comes back under its old life, and votes.
-    "returns empty as who it was": Defect([Line(
-        Cluster.wipe, 'Life(name, b"%s%d" % (name.encode(), old.life_count + 2))', "old.me",
-        "node.core = None",
-        "node.image.hard, node.image.entries = pb.HardState(term=1), list(self.checks.agreed[:1])")],
-        (21, PART)),
+    "returns empty as who it was": Defect(
+        [
+            Line(
+                Cluster.wipe,
+                'Life(name, b"%s%d" % (name.encode(), old.life_count + 2))',
+                "old.me",
+                "node.core = None",
+                "node.image.hard, node.image.entries = pb.HardState(term=1), list(self.checks.agreed[:1])",
+            )
+        ],
+        (21, PART),
+    ),
 }
 
 
--- a/tests/council_search.py
+++ b/tests/council_search.py
@@ -26,12 +26,41 @@
 NAMES = ("a", "b", "c")
 LIVES = tuple(Life(name, name.encode()) for name in NAMES)
 TIMING = Timing(heartbeat_ms=100, election_ms=200, append_most=1, under_way_most=2, clock_ms=1e12)
-TIMES = ("now", "heard", "wrote", "shy_until", "removed_until", "ask_at", "_timer", "next_beat", "clock_at",
-         "hand_over_by", "asked", "leaves_by")
+TIMES = (
+    "now",
+    "heard",
+    "wrote",
+    "shy_until",
+    "removed_until",
+    "ask_at",
+    "_timer",
+    "next_beat",
+    "clock_at",
+    "hand_over_by",
+    "asked",
+    "leaves_by",
+)
 LONG_AGO = -1000.0  # ms; all times before are alike
-HIDDEN = ("counts", "random", "core", "timing", "stated", "out", "clock_base", "data", "_shown", "_timer",
-          "began", "clock_at", "asked", "wrote", "joining", "incoming", "most",
-          "rounds")  # no rule rests on them
+HIDDEN = (
+    "counts",
+    "random",
+    "core",
+    "timing",
+    "stated",
+    "out",
+    "clock_base",
+    "data",
+    "_shown",
+    "_timer",
+    "began",
+    "clock_at",
+    "asked",
+    "wrote",
+    "joining",
+    "incoming",
+    "most",
+    "rounds",
+)  # no rule rests on them
 
 
 ATOMS = (int, float, str, bytes, bool, type(None), Life)
@@ -116,7 +145,7 @@
 
     def after(self, write: api.Write) -> "Cell":
         """Return the disk with a write that is sure."""
-        entries = self.entries if write.cut_after is None else self.entries[:write.cut_after]
+        entries = self.entries if write.cut_after is None else self.entries[: write.cut_after]
         return self._replace(entries=entries + write.entries, hard=write.hard or self.hard)
 
 
@@ -244,8 +273,9 @@
                         if index and not cell.holds(index, core.log.term(index)):
                             effects.append(("broken", f"{NAMES[me]} says that {index} is on its disk"))
                 case api.Apply(entries):
-                    effects += [("agreed", e.index, e.term, e.SerializeToString(deterministic=True))
-                                for e in entries]
+                    effects += [
+                        ("agreed", e.index, e.term, e.SerializeToString(deterministic=True)) for e in entries
+                    ]
                 case api.Answer(_, refusal, index) if not refusal:
                     effects.append(("answered", index))
                 case api.Readable(_, index, refusal):
@@ -269,11 +299,18 @@
         cells = tuple(self.cell(self.begun(me, pb.HardState(term=1), (entry,))[0]) for me in range(3))
         return State(cells, (), (), (), (), 0, -1, bounds.left())
 
-    def take(self, state: State, me: int, what: str, detail: Any = None, spend: int | None = None,
-             gone: int | None = None) -> State:
+    def take(
+        self,
+        state: State,
+        me: int,
+        what: str,
+        detail: Any = None,
+        spend: int | None = None,
+        gone: int | None = None,
+    ) -> State:
         """Let something happen to a member; raises Broken where it may not come to that."""
         number, sent, effects = self.happen(me, state.cells[me], what, detail)
-        cells = state.cells[:me] + (number,) + state.cells[me + 1:]
+        cells = state.cells[:me] + (number,) + state.cells[me + 1 :]
         net = set(state.net)
         if gone is not None:
             net.discard(gone)
@@ -285,13 +322,13 @@
         if what == "crash":
             asked = -1 if asked >= 0 and self.cells[state.cells[me]].core.leading else asked
         if spend is not None:
-            left = left[:spend] + (left[spend] - 1,) + left[spend + 1:]
+            left = left[:spend] + (left[spend] - 1,) + left[spend + 1 :]
         for effect in effects:
             match effect:
                 case ("broken", text):
                     raise Broken(text)
                 case ("leads", term, leader, held):
-                    if term not in seen and held[:len(agreed)] != agreed:
+                    if term not in seen and held[: len(agreed)] != agreed:
                         raise Broken(f"the leader of term {term} lacks agreed entries")
                     if seen.setdefault(term, leader) != leader:
                         raise Broken(f"two leaders in term {term}")
@@ -338,12 +375,16 @@
                 yield f"{name} forgets its leader", self.take(state, me, "lapse")
             if left[CRASH]:
                 for survives in {0, len(cell.pending)}:
-                    yield (f"{name} crashes, {survives} written",
-                           self.take(state, me, "crash", survives, CRASH))
+                    yield (
+                        f"{name} crashes, {survives} written",
+                        self.take(state, me, "crash", survives, CRASH),
+                    )
             if left[FAIL] and cell.pending:
                 for survives in {0, len(cell.pending)}:
-                    yield (f"{name} fails to write, {survives} written",
-                           self.take(state, me, "fail", survives, FAIL))
+                    yield (
+                        f"{name} fails to write, {survives} written",
+                        self.take(state, me, "fail", survives, FAIL),
+                    )
             if cell.failed:
                 yield f"{name} can write", self.take(state, me, "mend")
             if core.leading is not None and left[PROPOSE]:
@@ -391,8 +432,13 @@
             state = self.take(state, 2, "deliver", ask, gone=ask)
             answer = next(n for n in state.net if self.messages[n][:2] == (2, me))
             state = self.take(self.take(state, me, "deliver", answer, gone=answer), me, "written")
-        return state._replace(net=tuple(n for n in state.net if self.messages[n][2].vote.last_index
-                                        and not self.messages[n][2].vote.before))
+        return state._replace(
+            net=tuple(
+                n
+                for n in state.net
+                if self.messages[n][2].vote.last_index and not self.messages[n][2].vote.before
+            )
+        )
 
     def old_term(self, bounds: Bounds) -> State:
         """Return one where a leads again with an entry of its earlier term; b has another of one between."""
@@ -402,7 +448,7 @@
         state = self.quiet(self.take(self.quiet(state, "b"), 1, "crash", 0), "b")
         state = self.quiet(self.take(state, 0, "timeout"), "ac")  # learns of b's term
         state = self.quiet(self.take(state, 0, "timeout"), "ac", 0)
-        probe, = state.net
+        (probe,) = state.net
         state = self.quiet(self.take(state, 1, "timeout"), "bc")  # and b of a's
         state = self.take(state, 2, "deliver", probe)
         return self.take(state, 0, "deliver", state.net[0], gone=state.net[0])
@@ -454,13 +500,25 @@
         else:
             whole = deep
         level = following
-    return {"states": len(found), "moves": moves, "depth": whole, "seconds": time.perf_counter() - began,
-            "members' states": len(search.cells), "all": not level}
+    return {
+        "states": len(found),
+        "moves": moves,
+        "depth": whole,
+        "seconds": time.perf_counter() - began,
+        "members' states": len(search.cells),
+        "all": not level,
+    }
 
 
 FEW = Bounds(timeouts=2, crashes=1, proposals=0, reads=0, doubles=0)
-STARTS = {"start": Bounds(), "led": Bounds(), "contested": Bounds(), "tails": Bounds(), "rivals": FEW,
-          "old_term": Bounds(timeouts=1, crashes=0, proposals=0, reads=0, doubles=0)}
+STARTS = {
+    "start": Bounds(),
+    "led": Bounds(),
+    "contested": Bounds(),
+    "tails": Bounds(),
+    "rivals": FEW,
+    "old_term": Bounds(timeouts=1, crashes=0, proposals=0, reads=0, doubles=0),
+}
 
 
 def main() -> int:
--- a/tests/council_storm.py
+++ b/tests/council_storm.py
@@ -20,8 +20,25 @@
 
 EACH_MS = 2000.0  # ms between two faults, in the mean: on a busy machine a start takes as long
 PACES = (0.9, 1.0, 1.1)  # of the members' clocks: 20% apart
-FAULTS = ("kill", "stop", "cut", "slow", "full", "sync", "slow disk", "all", "lost", "flip", "fsize", "files",
-          "together", "again", "end", "full start", "all full")
+FAULTS = (
+    "kill",
+    "stop",
+    "cut",
+    "slow",
+    "full",
+    "sync",
+    "slow disk",
+    "all",
+    "lost",
+    "flip",
+    "fsize",
+    "files",
+    "together",
+    "again",
+    "end",
+    "full start",
+    "all full",
+)
 
 
 class Storm:
@@ -30,8 +47,9 @@
     def __init__(self, seed, seconds, folder, members=3):
         self.random, self.seconds, self.counts = Random(f"storm {seed}"), seconds, Counter()
         paces = {f"m{n}": {"pace": PACES[n % len(PACES)]} for n in range(members)}
-        self.rig = CouncilRig(folder, members, 2, seed=seed + 1, more=paces, task=ACT, clients=1,
-                              disk={"loses": True})
+        self.rig = CouncilRig(
+            folder, members, 2, seed=seed + 1, more=paces, task=ACT, clients=1, disk={"loses": True}
+        )
         self.lost, self.lost_at = "", 0
         self.over = False
 
@@ -55,8 +73,10 @@
             self._mend(name)
         answered(rig, 40)
         rig.acts(5)
-        rig.until(lambda: all((rig.state(name) or {}).get("votes") == len(rig.members)
-                              for name in rig.members), "all vote again")
+        rig.until(
+            lambda: all((rig.state(name) or {}).get("votes") == len(rig.members) for name in rig.members),
+            "all vote again",
+        )
 
     def _fault(self, what):
         rig, random = self.rig, self.random
@@ -85,8 +105,12 @@
                 rig.slow([name], rig.names, random.uniform(5.0, 80.0))
                 rig.loop.after(random.uniform(200.0, 3000.0), rig.heal)
             case "full" | "sync" | "slow disk":
-                self._disk(name, full=what == "full", slow_ms=30.0 * (what == "slow disk"),
-                           syncs_fail=int(what == "sync"))
+                self._disk(
+                    name,
+                    full=what == "full",
+                    slow_ms=30.0 * (what == "slow disk"),
+                    syncs_fail=int(what == "sync"),
+                )
             case "all full":
                 for each in rig.members:
                     self._disk(each, full=True)
@@ -113,8 +137,10 @@
         part = self.rig.parts.get(name)
         if part is not None:
             part.say({"disk": faults})
-            self.rig.loop.after(self.random.uniform(200.0, 4000.0),
-                                lambda: part.say({"disk": {"full": False, "slow_ms": 0.0}}))
+            self.rig.loop.after(
+                self.random.uniform(200.0, 4000.0),
+                lambda: part.say({"disk": {"full": False, "slow_ms": 0.0}}),
+            )
 
     def _limit(self, name, files):
         """Let no file grow, or no further descriptor be had, for a while."""
@@ -173,9 +199,14 @@
 
     def lost_is_back(self):
         """Tell whether the last one that lost its folder has said since that it has a vote."""
-        return not self.lost or self.lost_at and any(
-            who == self.lost and what == "part" and facts["part"] in ("follower", "leader")
-            for who, what, facts in self.rig.said[self.lost_at:])
+        return (
+            not self.lost
+            or self.lost_at
+            and any(
+                who == self.lost and what == "part" and facts["part"] in ("follower", "leader")
+                for who, what, facts in self.rig.said[self.lost_at :]
+            )
+        )
 
     def _start(self, name):
         if name not in self.rig.parts:
@@ -183,6 +214,7 @@
 
     def _end(self, name):
         """As by SIGTERM, in the middle of whatever there is."""
+
         def end():
             if name in rig.parts and not self.over:
                 rig.end(name)
@@ -199,8 +231,9 @@
         def back():
             self._start(name)
             if again:
-                self.rig.loop.after(self.random.uniform(10.0, 800.0),
-                                    lambda: self._kill(name, within_ms, again - 1))
+                self.rig.loop.after(
+                    self.random.uniform(10.0, 800.0), lambda: self._kill(name, within_ms, again - 1)
+                )
 
         self.rig.loop.after(self.random.uniform(10.0, within_ms), back)
 
@@ -225,8 +258,11 @@
             rig = storm.rig
             taken, lines = rig.resource.taken(), Counter(line[3] for line in rig.history)
             acts, refused = sum(seen.what == "end" for seen in taken), len(rig.resource.seen) - len(taken)
-            print(f"seed {seed}, {len(rig.members)} members: {dict(storm.counts)}; acts {acts}, refused "
-                  f"{refused}, fences {len({seen.fence for seen in taken})}, {dict(lines)}", flush=True)
+            print(
+                f"seed {seed}, {len(rig.members)} members: {dict(storm.counts)}; acts {acts}, refused "
+                f"{refused}, fences {len({seen.fence for seen in taken})}, {dict(lines)}",
+                flush=True,
+            )
     print(f"broke: {broke}")
     return 1 if broke else 0
 
--- a/tests/council_world.py
+++ b/tests/council_world.py
@@ -51,8 +51,16 @@
 
     def place(self, name, **more):
         member = name in self.addresses
-        return Place("f", name, self.addresses, folder="folder" if member else None,
-                     listen=self.addresses.get(name), timing=self.timing, reserve_bytes=1 << 20, **more)
+        return Place(
+            "f",
+            name,
+            self.addresses,
+            folder="folder" if member else None,
+            listen=self.addresses.get(name),
+            timing=self.timing,
+            reserve_bytes=1 << 20,
+            **more,
+        )
 
     def start(self, name, address="", more=(), level=1):
         """Start a member, or a follower at an address."""
@@ -78,8 +86,11 @@
 
     def leader(self):
         """Return who leads in the latest term, by what members say of themselves; "" if nobody does."""
-        leading = [(k.member.term, name) for name, k in self.keepers.items()
-                   if k.member and k.member.part == "leader" and not self.hosts[name].dead]
+        leading = [
+            (k.member.term, name)
+            for name, k in self.keepers.items()
+            if k.member and k.member.part == "leader" and not self.hosts[name].dead
+        ]
         return max(leading)[1] if leading else ""
 
     def until(self, true, within_ms=60_000.0):
@@ -109,6 +120,7 @@
 
     def play(self, main):
         """Start all members and run `main(council)`; a task that broke is a failure."""
+
         def run():
             for name in self.names:
                 self.start(name)
--- a/tests/crossings_oracle.py
+++ b/tests/crossings_oracle.py
@@ -123,9 +123,14 @@
             crossed = link.closed is not None and asked.sent >= link.closed - SLACK_MS and not posted
             if not crossed:
                 sent = ", ".join(f"{one.first:.1f}" for one in posted) or "never"
-                self.fault("lost", asked.due, (
-                    f"{asked.name} {asked.cls} of {asked.sent:.1f} on {link.kind}, closed at {link.closed}, "
-                    f"sent on at: {sent}"))
+                self.fault(
+                    "lost",
+                    asked.due,
+                    (
+                        f"{asked.name} {asked.cls} of {asked.sent:.1f} on {link.kind}, "
+                        f"closed at {link.closed}, sent on at: {sent}"
+                    ),
+                )
             return
         at, kind, body = asked.answers[0]
         if asked.left is None and not link.pauses and at > asked.due + SLACK_MS:
@@ -149,8 +154,11 @@
         for number, one in enumerate(posted):
             if asked.left is not None and one.first > asked.left + LEFT_MS:
                 after = one.first - asked.left
-                self.fault("client gone", one.first, (
-                    f"{asked.name} attempt {number} {after:.0f} ms after its leaving, {asked.link.kind}"))
+                self.fault(
+                    "client gone",
+                    one.first,
+                    (f"{asked.name} attempt {number} {after:.0f} ms after its leaving, {asked.link.kind}"),
+                )
             if one.first > asked.due + SLACK_MS and not asked.link.pauses:  # else it was read late
                 self.fault("past its time", one.first, f"{asked.name}, due {asked.due:.1f}")
             before = [other for other in posted[:number] if other.may_have_run(one.first)]
@@ -169,9 +177,14 @@
             runs = sorted(self.runs.get(asked.name, ()), key=lambda run: run.arrived)
             for earlier, later in combinations(runs, 2):
                 if later.arrived < earlier.out_until():
-                    self.fault("two out", later.arrived, (
-                        f"{asked.name} {asked.cls}: out at {earlier.engine} ({earlier.mode}) from "
-                        f"{earlier.arrived:.1f} to {earlier.out_until():.1f}, then at {later.engine}"))
+                    self.fault(
+                        "two out",
+                        later.arrived,
+                        (
+                            f"{asked.name} {asked.cls}: out at {earlier.engine} ({earlier.mode}) from "
+                            f"{earlier.arrived:.1f} to {earlier.out_until():.1f}, then at {later.engine}"
+                        ),
+                    )
 
     def _drained(self, one: Posted) -> None:
         """Judge by all that had been told of who is at the address."""
--- a/tests/crossings_play.py
+++ b/tests/crossings_play.py
@@ -265,16 +265,26 @@
         mode = random.choices([*ways, "ok"], [*(rates[way] for way in ways), rest])[0]
         if mode == "refused":
             posted.not_run = now
-            stream.write(b"HTTP/1.1 %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n" % random.choice(
-                [b"503 Full", b"503 Full", b"504 Over"]))
+            stream.write(
+                b"HTTP/1.1 %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                % random.choice([b"503 Full", b"503 Full", b"504 Over"])
+            )
             return True
         if mode == "unread":  # reset with the call unread: it has not arrived
             stream.abort()
             return False
         work = random.expovariate(1.0 / self.play.work_ms) + 2.0
         work = work * 12.0 if random.random() < rates["long"] else work
-        run = Run(told, self.name, now, now, posted, result(told, b"big" in body),
-                  now + work if mode != "stuck" else float("inf"), mode)
+        run = Run(
+            told,
+            self.name,
+            now,
+            now,
+            posted,
+            result(told, b"big" in body),
+            now + work if mode != "stuck" else float("inf"),
+            mode,
+        )
         self.record.runs[told].append(run)
         self.runs[told] = run
         if mode == "reset":  # at once, or in the middle of the work
@@ -318,12 +328,12 @@
         elif how == "noise":
             stream.write(b"\x00\xff\x17 no http at all\r\n\r\n")
         elif how == "cut":
-            stream.write(raw[:random.randrange(len(raw))])
+            stream.write(raw[: random.randrange(len(raw))])
             self.loop.sleep(random.choice([0.0, 5.0]))
             random.choice([stream.abort, stream.close])()
             return False
         elif how == "stops":
-            stream.write(raw[:random.randrange(len(raw))])
+            stream.write(raw[: random.randrange(len(raw))])
             return self._deaf(stream)
         elif how == "twice":
             stream.write(raw)
@@ -419,7 +429,7 @@
                 stream.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n")
             comment = self.loop.now()
             while True:
-                for cursor, instances, text in self.events[max(0, last - 1):]:
+                for cursor, instances, text in self.events[max(0, last - 1) :]:
                     if stream in self.silent:
                         break
                     self._event(stream, cursor, instances, text)
@@ -440,7 +450,7 @@
         raw = b"id: %d\ndata: %s\n\n" % (cursor, text)
         chance = self.play.random.random()
         if chance < 0.1:  # breaks off in the middle of it
-            stream.write(raw[:self.play.random.randrange(len(raw))])
+            stream.write(raw[: self.play.random.randrange(len(raw))])
             stream.abort()
             raise StreamReset("broken off")
         stream.write(raw + raw if chance < 0.2 else raw)
@@ -630,26 +640,45 @@
         self.seed, self.random = seed, Random(f"crossings {seed}")
         random = self.random
         ceilings = SETTINGS["Ceilings"] | {
-            "Cancel": random.random() < 0.6, "ParallelTries": random.random() < 0.5,
+            "Cancel": random.random() < 0.6,
+            "ParallelTries": random.random() < 0.5,
             "MaxAttempts": random.choice([1, 2, 3, 3, 4]),
-            "DialTimeoutMs": random.choice([150.0, 400.0, 2000.0])}
+            "DialTimeoutMs": random.choice([150.0, 400.0, 2000.0]),
+        }
         self.classes = {}
         for told, effect in (("lookup", "repeatable"), ("tally", "by_key"), ("publish", "once")):
             self.classes[told] = {
-                "Name": told, "AimMs": random.choice([300.0, 900.0]), "AimStretch": 1.5, "Effect": effect,
-                "GiveUpMs": random.choice([900.0, 2000.0, 4000.0]), "Points": random.choice([1.0, 5.0]),
-                "LateWorth": random.choice([0.0, 0.4]), "Group": random.choice(["all", "zone", "cell"]),
-                "MemorySpanMs": random.choice([150.0, 400.0, 1500.0])}
+                "Name": told,
+                "AimMs": random.choice([300.0, 900.0]),
+                "AimStretch": 1.5,
+                "Effect": effect,
+                "GiveUpMs": random.choice([900.0, 2000.0, 4000.0]),
+                "Points": random.choice([1.0, 5.0]),
+                "LateWorth": random.choice([0.0, 0.4]),
+                "Group": random.choice(["all", "zone", "cell"]),
+                "MemorySpanMs": random.choice([150.0, 400.0, 1500.0]),
+            }
         self.settings = SETTINGS | {
-            "Ceilings": ceilings, "Grades": list(self.classes.values()),
+            "Ceilings": ceilings,
+            "Grades": list(self.classes.values()),
             "Rules": SETTINGS["Rules"] | {"DrainGraceMs": random.choice([0.0, 100.0, 600.0])},
-            "FamilyInfo": SETTINGS["FamilyInfo"] | {
-                "KindCores": [random.choice([1, 2, 16])], "WidthByClass": [1, 1, 1]}}
+            "FamilyInfo": SETTINGS["FamilyInfo"]
+            | {"KindCores": [random.choice([1, 2, 16])], "WidthByClass": [1, 1, 1]},
+        }
         self.sockets = random.choice([24, 48, 256])
         rough = random.choice([0.3, 1.0, 1.0, 2.0])
-        self.rates = {told: rate * rough * random.choice([0.0, 1.0, 1.0]) for told, rate in {
-            "refused": 0.08, "unread": 0.04, "reset": 0.05, "error": 0.05, "stuck": 0.03, "long": 0.1,
-            "spoilt": 0.12}.items()}
+        self.rates = {
+            told: rate * rough * random.choice([0.0, 1.0, 1.0])
+            for told, rate in {
+                "refused": 0.08,
+                "unread": 0.04,
+                "reset": 0.05,
+                "error": 0.05,
+                "stuck": 0.03,
+                "long": 0.1,
+                "spoilt": 0.12,
+            }.items()
+        }
         self.work_ms = random.choice([15.0, 60.0, 150.0])
         self.late = random.choice([0.0, 0.15, 0.4])
         self.record = Record(self.settings, self.classes)
@@ -667,8 +696,9 @@
         """Note that the controller has read of some executors."""
         for one in instances:
             host, port = one["hostPort"].rsplit(":", 1)
-            self.record.told.append(Told(
-                self.loop.now(), one["instanceId"], Address(host, int(port)), one["lifecycle"]))
+            self.record.told.append(
+                Told(self.loop.now(), one["instanceId"], Address(host, int(port)), one["lifecycle"])
+            )
 
     def instance(self, told, state="in_service", **more):
         zone, cell = self.record.places[Address(f"127.0.1.{told['number']}", 9090)]
@@ -681,13 +711,19 @@
 
     def _main(self):
         random, loop = self.random, self.loop
-        members = BASE[:random.randint(2, 5)]
+        members = BASE[: random.randint(2, 5)]
         for told in BASE:
             self.record.places[Address(f"127.0.1.{told['number']}", 9090)] = (
-                random.choice(["east", "west"]), random.randrange(2))
+                random.choice(["east", "west"]),
+                random.randrange(2),
+            )
         self.members = {told["instance"]: told for told in members}
-        self.engines = {told["instance"]: Engine(self, told, *self.record.places[
-            Address(f"127.0.1.{told['number']}", 9090)]) for told in members}
+        self.engines = {
+            told["instance"]: Engine(
+                self, told, *self.record.places[Address(f"127.0.1.{told['number']}", 9090)]
+            )
+            for told in members
+        }
         self.registry = Registry(self)
         known = [self.instance(told) for told in members]
         self.told(known)
@@ -723,10 +759,15 @@
         """Check that a controller with nothing to do holds nothing."""
         node, at = self.node, self.loop.now()
         driver, links = node.driver, node.links
-        left = {"entries": driver.ledger.entries, "names": node.front.names,
-                "queries": driver.gateway.queries, "tasks": driver._tasks,
-                "deletes": links._deleting, "out": links._out,
-                "clients": [one for one in self.loop.held.values() if isinstance(one, Caller)]}
+        left = {
+            "entries": driver.ledger.entries,
+            "names": node.front.names,
+            "queries": driver.gateway.queries,
+            "tasks": driver._tasks,
+            "deletes": links._deleting,
+            "out": links._out,
+            "clients": [one for one in self.loop.held.values() if isinstance(one, Caller)],
+        }
         for told, held in left.items():
             if held:
                 self.record.fault("left over", at, f"{len(held)} {told}")
@@ -762,9 +803,25 @@
     def _trouble(self, after):
         random, loop = self.random, self.loop
         loop.sleep(after)
-        what = random.choice([
-            "refuse", "cut", "cut", "hang", "hang", "reset", "drain", "drain", "replace", "crash", "silence",
-            "outage", "move", "whole", "burst"])
+        what = random.choice(
+            [
+                "refuse",
+                "cut",
+                "cut",
+                "hang",
+                "hang",
+                "reset",
+                "drain",
+                "drain",
+                "replace",
+                "crash",
+                "silence",
+                "outage",
+                "move",
+                "whole",
+                "burst",
+            ]
+        )
         engine = self.engines[random.choice(sorted(self.engines))] if self.engines else None
         self.events.append((loop.now(), what, engine and engine.name))
         if what in ("silence", "outage"):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -75,17 +75,26 @@
         self.http, self.sequence, self.cookie = h11.Connection(h11.CLIENT), 0, None
         basic = base64.b64encode(f"{user}:{password}".encode())
         self.headers = [("host", "there"), ("authorization", b"Basic " + basic)]
-        self.session = self.call("OpenSession", hs2.TOpenSessionReq(client_protocol=9)).sessionHandle \
-            if opens else None
+        self.session = (
+            self.call("OpenSession", hs2.TOpenSessionReq(client_protocol=9)).sessionHandle if opens else None
+        )
 
     def request(self, method, body):
         self.sequence += 1
         message = write_message(method, CALL, self.sequence, body)
         sent = self.headers if self.cookie is None else [self.headers[0], ("cookie", self.cookie)]
-        return b"".join(self.http.send(event) for event in (
-            h11.Request(method="POST", target="/cliservice", headers=[
-                *sent, ("content-length", str(len(message)))]),
-            h11.Data(data=message), h11.EndOfMessage()))
+        return b"".join(
+            self.http.send(event)
+            for event in (
+                h11.Request(
+                    method="POST",
+                    target="/cliservice",
+                    headers=[*sent, ("content-length", str(len(message)))],
+                ),
+                h11.Data(data=message),
+                h11.EndOfMessage(),
+            )
+        )
 
     def answer(self):
         """Return the status and body of the next answer."""
@@ -96,8 +105,9 @@
                 self.http.receive_data(self.stream.read())
             elif isinstance(event, h11.Response):
                 status = event.status_code
-                self.cookie = next((v.split(b";")[0] for k, v in event.headers if k == b"set-cookie"),
-                                   self.cookie)
+                self.cookie = next(
+                    (v.split(b";")[0] for k, v in event.headers if k == b"set-cookie"), self.cookie
+                )
             elif isinstance(event, h11.Data):
                 body += event.data
             else:
@@ -126,8 +136,9 @@
 class Fleet:
     """Two engines (or more) and a controller; build it inside the loop."""
 
-    def __init__(self, loop, engines=2, note=0, max_open=1000, change=lambda text: text, folder=Path(),
-                 **engine):
+    def __init__(
+        self, loop, engines=2, note=0, max_open=1000, change=lambda text: text, folder=Path(), **engine
+    ):
         self.loop = loop
         here = Address("127.0.0.1", 0)
         self.engines = [Engine(loop, here, Machine(8), note_ms=note, **engine) for _ in range(engines)]
@@ -160,8 +171,12 @@
     overlay = {"standin.work_ms": str(work), "standin.rows": str(rows)}
     overlay |= {"fennelwind.work_ms": str(work)} | more
     request = hs2.TExecuteStatementReq(
-        sessionHandle=link.session, statement=statement, confOverlay=overlay, runAsync=asynchronous,
-        queryTimeout=timeout)
+        sessionHandle=link.session,
+        statement=statement,
+        confOverlay=overlay,
+        runAsync=asynchronous,
+        queryTimeout=timeout,
+    )
     return link.call("ExecuteStatement", request).operationHandle
 
 
@@ -170,8 +185,10 @@
 
 
 def fetch(link, handle, most=1000, orientation=hs2.FETCH_NEXT):
-    return link.call("FetchResults", hs2.TFetchResultsReq(
-        operationHandle=handle, orientation=orientation, maxRows=most, fetchType=0))
+    return link.call(
+        "FetchResults",
+        hs2.TFetchResultsReq(operationHandle=handle, orientation=orientation, maxRows=most, fetchType=0),
+    )
 
 
 def ids(reply):
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -29,12 +29,14 @@
 def calls():
     handle = hs2.TOperationHandle(hs2.THandleIdentifier(b"g" * 16, b"s" * 16), 0, True)
     session = hs2.TSessionHandle(hs2.THandleIdentifier(b"g" * 16, b"s" * 16))
-    made = [("OpenSession", hs2.TOpenSessionReq(9, "ann", "x", {"a": "b", "set:c": "d"})),
-            ("ExecuteStatement", hs2.TExecuteStatementReq(session, "select 1", {"k": "v"}, True, 5)),
-            ("GetOperationStatus", hs2.TGetOperationStatusReq(handle, True)),
-            ("FetchResults", hs2.TFetchResultsReq(handle, 0, 100, 0)),
-            ("CloseOperation", hs2.TCloseOperationReq(handle)),
-            ("GetTables", hs2.make("TGetTablesReq", sessionHandle=session, tableTypes=["T"] * 3))]
+    made = [
+        ("OpenSession", hs2.TOpenSessionReq(9, "ann", "x", {"a": "b", "set:c": "d"})),
+        ("ExecuteStatement", hs2.TExecuteStatementReq(session, "select 1", {"k": "v"}, True, 5)),
+        ("GetOperationStatus", hs2.TGetOperationStatusReq(handle, True)),
+        ("FetchResults", hs2.TFetchResultsReq(handle, 0, 100, 0)),
+        ("CloseOperation", hs2.TCloseOperationReq(handle)),
+        ("GetTables", hs2.make("TGetTablesReq", sessionHandle=session, tableTypes=["T"] * 3)),
+    ]
     return [write_message(name, CALL, i + 1, body, strict=i % 3 > 0) for i, (name, body) in enumerate(made)]
 
 
@@ -48,13 +50,13 @@
             case 0:
                 raw[at] ^= 1 << random.randrange(8)
             case 1:
-                del raw[at:at + random.randrange(1, 9)]
+                del raw[at : at + random.randrange(1, 9)]
             case 2:
                 raw[at:at] = random.randbytes(random.randrange(1, 9))
             case 3:
-                raw[at:at + 4] = random.choice((b"\xff" * 4, b"\x7f\xff\xff\xff", b"\0" * 4, b"\0\1\0\0"))
+                raw[at : at + 4] = random.choice((b"\xff" * 4, b"\x7f\xff\xff\xff", b"\0" * 4, b"\0\1\0\0"))
             case 4:
-                raw[at:at] = raw[at:at + random.randrange(1, 40)]
+                raw[at:at] = raw[at : at + random.randrange(1, 40)]
             case 5:
                 raw[at] = random.choice(b"\x0b\x0c\x0d\x0f\0\r\n:")
             case 6:
@@ -110,8 +112,13 @@
             each.join()
         loop.sleep(100_000)
         program = fleet.program
-        left = (program.front.connections, program.http.connections, program.service.sessions,
-                program.service.operations, program.driver.ledger.entries)
+        left = (
+            program.front.connections,
+            program.http.connections,
+            program.service.sessions,
+            program.service.operations,
+            program.driver.ledger.entries,
+        )
         if any(left):
             wrong.append(f"left behind: {[len(each) for each in left]}")
         for client in (fleet.client(), HttpClient(loop, fleet.program.http.listener.address)):
@@ -129,17 +136,21 @@
     random = Random(seed)
     column = hs2.make("TStringColumn", values=[b"x"] * 9, nulls=b"")
     page = hs2.TRowSet(0, [], [hs2.TColumn(stringVal=column)])
-    messages = calls() + [write_message("FetchResults", REPLY, 1, hs2.TFetchResultsResp(
-        hs2.TStatus(0), False, page))]
+    messages = calls() + [
+        write_message("FetchResults", REPLY, 1, hs2.TFetchResultsResp(hs2.TStatus(0), False, page))
+    ]
     for _ in range(1000):
         transport, raw = sent(random, messages)
-        for side in (ServerSide(100_000), ClientSide("buffered", most=100_000),
-                     ClientSide("framed", most=100_000)):
+        for side in (
+            ServerSide(100_000),
+            ClientSide("buffered", most=100_000),
+            ClientSide("framed", most=100_000),
+        ):
             pos = 0
             try:
                 while pos < len(raw):
                     size = random.choice((1, 5, 64, 10**6))
-                    for event in side.receive(raw[pos:pos + size]):
+                    for event in side.receive(raw[pos : pos + size]):
                         repr(event)
                     pos += size
             except ThriftError:
--- a/tests/hunt.py
+++ b/tests/hunt.py
@@ -12,8 +12,20 @@
 
 from simday import SCRIPT, SimDay  # noqa: E402 - found by the line above
 
-KINDS = ("HANG", "SLOW", "LOSE", "CUT", "CRASH", "DRAIN", "REPORT_LATE", "REFUSE", "ERROR", "TWICE",
-         "DISCOVERY_SILENT", "BURST")
+KINDS = (
+    "HANG",
+    "SLOW",
+    "LOSE",
+    "CUT",
+    "CRASH",
+    "DRAIN",
+    "REPORT_LATE",
+    "REFUSE",
+    "ERROR",
+    "TWICE",
+    "DISCOVERY_SILENT",
+    "BURST",
+)
 PROCESSES = 5
 
 
@@ -27,9 +39,11 @@
         if kind in ("CRASH", "DRAIN"):  # an engine restarts once a day
             engines = [e for e in engines if e not in restarted]
             restarted.update(engines)
-        text += (f"faults {{ kind: {kind} at_ms: {at:.0f} for_ms: {length:.0f} "
-                 + " ".join(f"engines: {e}" for e in engines)
-                 + f" factor: {draw.choice([2, 4, 10]):.1f} late_ms: 2000 }}\n")
+        text += (
+            f"faults {{ kind: {kind} at_ms: {at:.0f} for_ms: {length:.0f} "
+            + " ".join(f"engines: {e}" for e in engines)
+            + f" factor: {draw.choice([2, 4, 10]):.1f} late_ms: 2000 }}\n"
+        )
     return text
 
 
--- a/tests/keeper_defects.py
+++ b/tests/keeper_defects.py
@@ -34,41 +34,97 @@
 LOSSES = ("lost", "cut", "stop", "power")
 DEFECTS = [
     # It shows where a majority loses power together.
-    Defect("a write is told as done before it is made", [Line(
-        Member._write, "self.store.write(writes)",
-        "self.post(Written(writes[-1].number)); self.store.write(writes)")], ("all", "all", "power")),
+    Defect(
+        "a write is told as done before it is made",
+        [
+            Line(
+                Member._write,
+                "self.store.write(writes)",
+                "self.post(Written(writes[-1].number)); self.store.write(writes)",
+            )
+        ],
+        ("all", "all", "power"),
+    ),
     Defect("syncs do nothing", [patch.object(SimDisk, "sync", lambda self, name: None)]),
-    Defect("a write that failed is told as done", [Line(
-        Member._write, "WriteFailed(writes[0].number, isinstance(exc, DiskFull))",
-        "Written(writes[-1].number)",
-        "self._write_again(isinstance(exc, DiskFull))", "pass")], ("sync", "full", "sync", "full", "all")),
-    Defect("a read is answered from what the member has, whoever leads", [Line(
-        Member._look, "if view.fresh:", "if False:")]),
-    Defect("answers are not kept: what is asked again is done again", [Line(
-        Record._command, "if command.number in client.kept:", "client.kept.clear()\n    if False:")],
-        ("stop", "cut", "kill")),
-    Defect("a command whose outcome nobody told is said to be refused", [Line(
-        Asker._command, "else told[1]), maybe[0]", "else told[1]), False")]),
-    Defect("what a deposed leader can't tell is answered as refused", [Line(
-        Member._propose, "def answered(answer: Answer)",
-        "tell = (lambda real: lambda result: real(Result(refusal=Result.TOO_LARGE)"
-        " if result.refusal == Result.UNKNOWN else result))(tell)\n    def answered(answer: Answer)")]),
-    Defect("a snapshot forgets what clients have done", [Line(
-        Record.restore, "{kept.number: kept.result for kept in told.kept}", "{}")]),
-    Defect("one entry in forty is left out", [Line(
-        State._apply, "changed = [name for",
-        "if self.applied % 40 == 39:\n            self.applied += 1; record.index = entry.index\n"
-        "            continue\n        changed = [name for")]),
-    Defect("a folder made anew gets the life of the lost one", [Line(
-        Folder.open, "self.token(LIFE)", "self.name.encode().ljust(LIFE)")], LOSSES),
-    Defect("a message counts as its name's latest life's", [Line(
-        Member.received, "Received(sender, message)",
-        "Received(next((Life(m.name, m.life) for m in self.core.log.config.members.members"
-        " if m.name == sender.name), sender), message)")], LOSSES),
+    Defect(
+        "a write that failed is told as done",
+        [
+            Line(
+                Member._write,
+                "WriteFailed(writes[0].number, isinstance(exc, DiskFull))",
+                "Written(writes[-1].number)",
+                "self._write_again(isinstance(exc, DiskFull))",
+                "pass",
+            )
+        ],
+        ("sync", "full", "sync", "full", "all"),
+    ),
+    Defect(
+        "a read is answered from what the member has, whoever leads",
+        [Line(Member._look, "if view.fresh:", "if False:")],
+    ),
+    Defect(
+        "answers are not kept: what is asked again is done again",
+        [Line(Record._command, "if command.number in client.kept:", "client.kept.clear()\n    if False:")],
+        ("stop", "cut", "kill"),
+    ),
+    Defect(
+        "a command whose outcome nobody told is said to be refused",
+        [Line(Asker._command, "else told[1]), maybe[0]", "else told[1]), False")],
+    ),
+    Defect(
+        "what a deposed leader can't tell is answered as refused",
+        [
+            Line(
+                Member._propose,
+                "def answered(answer: Answer)",
+                "tell = (lambda real: lambda result: real(Result(refusal=Result.TOO_LARGE)"
+                " if result.refusal == Result.UNKNOWN else result))(tell)\n    def answered(answer: Answer)",
+            )
+        ],
+    ),
+    Defect(
+        "a snapshot forgets what clients have done",
+        [Line(Record.restore, "{kept.number: kept.result for kept in told.kept}", "{}")],
+    ),
+    Defect(
+        "one entry in forty is left out",
+        [
+            Line(
+                State._apply,
+                "changed = [name for",
+                "if self.applied % 40 == 39:\n            self.applied += 1; record.index = entry.index\n"
+                "            continue\n        changed = [name for",
+            )
+        ],
+    ),
+    Defect(
+        "a folder made anew gets the life of the lost one",
+        [Line(Folder.open, "self.token(LIFE)", "self.name.encode().ljust(LIFE)")],
+        LOSSES,
+    ),
+    Defect(
+        "a message counts as its name's latest life's",
+        [
+            Line(
+                Member.received,
+                "Received(sender, message)",
+                "Received(next((Life(m.name, m.life) for m in self.core.log.config.members.members"
+                " if m.name == sender.name), sender), message)",
+            )
+        ],
+        LOSSES,
+    ),
     Defect("an older fence is not refused", [ANY_FENCE], ("stop",)),
-    Defect("neither the guard nor the fence is looked at", [
-        patch.object(Guard, "may_go_on", lambda self, now, act: True),
-        patch.object(Acting, "check", lambda self: None), ANY_FENCE], ("stop",)),
+    Defect(
+        "neither the guard nor the fence is looked at",
+        [
+            patch.object(Guard, "may_go_on", lambda self, now, act: True),
+            patch.object(Acting, "check", lambda self: None),
+            ANY_FENCE,
+        ],
+        ("stop",),
+    ),
 ]
 
 
@@ -86,8 +142,11 @@
     for title, changes, faults in [one for one in DEFECTS if one.title in sys.argv[2:]] or DEFECTS:
         with planted(changes):
             found = broken(partial(play, seed, faults) for seed in range(most))
-        row(title, found[0] - 1 if found else f"none of {most}",
-            found[1].removeprefix("AssertionError: ").split("(")[0][:60] if found else "not found")
+        row(
+            title,
+            found[0] - 1 if found else f"none of {most}",
+            found[1].removeprefix("AssertionError: ").split("(")[0][:60] if found else "not found",
+        )
 
 
 if __name__ == "__main__":
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -64,7 +64,8 @@
         except (Malformed, OSError, UnicodeDecodeError) as exc:
             raise pytest.UsageError(f"{FILE}: {exc}") from None
         self.whole = config.args_source is not pytest.Config.ArgsSource.ARGS and not any(
-            getattr(config.option, name, None) for name in CHOICES)
+            getattr(config.option, name, None) for name in CHOICES
+        )
         self.collected: set[str] | None = None
         self.ends = dict.fromkeys(self.reds, WORST[0])
 
--- a/tests/lease_council.py
+++ b/tests/lease_council.py
@@ -27,8 +27,16 @@
     """Three members with the leases' record; stands where lease_play has its one record."""
 
     def __init__(self, play: "CouncilPlay") -> None:
-        timing = Timing(heartbeat_ms=50, election_ms=200, append_most=4000, under_way_most=3, piece_most=512,
-                        kept_entries=10, log_most=8000, clock_ms=100)
+        timing = Timing(
+            heartbeat_ms=50,
+            election_ms=200,
+            append_most=4000,
+            under_way_most=3,
+            piece_most=512,
+            kept_entries=10,
+            log_most=8000,
+            clock_ms=100,
+        )
         super().__init__(play.seed, 3, timing)
         self.play = play
         self.records: dict[str, Record] = {}
@@ -65,8 +73,11 @@
             for _ in range(CLIENTS - len(self.clients)):
                 self.command(leader.name, council.Command())
             self.run(self.now + 200.0)
-            self.clients = [e.index for e in self.checks.agreed
-                            if e.WhichOneof("what") == "command" and not e.command.client][:CLIENTS]
+            self.clients = [
+                e.index
+                for e in self.checks.agreed
+                if e.WhichOneof("what") == "command" and not e.command.client
+            ][:CLIENTS]
 
     def command(self, name: str, command: council.Command) -> int:
         self.tokens += 1
--- a/tests/lease_fleet.py
+++ b/tests/lease_fleet.py
@@ -43,8 +43,9 @@
                 case h.Ask(token, body):
                     fleet.counts["commands"] += 1
                     fleet.counts["bytes"] += len(body)
-                    command = council.Command(client=self.client, number=token, heard=max(0, token - 8),
-                                              machine="leases", body=body)
+                    command = council.Command(
+                        client=self.client, number=token, heard=max(0, token - 8), machine="leases", body=body
+                    )
                     fleet.after(fleet.way(), fleet.asked, self, token, command)
                 case h.Gained(task):
                     self.act(task)
@@ -169,8 +170,10 @@
     parser.add_argument("--tasks", type=int, default=50)
     parser.add_argument("--plays", type=int, default=30)
     given = parser.parse_args()
-    print("| term, s | tasks | messages a second and controller | bytes of commands a second, fleet | "
-          "commands in the first second | most in 100 ms once spread | most tasks of one |")
+    print(
+        "| term, s | tasks | messages a second and controller | bytes of commands a second, fleet | "
+        "commands in the first second | most in 100 ms once spread | most tasks of one |"
+    )
     for term_ms in (5000, 10_000, 30_000):
         fleet = Fleet(1, given.controllers, given.tasks, term_ms)
         fleet.run(SETTLE_MS)
@@ -180,9 +183,12 @@
         fleet.run(SETTLE_MS + STEADY_MS)
         sent = sum(fleet.counts[kind] for kind in ("commands", "answers", "told of offers"))
         held = Counter(fleet.machine.view(task).holder for task in fleet.tasks)
-        print(f"| {term_ms / 1000:.0f} | {given.tasks} | {sent / STEADY_MS * 1000 / given.controllers:.3f} | "
-              f"{fleet.counts['bytes'] / STEADY_MS * 1000:.0f} | {first} | {max(fleet.by_ms.values())} | "
-              f"{max(held.values())} |", flush=True)
+        print(
+            f"| {term_ms / 1000:.0f} | {given.tasks} | {sent / STEADY_MS * 1000 / given.controllers:.3f} | "
+            f"{fleet.counts['bytes'] / STEADY_MS * 1000:.0f} | {first} | {max(fleet.by_ms.values())} | "
+            f"{max(held.values())} |",
+            flush=True,
+        )
     print("| a holder is | term, s | plays | median ms to the next act | 90% | 99% | longest |")
     for how in ("killed", "ended", "failing"):
         for term_ms in (2000, 5000, 10_000):
--- a/tests/lease_play.py
+++ b/tests/lease_play.py
@@ -214,8 +214,9 @@
 
     def ask(self, who: Controller, token: int, body: bytes) -> None:
         self.counts["asks"] += 1
-        command = council.Command(client=who.client, number=token, heard=max(0, token - 20), machine="leases",
-                                  body=body)
+        command = council.Command(
+            client=who.client, number=token, heard=max(0, token - 20), machine="leases", body=body
+        )
         for _ in range(1 + (not self.calm and self.random.random() < 0.1)):
             if not self.lost(who, "asks"):
                 self.at(self.now + self.delay(), self.asked, who, who.life, token, command)
@@ -260,8 +261,14 @@
                 self.leader.change()
             case 5:
                 late = self.now + random.uniform(0, TERM_MS)
-                who.cut_until = random.choice([{"asks": late}, {"answers": late}, {"late": late}, {
-                    "late": late, "asks": late + 2 * TERM_MS}])
+                who.cut_until = random.choice(
+                    [
+                        {"asks": late},
+                        {"answers": late},
+                        {"late": late},
+                        {"late": late, "asks": late + 2 * TERM_MS},
+                    ]
+                )
         self.counts["faults"] += 1
 
     def no_leader(self, ms: float) -> None:
@@ -325,8 +332,10 @@
             self.counts["beliefs"] += 1
             other = [life for life, until in beliefs.items() if life != who.life and until > self.now]
             if other:
-                raise Violation(f"seed {self.seed}: at {self.now:.0f} {who.life} believes to hold {task}, "
-                                f"and so does {other[0]}")
+                raise Violation(
+                    f"seed {self.seed}: at {self.now:.0f} {who.life} believes to hold {task}, "
+                    f"and so does {other[0]}"
+                )
 
     def effect(self, life: Life, task: str, act) -> None:
         """A step of an act comes to the resource, which notes it."""
@@ -342,8 +351,10 @@
         acted = self.acted[task]
         key = (life, act.fence, act.number)
         if acted and acted[-1][0] != life and key in acted:
-            raise Violation(f"seed {self.seed}: at {self.now:.0f} {life} goes on with act {act.number} of "
-                            f"{task} after {acted[-1][0]} has begun")
+            raise Violation(
+                f"seed {self.seed}: at {self.now:.0f} {life} goes on with act {act.number} of "
+                f"{task} after {acted[-1][0]} has begun"
+            )
         if not acted or acted[-1] != key:
             acted.append(key)
             del acted[:-50]
@@ -354,7 +365,8 @@
         for task in TASKS:
             view = record.view(task)
             aside = view is not None and all(
-                view.asides.get(f"c{number}", 0) > self.leader.stamped for number in range(3))
+                view.asides.get(f"c{number}", 0) > self.leader.stamped for number in range(3)
+            )
             if view is None or not view.holder and not aside:
                 raise Violation(f"seed {self.seed}: nobody holds {task} at the end: {view}")
         if self.counts["steps"] < 5:
--- a/tests/lease_search.py
+++ b/tests/lease_search.py
@@ -32,8 +32,11 @@
 assert TICKS["a"] == (1 - DRIFT) * TICKS["b"] and TICKS["record"] == (1 + DRIFT) * TICKS["b"]
 UNDER_WAY = 4  # messages on their way; of more, the oldest is lost
 MENUS = {  # tasks, doubled asks and events in one history, events
-    "late": (1, 1, 0, ()), "crash": (1, 0, 2, ("crash", "leave")), "fail": (1, 1, 1, ("fail", "unwant")),
-    "spare": (2, 0, 0, ())}
+    "late": (1, 1, 0, ()),
+    "crash": (1, 0, 2, ("crash", "leave")),
+    "fail": (1, 1, 1, ("fail", "unwant")),
+    "spare": (2, 0, 0, ()),
+}
 
 
 class Steady:
@@ -154,22 +157,37 @@
             case (event, who):
                 self.events -= 1
                 task = self.tasks[0]
-                self.step(who, *{"fail": (h.Failed(task),), "leave": (h.Terminate(),), "unwant": (
-                    h.Unwant(task), h.Want(task, TERM_MS))}[event])
+                self.step(
+                    who,
+                    *{
+                        "fail": (h.Failed(task),),
+                        "leave": (h.Terminate(),),
+                        "unwant": (h.Unwant(task), h.Want(task, TERM_MS)),
+                    }[event],
+                )
 
     # What is checked.
 
     def wrong(self) -> str:
         """Return what is wrong, or nothing."""
         for task in self.tasks:
-            believe = [who for who, holder in self.holders.items() if task in holder._tasks
-                       and (guard := holder.guard(task)).fence and self.clock(who) < guard.until
-                       and (guard.usable or guard.acts)]
+            believe = [
+                who
+                for who, holder in self.holders.items()
+                if task in holder._tasks
+                and (guard := holder.guard(task)).fence
+                and self.clock(who) < guard.until
+                and (guard.usable or guard.acts)
+            ]
             if len(believe) > 1:
                 return f"{task} is held by {' and by '.join(believe)}"
-            acting = [who for who, (name, act) in self.acts.items() if name == task
-                      and task in self.holders[who]._tasks
-                      and self.holders[who].guard(task).may_go_on(self.clock(who), act)]
+            acting = [
+                who
+                for who, (name, act) in self.acts.items()
+                if name == task
+                and task in self.holders[who]._tasks
+                and self.holders[who].guard(task).may_go_on(self.clock(who), act)
+            ]
             if acting and believe and acting != believe:
                 return f"{acting[0]} acts on {task}, which {believe[0]} holds"
         return ""
@@ -194,34 +212,84 @@
         found: list = [self.doubles, self.events]
         for task in state.tasks:
             holder = task.holder
-            found.append((
-                task.name, holder.name, age(holder.name, holder.life or b"0"), rank[task.fence],
-                task.until_ms - clock, [(w.who.name, age(w.who.name, w.who.life)) for w in task.waiters],
-                [(one.name, one.failures, max(0, one.until_ms - clock)) for one in task.asides]))
+            found.append(
+                (
+                    task.name,
+                    holder.name,
+                    age(holder.name, holder.life or b"0"),
+                    rank[task.fence],
+                    task.until_ms - clock,
+                    [(w.who.name, age(w.who.name, w.who.life)) for w in task.waiters],
+                    [(one.name, one.failures, max(0, one.until_ms - clock)) for one in task.asides],
+                )
+            )
         for who, holder in self.holders.items():
             now = self.clock(who)
-            found.append((who, holder._leaving, holder._left, holder._leaves,
-                          _left(holder._not_before, now), holder._tries, _left(self.timers[who], now),
-                          None if holder._out is None else now - holder._sent[holder._out].at))
+            found.append(
+                (
+                    who,
+                    holder._leaving,
+                    holder._left,
+                    holder._leaves,
+                    _left(holder._not_before, now),
+                    holder._tries,
+                    _left(self.timers[who], now),
+                    None if holder._out is None else now - holder._sent[holder._out].at,
+                )
+            )
             for name, task in sorted(holder._tasks.items()):
-                found.append((
-                    name, task.phase, task.ending, task.wanted, task.offered, rank[task.fence],
-                    _left(task.ask_at, now), _left(task.renew_at, now), _left(task.guard.until, now),
-                    task.guard.usable > 0, task.refusals,
-                    sorted(act.ends_by - now for act in task.guard.acts.values())))
+                found.append(
+                    (
+                        name,
+                        task.phase,
+                        task.ending,
+                        task.wanted,
+                        task.offered,
+                        rank[task.fence],
+                        _left(task.ask_at, now),
+                        _left(task.renew_at, now),
+                        _left(task.guard.until, now),
+                        task.guard.usable > 0,
+                        task.refusals,
+                        sorted(act.ends_by - now for act in task.guard.acts.values()),
+                    )
+                )
         for who, (task, act) in sorted(self.acts.items()):
-            found.append((who, task, rank[act.fence], act.ends_by - self.clock(who), act.number in (
-                self.holders[who]._tasks[task].guard.acts if task in self.holders[who]._tasks else ())))
+            found.append(
+                (
+                    who,
+                    task,
+                    rank[act.fence],
+                    act.ends_by - self.clock(who),
+                    act.number
+                    in (
+                        self.holders[who]._tasks[task].guard.acts if task in self.holders[who]._tasks else ()
+                    ),
+                )
+            )
         on_way = []
         for kind, who, life, token, (told, more) in asks:
             holder, sent = self.holders[who], None
             if holder.me.life == life:
                 of = holder._sent.get(token)
-                sent = of and (token == holder._out, self.clock(who) - of.at, [
-                    (name, name in holder._tasks and holder._tasks[name].epoch == epoch)
-                    for name, epoch in of.epochs.items()])
-            on_way.append((kind, who, age(who, life), sent, [
-                (name, what, rank[fence], rest) for name, what, fence, rest in told], more))
+                sent = of and (
+                    token == holder._out,
+                    self.clock(who) - of.at,
+                    [
+                        (name, name in holder._tasks and holder._tasks[name].epoch == epoch)
+                        for name, epoch in of.epochs.items()
+                    ],
+                )
+            on_way.append(
+                (
+                    kind,
+                    who,
+                    age(who, life),
+                    sent,
+                    [(name, what, rank[fence], rest) for name, what, fence, rest in told],
+                    more,
+                )
+            )
         return hashlib.blake2b(repr((found, on_way)).encode(), digest_size=12).digest()
 
     def __getstate__(self) -> dict:
@@ -243,12 +311,21 @@
     """Return what a message says of each task: name, what, fence and the rest; and what it says besides."""
     if kind == "ask":
         asked = pb.LeaseCommand.FromString(body)
-        return [(ask.task, what, getattr(getattr(ask, what), "fence", 0),
-                 what == "hand_over" and ask.hand_over.only_spare or what == "give_up" and ask.give_up.reason)
-                for ask in asked.asks if (what := ask.WhichOneof("what"))], (asked.leave,)
+        return [
+            (
+                ask.task,
+                what,
+                getattr(getattr(ask, what), "fence", 0),
+                what == "hand_over" and ask.hand_over.only_spare or what == "give_up" and ask.give_up.reason,
+            )
+            for ask in asked.asks
+            if (what := ask.WhichOneof("what"))
+        ], (asked.leave,)
     answer = pb.LeaseAnswer.FromString(body)
     return [("", told.state, told.fence, (told.refusal, told.term_ms, told.spare)) for told in answer.told], (
-        tuple(answer.offers), answer.waits)
+        tuple(answer.offers),
+        answer.waits,
+    )
 
 
 def search(states_most: int, menu: str = "late") -> tuple[int, int, int, str, list]:
@@ -292,8 +369,11 @@
     given = parser.parse_args()
     for menu in [given.menu] if given.menu else MENUS:
         states, moved, depth, wrong, path = search(given.states, menu=menu)
-        print(f"{menu}: {states} states by {moved} moves, all up to depth {depth - 1}: "
-              f"{wrong or 'nothing wrong'}", flush=True)
+        print(
+            f"{menu}: {states} states by {moved} moves, all up to depth {depth - 1}: "
+            f"{wrong or 'nothing wrong'}",
+            flush=True,
+        )
         for move in path:
             print("  ", *move)
         if wrong:
--- a/tests/move_defects.py
+++ b/tests/move_defects.py
@@ -13,59 +13,88 @@
 
 QUICK_SEEDS = 10
 ACTIONS = 17  # of a play of one fault; the last ones have nothing left to break
-DROP_NOW = '''if work.phase not in ("sent", "early") and move.drops:
+DROP_NOW = """if work.phase not in ("sent", "early") and move.drops:
         work.phase = "early"
         return self._run(move.number, "early", move.shard, move.drops, steps.drop(move.shard),
                          self.timing.drop_ms)
-    '''
+    """
 DEFECTS = {
-    "switched without a check": [Line(
-        Carrier._verify, "if work.target is not None and",
-        "return self._take(move, Step.CHECK, attempt=move.attempt, rows=max(shard.rows, 0),"
-        " checksum=shard.checksum)\n    if work.target is not None and")],
-    "old copy dropped before the switch": [Line(
-        Carrier._at_checked, "self._take(move, Step.SWITCH)", DROP_NOW + "self._take(move, Step.SWITCH)")],
-    "old copy dropped before the record says so": [Line(
-        Carrier._at_switched, "if not self._may_go(move):", DROP_NOW + "if not self._may_go(move):")],
+    "switched without a check": [
+        Line(
+            Carrier._verify,
+            "if work.target is not None and",
+            "return self._take(move, Step.CHECK, attempt=move.attempt, rows=max(shard.rows, 0),"
+            " checksum=shard.checksum)\n    if work.target is not None and",
+        )
+    ],
+    "old copy dropped before the switch": [
+        Line(Carrier._at_checked, "self._take(move, Step.SWITCH)", DROP_NOW + "self._take(move, Step.SWITCH)")
+    ],
+    "old copy dropped before the record says so": [
+        Line(Carrier._at_switched, "if not self._may_go(move):", DROP_NOW + "if not self._may_go(move):")
+    ],
     "last good copy may go": [patch.object(ShardMachine, "spared", lambda self, shard, engine: True)],
-    "headroom without the copy that comes in": [Line(
-        ShardMachine.room, "self.used.get(engine, 0)",
-        "sum(self.shards[s].size for s, held in self.copies.items()"
-        " if engine in held and held[engine].state != 'coming')")],
+    "headroom without the copy that comes in": [
+        Line(
+            ShardMachine.room,
+            "self.used.get(engine, 0)",
+            "sum(self.shards[s].size for s, held in self.copies.items()"
+            " if engine in held and held[engine].state != 'coming')",
+        )
+    ],
     "spills beyond the headroom not counted": [patch.object(machine, "effective", lambda home: home.disk)],
-    "fence not checked by the record": [patch.object(
-        ShardMachine, "_fenced", lambda self, fence, facts: True)],
-    "drops on their way not waited for": [patch.object(
-        Carrier, "_drops_ended", lambda self, shard, engine: True)],
+    "fence not checked by the record": [
+        patch.object(ShardMachine, "_fenced", lambda self, fence, facts: True)
+    ],
+    "drops on their way not waited for": [
+        patch.object(Carrier, "_drops_ended", lambda self, shard, engine: True)
+    ],
     "loads on their way not waited for": [patch.object(Carrier, "_loads_ended", lambda self, move: True)],
-    "resumed move copies again": [Line(
-        Carrier._at_copying, 'work.phase, work.attempt = "verify", move.attempt',
-        "return self._begin_copy(move, work)")],
-    "generation ignored: an empty disk passes for the old one": [Line(
-        ShardMachine._heard, "if known.mark and home.mark != known.mark:", "if False:")],
+    "resumed move copies again": [
+        Line(
+            Carrier._at_copying,
+            'work.phase, work.attempt = "verify", move.attempt',
+            "return self._begin_copy(move, work)",
+        )
+    ],
+    "generation ignored: an empty disk passes for the old one": [
+        Line(ShardMachine._heard, "if known.mark and home.mark != known.mark:", "if False:")
+    ],
     "generation ignored by steps": [
-        Line(ShardMachine._coming, "home, copy = self.homes[move.target],",
-             "if move.target not in self.copies.get(move.shard, {}):\n"
-             "        self._hold(move.shard, Copy(move.shard, move.target, 'coming'))\n"
-             "    return True\n    home, copy = self.homes[move.target],"),
-        patch.object(Carrier, "_target_there", lambda self, move: True)],
-    "a check's answer from an earlier disk is taken": [Line(
-        ShardMachine._checked, "home.generation != asked.generation or", "")],
-    "a check's answer from before a move is taken": [Line(
-        ShardMachine._checked, "asked.seen < self._touched.get(shard.name, 0)", "False")],
-    "copies of a returned engine trusted unchecked": [patch.object(
-        ShardMachine, "_doubted", lambda self, engine, at: None)],
-    "space of a half copy freed before its drop": [Line(
-        ShardMachine._undo, 'self._at(move, "undoing", at)',
-        'self._at(move, "undoing", at)\n        self._undone(self.moves[move.number], asked, at)')],
-    "undone without the drop": [Line(
-        Carrier._at_undoing, 'work.phase == "dropped" or not there', "True")],
+        Line(
+            ShardMachine._coming,
+            "home, copy = self.homes[move.target],",
+            "if move.target not in self.copies.get(move.shard, {}):\n"
+            "        self._hold(move.shard, Copy(move.shard, move.target, 'coming'))\n"
+            "    return True\n    home, copy = self.homes[move.target],",
+        ),
+        patch.object(Carrier, "_target_there", lambda self, move: True),
+    ],
+    "a check's answer from an earlier disk is taken": [
+        Line(ShardMachine._checked, "home.generation != asked.generation or", "")
+    ],
+    "a check's answer from before a move is taken": [
+        Line(ShardMachine._checked, "asked.seen < self._touched.get(shard.name, 0)", "False")
+    ],
+    "copies of a returned engine trusted unchecked": [
+        patch.object(ShardMachine, "_doubted", lambda self, engine, at: None)
+    ],
+    "space of a half copy freed before its drop": [
+        Line(
+            ShardMachine._undo,
+            'self._at(move, "undoing", at)',
+            'self._at(move, "undoing", at)\n        self._undone(self.moves[move.number], asked, at)',
+        )
+    ],
+    "undone without the drop": [Line(Carrier._at_undoing, 'work.phase == "dropped" or not there', "True")],
     "no rest after a switch": [patch.object(QuickMachine, "rest_ms", 0)],
     "queries on the old copy not waited for": [Line(Carrier._at_switched, "if work.quiet or", "if True or")],
-    "table under change moved on": [Line(
-        Play.fact, 'return int(kind == "changing" and key in self.changing)', "return 0")],
-    "acts on a copy of the record older than its answers": [Line(
-        Carrier.step, "and self._index >= self._need_index", "")],
+    "table under change moved on": [
+        Line(Play.fact, 'return int(kind == "changing" and key in self.changing)', "return 0")
+    ],
+    "acts on a copy of the record older than its answers": [
+        Line(Carrier.step, "and self._index >= self._need_index", "")
+    ],
 }
 
 
@@ -80,6 +109,7 @@
 def model(most=400):
     """Run the plain model beside the machine; return after how many examples they part, and how."""
     from test_shard_moves import Model  # which imports this file
+
     return by_model(Model, most, 50)
 
 
@@ -87,9 +117,14 @@
     """Return sorts of plays, cheap and pointed things first: a name, and what is played."""
     for kind in ONE_FAULT:
         yield f"one fault: {kind}", [partial(one_fault, number, kind) for number in range(1, ACTIONS)]
-    yield "one fault, quick copies", [
-        partial(one_fault, number, "late, crash target", seed=seed, quick=True)
-        for seed in range(QUICK_SEEDS) for number in range(1, 9)]  # up to the first import
+    yield (
+        "one fault, quick copies",
+        [
+            partial(one_fault, number, "late, crash target", seed=seed, quick=True)
+            for seed in range(QUICK_SEEDS)
+            for number in range(1, 9)
+        ],
+    )  # up to the first import
     yield "careless planner", [partial(play_careless, seed) for seed in range(most // 4)]
     yield "plain model", None
     yield "mixed faults", [partial(play, seed) for seed in range(most)]
--- a/tests/move_play.py
+++ b/tests/move_play.py
@@ -36,8 +36,19 @@
 
 SIZE, DISK, HEADROOM = 100, 1000, 200  # bytes, as good as any
 RATE = 0.01  # bytes per ms that an import or export carries: a copy takes 10 s
-TIMING = Timing(answer_ms=2_000, drop_ms=3_000, check_ms=5_000, copy_ms=30_000, slowest=1.0, slack_ms=1_000,
-                finish_ms=15_000, again_ms=500, again_most_ms=8_000, tries=4, plan_ms=2_000)
+TIMING = Timing(
+    answer_ms=2_000,
+    drop_ms=3_000,
+    check_ms=5_000,
+    copy_ms=30_000,
+    slowest=1.0,
+    slack_ms=1_000,
+    finish_ms=15_000,
+    again_ms=500,
+    again_most_ms=8_000,
+    tries=4,
+    plan_ms=2_000,
+)
 QUICK = replace(TIMING, drop_ms=8_000, copy_ms=8_000)  # with copies that take half a second
 VIEW_MS = 5_000.0  # how old a router's view may be
 QUERY_MS = 8_000.0  # the longest query
@@ -79,8 +90,11 @@
                 room[target] -= shard.size
                 away = [engine for engine in good if engine not in ready]
                 moves.append(Move(1_000_000 + len(moves), name, good[0], target, away[0] if away else ""))
-    wrong = tuple(move.number for move in world.moves.values()
-                  if move.target and world.homes[move.target].life in ("draining", "gone"))
+    wrong = tuple(
+        move.number
+        for move in world.moves.values()
+        if move.target and world.homes[move.target].life in ("draining", "gone")
+    )
     return Planned(tuple(moves), tuple(drops), wrong)
 
 
@@ -114,9 +128,25 @@
 class Play:
     """One play."""
 
-    def __init__(self, seed=0, *, engines=5, shards=6, copies=2, faults=True, fault_ms=120_000.0,
-                 machine=QuickMachine, carrier=Carrier, planner=plan, at=None, lossy=0.0, lag=0.0, disk=DISK,
-                 quick=False, bounds=BOUNDS):
+    def __init__(
+        self,
+        seed=0,
+        *,
+        engines=5,
+        shards=6,
+        copies=2,
+        faults=True,
+        fault_ms=120_000.0,
+        machine=QuickMachine,
+        carrier=Carrier,
+        planner=plan,
+        at=None,
+        lossy=0.0,
+        lag=0.0,
+        disk=DISK,
+        quick=False,
+        bounds=BOUNDS,
+    ):
         self.bounds = bounds
         self.random = random.Random(seed)
         self.now, self.clock, self.index, self.order = 0.0, 0, 0, 0
@@ -209,14 +239,26 @@
         if asked.step.kind in (step.RESERVE, step.COPY):
             self.check_bounds()
         given_back = self.undoing[1] not in self.machine.copies.get(self.undoing[0], {})
-        if asked.step.kind == pb.Step.UNDONE and given_back and any(
+        if (
+            asked.step.kind == pb.Step.UNDONE
+            and given_back
+            and any(
                 (shard, e.name) == self.undoing and e.up and e.life_number == life and until > self.now
-                for shard, e, life, until in self.flying.values()):
+                for shard, e, life, until in self.flying.values()
+            )
+        ):
             raise Broken(f"space for {self.undoing} given back while a load of it may land")
         engine = self.engines.get(self.undoing[1])
-        if given_back and self.undoing_step in ("copying", "checked", "undoing") and engine is not None and (
-                engine.up and self.machine.homes[engine.name].mark == engine.mark
-                and self.undoing[0] in engine.shelf.held):
+        if (
+            given_back
+            and self.undoing_step in ("copying", "checked", "undoing")
+            and engine is not None
+            and (
+                engine.up
+                and self.machine.homes[engine.name].mark == engine.mark
+                and self.undoing[0] in engine.shelf.held
+            )
+        ):
             raise Broken(f"space for {self.undoing} given back while something of it is there")
         if asked.step.kind == pb.Step.RESERVE:
             for name, home in machine.homes.items():
@@ -246,10 +288,24 @@
                 raise Broken(f"the planner keeps a copy of {move.shard} that the record lets go")
 
     def declare(self, name, copies, holds=None):
-        self.apply(pb.Command(declare=pb.Declare(shards=[pb.Shard(
-            name=name, table=name.split("/")[0], size=SIZE, copies=copies, zones=min(copies, 2),
-            checked=holds is not None, rows=getattr(holds, "rows", 0), checksum=getattr(holds, "checksum", 0),
-            )])).SerializeToString())
+        self.apply(
+            pb.Command(
+                declare=pb.Declare(
+                    shards=[
+                        pb.Shard(
+                            name=name,
+                            table=name.split("/")[0],
+                            size=SIZE,
+                            copies=copies,
+                            zones=min(copies, 2),
+                            checked=holds is not None,
+                            rows=getattr(holds, "rows", 0),
+                            checksum=getattr(holds, "checksum", 0),
+                        )
+                    ]
+                )
+            ).SerializeToString()
+        )
 
     # The holder.
 
@@ -315,8 +371,13 @@
         def arrive():
             answer = self.apply(action.command)
             if not lost:
-                self.later(self.random.uniform(1.0, 30.0), self.step_holder, holder,
-                           [Proposed(action.token, answer, self.index)])
+                self.later(
+                    self.random.uniform(1.0, 30.0),
+                    self.step_holder,
+                    holder,
+                    [Proposed(action.token, answer, self.index)],
+                )
+
         self.later(delay, arrive)
 
     # Engines.
@@ -442,8 +503,12 @@
         if move is None:
             return False
         what, _, side = kind.rpartition(" ")
-        for engine in [self.engines[e] for e in {
-                "source": [move.source], "target": [move.target], "both": [move.source, move.target]}[side]]:
+        for engine in [
+            self.engines[e]
+            for e in {"source": [move.source], "target": [move.target], "both": [move.source, move.target]}[
+                side
+            ]
+        ]:
             if what == "wipe":
                 self.wipe(engine, 500.0)
             elif what == "down":
@@ -465,8 +530,10 @@
 
     def wipe(self, engine, long):
         """Take an engine's disk away, where each of its shards has another good copy; it returns empty."""
-        if all(set(self.whole(shard)) & set(self.machine.good(shard)) - {engine.name}
-               for shard in engine.shelf.held):
+        if all(
+            set(self.whole(shard)) & set(self.machine.good(shard)) - {engine.name}
+            for shard in engine.shelf.held
+        ):
             engine.shelf = Shelf(engine.disk, self.staging)
             engine.disk_number += 1
             self.take_down(engine, long)
@@ -508,8 +575,11 @@
         """Let a load job change a shard's rows on every good copy, as one that holds its table may."""
         table, old = shard.split("/")[0], self.truth[shard]
         good = [self.engines[engine] for engine in self.machine.good(shard)]
-        if self.machine.fact("moving", table) or not good or not all(
-                e.up and self.machine.homes[e.name].mark == e.mark for e in good):
+        if (
+            self.machine.fact("moving", table)
+            or not good
+            or not all(e.up and self.machine.homes[e.name].mark == e.mark for e in good)
+        ):
             return
         self.truth[shard] = Content(old.rows + 1, old.checksum + 7, SIZE)
         for engine in good:
@@ -579,9 +649,16 @@
                 raise Broken(f"{name}: the record knows {sorted(known)}, on disk {sorted(engine.shelf.held)}")
 
 
-ONE_FAULT = ("crash", "crash soon", *(
-    f"{what} {side}" for what in ("wipe", "down", "hang", "fail") for side in ("source", "target")),
-    "down both", "spill target", "drain target", "late, crash target", "late, crash, drain target")
+ONE_FAULT = (
+    "crash",
+    "crash soon",
+    *(f"{what} {side}" for what in ("wipe", "down", "hang", "fail") for side in ("source", "target")),
+    "down both",
+    "spill target",
+    "drain target",
+    "late, crash target",
+    "late, crash, drain target",
+)
 
 
 def play_one_fault(number, kind, seed=0, **more):
@@ -596,8 +673,9 @@
 
 def careless(world, bounds):
     """Plan as if disks had no bounds, and to make it worse, all to the same engine."""
-    homes = {name: replace(home, disk=home.disk + 10_000 * (name > "e2"))
-             for name, home in world.homes.items()}
+    homes = {
+        name: replace(home, disk=home.disk + 10_000 * (name > "e2")) for name, home in world.homes.items()
+    }
     return plan(replace(world, homes=homes), bounds)
 
 
@@ -626,8 +704,12 @@
                 for quick in (False, True):
                     yield f"{fault}, {number}", partial(play_one_fault, number, fault, quick=quick)
     for seed in range(first, last) if kind != "one" else ():
-        yield f"seed {seed}", partial(play_careless, seed) if kind == "careless" else partial(
-            play, seed, planner=planned if seed % 4 else plan)
+        yield (
+            f"seed {seed}",
+            partial(play_careless, seed)
+            if kind == "careless"
+            else partial(play, seed, planner=planned if seed % 4 else plan),
+        )
 
 
 if __name__ == "__main__":
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -11,6 +11,7 @@
 
 def serve_echo(spawn, listener):
     """Say back what comes on each connection, for as long as the listener is open; `spawn` starts a task."""
+
     def serve(stream):
         try:
             while data := stream.read():
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -59,8 +59,9 @@
         yield
 
 
-def broken(plays: Iterable[Callable[[], object]],
-           kinds: type[Exception] = Exception) -> tuple[int, str] | None:
+def broken(
+    plays: Iterable[Callable[[], object]], kinds: type[Exception] = Exception
+) -> tuple[int, str] | None:
     """Return how many plays it took until one broke, and by what; None: none did."""
     for number, play in enumerate(plays, 1):
         try:
@@ -85,17 +86,30 @@
             super().__init__()
 
     def play(number: int) -> None:
-        run_state_machine_as_test(seed(number)(Counted), settings=settings(
-            max_examples=ROUND, stateful_step_count=steps, deadline=None, database=None,
-            phases=(Phase.generate,), suppress_health_check=list(HealthCheck), report_multiple_bugs=False))
-
-    with patch.object(providers, "_get_local_constants", Constants), \
-            patch.object(providers, "CONSTANTS_CACHE", LRUCache(1024)):
+        run_state_machine_as_test(
+            seed(number)(Counted),
+            settings=settings(
+                max_examples=ROUND,
+                stateful_step_count=steps,
+                deadline=None,
+                database=None,
+                phases=(Phase.generate,),
+                suppress_health_check=list(HealthCheck),
+                report_multiple_bugs=False,
+            ),
+        )
+
+    with (
+        patch.object(providers, "_get_local_constants", Constants),
+        patch.object(providers, "CONSTANTS_CACHE", LRUCache(1024)),
+    ):
         found = broken(partial(play, number) for number in range(-(-most // ROUND)))
     return found and (examples[0], found[1])
 
 
 def row(*cells: object) -> None:
     """Print a row of a table."""
-    print("| " + " | ".join((str(cell).splitlines() or [""])[0].replace("|", " ") for cell in cells) + " |",
-          flush=True)
+    print(
+        "| " + " | ".join((str(cell).splitlines() or [""])[0].replace("|", " ") for cell in cells) + " |",
+        flush=True,
+    )
--- a/tests/storedefects.py
+++ b/tests/storedefects.py
@@ -58,6 +58,7 @@
 
 def on(disk_kind):
     """Return a store that works on a disk of this kind."""
+
     class Wrapped(Store):
         @classmethod
         def open(cls, disk, *more):
@@ -68,16 +69,19 @@
 
 def sync_again(sync):
     """Have a sync that failed tried again."""
+
     def again(self, name):
         try:
             sync(self, name)
         except SyncFailed:
             sync(self, name)
+
     return patch.object(SimDisk, "sync", again)
 
 
 def same_file(write):
     """Go on in the file whose sync failed."""
+
     def written(self, *writes):
         before = self.group, self.size
         try:
@@ -87,11 +91,13 @@
                 raise
             self.group += 1
             self.failed = False
+
     return patch.object(Store, "write", written)
 
 
 def failed_counts(reopen):
     """Take what a failed write left as if it were acknowledged."""
+
     def reopened(self, *more):
         if not (self.full and not more[0]):
             data = self.disk.read(f"{LOG}{self.segment:010d}", 0, 1 << 20)
@@ -100,11 +106,13 @@
                 at, number = record.end, max(number, record.number if record.kind == records.LAST else 0)
             self.group = max(self.group, min(number, self.group + 1))
         return reopen(self, *more)
+
     return patch.object(Store, "reopen", reopened)
 
 
 def sweep_first(write):
     """Remove old segments before the new snapshot counts."""
+
     def written(self, group, writes):
         if any(one.head is not None for one in writes):
             heads, newest = list(self.shape.heads), [w.head for w in writes if w.head is not None][-1]
@@ -114,41 +122,66 @@
                 self.disk.remove(name)
             self.shape.heads = heads
         write(self, group, writes)
+
     return patch.object(Store, "_write", written)
 
 
 NO_CHECKSUMS = [patch.object(records, "crc32c", lambda data: 0)]
 ALL_TORN = [patch.object(records, "torn", lambda data, at, number: True)]  # damage at the end is a torn tail
 DEFECTS = {
-    "a write is acknowledged without a sync": [Line(
-        Store._write, "self.disk.sync(_log(self.segment))", "pass")],
+    "a write is acknowledged without a sync": [
+        Line(Store._write, "self.disk.sync(_log(self.segment))", "pass")
+    ],
     "files are renamed without a sync": [Line(Store._put_once, "self.disk.sync(new)", "pass")],
     "names are not synced": [patch.object(SimDisk, "sync_names", lambda self: None)],
-    "rename before sync": [Line(
-        Store._put_once, "self.disk.sync(new)\n    self.disk.rename(new, name)",
-        "self.disk.rename(new, name)\n    self.disk.sync(name)")],
+    "rename before sync": [
+        Line(
+            Store._put_once,
+            "self.disk.sync(new)\n    self.disk.rename(new, name)",
+            "self.disk.rename(new, name)\n    self.disk.sync(name)",
+        )
+    ],
     "a failed sync is tried again": [sync_again(SimDisk.sync)],
     "the log goes on in a file whose sync failed": [same_file(Store.write)],
     "what a failed write left counts": [failed_counts(Store.reopen)],
-    "what reads well at opening is trusted": [Line(  # the last group is not written again
-        Store._read_log, "return segments, again",
-        "segments[-1].groups.extend(again)\n    return segments, []")],
+    "what reads well at opening is trusted": [
+        Line(  # the last group is not written again
+            Store._read_log,
+            "return segments, again",
+            "segments[-1].groups.extend(again)\n    return segments, []",
+        )
+    ],
     "old segments are removed before the new snapshot counts": [sweep_first(Store._write)],
-    "the old snapshot is removed first": [Line(
-        Store._put, "pieces = list(pieces)",
-        "pieces = list(pieces)\n    if name.startswith(SNAPSHOT):\n"
-        "        for old in [o for o in self.disk.names() if o.startswith(SNAPSHOT) and o != name]:\n"
-        "            self.disk.remove(old)\n        self.disk.sync_names()")],
-    "a snapshot is written behind the group that names it": [Line(
-        Store._write, "self._put(_snapshot(write.head), _pieces(write.head, write.snapshot))", "pass",
-        "self.group += 1", "self.group += 1\n    for one in [w for w in writes if w.head is not None]:\n"
-        "        self._put(_snapshot(one.head), _pieces(one.head, one.snapshot))")],
-    "a mark is written before the sync": [Line(
-        Store._write, "data = records.parts(",
-        "self.group += 1\n    self._mark()\n    with suppress(DiskError):\n"
-        "        self.disk.sync(_marks(self.segment))\n    self.group -= 1\n    data = records.parts(")],
-    "meta is not written anew": [Line(
-        Store.open.__func__, "store._check_meta()\n        store._put_meta()", "store._check_meta()")],
+    "the old snapshot is removed first": [
+        Line(
+            Store._put,
+            "pieces = list(pieces)",
+            "pieces = list(pieces)\n    if name.startswith(SNAPSHOT):\n"
+            "        for old in [o for o in self.disk.names() if o.startswith(SNAPSHOT) and o != name]:\n"
+            "            self.disk.remove(old)\n        self.disk.sync_names()",
+        )
+    ],
+    "a snapshot is written behind the group that names it": [
+        Line(
+            Store._write,
+            "self._put(_snapshot(write.head), _pieces(write.head, write.snapshot))",
+            "pass",
+            "self.group += 1",
+            "self.group += 1\n    for one in [w for w in writes if w.head is not None]:\n"
+            "        self._put(_snapshot(one.head), _pieces(one.head, one.snapshot))",
+        )
+    ],
+    "a mark is written before the sync": [
+        Line(
+            Store._write,
+            "data = records.parts(",
+            "self.group += 1\n    self._mark()\n    with suppress(DiskError):\n"
+            "        self.disk.sync(_marks(self.segment))\n    self.group -= 1\n    data = records.parts(",
+        )
+    ],
+    "meta is not written anew": [
+        Line(Store.open.__func__, "store._check_meta()\n        store._put_meta()", "store._check_meta()")
+    ],
     "a full disk is not told": [Line(Store.write, "self.full = True\n        raise", "self.full = True")],
     "no torn tail is cut": [patch.object(records, "torn", lambda data, at, number: False)],
 }
--- a/tests/storemodel.py
+++ b/tests/storemodel.py
@@ -72,17 +72,23 @@
         """
         first = durable.entries[0].index if durable.entries else self.agreed + 1
         wanted = [self.entries.get(i) for i in range(first, self.last + 1)]
-        return (durable.hard, durable.head, durable.snapshot, durable.entries) == \
-            (self.hard, self.head, self.snapshot, wanted) \
-            and (self.keep_from or first) <= first <= self.agreed + 1
+        return (durable.hard, durable.head, durable.snapshot, durable.entries) == (
+            self.hard,
+            self.head,
+            self.snapshot,
+            wanted,
+        ) and (self.keep_from or first) <= first <= self.agreed + 1
 
     def says_as_much(self, durable):
         """Tell whether a folder that was read holds the same by way of an older snapshot, or of none."""
         base = durable.head.index if durable.head is not None else 0
         first = durable.entries[0].index if durable.entries else base + 1
         wanted = [self.entries.get(i) for i in range(first, self.last + 1)]
-        return first <= base + 1 and (durable.hard, durable.entries) == (self.hard, wanted) and \
-            (durable.head, durable.snapshot) == self.former.get(base, (None, b""))
+        return (
+            first <= base + 1
+            and (durable.hard, durable.entries) == (self.hard, wanted)
+            and (durable.head, durable.snapshot) == self.former.get(base, (None, b""))
+        )
 
 
 def entry(index, term, size=20, random=None):
@@ -97,18 +103,27 @@
     if draw < 0.5:
         many = random.choice((1, 1, 1, 2, 5))
         hard = pb.HardState(term=term, voted_name="b") if random.random() < 0.3 else None
-        entries = tuple(entry(last + 1 + i, term, random.choice((0, 10, 60, 700)), random)
-                        for i in range(many))
+        entries = tuple(
+            entry(last + 1 + i, term, random.choice((0, 10, 60, 700)), random) for i in range(many)
+        )
         if random.random() < 0.3:  # several writes in one group
-            return (Write(1, entries=entries, hard=hard),
-                    Write(2, entries=(entry(last + many + 1, term, 30, random),)))
+            return (
+                Write(1, entries=entries, hard=hard),
+                Write(2, entries=(entry(last + many + 1, term, 30, random),)),
+            )
         return (Write(1, entries=entries, hard=hard),)
     if draw < 0.65:
         return (Write(1, hard=pb.HardState(term=term + 1, voted_name="c", voted_life=b"x")),)
     if draw < 0.75 and last > floor:
         cut = random.randint(floor, last)
-        return (Write(1, hard=pb.HardState(term=term + 1), cut_after=cut,
-                      entries=(entry(cut + 1, term + 1, 40, random),)),)
+        return (
+            Write(
+                1,
+                hard=pb.HardState(term=term + 1),
+                cut_after=cut,
+                entries=(entry(cut + 1, term + 1, 40, random),),
+            ),
+        )
     if draw < 0.95 and last > floor:
         index = random.randint(floor + 1, last)
         head = pb.SnapshotHead(index=index, term=model.terms[index], clock_ms=index * 10)
@@ -118,9 +133,14 @@
     head = pb.SnapshotHead(index=last + random.randint(1, 9), term=term)  # another's, over a gap
     if random.random() < 0.3:  # all anew, with entries that the snapshot holds
         first = max(1, head.index - random.randint(0, 5))
-        return (Write(1, head=head, cut_after=first - 1, snapshot=b"anew", keep_from=first),
-                Write(2, entries=tuple(entry(i, term, 30, random) for i in range(first, head.index + 4)),
-                      hard=pb.HardState(term=term)))
+        return (
+            Write(1, head=head, cut_after=first - 1, snapshot=b"anew", keep_from=first),
+            Write(
+                2,
+                entries=tuple(entry(i, term, 30, random) for i in range(first, head.index + 4)),
+                hard=pb.HardState(term=term),
+            ),
+        )
     return (Write(1, head=head, snapshot=random.randbytes(80), hard=pb.HardState(term=term)),)
 
 
@@ -322,9 +342,17 @@
         end = min(len(data), start + random.choice((0, 1, 4, 30, 200, 600)))
         other = platter.names[random.choice(sorted(platter.names))].shown
         at = random.randint(0, len(other))
-        data[start:end] = random.choice((
-            b"", bytes(end - start), random.randbytes(end - start), random.randbytes(random.randint(1, 40)),
-            data[start:end] * 2, bytes(reversed(data[start:end])), other[at:at + random.randint(0, 300)]))
+        data[start:end] = random.choice(
+            (
+                b"",
+                bytes(end - start),
+                random.randbytes(end - start),
+                random.randbytes(random.randint(1, 40)),
+                data[start:end] * 2,
+                bytes(reversed(data[start:end])),
+                other[at : at + random.randint(0, 300)],
+            )
+        )
 
     held = damaged(play, change)
     if isinstance(held, type):
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -8,17 +8,42 @@
 import pytest
 
 ROOT = Path(__file__).parent.parent
-CONF = "\t".join([
-    "Balancers=2", "Ceilings.Cancel=true", "Ceilings.MaxAttempts=3", "Ceilings.ParallelTries=true",
-    "Ceilings.RetryAfter=true", "Ceilings.MaxRetryAfterMs=400.0", "FamilyInfo.KindCores=4,8",
-    "FamilyInfo.WidthByClass=1,2", "Grades.count=2", "Grades.0.Name=quick", "Grades.0.AimMs=500.0",
-    "Grades.0.GiveUpMs=2000.0", "Grades.0.Points=1.0", "Grades.0.Effect=repeatable", "Grades.1.Name=slow",
-    "Grades.1.AimMs=900.0", "Grades.1.GiveUpMs=5000.0", "Grades.1.Points=4.0", "Grades.1.Effect=by_key",
-    "Grades.1.Group=zone", "Grades.1.MemorySpanMs=3000.0", "Me=0", "Report.Columns=cpu,active",
-    "ResolutionMs=5.0", "Rules.AnswerSlackMs=20.0", "Rules.DrainGraceMs=1000.0", "Somebody.Else=1,2"])
-LIST = ["LIST\tPage=0\tMembersList=2",
-        "EXECUTOR\tExecutor=10.0.0.1:5001\tState=in_service\tDc=0\tSku=0\tNominal=1\tCell=0\tNew=7",
-        "EXECUTOR\tExecutor=10.0.0.2:5001\tState=in_service\tDc=1\tSku=1\tNominal=1\tCell=1"]
+CONF = "\t".join(
+    [
+        "Balancers=2",
+        "Ceilings.Cancel=true",
+        "Ceilings.MaxAttempts=3",
+        "Ceilings.ParallelTries=true",
+        "Ceilings.RetryAfter=true",
+        "Ceilings.MaxRetryAfterMs=400.0",
+        "FamilyInfo.KindCores=4,8",
+        "FamilyInfo.WidthByClass=1,2",
+        "Grades.count=2",
+        "Grades.0.Name=quick",
+        "Grades.0.AimMs=500.0",
+        "Grades.0.GiveUpMs=2000.0",
+        "Grades.0.Points=1.0",
+        "Grades.0.Effect=repeatable",
+        "Grades.1.Name=slow",
+        "Grades.1.AimMs=900.0",
+        "Grades.1.GiveUpMs=5000.0",
+        "Grades.1.Points=4.0",
+        "Grades.1.Effect=by_key",
+        "Grades.1.Group=zone",
+        "Grades.1.MemorySpanMs=3000.0",
+        "Me=0",
+        "Report.Columns=cpu,active",
+        "ResolutionMs=5.0",
+        "Rules.AnswerSlackMs=20.0",
+        "Rules.DrainGraceMs=1000.0",
+        "Somebody.Else=1,2",
+    ]
+)
+LIST = [
+    "LIST\tPage=0\tMembersList=2",
+    "EXECUTOR\tExecutor=10.0.0.1:5001\tState=in_service\tDc=0\tSku=0\tNominal=1\tCell=0\tNew=7",
+    "EXECUTOR\tExecutor=10.0.0.2:5001\tState=in_service\tDc=1\tSku=1\tNominal=1\tCell=1",
+]
 
 
 def batch(now, *lines):
@@ -31,13 +56,22 @@
 
 
 def request(txn, now, service=0, work=50.0):
-    return (f"REQUEST\tTxn={txn}\tService={service}\tDeadlineMs={now + 2000.0}\tExpectedMs={work}"
-            f"\tFootprintMb=10\tDataGroup=3\tOptions=1\tStranger=x")
+    return (
+        f"REQUEST\tTxn={txn}\tService={service}\tDeadlineMs={now + 2000.0}\tExpectedMs={work}"
+        f"\tFootprintMb=10\tDataGroup=3\tOptions=1\tStranger=x"
+    )
 
 
 def run(arguments, text, env=None):
-    return subprocess.run([sys.executable, *arguments], input=text, cwd=ROOT, env=env, capture_output=True,
-                          text=True, timeout=60)
+    return subprocess.run(
+        [sys.executable, *arguments],
+        input=text,
+        cwd=ROOT,
+        env=env,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
 
 
 def talk(lines, seed="0"):
@@ -50,8 +84,18 @@
     lines += batch(100.0, *(line for who in whos for line in start(who, entropy=who + 1)))
     for n in range(40):
         now = 105.0 + 5.0 * n
-        lines += batch(now, *(line for who in whos for line in (
-            f"ABOUT\tWho={who}", request(1000 * who + n, now, service=n % 2), f"TIMEOUT_FIRED\tMark={n}")))
+        lines += batch(
+            now,
+            *(
+                line
+                for who in whos
+                for line in (
+                    f"ABOUT\tWho={who}",
+                    request(1000 * who + n, now, service=n % 2),
+                    f"TIMEOUT_FIRED\tMark={n}",
+                )
+            ),
+        )
     return lines
 
 
@@ -73,8 +117,10 @@
     assert out[0] == "SPEAKING\tWho=3" and out[-1] == "ACK"
     issue = next(line for line in out if line.startswith("ISSUE\tTxn=77\t"))
     engine = issue.split("Executor=")[1]
-    answer = (f"ANSWER\tTxn=77\tTookMs=18.5\tTry=0\tComplete=0\tDisposition=RESOURCE_EXHAUSTED"
-              f"\tExecutor={engine}\tLoad=0.5,3")
+    answer = (
+        f"ANSWER\tTxn=77\tTookMs=18.5\tTry=0\tComplete=0\tDisposition=RESOURCE_EXHAUSTED"
+        f"\tExecutor={engine}\tLoad=0.5,3"
+    )
     again = talk(lines + batch(8431.0, "ABOUT\tWho=3", answer)).stdout
     other = "10.0.0.2:5001" if engine == "10.0.0.1:5001" else "10.0.0.1:5001"
     assert f"ISSUE\tTxn=77\tExecutor={other}" in again
@@ -100,16 +146,27 @@
 
 def test_a_stopped_instance_starts_anew():
     lines = batch(10.0, *start(1), request(1, 10.0))
-    lines += batch(20.0, "ABOUT\tWho=1", "DOWN", f"NEW_INSTANCE\tEntropy=9\t{CONF}",
-                   "PEERS_KNOWN\tForm=Persisted\tPage=0\tIndex=1", request(2, 20.0))
+    lines += batch(
+        20.0,
+        "ABOUT\tWho=1",
+        "DOWN",
+        f"NEW_INSTANCE\tEntropy=9\t{CONF}",
+        "PEERS_KNOWN\tForm=Persisted\tPage=0\tIndex=1",
+        request(2, 20.0),
+    )
     done = talk(lines)
     assert done.returncode == 0
     assert done.stdout.count("ISSUE\tTxn=2\t") == 1
 
 
 def test_list_numbers_are_reused_in_order():
-    newer = ["LIST\tPage=0\tMembersList=1", "EXECUTOR\tExecutor=10.0.0.9:5001\tState=in_service\tSku=0",
-             "ABOUT\tWho=0", "PEERS_KNOWN\tForm=Complete\tPage=0\tIndex=2", request(4, 10.0)]
+    newer = [
+        "LIST\tPage=0\tMembersList=1",
+        "EXECUTOR\tExecutor=10.0.0.9:5001\tState=in_service\tSku=0",
+        "ABOUT\tWho=0",
+        "PEERS_KNOWN\tForm=Complete\tPage=0\tIndex=2",
+        request(4, 10.0),
+    ]
     out = talk(batch(10.0, *start(0), *start(1, listed=False), request(3, 10.0), *newer)).stdout
     said = by_instance(out)
     assert any("Txn=4\tExecutor=10.0.0.9" in line for line in said["SPEAKING\tWho=0"])
@@ -118,28 +175,33 @@
 
 def test_a_failing_module_becomes_the_wires_fault():
     broken = "PEERS_KNOWN\tForm=Persisted\tPage=0\tIndex=1"
-    script = ("import fennelwind.rules as r\n"
-              "def boom(self, now, events): raise RuntimeError('no\\nluck')\n"
-              "r.Gateway.step = boom\n"
-              "import fennelwind.adapter as a\nraise SystemExit(a.main())")
+    script = (
+        "import fennelwind.rules as r\n"
+        "def boom(self, now, events): raise RuntimeError('no\\nluck')\n"
+        "r.Gateway.step = boom\n"
+        "import fennelwind.adapter as a\nraise SystemExit(a.main())"
+    )
     lines = batch(1.0, *start(0)) + batch(2.0, "ABOUT\tWho=0", broken)
     done = run(["-c", script], "\n".join(lines) + "\n")
     assert done.returncode == 0
     assert done.stdout.splitlines()[:3] == ["SPEAKING\tWho=0", "GIVE_IN\tWords=RuntimeError: no luck", "ACK"]
 
 
-@pytest.mark.parametrize("line,names", [
-    ("NONSENSE\tA=1", ["NONSENSE", "unknown"]),
-    ("REQUEST\tService=0\tDeadlineMs=5.0", ["REQUEST", "Txn"]),
-    ("REQUEST\tTxn=x\tService=0\tDeadlineMs=5.0", ["REQUEST", "Txn"]),
-    ("REQUEST\tTxn=1\tService=0\tDeadlineMs=nan", ["REQUEST", "DeadlineMs"]),
-    ("ANSWER\tTxn=1\tTry=0\tTookMs=1\tExecutor=a:1\tDisposition=SPLENDID", ["ANSWER", "Disposition"]),
-    ("PEERS_KNOWN\tForm=Complete\tPage=9\tIndex=1", ["PEERS_KNOWN", "Page"]),
-    ("TIMEOUT_FIRED\tMark", ["TIMEOUT_FIRED", "Mark"]),
-    ("ABOUT\tWho=8\nCLIENT_GONE\tTxn=1", ["CLIENT_GONE", "Who"]),
-    ("NEW_INSTANCE\tEntropy=1\tGrades.count=0", ["NEW_INSTANCE", "classes"]),
-    ("LIST\tPage=1\tMembersList=2\nEXECUTOR\tExecutor=a:1\tState=in_service", ["LIST", "MembersList"]),
-])
+@pytest.mark.parametrize(
+    "line,names",
+    [
+        ("NONSENSE\tA=1", ["NONSENSE", "unknown"]),
+        ("REQUEST\tService=0\tDeadlineMs=5.0", ["REQUEST", "Txn"]),
+        ("REQUEST\tTxn=x\tService=0\tDeadlineMs=5.0", ["REQUEST", "Txn"]),
+        ("REQUEST\tTxn=1\tService=0\tDeadlineMs=nan", ["REQUEST", "DeadlineMs"]),
+        ("ANSWER\tTxn=1\tTry=0\tTookMs=1\tExecutor=a:1\tDisposition=SPLENDID", ["ANSWER", "Disposition"]),
+        ("PEERS_KNOWN\tForm=Complete\tPage=9\tIndex=1", ["PEERS_KNOWN", "Page"]),
+        ("TIMEOUT_FIRED\tMark", ["TIMEOUT_FIRED", "Mark"]),
+        ("ABOUT\tWho=8\nCLIENT_GONE\tTxn=1", ["CLIENT_GONE", "Who"]),
+        ("NEW_INSTANCE\tEntropy=1\tGrades.count=0", ["NEW_INSTANCE", "classes"]),
+        ("LIST\tPage=1\tMembersList=2\nEXECUTOR\tExecutor=a:1\tState=in_service", ["LIST", "MembersList"]),
+    ],
+)
 def test_malformed_lines_end_the_process_in_one_line(line, names):
     done = talk(batch(1.0, *start(0)) + batch(2.0, "ABOUT\tWho=0", line))
     assert done.returncode != 0
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -61,6 +61,7 @@
     def tamper(program):
         for name, value in patches.items():
             setattr(program.driver.gateway, name, value)
+
     return tamper
 
 
@@ -71,6 +72,7 @@
 
 def unasked(tamper):
     """Plant the defect where nobody asks before the first byte either; by itself that stops these."""
+
     def both(program):
         tamper(program)
         program.driver._barred = lambda *_: ""
@@ -110,18 +112,25 @@
     return not query.begun and len(query.attempts) < 4
 
 
-@pytest.mark.parametrize(("rule", "tamper", "script"), [
-    ("final answers", drop_an_answer, CUTS % ("lookup", "select", 40, "SLOW", "")),
-    ("final answers", answer_too_late, CUTS % ("lookup", "select", 40, "LOSE", ALL)),
-    ("effects", unasked(gateway(_may_go_on=always)), CUTS % ("publish", "call", 80, "CUT", "")),
-    ("effects", unasked(two_copies), CUTS % ("lookup", "select", 40, "CUT", "")),
-    ("drains", hide_drains, CUTS % ("lookup", "select", 40, "DRAIN", "")),
-    ("cold engines", gateway(_permitted=everywhere, _limit=lambda engine: 1000.0),
-     CUTS.replace("per_s: 30", "per_s: 60") % ("lookup", "select", 1000, "CRASH", "")),
-    ("order by key", send_at_once, CUTS % ("append", "insert", 80, "SLOW", "")),
-    ("placement", gateway(_permitted=everywhere), CUTS % ("publish", "call", 80, "SLOW", "")),
-    ("budget", unasked(gateway(_budget_left=lambda: True)), CUTS % ("lookup", "select", 40, "CUT", ALL)),
-], ids=lambda value: value if isinstance(value, str) and len(value) < 20 else "")
+@pytest.mark.parametrize(
+    ("rule", "tamper", "script"),
+    [
+        ("final answers", drop_an_answer, CUTS % ("lookup", "select", 40, "SLOW", "")),
+        ("final answers", answer_too_late, CUTS % ("lookup", "select", 40, "LOSE", ALL)),
+        ("effects", unasked(gateway(_may_go_on=always)), CUTS % ("publish", "call", 80, "CUT", "")),
+        ("effects", unasked(two_copies), CUTS % ("lookup", "select", 40, "CUT", "")),
+        ("drains", hide_drains, CUTS % ("lookup", "select", 40, "DRAIN", "")),
+        (
+            "cold engines",
+            gateway(_permitted=everywhere, _limit=lambda engine: 1000.0),
+            CUTS.replace("per_s: 30", "per_s: 60") % ("lookup", "select", 1000, "CRASH", ""),
+        ),
+        ("order by key", send_at_once, CUTS % ("append", "insert", 80, "SLOW", "")),
+        ("placement", gateway(_permitted=everywhere), CUTS % ("publish", "call", 80, "SLOW", "")),
+        ("budget", unasked(gateway(_budget_left=lambda: True)), CUTS % ("lookup", "select", 40, "CUT", ALL)),
+    ],
+    ids=lambda value: value if isinstance(value, str) and len(value) < 20 else "",
+)
 def test_a_planted_violation_is_found(rule, tamper, script):
     script = script.replace("SLOW at_ms", "SLOW factor: 1.5 at_ms")
     assert rule not in SimDay(5, script).broken
--- a/tests/test_clearance.py
+++ b/tests/test_clearance.py
@@ -19,9 +19,14 @@
     assert min(counts[what] for what in ("cleared", "kept away", "open", "silent")) >= 50, counts
 
 
-@pytest.mark.parametrize("title", ["a word counts for wishes that are younger than its view",
-                                   "a query whose answer nobody waits for is over",
-                                   "the roll counts from its first entry on"])
+@pytest.mark.parametrize(
+    "title",
+    [
+        "a word counts for wishes that are younger than its view",
+        "a query whose answer nobody waits for is over",
+        "the roll counts from its first entry on",
+    ],
+)
 def test_a_planted_defect_is_found(title):
     assert found(title, 20) is not None
 
@@ -34,8 +39,10 @@
         return {"fence": 7, "level": self.level}.get(kind, 0)
 
 
-@pytest.mark.parametrize(("level", "cleared", "refusal"), [
-    (1, True, pb.Answer.WAITS), (2, False, pb.Answer.WAITS), (2, True, pb.Answer.NONE)])
+@pytest.mark.parametrize(
+    ("level", "cleared", "refusal"),
+    [(1, True, pb.Answer.WAITS), (2, False, pb.Answer.WAITS), (2, True, pb.Answer.NONE)],
+)
 def test_a_copy_goes_ahead_of_its_rest_by_the_second_level_alone(level, cleared, refusal):
     state = pb.State(last_move=1)
     state.shards.add(name="t/", table="t", size=1, copies=1, zones=1)
--- a/tests/test_clearance_processes.py
+++ b/tests/test_clearance_processes.py
@@ -122,18 +122,25 @@
         (self.folder / name).mkdir()
         told = "".join(f'  members {{ name: "{n}" address: "{a}" }}\n' for n, a in members.items())
         own = f'folder: "record" listen: "{members[name]}"' if name in members else ""
-        text = SETTINGS.replace("127.0.0.1:0\" http", f"{self.listens(name)}\" http") % {
+        text = SETTINGS.replace('127.0.0.1:0" http', f'{self.listens(name)}" http') % {
             "engines": "\n".join(f'engines {{ address: "{e.name}" kind: "k" }}' for e in self.engines),
-            "note": 0, "open": 100}
+            "note": 0,
+            "open": 100,
+        }
         text = text.replace('name: "k" cores: 8', 'name: "k" cores: 8 disk_bytes: 1000 headroom_bytes: 200')
-        text += (f'council {{ fleet: "north" me: "{name}" {own}\n{told}  heartbeat_ms: 200 election_ms: 2000 '
-                 'handover_ms: 2000 reserve_bytes: 1048576 }\n'
-                 'moves { staging: "/staging" clearances: true }\n')
+        text += (
+            f'council {{ fleet: "north" me: "{name}" {own}\n{told}  heartbeat_ms: 200 election_ms: 2000 '
+            "handover_ms: 2000 reserve_bytes: 1048576 }\n"
+            'moves { staging: "/staging" clearances: true }\n'
+        )
         path = self.folder / name / "s.txtpb"
         path.write_text(text, encoding="utf-8")
         self.running[name] = subprocess.Popen(
-            [sys.executable, "-c", MAIN, "serve", str(path), "--log", "json"], cwd=ROOT,
-            stdout=subprocess.DEVNULL, stderr=(self.folder / f"{name}.log").open("w"))
+            [sys.executable, "-c", MAIN, "serve", str(path), "--log", "json"],
+            cwd=ROOT,
+            stdout=subprocess.DEVNULL,
+            stderr=(self.folder / f"{name}.log").open("w"),
+        )
 
     def listens(self, name):
         return self.address(PROGRAMS.index(name) + 11, 10_000)
@@ -239,8 +246,14 @@
     holder = rig.machine("leases").view("moves").holder
     print("kill", holder, "rested", rig.leaves(SHARDS[2], rig.running.pop(holder).kill), flush=True)
     rig.judge()
-    print(len(rig.drops()), "drops", rig.answers, "missed",
-          [seen for seen in rig.seen if seen[0] == "missed"], flush=True)
+    print(
+        len(rig.drops()),
+        "drops",
+        rig.answers,
+        "missed",
+        [seen for seen in rig.seen if seen[0] == "missed"],
+        flush=True,
+    )
 
 
 if __name__ == "__main__":
--- a/tests/test_clearance_program.py
+++ b/tests/test_clearance_program.py
@@ -21,8 +21,9 @@
     def __init__(self, seed, controllers=2, level=2):
         super().__init__(seed)
         self.level = level
-        self.others = {f"c{n}": self.council.world.host(f"c{n}", f"127.0.0.{n + 1}")
-                       for n in range(1, controllers)}
+        self.others = {
+            f"c{n}": self.council.world.host(f"c{n}", f"127.0.0.{n + 1}") for n in range(1, controllers)
+        }
         self.programs = {}
 
     def play(self, call):
@@ -41,6 +42,7 @@
             self.until(lambda: self.record().machines["roll"].sure(self.record().clock_ms))
             self.link = self.fleet.client()
             return call()
+
         return super()._main(main)
 
     def record(self):
@@ -62,10 +64,18 @@
 
 
 def publish(link, columns, version=0):
-    overlay = {"fennelwind.publisher": "load", "fennelwind.schema.sales.orders": columns,
-               "fennelwind.schema_version.sales.orders": str(version), "fennelwind.back": alter(OLD)}
-    return link.call("ExecuteStatement", hs2.TExecuteStatementReq(
-        sessionHandle=link.session, statement=alter(columns), confOverlay=overlay, queryTimeout=120))
+    overlay = {
+        "fennelwind.publisher": "load",
+        "fennelwind.schema.sales.orders": columns,
+        "fennelwind.schema_version.sales.orders": str(version),
+        "fennelwind.back": alter(OLD),
+    }
+    return link.call(
+        "ExecuteStatement",
+        hs2.TExecuteStatementReq(
+            sessionHandle=link.session, statement=alter(columns), confOverlay=overlay, queryTimeout=120
+        ),
+    )
 
 
 MOVES = moves.MOVES.replace("moves {", "moves { clearances: true")
@@ -83,8 +93,14 @@
 
     def call():
         first, second = scene.fleet.engines[:2]
-        handle = execute(scene.link, "load x", 9_000.0, asynchronous=True, timeout=60,
-                         **{"fennelwind.shards": NAMES[0], "fennelwind.work_ms": "10"})
+        handle = execute(
+            scene.link,
+            "load x",
+            9_000.0,
+            asynchronous=True,
+            timeout=60,
+            **{"fennelwind.shards": NAMES[0], "fennelwind.work_ms": "10"},
+        )
         scene.host.sleep(100.0)
         scene.drain(first)
         took = scene.gone_after()
@@ -108,8 +124,15 @@
             engine.schemas.run(f"CREATE TABLE IF NOT EXISTS sales.orders ({OLD})")
         named = {"fennelwind.shards": "Sales.orders/day=9"}
         publish(scene.fleet.client(), OLD)
-        handle = execute(scene.link, "load x", 12_000.0, asynchronous=True, timeout=60,
-                         **named, **{"fennelwind.work_ms": "10"})
+        handle = execute(
+            scene.link,
+            "load x",
+            12_000.0,
+            asynchronous=True,
+            timeout=60,
+            **named,
+            **{"fennelwind.work_ms": "10"},
+        )
         scene.host.sleep(100.0)
         busy = next(e for e in engines if e._running)
         columns = lambda engine: len(engine.schemas.tables["sales.orders"])  # noqa: E731
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -45,7 +45,7 @@
     path.write_text(text.replace("worth: 10", "wroth: 10").replace("me: 0", "mee: 0"), encoding="utf-8")
     bad = CliRunner().invoke(main, ["check", str(path)])
     assert bad.exit_code == 2
-    line = text[:text.index("worth: 10")].count("\n") + 1
+    line = text[: text.index("worth: 10")].count("\n") + 1
     assert bad.output.count("no such field") == 2 and f"{path}:{line}:" in bad.output
 
 
@@ -53,12 +53,23 @@
     engine, there = start("standin", "engine", "--cores", "4")
     discovery, listed = start("standin", "discovery", f"{there},default,k")
     path = tmp_path / "s.txtpb"
-    path.write_text(SETTINGS % {"engines": "", "note": 0, "open": 9}
-                    + f'discovery {{ address: "{listed}" mode: PUSHED }}', encoding="utf-8")
+    path.write_text(
+        SETTINGS % {"engines": "", "note": 0, "open": 9}
+        + f'discovery {{ address: "{listed}" mode: PUSHED }}',
+        encoding="utf-8",
+    )
     controller, address = start("serve", str(path), "--log", "json", "--answers", "--seed", "1")
     try:
-        run = [*COMMAND, "query", address, "select 1", "--conf", "standin.rows=2", "--conf",
-               "standin.work_ms=1"]
+        run = [
+            *COMMAND,
+            "query",
+            address,
+            "select 1",
+            "--conf",
+            "standin.rows=2",
+            "--conf",
+            "standin.work_ms=1",
+        ]
         for _ in range(50):  # until the list has come
             served = subprocess.run(run, capture_output=True, text=True, timeout=30)
             if served.returncode == 0:
@@ -94,10 +105,13 @@
 
 def test_a_short_demo_writes_its_figures_and_a_broken_rule_its_status(tmp_path):
     script, figures = tmp_path / "day.txtpb", tmp_path / "day.json"
-    script.write_text("""seed: 1 length_ms: 1500 connections: 50
+    script.write_text(
+        """seed: 1 length_ms: 1500 connections: 50
         engines { count: 2 kind: "node-8" zone: "hall-a" }
         loads { query_class: "lookup" per_s: 30 statement: "select 1" work_ms: 20 threads: 1 rows: 1
-                timeout_ms: 3000 }""", encoding="utf-8")
+                timeout_ms: 3000 }""",
+        encoding="utf-8",
+    )
     run = [*COMMAND, "demo", "--script", str(script), "--json", str(figures), "--log", str(tmp_path / "log")]
     done = subprocess.run(run, capture_output=True, text=True, timeout=60)
     assert done.returncode == 0, done.stdout + done.stderr
@@ -111,8 +125,11 @@
 
 def test_bad_input_is_told_and_not_traced(tmp_path):
     runner = CliRunner()
-    for arguments in (["query", "nowhere", "select 1"], ["standin", "engine", "--cores", "0"],
-                      ["query", "127.0.0.1:1", "x", "--conf", "novalue"]):
+    for arguments in (
+        ["query", "nowhere", "select 1"],
+        ["standin", "engine", "--cores", "0"],
+        ["query", "127.0.0.1:1", "x", "--conf", "novalue"],
+    ):
         assert runner.invoke(main, arguments).exit_code == 2
     script = tmp_path / "s.txtpb"
     script.write_text("length: 3", encoding="utf-8")
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -98,8 +98,12 @@
             return seen
 
     seen, _ = play(user)
-    assert seen == [(client.ProgrammingError, "42S02"), (client.DataError, "22012"),
-                    (client.IntegrityError, "23505"), (client.NotSupportedError, "0A000")]
+    assert seen == [
+        (client.ProgrammingError, "42S02"),
+        (client.DataError, "22012"),
+        (client.IntegrityError, "23505"),
+        (client.NotSupportedError, "0A000"),
+    ]
 
 
 def test_a_refused_statement_is_put_again_until_it_is_served():
@@ -118,8 +122,10 @@
     assert tries > 1 and len(rows) == 1
 
 
-@pytest.mark.parametrize(("fault", "error", "state"), [
-    ("refuse", client.RefusedError, "53000"), ("lose", client.FailedError, "HYT00")])
+@pytest.mark.parametrize(
+    ("fault", "error", "state"),
+    [("refuse", client.RefusedError, "53000"), ("lose", client.FailedError, "HYT00")],
+)
 def test_what_keeps_being_refused_or_is_lost_is_told_in_time(fault, error, state):
     def user(host, port):
         with connect(host, port) as there, pytest.raises(error) as told:
@@ -137,8 +143,15 @@
     def user(host, port):
         with connect(host, port) as there:
             cursor = there.cursor()
-            cursor.execute("build", configuration={"standin.work_ms": "2000", "fennelwind.work_ms": "2000",
-                                                    "standin.threads": "4"}, repeatable=True)
+            cursor.execute(
+                "build",
+                configuration={
+                    "standin.work_ms": "2000",
+                    "fennelwind.work_ms": "2000",
+                    "standin.threads": "4",
+                },
+                repeatable=True,
+            )
             rows, lives = cursor.fetchall(), there.lives
             with pytest.raises(client.OperationalError, match="lost"):
                 cursor.execute("load 2", configuration={"standin.work_ms": "1500"})
@@ -152,8 +165,10 @@
 
         def wait_and_cut():
             for statement in ("build", "load 2"):
-                while not any(q.submission.statement == statement and q.tries
-                              for q in fleet.program.driver.ledger.entries.values()):
+                while not any(
+                    q.submission.statement == statement and q.tries
+                    for q in fleet.program.driver.ledger.entries.values()
+                ):
                     fleet.loop.sleep(5)
                 cut()
 
@@ -187,8 +202,13 @@
 
 def run_example(name):
     def user(host, port):
-        done = subprocess.run([sys.executable, str(EXAMPLES / name), host, str(port)], check=False,
-                              capture_output=True, text=True, timeout=25)
+        done = subprocess.run(
+            [sys.executable, str(EXAMPLES / name), host, str(port)],
+            check=False,
+            capture_output=True,
+            text=True,
+            timeout=25,
+        )
         assert done.returncode == 0, done.stderr
         return done.stdout
 
@@ -229,20 +249,40 @@
     assert Retry(1000, 3, lambda: 0.5).lost(True, 0) == LEAST_MS
 
 
-@pytest.mark.parametrize(("value", "text"), [
-    (None, "NULL"), (True, "TRUE"), (7, "7"), (-1.5, "-1.5"), (Decimal("1.10"), "1.10"),
-    ("it's", r"'it\'s'"), ("a\\' or 1=1 --", r"'a\\\' or 1=1 --'"), ("a\nb\0", r"'a\nb\0'"),
-    (b"\x00\xff", "unhex('00ff')"), (date(2026, 1, 2), "'2026-01-02'"),
-    (datetime(2026, 1, 2, 3, 4, 5), "'2026-01-02 03:04:05'"), ([1, "b"], "(1, 'b')")])
+@pytest.mark.parametrize(
+    ("value", "text"),
+    [
+        (None, "NULL"),
+        (True, "TRUE"),
+        (7, "7"),
+        (-1.5, "-1.5"),
+        (Decimal("1.10"), "1.10"),
+        ("it's", r"'it\'s'"),
+        ("a\\' or 1=1 --", r"'a\\\' or 1=1 --'"),
+        ("a\nb\0", r"'a\nb\0'"),
+        (b"\x00\xff", "unhex('00ff')"),
+        (date(2026, 1, 2), "'2026-01-02'"),
+        (datetime(2026, 1, 2, 3, 4, 5), "'2026-01-02 03:04:05'"),
+        ([1, "b"], "(1, 'b')"),
+    ],
+)
 def test_parameters_as_literals(value, text):
     assert literal(value) == text
     assert bind("x = %s, 5%%", [value]) == f"x = {text}, 5%"
     assert bind("x = %(a)s", {"a": value}) == f"x = {text}"
 
 
-@pytest.mark.parametrize(("statement", "parameters"), [
-    ("%s %s", [1]), ("%(a)s", {"b": 1}), ("%s", [1, 2]), ("%s", [float("nan")]), ("%s", [object()]),
-    ("%s", "a")])
+@pytest.mark.parametrize(
+    ("statement", "parameters"),
+    [
+        ("%s %s", [1]),
+        ("%(a)s", {"b": 1}),
+        ("%s", [1, 2]),
+        ("%s", [float("nan")]),
+        ("%s", [object()]),
+        ("%s", "a"),
+    ],
+)
 def test_parameters_that_do_not_fit(statement, parameters):
     with pytest.raises((client.ProgrammingError, client.InterfaceError)):
         bind(statement, parameters)
@@ -253,17 +293,23 @@
     def column(kind, values, nulls=b""):
         return hs2.make(kind, values=values, nulls=nulls)
 
-    page = hs2.TRowSet(0, [], [
-        hs2.TColumn(boolVal=column("TBoolColumn", [True, False], b"\x02")),
-        hs2.TColumn(doubleVal=column("TDoubleColumn", [0.5, 1.0])),
-        hs2.TColumn(stringVal=column("TStringColumn", [b"1.10", b"x"])),
-        hs2.TColumn(stringVal=column("TStringColumn", [b"2026-01-02 03:04:05.123456789", b""], b"\x02")),
-        hs2.TColumn(stringVal=column("TStringColumn", [b"2026-01-02", b"no date"])),
-        hs2.TColumn(binaryVal=column("TBinaryColumn", [b"\xff", b""])),
-        hs2.TColumn(stringVal=column("TStringColumn", [b"\xc3\xa9", b"\xff"]))])
+    page = hs2.TRowSet(
+        0,
+        [],
+        [
+            hs2.TColumn(boolVal=column("TBoolColumn", [True, False], b"\x02")),
+            hs2.TColumn(doubleVal=column("TDoubleColumn", [0.5, 1.0])),
+            hs2.TColumn(stringVal=column("TStringColumn", [b"1.10", b"x"])),
+            hs2.TColumn(stringVal=column("TStringColumn", [b"2026-01-02 03:04:05.123456789", b""], b"\x02")),
+            hs2.TColumn(stringVal=column("TStringColumn", [b"2026-01-02", b"no date"])),
+            hs2.TColumn(binaryVal=column("TBinaryColumn", [b"\xff", b""])),
+            hs2.TColumn(stringVal=column("TStringColumn", [b"\xc3\xa9", b"\xff"])),
+        ],
+    )
     names = ["BOOLEAN", "DOUBLE", "DECIMAL", "TIMESTAMP", "DATE", "BINARY", "STRING"]
     assert read_page(page, names) == [
         (True, 0.5, Decimal("1.10"), datetime(2026, 1, 2, 3, 4, 5, 123456), date(2026, 1, 2), b"\xff", "é"),
-        (None, 1.0, "x", None, "no date", b"", "\ufffd")]
+        (None, 1.0, "x", None, "no date", b"", "\ufffd"),
+    ]
     assert type_name(hs2.TColumnDesc("a", None, 1)) == "STRING"
     assert client.NUMBER == "DECIMAL" and client.STRING != "INT"
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -26,7 +26,9 @@
 there = connect("127.0.0.1", port, auth_mechanism="PLAIN", user="ann", password="x")
 cursor = there.cursor()
 cursor.execute("use sales")
-""" + BY_CURSOR + """cursor.get_tables()
+"""
+    + BY_CURSOR
+    + """cursor.get_tables()
 tables = len(cursor.fetchall())
 """,
     "pyhive": """
@@ -49,7 +51,9 @@
 from fennelwind import client
 there = client.connect("127.0.0.1", port, user="ann", database="sales")
 cursor = there.cursor()
-""" + BY_CURSOR + "tables = 3\n",
+"""
+    + BY_CURSOR
+    + "tables = 3\n",
     "apache thrift, generated": """
 from thrift.protocol.TBinaryProtocol import TBinaryProtocol
 from thrift.transport import THttpClient
@@ -84,9 +88,20 @@
 
 def same(kind, got, n):
     """Tell whether a client read a value right; text where its make knows no better type."""
-    expected = {0: n % 2 == 0, 1: n - 100, 2: n - 30_000, 3: n - 2_000_000_000, 4: n - 2**62, 5: n / 4,
-                6: n * 1e300, 7: f"é {n}", 8: datetime(2026, 12, 1, 10, 20, n, 500_000),
-                9: bytes([0, 255, n]), 15: Decimal(f"{n}.10"), 17: date(2026, 12, n + 1)}[kind]
+    expected = {
+        0: n % 2 == 0,
+        1: n - 100,
+        2: n - 30_000,
+        3: n - 2_000_000_000,
+        4: n - 2**62,
+        5: n / 4,
+        6: n * 1e300,
+        7: f"é {n}",
+        8: datetime(2026, 12, 1, 10, 20, n, 500_000),
+        9: bytes([0, 255, n]),
+        15: Decimal(f"{n}.10"),
+        17: date(2026, 12, n + 1),
+    }[kind]
     text = {8: f"2026-12-01 10:20:{n:02}.5", 15: f"{n}.10", 17: f"2026-12-{n + 1:02}"}.get(kind)
     if isinstance(got, bytes) and kind != 9:
         got = got.decode()
@@ -99,8 +114,9 @@
 
     def main(fleet):
         ports = fleet.program.address.port, fleet.program.http.listener.address.port
-        user = subprocess.Popen([sys.executable, "-c", FRAME % SCRIPTS[make], *map(str, ports)],
-                                stdout=subprocess.PIPE)
+        user = subprocess.Popen(
+            [sys.executable, "-c", FRAME % SCRIPTS[make], *map(str, ports)], stdout=subprocess.PIPE
+        )
         while user.poll() is None:
             loop.sleep(5)
         with user.stdout:
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -9,8 +9,16 @@
 
 # An engine that starts under far more than it may take, from gateways that see the same traffic: the budget
 # is used as far as it goes, and N of 73 leaves little to chance.
-FULL = Case(gateways=200, engines=1, trouble="all", work=(150.0, 150.0), spread=(0.1, 0.1), skew=0.0,
-            load=3.0, length_ms=5000.0)
+FULL = Case(
+    gateways=200,
+    engines=1,
+    trouble="all",
+    work=(150.0, 150.0),
+    spread=(0.1, 0.1),
+    skew=0.0,
+    load=3.0,
+    length_ms=5000.0,
+)
 MIXED = Case(gateways=30, engines=6, trouble="zone", kill=0.7, late=1 / 3, errors=0.1, length_ms=7000.0)
 FEW = Case(gateways=2, engines=6, trouble="zone", length_ms=6000.0)
 # The upper end of the interval (95%) that docs/results/cold.md has for the share of lives that fall where
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -36,56 +36,71 @@
 def test_every_field_of_the_modules_settings_can_be_stated():
     """What no settings file could say would be a decision hidden in the program."""
     fixed = {"tick_ms"}  # the loop's own: it steps whenever something happened
-    text = GOOD.replace("gateways: 1", """gateways: 4 over_share_worth: 0.1 zones: "a" zones: "b" zone: "b"
-        tenants { name: "t" quota_per_s: 7 users: "ann" }""")
-    for old, new in (("me: 0", "me: 2"), ("SPILL note_ms: 0", "PAGE note_ms: 9"),
-                     ("settle_ms: 0", "settle_ms: 4"),
-                     ("memory_grants: false", "memory_grants: true max_grant_share: 0.4"),
-                     ("priorities: false", "priorities: true"),
-                     ("parallel: false", "parallel: true probe: true")):
+    text = GOOD.replace(
+        "gateways: 1",
+        """gateways: 4 over_share_worth: 0.1 zones: "a" zones: "b" zone: "b"
+        tenants { name: "t" quota_per_s: 7 users: "ann" }""",
+    )
+    for old, new in (
+        ("me: 0", "me: 2"),
+        ("SPILL note_ms: 0", "PAGE note_ms: 9"),
+        ("settle_ms: 0", "settle_ms: 4"),
+        ("memory_grants: false", "memory_grants: true max_grant_share: 0.4"),
+        ("priorities: false", "priorities: true"),
+        ("parallel: false", "parallel: true probe: true"),
+    ):
         assert old in text
         text = text.replace(old, new)
-    text = text.replace('cores: 8', 'cores: 8 memory_mb: 64')
+    text = text.replace("cores: 8", "cores: 8 memory_mb: 64")
     told = config.read(text + 'discovery { address: "127.0.0.1:1" mode: ASKED }').module
     told_wait = config.read(text.replace("PAGE", "WAIT")).module
     plain = api.Settings(classes=told.classes, kind_cores=())
-    same = {name for name in api.Settings.__dataclass_fields__
-            if getattr(told, name) == getattr(plain, name) == getattr(told_wait, name)}
+    same = {
+        name
+        for name in api.Settings.__dataclass_fields__
+        if getattr(told, name) == getattr(plain, name) == getattr(told_wait, name)
+    }
     # Classes are compared with themselves; controllers do not talk to each other yet.
     assert same - fixed == {"classes", "can_tell"}
     assert config.read(text).tenants_by_user == {"ann": 0}
 
 
 def test_all_problems_are_told_at_once_each_with_its_place():
-    text = GOOD.replace('worth: 1 ', 'worth: -1 colour: "red" ').replace("max_open: 9", "max_open: 0")
+    text = GOOD.replace("worth: 1 ", 'worth: -1 colour: "red" ').replace("max_open: 9", "max_open: 0")
     unknown = problems(text)
-    line = text[:text.index("colour")].count("\n") + 1
+    line = text[: text.index("colour")].count("\n") + 1
     assert [(p.line, p.text.split(":")[0]) for p in unknown] == [(line, "colour")]
     assert "it has aim_ms" in unknown[0].text
-    told = problems(text.replace('colour: "red"', "").replace("fall_ms: 2000", "")
-                    .replace('query_class: "load"', 'query_class: "lode"'))
+    told = problems(
+        text.replace('colour: "red"', "")
+        .replace("fall_ms: 2000", "")
+        .replace('query_class: "load"', 'query_class: "lode"')
+    )
     assert [p.text.split(":")[0] for p in told] == ["worth", "query_class", "fall_ms", "max_open"]
     assert all(p.line and p.column for p in told)
     assert "known: lookup, build, load" in told[1].text
     assert "has to be stated" in told[2].text
 
 
-@pytest.mark.parametrize(("old", "new", "says"), [
-    ('address: "127.0.0.1:5000"', 'address: "nowhere"', "HOST:PORT"),
-    ("effect: UNSAFE", "effect: UNSURE", "UNSURE"),
-    ("effect: UNSAFE", "effect: KEYED", "memory_ms: has to be stated"),
-    ("effect: UNSAFE", "", "effect: has to be stated"),
-    ("me: 0", "me: 5", "counted from 0"),
-    ('name: "build"', 'name: "lookup"', "stands twice"),
-    ("(?i)load", "(?i", "statement"),
-    ("idle_ms: 60000", "idle_ms: nan", "no number"),
-    ("transport: SASL", "", "transport: has to be stated"),
-    ('kinds { name: "k" cores: 8 }', "", "at least one"),
-    ('engines { address: "127.0.0.1:5000" kind: "k" }', "", "neither engines nor a discovery"),
-    ("rules {", "rules", "':' is missing"),
-    ("gateways: 1", 'gateways: "one"', "one"),
-    ("gateways: 1", "gateways: 1 }", "}"),
-])
+@pytest.mark.parametrize(
+    ("old", "new", "says"),
+    [
+        ('address: "127.0.0.1:5000"', 'address: "nowhere"', "HOST:PORT"),
+        ("effect: UNSAFE", "effect: UNSURE", "UNSURE"),
+        ("effect: UNSAFE", "effect: KEYED", "memory_ms: has to be stated"),
+        ("effect: UNSAFE", "", "effect: has to be stated"),
+        ("me: 0", "me: 5", "counted from 0"),
+        ('name: "build"', 'name: "lookup"', "stands twice"),
+        ("(?i)load", "(?i", "statement"),
+        ("idle_ms: 60000", "idle_ms: nan", "no number"),
+        ("transport: SASL", "", "transport: has to be stated"),
+        ('kinds { name: "k" cores: 8 }', "", "at least one"),
+        ('engines { address: "127.0.0.1:5000" kind: "k" }', "", "neither engines nor a discovery"),
+        ("rules {", "rules", "':' is missing"),
+        ("gateways: 1", 'gateways: "one"', "one"),
+        ("gateways: 1", "gateways: 1 }", "}"),
+    ],
+)
 def test_what_is_wrong_is_named(old, new, says):
     assert old in GOOD
     told = problems(GOOD.replace(old, new, 1))
@@ -102,6 +117,7 @@
 def test_the_generated_module_is_that_of_the_schema():
     """A field added to the .proto and forgotten in the generated module would be refused as unknown."""
     import re
+
     text = (Path(config.__file__).parent / "settings.proto").read_text(encoding="utf-8")
     for message, body in re.findall(r"^message (\w+) \{(.*?)^\}", text, re.M | re.S):
         plain = re.sub(r"enum \w+ \{.*?\}|//.*", "", body)
