--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -11,8 +11,17 @@
 from fennelwind.thrift import hiveserver2 as hs2
 from fennelwind.thrift.codec import decode, encode
 
-CALLS = {"GetTypeInfo": 1, "GetCatalogs": 1, "GetSchemas": 2, "GetTables": 5, "GetTableTypes": 1,
-         "GetColumns": 5, "GetFunctions": 3, "GetPrimaryKeys": 4, "GetCrossReference": 4}
+CALLS = {
+    "GetTypeInfo": 1,
+    "GetCatalogs": 1,
+    "GetSchemas": 2,
+    "GetTables": 5,
+    "GetTableTypes": 1,
+    "GetColumns": 5,
+    "GetFunctions": 3,
+    "GetPrimaryKeys": 4,
+    "GetCrossReference": 4,
+}
 
 
 def ask(client, method, **more):
@@ -26,7 +35,8 @@
         client = fleet.client()
         handle = ask(client, method)
         assert handle.hasResultSet and handle.operationType == list(CALLS).index(method) + 1 - (
-            method == "GetCrossReference")
+            method == "GetCrossReference"
+        )
         schema = client.call("GetResultSetMetadata", hs2.TGetResultSetMetadataReq(handle)).schema
         page = fetch(client, handle).results
         assert len(schema.columns) == len(page.columns) == CALLS[method]
@@ -124,10 +134,13 @@
 def test_query_ids_name_the_query_that_runs():
     def main(fleet):
         clients = [fleet.client() for _ in range(2)]
-        handles = [execute(c, "build", work=100, asynchronous=True, **{"fennelwind.request": "r"})
-                   for c in clients]
-        told = [c.side.call("GetQueryId", hs2.make("TGetQueryIdReq", operationHandle=h))
-                for c, h in zip(clients, handles, strict=True)]
+        handles = [
+            execute(c, "build", work=100, asynchronous=True, **{"fennelwind.request": "r"}) for c in clients
+        ]
+        told = [
+            c.side.call("GetQueryId", hs2.make("TGetQueryIdReq", operationHandle=h))
+            for c, h in zip(clients, handles, strict=True)
+        ]
         ids = []
         for client, (_, raw) in zip(clients, told, strict=True):
             client.stream.write(raw)
@@ -148,20 +161,33 @@
         page = fetch(client, execute(client, "select 1", rows=3)).results
         assert page.columns is None
         assert [(r.colVals[0].i64Val.value, r.colVals[1].stringVal.value) for r in page.rows] == [
-            (0, b"row 0"), (1, b"row 1"), (2, b"row 2")]
+            (0, b"row 0"),
+            (1, b"row 1"),
+            (2, b"row 2"),
+        ]
 
     play(main)
 
 
 def test_every_type_and_null_is_the_same_by_rows():
-    kinds = {"boolVal": ("TBoolColumn", [True, False, True]), "byteVal": ("TByteColumn", [1, -2, 3]),
-             "i16Val": ("TI16Column", [1, -300, 3]), "i32Val": ("TI32Column", [1, -70_000, 3]),
-             "i64Val": ("TI64Column", [1, -2**40, 3]), "doubleVal": ("TDoubleColumn", [0.5, -1e300, 3.0]),
-             "stringVal": ("TStringColumn", [b"a", b"", b"\xc3\xa9"]),
-             "binaryVal": ("TBinaryColumn", [b"\0", b"", b"x"])}
-    page = hs2.TRowSet(startRowOffset=7, rows=[], columns=[
-        hs2.TColumn(**{name: hs2.make(kind, values=values, nulls=b"\x02")})
-        for name, (kind, values) in kinds.items()])
+    kinds = {
+        "boolVal": ("TBoolColumn", [True, False, True]),
+        "byteVal": ("TByteColumn", [1, -2, 3]),
+        "i16Val": ("TI16Column", [1, -300, 3]),
+        "i32Val": ("TI32Column", [1, -70_000, 3]),
+        "i64Val": ("TI64Column", [1, -(2**40), 3]),
+        "doubleVal": ("TDoubleColumn", [0.5, -1e300, 3.0]),
+        "stringVal": ("TStringColumn", [b"a", b"", b"\xc3\xa9"]),
+        "binaryVal": ("TBinaryColumn", [b"\0", b"", b"x"]),
+    }
+    page = hs2.TRowSet(
+        startRowOffset=7,
+        rows=[],
+        columns=[
+            hs2.TColumn(**{name: hs2.make(kind, values=values, nulls=b"\x02")})
+            for name, (kind, values) in kinds.items()
+        ],
+    )
     codec = hs2.CODECS["TRowSet"]
     got = decode(codec, encode(codec, rows.by_rows(page)))[0]
     assert got.startRowOffset == 7 and got.columns is None and len(got.rows) == 3
@@ -177,8 +203,10 @@
         same = fetch(bo, handle)  # whoever holds a handle may use it, from any connection, as with Hive
         assert same.results is not None
         guessed = hs2.TOperationHandle(
-            operationId=hs2.THandleIdentifier(handle.operationId.guid, b"\0" * 16), operationType=0,
-            hasResultSet=True)
+            operationId=hs2.THandleIdentifier(handle.operationId.guid, b"\0" * 16),
+            operationType=0,
+            hasResultSet=True,
+        )
         assert outcome(lambda: fetch(bo, guessed)) == "HY000"
         ann.call("CloseOperation", hs2.TCloseOperationReq(handle))
         for client in (ann, bo):
--- a/tests/test_shard_moves.py
+++ b/tests/test_shard_moves.py
@@ -61,22 +61,47 @@
             self.machine.pass_time(At(self.index, self.clock))
 
     def declare(self, name, size=100, copies=1, **more):
-        return self.ask(declare=pb.Declare(shards=[pb.Shard(
-            name=name, table=name.partition("/")[0], size=size, copies=copies, zones=1, **more)])).refusals[0]
+        return self.ask(
+            declare=pb.Declare(
+                shards=[
+                    pb.Shard(
+                        name=name, table=name.partition("/")[0], size=size, copies=copies, zones=1, **more
+                    )
+                ]
+            )
+        ).refusals[0]
 
     def home(self, name, disk=400, headroom=100, life="ready", mark="m", **more):
-        return self.ask(news=pb.News(homes=[pb.Home(
-            name=name, zone=name, disk=disk, headroom=headroom, life=life, mark=mark, **more)],
-            seen=self.index)).refusals[0]
+        return self.ask(
+            news=pb.News(
+                homes=[
+                    pb.Home(name=name, zone=name, disk=disk, headroom=headroom, life=life, mark=mark, **more)
+                ],
+                seen=self.index,
+            )
+        ).refusals[0]
 
     def found(self, shard, engine, rows=5, checksum=7, present=True, generation=0, seen=None):
-        return self.ask(found=pb.Found(shard=shard, engine=engine, rows=rows, checksum=checksum,
-                                       present=present, generation=generation,
-                                       seen=self.index if seen is None else seen)).refusal
+        return self.ask(
+            found=pb.Found(
+                shard=shard,
+                engine=engine,
+                rows=rows,
+                checksum=checksum,
+                present=present,
+                generation=generation,
+                seen=self.index if seen is None else seen,
+            )
+        ).refusal
 
     def plan(self, shard, source="", target="", drops="", after=()):
-        return self.ask(plan=pb.Plan(moves=[pb.Move(
-            number=2**62, shard=shard, source=source, target=target, drops=drops, after=after)]))
+        return self.ask(
+            plan=pb.Plan(
+                moves=[
+                    pb.Move(number=2**62, shard=shard, source=source, target=target, drops=drops, after=after)
+                ]
+            )
+        )
 
     def step(self, kind, move=1, fence=None, **more):
         return self.ask(fence, step=Step(move=move, kind=kind, **more)).refusal
@@ -94,10 +119,13 @@
 def to_step(desk, step, drops="e1"):
     """Take one move of t/d=1 from e1 to e2 up to a step."""
     assert desk.plan("t/d=1", "e1", "e2", drops).numbers == [1]
-    for name, kind, more in (("reserved", Step.RESERVE, {}),
-                             ("copying", Step.COPY, {"source": "e1", "attempt": 1}),
-                             ("checked", Step.CHECK, {"attempt": 1, "rows": 5, "checksum": 7}),
-                             ("switched", Step.SWITCH, {}), ("dropping", Step.DROP, {})):
+    for name, kind, more in (
+        ("reserved", Step.RESERVE, {}),
+        ("copying", Step.COPY, {"source": "e1", "attempt": 1}),
+        ("checked", Step.CHECK, {"attempt": 1, "rows": 5, "checksum": 7}),
+        ("switched", Step.SWITCH, {}),
+        ("dropping", Step.DROP, {}),
+    ):
         if desk.machine.moves[1].step == step:
             return desk
         if kind == Step.DROP:
@@ -109,6 +137,7 @@
 
 # The machine alone.
 
+
 def test_a_move_goes_from_copy_to_copy_and_space_counts_for_both_until_the_drop():
     desk = to_step(desk_with_copy(), "dropping")
     assert desk.machine.good("t/d=1") == ("e2",) and desk.machine.leaving("t/d=1") == "e1"
@@ -121,8 +150,14 @@
 
 @pytest.mark.parametrize("step", ["planned", "reserved", "copying", "checked", "switched", "dropping"])
 def test_each_step_is_taken_once_with_the_fence_of_the_holder_only(step):
-    after = {"planned": Step.RESERVE, "reserved": Step.COPY, "copying": Step.CHECK, "checked": Step.SWITCH,
-             "switched": Step.DROP, "dropping": Step.DONE}
+    after = {
+        "planned": Step.RESERVE,
+        "reserved": Step.COPY,
+        "copying": Step.CHECK,
+        "checked": Step.SWITCH,
+        "switched": Step.DROP,
+        "dropping": Step.DONE,
+    }
     more = {Step.COPY: {"source": "e1", "attempt": 1}, Step.CHECK: {"attempt": 1, "rows": 5, "checksum": 7}}
     desk = to_step(desk_with_copy(), step)
     desk.fence = 2
@@ -192,8 +227,12 @@
 
 
 @settings(max_examples=60, deadline=None, derandomize=True)
-@given(st.lists(st.sampled_from(
-    ["begin", "end", "plan", "RESERVE", "COPY", "CHECK", "SWITCH", "UNDO", "UNDONE"]), max_size=40))
+@given(
+    st.lists(
+        st.sampled_from(["begin", "end", "plan", "RESERVE", "COPY", "CHECK", "SWITCH", "UNDO", "UNDONE"]),
+        max_size=40,
+    )
+)
 def test_change_and_move_of_one_table_never_meet_and_neither_waits_for_the_other(asked):
     machine, changes = ShardMachine(), Changes()
     record = Record([machine, changes])
@@ -202,11 +241,18 @@
 
     def send(to, body):
         n = next(numbers)
-        return record.apply(council_pb2.Entry(index=n + 1, command=council_pb2.Command(
-            client=client, number=n, machine=to, body=body))).body
-
-    send("shards", pb.Command(declare=pb.Declare(shards=[pb.Shard(
-        name="t/", table="t", size=10, copies=1, zones=1)])).SerializeToString())
+        return record.apply(
+            council_pb2.Entry(
+                index=n + 1, command=council_pb2.Command(client=client, number=n, machine=to, body=body)
+            )
+        ).body
+
+    send(
+        "shards",
+        pb.Command(
+            declare=pb.Declare(shards=[pb.Shard(name="t/", table="t", size=10, copies=1, zones=1)])
+        ).SerializeToString(),
+    )
     homes = [pb.Home(name=e, disk=100, life="ready", mark="m") for e in ENGINES]
     send("shards", pb.Command(fence=1, news=pb.News(homes=homes)).SerializeToString())
     found = pb.Found(shard="t/", engine="e1", present=True)
@@ -216,12 +262,25 @@
         if word in ("begin", "end"):
             send("contracts", f"{word} t".encode())
         elif word == "plan":
-            send("shards", pb.Command(fence=1, plan=pb.Plan(moves=[pb.Move(
-                number=2**62, shard="t/", source="e1", target="e2")])).SerializeToString())
+            send(
+                "shards",
+                pb.Command(
+                    fence=1, plan=pb.Plan(moves=[pb.Move(number=2**62, shard="t/", source="e1", target="e2")])
+                ).SerializeToString(),
+            )
         elif move is not None:
-            send("shards", pb.Command(fence=1, step=Step(
-                move=move.number, kind=Step.Kind.Value(word), source="e1",
-                attempt=move.attempt + (word == "COPY"))).SerializeToString())
+            send(
+                "shards",
+                pb.Command(
+                    fence=1,
+                    step=Step(
+                        move=move.number,
+                        kind=Step.Kind.Value(word),
+                        source="e1",
+                        attempt=move.attempt + (word == "COPY"),
+                    ),
+                ).SerializeToString(),
+            )
         assert not (machine.fact("moving", "t") and changes.under_change)
     send("contracts", b"end t")  # whoever is there can end by itself
     move = machine.move_of("t/")
@@ -366,10 +425,23 @@
     assert rests[-1] == ASIDE_MOST_MS
 
 
-@pytest.mark.parametrize("bad", [
-    {"name": "x/d=1", "table": "t"}, {"name": "t", "table": "t"}, {"name": "/", "table": ""}, {"size": 0},
-    {"size": 2**61}, {"copies": 0}, {"copies": 17}, {"zones": 2}, {"heat": float("nan")}, {"heat": -1.0},
-    {"name": "t/" + "x" * 600}, {"kinds": [""]}])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        {"name": "x/d=1", "table": "t"},
+        {"name": "t", "table": "t"},
+        {"name": "/", "table": ""},
+        {"size": 0},
+        {"size": 2**61},
+        {"copies": 0},
+        {"copies": 17},
+        {"zones": 2},
+        {"heat": float("nan")},
+        {"heat": -1.0},
+        {"name": "t/" + "x" * 600},
+        {"kinds": [""]},
+    ],
+)
 def test_declarations_that_cannot_be_are_refused(bad):
     told = {"name": "t/d=1", "table": "t", "size": 1, "copies": 1, "zones": 1, **bad}
     assert Desk().ask(declare=pb.Declare(shards=[pb.Shard(**told)])).refusals == [Answer.BAD]
@@ -393,21 +465,35 @@
 # The machine against a plain model: which state of a copy and which step may follow which, by which command.
 
 COPY_CHANGES = {
-    "RESERVE": {("", "coming")}, "SWITCH": {("coming", "good"), ("good", "leaving"), ("doubtful", "leaving")},
-    "DONE": {("leaving", ""), ("doubtful", "")}, "KEEP": {("leaving", "good"), ("leaving", "doubtful")},
-    "UNDO": {("coming", "")}, "UNDONE": {("coming", ""), ("coming", "doubtful")},
-    "found": {("", "good"), ("", "doubtful"), ("good", ""), ("good", "doubtful"), ("doubtful", "good"),
-              ("doubtful", "")},
-    "gone": {("good", "doubtful"), ("leaving", "doubtful")}, "empty": {(s, "") for s in (
-        "good", "leaving", "doubtful", "coming")}}
+    "RESERVE": {("", "coming")},
+    "SWITCH": {("coming", "good"), ("good", "leaving"), ("doubtful", "leaving")},
+    "DONE": {("leaving", ""), ("doubtful", "")},
+    "KEEP": {("leaving", "good"), ("leaving", "doubtful")},
+    "UNDO": {("coming", "")},
+    "UNDONE": {("coming", ""), ("coming", "doubtful")},
+    "found": {
+        ("", "good"),
+        ("", "doubtful"),
+        ("good", ""),
+        ("good", "doubtful"),
+        ("doubtful", "good"),
+        ("doubtful", ""),
+    },
+    "gone": {("good", "doubtful"), ("leaving", "doubtful")},
+    "empty": {(s, "") for s in ("good", "leaving", "doubtful", "coming")},
+}
 STEP_CHANGES = {
-    "RESERVE": {("planned", "reserved")}, "COPY": {("reserved", "copying"), ("copying", "copying")},
-    "CHECK": {("copying", "checked")}, "SWITCH": {("checked", "switched"), ("planned", "switched"),
-                                                  ("checked", ""), ("planned", "")},
-    "DROP": {("switched", "dropping")}, "DONE": {("dropping", "")},
+    "RESERVE": {("planned", "reserved")},
+    "COPY": {("reserved", "copying"), ("copying", "copying")},
+    "CHECK": {("copying", "checked")},
+    "SWITCH": {("checked", "switched"), ("planned", "switched"), ("checked", ""), ("planned", "")},
+    "DROP": {("switched", "dropping")},
+    "DONE": {("dropping", "")},
     "KEEP": {("switched", ""), ("dropping", "")},
     "UNDO": {(s, t) for s in ("planned", "reserved", "copying", "checked") for t in ("", "undoing")},
-    "UNDONE": {("undoing", "")}, "plan": {("", "planned")}}
+    "UNDONE": {("undoing", "")},
+    "plan": {("", "planned")},
+}
 
 
 class Model(RuleBasedStateMachine):
@@ -447,12 +533,20 @@
         for number, move in moves.items():
             assert sum(other.shard == move.shard for other in moves.values()) == 1, number
 
-    @rule(life=st.sampled_from(("ready", "draining", "gone", "cold")), engine=st.sampled_from(ENGINES),
-          spilled=st.sampled_from((0, 0, 100, 260)))
+    @rule(
+        life=st.sampled_from(("ready", "draining", "gone", "cold")),
+        engine=st.sampled_from(ENGINES),
+        spilled=st.sampled_from((0, 0, 100, 260)),
+    )
     def news(self, engine, life, spilled):
         before = self.see()
-        self.desk.home(engine, disk=DISKS[engine], life=life, spilled=spilled,
-                       mark=self.desk.machine.homes[engine].mark if life != "gone" else "")
+        self.desk.home(
+            engine,
+            disk=DISKS[engine],
+            life=life,
+            spilled=spilled,
+            mark=self.desk.machine.homes[engine].mark if life != "gone" else "",
+        )
         self.did("gone" if life == "gone" else "", 0, before, engine)
 
     @rule(engine=st.sampled_from((*ENGINES, "e4", "e4")), number=st.integers(2, 9))
@@ -464,21 +558,38 @@
             changed = self.desk.machine.homes[engine].mark
             assert changed == f"m{number}"
 
-    @rule(shard=st.sampled_from(SHARDS), engine=st.sampled_from(ENGINES), rows=st.sampled_from((5, 5, 6)),
-          present=st.booleans(), late=st.sampled_from((False, False, True)), old=st.booleans())
+    @rule(
+        shard=st.sampled_from(SHARDS),
+        engine=st.sampled_from(ENGINES),
+        rows=st.sampled_from((5, 5, 6)),
+        present=st.booleans(),
+        late=st.sampled_from((False, False, True)),
+        old=st.booleans(),
+    )
     def found(self, shard, engine, rows, present, late, old):
         if old and self.last_steps:  # of a shard that has taken a step since
             shard = max(self.last_steps, key=self.last_steps.get)
         before, generation = self.see(), self.desk.machine.homes[engine].generation
-        refusal = self.desk.found(shard, engine, rows, present=present, generation=generation + late,
-                                  seen=self.last_steps.get(shard, 1) - 1 if old else None)
+        refusal = self.desk.found(
+            shard,
+            engine,
+            rows,
+            present=present,
+            generation=generation + late,
+            seen=self.last_steps.get(shard, 1) - 1 if old else None,
+        )
         assert refusal or not old or shard not in self.last_steps
         self.did("found", refusal, before, engine)
         assert refusal or not late
 
-    @rule(shard=st.sampled_from(SHARDS), sure=st.booleans(), source=st.sampled_from(ENGINES),
-          to=st.sampled_from(("", "e4", *ENGINES)), drops=st.sampled_from(("", *ENGINES)),
-          waits=st.booleans())
+    @rule(
+        shard=st.sampled_from(SHARDS),
+        sure=st.booleans(),
+        source=st.sampled_from(ENGINES),
+        to=st.sampled_from(("", "e4", *ENGINES)),
+        drops=st.sampled_from(("", *ENGINES)),
+        waits=st.booleans(),
+    )
     def plan(self, shard, sure, source, to, drops, waits):
         before, good = self.see(), self.desk.machine.good(shard)
         if sure and good:
@@ -487,17 +598,37 @@
         self.did("plan", answer.refusals[0], before)
 
     @precondition(lambda self: self.desk.machine.moves)
-    @rule(data=st.data(), forth=st.sampled_from((True, True, True, False)), old=st.integers(0, 4),
-          failed=st.booleans(), rows=st.sampled_from((5, 5, 5, 6)))
+    @rule(
+        data=st.data(),
+        forth=st.sampled_from((True, True, True, False)),
+        old=st.integers(0, 4),
+        failed=st.booleans(),
+        rows=st.sampled_from((5, 5, 5, 6)),
+    )
     def step(self, data, forth, old, failed, rows):
         desk, m = self.desk, self.desk.machine
         move = m.moves[data.draw(st.sampled_from(sorted(m.moves)))]
-        usual = {"planned": "RESERVE" if move.target else "SWITCH", "reserved": "COPY", "copying": "CHECK",
-                 "checked": "SWITCH", "switched": "DROP", "dropping": "DONE", "undoing": "UNDONE"}
+        usual = {
+            "planned": "RESERVE" if move.target else "SWITCH",
+            "reserved": "COPY",
+            "copying": "CHECK",
+            "checked": "SWITCH",
+            "switched": "DROP",
+            "dropping": "DONE",
+            "undoing": "UNDONE",
+        }
         kind = usual[move.step] if forth else data.draw(st.sampled_from(Step.Kind.keys()))
         before, changing = self.see(), desk.fact("changing", m.shards[move.shard].table)
-        refusal = desk.step(Step.Kind.Value(kind), move.number, desk.fence - (not old), source=move.source,
-                            attempt=move.attempt + (kind == "COPY"), rows=rows, checksum=7, failed=failed)
+        refusal = desk.step(
+            Step.Kind.Value(kind),
+            move.number,
+            desk.fence - (not old),
+            source=move.source,
+            attempt=move.attempt + (kind == "COPY"),
+            rows=rows,
+            checksum=7,
+            failed=failed,
+        )
         self.did(kind, refusal, before)
         if not refusal:
             self.last_steps[move.shard] = desk.index
@@ -522,15 +653,23 @@
         if home is None or move.step != "planned" or (move.shard, move.target) in held:
             return False
         used = sum(self.desk.machine.shards[s].size for s, e in held if e == move.target)
-        return (home.life in ("ready", "cold") and not any(a in before[1] for a in move.after)
-                and any(c.state == "good" for (s, _), c in held.items() if s == move.shard)
-                and used + self.desk.machine.shards[move.shard].size + max(100, home.spilled) <= home.disk)
+        return (
+            home.life in ("ready", "cold")
+            and not any(a in before[1] for a in move.after)
+            and any(c.state == "good" for (s, _), c in held.items() if s == move.shard)
+            and used + self.desk.machine.shards[move.shard].size + max(100, home.spilled) <= home.disk
+        )
 
     def may_drop(self, move, before):
         copy = before[0].get((move.shard, move.drops))
         others = [e for (s, e), c in before[0].items() if s == move.shard and c.state == "good"]
-        return (move.step == "switched" and move.rested and copy is not None and copy.state == "leaving"
-                and len(others) >= (1 if copy.wrong else self.desk.machine.shards[move.shard].copies))
+        return (
+            move.step == "switched"
+            and move.rested
+            and copy is not None
+            and copy.state == "leaving"
+            and len(others) >= (1 if copy.wrong else self.desk.machine.shards[move.shard].copies)
+        )
 
     @rule(ms=st.sampled_from((100, REST_MS, ASIDE_FIRST_MS)))
     def wait(self, ms):
@@ -569,13 +708,19 @@
             under_way |= {s for s, since in self.doubted.items() if since + m.rest_ms > self.desk.clock}
             assert m.fact("moving", table) == sum(m.shards[shard].table == table for shard in under_way)
             for shard, engines in m.places(table).items():
-                assert engines == tuple(e for e in ENGINES if copies.get((shard, e)) and copies[
-                    shard, e].state == "good" and m.homes[e].life != "gone")
+                assert engines == tuple(
+                    e
+                    for e in ENGINES
+                    if copies.get((shard, e))
+                    and copies[shard, e].state == "good"
+                    and m.homes[e].life != "gone"
+                )
 
 
 def test_the_machine_does_what_a_plain_model_allows():
-    run_state_machine_as_test(Model, settings=settings(
-        max_examples=50, stateful_step_count=50, deadline=None, derandomize=True))
+    run_state_machine_as_test(
+        Model, settings=settings(max_examples=50, stateful_step_count=50, deadline=None, derandomize=True)
+    )
 
 
 # Statements, and the carrier's own promises.
@@ -584,14 +729,21 @@
 
 
 @settings(max_examples=150, deadline=None, derandomize=True)
-@given(names.filter(lambda t: "/" not in t and ". " not in t and t.strip(".") == t and ".." not in t),
-       st.lists(st.tuples(names, names), max_size=3), names)
+@given(
+    names.filter(lambda t: "/" not in t and ". " not in t and t.strip(".") == t and ".." not in t),
+    st.lists(st.tuples(names, names), max_size=3),
+    names,
+)
 def test_any_name_is_quoted_so_that_an_engine_reads_the_same(table, pairs, path):
     shard = f"{table}/" + "/".join(f"{quote(c, safe='')}={quote(v, safe='')}" for c, v in pairs)
     meant = f"{table}/" + "/".join(f"{c}={v}" for c, v in pairs)
     shelf = Shelf(1, {})
-    for statement in (steps.export(shard, path), steps.load(shard, path), steps.drop(shard),
-                      steps.check(shard)):
+    for statement in (
+        steps.export(shard, path),
+        steps.load(shard, path),
+        steps.drop(shard),
+        steps.check(shard),
+    ):
         task = shelf.read(statement)
         assert task.shard == meant and task.path in ("", path), statement
 
@@ -731,17 +883,31 @@
 
 # Plays.
 
+
 def streams(seed):
     """Play one stream of each engine: more than one at any time is found."""
-    one = Play(seed, engines=4, shards=8, lossy=0.05, fault_ms=60_000.0, quick=bool(seed // 2 % 2),
-               bounds=Bounds(streams_per_engine=1), planner=plan)
+    one = Play(
+        seed,
+        engines=4,
+        shards=8,
+        lossy=0.05,
+        fault_ms=60_000.0,
+        quick=bool(seed // 2 % 2),
+        bounds=Bounds(streams_per_engine=1),
+        planner=plan,
+    )
     one.run(80_000.0)
 
 
-@pytest.mark.parametrize("defect", [
-    None, mock.patch.object(Carrier, "_copies_asked", lambda self: {}),
-    mock.patch("fennelwind.shards.pace.source", lambda known, bounds, move, engines, asked: engines[0])],
-    ids=["none", "what was asked is not counted", "a new source's streams are not counted"])
+@pytest.mark.parametrize(
+    "defect",
+    [
+        None,
+        mock.patch.object(Carrier, "_copies_asked", lambda self: {}),
+        mock.patch("fennelwind.shards.pace.source", lambda known, bounds, move, engines, asked: engines[0]),
+    ],
+    ids=["none", "what was asked is not counted", "a new source's streams are not counted"],
+)
 def test_streams_are_bounded_whatever_goes_wrong(defect):
     if defect is None:
         for seed in range(8):
@@ -777,14 +943,23 @@
     assert one.steps == ["RESERVE", "COPY", "CHECK", "SWITCH", "DROP", "DONE"] and one.loads() == 1
 
 
-@pytest.mark.parametrize("title", ["switched without a check", "old copy dropped before the switch",
-                                   "old copy dropped before the record says so", "resumed move copies again"])
+@pytest.mark.parametrize(
+    "title",
+    [
+        "switched without a check",
+        "old copy dropped before the switch",
+        "old copy dropped before the record says so",
+        "resumed move copies again",
+    ],
+)
 def test_planted_defects_are_found(title):
     assert hunt(title, 0) is not None
 
 
-@pytest.mark.parametrize("title", [
-    "a check's answer from an earlier disk is taken", "a check's answer from before a move is taken"])
+@pytest.mark.parametrize(
+    "title",
+    ["a check's answer from an earlier disk is taken", "a check's answer from before a move is taken"],
+)
 def test_planted_defects_are_found_by_the_model(title):
     with planted(DEFECTS[title]):
         assert model() is not None
--- a/tests/test_shard_plan.py
+++ b/tests/test_shard_plan.py
@@ -261,8 +261,12 @@
 
 def test_streams_and_bytes_an_hour_are_bounded():
     names = [f"t/{n}" for n in range(8)]
-    one = world({"a": 99, "b": 99, "c": 99}, dict.fromkeys(names, (2,)), " ".join(f"{n}a" for n in names),
-                a="draining")
+    one = world(
+        {"a": 99, "b": 99, "c": 99},
+        dict.fromkeys(names, (2,)),
+        " ".join(f"{n}a" for n in names),
+        a="draining",
+    )
     one = adopt(one, clean(one))
     bounds = Bounds(streams_per_engine=3)
     begun = begin(one, bounds, 0)
@@ -296,9 +300,19 @@
         rates = dict.fromkeys(names, 5.0) | {"t/0": rate, "t/24": rate}
         with pytest.MonkeyPatch.context() as patch:
             patch.setattr("fennelwind.shards.evenness.CHANCE", deviations)
-            return sum(bool(clean(replace(one, heat_unit=1.0, counted={
-                name: float(poisson(chance, mean)) for name, mean in rates.items()}), Bounds()).moves)
-                for _ in range(40))
+            return sum(
+                bool(
+                    clean(
+                        replace(
+                            one,
+                            heat_unit=1.0,
+                            counted={name: float(poisson(chance, mean)) for name, mean in rates.items()},
+                        ),
+                        Bounds(),
+                    ).moves
+                )
+                for _ in range(40)
+            )
 
     assert moves(4.0) == 0 and moves(0.0) > 30 and moves(4.0, 30.0) == 40
 
--- a/tests/test_shard_routing.py
+++ b/tests/test_shard_routing.py
@@ -7,9 +7,15 @@
 from fennelwind.shards.routing import SLOTS_MOST, Routing, widen
 
 SETTINGS = api.Settings(
-    classes=(api.QueryClass("short", 500.0, 2_000.0, 1.0),
-             api.QueryClass("long", 5_000.0, 20_000.0, 3.0, kinds=(1,))),
-    kind_cores=(4, 8), gateways=2, max_attempts=3, tick_ms=5.0)
+    classes=(
+        api.QueryClass("short", 500.0, 2_000.0, 1.0),
+        api.QueryClass("long", 5_000.0, 20_000.0, 3.0, kinds=(1,)),
+    ),
+    kind_cores=(4, 8),
+    gateways=2,
+    max_attempts=3,
+    tick_ms=5.0,
+)
 ENGINES = api.EngineList("full", tuple(api.EngineEntry(f"e{n}", zone=n % 2, kind=n % 2) for n in range(8)))
 
 
@@ -124,4 +130,4 @@
 
 def test_slots_are_bounded():
     assert len(Routing(SETTINGS, 50).slots) == SLOTS_MOST
-    assert len(widen(SETTINGS, 50).kind_cores) == 2 * 2 ** SLOTS_MOST
+    assert len(widen(SETTINGS, 50).kind_cores) == 2 * 2**SLOTS_MOST
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -41,13 +41,16 @@
 
 # Estimates.
 
+
 def test_the_busiest_resource_is_the_load():
     assert estimate.load_of({"cpu": 0.2, "x1": 0.9}, 8) == 0.9
     assert estimate.load_of({"cpu": 0.5, "waiting": 4.0}, 8) == 1.0
 
 
-@pytest.mark.parametrize("report", [
-    {}, {"x0": 0.3}, {"active": 3.0}, {"cpu": math.nan}, {"cpu": math.inf}, {"cpu": -0.1}, {"waiting": 2.0}])
+@pytest.mark.parametrize(
+    "report",
+    [{}, {"x0": 0.3}, {"active": 3.0}, {"cpu": math.nan}, {"cpu": math.inf}, {"cpu": -0.1}, {"waiting": 2.0}],
+)
 def test_a_report_that_tells_no_share_changes_nothing(report):
     known = estimate.Estimate()
     known.news("a", 0, report, 8, 0.0)
@@ -98,8 +101,12 @@
     assert known.load("c", 2, 8, 0.0)[0] == 0.9
 
 
-@given(st.lists(st.tuples(st.sampled_from("ab"), st.floats(allow_nan=True, allow_infinity=True),
-                          st.floats(0.0, 1e5)), max_size=40))
+@given(
+    st.lists(
+        st.tuples(st.sampled_from("ab"), st.floats(allow_nan=True, allow_infinity=True), st.floats(0.0, 1e5)),
+        max_size=40,
+    )
+)
 def test_whatever_is_reported_a_load_is_a_bounded_figure(news):
     known = estimate.Estimate()
     for engine, value, now in news:
@@ -110,6 +117,7 @@
 
 # Subsets.
 
+
 def leaning(controllers, engines, many=8):
     chosen = {}
     for me in range(controllers):
@@ -136,7 +144,7 @@
     after = leaning(200, {name: cores for name, cores in engines.items() if name != "s7"})
     for me, names in before.items():
         kept = [name for name in names if name != "s7"]
-        assert after[me][:len(kept)] == kept
+        assert after[me][: len(kept)] == kept
     grown = leaning(200, engines | {"new": 8})
     assert all(len(set(before[me]) - set(grown[me])) <= 1 for me in before)
     assert 0 < sum("new" in names for names in grown.values()) < 200 / 3  # not everybody is drawn to it
@@ -155,6 +163,7 @@
 
 # The advisor.
 
+
 def test_it_acts_only_where_own_counts_tell_too_little_and_shares_are_told():
     assert acts(FLEET)
     assert not acts(settings(gateways=advisor.LITTLE - 1, report_fields=("cpu",)))
@@ -212,6 +221,7 @@
 
 # The module.
 
+
 def told(**loads):
     return api.Picture(loads)
 
@@ -270,13 +280,24 @@
         random, d = Random(5), Drive(engines=6, gateways=20)
         seen = []
         for n in range(400):
-            actions = d.step(*extra, api.Arrival(n, n % 2, d.now + 4000.0, work_ms=random.uniform(10, 900)),
-                             after=random.uniform(1, 30))
+            actions = d.step(
+                *extra,
+                api.Arrival(n, n % 2, d.now + 4000.0, work_ms=random.uniform(10, 900)),
+                after=random.uniform(1, 30),
+            )
             seen.append(repr(actions))
             for query, engine in sends(actions):
                 if random.random() < 0.8:
-                    seen.append(repr(d.step(api.Outcome(query, 0, engine, random.choice(["ok", "ok", "full"]),
-                                                        50.0, False), after=5.0)))
+                    seen.append(
+                        repr(
+                            d.step(
+                                api.Outcome(
+                                    query, 0, engine, random.choice(["ok", "ok", "full"]), 50.0, False
+                                ),
+                                after=5.0,
+                            )
+                        )
+                    )
         return seen
 
     assert play([]) == play([api.Picture({})])
@@ -285,6 +306,7 @@
 
 # Fleets.
 
+
 def sent_by(story):
     pairs = defaultdict(set)
     for attempt in story.attempts:
@@ -293,8 +315,9 @@
 
 
 def fleet_day(controllers=16, executors=20, seconds=5.0, faults="", base="calm"):
-    return dayfile.change(dayfile.load(base), controllers=controllers, executors=executors, seconds=seconds,
-                          overlay=faults)
+    return dayfile.change(
+        dayfile.load(base), controllers=controllers, executors=executors, seconds=seconds, overlay=faults
+    )
 
 
 FAULTS = """
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -85,6 +85,7 @@
 
 # Damage: each flipped byte and each cut of a small folder is noticed or harmless.
 
+
 def check_harms(play, marks):
     """Flip a bit of each byte, and cut each file at each byte; return how often each outcome was seen."""
     seen, random = Counter(), Random(1)
@@ -92,8 +93,10 @@
     for name, file in sorted(play.platter.names.items()):
         for at in range(len(file.shown)):
             bit = 8 * at + random.randrange(8)
-            for what, held in (("flip", damaged(play, lambda platter: platter.flip(name, bit))),  # noqa: B023
-                               ("cut", damaged(play, lambda platter: platter.cut(name, at)))):  # noqa: B023
+            for what, held in (
+                ("flip", damaged(play, lambda platter: platter.flip(name, bit))),  # noqa: B023
+                ("cut", damaged(play, lambda platter: platter.cut(name, at))),  # noqa: B023
+            ):
                 if isinstance(held, type):
                     outcome = held.__name__
                 elif play.model.same(held):
@@ -128,6 +131,7 @@
     play.platter.lose("marks-0000000001")
     size = len(play.platter.names[name].shown)
     for sector in range(begin // 512, size // 512 + 1):  # one that never came reads as zeros
+
         def tear(platter, sector=sector):
             start, end = max(begin, sector * 512), min(size, sector * 512 + 512)
             platter.names[name].shown[start:end] = bytes(end - start)
@@ -135,7 +139,7 @@
         assert before.same(damaged(play, tear))
 
     def change(platter):
-        platter.names[name].shown[begin + 700:begin + 800] = bytes(100)  # less than any disk writes
+        platter.names[name].shown[begin + 700 : begin + 800] = bytes(100)  # less than any disk writes
 
     assert damaged(play, change) is LogDamaged
     later = damaged(play, lambda platter: platter.flip(name, 8 * begin + 3))  # the length, or the magic
@@ -183,6 +187,7 @@
 
 # Folders that are not this member's, or not whole.
 
+
 @pytest.mark.parametrize("fleet, name, error", [("other", "a", OtherFleet), ("fleet", "b", OtherMember)])
 def test_a_folder_of_another_is_refused_and_left_as_it_was(fleet, name, error):
     play = built()
@@ -281,6 +286,7 @@
 
 # A full disk.
 
+
 def filled_up():
     """Return a play that has a snapshot and wrote until there was no room."""
     play = Play(1, room=12_000)
@@ -347,19 +353,23 @@
 
 # Bounds, and writes that do not fit.
 
+
 def test_what_is_too_large_is_refused_ahead_of_any_effect():
     play = Play(1)
     calls = play.calls
-    for write in (Write(1, entries=(entry(1, 1, SMALL.group),)),
-                  Write(1, head=pb.SnapshotHead(index=1), snapshot=bytes(SMALL.snapshot + 1))):
+    for write in (
+        Write(1, entries=(entry(1, 1, SMALL.group),)),
+        Write(1, head=pb.SnapshotHead(index=1), snapshot=bytes(SMALL.snapshot + 1)),
+    ):
         with pytest.raises(WriteTooLarge):
             play.store.write(write)
     assert play.calls == calls and not play.store.failed
     assert play.write(Write(1, entries=(entry(1, 1, SMALL.group // 2),)))
 
 
-@pytest.mark.parametrize("write", [
-    Write(1, entries=(entry(9, 1),)), Write(1, entries=(entry(3, 1),)), Write(1, cut_after=1)])
+@pytest.mark.parametrize(
+    "write", [Write(1, entries=(entry(9, 1),)), Write(1, entries=(entry(3, 1),)), Write(1, cut_after=1)]
+)
 def test_a_write_that_does_not_fit_is_refused(write):
     play = Play(1)
     play.write(Write(1, entries=(entry(1, 2), entry(2, 2))))
@@ -399,6 +409,7 @@
 
 # Any order of all of this.
 
+
 class Folder(RuleBasedStateMachine):
     """Writes, faults, power cuts, a disk that fills, and openings, in any order."""
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -156,14 +156,15 @@
 
 def test_a_schema_that_can_not_be_had_leaves_its_link_in_step():
     def main(fleet):
-        engine, = fleet.engines
+        (engine,) = fleet.engines
         told = engine._GetResultSetMetadata
         engine._GetResultSetMetadata = lambda request, mine: hs2.TGetResultSetMetadataResp(
-            status=engine._error("no schema", "HY000"))
+            status=engine._error("no schema", "HY000")
+        )
         client = fleet.client()
         assert outcome(lambda: execute(client, "load 1")) == "HYT00"
         engine._GetResultSetMetadata = told
-        pool, = links(fleet).pools.values()
+        (pool,) = links(fleet).pools.values()
         before = list(pool.idle)
         assert outcome(lambda: execute(client, "load 2")) == "served"
         assert [a[3] for a in fleet.seen.attempts] == ["error", "ok"]
@@ -198,9 +199,14 @@
 
 
 def test_pages_pass_undecoded_and_their_rows_are_counted_alike():
-    plain = hs2.TRowSet(startRowOffset=4, rows=[], columns=[
-        hs2.TColumn(stringVal=hs2.make("TStringColumn", values=[b"a", b"b"], nulls=b"\x01")),
-        hs2.TColumn(i64Val=hs2.make("TI64Column", values=[1, 2], nulls=b""))])
+    plain = hs2.TRowSet(
+        startRowOffset=4,
+        rows=[],
+        columns=[
+            hs2.TColumn(stringVal=hs2.make("TStringColumn", values=[b"a", b"b"], nulls=b"\x01")),
+            hs2.TColumn(i64Val=hs2.make("TI64Column", values=[1, 2], nulls=b"")),
+        ],
+    )
     codec = hs2.CODECS["TFetchResultsResp"]
     raw = encode(codec, hs2.TFetchResultsResp(status=hs2.TStatus(0), hasMoreRows=True, results=plain))
     reply = decode(codec, raw)[0]
@@ -211,9 +217,17 @@
     passed = decode(codec, raw)[0].results
     reader = Reader(Result(None, (passed,)))
     assert reader.next(2)[0] is passed and passed._value is None
-    assert rows.next(2)[0] is reply.results and rows.next(2) == (hs2.TRowSet(0, [], [
-        hs2.TColumn(stringVal=hs2.make("TStringColumn", values=[], nulls=b"")),
-        hs2.TColumn(i64Val=hs2.make("TI64Column", values=[], nulls=b""))]), False)
+    assert rows.next(2)[0] is reply.results and rows.next(2) == (
+        hs2.TRowSet(
+            0,
+            [],
+            [
+                hs2.TColumn(stringVal=hs2.make("TStringColumn", values=[], nulls=b"")),
+                hs2.TColumn(i64Val=hs2.make("TI64Column", values=[], nulls=b"")),
+            ],
+        ),
+        False,
+    )
     empty = hs2.TRowSet(startRowOffset=0, rows=[], columns=[])
     assert hs2.row_count(empty) == 0 == hs2.row_count(hs2.TRowSet(0, []))
     by_row = hs2.TRowSet(0, [hs2.make("TRow", colVals=[])] * 3)
@@ -221,8 +235,15 @@
 
 
 def test_a_page_whose_fields_stand_in_another_order_is_counted_by_decoding():
-    other = b"\x0a\0\1" + b"\0" * 8 + b"\x0f\0\3\x0c\0\0\0\1" + b"\x0c\0\5" + (
-        b"\x0b\0\2\0\0\0\0" + b"\x0f\0\1\x0a\0\0\0\2" + b"\0" * 16 + b"\0") + b"\0" + b"\0"
+    other = (
+        b"\x0a\0\1"
+        + b"\0" * 8
+        + b"\x0f\0\3\x0c\0\0\0\1"
+        + b"\x0c\0\5"
+        + (b"\x0b\0\2\0\0\0\0" + b"\x0f\0\1\x0a\0\0\0\2" + b"\0" * 16 + b"\0")
+        + b"\0"
+        + b"\0"
+    )
     page = Lazy(hs2.CODECS["TRowSet"], other)
     assert hs2.row_count(page) == 2 and page.columns[0].i64Val.values == [0, 0]
     with pytest.raises(Malformed):
--- a/tests/test_thousand.py
+++ b/tests/test_thousand.py
@@ -20,10 +20,26 @@
 
 CONNECTIONS, REQUESTS = 60, 1000
 PROCESSES = 6  # that play seeds; the rest of the machine is for the tests beside them
-MIX = {"lookup": 40, "build": 4, "merge": 10, "load": 8, "metadata": 12, "async": 14, "cancelled": 5,
-       "impatient": 7}
-TIMEOUT_MS = {"lookup": 1200, "build": 6000, "merge": 2500, "load": 2000, "metadata": 2000, "async": 1500,
-              "cancelled": 4000, "impatient": 2000}
+MIX = {
+    "lookup": 40,
+    "build": 4,
+    "merge": 10,
+    "load": 8,
+    "metadata": 12,
+    "async": 14,
+    "cancelled": 5,
+    "impatient": 7,
+}
+TIMEOUT_MS = {
+    "lookup": 1200,
+    "build": 6000,
+    "merge": 2500,
+    "load": 2000,
+    "metadata": 2000,
+    "async": 1500,
+    "cancelled": 4000,
+    "impatient": 2000,
+}
 ENDS = {"53000": "refused", "HYT00": "failed", "HY008": "cancelled"}
 KEYED = """classes { name: "merge" aim_ms: 900 give_up_ms: 4000 worth: 4 effect: KEYED group: ALL
           memory_ms: 20000 serial: true threads: 1 }
@@ -34,7 +50,8 @@
 def change(text):
     text = text.replace("classes {", KEYED, 1).replace("max_sessions: 100", "max_sessions: 400")
     return text.replace("max_connections: 100", "max_connections: 200").replace(
-        "max_sessions_per_user: 100", "max_sessions_per_user: 400")
+        "max_sessions_per_user: 100", "max_sessions_per_user: 400"
+    )
 
 
 class Thousand:
@@ -87,7 +104,7 @@
         while self.left:
             self.left -= 1
             tag = REQUESTS - self.left
-            kind, = self.random.choices(list(MIX), MIX.values())
+            (kind,) = self.random.choices(list(MIX), MIX.values())
             client = client or self.fleet.client(transport, user=f"user {number % 7}")
             began = self.loop.now()
             try:
@@ -113,8 +130,9 @@
             handle = ask(client, self.random.choice(["GetTables", "GetColumns", "GetSchemas"]))
             rows = 3
         elif kind == "impatient":
-            request = hs2.TExecuteStatementReq(client.session, f"load {tag}", {
-                "standin.work_ms": str(work), **timeout}, False)
+            request = hs2.TExecuteStatementReq(
+                client.session, f"load {tag}", {"standin.work_ms": str(work), **timeout}, False
+            )
             if hasattr(client, "request"):
                 client.stream.write(client.request("ExecuteStatement", request))
             else:
@@ -126,8 +144,15 @@
             key = {"fennelwind.key": f"key {tag % 5}"} if kind == "merge" else {}
             rows = self.random.choice([0, 3, 50])
             later = kind in ("async", "cancelled", "build")
-            handle = execute(client, f"{name} {tag}", work=work * (20 if name == "build" else 1), rows=rows,
-                             asynchronous=later, **timeout, **key)
+            handle = execute(
+                client,
+                f"{name} {tag}",
+                work=work * (20 if name == "build" else 1),
+                rows=rows,
+                asynchronous=later,
+                **timeout,
+                **key,
+            )
             if kind == "cancelled":
                 self.loop.sleep(self.random.uniform(0, 60))
                 client.call("CancelOperation", hs2.TCancelOperationReq(handle))
@@ -136,8 +161,11 @@
                     client.call("CloseOperation", hs2.TCloseOperationReq(handle))
                     return ENDS[seen.sqlState]
                 self.loop.sleep(5)
-        got = ids(fetch(client, handle)) if kind != "metadata" else [
-            *range(len(fetch(client, handle).results.columns[0].stringVal.values))]
+        got = (
+            ids(fetch(client, handle))
+            if kind != "metadata"
+            else [*range(len(fetch(client, handle).results.columns[0].stringVal.values))]
+        )
         assert got == list(range(rows))
         client.call("CloseOperation", hs2.TCloseOperationReq(handle))
         return "served"
--- a/tests/test_thrift.py
+++ b/tests/test_thrift.py
@@ -52,14 +52,21 @@
 
 def test_methods_of_the_public_package_are_known():
     from impala._thrift_gen.TCLIService import TCLIService
+
     missing = {n for n in vars(TCLIService.Iface) if n[0] != "_"} - set(hs2.METHODS)
     assert missing == set()
 
 
 VALUES = {
-    "bool": st.booleans(), "byte": st.integers(-128, 127), "i16": st.integers(-2**15, 2**15 - 1),
-    "i32": st.integers(-2**31, 2**31 - 1), "i64": st.integers(-2**63, 2**63 - 1),
-    "double": st.floats(allow_nan=False), "string": st.text(max_size=8), "binary": st.binary(max_size=8)}
+    "bool": st.booleans(),
+    "byte": st.integers(-128, 127),
+    "i16": st.integers(-(2**15), 2**15 - 1),
+    "i32": st.integers(-(2**31), 2**31 - 1),
+    "i64": st.integers(-(2**63), 2**63 - 1),
+    "double": st.floats(allow_nan=False),
+    "string": st.text(max_size=8),
+    "binary": st.binary(max_size=8),
+}
 
 
 def values(kind):
@@ -81,8 +88,10 @@
 
 def structures(name):
     codec = hs2.CODECS[name]
-    return st.builds(codec.make, **{
-        f.name: st.none() | values(re.sub(r"lazy<(\w+)>", r"\1", f.type)) for f in codec.make.FIELDS})
+    return st.builds(
+        codec.make,
+        **{f.name: st.none() | values(re.sub(r"lazy<(\w+)>", r"\1", f.type)) for f in codec.make.FIELDS},
+    )
 
 
 ANY = st.sampled_from(sorted(hs2.TABLES)).flatmap(lambda name: st.tuples(st.just(name), structures(name)))
@@ -113,15 +122,25 @@
 
 
 REQUEST = hs2.TExecuteStatementReq(
-    sessionHandle=hs2.TSessionHandle(hs2.THandleIdentifier(b"g" * 16, b"s" * 16)), statement="select 1 -- ä",
-    confOverlay={"a": "b"}, runAsync=True)
+    sessionHandle=hs2.TSessionHandle(hs2.THandleIdentifier(b"g" * 16, b"s" * 16)),
+    statement="select 1 -- ä",
+    confOverlay={"a": "b"},
+    runAsync=True,
+)
 ROWS = hs2.TFetchResultsResp(
-    status=hs2.TStatus(statusCode=0, infoMessages=["x", "y"]), hasMoreRows=False,
-    results=hs2.TRowSet(startRowOffset=0, rows=[], columns=[
-        hs2.TColumn(i64Val=hs2.make("TI64Column", values=[1, -2, 3], nulls=b"\2")),
-        hs2.TColumn(doubleVal=hs2.make("TDoubleColumn", values=[0.5, 1e300], nulls=b"")),
-        hs2.TColumn(boolVal=hs2.make("TBoolColumn", values=[True, False], nulls=b"")),
-        hs2.TColumn(stringVal=hs2.make("TStringColumn", values=[b"a", b"bc"], nulls=b""))]))
+    status=hs2.TStatus(statusCode=0, infoMessages=["x", "y"]),
+    hasMoreRows=False,
+    results=hs2.TRowSet(
+        startRowOffset=0,
+        rows=[],
+        columns=[
+            hs2.TColumn(i64Val=hs2.make("TI64Column", values=[1, -2, 3], nulls=b"\2")),
+            hs2.TColumn(doubleVal=hs2.make("TDoubleColumn", values=[0.5, 1e300], nulls=b"")),
+            hs2.TColumn(boolVal=hs2.make("TBoolColumn", values=[True, False], nulls=b"")),
+            hs2.TColumn(stringVal=hs2.make("TStringColumn", values=[b"a", b"bc"], nulls=b"")),
+        ],
+    ),
+)
 
 
 @pytest.mark.parametrize("value", [REQUEST, ROWS], ids=["request", "rows"])
@@ -137,18 +156,31 @@
 
 def test_unknown_fields_of_any_type_are_passed_over():
     raw = encode(hs2.CODECS["TStatus"], hs2.TStatus(statusCode=3))[:-1]
-    strange = (b"\x0d\x00\x63\x0b\x0f" + pack(">i", 1) + pack(">i", 1) + b"k"
-               + b"\x08" + pack(">i", 2)
-               + b"\0" * 8 + b"\x0c\x00\x64\x02\x00\x01\x01\x00" + b"\x0e\x00\x65\x0b" + pack(">ii", 1, 0))
+    strange = (
+        b"\x0d\x00\x63\x0b\x0f"
+        + pack(">i", 1)
+        + pack(">i", 1)
+        + b"k"
+        + b"\x08"
+        + pack(">i", 2)
+        + b"\0" * 8
+        + b"\x0c\x00\x64\x02\x00\x01\x01\x00"
+        + b"\x0e\x00\x65\x0b"
+        + pack(">ii", 1, 0)
+    )
     assert decode(hs2.CODECS["TStatus"], raw + strange + b"\0")[0] == hs2.TStatus(statusCode=3)
 
 
-@pytest.mark.parametrize("raw", [
-    b"\x0b\0\3" + pack(">i", -1),  # negative length
-    b"\x0f\0\2\x0b" + pack(">i", -5),  # negative count
-    b"\x0f\0\2\x08" + pack(">ii", 1, 0),  # a list of another type
-    b"\x63\0\x09",  # no type
-], ids=["length", "count", "element", "type"])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"\x0b\0\3" + pack(">i", -1),  # negative length
+        b"\x0f\0\2\x0b" + pack(">i", -5),  # negative count
+        b"\x0f\0\2\x08" + pack(">ii", 1, 0),  # a list of another type
+        b"\x63\0\x09",  # no type
+    ],
+    ids=["length", "count", "element", "type"],
+)
 def test_what_can_never_become_right_is_malformed(raw):
     with pytest.raises(Malformed):
         decode(hs2.CODECS["TStatus"], raw + b"\0" * 16)
@@ -163,8 +195,9 @@
             side.receive(b"\x80\1\0\1" + pack(">i", 7) + b"GetInfo" + pack(">i", 1) + raw)
 
 
-@pytest.mark.parametrize("inner", [b"\x0c\0\1", b"\x0f\0\1" + b"\x0f\0\0\0\1" * 20_000],
-                         ids=["structs", "lists"])
+@pytest.mark.parametrize(
+    "inner", [b"\x0c\0\1", b"\x0f\0\1" + b"\x0f\0\0\0\1" * 20_000], ids=["structs", "lists"]
+)
 def test_nesting_10000_deep_is_refused_without_recursion(inner):
     body = inner * (10_000 if inner[0] == 12 else 1)
     raw = b"\x80\1\0\1" + pack(">i", 6) + b"Strang" + pack(">i", 1) + body
@@ -182,7 +215,8 @@
     if transport == SASL:
         client = ClientSide(SASL, "ann", "secret")
         assert [event for byte in client.outgoing for event in side.receive(bytes([byte]))] == [
-            Login("ann", "secret")]
+            Login("ann", "secret")
+        ]
         assert side.welcome() == []
         assert client.receive(bytes(side.outgoing)) == [] and client.ready
     raw = payload if transport == BUFFERED else pack(">i", len(payload)) + payload
@@ -217,10 +251,20 @@
     assert read_message(raw)[0] == Message("GetLost", EXCEPTION, 3, body)
 
 
-@pytest.mark.parametrize("raw", [
-    b"\x80\2\0\1" + b"\0" * 12, b"\x80\1\0\x09" + pack(">i", 1) + b"x" + pack(">i", 0) + b"\0",
-    b"\x80\1\0\1" + pack(">i", 5000), b"\xff" * 64, b"GET / HTTP/1.1\r\n\r\n", b"\0\0\0\0\0\0\0\0",
-    b"\1\0\0\0\6GSSAPI", b"\2\0\0\0\1xxxxx", b"\x7f\xff\xff\xff\x80\1"])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"\x80\2\0\1" + b"\0" * 12,
+        b"\x80\1\0\x09" + pack(">i", 1) + b"x" + pack(">i", 0) + b"\0",
+        b"\x80\1\0\1" + pack(">i", 5000),
+        b"\xff" * 64,
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"\0\0\0\0\0\0\0\0",
+        b"\1\0\0\0\6GSSAPI",
+        b"\2\0\0\0\1xxxxx",
+        b"\x7f\xff\xff\xff\x80\1",
+    ],
+)
 def test_peers_that_speak_something_else_are_told_apart(raw):
     with pytest.raises(Malformed):
         ServerSide().receive(raw)
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -22,9 +22,12 @@
     """Options of a fleet with TLS on all sides."""
     issue(tmp_path, CA)
     CA.cert_pem.write_to_path(tmp_path / "ca.pem")
-    return {"folder": tmp_path, "change": lambda text: text.replace(
-        "http_address:", 'tls_certificate: "cert.pem" tls_key: "key.pem" http_address:').replace(
-        "links {", 'links { tls_authorities: "ca.pem" ')}
+    return {
+        "folder": tmp_path,
+        "change": lambda text: text.replace(
+            "http_address:", 'tls_certificate: "cert.pem" tls_key: "key.pem" http_address:'
+        ).replace("links {", 'links { tls_authorities: "ca.pem" '),
+    }
 
 
 def issue(folder, ca):
@@ -55,8 +58,12 @@
             assert len(ids(fetch(there, execute(there, "select 1", rows=900)))) == 900
         if kind is SimLoop:  # on sockets a link may be closing its last operation when the next one begins
             assert all(p.count == 1 for p in fleet.program.links.pools.values())  # links are used again
-        stream = TlsStream(loop, loop.connect(fleet.program.http.listener.address),
-                           client_context(tls["folder"] / "ca.pem"), server=False)
+        stream = TlsStream(
+            loop,
+            loop.connect(fleet.program.http.listener.address),
+            client_context(tls["folder"] / "ca.pem"),
+            server=False,
+        )
         over_http = HttpClient.__new__(HttpClient)
         over_http.loop, over_http.stream = loop, stream
         HttpClient.begin(over_http)
@@ -88,12 +95,20 @@
 
     def main(fleet):
         hello = []
-        probe = TlsStream(loop, loop.connect(fleet.program.address), client_context(tls["folder"] / "ca.pem"),
-                          server=False)
+        probe = TlsStream(
+            loop, loop.connect(fleet.program.address), client_context(tls["folder"] / "ca.pem"), server=False
+        )
         write = probe.stream.write
-        probe.stream = type("Tap", (), {
-            "read": probe.stream.read, "close": probe.stream.close, "peer": probe.peer,
-            "write": lambda self, data, within=None: (hello.append(data), write(data))[1]})()
+        probe.stream = type(
+            "Tap",
+            (),
+            {
+                "read": probe.stream.read,
+                "close": probe.stream.close,
+                "peer": probe.peer,
+                "write": lambda self, data, within=None: (hello.append(data), write(data))[1],
+            },
+        )()
         probe.handshake()
         for cut in range(0, len(hello[0]), 7):
             stream = loop.connect(fleet.program.address)
@@ -150,8 +165,12 @@
     folder, found = tls["folder"], []
     text = tls["change"](Fleet.text(engines='engines { address: "127.0.0.1:1" kind: "k" }'))
     assert config.read(text, folder=folder).tls is not None
-    for old, new in (('tls_key: "key.pem"', ""), ('"key.pem"', '"none.pem"'), ('"key.pem"', '"ca.pem"'),
-                     ('tls_authorities: "ca.pem"', 'tls_authorities: "key.pem"')):
+    for old, new in (
+        ('tls_key: "key.pem"', ""),
+        ('"key.pem"', '"none.pem"'),
+        ('"key.pem"', '"ca.pem"'),
+        ('tls_authorities: "ca.pem"', 'tls_authorities: "key.pem"'),
+    ):
         with pytest.raises(config.SettingsError) as wrong:
             config.read(text.replace(old, new), folder=folder)
         found += [problem.text for problem in wrong.value.problems]
@@ -165,8 +184,12 @@
     def main():
         listener = loop.listen(Address("127.0.0.1", 7000))
         serve = server_side(loop, folder)
-        ends = {"client": TlsStream(loop, loop.connect(listener.address), client_context(folder / "ca.pem"),
-                                    server=False), "server": serve(listener.accept(), "")}
+        ends = {
+            "client": TlsStream(
+                loop, loop.connect(listener.address), client_context(folder / "ca.pem"), server=False
+            ),
+            "server": serve(listener.accept(), ""),
+        }
 
         def read(name):
             count = 0
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -32,8 +32,10 @@
         assert first.state == "", first
         # Moves are under way while a member is killed, a link is cut and an engine's disk fills.
         rig.tell("e0", state="draining")
-        move = rig.until(lambda: next((m for m in rig.shard_machine().moves.values() if m.step == "copying"),
-                                      None), "a copy that comes")
+        move = rig.until(
+            lambda: next((m for m in rig.shard_machine().moves.values() if m.step == "copying"), None),
+            "a copy that comes",
+        )
         full = next(engine for engine in rig.engines.values() if engine.name == move.target)
         full.shelf.spilled = DISK
         killed = rig.holder_of("moves")
@@ -70,8 +72,10 @@
         rig.until(lambda: len(rig.ends) >= served + 40, "queries without a council")
         for name in rig.members:
             rig.start(name)
-        rig.until(lambda: rig.publish("f0", OLD, next(iter(rig.contracts().tables.values())).version).state
-                  == "", "a change is taken again")
+        rig.until(
+            lambda: rig.publish("f0", OLD, next(iter(rig.contracts().tables.values())).version).state == "",
+            "a change is taken again",
+        )
         assert rig.schemas() == [["id", "total"]] * 4
         rig.finish(traffic)
         rig.end()
@@ -112,8 +116,10 @@
         rig.more["m0"] = {"level": LEVEL}
         rig.end("m0")
         rig.start("m0")  # it must not go on with the record, and serves queries
-        told = rig.until(lambda: [facts for who, what, facts in rig.said
-                                  if (who, what) == ("m0", "takes part no more")], "m0 says so")
+        told = rig.until(
+            lambda: [facts for who, what, facts in rig.said if (who, what) == ("m0", "takes part no more")],
+            "m0 says so",
+        )
         assert told[0]["code"] == "council-record-too-new" and told[0]["record_level"] == LEVEL + 1
         rig.until(lambda: rig.gauges("m0"), "m0 takes clients")
         key = 'queries_total{class="lookup",end="served"}'
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -215,6 +215,7 @@
             def dial():
                 for n in range(20):
                     a.spawn(ask, a.connect(B), n)
+
             a.start(dial)
             world.rig.sleep(1000.0)
 
