Failing tests: answers before the earliest SIGKILL, deadlines of requests that lay unread

Change: tests/processes.py starts the command of run beside plain sockets, on what test_node_run has; two files of tests.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,6 +18,8 @@
     "test_rig",
     "test_rig_processes",
     "test_spread",
+    "test_terms_attempts",
+    "test_terms_shutdown",
     "test_whole",
 }
 
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,272 @@
+"""Real processes over loopback: the command of `run` beside plain sockets of executors and clients.
+
+Times are seconds of the system's monotonic clock, which all processes of a machine share. Bounds that a test
+compares with are written here and in the tests from the pages, never taken from the program's constants.
+"""
+
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from contextlib import suppress
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgpack
+from nodes import SETTINGS, config_text, first_page, instance
+from test_node_run import ROOT, WAIT_S, command, listening, serve_channel
+
+LONGEST_COUNTED_MS, KILL_MS = 3000.0, 700.0  # protocol: SIGKILL, counted from SIGTERM
+LEFT_S = 0.1  # standing: an attempt that begins later, after its client left, is lost
+DEADLINE_SLACK_S = 0.15  # terms: of the deadline that an executor is told
+UNTIL_STEP_S = 0.005
+
+
+@dataclass
+class Post:
+    """An attempt as it came to an executor."""
+
+    query: str
+    whole_at: float
+    fields: dict[str, str]
+
+
+class ThreadedExecutor:
+    """An executor on plain sockets; `serves` False: it accepts and answers nothing."""
+
+    def __init__(self, work_s: float = 0.0, serves: bool = True) -> None:
+        self.work_s, self.serves = work_s, serves
+        self.sock, self.address = listening()
+        self.sock.settimeout(None)
+        self.posts: list[Post] = []
+        self.ends: dict[str, float] = {}
+        self.deleted: list[str] = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def queries(self) -> list[str]:
+        """Return the ids of all attempts, in order."""
+        return [post.query for post in self.posts]
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                peer, _ = self.sock.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(peer,), daemon=True).start()
+
+    def _serve(self, peer: socket.socket) -> None:
+        data = b""
+        with peer, suppress(OSError):
+            while True:
+                while b"\r\n\r\n" not in data:
+                    data += self._more(peer)
+                head, data = data.split(b"\r\n\r\n", 1)
+                first, *lines = head.decode().split("\r\n")
+                fields = dict(line.split(": ", 1) for line in lines)
+                length = int(fields.get("Content-Length", "0"))
+                while len(data) < length:
+                    data += self._more(peer)
+                data = data[length:]
+                answer = self._answer(*first.split(" ")[:2], fields)
+                if self.serves:
+                    peer.sendall(answer)
+
+    @staticmethod
+    def _more(peer: socket.socket) -> bytes:
+        more = peer.recv(65536)
+        if not more:
+            raise OSError("ended")
+        return more
+
+    def _answer(self, verb: str, path: str, fields: dict[str, str]) -> bytes:
+        now = time.monotonic()
+        if verb == "POST":
+            query = fields["X-Req"]
+            self.posts.append(Post(query, now, fields))
+            self.ends[query] = now + self.work_s
+        else:
+            query = path.split("/")[2]
+        if verb == "DELETE":
+            self.deleted.append(query)
+            self.ends.pop(query, None)
+            return b"HTTP/1.1 204 Done\r\n\r\n"
+        if query not in self.ends:
+            return b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+        time.sleep(max(0.0, min(0.25, self.ends[query] - now)))
+        if time.monotonic() < self.ends[query]:
+            return b"HTTP/1.1 202 Wait\r\nContent-Length: 0\r\n\r\n"
+        return first_page()
+
+
+class Controller:
+    """The command of `run` as a process; `before` is Python run in it ahead of the program."""
+
+    def __init__(self, folder, executors, *, before: str = "", instances=None, **told: Any) -> None:
+        self.path = folder / "config.json"
+        self.channel, channel = listening()
+        self.asked: list[tuple[bytes, socket.socket]] = []
+        free, self.listen = listening()
+        free.close()
+        instances = instances or [
+            instance(f"s-{k}", k) | {"hostPort": each.address} for k, each in enumerate(executors, 1)
+        ]
+        self.told = json.loads(config_text(instances, **told))
+        self.told |= {"listen": self.listen, "channel": channel}
+        self.write()
+        threading.Thread(target=serve_channel, args=(self.channel, self.asked), daemon=True).start()
+        line = command()
+        if before:
+            module = line[line.index("-m") + 1]
+            line = [
+                sys.executable,
+                "-c",
+                f"{before}\nimport runpy; runpy.run_module({module!r}, None, '__main__')",
+            ]
+        self.process = subprocess.Popen(
+            line,
+            cwd=ROOT,
+            env=os.environ | {"RELAY_CONFIG": str(self.path)},
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        self.lines: list[str] = []
+        threading.Thread(target=self._read, daemon=True).start()
+        self.expect("listening")
+
+    def write(self, **changes: Any) -> None:
+        """Replace the configuration file, as a whole."""
+        fresh = self.path.with_suffix(".new")
+        fresh.write_text(json.dumps(self.told | changes), encoding="utf-8")
+        os.replace(fresh, self.path)
+
+    def _read(self) -> None:
+        with suppress(ValueError):  # closed at the end
+            for line in self.process.stderr:
+                self.lines.append(line)
+
+    def expect(self, words: str) -> str:
+        """Wait until a line of the log holds the words; return it."""
+        until(lambda: any(words in line for line in self.lines) or self.process.poll() is not None)
+        until(lambda: any(words in line for line in self.lines), 1.0)
+        return next(line for line in self.lines if words in line)
+
+    def signal(self, number: int) -> float:
+        """Send a signal; return when."""
+        self.process.send_signal(number)
+        return time.monotonic()
+
+    @staticmethod
+    def killed_after_s(longest_ms: float) -> float:
+        """Return how soon after SIGTERM SIGKILL may come, where classes wait so long at most."""
+        return (min(longest_ms, LONGEST_COUNTED_MS) + KILL_MS) / 1000.0
+
+    def end(self) -> None:
+        """End the process, whatever state it is in."""
+        with suppress(ProcessLookupError):
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        self.process.wait()
+        self.process.stderr.close()
+        self.channel.close()
+
+
+@dataclass
+class Request:
+    """A request as its client knows it."""
+
+    query: str
+    sent_at: float
+    wait_s: float
+    answers: list[tuple[float, Any, Any]] = field(default_factory=list)  # when, error and result
+
+
+class ThreadedClient:
+    """A client's connection on a plain socket; a thread reads what comes."""
+
+    def __init__(self, controller: Controller, reads: bool = True) -> None:
+        host, port = controller.listen.rsplit(":", 1)
+        self.sock = socket.create_connection((host, int(port)), WAIT_S)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.requests: dict[int, Request] = {}
+        self.number = 0
+        self.ended_at: float | None = None
+        self.reset = False
+        if reads:
+            threading.Thread(target=self._read, daemon=True).start()
+
+    def _read(self) -> None:
+        unpacker = msgpack.Unpacker(raw=False)
+        while True:
+            try:
+                data = self.sock.recv(65536)
+            except OSError as exc:
+                self.reset, data = isinstance(exc, ConnectionResetError), b""
+            if not data:
+                self.ended_at = time.monotonic()
+                return
+            unpacker.feed(data)
+            for _, number, error, result in unpacker:
+                if number in self.requests:
+                    self.requests[number].answers.append((time.monotonic(), error, result))
+
+    def pack(
+        self, query: str, cls: str = "lookup", wait_ms: float = 1500, statement: bytes = b"select 1"
+    ) -> bytes:
+        """Return the bytes of a request that counts as sent now."""
+        self.number += 1
+        told = {"i": query, "d": f"{wait_ms:.0f}", "t": "acme", "h": "10.0", "mb": "16"}
+        raw = msgpack.packb([0, self.number, cls, [told, statement]])
+        self.requests[self.number] = Request(query, time.monotonic(), wait_ms / 1000.0)
+        return raw
+
+    def ask(self, query: str, *args: Any, **more: Any) -> Request:
+        """Send a request. Raises `OSError` where the connection has ended."""
+        raw = self.pack(query, *args, **more)
+        request = self.requests[self.number]
+        request.sent_at = time.monotonic()
+        self.sock.sendall(raw)
+        return request
+
+    def forget(self, number: int) -> None:
+        """Withdraw a request."""
+        self.sock.sendall(msgpack.packb([2, "forget", [number]]))
+
+    def close(self, reset: bool = False) -> None:
+        """Close the connection, by a reset if asked for."""
+        if reset:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        with suppress(OSError):
+            if not reset:
+                self.sock.shutdown(socket.SHUT_RDWR)
+            self.sock.close()
+
+
+def until(holds, within_s: float = WAIT_S) -> None:
+    """Wait for a state."""
+    end = time.monotonic() + within_s
+    while not holds():
+        assert time.monotonic() < end, "it never came to be so"
+        time.sleep(UNTIL_STEP_S)
+
+
+def classes(**changes: Any) -> list[dict[str, Any]]:
+    """Return the settings' classes with some fields changed in all of them."""
+    return [grade | changes for grade in SETTINGS["Grades"]]
+
+
+def child_of(controller: Controller) -> str:
+    """Return the state letter of the process, as /proc tells it."""
+    with open(f"/proc/{controller.process.pid}/stat", encoding="ascii") as file:
+        return re.match(r"\d+ \(.*\) (\w)", file.read())[1]
+
+
+def stop(controller: Controller) -> None:
+    """Let the process stand still until SIGCONT."""
+    controller.signal(signal.SIGSTOP)
+    until(lambda: child_of(controller) == "T")
--- /dev/null
+++ b/tests/test_terms_attempts.py
@@ -0,0 +1,46 @@
+"""When an attempt may begin, and with what deadline, on real processes that stall and peers that are slow."""
+
+import signal
+import time
+
+import pytest
+from nodes import name
+from processes import (
+    DEADLINE_SLACK_S,
+    Controller,
+    ThreadedClient,
+    ThreadedExecutor,
+    stop,
+    until,
+)
+
+STALL_S = 0.6
+
+
+def told_too_much_s(request, post):
+    """Return by how much an executor was told a longer deadline than the client has left, in seconds."""
+    left = request.sent_at + request.wait_s - post.whole_at
+    return int(post.fields["X-Wait-Ms"]) / 1000.0 - left
+
+
+@pytest.mark.parametrize("where", ["open", "new"])
+def test_a_request_that_waited_unread_is_not_given_that_time_again(tmp_path, where):
+    executor = ThreadedExecutor()
+    controller = Controller(tmp_path, [executor])
+    try:
+        client = ThreadedClient(controller)
+        client.ask(name(1))
+        until(lambda: client.requests[1].answers)
+        stop(controller)
+        time.sleep(0.15)
+        if where == "new":
+            client = ThreadedClient(controller)
+        client.ask(name(2), wait_ms=1500)
+        time.sleep(STALL_S)
+        controller.signal(signal.SIGCONT)
+        request = client.requests[client.number]
+        until(lambda: request.answers)
+        assert executor.queries()[-1] == name(2)
+        assert told_too_much_s(request, executor.posts[-1]) <= DEADLINE_SLACK_S
+    finally:
+        controller.end()
