SIGKILL is expected as early as the protocol allows it

Cause: Node.leave took the longest deadline as 3 s at least; the protocol counts it as 3 s where it is longer, so SIGKILL may come 3.7 s after SIGTERM however long a class waits. What was open then had no answer.

Change: node/shutdown.py holds the moments of a shutdown, without I/O or clock; serving on ends early where the longest deadline is short.

--- a/fennelwind/node/lifecycle.py
+++ b/fennelwind/node/lifecycle.py
@@ -19,17 +19,13 @@
 from fennelwind.node.config import ConfigError, NodeConfig, read_config
 from fennelwind.node.executors import Executors
 from fennelwind.node.front import Front
+from fennelwind.node.shutdown import ShutdownSchedule
 from fennelwind.node.view import compare, drift
 from fennelwind.spread.advisor import Advisor, acts
 
 MARGIN_LEAST_MS, MARGIN_MOST_MS = 15.0, 200.0  # bounds of the measured time of answers on their way
 CLIENTS_PART, EXECUTORS_PART = 0.55, 0.36  # of the descriptors: clients', and links to executors
 LINGERING_PART = 0.03  # for connections being closed; the rest, 17 of 256, is for files, pipe, channel
-STAY_MS = 1000.0  # ms after SIGTERM in which new connections and requests are still served
-LONGEST_LEAST_MS, KILL_MS = 3000.0, 700.0  # ms; SIGKILL comes the longest deadline, the least at least, and
-# so much after SIGTERM. Before it:
-GIVE_UP_MS, LAST_ANSWERS_MS, END_MS = 250.0, 150.0, 50.0  # ms; what is open is given up; no answer is waited
-# for to be taken any more; no connection lingers any more
 LEAVE_LOOK_MS = 25.0  # ms between two looks at what is open
 LAST_DELETES_MS = 150.0  # ms for what was given up to be ended at the executors
 GC_STEP = 20_000  # new objects between two collections; nearly all garbage here is freed by counts
@@ -181,16 +177,16 @@
         ledger, front = self.driver.ledger, self.front
         front.well = False
         longest = max(cls.give_up_ms for cls in self.config.settings.classes)
-        killed = self.loop.now() + max(longest, LONGEST_LEAST_MS) + KILL_MS
-        self.loop.sleep(STAY_MS)
+        schedule = ShutdownSchedule.from_signal(self.loop.now(), longest)
+        self.loop.sleep(max(0.0, schedule.serve_until - self.loop.now()))
         self.driver.closing = True
         front.finish()
-        while ledger.open and self.loop.now() < killed - GIVE_UP_MS:
+        while ledger.open and self.loop.now() < schedule.give_up_at:
             self.loop.sleep(LEAVE_LOOK_MS)
         self.driver.close()
         deleted = self.loop.now() + LAST_DELETES_MS
-        front.end(killed - LAST_ANSWERS_MS, killed - END_MS)
-        self.loop.sleep(max(0.0, min(deleted, killed - END_MS) - self.loop.now()))
+        front.end(schedule.last_answers_at, schedule.end_at)
+        self.loop.sleep(max(0.0, min(deleted, schedule.end_at) - self.loop.now()))
         self.log.write(
             "closed",
             f"books agree: {ledger.balanced()}; open {ledger.open}, second answers "
