--- a/fennelwind/loop/real.py
+++ b/fennelwind/loop/real.py
@@ -30,6 +30,7 @@
     from fennelwind.loop.names import Names
 
 READ, WRITE = select.POLLIN | select.POLLRDHUP, select.POLLOUT
+LOOK_MOST_MS = 100.0  # ms that one look may wait: how well a halt of the process is noticed
 BACK_OFF_MS = 100.0  # ms without accepting when descriptors are used up; what waits is taken then
 ASIDE_THREADS = 2  # what runs beside the loop must leave it a core
 SHORT_OF = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
@@ -66,6 +67,7 @@
 
     def __init__(self) -> None:
         super().__init__()
+        self.look_most_ms = LOOK_MOST_MS
         self._poll = select.poll()
         self._watches: dict[int, _Watch] = {}
         self._signals: dict[int, Callable[[], None]] = {}
@@ -261,11 +263,14 @@
 class SocketStream:
     """A connected socket."""
 
-    __slots__ = ("loop", "sock", "peer", "drained")
+    __slots__ = ("loop", "sock", "peer", "drained", "unseen_since_ms")
 
-    def __init__(self, loop: RealLoop, sock: socket.socket, peer: Address) -> None:
+    def __init__(
+        self, loop: RealLoop, sock: socket.socket, peer: Address, unseen_since_ms: float | None = None
+    ) -> None:
         self.loop, self.sock, self.peer = loop, sock, peer
         self.drained = False  # the last read took all there was
+        self.unseen_since_ms = loop.now() if unseen_since_ms is None else unseen_since_ms
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def read(self, most: int = READ_MOST) -> bytes:
@@ -274,6 +279,7 @@
             if self.drained:  # a look would find nothing: in a dialogue nearly every read comes to here
                 if self.sock.fileno() >= 0:  # another task may have closed it since the last read
                     self.loop.watch(self.sock.fileno(), READ).wait()
+                    self.unseen_since_ms = self.loop.unseen_since_ms
                 if self.sock.fileno() < 0:
                     return b""
             try:
@@ -371,6 +377,7 @@
     def __init__(self, loop: RealLoop, sock: socket.socket) -> None:
         self.loop, self.sock = loop, sock
         self.address = Address(*sock.getsockname()[:2])
+        self.unseen_since_ms = loop.now()  # since when what is accepted next may have waited
 
     def backlog(self, most: int) -> None:
         """Let so many connections wait from now on; what the kernel finds over it never comes up."""
@@ -386,6 +393,7 @@
                 sock, peer = self.sock.accept()
             except AGAIN:
                 self.loop.watch(self.sock.fileno(), READ).wait()
+                self.unseen_since_ms = self.loop.unseen_since_ms
             except ConnectionAbortedError:
                 continue
             except OSError as exc:
@@ -395,7 +403,7 @@
                 self.loop.sleep(BACK_OFF_MS)  # else it was one connection, or is the network
             else:
                 sock.setblocking(False)
-                return SocketStream(self.loop, sock, Address(*peer[:2]))
+                return SocketStream(self.loop, sock, Address(*peer[:2]), self.unseen_since_ms)
         raise StreamReset(errno.EBADF, f"{self.address}: closed here")
 
     def finish(self) -> list[SocketStream]:
@@ -409,7 +417,7 @@
             except OSError:  # none waits, or there is no descriptor for it
                 break
             sock.setblocking(False)
-            streams.append(SocketStream(self.loop, sock, Address(*peer[:2])))
+            streams.append(SocketStream(self.loop, sock, Address(*peer[:2]), self.unseen_since_ms))
         self.close()
         return streams
 
--- a/fennelwind/loop/scheduler.py
+++ b/fennelwind/loop/scheduler.py
@@ -17,6 +17,7 @@
 from fennelwind.loop.timers import Timer, TimerWheel
 
 LAST_MOST = 1024  # calls at the end of one turn; the rest is for the next, so that no turn lasts for ever
+LATE_LOOK_MS = 10.0  # ms; a look that ends so much behind its time tells that the process stood still
 DELAY_PART = 0.1  # part of a new sample in the loop's delay: the last ten timers or so count
 
 
@@ -308,6 +309,8 @@
         self.tasks: set[Task] = set()
         self.looked_ms = 0.0  # when the loop last looked for news
         self.turn_ms = 0.0  # how long the turn before that took
+        self.unseen_since_ms = 0.0  # since when what the last look found may have been there
+        self.look_most_ms: float | None = None  # ms that one look may wait for news
         self.delay_ms = 0.0  # how late timers are called, a fading mean
         self.worst_delay_ms = 0.0
         self.errors = 0  # tasks that ended by an exception
@@ -402,6 +405,7 @@
         if self.hub is not None:
             raise RuntimeError("the loop runs already")
         self.hub, self.looked_ms = getcurrent(), self.now()
+        self.unseen_since_ms = self.looked_ms
         try:
             main = self.spawn(call, *args, name="main")
             while True:
@@ -419,10 +423,23 @@
             self.hub = None
 
     def _look(self) -> None:
-        began = self.now()
-        self.turn_ms = began - self.looked_ms
-        self._pause(began if self.ready else self.timers.next_due())
+        began, before = self.now(), self.looked_ms
+        self.turn_ms = began - before
+        until = self._look_until(began)
+        self._pause(until)
         self.looked_ms = self.now()
+        stood_still = until is not None and self.looked_ms > until + LATE_LOOK_MS
+        self.unseen_since_ms = before if stood_still else self.looked_ms - self.turn_ms
+
+    def _look_until(self, now: float) -> float | None:
+        """Return when a look that begins now has to end without news; None: it has no end."""
+        if self.ready:
+            return now
+        due = self.timers.next_due()
+        if self.look_most_ms is None:
+            return due
+        most = now + self.look_most_ms
+        return most if due is None else min(due, most)
 
     def _left(self) -> Iterator[int]:
         """Cancel all tasks that are left, in order of their names, for as many turns as they take to end."""
--- a/fennelwind/loop/sim.py
+++ b/fennelwind/loop/sim.py
@@ -239,6 +239,11 @@
             pipe.send(bytes(rest[:room]))
             rest = rest[room:]
 
+    @property
+    def unseen_since_ms(self) -> float:
+        """Since when what was read last may have waited; nothing waits while time stands still."""
+        return self.loop.unseen_since_ms
+
     def push(self, data: bytes) -> int:
         """Hand on what is taken without waiting; return how many bytes."""
         if self.finished or self.outward.reset:
--- a/fennelwind/loop/streams.py
+++ b/fennelwind/loop/streams.py
@@ -64,6 +64,8 @@
 class PushStream(Stream, Protocol):
     """A stream without a layer of its own above the connection."""
 
+    unseen_since_ms: float  # since when what was read last may have waited to be read
+
     def push(self, data: bytes) -> int:
         """Hand on what is taken without waiting; return how many bytes. Raises `StreamReset`."""
 
--- a/fennelwind/loop/world.py
+++ b/fennelwind/loop/world.py
@@ -223,7 +223,7 @@
         if now < held:
             self._ask_turn(held)
             return
-        self.looked_ms = now  # all that has come is in line already
+        self.looked_ms = self.unseen_since_ms = now  # all that has come is in line already
         made = 0
         while True:
             if self.ready:
--- a/fennelwind/node/front.py
+++ b/fennelwind/node/front.py
@@ -146,7 +146,7 @@
         submission = Submission(
             cls=asked.cls,
             statement=asked.statement,
-            deadline_ms=now + asked.wait_ms,
+            deadline_ms=min(now, self.stream.unseen_since_ms) + asked.wait_ms,
             tenant=asked.tenant,
             work_ms=asked.work_ms,
             memory_mb=asked.memory_mb,
--- a/tests/test_terms_attempts.py
+++ b/tests/test_terms_attempts.py
@@ -23,7 +23,7 @@
     return int(post.fields["X-Wait-Ms"]) / 1000.0 - left
 
 
-@pytest.mark.parametrize("where", ["open", "new"])
+@pytest.mark.parametrize("where", ["open", "new", "pieces"])
 def test_a_request_that_waited_unread_is_not_given_that_time_again(tmp_path, where):
     executor = ThreadedExecutor()
     controller = Controller(tmp_path, [executor])
@@ -35,7 +35,14 @@
         time.sleep(0.15)
         if where == "new":
             client = ThreadedClient(controller)
-        client.ask(name(2), wait_ms=1500)
+        if where == "pieces":
+            raw = client.pack(name(2), wait_ms=1500)
+            client.sock.sendall(raw[:20])
+            time.sleep(0.1)
+            client.requests[client.number].sent_at = time.monotonic()
+            client.sock.sendall(raw[20:])
+        else:
+            client.ask(name(2), wait_ms=1500)
         time.sleep(STALL_S)
         controller.signal(signal.SIGCONT)
         request = client.requests[client.number]
