Failing tests: attempts that begin for clients who left while the process stood still

Cause: the terms let no attempt begin over 0.1 s after its client closed or cancelled, without exception. A process that stands still for 0.3 s (SIGSTOP) finds a burst of requests and their withdrawal behind it.

A client of the harness that resets now ends its reader first, else the kernel sends no reset.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -9,6 +9,7 @@
 import re
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import threading
@@ -37,15 +38,33 @@
 
 
 class ThreadedExecutor:
-    """An executor on plain sockets; `serves` False: it accepts and answers nothing."""
+    """An executor on plain sockets.
 
-    def __init__(self, work_s: float = 0.0, serves: bool = True) -> None:
+    `serves` False: it accepts and answers nothing; `accepts` False: its queue of connections is full until
+    `accept` is called, and what is dialled then comes up when the kernel tries again, a second later.
+    """
+
+    def __init__(self, work_s: float = 0.0, serves: bool = True, accepts: bool = True) -> None:
         self.work_s, self.serves = work_s, serves
         self.sock, self.address = listening()
         self.sock.settimeout(None)
         self.posts: list[Post] = []
         self.ends: dict[str, float] = {}
         self.deleted: list[str] = []
+        self.held: list[socket.socket] = []
+        if accepts:
+            self.accept()
+        else:
+            self.sock.listen(0)
+            self.held = [socket.socket() for _ in range(4)]
+            for sock in self.held:
+                sock.setblocking(False)
+                sock.connect_ex(self.sock.getsockname())
+
+    def accept(self) -> None:
+        """Take connections from now on."""
+        for sock in self.held:
+            sock.close()
         threading.Thread(target=self._accept, daemon=True).start()
 
     def queries(self) -> list[str]:
@@ -194,7 +213,7 @@
         self.sock = socket.create_connection((host, int(port)), WAIT_S)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.requests: dict[int, Request] = {}
-        self.number = 0
+        self.number, self.reads = 0, reads
         self.ended_at: float | None = None
         self.reset = False
         if reads:
@@ -239,12 +258,13 @@
 
     def close(self, reset: bool = False) -> None:
         """Close the connection, by a reset if asked for."""
-        if reset:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
         with suppress(OSError):
-            if not reset:
-                self.sock.shutdown(socket.SHUT_RDWR)
-            self.sock.close()
+            self.sock.shutdown(socket.SHUT_RD if reset else socket.SHUT_RDWR)
+        if self.reads:
+            until(lambda: self.ended_at is not None)  # else the kernel would keep it for who reads
+        if reset:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock.close()
 
 
 def until(holds, within_s: float = WAIT_S) -> None:
--- a/tests/test_terms_attempts.py
+++ b/tests/test_terms_attempts.py
@@ -4,7 +4,7 @@
 import time
 
 import pytest
-from nodes import name
+from nodes import SETTINGS, name
 from processes import (
     DEADLINE_SLACK_S,
     Controller,
@@ -51,3 +51,56 @@
         assert told_too_much_s(request, executor.posts[-1]) <= DEADLINE_SLACK_S
     finally:
         controller.end()
+
+
+LEAVES = ("forget", "close", "reset")
+
+
+def leave(client, how):
+    """Withdraw all requests of a client, or close its connection."""
+    if how == "forget":
+        for number in client.requests:
+            client.forget(number)
+    else:
+        client.close(how == "reset")
+
+
+def test_nothing_begins_for_who_left_while_the_process_stood_still(tmp_path):
+    executor = ThreadedExecutor()
+    controller = Controller(tmp_path, [executor])
+    try:
+        for how in LEAVES:
+            client = ThreadedClient(controller)
+            time.sleep(0.1)
+            stop(controller)
+            for number in range(1, 31):
+                client.ask(name(number), "scene-build", 5000, b"select '" + b"x" * 30_000 + b"'")
+            leave(client, how)
+            time.sleep(0.3)
+            controller.signal(signal.SIGCONT)
+            time.sleep(0.5)
+            assert executor.queries() == [], how
+    finally:
+        controller.end()
+
+
+@pytest.mark.parametrize("many", [1, 10])
+def test_nothing_begins_for_who_left_in_a_stall_while_the_connection_came_up(tmp_path, many):
+    ceilings = SETTINGS["Ceilings"] | {"DialTimeoutMs": 4000.0}
+    for how in LEAVES:
+        executor = ThreadedExecutor(accepts=False)
+        controller = Controller(tmp_path, [executor], Ceilings=ceilings)
+        try:
+            client = ThreadedClient(controller)
+            for number in range(many):
+                client.ask(name(number), "scene-build", 5000, b"select '" + b"x" * 30_000 + b"'")
+            time.sleep(0.4)
+            stop(controller)
+            leave(client, how)
+            executor.accept()
+            time.sleep(1.5)
+            controller.signal(signal.SIGCONT)
+            time.sleep(1.0)
+            assert executor.queries() == [], how
+        finally:
+            controller.end()
