Nothing begins before all that its client has sent is read, whatever halts the process

Cause: (1) the front reads a burst in pieces of 64 KB with a turn of the loop in between, and attempts of its first requests began while their withdrawal was still unread; (2) Loop.catch_up knew of long turns but not of a halt inside the look itself, after which an executor's connection may be handed on ahead of the client's bytes.

Change: behind a full read of a client no attempt of its begins until 20 ms have passed without a byte (Submission.begins_from, asked right before the first byte); catch_up goes by the moment since when news may have lain there.

--- a/fennelwind/core/types.py
+++ b/fennelwind/core/types.py
@@ -32,6 +32,8 @@
     engine_id: str = ""  # the query's name and class as engines are told them, where they are told any
     engine_class: str = ""
     idempotency_key: str = ""  # its client's, for engines that drop repeats by it
+    # When an attempt may begin at the earliest: what its client has sent may not be read whole until then.
+    begins_from: Callable[[], float] = lambda: 0.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/fennelwind/loop/scheduler.py
+++ b/fennelwind/loop/scheduler.py
@@ -389,7 +389,7 @@
 
         News of the turn before is told in this one, but maybe behind the task that calls.
         """
-        if self.now() - self.looked_ms + self.turn_ms > ms:
+        if self.now() - self.unseen_since_ms > ms:
             self.sleep(0.0)
 
     def deadline(self, ms: float) -> Deadline:
--- a/fennelwind/node/executors.py
+++ b/fennelwind/node/executors.py
@@ -490,7 +490,7 @@
             return AttemptEnd("moot", str(exc))
         except ConnectFailed as exc:
             return AttemptEnd("connect_failed", str(exc))
-        self.loop.catch_up(HEARD_MS)
+        self._hear_client()
         barred = self._barred()
         if barred:
             return AttemptEnd("moot", barred)
@@ -506,6 +506,12 @@
             self._give_up()
             return AttemptEnd("error", str(exc))
 
+    def _hear_client(self) -> None:
+        """Let whoever reads the client's bytes go ahead: they may hold its leaving."""
+        self.loop.catch_up(HEARD_MS)
+        while (wait := self.order.submission.begins_from() - self.loop.now()) > 0.0:
+            self.loop.sleep(wait)
+
     def _barred(self) -> str:
         """Tell why nothing may be sent now, "" if it may; nothing waits from here to the first byte."""
         if self.host.lost or self.host.draining:  # told while there was no connection yet
--- a/fennelwind/node/front.py
+++ b/fennelwind/node/front.py
@@ -31,6 +31,7 @@
 ACCEPTED_AT_ONCE = 64  # connections taken in one turn; then what is open gets its turn
 LINGER_MS = 500.0  # ms between our end and the close outright; a silent client's is then still within 3 s
 LINGER_BYTES = 262_144  # bytes that are read and dropped meanwhile; who sends more will not stop
+BURST_MS = 20.0  # ms without a byte behind a full read; sooner than that the rest of a burst is on its way
 END_LOOK_MS = 25.0  # ms between two looks at what is open while all connections are being ended
 
 
@@ -48,6 +49,7 @@
         "writing",
         "unusable",
         "partial",
+        "burst_until",
         "closed",
     )
 
@@ -60,6 +62,7 @@
         self.writing = False
         self.unusable = 0
         self.partial = 0  # bytes of a message half sent
+        self.burst_until = 0.0  # until then more may come of what the client has sent already
         self.closed = False
 
     def run(self) -> None:
@@ -68,6 +71,7 @@
         try:
             while data := self.stream.read(READ_BYTES):
                 full = len(data) == READ_BYTES  # more waits behind it
+                self._note_burst(full)
                 if self.closed:
                     dropped += len(data)
                     if dropped > LINGER_BYTES:
@@ -84,6 +88,11 @@
             self._leave()
             self.front.let_go(self)
 
+    def _note_burst(self, full: bool) -> None:
+        now = self.front.loop.now()
+        if full or now < self.burst_until:
+            self.burst_until = now + BURST_MS
+
     def _take(self, data: bytes) -> None:
         try:
             for message in self.reader.feed(data):
@@ -155,6 +164,7 @@
             engine_id=asked.name,
             engine_class=message.method,
             idempotency_key=asked.idempotency_key,
+            begins_from=lambda: self.burst_until,
         )
         front.names.add(asked.name)
         number = message.number
