Failing tests: system calls that fail for a moment under the running program

Cause: the terms let accept, socket, connect and open fail for a moment, as Linux documents them.

Change: tests/faulty.py lets calls of the program fail while a file says so; tests for accept (eight errors), options of new sockets, sizes of one byte, the file at SIGHUP, and the closing of the listener.

Measured: after one failed setsockopt the program accepted nobody any more; a file that could not be opened at SIGHUP was not read again, so that the channel stayed at its old address; with accept failing as the listener closed, three requests in its queue had no answer. Accept's eight errors and sizes of one byte hold.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -20,6 +20,7 @@
     "test_spread",
     "test_terms_attempts",
     "test_terms_shutdown",
+    "test_terms_system_calls",
     "test_whole",
 }
 
--- /dev/null
+++ b/tests/faulty.py
@@ -0,0 +1,76 @@
+"""System calls that fail as a file says, in a program of its own; `install` goes ahead of the program.
+
+The file holds the error's name by the call's: while it does, the call fails so. "sizes" lets `send` and `recv`
+handle one byte at a time, "wall" steps the wall clock by so many seconds. Without an entry a call is the
+system's own.
+"""
+
+import builtins
+import errno
+import json
+import os
+import socket
+import time
+from pathlib import Path
+
+PLAIN, PLAIN_OPEN, PLAIN_PIPE, PLAIN_CLOCK = socket.socket, builtins.open, os.pipe, time.time
+
+
+def install(path: str) -> None:
+    """Put the failing calls in the place of the system's."""
+    file = Path(path)
+
+    def trouble(call: str) -> str:
+        try:
+            with PLAIN_OPEN(file, encoding="utf-8") as held:
+                return json.load(held).get(call, "")
+        except (OSError, ValueError):
+            return ""
+
+    def fail(call: str) -> None:
+        name = trouble(call)
+        if name:
+            number = getattr(errno, name)
+            raise OSError(number, os.strerror(number))
+
+    class FaultySocket(PLAIN):
+        def __init__(self, *args, **more) -> None:
+            if "fileno" not in more:
+                fail("socket")
+            super().__init__(*args, **more)
+
+        def accept(self):
+            fail("accept")
+            fd, address = self._accept()
+            return FaultySocket(self.family, self.type, self.proto, fileno=fd), address
+
+        def connect_ex(self, address):
+            name = trouble("connect")
+            return getattr(errno, name) if name else super().connect_ex(address)
+
+        def setsockopt(self, *args):
+            fail("setsockopt")
+            return super().setsockopt(*args)
+
+        def send(self, data, *flags):
+            fail("send")
+            return super().send(data[:1] if trouble("sizes") else data, *flags)
+
+        def recv(self, size, *flags):
+            fail("recv")
+            return super().recv(1 if trouble("sizes") and not flags else size, *flags)
+
+    def faulty_open(name, *args, **more):
+        if str(name) == os.environ["RELAY_CONFIG"]:
+            fail("open")
+        return PLAIN_OPEN(name, *args, **more)
+
+    def faulty_pipe():
+        fail("pipe")
+        return PLAIN_PIPE()
+
+    def stepped() -> float:
+        return PLAIN_CLOCK() + float(trouble("wall") or 0.0)
+
+    time.time = stepped
+    socket.socket, builtins.open, os.pipe = FaultySocket, faulty_open, faulty_pipe
--- /dev/null
+++ b/tests/test_terms_system_calls.py
@@ -0,0 +1,106 @@
+"""System calls that fail for a moment, as Linux documents them, under the running program."""
+
+import json
+import signal
+import threading
+import time
+
+import pytest
+from nodes import ROWS, name
+from processes import Controller, ThreadedClient, ThreadedExecutor, until
+from test_node_run import listening, serve_channel
+
+
+class Troubled(Controller):
+    """A controller whose system calls fail while a file says so."""
+
+    def __init__(self, folder, executors, trouble=None, **told):
+        self.trouble = folder / "trouble.json"
+        self.fail(**(trouble or {}))
+        before = (
+            f"import sys; sys.path.insert(0, 'tests'); import faulty; faulty.install({str(self.trouble)!r})"
+        )
+        super().__init__(folder, executors, before=before, **told)
+
+    def fail(self, **calls):
+        """Let calls fail from now on; without any, none."""
+        fresh = self.trouble.with_suffix(".new")
+        fresh.write_text(json.dumps(calls), encoding="utf-8")
+        fresh.replace(self.trouble)
+
+
+@pytest.fixture
+def troubled(tmp_path):
+    executor = ThreadedExecutor()
+    controller = Troubled(tmp_path, [executor])
+    controller.executor = executor
+    yield controller
+    controller.end()
+
+
+def served(request):
+    """Wait for an answer and tell whether the request was served in time."""
+    until(lambda: request.answers)
+    when, error, result = request.answers[0]
+    assert (error, result) == (None, [ROWS, {}]), error
+    return when <= request.sent_at + request.wait_s
+
+
+def test_an_accept_that_fails_for_a_moment_loses_nobody(troubled):
+    for number, error in enumerate(
+        ("ECONNABORTED", "ENFILE", "EMFILE", "ENOBUFS", "ENOMEM", "EPROTO", "ENETUNREACH", "EHOSTUNREACH")
+    ):
+        troubled.fail(accept=error)
+        clients = [ThreadedClient(troubled) for _ in range(3)]
+        requests = [client.ask(name(10 * number + k)) for k, client in enumerate(clients)]
+        time.sleep(0.3)
+        troubled.fail()
+        assert all(served(request) for request in requests), error
+        for client in clients:
+            client.close()
+
+
+def test_an_option_that_can_not_be_set_costs_one_connection_at_most(troubled):
+    troubled.fail(setsockopt="ENOBUFS")
+    first = ThreadedClient(troubled)
+    time.sleep(0.2)
+    troubled.fail()
+    assert served(ThreadedClient(troubled).ask(name(1)))
+    first.close()
+
+
+def test_one_byte_at_a_time_changes_no_answer(troubled):
+    troubled.fail(sizes="short")
+    client = ThreadedClient(troubled)
+    assert served(client.ask(name(1), wait_ms=3000, statement=b"select 1 from sales_3.orders"))
+    troubled.fail()
+
+
+def test_a_file_that_can_not_be_opened_for_a_moment_is_read_all_the_same(troubled):
+    moved, address = listening()
+    asked = []
+    threading.Thread(target=serve_channel, args=(moved, asked), daemon=True).start()
+    for error in ("ENFILE", "EIO"):
+        asked.clear()
+        troubled.write(channel=address)
+        troubled.fail(open=error)
+        troubled.signal(signal.SIGHUP)
+        time.sleep(0.5)
+        troubled.fail()
+        until(lambda: asked, 1.0)  # 1.5 s after SIGHUP the old one ends, 4 s after it all counts as told
+        troubled.write()
+        troubled.signal(signal.SIGHUP)
+        time.sleep(0.3)
+
+
+def test_who_waits_in_the_queue_as_the_listener_closes_is_answered_though_accept_fails(troubled):
+    troubled.fail(accept="ENFILE")
+    told = troubled.signal(signal.SIGTERM)
+    time.sleep(0.3)
+    clients = [ThreadedClient(troubled) for _ in range(3)]
+    requests = [client.ask(name(k)) for k, client in enumerate(clients)]
+    time.sleep(max(0.0, told + 1.1 - time.monotonic()))
+    troubled.fail()
+    for request in requests:
+        until(lambda request=request: request.answers, 3.0)
+    assert troubled.process.wait(10.0) == 0
