Accepting, closing the listener and SIGHUP outlast system calls that fail for a moment

Cause: SocketListener.accept let an error of the accepted socket's options end the task that accepts; finish took any error for an empty queue; the file of a new configuration was read once, at SIGHUP, and never again.

Change: TCP_NODELAY and SO_LINGER are set where they can be, close errors free the descriptor all the same; accept and finish share one step, errors of the network cost 2 ms and those of descriptors 100 ms, and finish tries on until what is open is given up; node/reload.py reads the file again for 1.5 s after an OSError, one reading at a time, always of the newest file.

--- a/fennelwind/loop/real.py
+++ b/fennelwind/loop/real.py
@@ -9,7 +9,7 @@
 import struct
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 from functools import lru_cache
 from typing import TYPE_CHECKING, Any
@@ -34,6 +34,7 @@
 BACK_OFF_MS = 100.0  # ms without accepting when descriptors are used up; what waits is taken then
 ASIDE_THREADS = 2  # what runs beside the loop must leave it a core
 SHORT_OF = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+PASSING_MS = 2.0  # ms without accepting after an error that befell one connection
 NO_LISTENER = {errno.EBADF, errno.EINVAL, errno.ENOTSOCK}  # of accept: it will never take a connection again
 HANGUP, TERMINATE, INTERRUPT = signal.SIGHUP, signal.SIGTERM, signal.SIGINT
 TELL_WHERE = signal.SIGUSR1  # a rig has its workers write down where they stand
@@ -217,7 +218,8 @@
             for waiter in (watch.reader, watch.writer):
                 if waiter is not None:
                     waiter.wake()
-        sock.close()
+        with suppress(OSError):  # the descriptor is free all the same
+            sock.close()
 
     def _pause(self, until: float | None) -> None:
         timeout = None if until is None else max(0.0, until - self.now())
@@ -271,7 +273,8 @@
         self.loop, self.sock, self.peer = loop, sock, peer
         self.drained = False  # the last read took all there was
         self.unseen_since_ms = loop.now() if unseen_since_ms is None else unseen_since_ms
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with suppress(OSError):  # some answers are a little slower without it
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def read(self, most: int = READ_MOST) -> bytes:
         """Return some bytes, b"" at the end; wait for them."""
@@ -367,7 +370,8 @@
     def abort(self) -> None:
         """Close at once, so that the peer sees a reset."""
         if self.sock.fileno() >= 0:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            with suppress(OSError):  # then the peer sees an end
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             self.loop.forget(self.sock)
 
 
@@ -390,36 +394,41 @@
         """
         while self.sock.fileno() >= 0:
             try:
-                sock, peer = self.sock.accept()
+                return self._next()
             except AGAIN:
                 self.loop.watch(self.sock.fileno(), READ).wait()
                 self.unseen_since_ms = self.loop.unseen_since_ms
-            except ConnectionAbortedError:
-                continue
             except OSError as exc:
-                if exc.errno in NO_LISTENER:
-                    raise StreamReset(exc.errno, f"{self.address}: {exc.strerror}") from None
-                self.loop.short_of_descriptors += exc.errno in SHORT_OF
-                self.loop.sleep(BACK_OFF_MS)  # else it was one connection, or is the network
-            else:
-                sock.setblocking(False)
-                return SocketStream(self.loop, sock, Address(*peer[:2]), self.unseen_since_ms)
+                self._rest(exc)
         raise StreamReset(errno.EBADF, f"{self.address}: closed here")
 
-    def finish(self) -> list[SocketStream]:
-        """Take no more connections; return those that have come up and wait."""
-        streams = []
+    def finish(self, until_ms: float) -> Iterator[SocketStream]:
+        """Take no more connections; yield those that have come up and wait.
+
+        Where one can't be had for a moment it is tried again, until then at most.
+        """
         while self.sock.fileno() >= 0:
             try:
-                sock, peer = self.sock.accept()
-            except ConnectionAbortedError:
-                continue
-            except OSError:  # none waits, or there is no descriptor for it
+                yield self._next()
+            except AGAIN:
                 break
-            sock.setblocking(False)
-            streams.append(SocketStream(self.loop, sock, Address(*peer[:2]), self.unseen_since_ms))
+            except OSError as exc:
+                if self.loop.now() >= until_ms:
+                    break
+                self._rest(exc)
         self.close()
-        return streams
+
+    def _next(self) -> SocketStream:
+        sock, peer = self.sock.accept()
+        sock.setblocking(False)
+        return SocketStream(self.loop, sock, Address(*peer[:2]), self.unseen_since_ms)
+
+    def _rest(self, exc: OSError) -> None:
+        """Wait a little where accepting failed; raise `StreamReset` if it always will."""
+        if exc.errno in NO_LISTENER:
+            raise StreamReset(exc.errno, f"{self.address}: {exc.strerror}") from None
+        self.loop.short_of_descriptors += exc.errno in SHORT_OF
+        self.loop.sleep(BACK_OFF_MS if exc.errno in SHORT_OF else PASSING_MS)
 
     def close(self) -> None:
         """Take no more connections."""
--- a/fennelwind/loop/sim.py
+++ b/fennelwind/loop/sim.py
@@ -314,7 +314,7 @@
             self._waiter.wait()
         return self.waiting.popleft()
 
-    def finish(self) -> list[SimStream]:
+    def finish(self, until_ms: float) -> list[SimStream]:
         """Take no more connections; return those that wait."""
         streams = list(self.waiting)
         self.waiting.clear()
--- a/fennelwind/loop/streams.py
+++ b/fennelwind/loop/streams.py
@@ -1,5 +1,6 @@
 """What the loop gives to read from and write to, whatever lies beneath."""
 
+from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
 READ_MOST = 262144  # bytes that one read returns at most
@@ -105,8 +106,8 @@
     def accept(self) -> Stream:
         """Return the next connection; wait for it. Raises `StreamReset` when closed."""
 
-    def finish(self) -> list[Stream]:
-        """Take no more connections; return those that have come up and wait."""
+    def finish(self, until_ms: float) -> Iterable[Stream]:
+        """Take no more connections; return those that have come up and wait, tried for until then at most."""
 
     def close(self) -> None:
         """Take no more connections."""
--- a/fennelwind/node/front.py
+++ b/fennelwind/node/front.py
@@ -370,10 +370,10 @@
 
     # The end of service.
 
-    def finish(self) -> None:
-        """Take no more connections but those that have come up already."""
+    def finish(self, until_ms: float) -> None:
+        """Take no more connections but those that have come up already, tried for until then at most."""
         self.ending = True
-        for stream in self.listener.finish():
+        for stream in self.listener.finish(until_ms):
             self._admit(stream)
 
     def end(self, last_answers: float, last: float) -> None:
--- a/fennelwind/node/lifecycle.py
+++ b/fennelwind/node/lifecycle.py
@@ -19,6 +19,7 @@
 from fennelwind.node.config import ConfigError, NodeConfig, read_config
 from fennelwind.node.executors import Executors
 from fennelwind.node.front import Front
+from fennelwind.node.reload import Reloader
 from fennelwind.node.shutdown import ShutdownSchedule
 from fennelwind.node.view import compare, drift
 from fennelwind.spread.advisor import Advisor, acts
@@ -180,7 +181,7 @@
         schedule = ShutdownSchedule.from_signal(self.loop.now(), longest)
         self.loop.sleep(max(0.0, schedule.serve_until - self.loop.now()))
         self.driver.closing = True
-        front.finish()
+        front.finish(schedule.give_up_at)
         while ledger.open and self.loop.now() < schedule.give_up_at:
             self.loop.sleep(LEAVE_LOOK_MS)
         self.driver.close()
@@ -209,18 +210,11 @@
         print(f"RELAY_CONFIG {path!r}: {exc}", file=sys.stderr)
         return 2
 
-    def reload(node: Node) -> None:
-        try:
-            with open(path, encoding="utf-8") as file:
-                node.reload(file.read())
-        except (OSError, UnicodeDecodeError) as exc:
-            log.write("reload", f"the settings are as before: {exc}")
-
     def run() -> int:
         node, stop = Node(loop, config, log), Once(loop)
         for number in (TERMINATE, INTERRUPT):
             loop.on_signal(number, stop.set)
-        loop.on_signal(HANGUP, lambda: loop.soon(lambda: reload(node)))  # where what breaks ends no program
+        loop.on_signal(HANGUP, Reloader(loop, path, node.reload, log.write).ask)
         try:
             node.start()
         except OSError as exc:
--- /dev/null
+++ b/fennelwind/node/reload.py
@@ -0,0 +1,51 @@
+"""Reads the configuration file at each SIGHUP, and again where it can't be read for a moment."""
+
+from collections.abc import Callable
+
+from fennelwind.loop.scheduler import Loop
+
+RETRY_PAUSES_MS = (50.0, 100.0, 200.0, 400.0, 800.0)  # ms; all that a new file tells counts as told after 4 s
+
+
+class Reloader:
+    """Hands the file's text on at each request; one reading at a time, always of the newest file."""
+
+    def __init__(
+        self, loop: Loop, path: str, take: Callable[[str], None], log: Callable[[str, str], None]
+    ) -> None:
+        """Take the file's path, who is handed its text, and who is told of failures: a sort and a text."""
+        self.loop, self.path, self.take, self.log = loop, path, take, log
+        self._requested = self._running = False
+
+    def ask(self) -> None:
+        """Have the file read, in a task of its own: what breaks there ends no program."""
+        self._requested = True
+        if not self._running:
+            self._running = True
+            self.loop.spawn(self._run, name="reload")
+
+    def _run(self) -> None:
+        try:
+            while self._requested:
+                self._requested = False
+                self._read()
+        finally:
+            self._running = False
+
+    def _read(self) -> None:
+        for pause in (*RETRY_PAUSES_MS, None):
+            try:
+                with open(self.path, encoding="utf-8") as file:
+                    text = file.read()
+            except UnicodeDecodeError as exc:
+                self.log("reload", f"the settings are as before: {exc}")
+                return
+            except OSError as exc:
+                then = "they are not read again until SIGHUP" if pause is None else "trying again"
+                self.log("reload", f"the settings are as before: {exc}; {then}")
+                if pause is None:
+                    return
+                self.loop.sleep(pause)
+            else:
+                self.take(text)
+                return
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -1,8 +1,8 @@
 """System calls that fail as a file says, in a program of its own; `install` goes ahead of the program.
 
-The file holds the error's name by the call's: while it does, the call fails so. "sizes" lets `send` and `recv`
-handle one byte at a time, "wall" steps the wall clock by so many seconds. Without an entry a call is the
-system's own.
+The file holds the name of an error by that of a call: while it does, the call fails so. "sizes" lets `send`
+and `recv` handle one byte at a time, "wall" steps the wall clock by so many seconds. Without an entry a call
+is the system's own.
 """
 
 import builtins
--- a/tests/test_crossings_front.py
+++ b/tests/test_crossings_front.py
@@ -520,13 +520,13 @@
     def main(loop, node, executor):
         finish, address, socks = node.front.finish, node.front.listener.address, []
 
-        def last_come():
+        def last_come(until_ms):
             for number in range(1, 70):
                 sock = socket.create_connection(address)
                 sock.sendall(request(1, number))
                 sock.setblocking(False)
                 socks.append(sock)
-            finish()
+            finish(until_ms)
 
         monkeypatch.setattr(node.front, "finish", last_come)
         ending = loop.spawn(node.leave)
