Failing tests: connects that fail here for a moment, starts that can't have a socket yet

Cause: connect(2) and socket(2) fail for a moment by this machine's own trouble (EADDRNOTAVAIL, ENETUNREACH, ENFILE, ENOBUFS), at executors' connections and at the start.

Measured: with connect or socket failing for 0.15 s queries with 1.5 s to go were refused; a start with socket, pipe or open failing for 1.5 s ended with an error.

--- a/tests/test_terms_system_calls.py
+++ b/tests/test_terms_system_calls.py
@@ -5,6 +5,7 @@
 import threading
 import time
 
+import msgpack
 import pytest
 from nodes import ROWS, name
 from processes import Controller, ThreadedClient, ThreadedExecutor, until
@@ -104,3 +105,34 @@
     for request in requests:
         until(lambda request=request: request.answers, 3.0)
     assert troubled.process.wait(10.0) == 0
+
+
+@pytest.mark.parametrize("call", ["socket", "connect"])
+def test_a_connect_that_fails_here_for_a_moment_costs_no_request(troubled, call):
+    client = ThreadedClient(troubled)
+    errors = {
+        "socket": ("ENFILE", "EMFILE", "ENOBUFS", "ENOMEM"),
+        "connect": ("EADDRNOTAVAIL", "ENETUNREACH", "EAGAIN", "EINTR", "ENOBUFS"),
+    }
+    for number, error in enumerate(errors[call]):
+        time.sleep(0.1)
+        troubled.fail(**{call: error})
+        requests = [client.ask(name(10 * number + k)) for k in range(6)]  # more than connections that rest
+        time.sleep(0.15)
+        troubled.fail()
+        assert all(served(request) for request in requests), error
+
+
+def test_a_start_waits_for_what_it_can_not_have_for_a_moment(tmp_path):
+    for number, (call, error) in enumerate((("socket", "ENFILE"), ("pipe", "ENFILE"), ("open", "ENFILE"))):
+        folder = tmp_path / str(number)
+        folder.mkdir()
+        threading.Timer(1.5, (folder / "trouble.json").unlink).start()
+        controller = Troubled(folder, [ThreadedExecutor()], trouble={call: error})
+        try:
+            client = ThreadedClient(controller)
+            client.sock.sendall(msgpack.packb([0, 1, "isWell", [{}]]))
+            request = client.ask(name(1))
+            until(lambda request=request: request.answers)
+        finally:
+            controller.end()
