Failing test: a cold executor whose start is told by a clock that has stepped back

Cause: the terms let wall clocks step, by seconds or an hour, either way. startedAtMs is a wall clock's time, and the slow start of an executor rests on it.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -19,6 +19,7 @@
     "test_rig_processes",
     "test_spread",
     "test_terms_attempts",
+    "test_terms_clocks",
     "test_terms_shutdown",
     "test_terms_system_calls",
     "test_whole",
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -235,11 +235,16 @@
                     self.requests[number].answers.append((time.monotonic(), error, result))
 
     def pack(
-        self, query: str, cls: str = "lookup", wait_ms: float = 1500, statement: bytes = b"select 1"
+        self,
+        query: str,
+        cls: str = "lookup",
+        wait_ms: float = 1500,
+        statement: bytes = b"select 1",
+        work_ms: float = 10.0,
     ) -> bytes:
         """Return the bytes of a request that counts as sent now."""
         self.number += 1
-        told = {"i": query, "d": f"{wait_ms:.0f}", "t": "acme", "h": "10.0", "mb": "16"}
+        told = {"i": query, "d": f"{wait_ms:.0f}", "t": "acme", "h": f"{work_ms:.1f}", "mb": "16"}
         raw = msgpack.packb([0, self.number, cls, [told, statement]])
         self.requests[self.number] = Request(query, time.monotonic(), wait_ms / 1000.0)
         return raw
