An executor's start is bounded by what the controller knows on its own clock

Cause: Channel turned startedAtMs into its own time by one offset, measured at the program's start, and believed the result. With clocks stepped back by more than the ramp a cold executor counted as warm.

Change: node/starts.py places a start between the last comment heard from the channel, less 5 s for a list that is behind, and now, by the offset of the moment; a start told again keeps its place. A start that seems to lie ahead counts from its telling, where it was kept ahead before (the test of a start told twice names one in the past). What was known as the controller began has no such bound: nothing it knows tells it.

--- a/fennelwind/node/channel.py
+++ b/fennelwind/node/channel.py
@@ -17,6 +17,7 @@
 from fennelwind.loop.streams import Address, Stream, parse_address
 from fennelwind.node.executors import Executors
 from fennelwind.node.http1 import EventReader, Malformed, ServerEvent
+from fennelwind.node.starts import StartTimes
 
 SILENCE_MS = 1600.0  # ms without a whole event or comment; a comment comes every second
 CONNECT_MS = 400.0  # ms for a connection, and again for the request to leave
@@ -103,7 +104,12 @@
 
 
 def _read_line(
-    one: dict[str, Any], name: str, state: str, zones: dict[str, int], kinds: dict[str, int], offset: float
+    one: dict[str, Any],
+    name: str,
+    state: str,
+    zones: dict[str, int],
+    kinds: dict[str, int],
+    launched: Callable[[str, float], float],
 ) -> Line:
     started = _get(one, "startedAtMs", as_figure, 0.0)
     entry = api.EngineEntry(
@@ -113,13 +119,21 @@
         kind=_get(one, "machineType", _named(kinds)),
         cell=_get(one, "cell", as_whole, 0),
         weight=_get(one, "weight", as_figure, 1.0),
-        launched_ms=started - offset if started else 0.0,
+        launched_ms=launched(name, started),
     )
     return Line(name, state, entry, _get(one, "hostPort", lambda at: parse_address(as_text(at))))
 
 
-def read_list(told: Any, zones: dict[str, int], kinds: dict[str, int], offset: float = 0.0) -> Listed:
-    """Read an event's list; an event without one is none of ours. Raises nothing."""
+def read_list(
+    told: Any,
+    zones: dict[str, int],
+    kinds: dict[str, int],
+    launched: Callable[[str, float], float] = lambda _, started: started,
+) -> Listed:
+    """Read an event's list; an event without one is none of ours. Raises nothing.
+
+    `launched` turns an executor's start as told into one of the caller's clock.
+    """
     if not isinstance(told, dict):
         return Listed(wrong=("no object",))
     nodes = told.get("nodes")
@@ -144,7 +158,7 @@
                 raise Unreadable(shown(one))
             name = _get(one, "instanceId", as_text)
             state = _get(one, "lifecycle", _named(STATES))
-            lines.append(_read_line(one, name, state, zones, kinds, offset))
+            lines.append(_read_line(one, name, state, zones, kinds, launched))
         except Unreadable as exc:
             if state != "gone":  # of which nothing more is needed
                 told = unknown if isinstance(exc, Unknown) else wrong
@@ -191,7 +205,8 @@
         self.zones, self.kinds, self.post, self.said = zones, kinds, post, said
         self.cursor = 0
         self.counts: Counter[str] = Counter()
-        self.offset = loop.wall() * 1000.0 - loop.now()  # of the system's clock; fixed: starts are compared
+        self._starts = StartTimes()
+        self._in_touch: float | None = None  # when a comment was last heard; None before it is followed
         self._stream: Stream | None = None
         self._pause: Waiter | None = None
         self._entries: dict[str, api.EngineEntry] = {}  # the list as it was told last
@@ -200,6 +215,7 @@
 
     def start(self) -> None:
         """Start to follow."""
+        self._in_touch = self.loop.now()
         self.loop.spawn(self._follow, name="channel")
 
     def take_known(self, cursor: int, events: tuple[dict[str, Any], ...], form: str = "cached") -> None:
@@ -295,6 +311,7 @@
         """Take an event that is news. Raises `Malformed` if it is to be asked for again."""
         if not event.data:
             self.counts["comments"] += 1
+            self._in_touch = self.loop.now()
             return
         self.counts["events"] += 1
         number, told, wrong = read_event(event)
@@ -321,12 +338,16 @@
             self.cursor = number
 
     def _listed(self, told: Any) -> Listed:
-        listed = read_list(told, self.zones, self.kinds, self.offset)
+        listed = read_list(told, self.zones, self.kinds, self._launched)
         if listed.unknown:
             self.counts["unknown"] += len(listed.unknown)
             self.said(f"command channel: unknown: {', '.join(listed.unknown[:TOLD_MOST])}")
         return listed
 
+    def _launched(self, name: str, started_ms: float) -> float:
+        now = self.loop.now()
+        return self._starts.place(name, started_ms, self.loop.wall() * 1000.0 - now, now, self._in_touch)
+
     def _take(self, told: dict[str, Any], form: str) -> None:
         self._apply(self._listed(told), told["cursor"], form)
 
@@ -372,6 +393,7 @@
             if entry.state != "gone":
                 self._place(entry, address)
         self._ahead = {name: at for name, at in self._ahead.items() if at > number}
+        self._starts.keep(self._entries)
         if last or listed.full:
             self.post(api.EngineList(form if listed.full else "delta", tuple(e for e, _ in last.values())))
 
