Failing tests: what was read gets its answer before any close of the controller's

Cause: by the standing test a request that was read and whose connection is closed with no answer is lost, and trouble with other clients frees no request of its final answer.

Change: three tests on real processes: bytes that can't be read behind whole requests, a client that begins to read after 4.6 s and waits 5.8 s, bad clients that fill the bound of what is half sent.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,6 +18,7 @@
     "test_rig",
     "test_rig_processes",
     "test_spread",
+    "test_terms_answers",
     "test_terms_attempts",
     "test_terms_clocks",
     "test_terms_shutdown",
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -208,16 +208,25 @@
 class ThreadedClient:
     """A client's connection on a plain socket; a thread reads what comes."""
 
-    def __init__(self, controller: Controller, reads: bool = True) -> None:
+    def __init__(self, controller: Controller, reads: bool = True, receive_bytes: int = 0) -> None:
         host, port = controller.listen.rsplit(":", 1)
-        self.sock = socket.create_connection((host, int(port)), WAIT_S)
+        self.sock = socket.socket()
+        self.sock.settimeout(WAIT_S)
+        if receive_bytes:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        self.sock.connect((host, int(port)))
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.requests: dict[int, Request] = {}
         self.number, self.reads = 0, reads
         self.ended_at: float | None = None
         self.reset = False
         if reads:
-            threading.Thread(target=self._read, daemon=True).start()
+            self.read()
+
+    def read(self) -> None:
+        """Read what comes from now on."""
+        self.reads = True
+        threading.Thread(target=self._read, daemon=True).start()
 
     def _read(self) -> None:
         unpacker = msgpack.Unpacker(raw=False)
--- /dev/null
+++ b/tests/test_terms_answers.py
@@ -0,0 +1,93 @@
+"""What was read gets its answer before any close of the controller's, on real processes."""
+
+import socket
+import time
+
+import msgpack
+from nodes import ROWS, name, page
+from processes import Controller, ThreadedClient, ThreadedExecutor, until
+
+GARBAGE = b"\xc1" * 100
+BIG_ROW = b"a\tb\t%s\n" % (b"c" * 5990)
+
+
+def answered(client):
+    """Wait for the end of a client's connection; tell whether each of its requests had one answer before."""
+    until(lambda: client.ended_at is not None)
+    return [len(request.answers) for request in client.requests.values()] == [1] * len(client.requests)
+
+
+def test_what_was_read_is_answered_before_what_can_not_be_read_ends_the_connection(tmp_path):
+    executor = ThreadedExecutor(work_s=0.4)
+    controller = Controller(tmp_path, [executor])
+    try:
+        for number, held_s in enumerate((0.0, 0.1)):  # in the same bytes, and behind an open request
+            for kind in ("garbage", "number", "params"):
+                client = ThreadedClient(controller)
+                raw = client.pack(name(10 * number + len(kind)))
+                bad = {
+                    "garbage": GARBAGE,
+                    "number": msgpack.packb([0, 1, "lookup", [{}, b""]]),
+                    "params": msgpack.packb([0, 2, "lookup", {}]),
+                }[kind]
+                if held_s:
+                    client.sock.sendall(raw)
+                    time.sleep(held_s)
+                    raw = b""
+                client.sock.sendall(raw + bad)
+                assert answered(client), f"{kind}, {held_s} s later"
+    finally:
+        controller.end()
+
+
+class BigAnswers(ThreadedExecutor):
+    """An executor whose results are as large as they may be."""
+
+    def _answer(self, verb, path, fields):
+        if verb == "GET" and path[-1] != "0":
+            return page(int(path[-1]), BIG_ROW)
+        answer = super()._answer(verb, path, fields)
+        return answer.replace(b"X-Batches: 1", b"X-Batches: 8")
+
+
+def test_a_client_that_reads_late_gets_its_answers_while_it_waits_for_them(tmp_path):
+    executor = BigAnswers()
+    controller = Controller(tmp_path, [executor])
+    try:
+        client = ThreadedClient(controller, reads=False, receive_bytes=4096)
+        began = time.monotonic()
+        for number in range(0, 160, 16):
+            for each in range(number, number + 16):
+                client.ask(name(each), "scene-build", 5800)
+            time.sleep(0.1)
+        time.sleep(began + 4.6 - time.monotonic())
+        client.read()
+        until(lambda: all(request.answers for request in client.requests.values()), 3.0)
+    finally:
+        controller.end()
+
+
+def test_what_bad_clients_leave_half_sent_ends_no_usual_clients_request(tmp_path):
+    executor = ThreadedExecutor(work_s=0.5)
+    controller = Controller(tmp_path, [executor], sockets=512)
+    bad = []
+    try:
+        client = ThreadedClient(controller)
+        request = client.ask(name(1))
+        raw = client.pack(name(2), statement=b"select '" + b"x" * 60_000 + b"'")
+        host, port = controller.listen.rsplit(":", 1)
+        for _ in range(62):
+            sock = socket.create_connection((host, int(port)))
+            sock.sendall(b"\x94\x00\x01\xa6lookup\x92\x80\xc6\x00\x00\xff\xff" + b"x" * 64_000)
+            bad.append(sock)
+        time.sleep(0.2)
+        client.sock.sendall(raw[:45_000])  # now more is half sent than the program keeps
+        time.sleep(0.2)
+        client.sock.sendall(raw[45_000:])
+        until(lambda: client.requests[2].answers or client.ended_at)
+        assert request.answers and request.answers[0][2] == [ROWS, {}]
+        assert client.requests[2].answers and client.requests[2].answers[0][2] == [ROWS, {}]
+    finally:
+        controller.end()
+        for sock in bad:
+            sock.close()
