Whatever closes a client's connection, what is open on it is answered first

Cause: Connection.close took what was open for nobody's any more; the reader gave a read's messages or none; an answer that waited 3 s to be taken closed its connection however long the client still waited; who passed the bound of what is half sent was closed, not who filled it.

Change: close answers what is open (Driver.give_up), takes nothing more in, and ends the connection once its answers are taken; shut is for the peer that is gone or takes nothing. The reader hands on what is whole before what it can't read. The patience with a late reader lasts until its last answer is due. Of what is half sent, the largest part goes first, before that those who are owed nothing.

--- a/fennelwind/core/driver.py
+++ b/fennelwind/core/driver.py
@@ -204,10 +204,19 @@
         """Take nothing more; give all that is open its final answer now."""
         self.closing = True
         for entry in list(self.ledger.entries.values()):
-            if entry.answer is None:
-                why = "the controller is closing"
-                self._settle(entry, self._given_up(entry, why, why))
-                self.post(api.Gone(entry.query))
+            self.give_up(entry, "the controller is closing")
+
+    def give_up(self, entry: Entry, why: str) -> None:
+        """Give a query its final answer now, if it has none."""
+        if entry.answer is not None:
+            return
+        self._settle(entry, self._given_up(entry, why, why))
+        request = self._asked_for.pop(entry, None)
+        if request is None:
+            self.post(api.Gone(entry.query))
+        elif self.repeats.leave(request, entry):
+            self.repeats.end(request.owner)
+            self.leave(request.owner, why)
 
     def post(self, event: api.Event) -> None:
         """Hand an event to the module in the next turn."""
--- a/fennelwind/node/front.py
+++ b/fennelwind/node/front.py
@@ -24,7 +24,7 @@
 OPEN_MOST = 32  # open requests on a connection, as the protocol states
 UNREAD_MOST = 262_144  # bytes of answers that a client leaves unread; beyond them its requests are refused
 UNREAD_ANSWERS_MOST = 1024  # answers left unread; beyond them it is closed. No usual client has 32 open
-WRITE_MS = 3000.0  # ms that a client may leave its answers unread; the longest that one is owed anything
+WRITE_MS = 3000.0  # ms that a client may leave its answers unread, where none of them is due later
 UNUSABLE_MOST = 3  # unusable requests on a connection; then it is closed
 READ_BYTES = 65536  # bytes of one read
 PARTIAL_MOST = 4_000_000  # bytes of messages half sent, over all connections
@@ -50,6 +50,7 @@
         "unusable",
         "partial",
         "burst_until",
+        "ending",
         "closed",
     )
 
@@ -63,16 +64,17 @@
         self.unusable = 0
         self.partial = 0  # bytes of a message half sent
         self.burst_until = 0.0  # until then more may come of what the client has sent already
+        self.ending = False  # nothing more is taken in; it closes once its answers are taken
         self.closed = False
 
     def run(self) -> None:
-        """Read until the client's end; behind a close of ours what comes is dropped."""
+        """Read until the client's end; once we are ending it, what comes is dropped."""
         dropped = 0
         try:
             while data := self.stream.read(READ_BYTES):
                 full = len(data) == READ_BYTES  # more waits behind it
                 self._note_burst(full)
-                if self.closed:
+                if self.ending:
                     dropped += len(data)
                     if dropped > LINGER_BYTES:
                         break
@@ -97,8 +99,10 @@
         try:
             for message in self.reader.feed(data):
                 self._message(message)
-                if self.closed:
+                if self.ending:
                     return
+            if self.reader.spoilt is not None:
+                raise self.reader.spoilt
             self._count_partial()
         except msgrpc.Malformed as exc:
             self.front.unreadable(str(exc))
@@ -109,8 +113,8 @@
         self.front.places.sent(self, self.front.loop.now(), under_way > 0)
         self.front.partial += under_way - self.partial
         self.partial = under_way
-        if self.front.partial > PARTIAL_MOST and under_way > PARTIAL_MOST // 100:
-            raise msgrpc.Malformed("too much is half sent over all connections")
+        if self.front.partial > PARTIAL_MOST:
+            self.front.shed_partial()
 
     def _message(self, message: msgrpc.Message) -> None:
         if message.number is None:
@@ -216,7 +220,7 @@
             try:
                 taken = self.stream.push(raw)
             except StreamReset:
-                self.close()
+                self.shut()
                 return
             if taken == len(raw):
                 if entry is not None:
@@ -225,7 +229,7 @@
             raw = raw[taken:]
         if len(self.unread) >= UNREAD_ANSWERS_MOST:
             self.front.counts["unread"] += 1
-            self.close()
+            self.shut()
             return
         self.unread.append((raw, entry))
         self.front.places.owes(self)
@@ -238,7 +242,7 @@
         try:
             while self.unread and not self.closed:
                 raw, entry = self.unread[0]
-                self.stream.write(raw, WRITE_MS)
+                self.stream.write(raw, self._patience_ms())
                 if self.closed:
                     return
                 self.unread.popleft()
@@ -246,14 +250,38 @@
                 if entry is not None:
                     self.front.driver.delivered(entry)
             self._rest()
+            if self.ending:
+                self.shut()
         except (StreamReset, DeadlineExceeded):
             self.front.counts["unread"] += not self.closed
-            self.close()
+            self.shut()
         finally:
             self.writing = False
 
+    def _patience_ms(self) -> float:
+        """Return how long the client may take nothing: until it expects none of its answers any more."""
+        due = [entry.submission.deadline_ms for _, entry in self.unread if entry is not None]
+        due += [entry.submission.deadline_ms for entry in self.open.values()]
+        return max(WRITE_MS, max(due, default=0.0) - self.front.loop.now())
+
     def close(self) -> None:
-        """Close it in order; what is open on it is nobody's any more."""
+        """Answer what is open, and close in order once the answers are taken; nothing more is taken in."""
+        if self.ending:
+            return
+        self.ending = True
+        self._drop_partial()
+        for entry in list(self.open.values()):
+            self.front.driver.give_up(entry, "its connection is being closed")
+        if not self.unread:
+            self.shut()
+
+    def _drop_partial(self) -> None:
+        self.front.partial -= self.partial
+        self.partial, self.reader = 0, msgrpc.Reader()
+        self.front.places.sent(self, self.front.loop.now(), False)
+
+    def shut(self) -> None:
+        """Close in order, though some of its answers may not be taken yet."""
         if not self.closed:
             self._leave()
             self.stream.half_close()
@@ -262,8 +290,8 @@
     def _leave(self) -> None:
         if self.closed:
             return
-        self.closed = True
-        self.front.partial -= self.partial
+        self.ending = self.closed = True
+        self._drop_partial()
         self.front.places.left(self)
         for entry in list(self.open.values()):
             self.front.names.discard(entry.submission.engine_id)
@@ -355,6 +383,13 @@
                 break  # those behind came later
             self.let_go(connection)
 
+    def shed_partial(self) -> None:
+        """Close who has sent most of what is half sent, first of those who are owed nothing."""
+        while self.partial > PARTIAL_MOST:
+            most = max(self.places.half, key=lambda one: (not one.owed(), one.partial))
+            self.counts["half_sent_most"] += 1
+            most.close()
+
     # The close of a connection.
 
     def linger(self, connection: Connection) -> None:
@@ -386,7 +421,9 @@
         while (len(self.places) or self.lingering) and self.loop.now() < last:
             late = self.loop.now() >= last_answers
             for connection in self.places:
-                if late or not (connection.owed() or connection.partial or connection.stream.waiting()):
+                if late:
+                    connection.shut()
+                elif not (connection.owed() or connection.partial or connection.stream.waiting()):
                     connection.close()
             self.loop.sleep(END_LOOK_MS)
         for connection in list(self.lingering):
--- a/fennelwind/node/msgrpc.py
+++ b/fennelwind/node/msgrpc.py
@@ -37,15 +37,25 @@
     A parser takes 40 KB and 1 us to make, so a connection has one only while a message is under way.
     """
 
-    __slots__ = ("_unpacker", "_fed", "_read")
+    __slots__ = ("spoilt", "_unpacker", "_fed", "_read")
 
     def __init__(self) -> None:
+        self.spoilt: Malformed | None = None  # what came behind messages that are whole; nothing follows it
         self._unpacker: msgpack.Unpacker | None = None
         self._fed = self._read = 0  # bytes that the parser got, and those of the messages that are whole
 
     def feed(self, data: bytes) -> list[Message]:
-        """Take some bytes; return the messages that are whole now. Raises `Malformed`."""
-        messages = []
+        """Take some bytes; return the messages that are whole now. Raises `Malformed`, if there are none."""
+        messages: list[Message] = []
+        try:
+            self._feed(data, messages)
+        except Malformed as exc:
+            if not messages:
+                raise
+            self.spoilt = exc
+        return messages
+
+    def _feed(self, data: bytes, messages: list[Message]) -> None:
         unpacker = self._unpacker
         if unpacker is None:
             unpacker, self._fed, self._read = _parser(), 0, 0
@@ -63,7 +73,6 @@
         except Exception as exc:  # the package raises many sorts, all of them for what it can't read
             raise Malformed(f"{type(exc).__name__}: {str(exc)[:100]}") from None
         self._unpacker = unpacker if self.under_way() else None
-        return messages
 
     def under_way(self) -> int:
         """Return the bytes of a message that is not whole yet."""
