A silent watch of the command channel is kept while another is begun beside it

Cause: a watch that brought nothing for 1.6 s was given up and asked anew, so that a channel whose answers take longer was never heard, whatever it had to tell.

Change: node/watch.py is one connection in a task of its own; Channel begins another beside one that is silent (three at most, the oldest goes) and follows on whichever brings something first. The scripted channel of a test served one connection after the other and waited for each to be given up; it keeps the open ones aside now, and the numbers it is asked by are the same.

--- a/fennelwind/node/channel.py
+++ b/fennelwind/node/channel.py
@@ -1,7 +1,8 @@
 """The command channel: the list of executors, by server-sent events, resumed by number.
 
-A stream that ends, breaks, is silent for a little over the period of its comments or brings what can't be
-read is given up, and asked for anew at once with the last number that was taken whole. What an event with
+A stream that ends, breaks or brings what can't be read is given up, and asked for anew at once with the last
+number that was taken whole. Beside one that is silent for a little over the period of its comments another is
+asked for, since the channel may be slow; whichever brings something first is followed on. What an event with
 something wrong tells of drains holds from then on, and no earlier number undoes it.
 """
 
@@ -13,16 +14,14 @@
 from typing import Any
 
 from fennelwind import interface as api
-from fennelwind.loop.scheduler import DeadlineExceeded, Loop, Waiter
-from fennelwind.loop.streams import Address, Stream, parse_address
+from fennelwind.loop.scheduler import Loop, Waiter
+from fennelwind.loop.streams import Address, parse_address
 from fennelwind.node.executors import Executors
-from fennelwind.node.http1 import EventReader, Malformed, ServerEvent
+from fennelwind.node.http1 import Malformed, ServerEvent
 from fennelwind.node.starts import StartTimes
+from fennelwind.node.watch import Watch
 
-SILENCE_MS = 1600.0  # ms without a whole event or comment; a comment comes every second
-CONNECT_MS = 400.0  # ms for a connection, and again for the request to leave
-FLOW_BYTES = 512  # of an event under way, that count as news: a long list may come in many pieces
-READ_BYTES = 16384  # bytes of one read; a full one is followed by a turn of the loop, so a flood stops nobody
+WATCHES_MOST = 3  # at a time; one that is slow has so many times the time of a silent one to answer
 PAUSE_MS, PAUSE_MOST_MS = 25.0, 400.0  # ms between tries that fail, doubled up to the most
 LASTED_MS = 1000.0  # ms, the comments' period; a connection that lasted so long has not failed
 AGAIN_MOST = 3  # times that what is wrong in the events is asked for again; then what can be read counts
@@ -207,7 +206,7 @@
         self.counts: Counter[str] = Counter()
         self._starts = StartTimes()
         self._in_touch: float | None = None  # when a comment was last heard; None before it is followed
-        self._stream: Stream | None = None
+        self._watches: list[Watch] = []  # those under way; the newest is the last
         self._pause: Waiter | None = None
         self._entries: dict[str, api.EngineEntry] = {}  # the list as it was told last
         self._ahead: dict[str, int] = {}  # executors told to drain or gone by a number not yet taken whole
@@ -242,8 +241,8 @@
     def move(self, address: Address) -> None:
         """Follow the channel at another address from now on; the numbers go on."""
         self.address = address
-        if self._stream is not None:
-            self._stream.abort()
+        for watch in self._watches:
+            watch.abort()
         if self._pause is not None:
             self._pause.wake()
 
@@ -253,59 +252,61 @@
             if address != self.address:
                 pause, address = PAUSE_MS, self.address
             cursor, began = self.cursor, self.loop.now()
-            try:
-                self._read(address)
-            except Exception as exc:  # whatever comes, the channel has to be followed on
-                self.said(f"command channel at {address}: {type(exc).__name__}: {exc}")
-            self.counts["asked"] += 1
+            self._watch_one_of(address)
             if self.cursor > cursor or self.loop.now() - began >= LASTED_MS:
                 pause = PAUSE_MS
                 continue
             if address != self.address:
                 continue
-            self._pause = Waiter(self.loop)
-            timer = self.loop.after(pause, self._pause.wake)
-            self._pause.wait()
-            timer.cancel()
-            self._pause = None
+            self._rest_until(self.loop.now() + pause)
             pause = min(2 * pause, PAUSE_MOST_MS)
 
-    def _read(self, address: Address) -> None:
-        """Ask once, and read until it ends. Raises `OSError` or `Malformed`."""
-        with self.loop.deadline(CONNECT_MS):
-            stream = self.loop.connect(address)
-        if address != self.address:  # moved meanwhile
-            stream.abort()
-            return
-        self._stream = stream
-        try:
-            stream.write(
-                b"GET /cmd/next HTTP/1.1\r\nHost: channel\r\nAccept: text/event-stream\r\n"
-                b"Last-Event-ID: %d\r\n\r\n" % self.cursor,
-                CONNECT_MS,
-            )
-            reader, heard, flowed = EventReader(), self.loop.now(), 0
-            while not reader.ended:
-                with self.loop.deadline_at(heard + SILENCE_MS):  # of events and comments, not of single bytes
-                    data = stream.read(READ_BYTES)
-                if not data:
-                    return
-                flowed += len(data)
-                if flowed >= FLOW_BYTES:
-                    heard, flowed = self.loop.now(), 0
-                if len(data) == READ_BYTES:
-                    self.loop.sleep(0.0)
-                for event in reader.feed(data):
-                    heard = self.loop.now()
-                    self._event(event)
-            if reader.spoilt is not None:
-                raise reader.spoilt
-        except DeadlineExceeded:
-            self.counts["silences"] += 1
-            raise
-        finally:
-            self._stream = None
-            stream.abort()
+    def _rest_until(self, at: float) -> None:
+        """Wait until the time, or until there is news of a watch or of the address."""
+        self._pause = Waiter(self.loop)
+        timer = self.loop.at(at, self._pause.wake)
+        self._pause.wait()
+        timer.cancel()
+        self._pause = None
+
+    def _watch_one_of(self, address: Address) -> None:
+        """Watch until no watch is left, or the address is another.
+
+        Beside a watch that is silent another one is begun, as the channel may be slow or this one dead; the
+        first that brings something is followed on alone.
+        """
+        self._watches = [self._begin(address)]
+        began = self.loop.now()
+        while self._watches and address == self.address:
+            next_at = max(self._watches[-1].silent_from(), began + PAUSE_MOST_MS)
+            self._rest_until(next_at)
+            self._watches = [watch for watch in self._watches if not watch.ended]
+            spoken = [watch for watch in self._watches if watch.spoke_ms >= began]
+            if spoken and len(self._watches) > 1:
+                self._keep(spoken[-1:])
+            elif self._watches and self.loop.now() >= max(next_at, self._watches[-1].silent_from()):
+                self.counts["silences"] += 1
+                self._keep(self._watches[1 - WATCHES_MOST :])
+                self._watches.append(self._begin(address))
+                began = self.loop.now()
+        self._keep([])
+
+    def _begin(self, address: Address) -> Watch:
+        self.counts["asked"] += 1
+        return Watch(self.loop, address, lambda: self.cursor, self._event, self._heard)
+
+    def _keep(self, watches: list[Watch]) -> None:
+        for watch in self._watches:
+            if watch not in watches:
+                watch.abort()
+        self._watches = watches
+
+    def _heard(self, watch: Watch) -> None:
+        """Take news of a watch: something came, or it has ended."""
+        if watch.error is not None:
+            self.said(f"command channel at {watch.address}: {type(watch.error).__name__}: {watch.error}")
+        if self._pause is not None:
+            self._pause.wake()
 
     def _event(self, event: ServerEvent) -> None:
         """Take an event that is news. Raises `Malformed` if it is to be asked for again."""
--- a/tests/test_crossings_list.py
+++ b/tests/test_crossings_list.py
@@ -16,7 +16,6 @@
 import sys
 import threading
 import time
-from contextlib import suppress
 
 import pytest
 from nodes import CHANNEL, Quiet, config_text, instance, nodes_event, start
@@ -26,10 +25,11 @@
 from fennelwind.loop import Address, RealLoop, SimLoop, StreamReset
 from fennelwind.loop.streams import READ_MOST
 from fennelwind.node import channel as channel_module
-from fennelwind.node.channel import AGAIN_MOST, SILENCE_MS, Channel
+from fennelwind.node.channel import AGAIN_MOST, Channel
 from fennelwind.node.config import ConfigError, read_config
 from fennelwind.node.executors import Executors
 from fennelwind.node.http1 import ServerEvent
+from fennelwind.node.watch import CONNECT_MS, SILENCE_MS
 
 ELSEWHERE, THIRD = Address("127.0.0.7", 9092), Address("127.0.0.6", 9092)
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
@@ -136,7 +136,7 @@
         new = Feed(loop, steady(loop, [event(2, [instance("s-2", 2)])]), ELSEWHERE)
         node = start(loop, [instance("s-1", 1)])
         loop.sleep(20.0)  # a connect takes 100 ms here: it is under way
-        assert node.channel._stream is None and not old.asked
+        assert [watch.stream for watch in node.channel._watches] == [None] and not old.asked
         for address in moves:
             node.channel.move(address)
         loop.sleep(800.0)
@@ -165,7 +165,7 @@
         node = start(loop, [instance("s-1", 1)])
         loop.sleep(1.0)
         node.channel.move(ELSEWHERE)
-        loop.sleep(channel_module.CONNECT_MS + 20.0)
+        loop.sleep(CONNECT_MS + 20.0)
         assert new.asked == [1] and node.channel.cursor == 2
 
     run(main)
@@ -1007,7 +1007,7 @@
 
     def __init__(self, *connections):
         self.sock, self.address = listening()
-        self.asked, self.connections = [], connections
+        self.asked, self.connections, self.open = [], connections, []
         threading.Thread(target=self._serve, daemon=True).start()
 
     def _serve(self):
@@ -1021,10 +1021,10 @@
             peer.sendall(told)
             if then == "reset":
                 peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            if then == "open":  # until the controller gives it up
-                with suppress(OSError):
-                    peer.recv(1)
-            peer.close()
+            if then == "open":  # until the controller gives it up, which may ask elsewhere first
+                self.open.append(peer)
+            else:
+                peer.close()
 
 
 def test_a_program_gets_its_list_whole_through_a_channel_that_fails_in_every_way(tmp_path):
