A soak of the end of service on real processes

Cause: the terms want clients that use open connections until the earliest SIGKILL, signals in series, some runs with a crowd.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -115,10 +115,11 @@
             self.deleted.append(query)
             self.ends.pop(query, None)
             return b"HTTP/1.1 204 Done\r\n\r\n"
-        if query not in self.ends:
+        ends = self.ends.get(query)
+        if ends is None:
             return b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
-        time.sleep(max(0.0, min(0.25, self.ends[query] - now)))
-        if time.monotonic() < self.ends[query]:
+        time.sleep(max(0.0, min(0.25, ends - now)))
+        if time.monotonic() < ends:
             return b"HTTP/1.1 202 Wait\r\nContent-Length: 0\r\n\r\n"
         return first_page()
 
--- /dev/null
+++ b/tests/shutdown_soak.py
@@ -0,0 +1,189 @@
+"""Sampled ends of service on real processes; clients use their connections until the earliest SIGKILL.
+
+.venv/bin/python tests/shutdown_soak.py FIRST LAST [AT_ONCE]
+"""
+
+import signal
+import socket
+import sys
+import tempfile
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
+from pathlib import Path
+from random import Random
+
+from nodes import SETTINGS, name
+from processes import DEADLINE_SLACK_S, LEFT_S, Controller, ThreadedClient, ThreadedExecutor, classes
+
+CROSSED_S = 0.05  # protocol: a request that crosses a close by so much is sent again
+OVERDUE_S = 0.5  # standing: an answer so much behind its time is lost
+NEW_UNTIL_S = 0.2  # protocol: new connections arrive so long after SIGTERM at least
+SHARE_OF_CLIENTS = 3  # protocol: clients hold a third of the descriptors at most
+
+
+class SoakExecutor(ThreadedExecutor):
+    """An executor that may be in trouble."""
+
+    def __init__(self, random: Random) -> None:
+        self.random, self.trouble = random, random.choice(["", "", "", "slow", "hangs", "resets", "full"])
+        super().__init__(work_s=random.choice([0.0, 0.02, 0.1]) if self.trouble != "slow" else 3.0)
+        self.serves = self.trouble != "hangs"
+
+    def _answer(self, verb, path, fields):
+        answer = super()._answer(verb, path, fields)
+        if verb == "POST" and self.random.random() < 0.3:
+            if self.trouble == "resets":
+                raise OSError("reset")
+            if self.trouble == "full":
+                self.ends.pop(fields["X-Req"], None)
+                return b"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+        return answer
+
+
+class Soak:
+    """One end of service."""
+
+    def __init__(self, seed: int, folder: Path) -> None:
+        self.random = random = Random(f"shutdown soak {seed}")
+        self.longest_ms = random.choice([300.0, 900.0, 2000.0, 3000.0, 6000.0])
+        self.crowd = random.random() < 0.3
+        self.executors = [SoakExecutor(random) for _ in range(random.randint(1, 4))]
+        ceilings = SETTINGS["Ceilings"] | {
+            "Cancel": random.random() < 0.7,
+            "ParallelTries": random.random() < 0.5,
+            "MaxAttempts": random.choice([1, 2, 3]),
+        }
+        self.controller = Controller(
+            folder, self.executors, Grades=classes(GiveUpMs=self.longest_ms), Ceilings=ceilings, sockets=256
+        )
+        self.clients: list[ThreadedClient] = []
+        self.left: dict[str, float] = {}  # when a request was withdrawn, by its id
+        self.lock, self.count = threading.Lock(), 0
+        self.ended = False
+        self.told_at = self.killed_at = float("inf")
+
+    def run(self) -> list[str]:
+        """Play it; return what broke."""
+        try:
+            if self.crowd:
+                idle = [ThreadedClient(self.controller) for _ in range(256 // SHARE_OF_CLIENTS - 12)]
+            threads = [
+                threading.Thread(target=self._client, args=(Random(f"{self.random.random()}"),), daemon=True)
+                for _ in range(self.random.randint(4, 12))
+            ]
+            for thread in threads:
+                thread.start()
+            time.sleep(self.random.uniform(0.3, 1.2))
+            self._signals()
+            self.ended = True
+            for thread in threads:
+                thread.join(10.0)
+            time.sleep(0.1)
+            for client in idle if self.crowd else ():
+                client.close()
+            return list(self._judge())
+        finally:
+            self.controller.end()
+
+    def _signals(self) -> None:
+        random, controller = self.random, self.controller
+        for _ in range(random.choice([0, 0, 2, 5])):
+            controller.signal(signal.SIGHUP)
+            time.sleep(random.choice([0.0, 0.01, 0.2]))
+        self.told_at = controller.signal(signal.SIGTERM)
+        self.killed_at = self.told_at + controller.killed_after_s(self.longest_ms)
+        for _ in range(random.choice([0, 1, 4])):
+            time.sleep(random.uniform(0.0, 0.3))
+            with suppress(ProcessLookupError):
+                controller.signal(random.choice([signal.SIGTERM, signal.SIGINT, signal.SIGHUP]))
+        while time.monotonic() < self.killed_at and controller.process.poll() is None:
+            time.sleep(0.005)
+        controller.process.kill()
+
+    def _client(self, random: Random) -> None:
+        client = None
+        while not self.ended:
+            try:
+                if client is None:
+                    if time.monotonic() > self.told_at + NEW_UNTIL_S:
+                        return
+                    client = ThreadedClient(self.controller)
+                    self.clients.append(client)
+                self._ask(client, random)
+            except OSError:
+                client = None
+                time.sleep(0.01)
+
+    def _ask(self, client: ThreadedClient, random: Random) -> None:
+        asked = []
+        for _ in range(random.choice([1, 1, 1, 3, 8])):
+            with self.lock:
+                self.count += 1
+                query = name(self.count)
+            cls = random.choice(["lookup", "scene-build", "publish"])
+            asked.append(client.ask(query, cls, random.uniform(0.3, 1.0) * self.longest_ms))
+        if random.random() < 0.1:
+            time.sleep(random.uniform(0.0, 0.1))
+            number = random.choice(list(client.requests))
+            client.forget(number)
+            self.left[client.requests[number].query] = time.monotonic()
+        if random.random() < 0.05:
+            now = time.monotonic()
+            self.left |= {each.query: now for each in client.requests.values() if not each.answers}
+            client.close(random.random() < 0.5)
+            raise OSError("left")
+        while not self.ended and client.ended_at is None:
+            if all(each.answers or each.query in self.left for each in asked):
+                break
+            time.sleep(0.005)
+        if client.ended_at is not None:
+            raise OSError("ended")
+        time.sleep(random.choice([0.0, 0.02, 0.3, 1.0]))
+
+    def _judge(self):
+        posts: dict[str, list] = {}
+        for executor in self.executors:
+            for post in executor.posts:
+                posts.setdefault(post.query, []).append(post)
+        if self.controller.process.returncode not in (0, -signal.SIGKILL):
+            yield f"ended with {self.controller.process.returncode}"
+        for client in self.clients:
+            for number, request in client.requests.items():
+                yield from self._judge_one(client, number, request, posts.get(request.query, []))
+
+    def _judge_one(self, client, number, request, posts):
+        said = f"{request.query} sent {request.sent_at - self.told_at:+.3f} s from SIGTERM"
+        left = self.left.get(request.query)
+        due = request.sent_at + request.wait_s
+        if len(request.answers) > 1:
+            yield f"{said}: {len(request.answers)} answers"
+        if not request.answers and left is None:
+            ended = client.ended_at or self.killed_at
+            crossed = request.sent_at >= ended - CROSSED_S and not posts
+            shut_unread = self.crowd and number == 1 and not posts
+            if not (crossed or shut_unread):
+                yield f"{said}: no answer; closed at {ended - self.told_at:+.3f} s, {len(posts)} attempts"
+        if request.answers and left is None and request.answers[0][0] > due + OVERDUE_S:
+            yield f"{said}: answer {request.answers[0][0] - due:.3f} s behind its time"
+        for post in posts:
+            if left is not None and post.whole_at > left + LEFT_S:
+                yield f"{said}: an attempt began {post.whole_at - left:.3f} s after its client left"
+            told = int(post.fields["X-Wait-Ms"]) / 1000.0
+            if told > due - post.whole_at + DEADLINE_SLACK_S:
+                yield f"{said}: told {told:.3f} s with {due - post.whole_at:.3f} s left"
+
+
+def play(seed: int) -> list[str]:
+    """Play the end of service of a seed; return what broke."""
+    with tempfile.TemporaryDirectory() as folder:
+        return Soak(seed, Path(folder)).run()
+
+
+if __name__ == "__main__":
+    first, last = int(sys.argv[1]), int(sys.argv[2])
+    socket.setdefaulttimeout(30.0)
+    with ThreadPoolExecutor(int(sys.argv[3]) if len(sys.argv) > 3 else 2) as pool:
+        for seed, broke in zip(range(first, last), pool.map(play, range(first, last)), strict=True):
+            print(seed, broke or "holds", flush=True)
