Failing test: an attempt whose bytes leave late

Cause: short writes and a peer that takes nothing let the bytes of an attempt wait; the terms bound its deadline and its beginning.

--- a/tests/test_terms_system_calls.py
+++ b/tests/test_terms_system_calls.py
@@ -6,8 +6,8 @@
 import time
 
 import pytest
-from nodes import ROWS, name
-from processes import Controller, ThreadedClient, ThreadedExecutor, until
+from nodes import ROWS, SETTINGS, name
+from processes import DEADLINE_SLACK_S, LEFT_S, Controller, ThreadedClient, ThreadedExecutor, until
 from test_node_run import listening, serve_channel
 
 
@@ -133,3 +133,30 @@
             assert served(client.ask(name(1)))
         finally:
             controller.end()
+
+
+def test_an_attempt_whose_bytes_do_not_leave_begins_in_time_or_never(tmp_path):
+    for number, leaves in enumerate((False, True)):
+        folder = tmp_path / str(number)
+        folder.mkdir()
+        executor = ThreadedExecutor()
+        ceilings = SETTINGS["Ceilings"] | {"Cancel": False, "MaxAttempts": 1}
+        controller = Troubled(folder, [executor], Ceilings=ceilings)
+        try:
+            client = ThreadedClient(controller)
+            assert served(client.ask(name(1)))
+            controller.fail(send="EAGAIN")
+            request = client.ask(name(2))
+            time.sleep(0.05)
+            if leaves:
+                client.close()
+            left_at = time.monotonic()
+            time.sleep(0.2)
+            controller.fail()
+            time.sleep(0.5)
+            for post in executor.posts[1:]:
+                left_s = request.sent_at + request.wait_s - post.whole_at
+                assert int(post.fields["X-Wait-Ms"]) / 1000.0 <= left_s + DEADLINE_SLACK_S
+                assert not leaves or post.whole_at <= left_at + LEFT_S
+        finally:
+            controller.end()
