An attempt whose bytes do not leave in 50 ms is none

Cause: the POST was written under the time for its answer (350 ms), with the deadline of before; an executor that takes nothing, or short writes, let it arrive whole that much later, and where a class can't be cancelled past its client's leaving.

Change: the POST is written within 50 ms or its connection is reset (NotSent: never whole, so nothing ran); its answer is waited for apart.

--- a/fennelwind/node/executors.py
+++ b/fennelwind/node/executors.py
@@ -15,7 +15,7 @@
 import errno
 import re
 from collections import Counter, deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 
 from fennelwind.core.types import AttemptEnd, Order, Result
@@ -26,6 +26,7 @@
 NEWS_MS = 250.0  # ms after which an executor answers that a query goes on, as the protocol states
 SILENCE_MS = 100.0  # ms beyond that without an answer; then a connection is given up as cut or stalled
 EARLY_MS = 150.0  # ms; "goes on" sooner than this answers an earlier call: a second copy of something
+POST_MS = 50.0  # ms for an attempt's bytes to leave; later its deadline is wrong, and its client may be gone
 PAGE_MS = 400.0  # ms for a page, which is there at once; beyond them as above
 REST_MS = 60.0  # ms that a connection rests after an answer: a second copy of it, which nothing in it tells
 # from the next call's answer, is some milliseconds late, and an executor that is short of a core some more
@@ -71,6 +72,10 @@
     def call(self, raw: bytes) -> Response:
         """Make a call and wait for its answer. Raises `StreamReset` or `Malformed`."""
         self.stream.write(raw)
+        return self.answer()
+
+    def answer(self) -> Response:
+        """Wait for the answer to what was written. Raises `StreamReset` or `Malformed`."""
         while True:
             data = self.stream.read(READ_BYTES)
             if not data:
@@ -96,6 +101,10 @@
         self.ended: Counter[str] = Counter()  # attempts by their end, since somebody looked
 
 
+class NotSent(ConnectFailed):
+    """The executor took no whole attempt in time; nothing ran."""
+
+
 class Gone(ConnectFailed):
     """The executor has gone; its address may be another's."""
 
@@ -399,6 +408,11 @@
         self.last = self.connection.call(raw)
         return self.last
 
+    def answer(self) -> Response:
+        """Wait for the answer to what was written; raises as `call` does."""
+        self.last = self.connection.answer()
+        return self.last
+
     def end(self) -> None:
         """Keep the connection or close it."""
         if self.last is not None:
@@ -494,9 +508,10 @@
         barred = self._barred()
         if barred:
             return AttemptEnd("moot", barred)
-        self.posted = True
         try:
-            return self._news(self._ask(self._post(), NEWS_MS + SILENCE_MS))
+            return self._news(self._begin())
+        except NotSent as exc:
+            return AttemptEnd("connect_failed", str(exc))
         except ConnectFailed as exc:
             refused = exc.errno == errno.ECONNREFUSED and not self.host.lost
             if not refused and not self.links.parallel:  # else its process has ended, and it with it
@@ -506,6 +521,19 @@
             self._give_up()
             return AttemptEnd("error", str(exc))
 
+    def _begin(self) -> Response | None:
+        """Post it; None if what came is no answer. Raises `NotSent` if it did not leave whole in time."""
+        use, self.posted = self._use, True
+        try:
+            use.connection.stream.write(self._post(), POST_MS)
+        except DeadlineExceeded:
+            self.posted = False  # what has left is no attempt, and the rest never follows
+            self._release()
+            raise NotSent(errno.ETIMEDOUT, f"{self.host.name} takes nothing") from None
+        except StreamReset:
+            return self._wrong("broken")
+        return self._hear(use.answer, NEWS_MS + SILENCE_MS)
+
     def _hear_client(self) -> None:
         """Let whoever reads the client's bytes go ahead: they may hold its leaving."""
         self.loop.catch_up(HEARD_MS)
@@ -560,10 +588,14 @@
                     raise
                 return self._wrong("unreached")
         use = self._use
+        return self._hear(lambda: use.call(raw), within_ms)
+
+    def _hear(self, call: Callable[[], Response], within_ms: float) -> Response | None:
+        """Wait for what a call on the connection in use brings; None if it is no answer."""
         began = self.asked = self.loop.now()
         try:
             with self.loop.deadline(within_ms):
-                response = use.call(raw)
+                response = call()
         except DeadlineExceeded:
             return self._wrong("silent")
         except StreamReset:
