--- a/fennelwind/node/lifecycle.py
+++ b/fennelwind/node/lifecycle.py
@@ -194,8 +194,9 @@
             "closed",
             f"books agree: {ledger.balanced()}; open {ledger.open}, second answers "
             f"{ledger.second}, forgotten {self.driver.forgotten}, step errors "
-            f"{self.driver.step_errors}; clients {dict(self.front.counts)}; executors "
-            f"{dict(self.links.counts)}; channel {dict(self.channel.counts)}",
+            f"{self.driver.step_errors}, latest timer {self.loop.worst_delay_ms:.0f} ms; "
+            f"clients {dict(self.front.counts)}; executors {dict(self.links.counts)}; "
+            f"channel {dict(self.channel.counts)}",
         )
 
 
--- a/tests/test_terms_answers.py
+++ b/tests/test_terms_answers.py
@@ -1,10 +1,11 @@
 """What was read gets its answer before any close of the controller's, on real processes."""
 
+import signal
 import socket
 import time
 
 import msgpack
-from nodes import ROWS, name, page
+from nodes import ROWS, SETTINGS, name, page
 from processes import Controller, ThreadedClient, ThreadedExecutor, until
 
 GARBAGE = b"\xc1" * 100
@@ -91,3 +92,21 @@
         controller.end()
         for sock in bad:
             sock.close()
+
+
+def test_no_time_to_come_back_is_told_where_the_settings_allow_none(tmp_path):
+    executor = ThreadedExecutor(serves=False)
+    ceilings = SETTINGS["Ceilings"] | {"RetryAfter": False}
+    controller = Controller(tmp_path, [executor], Ceilings=ceilings)
+    try:
+        client = ThreadedClient(controller)
+        requests = [client.ask(name(1), wait_ms=1)]
+        requests += [client.ask(name(number), "scene-build", 5000) for number in range(2, 42)]
+        controller.signal(signal.SIGTERM)
+        time.sleep(1.2)
+        requests.append(client.ask(name(99)))
+        until(lambda: all(request.answers for request in requests))
+        refused = [request.answers[0][1] for request in requests if request.answers[0][1][0] == "Shed"]
+        assert len(refused) >= 10 and all(error == ["Shed", {}] for error in refused)
+    finally:
+        controller.end()
--- a/tests/test_terms_shutdown.py
+++ b/tests/test_terms_shutdown.py
@@ -6,6 +6,7 @@
 import pytest
 from nodes import name
 from processes import Controller, ThreadedClient, ThreadedExecutor, classes, until
+from shutdown_soak import play
 
 
 def killed(controller, longest_ms):
@@ -35,3 +36,8 @@
                 assert len(request.answers) == 1, f"{request.query} of {len(client.requests)}: no answer"
     finally:
         controller.end()
+
+
+@pytest.mark.parametrize("seed", [3, 16, 21])
+def test_sampled_ends_of_service_lose_nobody(seed):
+    assert not play(seed)
