No refusal tells a time to come back where the settings allow none

Cause: refusals of the front and of the core took MaxRetryAfterMs without asking Ceilings.RetryAfter.

Change: Driver.longest_wait_ms is 0 where none is allowed; the core's refusals use it, and the front bounds by it what it writes.

Measured: the listed test passes; 466 tests of both fronts, controller, node and limits pass.

--- a/fennelwind/core/driver.py
+++ b/fennelwind/core/driver.py
@@ -89,6 +89,8 @@
         self._events: list[api.Event] = []
         self._asked = False
         self._tasks: dict[tuple[int, int], Task] = {}
+        # The time to come back of refusals that the module has no part in.
+        self.longest_wait_ms = settings.max_retry_after_ms if settings.retry_after else 0.0
         self._budget = AttemptBudget(
             settings.budget_free, settings.budget_share, settings.budget_ms, settings.tick_ms
         )
@@ -122,7 +124,7 @@
                     Answer(
                         REFUSED,
                         "too many wait for the same request already",
-                        self.settings.max_retry_after_ms,
+                        self.longest_wait_ms,
                     ),
                 )
         elif not self._run_request(name, entry):  # too many are known: it runs on its own
@@ -155,7 +157,7 @@
         if self.closing or self.ledger.open > self.max_open:
             self.turned_away += 1
             why = "the controller is closing" if self.closing else f"{self.max_open} queries are open here"
-            self._settle(entry, Answer(REFUSED, why, self.settings.max_retry_after_ms))
+            self._settle(entry, Answer(REFUSED, why, self.longest_wait_ms))
         return entry
 
     def _arrive(self, entry: Entry) -> None:
@@ -493,7 +495,7 @@
         """
         if (entry.owner or entry).attempts:
             return Answer(FAILED, sent)
-        return Answer(REFUSED, unsent, self.settings.max_retry_after_ms)
+        return Answer(REFUSED, unsent, self.longest_wait_ms)
 
 
 class Silent:
--- a/fennelwind/node/front.py
+++ b/fennelwind/node/front.py
@@ -127,7 +127,7 @@
         if message.method == "isWell":
             self.send(msgrpc.result(message.number, [self.front.well, {}]), None)
         elif len(self.open) >= OPEN_MOST or self.unread_bytes > UNREAD_MOST:
-            self.refuse(message.number, self.front.driver.settings.max_retry_after_ms)
+            self.refuse(message.number, self.front.driver.longest_wait_ms)
         else:
             self._request(message)
 
@@ -208,7 +208,8 @@
             self.send(msgrpc.error(number, "Failed", {"m": answer.reason[:200]}), entry)
 
     def refuse(self, number: int, wait_ms: float, entry: Entry | None = None) -> None:
-        """Answer that a further try is harmless, and when."""
+        """Answer that a further try is harmless, and when, where clients are to be told that."""
+        wait_ms = min(wait_ms, self.front.driver.longest_wait_ms)
         fields = {"w": str(int(wait_ms))} if wait_ms >= 1.0 else {}
         self.send(msgrpc.error(number, "Shed", fields), entry)
 
