Peers of the process plays note when an attempt is out; their channel stands in one place

Cause: the plays to come judge attempts of one query against each other, and drains.

Change: Post knows when it was asked for, ended and said never to have run; SlowChannel moves to tests/processes.py.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -20,12 +20,13 @@
 from typing import Any
 
 import msgpack
-from nodes import SETTINGS, config_text, first_page, instance
+from nodes import SETTINGS, config_text, first_page, instance, nodes_event
 from test_node_run import ROOT, WAIT_S, command, listening, serve_channel
 
 LONGEST_COUNTED_MS, KILL_MS = 3000.0, 700.0  # protocol: SIGKILL, counted from SIGTERM
 LEFT_S = 0.1  # standing: an attempt that begins later, after its client left, is lost
 DEADLINE_SLACK_S = 0.15  # terms: of the deadline that an executor is told
+UNASKED_S = 2.0  # protocol: a query that is not asked for so long has gone
 UNTIL_STEP_S = 0.005
 
 
@@ -36,6 +37,14 @@
     query: str
     whole_at: float
     fields: dict[str, str]
+    executor: "ThreadedExecutor"
+    asked_at: float  # when it was last asked for
+    ended_at: float | None = None  # when its end was written, or it was given up
+    never_ran: bool = False  # and so its executor said
+
+    def out_until(self) -> float:
+        """Return until when the attempt is out, as the protocol has it."""
+        return self.asked_at + UNASKED_S if self.ended_at is None else self.ended_at
 
 
 class ThreadedExecutor:
@@ -51,6 +60,7 @@
         self.sock.settimeout(None)
         self.posts: list[Post] = []
         self.ends: dict[str, float] = {}
+        self.latest: dict[str, Post] = {}  # attempt by query
         self.deleted: list[str] = []
         self.held: list[socket.socket] = []
         if accepts:
@@ -93,10 +103,20 @@
                 while len(data) < length:
                     data += self._more(peer)
                 data = data[length:]
-                answer = self._answer(*first.split(" ")[:2], fields)
+                verb, path, _ = first.split(" ")
+                answer = self._answer(verb, path, fields)
+                self._note_end(verb, fields["X-Req"] if verb == "POST" else path.split("/")[2], answer)
                 if self.serves:
                     peer.sendall(answer)
 
+    def _note_end(self, verb: str, query: str, answer: bytes) -> None:
+        post = self.latest.get(query)
+        if post is None or verb == "PUT" or b" 202 " in answer or post.ended_at is not None:
+            return
+        if self.serves or verb == "DELETE":
+            post.ended_at = time.monotonic()
+        post.never_ran = b"X-Not-Run: 1" in answer
+
     @staticmethod
     def _more(peer: socket.socket) -> bytes:
         more = peer.recv(65536)
@@ -108,10 +128,13 @@
         now = time.monotonic()
         if verb == "POST":
             query = fields["X-Req"]
-            self.posts.append(Post(query, now, fields))
+            self.latest[query] = Post(query, now, fields, self, now)
+            self.posts.append(self.latest[query])
             self.ends[query] = now + self.work_s
         else:
             query = path.split("/")[2]
+        if verb == "GET" and query in self.latest:
+            self.latest[query].asked_at = now
         if verb == "DELETE":
             self.deleted.append(query)
             self.ends.pop(query, None)
@@ -125,6 +148,43 @@
         return first_page()
 
 
+class SlowChannel:
+    """A channel that lets each question wait; `slow_s(k)` for the k-th, None: for ever."""
+
+    def __init__(self, slow_s):
+        self.slow_s, self.events, self.asked = slow_s, [], 0
+        self.sock, self.address = listening()
+        self.sock.settimeout(None)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def tell(self, cursor, *instances):
+        """Add an event."""
+        self.events.append((cursor, json.dumps(nodes_event(cursor, instances)).encode()))
+
+    def _accept(self):
+        with suppress(OSError):
+            while True:
+                peer, _ = self.sock.accept()
+                threading.Thread(target=self._serve, args=(peer, self.asked), daemon=True).start()
+                self.asked += 1
+
+    def _serve(self, peer, number):
+        with suppress(OSError):
+            last = int(re.search(rb"Last-Event-ID: (\d+)", peer.recv(4096))[1])
+            slow = self.slow_s(number)
+            time.sleep(1000.0 if slow is None else slow)
+            peer.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+            commented = 0.0
+            while True:
+                for cursor, data in [event for event in self.events if event[0] > last]:
+                    peer.sendall(b"id: %d\ndata: %s\n\n" % (cursor, data))
+                    last = cursor
+                if time.monotonic() > commented + 1.0:
+                    commented = time.monotonic()
+                    peer.sendall(b":\n\n")
+                time.sleep(0.02)
+
+
 class Controller:
     """The command of `run` as a process; `before` is Python run in it ahead of the program."""
 
