The soak judges effects, attempts out at once, groups, windows and drains

Change: classes of three effects, zones and cells, a drain at a random moment around the end; the judge reads the attempts that executors saw. finish gives up on a listener that is none, and a look that tells of a signal that is not there ends nothing.

--- a/fennelwind/loop/real.py
+++ b/fennelwind/loop/real.py
@@ -264,9 +264,10 @@
                     self._poll.unregister(fd)
 
     def _take_signals(self) -> None:
-        for number in os.read(self._wake_in, 4096):
-            if number in self._signals:
-                self._call(self._signals[number])
+        with suppress(BlockingIOError):  # a look may tell of bytes that are not there
+            for number in os.read(self._wake_in, 4096):
+                if number in self._signals:
+                    self._call(self._signals[number])
         while self._came:
             self._call(self._came.popleft())
 
@@ -428,7 +429,7 @@
             except AGAIN:
                 break
             except OSError as exc:
-                if self.loop.now() >= until_ms:
+                if exc.errno in NO_LISTENER or self.loop.now() >= until_ms:
                     break
                 self._rest(exc)
         self.close()
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -188,9 +188,11 @@
 class Controller:
     """The command of `run` as a process; `before` is Python run in it ahead of the program."""
 
-    def __init__(self, folder, executors, *, before: str = "", instances=None, **told: Any) -> None:
+    def __init__(
+        self, folder, executors, *, before: str = "", instances=None, channel: str = "", **told: Any
+    ) -> None:
         self.path = folder / "config.json"
-        self.channel, channel = listening()
+        self.channel, own = listening()
         self.asked: list[tuple[bytes, socket.socket]] = []
         free, self.listen = listening()
         free.close()
@@ -198,7 +200,7 @@
             instance(f"s-{k}", k) | {"hostPort": each.address} for k, each in enumerate(executors, 1)
         ]
         self.told = json.loads(config_text(instances, **told))
-        self.told |= {"listen": self.listen, "channel": channel}
+        self.told |= {"listen": self.listen, "channel": channel or own}
         self.write()
         threading.Thread(target=serve_channel, args=(self.channel, self.asked), daemon=True).start()
         line = command()
@@ -264,6 +266,7 @@
     query: str
     sent_at: float
     wait_s: float
+    cls: str
     answers: list[tuple[float, Any, Any]] = field(default_factory=list)  # when, error and result
 
 
@@ -317,7 +320,7 @@
         self.number += 1
         told = {"i": query, "d": f"{wait_ms:.0f}", "t": "acme", "h": f"{work_ms:.1f}", "mb": "16"}
         raw = msgpack.packb([0, self.number, cls, [told, statement]])
-        self.requests[self.number] = Request(query, time.monotonic(), wait_ms / 1000.0)
+        self.requests[self.number] = Request(query, time.monotonic(), wait_ms / 1000.0, cls)
         return raw
 
     def ask(self, query: str, *args: Any, **more: Any) -> Request:
--- a/tests/shutdown_soak.py
+++ b/tests/shutdown_soak.py
@@ -11,12 +11,22 @@
 import time
 from concurrent.futures import ProcessPoolExecutor
 from contextlib import suppress
+from itertools import pairwise
 from pathlib import Path
 from random import Random
 
-from nodes import SETTINGS, name
-from processes import DEADLINE_SLACK_S, LEFT_S, Controller, ThreadedClient, ThreadedExecutor, classes
+from nodes import SETTINGS, instance, name
+from processes import (
+    DEADLINE_SLACK_S,
+    LEFT_S,
+    Controller,
+    SlowChannel,
+    ThreadedClient,
+    ThreadedExecutor,
+    classes,
+)
 
+SLACK_S = 0.05  # protocol: by which every time limit of the rules is extended
 CROSSED_S = 0.05  # protocol: a request that crosses a close by so much is sent again
 OVERDUE_S = 0.5  # standing: an answer so much behind its time is lost
 NEW_UNTIL_S = 0.2  # protocol: new connections arrive so long after SIGTERM at least
@@ -64,13 +74,34 @@
         self.longest_ms = random.choice([300.0, 900.0, 2000.0, 3000.0, 6000.0])
         self.crowd = random.random() < 0.3
         self.executors = [SoakExecutor(random) for _ in range(random.randint(1, 4))]
-        ceilings = SETTINGS["Ceilings"] | {
+        self.ceilings = SETTINGS["Ceilings"] | {
             "Cancel": random.random() < 0.7,
             "ParallelTries": random.random() < 0.5,
             "MaxAttempts": random.choice([1, 2, 3]),
         }
+        self.keyed = {
+            "Effect": "by_key",
+            "Group": random.choice(["all", "zone", "cell"]),
+            "MemorySpanMs": 400.0,
+        }
+        grades = classes(GiveUpMs=self.longest_ms)
+        grades[1] |= self.keyed
+        self.grace_s, self.drained = random.choice([0.0, 0.3]), {}  # when each executor was told to drain
+        self.channel = SlowChannel(lambda number: 0.0)
+        self.instances = [
+            instance(f"s-{k}", k)
+            | {"hostPort": each.address, "zone": random.choice(["east", "west"]), "cell": random.randrange(2)}
+            for k, each in enumerate(self.executors, 1)
+        ]
         self.controller = Controller(
-            folder, self.executors, Grades=classes(GiveUpMs=self.longest_ms), Ceilings=ceilings, sockets=256
+            folder,
+            self.executors,
+            instances=self.instances,
+            channel=self.channel.address,
+            Grades=grades,
+            Ceilings=self.ceilings,
+            Rules=SETTINGS["Rules"] | {"DrainGraceMs": 1000.0 * self.grace_s},
+            sockets=256,
         )
         self.clients: list[ThreadedClient] = []
         self.left: dict[str, float] = {}  # when a request was withdrawn, by its id
@@ -90,7 +121,10 @@
             for thread in threads:
                 thread.start()
             time.sleep(self.random.uniform(0.3, 1.2))
+            drains = threading.Timer(self.random.uniform(0.0, 1.5), self._drain)
+            drains.start()
             self._signals()
+            drains.join()
             self.ended = True
             for thread in threads:
                 thread.join(10.0)
@@ -105,6 +139,13 @@
         finally:
             self.controller.end()
 
+    def _drain(self) -> None:
+        """Tell of the end of an executor, in one of the forms that the protocol has for it."""
+        number = self.random.randrange(len(self.executors))
+        state = self.random.choice(["terminating", "terminated"])
+        self.channel.tell(2, self.instances[number] | {"lifecycle": state})
+        self.drained[self.executors[number]] = time.monotonic()
+
     def _signals(self) -> None:
         random, controller = self.random, self.controller
         for _ in range(random.choice([0, 0, 2, 5])):
@@ -173,8 +214,40 @@
             for number, request in client.requests.items():
                 yield from self._judge_one(client, number, request, posts.get(request.query, []))
 
+    def _judge_rules(self, said, request, posts):
+        """Judge the attempts of one request against each other, and against its class."""
+        posts = sorted(posts, key=lambda post: post.whole_at)
+        slack = SLACK_S + self.error_s
+        once, keyed = request.cls == "publish", request.cls == "scene-build"
+        if len(posts) > self.ceilings["MaxAttempts"]:
+            yield f"{said}: {len(posts)} attempts"
+        for before, post in pairwise(posts):
+            if not self.ceilings["ParallelTries"] and post.whole_at < before.out_until() - slack:
+                yield f"{said}: two attempts out, {before.out_until() - post.whole_at:.3f} s"
+        for post in posts:
+            if post.whole_at > self.drained.get(post.executor, float("inf")) + self.grace_s + slack:
+                yield f"{said}: sent to one that was told to drain"
+        doubt = next((post for post in posts if not post.never_ran), None)
+        later = posts[posts.index(doubt) + 1 :] if doubt is not None else []
+        if once and later:
+            yield f"{said}: sent again though it may have run"
+        for post in later if keyed else ():
+            if post.whole_at > doubt.whole_at + self.keyed["MemorySpanMs"] / 1000.0 + slack:
+                yield f"{said}: sent again after its repeats are forgotten"
+            group = self.keyed["Group"]
+            if group != "all" and self._place(post, group) != self._place(doubt, group):
+                yield f"{said}: sent again in another {group}"
+        refused = request.answers and request.answers[0][1] and request.answers[0][1][0] == "Shed"
+        if refused and doubt is not None and (once or keyed and self.keyed["Group"] != "all"):
+            yield f"{said}: refused though it may have run"
+
+    def _place(self, post, group):
+        told = self.instances[self.executors.index(post.executor)]
+        return told["zone"], told["cell"] if group == "cell" else None
+
     def _judge_one(self, client, number, request, posts):
         said = f"{request.query} sent {request.sent_at - self.told_at:+.3f} s from SIGTERM"
+        yield from self._judge_rules(said, request, posts)
         left = self.left.get(request.query)
         due = request.sent_at + request.wait_s
         if len(request.answers) > 1:
