The soak reads when an attempt came from the kernel; executors that forget queries

Change: peers take the moment of an attempt from TCP_INFO; some executors forget queries, so that attempts repeat; drains fall before the end of service too.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -26,6 +26,7 @@
 LONGEST_COUNTED_MS, KILL_MS = 3000.0, 700.0  # protocol: SIGKILL, counted from SIGTERM
 LEFT_S = 0.1  # standing: an attempt that begins later, after its client left, is lost
 DEADLINE_SLACK_S = 0.15  # terms: of the deadline that an executor is told
+LAST_DATA_RECEIVED = 52  # of tcp_info: the offset of the ms since data came last
 UNASKED_S = 2.0  # protocol: a query that is not asked for so long has gone
 UNTIL_STEP_S = 0.005
 
@@ -104,6 +105,7 @@
                     data += self._more(peer)
                 data = data[length:]
                 verb, path, _ = first.split(" ")
+                fields["arrived"] = str(came_at(peer))
                 answer = self._answer(verb, path, fields)
                 self._note_end(verb, fields["X-Req"] if verb == "POST" else path.split("/")[2], answer)
                 if self.serves:
@@ -128,7 +130,7 @@
         now = time.monotonic()
         if verb == "POST":
             query = fields["X-Req"]
-            self.latest[query] = Post(query, now, fields, self, now)
+            self.latest[query] = Post(query, float(fields["arrived"]), fields, self, now)
             self.posts.append(self.latest[query])
             self.ends[query] = now + self.work_s
         else:
@@ -350,6 +352,13 @@
         self.sock.close()
 
 
+def came_at(sock: socket.socket) -> float:
+    """Return when the last bytes came, by the kernel's account: a thread may have its turn much later."""
+    now = time.monotonic()
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED + 4)
+    return now - struct.unpack_from("I", info, LAST_DATA_RECEIVED)[0] / 1000.0
+
+
 def until(holds, within_s: float = WAIT_S) -> None:
     """Wait for a state."""
     end = time.monotonic() + within_s
--- a/tests/shutdown_soak.py
+++ b/tests/shutdown_soak.py
@@ -37,7 +37,10 @@
     """An executor that may be in trouble."""
 
     def __init__(self, random: Random) -> None:
-        self.random, self.trouble = random, random.choice(["", "", "", "slow", "hangs", "resets", "full"])
+        self.random, self.trouble = (
+            random,
+            random.choice(["", "", "slow", "hangs", "resets", "full", "forgets"]),
+        )
         super().__init__(work_s=random.choice([0.0, 0.02, 0.1]) if self.trouble != "slow" else 3.0)
         self.serves = self.trouble != "hangs"
 
@@ -46,6 +49,9 @@
         if verb == "POST" and self.random.random() < 0.3:
             if self.trouble == "resets":
                 raise OSError("reset")
+            if self.trouble == "forgets":
+                self.ends.pop(fields["X-Req"], None)
+                return b"HTTP/1.1 500 Lost\r\nContent-Length: 0\r\n\r\n"
             if self.trouble == "full":
                 self.ends.pop(fields["X-Req"], None)
                 return b"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
@@ -120,9 +126,9 @@
             ]
             for thread in threads:
                 thread.start()
-            time.sleep(self.random.uniform(0.3, 1.2))
             drains = threading.Timer(self.random.uniform(0.0, 1.5), self._drain)
             drains.start()
+            time.sleep(self.random.uniform(0.3, 1.2))
             self._signals()
             drains.join()
             self.ended = True
