Failing test: connections to executors that break; bad clients, budgets on processes

Cause: the terms name ETIMEDOUT and EHOSTUNREACH for a broken connection; budgets and the kinds of bad clients were played on the virtual loop alone.

--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -1,8 +1,8 @@
 """System calls that fail as a file says, in a program of its own; `install` goes ahead of the program.
 
 The file holds the name of an error by that of a call: while it does, the call fails so. "sizes" lets `send`
-and `recv` handle one byte at a time, "wall" steps the wall clock by so many seconds. Without an entry a call
-is the system's own.
+and `recv` handle one byte at a time, "wall" steps the wall clock by so many seconds. `recv` fails on
+connections that the program made itself. Without an entry a call is the system's own.
 """
 
 import builtins
@@ -45,6 +45,7 @@
             return FaultySocket(self.family, self.type, self.proto, fileno=fd), address
 
         def connect_ex(self, address):
+            self.outward = True
             name = trouble("connect")
             return getattr(errno, name) if name else super().connect_ex(address)
 
@@ -57,7 +58,8 @@
             return super().send(data[:1] if trouble("sizes") else data, *flags)
 
         def recv(self, size, *flags):
-            fail("recv")
+            if getattr(self, "outward", False) and not flags:
+                fail("recv")
             return super().recv(1 if trouble("sizes") and not flags else size, *flags)
 
     def faulty_open(name, *args, **more):
--- a/tests/shutdown_soak.py
+++ b/tests/shutdown_soak.py
@@ -93,6 +93,9 @@
         grades = classes(GiveUpMs=self.longest_ms)
         grades[1] |= self.keyed
         self.grace_s, self.drained = random.choice([0.0, 0.3]), {}  # when each executor was told to drain
+        rules = SETTINGS["Rules"] | {"DrainGraceMs": 1000.0 * self.grace_s}
+        self.budget = random.choice([{}, {"ExtraFloor": 1.0, "FurtherRatio": 0.1, "LookBackMs": 500.0}])
+        rules |= self.budget
         self.channel = SlowChannel(lambda number: 0.0)
         self.instances = [
             instance(f"s-{k}", k)
@@ -106,7 +109,7 @@
             channel=self.channel.address,
             Grades=grades,
             Ceilings=self.ceilings,
-            Rules=SETTINGS["Rules"] | {"DrainGraceMs": 1000.0 * self.grace_s},
+            Rules=rules,
             sockets=256,
         )
         self.clients: list[ThreadedClient] = []
@@ -216,10 +219,27 @@
         if self.controller.process.returncode not in (0, -signal.SIGKILL):
             yield f"ended with {self.controller.process.returncode}"
         self.error_s = self.meter.worst_s
+        if self.budget:
+            yield from self._judge_budget(posts)
         for client in self.clients:
             for number, request in client.requests.items():
                 yield from self._judge_one(client, number, request, posts.get(request.query, []))
 
+    def _judge_budget(self, posts):
+        """Judge the further attempts of any window against the requests taken in it."""
+        window_s, slack = self.budget["LookBackMs"] / 1000.0, SLACK_S + self.error_s
+        taken = [one.sent_at for client in self.clients for one in client.requests.values()]
+        further = sorted(
+            post.whole_at
+            for each in posts.values()
+            for post in sorted(each, key=lambda post: post.whole_at)[1:]
+        )
+        for at in further:
+            many = sum(at - window_s + slack <= other <= at for other in further)
+            of = sum(at - window_s - slack <= sent <= at + slack for sent in taken)
+            if many > self.budget["ExtraFloor"] + self.budget["FurtherRatio"] * of:
+                yield f"{many} further attempts in a window of {of} requests"
+
     def _judge_rules(self, said, request, posts):
         """Judge the attempts of one request against each other, and against its class."""
         posts = sorted(posts, key=lambda post: post.whole_at)
--- a/tests/test_terms_answers.py
+++ b/tests/test_terms_answers.py
@@ -110,3 +110,54 @@
         assert len(refused) >= 10 and all(error == ["Shed", {}] for error in refused)
     finally:
         controller.end()
+
+
+def bad_clients():
+    """Return what bad clients send, by kind, and whether they close behind it."""
+    ask = [0, 1, "lookup", [{"i": name(1), "d": "900", "t": "acme"}, b"select 1"]]
+
+    def bent(**fields):
+        return msgpack.packb([0, 1, "lookup", [ask[3][0] | fields, b"select 1"]])
+
+    return {
+        "noise": GARBAGE,
+        "silence": b"",
+        "half a request": msgpack.packb(ask)[:20],
+        "a length that never comes": b"\x94\x00\x01\xa6lookup\x92\x80\xc6\x00\x00\xff\xff",
+        "a huge length": b"\x94\x00\x01\xa6lookup\x92\x80\xc6\xff\xff\xff\xff",
+        "no such class": msgpack.packb([0, 1, "nonesuch", ask[3]]),
+        "no such tenant": bent(t="nobody"),
+        "a negative time": bent(d="-5"),
+        "no number": bent(h="many"),
+        "out of range": bent(mb="9" * 40),
+        "no id": bent(i=""),
+        "another shape": msgpack.packb([0, 1, "lookup", [1, 2, 3]]),
+        "an array without end": b"\xdd\xff\xff\xff\xff",
+        "nesting": b"\x91" * 5000,
+        "forget of what is not there": msgpack.packb([2, "forget", list(range(50))]) + GARBAGE,
+    }
+
+
+def test_each_bad_client_is_turned_away_in_time_and_nobody_served(tmp_path):
+    executor = ThreadedExecutor()
+    controller = Controller(tmp_path, [executor])
+    try:
+        host, port = controller.listen.rsplit(":", 1)
+        began, bad = time.monotonic(), {}
+        for kind, raw in bad_clients().items():
+            bad[kind] = socket.create_connection((host, int(port)))
+            bad[kind].sendall(raw)
+        client = ThreadedClient(controller)
+        request = client.ask(name(77))
+        for kind, sock in bad.items():
+            sock.settimeout(max(0.01, began + 3.0 - time.monotonic()))
+            try:
+                data = sock.recv(65536)
+            except ConnectionResetError:
+                data = b""
+            assert not data or msgpack.unpackb(data, raw=False)[2] is not None, kind
+            sock.close()
+        until(lambda: request.answers)
+        assert request.answers[0][2] == [ROWS, {}] and executor.queries() == [name(77)]
+    finally:
+        controller.end()
--- a/tests/test_terms_system_calls.py
+++ b/tests/test_terms_system_calls.py
@@ -160,3 +160,16 @@
                 assert not leaves or post.whole_at <= left_at + LEFT_S
         finally:
             controller.end()
+
+
+def test_a_connection_that_breaks_with_an_error_of_the_network_costs_no_request(troubled):
+    client = ThreadedClient(troubled)
+    troubled.executor.work_s = 0.5
+    for number, error in enumerate(("ETIMEDOUT", "EHOSTUNREACH", "ENETUNREACH", "ECONNRESET")):
+        request = client.ask(name(number), "scene-build", 3000)
+        time.sleep(0.1)
+        troubled.fail(recv=error)
+        time.sleep(0.3)  # an executor answers after 0.25 s that a query goes on
+        troubled.fail()
+        assert served(request), error
+        assert troubled.executor.queries().count(name(number)) == 1, error
