An attempt whose connections break is asked for again with growing pauses

Cause: each broken connection was followed by a fresh one at once, so that trouble of a few ms used up the eight tries that an attempt has.

Change: from the second one that broke on, 20 ms more each time are waited before the next; eight span 0.56 s. An executor keeps what is not asked for 2 s. The test tells work that fits the time, else the module's own rescue starts the query elsewhere.

Measured: with reads failing for 0.3 s (ETIMEDOUT, EHOSTUNREACH, ENETUNREACH, ECONNRESET) each query is served by one attempt, twice; without the change it is refused.

--- a/fennelwind/node/executors.py
+++ b/fennelwind/node/executors.py
@@ -32,6 +32,7 @@
 # from the next call's answer, is some milliseconds late, and an executor that is short of a core some more
 LOOK_MS = 15.0  # ms between two looks whether an earlier attempt of a query has been ended
 IDLE_PART = 0.8  # of the time after which executors close idle connections; ours go before
+AGAIN_MS = 20.0  # ms longer each time before a fresh connection, from the second one that broke on
 SPOILT_MOST = 8  # spoilt or broken answers to one attempt; beyond it, asking again has proven useless
 UNREACHED_MOST = 3  # fresh connections in vain; then the machine is taken to have vanished
 READ_BYTES = 16384  # bytes of one read; two pages with their heads
@@ -578,6 +579,8 @@
     def _ask(self, raw: bytes, within_ms: float) -> Response | None:
         """Make a call on the connection in use; None if what came of it is no answer."""
         if self._use is None:
+            if self.spoilt > 1:  # what lasts for a moment must not use up all tries in it
+                self.loop.sleep(AGAIN_MS * (self.spoilt - 1))
             try:
                 self._connect(fresh=True)
             except ConnectFailed as exc:
--- a/tests/test_terms_system_calls.py
+++ b/tests/test_terms_system_calls.py
@@ -166,7 +166,7 @@
     client = ThreadedClient(troubled)
     troubled.executor.work_s = 0.5
     for number, error in enumerate(("ETIMEDOUT", "EHOSTUNREACH", "ENETUNREACH", "ECONNRESET")):
-        request = client.ask(name(number), "scene-build", 3000)
+        request = client.ask(name(number), "scene-build", 3000, work_ms=2000.0)
         time.sleep(0.1)
         troubled.fail(recv=error)
         time.sleep(0.3)  # an executor answers after 0.25 s that a query goes on
