Writes and syncs of a folder that fail for a while, and a write cut in half, on a process

Cause: ENOSPC and EIO for a while, and a kill in the middle of a write, were played on the virtual disk alone.

Change: tests/faulty.py lets writes and syncs of files fail, or writes half and kills; a test of the store on a process, four faults.

Measured: what was kept is there after each fault and each cut, and nothing more than the one write under way.

--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -9,7 +9,9 @@
 import errno
 import json
 import os
+import signal
 import socket
+import stat
 import time
 from pathlib import Path
 
@@ -76,3 +78,37 @@
 
     time.time = stepped
     socket.socket, builtins.open, os.pipe = FaultySocket, faulty_open, faulty_pipe
+
+
+def install_disk(path: str) -> None:
+    """Let writes and syncs of files fail as the file says; "half" writes a half and kills the process."""
+    from fennelwind.loop import realdisk
+
+    file, plain_write, plain_sync, plain_names = Path(path), os.write, realdisk._sync, os.fsync
+
+    def fail(call: str) -> str:
+        try:
+            held = json.loads(file.read_text(encoding="utf-8")).get(call, "")
+        except (OSError, ValueError):
+            return ""
+        if held and held != "half":
+            raise OSError(getattr(errno, held), os.strerror(getattr(errno, held)))
+        return held
+
+    def write(fd: int, data) -> int:
+        if not stat.S_ISREG(os.fstat(fd).st_mode):
+            return plain_write(fd, data)
+        if fail("write") == "half":
+            plain_write(fd, data[: max(1, len(data) // 2)])
+            os.kill(os.getpid(), signal.SIGKILL)
+        return plain_write(fd, data)
+
+    def sync(fd: int) -> None:
+        fail("sync")
+        plain_sync(fd)
+
+    def sync_names(fd: int) -> None:
+        fail("sync")
+        plain_names(fd)
+
+    os.write, realdisk._sync, os.fsync = write, sync, sync_names
--- a/tests/test_disks.py
+++ b/tests/test_disks.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import textwrap
+from pathlib import Path
 from random import Random
 
 import pytest
@@ -428,9 +429,11 @@
 class Keeper:
     """A process that writes to a folder and says what is on the disk."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, before=""):
+        """Start; `before` is Python run ahead of the program, with the tests' own modules at hand."""
+        code = f"import sys; sys.path.insert(0, {str(Path(__file__).parent)!r}); {before}\n{KEEPER}"
         self.process = subprocess.Popen(
-            [sys.executable, "-c", KEEPER, str(folder)], text=True, stdout=subprocess.PIPE
+            [sys.executable, "-c", code, str(folder)], text=True, stdout=subprocess.PIPE
         )
 
     def until(self, word, times=1):
@@ -441,9 +444,10 @@
             times -= words[0] == word
         return words
 
-    def kill(self):
-        """Kill the process; return the last index that it said was kept."""
-        self.process.kill()
+    def kill(self, wait=False):
+        """Kill the process, or wait for its own end; return the last index that it said was kept."""
+        if not wait:
+            self.process.kill()
         kept = [
             int(line.split()[1])
             for line in self.process.stdout
@@ -467,3 +471,23 @@
     keeper = Keeper(tmp_path)
     assert int(keeper.until("open")[2]) in (last, last + 1)
     keeper.kill()
+
+
+FAULTS = [("write", "ENOSPC"), ("write", "EIO"), ("sync", "EIO"), ("sync", "ENOSPC")]
+
+
+def test_writes_and_syncs_that_fail_for_a_while_lose_nothing_that_was_kept(tmp_path):
+    for number, (call, error) in enumerate(FAULTS):
+        folder, trouble = tmp_path / str(number), tmp_path / f"trouble-{number}"
+        keeper = Keeper(folder, f"import faulty; faulty.install_disk({str(trouble)!r})")
+        keeper.until("kept", 20)
+        trouble.write_text(f'{{"{call}": "{error}"}}', "utf-8")
+        keeper.until("not", 3)
+        trouble.unlink()
+        _, last = keeper.until("back")
+        _, last = keeper.until("kept", 20)
+        trouble.write_text('{"write": "half"}', "utf-8")
+        last = max(int(last), keeper.kill(wait=True))
+        again = Keeper(folder)
+        assert int(again.until("open")[2]) in (last, last + 1), (call, error)
+        again.kill()
