A query weighs on a cold engine as a part of the mean of all at least

Cause: the budget of a cold engine is one of work, so that many small calls could pass the bound on calls that the terms state.

Change: COLD_LEAST, 0.36 of the mean work of all queries, as the least weight (one line of _try_send).

--- a/fennelwind/rules.py
+++ b/fennelwind/rules.py
@@ -53,6 +53,7 @@
 MOST_PARTS = 4.0  # times the even part at most; reports are seconds old, and a jump of demand is quicker
 SAMPLE = 12  # engines looked at for an attempt; a dozen nearly always hold a good one, at any size
 COLD_PART, COLD_GRAIN = 0.6, 0.03  # of a cold budget: used, as estimates err; largest query sent by chance
+COLD_LEAST = 0.36  # of the mean work of all: with COLD_PART 1.67 N calls; N of 25 bears as many and chance
 
 
 class Gateway:
@@ -446,7 +447,8 @@
             and self.rest.get(query.line, 0.0) > self.now
         )
         told = query.span * query.cls.threads  # estimates may lie low: at least the usual
-        query.weight = max(told, self.work[query.c]) * max(1.0, self.best[query.c])
+        least = COLD_LEAST * self.size  # a cold engine bears only so many calls, however small
+        query.weight = max(told, self.work[query.c], least) * max(1.0, self.best[query.c])
         engine = None if barred else self._choose(query)
         if engine is None:
             return False
