--- a/fennelwind/node/front.py
+++ b/fennelwind/node/front.py
@@ -422,11 +422,13 @@
         while (len(self.places) or self.lingering) and self.loop.now() < last:
             late = self.loop.now() >= last_answers
             for connection in self.places:
-                if late:
+                if late and not connection.unread:
                     connection.shut()
                 elif not (connection.owed() or connection.partial or connection.stream.waiting()):
                     connection.close()
             self.loop.sleep(END_LOOK_MS)
+        for connection in self.places:  # who has not taken all answers yet; the kernel keeps what it has
+            connection.shut()
         for connection in list(self.lingering):
             self.let_go(connection)
 
--- a/tests/crossings_play.py
+++ b/tests/crossings_play.py
@@ -34,6 +34,10 @@
 
     __slots__ = ()
 
+    def half_close(self):
+        self.loop.ends(self)
+        super().half_close()
+
     def close(self):
         if not self.closed and self.inward.arrived:
             self.abort()  # as a kernel does
@@ -92,12 +96,17 @@
 
         pipe.send = seen
 
+    def ends(self, stream):
+        """Note whether the client leaves room for anything when the controller sends it nothing more."""
+        what = self.held.get(stream)
+        if isinstance(what, Caller):
+            what.took_nothing = stream.outward.held >= PIPE_BYTES
+
     def closes(self, stream):
         """Note that the controller closes an end of its own."""
         what = self.held.pop(stream, None)
         if isinstance(what, Caller):
             what.closed = self.now()
-            what.took_nothing = stream.outward.held >= PIPE_BYTES
         elif isinstance(what, Address) and what not in (CHANNEL, MOVED):
             self.record.links_open -= 1
 
--- a/tests/test_crossings_attempt.py
+++ b/tests/test_crossings_attempt.py
@@ -27,8 +27,8 @@
 )
 
 from fennelwind.loop import Address, ConnectFailed, Once, RealLoop, SimLoop, StreamReset
+from fennelwind.node.attempt import UNASKED_MS
 from fennelwind.node.config import read_config
-from fennelwind.node.executors import UNASKED_MS
 from fennelwind.node.lifecycle import Node
 
 GRADES = SETTINGS["Grades"]
