Review cases: a limit of time and signals end a case in order

Cause: a script that was ended early left its controller running until its own end, and told 124 in place of 2. Measured: ended after 3 s by either signal, nothing is left running and the code is 2.

--- a/review/standins.py
+++ b/review/standins.py
@@ -29,6 +29,7 @@
 POLL_S = 0.25  # protocol: a status call is answered after 250 ms with 202 if there is no news
 UNASKED_S = 2.0  # protocol: an executor gives up a query that nobody has asked for in 2 s
 ROWS = b"a\tb\tc\nd\te\tf\n"
+MAX_PLAY_S = 110.0  # a case may take 120 s
 READY_S = 30.0  # standing test: a controller is ready within 30 s
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit codes of a case
@@ -473,13 +474,21 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+async def _limited(case: Callable[[Record], Awaitable[str]], record: Record) -> str:
+    """Play a case for a limited time; a signal ends it, and with it all that it started."""
+    task = asyncio.current_task()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(case(record), MAX_PLAY_S)
+
+
 def play(folder: Path, case: Callable[[Record], Awaitable[str]]) -> int:
     """Play a case; return its exit code. The case returns what broke the rule, or "" if it held."""
     record = Record(folder)
     record.note("case", f"disruption {'on' if trouble() else 'off'}")
     try:
-        verdict = asyncio.run(case(record))
-    except (CannotRunError, OSError, KeyboardInterrupt) as exc:
+        verdict = asyncio.run(_limited(case, record))
+    except (CannotRunError, OSError, asyncio.CancelledError) as exc:
         record.note("case", f"could not run: {exc!r}")
         print(f"could not run: {exc!r}", file=sys.stderr)
         return NOT_RUN
