--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,72 +1,75 @@
-"""Bad clients send hundreds of requests at once: do the usual clients get their answers?"""
+"""The command channel takes 6 s to answer a watch: is a drain learned at all?"""
 
 import asyncio
 import sys
-from contextlib import suppress
 from pathlib import Path
 
-import msgpack
-
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins_2 import BROKEN, HELD, Deployment, Executor, Load, judge_answers, query_id, run_case
+from standins_2 import (
+    BROKEN,
+    HELD,
+    SETTINGS,
+    SLACK_MS,
+    Channel,
+    Deployment,
+    Executor,
+    Load,
+    instance,
+    judge_answers,
+    now_ms,
+    run_case,
+)
 
-BAD_CLIENTS = 60
-REQUESTS_AT_ONCE = 300  # of each bad client
-STATEMENT = b"select " + b"a.b+" * 2000 + b"1 from sales_3.orders"  # 8 KB
-BAD_TIMEOUT_MS = 3000
-QUIET_S, LOAD_S = 3.0, 15.0  # before the bad clients, and in all
+SLOW_S = 6.0  # from a watch's request to the channel's answer; the pages give no figure
+GRACE_MS = SETTINGS["Rules"]["DrainGraceMs"]
+QUIET_S, LOAD_S = 8.0, 45.0  # before the drain, and in all
 TIMEOUT_MS = 2000.0
 
 
-def bad_requests(number):
-    """Return what one bad client sends: a request, and others under its id with a different statement."""
-    fields = {"i": query_id(number), "d": str(BAD_TIMEOUT_MS), "t": "water-works", "h": "50.0", "mb": "16"}
-    pieces = [msgpack.packb([0, 1, "lookup", [fields, b"select 1"]])]
-    pieces += [
-        msgpack.packb([0, message, "lookup", [fields, STATEMENT]])
-        for message in range(2, REQUESTS_AT_ONCE + 1)
-    ]
-    return b"".join(pieces)
+class SlowChannel(Channel):
+    """A command channel that answers each watch late, and from then on as a quick one does."""
 
+    slow_s = 0.0
 
-async def send_all(address, data, record):
-    """Connect, send at full speed, and read what comes until the controller closes."""
-    host, _, port = address.rpartition(":")
-    answered = 0
-    with suppress(ConnectionError):
-        reader, writer = await asyncio.open_connection(host, int(port))
-        try:
-            writer.write(data)
-            while received := await reader.read(65536):
-                answered += len(received)
-        finally:
-            writer.close()
-    record("bad client closed", sent_bytes=len(data), received_bytes=answered)
+    async def _serve_events(self, reader, writer):
+        await asyncio.sleep(self.slow_s)
+        await super()._serve_events(reader, writer)
 
 
 async def case(record, folder, has_trouble):
     """Run the case; return its verdict."""
-    floods = [bad_requests(number) for number in range(BAD_CLIENTS)]
     executors = [
         Executor(f"s-{number:08x}", f"127.0.1.{number}", record, work_ms=50.0) for number in range(1, 5)
     ]
-    async with Deployment(record, folder, executors) as deployment:
-        address = deployment.controller.address
-        load = Load(address, record, per_s=20.0, timeout_ms=TIMEOUT_MS)
+    deployment = Deployment(record, folder, executors)
+    deployment.channel = channel = SlowChannel("127.0.0.8", record)
+    channel.slow_s = SLOW_S if has_trouble else 0.0
+    async with deployment:
+        load = Load(deployment.controller.address, record, per_s=20.0, timeout_ms=TIMEOUT_MS)
+        told = {}
 
-        async def disturb():
+        async def drain():
             await asyncio.sleep(QUIET_S)
-            record("bad clients begin", clients=BAD_CLIENTS, requests=REQUESTS_AT_ONCE)
-            await asyncio.gather(*(send_all(address, data, record) for data in floods))
+            await channel.tell([instance(executors[0], "terminating")])
+            told[executors[0]] = now_ms()
 
-        if has_trouble:
-            deployment.spawn(disturb())
-        with suppress(OSError):
-            await load.run(LOAD_S)
-        await asyncio.sleep(2 * TIMEOUT_MS / 1000.0)
+        deployment.spawn(drain())
+        await load.run(LOAD_S)
+        await asyncio.sleep(TIMEOUT_MS / 1000.0 + 1.0)
         load.close()
-        return BROKEN if judge_answers(record, load, deployment.lag) else HELD
+        judge_answers(record, load, deployment.lag)
+        limit_ms = channel.slow_s * 1000.0 + GRACE_MS + SLACK_MS + deployment.lag.worst_ms
+        late = [
+            query.started_ms - told[executors[0]]
+            for query in executors[0].runs
+            if query.started_ms > told[executors[0]] + limit_ms
+        ]
+        print(
+            f"sent to the draining executor after {limit_ms:.0f} ms: {len(late)}, {max(late, default=0):.0f}"
+        )
+        record("late", requests=len(late), latest_ms=f"{max(late, default=0):.0f}")
+        return BROKEN if late else HELD
 
 
 if __name__ == "__main__":
