Review cases: exit with 2 for whatever is not the rule, and end in order on a signal

Cause: a missing package or an unwritable record ended a script with Python's own status 1, which means a broken rule; SIGTERM left the controller and the temporary folder behind; a run in which no request was sent or the disruption did not take place counted as held.

No check and no bound of a rule was changed.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -18,6 +18,7 @@
     instance,
     judge_answers,
     now_ms,
+    require_trouble,
     run_case,
 )
 
@@ -53,11 +54,13 @@
             await asyncio.sleep(QUIET_S)
             await channel.tell([instance(executors[0], "terminating")])
             told[executors[0]] = now_ms()
+            record("drain told", executor=executors[0].name)
 
         deployment.spawn(drain())
         await load.run(LOAD_S)
         await asyncio.sleep(TIMEOUT_MS / 1000.0 + 1.0)
         load.close()
+        require_trouble(record, has_trouble, "drain told")
         judge_answers(record, load, deployment.lag)
         limit_ms = channel.slow_s * 1000.0 + GRACE_MS + SLACK_MS + deployment.lag.worst_ms
         late = [
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,7 +8,17 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins_2 import BROKEN, HELD, Deployment, Executor, Load, judge_answers, now_ms, run_case
+from standins_2 import (
+    BROKEN,
+    HELD,
+    Deployment,
+    Executor,
+    Load,
+    judge_answers,
+    now_ms,
+    require_trouble,
+    run_case,
+)
 
 SPOILT_SHARE = 0.1  # of the good answers
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n" * 40_000
@@ -63,6 +73,7 @@
             await load.run(LOAD_S)
         await asyncio.sleep(2 * TIMEOUT_MS / 1000.0)
         load.close()
+        require_trouble(record, has_trouble, "interim answers begin")
         return BROKEN if judge_answers(record, load, deployment.lag) else HELD
 
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -7,7 +7,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins_2 import BROKEN, HELD, Deployment, Executor, Load, judge_answers, run_case
+from standins_2 import BROKEN, HELD, Deployment, Executor, Load, judge_answers, require_trouble, run_case
 
 MEMORY_MB = 64  # DEPLOY.md's days: 32 to 192 MB
 BAD_CLIENTS = 8
@@ -56,6 +56,7 @@
 
         async def disturb():
             await asyncio.sleep(QUIET_S)
+            record("bad clients begin", clients=BAD_CLIENTS, bytes=PART_BYTES)
             await asyncio.gather(*(send_part(controller.address, record) for _ in range(BAD_CLIENTS)))
 
         if has_trouble:
@@ -64,6 +65,7 @@
             await load.run(LOAD_S)
         await asyncio.sleep(TIMEOUT_MS / 1000.0 + 1.0)
         load.close()
+        require_trouble(record, has_trouble, "bad clients begin")
         judge_answers(record, load, deployment.lag)
         has_ended = controller.process.poll() is not None
         record("controller", peak_mb=f"{controller.peak_mb:.1f}", limit_mb=MEMORY_MB, ended=has_ended)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -21,6 +21,7 @@
     instance,
     judge_answers,
     now_ms,
+    require_trouble,
     run_case,
 )
 
@@ -110,6 +111,7 @@
             await load.run(LOAD_S)
         await asyncio.sleep(TIMEOUT_MS / 1000.0 + 1.0)
         load.close()
+        require_trouble(record, has_trouble, "replaced")
         has_lost = judge_answers(record, load, deployment.lag)
         late = replacement.late_runs(deployment.lag.worst_ms)
         for after_ms, query, executor in late:
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -33,6 +33,7 @@
 LOG_LINES = 25  # of the controller's log that the record keeps
 PROCESSES = []  # that this process has started
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+VERDICTS = ("the rule held", "the rule was broken", "could not run")
 
 
 def now_ms():
@@ -60,9 +61,11 @@
         self.path = Path(folder) / "record.txt"
         self.began_ms = now_ms() if began_ms is None else began_ms
         self.file = self.path.open("w", encoding="utf-8")
+        self.counts = Counter()  # lines by what happened
 
     def __call__(self, what, **fields):
         """Write one line: the time since the start in ms, what happened, and its fields."""
+        self.counts[what] += 1
         text = " ".join(f"{name}={value}" for name, value in fields.items())
         self.file.write(f"{now_ms() - self.began_ms:10.1f} {what} {text}\n")
 
@@ -239,7 +242,8 @@
 
     async def stop(self):
         """Listen no longer, and close all connections."""
-        self.server.close()
+        if self.server is not None:
+            self.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
 
@@ -644,6 +648,15 @@
         self.tasks = []
 
     async def __aenter__(self):
+        """Start everything; end it again and raise an error if that fails."""
+        try:
+            await self.start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def start(self):
         """Start everything; raise `RuntimeError` if the controller is not well in time."""
         for executor in self.executors:
             await executor.start()
@@ -657,7 +670,6 @@
             raise RuntimeError("the controller did not answer isWell")
         self.record("well", resident_mb=f"{self.controller.resident_mb():.1f}")
         self.spawn(self.lag.run())
-        return self
 
     def spawn(self, coroutine):
         """Run a coroutine beside the case; it ends with the deployment."""
@@ -671,12 +683,15 @@
         for executor in self.executors:
             await executor.stop()
         await self.channel.stop()
-        self.controller.stop()
+        if self.controller is not None:
+            self.controller.stop()
         await asyncio.sleep(0.1)  # lets the stand-ins' connections end
 
 
 def judge_answers(record, load, lag):
     """Return whether a request of the usual clients was lost, by FLEET.md: half a second late, or never."""
+    if not load.requests:
+        raise RuntimeError("no request was sent")
     slack_ms = LOST_AFTER_MS + lag.worst_ms
     lost = unanswered(load.requests, slack_ms)
     outcomes = Counter(str(request.outcome) for request in load.requests)
@@ -697,22 +712,40 @@
         process.wait()
 
 
+def require_trouble(record, has_trouble, what):
+    """Raise `RuntimeError` if the disruption was wanted and did not take place."""
+    if has_trouble and not record.counts[what]:
+        raise RuntimeError(f"the disruption did not take place: {what}")
+
+
+def end_on_signal(number, _):
+    """End the case in order when it is told to end."""
+    raise SystemExit(f"signal {number}")
+
+
 def run_case(case, folder):
-    """Run a case's coroutine with a record, a temporary folder and a time limit; exit with its verdict."""
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder)
-    place = tempfile.mkdtemp(prefix="review-")
-    verdict = COULD_NOT_RUN
+    """Run a case's coroutine with a record, a temporary folder and a time limit; exit with its verdict.
+
+    Whatever fails here is not the rule: the exit status is then 2. What was started is ended in any case.
+    """
+    verdict, record, place = COULD_NOT_RUN, None, None
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+        signal.signal(number, end_on_signal)
     try:
+        has_trouble = os.environ.get("TROUBLE", "1") != "0"
+        record, place = Record(folder), tempfile.mkdtemp(prefix="review-")
         verdict = asyncio.run(asyncio.wait_for(case(record, place, has_trouble), RUN_LIMIT_S))
-    except Exception as exc:  # whatever failed here, it is not the rule
-        record("could not run", error=f"{type(exc).__name__}: {exc}")
-        print(f"could not run: {type(exc).__name__}: {exc}")
+        record("verdict", trouble=int(has_trouble), result=VERDICTS[verdict].replace(" ", "-"))
+    except BaseException as exc:
+        verdict = COULD_NOT_RUN
+        print(f"{type(exc).__name__}: {exc}")
+        if record is not None:
+            record("could not run", error=f"{type(exc).__name__}: {exc}")
     finally:
-        words = {HELD: "the rule held", BROKEN: "the rule was broken", COULD_NOT_RUN: "could not run"}
-        record("verdict", trouble=int(has_trouble), result=words[verdict].replace(" ", "-"))
-        record.close()
-        print(words[verdict])
         end_processes()
-        shutil.rmtree(place, ignore_errors=True)
+        if record is not None:
+            record.close()
+        if place is not None:
+            shutil.rmtree(place, ignore_errors=True)
+    print(VERDICTS[verdict])
     sys.exit(verdict)
